--- /dev/null
+++ b/src/papayatack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: time and events come in as arguments."""
--- /dev/null
+++ b/src/papayatack/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queueing and limits before an upstream."""
--- /dev/null
+++ b/src/papayatack/core/messages.py
@@ -0,0 +1,174 @@
+"""Control messages between nodes.
+
+Times are durations in microseconds, never instants: no two nodes share a clock.
+The Thrift forms of these classes, with the same field names, are in
+``papayatack/wire/peer.thrift``.
+"""
+
+import dataclasses
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+
+__all__ = [
+    "ControlMessage",
+    "Fence",
+    "FenceReply",
+    "LoadReport",
+    "LogBatch",
+    "Release",
+    "ReleaseQuery",
+    "Renew",
+    "RenewReply",
+    "ShardLoad",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Renew:
+    """Asks a witness to promise the lease for a further period.
+
+    Attributes:
+        lease: The holder's lease.
+        round: Matches the reply to the request.
+        floor: Ownership offset that the holder has applied.
+        config_offset: Config offset that the holder has applied.
+        ownership_offset: Ownership offset that the holder has applied.
+    """
+
+    lease: LeaseId
+    round: int
+    floor: int
+    config_offset: int
+    ownership_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RenewReply:
+    """A witness's answer to :class:`Renew`.
+
+    Attributes:
+        promised_us: Length of the promise from the witness's receipt; 0 if refused.
+        fenced: Whether the lease is fenced for good.
+        config_offset: Config offset that the witness has applied.
+        ownership_offset: Ownership offset that the witness has applied.
+    """
+
+    lease: LeaseId
+    round: int
+    promised_us: int
+    fenced: bool
+    config_offset: int
+    ownership_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fence:
+    """Asks a witness to end a lease for good once its promise has run out.
+
+    Attributes:
+        lease: The lease to be fenced.
+        resigned: The holder itself asks; the promise need not run out.
+    """
+
+    lease: LeaseId
+    resigned: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FenceReply:
+    """A witness's answer to :class:`Fence`.
+
+    Attributes:
+        fenced: Whether the lease is fenced for good.
+        floor: Highest floor that the witness has seen for the lease.
+        remaining_us: Time until the promise runs out, if not fenced.
+    """
+
+    lease: LeaseId
+    fenced: bool
+    floor: int
+    remaining_us: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Release:
+    """The old holder has stopped serving shards as of the given epochs.
+
+    Attributes:
+        lease: The old holder's lease.
+        shards: Shards released.
+        epochs: The epoch of each move, in the order of ``shards``.
+    """
+
+    lease: LeaseId
+    shards: tuple[ShardId, ...]
+    epochs: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReleaseQuery:
+    """A new holder asks an old one to release shards (or say so again)."""
+
+    asker: LeaseId
+    lease: LeaseId
+    shards: tuple[ShardId, ...]
+    epochs: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LogBatch:
+    """Consecutive log records, for a node that is behind.
+
+    Attributes:
+        stream: The stream's name.
+        first: Offset of the first record.
+        payloads: The records, as they are in the log.
+    """
+
+    stream: str
+    first: int
+    payloads: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ShardLoad:
+    """Measured load of one shard.
+
+    Attributes:
+        shard: The shard.
+        rate: Requests a second.
+        busy: Mean number of slots in use (rate times service time).
+    """
+
+    shard: ShardId
+    rate: float
+    busy: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """A node's measured load, for the planner.
+
+    Attributes:
+        incarnation: The reporting node.
+        shards: Its shards with notable load.
+        busy: Mean number of its slots in use.
+        hot_keys: Single keys with notable load, as shards of their own.
+    """
+
+    incarnation: IncarnationId
+    busy: float
+    shards: tuple[ShardLoad, ...] = ()
+    hot_keys: tuple[ShardLoad, ...] = ()
+
+
+ControlMessage = (
+    Renew
+    | RenewReply
+    | Fence
+    | FenceReply
+    | Release
+    | ReleaseQuery
+    | LogBatch
+    | LoadReport
+)
--- /dev/null
+++ b/src/papayatack/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""The planner: which shard belongs on which node."""
--- /dev/null
+++ b/src/papayatack/core/placement/view.py
@@ -0,0 +1,77 @@
+"""What the planner sees of the fleet, and what it answers."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.inventory import Configuration
+from papayatack.core.messages import LoadReport
+from papayatack.core.records import Assignment
+
+__all__ = ["PlacementNode", "PlacementShard", "PlacementView", "Plan"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementNode:
+    """One admitted node.
+
+    Attributes:
+        lease: Its current lease.
+        data_centre: Where it runs.
+        region: The region of its data centre.
+        service: The service of its upstream.
+        slots: Requests that its upstream runs at once.
+        leaving: It drains, or is suspected of being lost; it gets no new shards.
+        age_s: Seconds since it was admitted.
+    """
+
+    lease: LeaseId
+    data_centre: str
+    region: str
+    service: str
+    slots: int
+    leaving: bool = False
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementShard:
+    """The current chain of a shard.
+
+    Attributes:
+        epoch: Its current epoch, 0 if it was never assigned.
+        chain: Owner first.
+        moving: Its last move is not activated yet.
+    """
+
+    epoch: int
+    chain: tuple[LeaseId, ...]
+    moving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementView:
+    """All that a plan depends on.
+
+    Attributes:
+        configuration: Inventory and rules in force.
+        nodes: All admitted nodes.
+        shards: The shards that have a chain.
+        loads: The newest report of each node.
+    """
+
+    configuration: Configuration
+    nodes: tuple[PlacementNode, ...]
+    shards: Mapping[ShardId, PlacementShard]
+    loads: tuple[LoadReport, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """A bounded list of changes, most urgent first.
+
+    Attributes:
+        assignments: First assignments and moves.
+    """
+
+    assignments: tuple[Assignment, ...]
--- /dev/null
+++ b/src/papayatack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon papayatackd: settings, assembly, operators' endpoint."""
--- /dev/null
+++ b/src/papayatack/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's log service."""
--- /dev/null
+++ b/src/papayatack/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: HTTP towards callers and upstreams, Thrift between nodes."""
--- /dev/null
+++ b/src/papayatack/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events, counters and latency histograms."""
--- /dev/null
+++ b/src/papayatack/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: classify, locate, admit, forward, answer."""
--- /dev/null
+++ b/src/papayatack/proxy/interface.py
@@ -0,0 +1,103 @@
+"""What the request path needs of ownership and admission.
+
+The request path asks :class:`Ownership` where a key is served and, immediately
+before each forward to the upstream, for the :class:`Grant` under which it may be;
+it asks :class:`Gate` for a slot.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from returns.result import Result
+
+from papayatack.core.errors import Refusal
+from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
+from papayatack.core.inventory import Configuration, RequestClass
+
+__all__ = ["Gate", "Grant", "Ownership", "Permit", "Route", "Ticket"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where a shard is believed to be served.
+
+    Attributes:
+        shard: The shard.
+        local: Whether this node serves it.
+        incarnation: The serving node.
+        address: Where that node listens for peers.
+    """
+
+    shard: ShardId
+    local: bool
+    incarnation: IncarnationId
+    address: PeerAddress
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """Permission to forward one request to the own upstream.
+
+    Attributes:
+        shard: The shard.
+        token: Fencing token; it only grows for a shard.
+        remaining_s: Seconds for which the permission still holds.
+    """
+
+    shard: ShardId
+    token: int
+    remaining_s: float
+
+
+class Ownership(Protocol):
+    """Who serves a key, as this node knows it."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this node."""
+
+    def locate(self, service: str, key: str) -> Result[Route, Refusal]:
+        """Return where the key of the service is served."""
+
+    def list_nodes(self, service: str) -> tuple[Route, ...]:
+        """Return the nodes of a service without keys, nearest first."""
+
+    def authorize(self, shard: ShardId) -> Result[Grant, Refusal]:
+        """Return the grant under which a request may go to the upstream now.
+
+        Every success must be paired with one call of :meth:`finish`.
+        """
+
+    def finish(self, shard: ShardId, *, service_time_s: float) -> None:
+        """Report that a request that was authorized has ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """A request that wants a slot.
+
+    Attributes:
+        partner: The partner's name, empty if not known.
+        request_class: The class in which it queues.
+        cost: Work relative to a browse request.
+        deadline_s: Event loop time after which it is of no use.
+    """
+
+    partner: str
+    request_class: RequestClass
+    cost: float
+    deadline_s: float
+
+
+class Permit(Protocol):
+    """A slot in use."""
+
+    def release(self, *, service_time_s: float, error: str | None = None) -> None:
+        """Give the slot back, saying how the upstream did."""
+
+
+class Gate(Protocol):
+    """Admission before the own upstream."""
+
+    async def acquire(self, ticket: Ticket) -> Result[Permit, Refusal]:
+        """Wait for a slot; the wait may be cancelled."""
--- /dev/null
+++ b/src/papayatack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of peer messages (Thrift) and of log records (JSON)."""
--- /dev/null
+++ b/src/papayatack/wire/peer.thrift
@@ -0,0 +1,54 @@
+/* Messages between nodes. Unknown fields are skipped, so that versions can mix. */
+namespace py papayatack.wire
+
+struct LeaseId { 1: string incarnation, 2: i32 term }
+
+/* Control: see papayatack/core/messages.py. */
+struct Renew {
+  1: LeaseId lease, 2: i64 round, 3: i64 floor,
+  4: i64 config_offset, 5: i64 ownership_offset
+}
+struct RenewReply {
+  1: LeaseId lease, 2: i64 round, 3: i64 promised_us, 4: bool fenced,
+  5: i64 config_offset, 6: i64 ownership_offset
+}
+struct Fence { 1: LeaseId lease, 2: bool resigned }
+struct FenceReply { 1: LeaseId lease, 2: bool fenced, 3: i64 floor, 4: i64 remaining_us }
+struct Release { 1: LeaseId lease, 2: list<string> shards, 3: list<i64> epochs }
+struct ReleaseQuery {
+  1: LeaseId asker, 2: LeaseId lease, 3: list<string> shards, 4: list<i64> epochs
+}
+struct LogBatch { 1: string stream, 2: i64 first, 3: list<binary> payloads }
+struct ShardLoad { 1: string shard, 2: double rate, 3: double busy }
+struct LoadReport {
+  1: string incarnation, 2: double busy,
+  3: list<ShardLoad> shards, 4: list<ShardLoad> hot_keys
+}
+struct Control {
+  1: string sender, 2: string recipient,
+  10: optional Renew renew, 11: optional RenewReply renew_reply,
+  12: optional Fence fence, 13: optional FenceReply fence_reply,
+  14: optional Release release, 15: optional ReleaseQuery release_query,
+  16: optional LogBatch log_batch, 17: optional LoadReport load_report
+}
+
+/* Data: one request is one stream on the connection of a pair of nodes. */
+struct Header { 1: binary name, 2: binary value }
+struct RequestHead {
+  1: string service, 2: string shard, 3: string key, 4: binary method,
+  5: binary target, 6: list<Header> headers, 7: i64 deadline_us, 8: string partner,
+  9: string request_class, 10: double cost, 11: bool repeatable, 12: string request_id,
+  13: string idempotency_key, 14: i32 hops, 15: string recipient
+}
+struct ResponseHead { 1: i32 status, 2: binary reason, 3: list<Header> headers }
+struct Body { 1: binary data, 2: bool end }
+struct Window { 1: i32 bytes }
+struct Failure { 1: string kind, 2: string detail, 3: i64 retry_after_us }
+struct Cancel { 1: string reason }
+struct Hello { 1: string incarnation, 2: i32 protocol }
+struct Frame {
+  1: i32 stream,
+  2: optional Control control, 3: optional RequestHead request,
+  4: optional ResponseHead response, 5: optional Body body, 6: optional Window window,
+  7: optional Failure failure, 8: optional Cancel cancel, 9: optional Hello hello
+}
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of papayatack, arranged as the package is."""
