Fold the ownership stream into members, leases and chains

Cause: nothing read the ownership stream. An announcement now names the incarnation that it supersedes: an announcement of a dead process whose append took effect late would otherwise have ended the process that replaced it while that one served.

--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -13,8 +13,11 @@
     "ControlMessage",
     "Fence",
     "FenceReply",
+    "LeaseFenced",
+    "LeaseLapsed",
     "LoadReport",
     "LogBatch",
+    "LogQuery",
     "Release",
     "ReleaseQuery",
     "Renew",
@@ -30,9 +33,10 @@
     Attributes:
         lease: The holder's lease.
         round: Matches the reply to the request.
-        floor: Ownership offset that the holder has applied.
-        config_offset: Config offset that the holder has applied.
-        ownership_offset: Ownership offset that the holder has applied.
+        floor: All ownership records before it are applied, and every shard that they
+            took away is drained.
+        config_offset: All config records before it are applied.
+        ownership_offset: All ownership records before it are applied.
     """
 
     lease: LeaseId
@@ -49,8 +53,8 @@
     Attributes:
         promised_us: Length of the promise from the witness's receipt; 0 if refused.
         fenced: Whether the lease is fenced for good.
-        config_offset: Config offset that the witness has applied.
-        ownership_offset: Ownership offset that the witness has applied.
+        config_offset: All config records before it are applied by the witness.
+        ownership_offset: All ownership records before it are applied by the witness.
     """
 
     lease: LeaseId
@@ -82,12 +86,36 @@
         fenced: Whether the lease is fenced for good.
         floor: Highest floor that the witness has seen for the lease.
         remaining_us: Time until the promise runs out, if not fenced.
+        drained: The holder had finished its requests and asked for the fence itself.
     """
 
     lease: LeaseId
     fenced: bool
     floor: int
     remaining_us: int
+    drained: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseLapsed:
+    """A witness tells the claimants of a lease that its promise has run out."""
+
+    lease: LeaseId
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseFenced:
+    """A hint for routing: a majority of witnesses has fenced the lease."""
+
+    lease: LeaseId
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LogQuery:
+    """Asks a node for the log records from an offset on, as a :class:`LogBatch`."""
+
+    stream: str
+    offset: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -171,4 +199,7 @@
     | ReleaseQuery
     | LogBatch
     | LoadReport
+    | LeaseLapsed
+    | LeaseFenced
+    | LogQuery
 )
--- /dev/null
+++ b/src/papayatack/core/ownership/fencing.py
@@ -0,0 +1,141 @@
+"""How a claimant proves that another node's lease has ended."""
+
+import dataclasses
+
+from papayatack.core.identity import IncarnationId, LeaseId
+from papayatack.core.messages import FenceReply
+from papayatack.core.ownership.holder import find_kth_largest
+from papayatack.core.ownership.state import EndKind, FenceMark, OwnershipState
+from papayatack.core.ownership.succession import LeaseEnd
+from papayatack.core.ownership.timing import (
+    CLOCK_RATE_BOUND,
+    LEASE_DURATION_S,
+    QUERY_INTERVAL_S,
+    count_fences,
+    count_promises,
+)
+
+__all__ = ["Fencing"]
+
+LAPSE_VALID_S = 2.5
+MICROSECONDS = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Round:
+    replies: dict[IncarnationId, FenceReply] = dataclasses.field(default_factory=dict)
+    due_s: float
+
+
+class Fencing:
+    """Fences that one node collects, and the proofs it holds, by lease."""
+
+    def __init__(self, *, state: OwnershipState) -> None:
+        self._state = state
+        self._lapses: dict[LeaseId, dict[IncarnationId, float]] = {}
+        self._rounds: dict[LeaseId, _Round] = {}
+        self._ends: dict[LeaseId, LeaseEnd] = {}
+
+    def find_end(self, lease: LeaseId) -> LeaseEnd | None:
+        """Return the proof that a lease has ended, applied here or not."""
+        return self._ends.get(lease)
+
+    def note_lapse(self, lease: LeaseId, witness: IncarnationId, now: float) -> bool:
+        """Take in a witness's word; return whether fencing has begun.
+
+        A single witness that misses renewals does not lead to fences, which are
+        permanent: as many must say so as are needed to end the lease.
+        """
+        entry = self._state.leases.get(lease)
+        if entry is None or witness not in entry.witnesses or lease in self._ends:
+            return False
+        lapses = self._lapses.setdefault(lease, {})
+        lapses[witness] = now
+        recent = [seen for seen in lapses.values() if now - seen < LAPSE_VALID_S]
+        if len(recent) < count_fences(len(entry.witnesses)) or lease in self._rounds:
+            return False
+        self._rounds[lease] = _Round(due_s=now)
+        return True
+
+    def note_mark(self, lease: LeaseId, mark: FenceMark, now: float) -> None:
+        """Take in a lease's end that stands in the log.
+
+        An end that witnesses proved comes after its promises. Others, such as a
+        supersession, may come while grants to the upstream still run: they are
+        waited out.
+        """
+        waits = mark.kind in (EndKind.SUPERSEDED, EndKind.LOST)
+        wait_s = LEASE_DURATION_S * (1 + CLOCK_RATE_BOUND) if waits else 0.0
+        end = LeaseEnd(
+            floor=mark.floor, confirmed_floor=0, ready_s=now + wait_s, drained=mark.drained
+        )
+        self._ends.setdefault(lease, end)
+        self._rounds.pop(lease, None)
+        self._lapses.pop(lease, None)
+
+    def accept(
+        self, witness: IncarnationId, reply: FenceReply, now: float
+    ) -> LeaseEnd | None:
+        """Take in a witness's answer; return the proof when it becomes complete."""
+        lease_round = self._rounds.get(reply.lease)
+        entry = self._state.leases.get(reply.lease)
+        if lease_round is None or entry is None or witness not in entry.witnesses:
+            return None
+        if not reply.fenced:
+            remaining_s = reply.remaining_us / MICROSECONDS
+            lease_round.due_s = min(lease_round.due_s, now + max(remaining_s, 0.01))
+            return None
+        lease_round.replies[witness] = reply
+        replies = lease_round.replies.values()
+        count = len(entry.witnesses)
+        if len(replies) < count_fences(count):
+            return None
+        floors = [reply.floor for reply in replies]
+        confirmed = find_kth_largest(list(floors), count_promises(count), default=0)
+        end = LeaseEnd(
+            floor=max(floors),
+            confirmed_floor=int(confirmed),
+            ready_s=now,
+            drained=any(reply.drained for reply in replies),
+        )
+        self._ends[reply.lease] = end
+        del self._rounds[reply.lease]
+        self._lapses.pop(reply.lease, None)
+        return end
+
+    def list_due(self, now: float) -> list[tuple[LeaseId, tuple[IncarnationId, ...]]]:
+        """Return the leases to be fenced now, with the witnesses to be asked."""
+        due = []
+        for lease, lease_round in list(self._rounds.items()):
+            entry = self._state.leases.get(lease)
+            if entry is None:
+                del self._rounds[lease]
+                continue
+            if lease_round.due_s <= now:
+                lease_round.due_s = now + QUERY_INTERVAL_S
+                asked = [name for name in entry.witnesses if name not in lease_round.replies]
+                due.append((lease, tuple(asked)))
+        return due
+
+    def find_next_due(self) -> float:
+        """Return when :meth:`list_due` has something to say next."""
+        return min((entry.due_s for entry in self._rounds.values()), default=float("inf"))
+
+    def list_suspects(self, now: float) -> set[IncarnationId]:
+        """Return the holders whose lease lapsed at a witness not long ago."""
+        lapsed = [
+            lease
+            for lease, lapses in self._lapses.items()
+            if any(now - seen < LAPSE_VALID_S for seen in lapses.values())
+        ]
+        return {
+            lease.incarnation
+            for lease in (*lapsed, *self._ends)
+            if self._state.find_lease(lease.incarnation) in (lease, None)
+        }
+
+    def forget_dropped(self) -> None:
+        """Forget the leases that the fold has dropped."""
+        for held in (self._lapses, self._ends):
+            for lease in [lease for lease in held if lease not in self._state.leases]:
+                del held[lease]
--- /dev/null
+++ b/src/papayatack/core/ownership/fold.py
@@ -0,0 +1,292 @@
+"""The fold of the ownership stream: which records take effect, and how.
+
+Every record names the version that it was written against, and is void if that is no
+longer current; so a repeated record changes nothing even after its id is forgotten.
+The ids of the newest :data:`RECENT_IDS` effective records are kept only to tell a
+repetition from a lost race.
+"""
+
+import dataclasses
+import functools
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.state import (
+    Chain,
+    EndKind,
+    FenceMark,
+    LeaseEntry,
+    Member,
+    OwnershipState,
+    ShardEntry,
+)
+from papayatack.core.records import (
+    Activate,
+    Activation,
+    Admit,
+    Announce,
+    Assign,
+    Assignment,
+    CheckpointChunk,
+    DeclareLost,
+    Fenced,
+    OwnershipRecord,
+    Retire,
+)
+
+__all__ = ["MAX_CHAIN", "MAX_WITNESSES", "RECENT_IDS", "Change", "fold"]
+
+RECENT_IDS = 1024
+MAX_CHAIN = 8
+MAX_WITNESSES = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """What one record changed.
+
+    Attributes:
+        effective: Whether it took effect; an ``Assign`` or ``Activate`` does if one
+            of its entries does.
+        reason: Why it, or the last void entry of it, is void.
+        shards: Shards whose chains changed.
+        leases: Leases that were admitted or ended.
+        members: Incarnations that were announced or ended.
+    """
+
+    effective: bool
+    reason: str = ""
+    shards: tuple[ShardId, ...] = ()
+    leases: tuple[LeaseId, ...] = ()
+    members: tuple[IncarnationId, ...] = ()
+
+
+def fold(
+    state: OwnershipState, offset: int, record: OwnershipRecord | None
+) -> Change:
+    """Apply the record at ``offset`` to ``state``.
+
+    Args:
+        state: Changed in place.
+        offset: Offset of the record; offsets already folded are skipped.
+        record: The record, or ``None`` for a payload that is not one.
+
+    Raises:
+        ValueError: Records before ``offset`` are missing.
+    """
+    if offset < state.position:
+        return _void("already folded")
+    if offset > state.position:
+        message = f"record {offset} follows a gap from {state.position}"
+        raise ValueError(message)
+    state.position = offset + 1
+    if record is None:
+        return _void("malformed")
+    if record.record_id in state.recent_ids:
+        return _void("repeated")
+    change = _apply(record, state, offset)
+    if change.effective:
+        _remember(state, record.record_id)
+    return change
+
+
+def _remember(state: OwnershipState, record_id: str) -> None:
+    state.recent_ids[record_id] = None
+    if len(state.recent_ids) > RECENT_IDS:
+        del state.recent_ids[next(iter(state.recent_ids))]
+
+
+def _void(reason: str) -> Change:
+    return Change(effective=False, reason=reason)
+
+
+@functools.singledispatch
+def _apply(record: OwnershipRecord, state: OwnershipState, offset: int) -> Change:
+    return _void("malformed")
+
+
+@_apply.register
+def _announce(record: Announce, state: OwnershipState, offset: int) -> Change:
+    current = state.addresses.get(record.address, "")
+    if record.incarnation in state.members:
+        return _void("known incarnation")
+    if record.supersedes != current:
+        return _void("address taken")
+    ended: tuple[LeaseId, ...] = ()
+    if current:
+        ended = _end_member(state, IncarnationId(current), EndKind.SUPERSEDED, offset)
+    state.addresses[record.address] = record.incarnation
+    state.members[record.incarnation] = Member(
+        incarnation=record.incarnation,
+        address=record.address,
+        operator_address=record.operator_address,
+        data_centre=record.data_centre,
+        region=record.region,
+        service=record.service,
+        upstream=record.upstream,
+        slots=record.slots,
+        connections=record.connections,
+        announced_at=offset,
+    )
+    _forget_ended(state)
+    changed = (record.incarnation, IncarnationId(current))
+    return Change(
+        effective=True, leases=ended, members=changed if current else changed[:1]
+    )
+
+
+@_apply.register
+def _admit(record: Admit, state: OwnershipState, offset: int) -> Change:
+    holder = record.lease.incarnation
+    member = state.members.get(holder)
+    if member is None or member.ended is not None:
+        return _void("unknown incarnation")
+    if record.lease.term != member.term + 1:
+        return _void("term taken")
+    witnesses = record.witnesses
+    if len(set(witnesses)) != len(witnesses) or len(witnesses) > MAX_WITNESSES:
+        return _void("malformed")
+    if holder in witnesses or not all(_is_present(state, name) for name in witnesses):
+        return _void("unknown witness")
+    state.members[holder] = dataclasses.replace(member, term=record.lease.term)
+    state.leases[record.lease] = LeaseEntry(witnesses=witnesses, admitted_at=offset)
+    return Change(effective=True, leases=(record.lease,))
+
+
+def _is_present(state: OwnershipState, incarnation: IncarnationId) -> bool:
+    member = state.members.get(incarnation)
+    return member is not None and member.ended is None
+
+
+@_apply.register
+def _assign(record: Assign, state: OwnershipState, offset: int) -> Change:
+    changed: list[ShardId] = []
+    reason = "empty"
+    for assignment in record.assignments:
+        refusal = _check_assignment(assignment, state)
+        if refusal or assignment.shard in changed:
+            reason = refusal or "repeated"
+            continue
+        _move(assignment, state, offset)
+        changed.append(assignment.shard)
+    if not changed:
+        return _void(reason)
+    return Change(effective=True, shards=tuple(changed))
+
+
+def _check_assignment(assignment: Assignment, state: OwnershipState) -> str:
+    entry = state.shards.get(assignment.shard)
+    epoch = entry.current.epoch if entry is not None else 0
+    chain = assignment.chain
+    if assignment.base_epoch != epoch:
+        return "epoch taken"
+    if not chain or len(chain) > MAX_CHAIN or len(set(chain)) != len(chain):
+        return "malformed"
+    if not all(state.is_live(lease) for lease in chain):
+        return "lease ended"
+    return ""
+
+
+def _move(assignment: Assignment, state: OwnershipState, offset: int) -> None:
+    entry = state.shards.get(assignment.shard)
+    chain = Chain(
+        epoch=assignment.base_epoch + 1, leases=assignment.chain, since=offset + 1
+    )
+    earlier = entry.list_chains() if entry is not None else ()
+    state.set_shard(assignment.shard, ShardEntry(current=chain, earlier=earlier))
+
+
+@_apply.register
+def _activate(record: Activate, state: OwnershipState, offset: int) -> Change:
+    changed: list[ShardId] = []
+    for activation in record.activations:
+        if _can_activate(activation, state):
+            current = state.shards[activation.shard].current
+            entry = ShardEntry(current=current, active=True)
+            state.set_shard(activation.shard, entry)
+            changed.append(activation.shard)
+    if not changed:
+        return _void("epoch taken")
+    return Change(effective=True, shards=tuple(changed))
+
+
+def _can_activate(activation: Activation, state: OwnershipState) -> bool:
+    entry = state.shards.get(activation.shard)
+    if entry is None or entry.active:
+        return False
+    current = entry.current
+    return current.epoch == activation.epoch and activation.owner in current.leases
+
+
+@_apply.register
+def _retire(record: Retire, state: OwnershipState, offset: int) -> Change:
+    if not _is_present(state, record.incarnation):
+        return _void("unknown incarnation")
+    ended = _end_member(state, record.incarnation, EndKind.RETIRED, offset)
+    return Change(effective=True, leases=ended, members=(record.incarnation,))
+
+
+@_apply.register
+def _fenced(record: Fenced, state: OwnershipState, offset: int) -> Change:
+    if not state.is_live(record.lease):
+        return _void("lease ended")
+    if not 0 <= record.floor <= offset:
+        return _void("malformed")
+    mark = FenceMark(kind=EndKind.FENCED, floor=record.floor, drained=record.drained)
+    _mark(state, record.lease, mark)
+    return Change(effective=True, leases=(record.lease,))
+
+
+@_apply.register
+def _declare_lost(record: DeclareLost, state: OwnershipState, offset: int) -> Change:
+    lost = [name for name in record.incarnations if _is_present(state, name)]
+    leases: list[LeaseId] = []
+    for incarnation in dict.fromkeys(lost):
+        leases.extend(_end_member(state, incarnation, EndKind.LOST, offset))
+    if not lost:
+        return _void("unknown incarnation")
+    return Change(effective=True, leases=tuple(leases), members=tuple(lost))
+
+
+@_apply.register
+def _checkpoint(
+    record: CheckpointChunk, state: OwnershipState, offset: int
+) -> Change:
+    return Change(effective=True)
+
+
+def _end_member(
+    state: OwnershipState, incarnation: IncarnationId, kind: EndKind, offset: int
+) -> tuple[LeaseId, ...]:
+    member = state.members.get(incarnation)
+    if member is None or member.ended is not None:
+        return ()
+    state.members[incarnation] = dataclasses.replace(member, ended=kind)
+    ended = []
+    mark = FenceMark(kind=kind, floor=offset, drained=kind is EndKind.RETIRED)
+    for term in range(1, member.term + 1):
+        lease = LeaseId(incarnation, term)
+        if state.is_live(lease):
+            _mark(state, lease, mark)
+            ended.append(lease)
+    return tuple(ended)
+
+
+def _mark(state: OwnershipState, lease: LeaseId, mark: FenceMark) -> None:
+    state.leases[lease] = dataclasses.replace(state.leases[lease], mark=mark)
+
+
+def _forget_ended(state: OwnershipState) -> None:
+    """Drop leases that ended or were replaced, and that no chain names any more."""
+    for lease in list(state.leases):
+        if lease in state.references:
+            continue
+        member = state.members[lease.incarnation]
+        if lease.term < member.term or member.ended is not None:
+            del state.leases[lease]
+    holders = {lease.incarnation for lease in state.leases}
+    for incarnation, member in list(state.members.items()):
+        if member.ended is None or incarnation in holders:
+            continue
+        del state.members[incarnation]
+        if state.addresses.get(member.address) == incarnation:
+            del state.addresses[member.address]
--- /dev/null
+++ b/src/papayatack/core/ownership/holder.py
@@ -0,0 +1,151 @@
+"""The holder's side of one lease."""
+
+import dataclasses
+
+from papayatack.core.identity import IncarnationId, LeaseId
+from papayatack.core.messages import Renew, RenewReply
+from papayatack.core.ownership.timing import (
+    CLOCK_RATE_BOUND,
+    CONFIG_GRACE_S,
+    LEASE_DURATION_S,
+    count_fences,
+    count_promises,
+)
+
+__all__ = ["Holder", "find_kth_largest"]
+
+ROUNDS_KEPT = 16
+MICROSECONDS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Round:
+    sent_s: float
+    floor: int
+
+
+def find_kth_largest(values: list[float], k: int, *, default: float) -> float:
+    """Return the value that at least ``k`` of ``values`` reach."""
+    if k > len(values):
+        return default
+    return sorted(values, reverse=True)[k - 1]
+
+
+class Holder:
+    """One lease as its holder sees it.
+
+    Attributes:
+        lease: The lease.
+        witnesses: Those who promise it.
+        view_end_s: The holder may serve before this time of its own clock.
+        confirmed_floor: Floor that enough witnesses keep: who fences the lease from
+            now on learns of at least this floor.
+        ended: The lease has ended for good.
+        heard_s: When each witness last answered.
+        fenced_by: Witnesses that have fenced the lease.
+    """
+
+    def __init__(
+        self, *, lease: LeaseId, witnesses: tuple[IncarnationId, ...], now: float
+    ) -> None:
+        self.lease = lease
+        self.witnesses = witnesses
+        self.view_end_s = now if witnesses else float("inf")
+        self.confirmed_floor = 0
+        self.ended = False
+        self.heard_s = dict.fromkeys(witnesses, now)
+        self.fenced_by: set[IncarnationId] = set()
+        self.last_sent_s = float("-inf")
+        self._round = 0
+        self._rounds: dict[int, _Round] = {}
+        self._promised_s: dict[IncarnationId, float] = {}
+        self._floors: dict[IncarnationId, int] = {}
+        self._behind_since_s: dict[IncarnationId, float] = {}
+
+    def is_live(self, now: float) -> bool:
+        """Tell whether the holder may serve now."""
+        return not self.ended and now < self.view_end_s
+
+    def end(self) -> None:
+        """Stop serving under this lease for good."""
+        self.ended = True
+        self.view_end_s = float("-inf")
+
+    def renew(
+        self, *, now: float, floor: int, config_offset: int, ownership_offset: int
+    ) -> Renew:
+        """Return the next renewal, to be sent to every witness."""
+        self._round += 1
+        self.last_sent_s = now
+        self._rounds[self._round] = _Round(sent_s=now, floor=floor)
+        self._rounds.pop(self._round - ROUNDS_KEPT, None)
+        if not self.witnesses:
+            self.confirmed_floor = max(self.confirmed_floor, floor)
+        return Renew(
+            lease=self.lease,
+            round=self._round,
+            floor=floor,
+            config_offset=config_offset,
+            ownership_offset=ownership_offset,
+        )
+
+    def accept(
+        self,
+        witness: IncarnationId,
+        reply: RenewReply,
+        *,
+        now: float,
+        config_offset: int,
+    ) -> bool:
+        """Take in a witness's answer; return whether it counts as a promise."""
+        sent = self._rounds.get(reply.round)
+        if witness not in self.heard_s or self.ended:
+            return False
+        self.heard_s[witness] = now
+        if reply.fenced:
+            self._accept_fence(witness)
+            return False
+        if sent is None or reply.promised_us <= 0:
+            return False
+        self._floors[witness] = max(self._floors.get(witness, 0), sent.floor)
+        self._update_floor()
+        if not self._is_config_fresh(
+            witness, reply.config_offset, config_offset, now
+        ):
+            return False
+        promised_s = min(reply.promised_us / MICROSECONDS, LEASE_DURATION_S)
+        until_s = sent.sent_s + promised_s * (1 - CLOCK_RATE_BOUND)
+        self._promised_s[witness] = max(self._promised_s.get(witness, until_s), until_s)
+        self._update_view()
+        return True
+
+    def _accept_fence(self, witness: IncarnationId) -> None:
+        self.fenced_by.add(witness)
+        self._promised_s.pop(witness, None)
+        if len(self.fenced_by) >= count_fences(len(self.witnesses)):
+            self.end()
+
+    def _update_floor(self) -> None:
+        needed = count_promises(len(self.witnesses))
+        floor = find_kth_largest(list(self._floors.values()), needed, default=0)
+        self.confirmed_floor = max(self.confirmed_floor, int(floor))
+
+    def _update_view(self) -> None:
+        needed = count_promises(len(self.witnesses))
+        self.view_end_s = find_kth_largest(
+            list(self._promised_s.values()), needed, default=float("-inf")
+        )
+
+    def _is_config_fresh(
+        self, witness: IncarnationId, theirs: int, ours: int, now: float
+    ) -> bool:
+        """Tell whether the configuration here is recent enough to serve under.
+
+        A holder that comes back after its view has ended waits until it is level with
+        its witnesses; one that serves may be behind while a change spreads.
+        """
+        if theirs <= ours or not self.is_live(now):
+            self._behind_since_s.pop(witness, None)
+            return theirs <= ours
+        since_s = self._behind_since_s.setdefault(witness, now)
+        return now - since_s < CONFIG_GRACE_S
--- /dev/null
+++ b/src/papayatack/core/ownership/rights.py
@@ -0,0 +1,176 @@
+"""The shards that one node serves, stops serving, and releases."""
+
+import dataclasses
+
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.state import Chain, OwnershipState
+
+__all__ = ["Draining", "Right", "Rights"]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Right:
+    """Permission to serve one shard while the lease is live.
+
+    Attributes:
+        holder: The lease under which it is served.
+        epoch: Epoch of the chain under which it is served.
+        wanted_token: Token of the grant that the upstream is to have.
+        token: Token of the newest grant that the upstream confirmed, 0 for none.
+        asked: The upstream has been asked for the wanted grant.
+    """
+
+    holder: Holder
+    epoch: int
+    wanted_token: int
+    token: int = 0
+    asked: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Draining:
+    """A shard that was taken away, while its requests finish.
+
+    Attributes:
+        holder: The lease under which it was served.
+        floor_limit: The floor stays at most here until the shard is drained.
+        revoking: The upstream has been asked to end the grant.
+    """
+
+    holder: Holder
+    floor_limit: int
+    revoking: bool = False
+
+
+class Rights:
+    """Rights of one node, its requests in flight, and what it is draining."""
+
+    def __init__(self, *, state: OwnershipState) -> None:
+        self._state = state
+        self.rights: dict[ShardId, Right] = {}
+        self.in_flight: dict[ShardId, int] = {}
+        self.draining: dict[ShardId, Draining] = {}
+        self._transferred: dict[ShardId, Right] = {}
+
+    def begin(self, shard: ShardId) -> None:
+        """Count a request in."""
+        self.in_flight[shard] = self.in_flight.get(shard, 0) + 1
+
+    def finish(self, shard: ShardId) -> bool:
+        """Count a request out; return whether the shard has none left."""
+        left = self.in_flight.get(shard, 0) - 1
+        if left > 0:
+            self.in_flight[shard] = left
+            return False
+        self.in_flight.pop(shard, None)
+        return True
+
+    def acquire(self, shard: ShardId, holder: Holder, epoch: int, token: int) -> None:
+        """Hold a right; the upstream is to be asked for a grant unless it has it."""
+        self.draining.pop(shard, None)
+        self._transferred.pop(shard, None)
+        right = self.rights.get(shard)
+        if right is None or right.holder is not holder:
+            self.rights[shard] = Right(holder=holder, epoch=epoch, wanted_token=token)
+            return
+        right.epoch = epoch
+        if right.wanted_token != token:
+            right.wanted_token = token
+            right.asked = False
+
+    def stop(self, shard: ShardId, *, drains: bool) -> bool:
+        """Admit no more requests for a shard; return whether it was served.
+
+        Args:
+            shard: The shard.
+            drains: The floor is held back until its requests have finished. Not so if
+                the next owner is another lease of this node.
+        """
+        right = self.rights.pop(shard, None)
+        if not drains:
+            if right is not None:
+                self._transferred[shard] = right
+            return right is not None
+        last = right or self._transferred.pop(shard, None)
+        if last is not None and shard not in self.draining:
+            limit = self._find_limit(shard, last.epoch)
+            self.draining[shard] = Draining(holder=last.holder, floor_limit=limit)
+        return right is not None
+
+    def _find_limit(self, shard: ShardId, epoch: int) -> int:
+        """Return the offset of the record that replaced the chain of ``epoch``."""
+        entry = self._state.shards.get(shard)
+        chains: tuple[Chain, ...] = entry.list_chains() if entry is not None else ()
+        later = [chain.since - 1 for chain in chains if chain.epoch > epoch]
+        return min(later, default=self._state.position)
+
+    def find_floor(self) -> int:
+        """Return the position up to which all taken shards are drained."""
+        limits = (draining.floor_limit for draining in self.draining.values())
+        return min(limits, default=self._state.position)
+
+    def collect_grants(self, now: float) -> dict[LeaseId, dict[ShardId, int]]:
+        """Return the grants that the upstream is to be asked for, by live lease."""
+        found: dict[LeaseId, dict[ShardId, int]] = {}
+        for shard, right in self.rights.items():
+            if not right.asked and right.holder.is_live(now):
+                right.asked = True
+                found.setdefault(right.holder.lease, {})[shard] = right.wanted_token
+        return found
+
+    def confirm_grant(self, lease: LeaseId, shard: ShardId, token: int) -> None:
+        """Take in that the upstream has a grant."""
+        right = self.rights.get(shard)
+        if right is None or right.holder.lease != lease:
+            return
+        if right.wanted_token == token:
+            right.token = token
+
+    def forget_grants(self, holder: Holder) -> None:
+        """Ask the upstream again for all grants of a lease."""
+        for right in self.rights.values():
+            if right.holder is holder:
+                right.token = 0
+                right.asked = False
+
+    def collect_revocable(self) -> dict[LeaseId, list[ShardId]]:
+        """Return the shards whose requests have finished but whose grant stands.
+
+        The grants of an ended lease are extended no more and need no revocation.
+        """
+        found: dict[LeaseId, list[ShardId]] = {}
+        for shard, draining in list(self.draining.items()):
+            if shard in self.in_flight or draining.revoking:
+                continue
+            if draining.holder.ended:
+                del self.draining[shard]
+                continue
+            draining.revoking = True
+            found.setdefault(draining.holder.lease, []).append(shard)
+        return found
+
+    def confirm_revoke(self, lease: LeaseId, shard: ShardId, *, done: bool) -> None:
+        """Take in the upstream's answer to a revocation."""
+        draining = self.draining.get(shard)
+        if draining is None or draining.holder.lease != lease:
+            return
+        if done:
+            del self.draining[shard]
+        else:
+            draining.revoking = False
+
+    def can_release(self, holder: Holder, shard: ShardId, epoch: int) -> bool:
+        """Tell whether nothing under ``holder`` serves a shard before ``epoch``."""
+        entry = self._state.shards.get(shard)
+        if entry is None or entry.current.epoch < epoch or shard in self.draining:
+            return False
+        right = self.rights.get(shard)
+        if right is not None and right.epoch < epoch:
+            return False
+        if right is None and shard in self.in_flight:
+            return False
+        since = min(
+            chain.since for chain in entry.list_chains() if chain.epoch >= epoch
+        )
+        return holder.confirmed_floor >= since
--- /dev/null
+++ b/src/papayatack/core/ownership/selection.py
@@ -0,0 +1,121 @@
+"""Stable choices that every node makes alike: witnesses, successors, the planner."""
+
+import collections
+from collections.abc import Callable, Collection, Iterable
+
+import xxhash
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.state import Member, OwnershipState
+from papayatack.core.ownership.timing import WITNESSES_WANTED
+
+__all__ = [
+    "CHAIN_LENGTH",
+    "choose_successors",
+    "choose_witnesses",
+    "find_planner",
+    "rank_member",
+]
+
+CHAIN_LENGTH = 3
+
+
+def rank_member(subject: str, incarnation: IncarnationId) -> int:
+    """Return a member's rank for a subject; the lowest comes first."""
+    return xxhash.xxh3_64_intdigest(f"{subject}|{incarnation}")
+
+
+def choose_witnesses(
+    state: OwnershipState,
+    member: Member,
+    *,
+    avoid: Collection[IncarnationId] = (),
+) -> tuple[IncarnationId, ...]:
+    """Return the witnesses for a new lease of ``member``.
+
+    They run in the member's region, in as many data centres as there are, the
+    member's own last. Those to ``avoid`` are taken only where others are too few.
+    """
+    others = [
+        other
+        for other in state.list_live_members()
+        if other.region == member.region and other.incarnation != member.incarnation
+    ]
+
+    def rate(other: Member) -> tuple[bool, bool, int]:
+        return (
+            other.incarnation in avoid,
+            other.data_centre == member.data_centre,
+            rank_member(member.incarnation, other.incarnation),
+        )
+
+    chosen = _spread(others, WITNESSES_WANTED, rate)
+    return tuple(other.incarnation for other in chosen)
+
+
+def _spread(
+    candidates: Iterable[Member],
+    count: int,
+    rate: Callable[[Member], tuple[bool, bool, int]],
+    *,
+    used: Collection[str] = (),
+) -> list[Member]:
+    """Take up to ``count`` candidates from as many data centres as possible."""
+    uses = collections.Counter(used)
+    left = list(candidates)
+    chosen: list[Member] = []
+    while left and len(chosen) < count:
+        best = min(
+            left, key=lambda other: (rate(other)[0], uses[other.data_centre], rate(other))
+        )
+        left.remove(best)
+        uses[best.data_centre] += 1
+        chosen.append(best)
+    return chosen
+
+
+def choose_successors(
+    state: OwnershipState,
+    shard: ShardId,
+    service: str,
+    kept: tuple[LeaseId, ...],
+    *,
+    avoid: Collection[IncarnationId] = (),
+    length: int = CHAIN_LENGTH,
+) -> tuple[LeaseId, ...]:
+    """Return ``kept``, prolonged by live leases of other data centres."""
+    holders = {lease.incarnation for lease in kept}
+    candidates = [
+        other
+        for other in state.list_live_members()
+        if other.service == service
+        and other.incarnation not in holders
+        and other.incarnation not in avoid
+        and state.find_lease(other.incarnation) is not None
+    ]
+
+    def rate(other: Member) -> tuple[bool, bool, int]:
+        return False, False, rank_member(shard, other.incarnation)
+
+    used = [
+        state.members[lease.incarnation].data_centre
+        for lease in kept
+        if lease.incarnation in state.members
+    ]
+    added = _spread(candidates, length - len(kept), rate, used=used)
+    leases = (state.find_lease(other.incarnation) for other in added)
+    return (*kept, *(lease for lease in leases if lease is not None))
+
+
+def find_planner(
+    state: OwnershipState, *, avoid: Collection[IncarnationId] = ()
+) -> IncarnationId | None:
+    """Return the node that plans: the first announced one with a live lease."""
+    candidates = (
+        member
+        for member in state.list_live_members()
+        if member.incarnation not in avoid
+        and state.find_lease(member.incarnation) is not None
+    )
+    first = min(candidates, key=lambda member: member.announced_at, default=None)
+    return first.incarnation if first is not None else None
--- /dev/null
+++ b/src/papayatack/core/ownership/timing.py
@@ -0,0 +1,43 @@
+"""Durations of the lease protocol, and how many witnesses each step needs."""
+
+__all__ = [
+    "ADMISSION_SETTLE_S",
+    "CLOCK_RATE_BOUND",
+    "CONFIG_GRACE_S",
+    "LAPSE_REPEAT_S",
+    "LEASE_DURATION_S",
+    "QUERY_INTERVAL_S",
+    "RENEW_INTERVAL_S",
+    "RETRY_APPEND_S",
+    "WITNESSES_WANTED",
+    "WITNESS_SILENT_S",
+    "count_fences",
+    "count_promises",
+]
+
+LEASE_DURATION_S = 1.0
+RENEW_INTERVAL_S = 0.25
+CLOCK_RATE_BOUND = 0.02
+"""Largest relative difference of the rates of two nodes' clocks."""
+
+QUERY_INTERVAL_S = 0.25
+LAPSE_REPEAT_S = (0.1, 0.2, 0.4, 0.8, 1.6, 5.0)
+WITNESS_SILENT_S = 3.0
+ADMISSION_SETTLE_S = 1.0
+RETRY_APPEND_S = 2.0
+CONFIG_GRACE_S = 2.0
+WITNESSES_WANTED = 3
+
+
+def count_promises(witnesses: int) -> int:
+    """Return how many witnesses must promise before the holder serves.
+
+    Together with :func:`count_fences` it exceeds the number of witnesses, so that a
+    lease that is fenced and one that is promised never stand at the same time.
+    """
+    return (witnesses + 1) // 2
+
+
+def count_fences(witnesses: int) -> int:
+    """Return how many witnesses must have fenced a lease before it has ended."""
+    return witnesses // 2 + 1
--- /dev/null
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -0,0 +1,126 @@
+"""The leases that one node witnesses."""
+
+import dataclasses
+
+from papayatack.core.identity import IncarnationId, LeaseId
+from papayatack.core.messages import Fence, FenceReply, Renew
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.timing import LAPSE_REPEAT_S, LEASE_DURATION_S
+from papayatack.core.ownership.witness import (
+    Promise,
+    fence_promise,
+    renew_promise,
+    start_promise,
+)
+
+__all__ = ["Witnessing"]
+
+MICROSECONDS = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Notice:
+    due_s: float
+    count: int = 0
+
+
+class Witnessing:
+    """Promises of one node, by lease.
+
+    Only leases whose admission the node has folded, and that name it, are promised:
+    the fold remembers the end of those that are forgotten here.
+    """
+
+    def __init__(self, *, me: IncarnationId, state: OwnershipState) -> None:
+        self._me = me
+        self._state = state
+        self._promises: dict[LeaseId, Promise] = {}
+        self._notices: dict[LeaseId, _Notice] = {}
+
+    def update(self, lease: LeaseId, now: float) -> None:
+        """Follow the fold: adopt, end or forget a lease."""
+        entry = self._state.leases.get(lease)
+        if entry is None or self._me not in entry.witnesses:
+            self._promises.pop(lease, None)
+            self._notices.pop(lease, None)
+            return
+        promise = self._promises.get(lease)
+        if promise is None:
+            promise = start_promise(now=now, duration_s=LEASE_DURATION_S)
+            self._notices[lease] = _Notice(due_s=promise.expires_s)
+        if entry.mark is not None:
+            promise = dataclasses.replace(
+                promise,
+                fenced=True,
+                floor=max(promise.floor, entry.mark.floor),
+                drained=promise.drained or entry.mark.drained,
+            )
+            self._notices.pop(lease, None)
+        self._promises[lease] = promise
+
+    def forget_dropped(self) -> None:
+        """Forget the leases that the fold has dropped."""
+        for lease in [lease for lease in self._promises if lease not in self._state.leases]:
+            del self._promises[lease]
+            self._notices.pop(lease, None)
+
+    def renew(self, message: Renew, now: float) -> tuple[int, bool]:
+        """Promise a lease; return the promise's microseconds and whether it is fenced."""
+        promise = self._promises.get(message.lease)
+        if promise is None:
+            return 0, self._has_been_dropped(message.lease)
+        promise = renew_promise(
+            promise, now=now, duration_s=LEASE_DURATION_S, floor=message.floor
+        )
+        self._promises[message.lease] = promise
+        if promise.fenced:
+            return 0, True
+        self._notices[message.lease] = _Notice(due_s=promise.expires_s)
+        return int(LEASE_DURATION_S * MICROSECONDS), False
+
+    def _has_been_dropped(self, lease: LeaseId) -> bool:
+        member = self._state.members.get(lease.incarnation)
+        return (
+            member is not None
+            and lease.term <= member.term
+            and lease not in self._state.leases
+        )
+
+    def fence(self, message: Fence, now: float) -> FenceReply | None:
+        """Fence a lease if its promise has run out; ``None`` if it is not known."""
+        promise = self._promises.get(message.lease)
+        if promise is None:
+            return None
+        fenced = fence_promise(promise, now=now, resigned=message.resigned)
+        if fenced.fenced and not promise.fenced:
+            self._notices[message.lease] = _Notice(due_s=now)
+        self._promises[message.lease] = fenced
+        remaining_s = 0.0 if fenced.fenced else fenced.expires_s - now
+        return FenceReply(
+            lease=message.lease,
+            fenced=fenced.fenced,
+            floor=fenced.floor,
+            remaining_us=int(remaining_s * MICROSECONDS),
+            drained=fenced.drained,
+        )
+
+    def list_lapsed(self, now: float) -> list[LeaseId]:
+        """Return the leases whose claimants are to be told now that they lapsed."""
+        due = [lease for lease, notice in self._notices.items() if notice.due_s <= now]
+        for lease in due:
+            notice = self._notices[lease]
+            pause = LAPSE_REPEAT_S[min(notice.count, len(LAPSE_REPEAT_S) - 1)]
+            notice.count += 1
+            notice.due_s = now + pause
+        return due
+
+    def count_notices(self, lease: LeaseId) -> int:
+        """Return how often claimants were told that a lease lapsed."""
+        notice = self._notices.get(lease)
+        return notice.count if notice is not None else 0
+
+    def find_next_due(self) -> float:
+        """Return when :meth:`list_lapsed` has something to say next."""
+        return min(
+            (notice.due_s for notice in self._notices.values()), default=float("inf")
+        )
--- a/src/papayatack/core/records.py
+++ b/src/papayatack/core/records.py
@@ -62,6 +62,8 @@
         upstream: The upstream's address, ``<ip>:<port>``.
         slots: Requests that the upstream runs at once.
         connections: Connections that the upstream accepts.
+        supersedes: The incarnation that held the address when this was written, or
+            empty; another one there by now voids the record.
     """
 
     record_id: str
@@ -75,6 +77,7 @@
     upstream: str
     slots: int
     connections: int
+    supersedes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,13 +159,15 @@
 
     Attributes:
         lease: The fenced lease.
-        floor: The highest ownership offset that a witness held for it.
+        floor: The highest floor that a witness held for it.
+        drained: The holder had finished its requests and asked for it itself.
     """
 
     record_id: str
     writer: str
     lease: LeaseId
     floor: int
+    drained: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -13,7 +13,12 @@
   5: i64 config_offset, 6: i64 ownership_offset
 }
 struct Fence { 1: LeaseId lease, 2: bool resigned }
-struct FenceReply { 1: LeaseId lease, 2: bool fenced, 3: i64 floor, 4: i64 remaining_us }
+struct FenceReply {
+  1: LeaseId lease, 2: bool fenced, 3: i64 floor, 4: i64 remaining_us, 5: bool drained
+}
+struct LeaseLapsed { 1: LeaseId lease }
+struct LeaseFenced { 1: LeaseId lease }
+struct LogQuery { 1: string stream, 2: i64 offset }
 struct Release { 1: LeaseId lease, 2: list<string> shards, 3: list<i64> epochs }
 struct ReleaseQuery {
   1: LeaseId asker, 2: LeaseId lease, 3: list<string> shards, 4: list<i64> epochs
@@ -29,7 +34,9 @@
   10: optional Renew renew, 11: optional RenewReply renew_reply,
   12: optional Fence fence, 13: optional FenceReply fence_reply,
   14: optional Release release, 15: optional ReleaseQuery release_query,
-  16: optional LogBatch log_batch, 17: optional LoadReport load_report
+  16: optional LogBatch log_batch, 17: optional LoadReport load_report,
+  18: optional LeaseLapsed lease_lapsed, 19: optional LeaseFenced lease_fenced,
+  20: optional LogQuery log_query
 }
 
 /* Data: one request is one stream on the connection of a pair of nodes. */
