--- /dev/null
+++ b/src/papayatack/core/ownership/admission.py
@@ -0,0 +1,180 @@
+"""Announcing a process and keeping it admitted under witnesses that answer."""
+
+import dataclasses
+
+from papayatack.core.identity import IncarnationId, LeaseId
+from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.selection import choose_witnesses
+from papayatack.core.ownership.state import Member
+from papayatack.core.ownership.timing import (
+    ADMISSION_SETTLE_S,
+    READMIT_INTERVAL_S,
+    RETRY_APPEND_S,
+    WITNESS_SILENT_S,
+    WITNESSES_WANTED,
+)
+from papayatack.core.records import (
+    Admit,
+    Announce,
+    Assign,
+    Assignment,
+    Fenced,
+)
+
+__all__ = ["Admission"]
+
+CHECK_INTERVAL_S = 0.25
+MAX_ASSIGNMENTS = 128
+
+
+class Admission:
+    """Writes the records by which this process joins and stays.
+
+    Args:
+        context: The node's state.
+        announcement: What to announce; its ids are filled in.
+    """
+
+    def __init__(self, *, context: Context, announcement: Announce) -> None:
+        self._context = context
+        self._announcement = announcement
+        self._announced_s: float | None = None
+        self._dead_since_s: dict[LeaseId, float] = {}
+
+    def advance(self, now: float) -> None:
+        """Write what is due."""
+        member = self._context.state.members.get(self._context.me)
+        if member is None:
+            self._announce(now)
+            return
+        if member.ended is not None:
+            return
+        if self._announced_s is None:
+            self._announced_s = now
+        self._keep_lease(member, now)
+        self._replace_old_leases(member, now)
+
+    def _announce(self, now: float) -> None:
+        if not self._context.is_due("announce", now, RETRY_APPEND_S):
+            return
+        address = self._announcement.address
+        current = self._context.state.addresses.get(address, "")
+        record = dataclasses.replace(
+            self._announcement,
+            record_id=self._context.make_record_id(),
+            supersedes=current,
+        )
+        self._context.append(record)
+
+    def _keep_lease(self, member: Member, now: float) -> None:
+        if not self._context.is_due("check witnesses", now, CHECK_INTERVAL_S):
+            return
+        holder = self._context.find_newest_holder()
+        silent = self._list_silent(holder, now)
+        chosen = choose_witnesses(self._context.state, member, avoid=silent)
+        if holder is None and not member.term:
+            settled = now - (self._announced_s or now) >= ADMISSION_SETTLE_S
+            wanted = len(chosen) >= WITNESSES_WANTED or settled
+            pause_s = RETRY_APPEND_S
+        else:
+            wanted = holder is None or self._is_better(chosen, holder, silent)
+            pause_s = READMIT_INTERVAL_S
+        if wanted and self._context.is_due("admit", now, pause_s):
+            record = Admit(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                lease=LeaseId(self._context.me, member.term + 1),
+                witnesses=chosen,
+            )
+            self._context.append(record)
+
+    def _list_silent(self, holder: Holder | None, now: float) -> set[IncarnationId]:
+        if holder is None:
+            return set()
+        return {
+            witness
+            for witness, heard_s in holder.heard_s.items()
+            if now - heard_s > WITNESS_SILENT_S
+        }
+
+    def _is_better(
+        self,
+        chosen: tuple[IncarnationId, ...],
+        holder: Holder,
+        silent: set[IncarnationId],
+    ) -> bool:
+        if holder.ended:
+            return True
+        bad = silent | holder.fenced_by
+        return self._rate(chosen, silent) > self._rate(holder.witnesses, bad)
+
+    def _rate(
+        self, witnesses: tuple[IncarnationId, ...], bad: set[IncarnationId]
+    ) -> tuple[int, int]:
+        members = [
+            self._context.state.members[name]
+            for name in witnesses
+            if name in self._context.state.members and name not in bad
+        ]
+        live = [member for member in members if member.ended is None]
+        return len(live), len({member.data_centre for member in live})
+
+    def _replace_old_leases(self, member: Member, now: float) -> None:
+        """Move the chains that name an older lease of this process to the newest."""
+        newest = self._context.find_newest_holder()
+        if newest is None or not newest.is_live(now):
+            return
+        for lease, holder in list(self._context.holders.items()):
+            if holder is newest:
+                continue
+            if lease not in self._context.state.references:
+                holder.end()
+                del self._context.holders[lease]
+                continue
+            self._give_up(holder, now)
+            if self._context.state.is_live(lease):
+                self._replace(lease, newest.lease, now)
+
+    def _give_up(self, holder: Holder, now: float) -> None:
+        """End a lease whose witnesses cannot be reached, and tell the log."""
+        if holder.is_live(now):
+            self._dead_since_s.pop(holder.lease, None)
+            return
+        since_s = self._dead_since_s.setdefault(holder.lease, now)
+        if now - since_s < WITNESS_SILENT_S:
+            return
+        holder.end()
+        if not self._context.state.is_live(holder.lease):
+            return
+        key = f"fenced {holder.lease}"
+        if self._context.is_due(key, now, RETRY_APPEND_S):
+            record = Fenced(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                lease=holder.lease,
+                floor=min(holder.confirmed_floor, self._context.state.position),
+            )
+            self._context.append(record)
+
+    def _replace(self, old: LeaseId, new: LeaseId, now: float) -> None:
+        assignments = []
+        for shard in sorted(self._context.state.references[old]):
+            current = self._context.state.shards[shard].current
+            if old not in current.leases or len(assignments) >= MAX_ASSIGNMENTS:
+                continue
+            chain = [new if lease == old else lease for lease in current.leases]
+            live = [lease for lease in chain if self._context.state.is_live(lease)]
+            assignment = Assignment(
+                shard=shard,
+                base_epoch=current.epoch,
+                chain=tuple(dict.fromkeys(live)),
+            )
+            assignments.append(assignment)
+        if assignments and self._context.is_due(f"replace {old}", now, RETRY_APPEND_S):
+            record = Assign(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                assignments=tuple(assignments),
+            )
+            self._context.append(record)
--- /dev/null
+++ b/src/papayatack/core/ownership/claims.py
@@ -0,0 +1,216 @@
+"""Acquiring, keeping and releasing shards."""
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.messages import Release, ReleaseQuery
+from papayatack.core.ownership.context import Context, find_service
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.state import ShardEntry
+from papayatack.core.ownership.succession import (
+    Claim,
+    LeaseEnd,
+    examine_claim,
+    make_token,
+)
+from papayatack.core.ownership.timing import QUERY_INTERVAL_S
+
+__all__ = ["Claims"]
+
+MAX_PENDING_QUERIES = 20_000
+MAX_SHARDS_PER_MESSAGE = 500
+
+
+class Claims:
+    """The shards in whose chains this node stands.
+
+    Implements :class:`papayatack.core.ownership.succession.Evidence`.
+    """
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self._dirty: set[ShardId] = set()
+        self._blocked: dict[ShardId, Claim] = {}
+        self._due_s: dict[ShardId, float] = {}
+        self._released: dict[ShardId, dict[LeaseId, int]] = {}
+        self._queries: dict[tuple[LeaseId, ShardId], tuple[int, IncarnationId]] = {}
+        self._query_due_s = float("inf")
+        self.stopped = False
+
+    def find_end(self, lease: LeaseId) -> LeaseEnd | None:
+        """Return the proof that a lease has ended, once its floor is applied here."""
+        holder = self._context.holders.get(lease)
+        if holder is not None:
+            return _describe_own_end(holder) if holder.ended else None
+        end = self._context.fencing.find_end(lease)
+        if end is None or end.floor > self._context.state.position:
+            return None
+        return end
+
+    def has_released(self, lease: LeaseId, shard: ShardId, epoch: int) -> bool:
+        """Tell whether the holder released the shard to the chain of ``epoch``."""
+        holder = self._context.holders.get(lease)
+        if holder is not None:
+            return not holder.ended and self._context.rights.can_release(
+                holder, shard, epoch, to_self=True
+            )
+        return self._released.get(shard, {}).get(lease, 0) >= epoch
+
+    def touch(self, *shards: ShardId) -> None:
+        """Examine these shards again."""
+        self._dirty.update(shards)
+
+    def touch_lease(self, lease: LeaseId) -> None:
+        """Examine again all shards in whose chains the lease stands."""
+        self._dirty.update(self._context.state.references.get(lease, ()))
+
+    def touch_blocked(self) -> None:
+        """Examine again all shards that wait for something."""
+        self._dirty.update(self._blocked)
+
+    def accept_release(self, message: Release) -> None:
+        """Take in that an old holder released shards."""
+        for shard, epoch in zip(message.shards, message.epochs, strict=False):
+            entry = self._context.state.shards.get(shard)
+            if entry is None or not entry.earlier:
+                continue
+            released = self._released.setdefault(shard, {})
+            released[message.lease] = max(released.get(message.lease, 0), epoch)
+            self._dirty.add(shard)
+
+    def accept_query(self, sender: IncarnationId, message: ReleaseQuery) -> None:
+        """Remember that a new holder waits for shards of this node."""
+        if message.lease not in self._context.holders:
+            return
+        for shard, epoch in zip(message.shards, message.epochs, strict=False):
+            if len(self._queries) >= MAX_PENDING_QUERIES:
+                self._context.note("PEER_MESSAGE_REFUSED", "too many queries", sender)
+                return
+            self._queries[message.lease, shard] = (epoch, sender)
+
+    @property
+    def has_queries(self) -> bool:
+        """Tell whether another node waits for a release."""
+        return bool(self._queries)
+
+    @property
+    def is_blocked(self) -> bool:
+        """Tell whether a shard waits for something."""
+        return bool(self._blocked)
+
+    def settle(self, now: float) -> None:
+        """Examine what has changed, until nothing changes any more."""
+        for shard in [shard for shard, due in self._due_s.items() if due <= now]:
+            del self._due_s[shard]
+            self._dirty.add(shard)
+        while self._dirty:
+            self._examine(self._dirty.pop(), now)
+        self._answer_queries()
+        if self._query_due_s <= now:
+            self._send_queries(now)
+
+    def find_next_due(self) -> float:
+        """Return when :meth:`settle` has something to do next."""
+        return min(min(self._due_s.values(), default=float("inf")), self._query_due_s)
+
+    def _examine(self, shard: ShardId, now: float) -> None:
+        self._blocked.pop(shard, None)
+        self._due_s.pop(shard, None)
+        entry = self._context.state.shards.get(shard)
+        if entry is None:
+            return
+        if not entry.earlier:
+            self._released.pop(shard, None)
+        holder = self._find_own(entry)
+        if holder is None or self.stopped:
+            self._stop(shard, drains=True)
+            return
+        claim = examine_claim(shard, entry, holder.lease, self)
+        if not claim.is_clear:
+            self._wait(shard, claim, now)
+            return
+        ready_s = claim.ready_s
+        if claim.linger:
+            ready_s += self._context.linger_s(find_service(shard))
+        if now < ready_s and shard not in self._context.rights.rights:
+            self._due_s[shard] = ready_s
+            return
+        self._acquire(shard, entry, holder)
+
+    def _find_own(self, entry: ShardEntry) -> Holder | None:
+        for lease in entry.current.leases:
+            holder = self._context.holders.get(lease)
+            if holder is not None and not holder.ended:
+                return holder
+        return None
+
+    def _wait(self, shard: ShardId, claim: Claim, now: float) -> None:
+        if not claim.predecessors or self._is_ahead(claim.predecessors):
+            self._blocked[shard] = claim
+        holders = self._context.holders
+        own = all(lease in holders for lease, _ in claim.holders)
+        self._stop(shard, drains=bool(claim.predecessors) or not own)
+        if claim.holders and not claim.predecessors:
+            self._query_due_s = min(self._query_due_s, now)
+
+    def _is_ahead(self, predecessors: tuple[LeaseId, ...]) -> bool:
+        """Tell whether fenced predecessors had applied records that lack here."""
+        ends = (self._context.fencing.find_end(lease) for lease in predecessors)
+        return any(end is not None for end in ends)
+
+    def _stop(self, shard: ShardId, *, drains: bool) -> None:
+        if self._context.rights.stop(shard, drains=drains):
+            self._context.note("SHARD_STOPPED", subject=shard)
+
+    def _acquire(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> None:
+        position = entry.current.leases.index(holder.lease)
+        token = make_token(entry.current.epoch, position)
+        self._context.rights.acquire(shard, holder, entry.current.epoch, token)
+
+    def _send_queries(self, now: float) -> None:
+        self._query_due_s = float("inf")
+        wanted: dict[tuple[LeaseId, LeaseId], list[tuple[ShardId, int]]] = {}
+        for shard, claim in self._blocked.items():
+            holder = self._find_own(self._context.state.shards[shard])
+            if claim.predecessors or holder is None:
+                continue
+            for lease, epoch in claim.holders:
+                if lease not in self._context.holders:
+                    key = (holder.lease, lease)
+                    wanted.setdefault(key, []).append((shard, epoch))
+        for (asker, lease), entries in wanted.items():
+            self._query_due_s = now + QUERY_INTERVAL_S
+            for start in range(0, len(entries), MAX_SHARDS_PER_MESSAGE):
+                part = entries[start : start + MAX_SHARDS_PER_MESSAGE]
+                message = ReleaseQuery(
+                    asker=asker,
+                    lease=lease,
+                    shards=tuple(shard for shard, _ in part),
+                    epochs=tuple(epoch for _, epoch in part),
+                )
+                self._context.send(lease.incarnation, message)
+
+    def _answer_queries(self) -> None:
+        answers: dict[tuple[LeaseId, IncarnationId], list[tuple[ShardId, int]]] = {}
+        for (lease, shard), (epoch, asker) in list(self._queries.items()):
+            holder = self._context.holders.get(lease)
+            if holder is None or holder.ended:
+                del self._queries[lease, shard]
+            elif self._context.rights.can_release(holder, shard, epoch):
+                del self._queries[lease, shard]
+                answers.setdefault((lease, asker), []).append((shard, epoch))
+        for (lease, asker), entries in answers.items():
+            message = Release(
+                lease=lease,
+                shards=tuple(shard for shard, _ in entries),
+                epochs=tuple(epoch for _, epoch in entries),
+            )
+            self._context.send(asker, message)
+
+
+def _describe_own_end(holder: Holder) -> LeaseEnd:
+    """Return the end of an own lease; this process has applied all that it had."""
+    return LeaseEnd(
+        floor=0,
+        confirmed_floor=holder.confirmed_floor,
+        ready_s=float("-inf"),
+        drained=True,
+    )
--- /dev/null
+++ b/src/papayatack/core/ownership/context.py
@@ -0,0 +1,94 @@
+"""What the parts of a node's core share."""
+
+import dataclasses
+from collections.abc import Callable
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.messages import ControlMessage
+from papayatack.core.ownership.effects import (
+    AppendRecord,
+    Effect,
+    NoteEvent,
+    SendMessage,
+)
+from papayatack.core.ownership.fencing import Fencing
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.rights import Rights
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.witnessing import Witnessing
+from papayatack.core.records import OwnershipRecord
+
+__all__ = ["Context", "find_service"]
+
+MAX_KEYS = 1000
+
+
+def find_service(shard: ShardId) -> str:
+    """Return the name of the service that a shard belongs to."""
+    return shard.split("/", 1)[0]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Context:
+    """State of one node.
+
+    Attributes:
+        me: This process.
+        state: The folded ownership stream.
+        holders: Leases of this process that are still of use.
+        rights: Shards that it serves.
+        fencing: What it knows of the ends of others' leases.
+        witnessing: Leases that it witnesses.
+        linger_s: Longest request of a service that may outlive a grant, in seconds.
+        effects: What the current input has led to so far.
+        hints: Leases that others say are fenced; used for routing alone.
+    """
+
+    me: IncarnationId
+    state: OwnershipState
+    rights: Rights
+    fencing: Fencing
+    witnessing: Witnessing
+    linger_s: Callable[[str], float]
+    holders: dict[LeaseId, Holder] = dataclasses.field(default_factory=dict)
+    effects: list[Effect] = dataclasses.field(default_factory=list)
+    hints: set[LeaseId] = dataclasses.field(default_factory=set)
+    records_made: int = 0
+    due_s_by_key: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def send(self, recipient: IncarnationId, message: ControlMessage) -> None:
+        """Ask for a message to be sent."""
+        self.effects.append(SendMessage(recipient=recipient, message=message))
+
+    def append(self, record: OwnershipRecord) -> None:
+        """Ask for a record to be appended."""
+        self.effects.append(AppendRecord(record=record))
+
+    def note(self, name: str, reason: str = "", subject: object = "") -> None:
+        """Ask for an event to be logged and counted."""
+        self.effects.append(NoteEvent(name=name, reason=reason, subject=str(subject)))
+
+    def make_record_id(self) -> str:
+        """Return an id that no other record has."""
+        self.records_made += 1
+        return f"{self.me}/{self.records_made}"
+
+    def is_due(self, key: str, now: float, pause_s: float) -> bool:
+        """Tell whether to do what ``key`` names now, at most once every pause."""
+        if now < self.due_s_by_key.get(key, float("-inf")):
+            return False
+        if len(self.due_s_by_key) > MAX_KEYS:
+            self._forget_past_keys(now)
+        self.due_s_by_key[key] = now + pause_s
+        return True
+
+    def _forget_past_keys(self, now: float) -> None:
+        kept = {key: due for key, due in self.due_s_by_key.items() if due > now}
+        self.due_s_by_key = kept
+
+    def find_newest_holder(self) -> Holder | None:
+        """Return the holder of the newest lease of this process."""
+        member = self.state.members.get(self.me)
+        if member is None or not member.term:
+            return None
+        return self.holders.get(LeaseId(self.me, member.term))
--- /dev/null
+++ b/src/papayatack/core/ownership/departure.py
@@ -0,0 +1,155 @@
+"""A planned stop: hands the shards on, then ends the own leases."""
+
+import enum
+
+from papayatack.core.identity import IncarnationId, ShardId
+from papayatack.core.messages import Fence
+from papayatack.core.ownership.claims import Claims
+from papayatack.core.ownership.context import Context, find_service
+from papayatack.core.ownership.effects import FinishNode
+from papayatack.core.ownership.selection import choose_successors
+from papayatack.core.ownership.timing import (
+    DRAIN_PATIENCE_S,
+    QUERY_INTERVAL_S,
+    RETRY_APPEND_S,
+    count_fences,
+)
+from papayatack.core.records import Assign, Assignment, Retire
+
+__all__ = ["Departure", "Stage"]
+
+BATCH_SHARDS = 16
+
+
+class Stage(enum.Enum):
+    """How far a planned stop has come."""
+
+    SERVING = enum.auto()
+    MOVING = enum.auto()
+    DRAINING = enum.auto()
+    FENCING = enum.auto()
+    RETIRING = enum.auto()
+    FINISHED = enum.auto()
+
+
+class Departure:
+    """The stages of a planned stop.
+
+    While the log takes records, shards are moved in batches, each once the one before
+    is handed over. Else all requests are finished and the own leases are fenced at
+    their witnesses, so that the successors agreed beforehand take over at once.
+    """
+
+    def __init__(self, *, context: Context, claims: Claims) -> None:
+        self._context = context
+        self._claims = claims
+        self._progress_s = 0.0
+        self._left = 0
+        self._stage_since_s = 0.0
+        self.stage = Stage.SERVING
+
+    def start(self, now: float) -> None:
+        """Begin to leave."""
+        if self.stage is Stage.SERVING:
+            self._progress_s = now
+            self._enter(Stage.MOVING, now)
+
+    def _enter(self, stage: Stage, now: float) -> None:
+        self.stage = stage
+        self._stage_since_s = now
+        self._context.note("DEPARTURE_STAGE", stage.name.lower())
+
+    def advance(self, now: float) -> None:
+        """Take the steps that are due."""
+        if self.stage is Stage.MOVING:
+            self._move(now)
+        if self.stage is Stage.DRAINING:
+            self._drain(now)
+        if self.stage is Stage.FENCING:
+            self._fence(now)
+        if self.stage is Stage.RETIRING:
+            self._retire(now)
+
+    def _move(self, now: float) -> None:
+        rights = self._context.rights
+        left = len(rights.rights) + len(rights.draining)
+        if left != self._left:
+            self._left = left
+            self._progress_s = now
+            self._context.due_s_by_key.pop("drain", None)
+        stalled = now - self._progress_s > DRAIN_PATIENCE_S and not rights.draining
+        if not rights.rights and (not rights.draining or stalled) or stalled:
+            self._enter(Stage.DRAINING, now)
+        elif not rights.draining:
+            self._append_moves(now)
+
+    def _append_moves(self, now: float) -> None:
+        if not self._context.is_due("drain", now, RETRY_APPEND_S):
+            return
+        assignments = []
+        for shard in self._context.rights.rights:
+            assignment = self._plan_move(shard)
+            if assignment is not None:
+                assignments.append(assignment)
+            if len(assignments) >= BATCH_SHARDS:
+                break
+        if assignments:
+            record = Assign(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                assignments=tuple(assignments),
+            )
+            self._context.append(record)
+
+    def _plan_move(self, shard: ShardId) -> Assignment | None:
+        state = self._context.state
+        current = state.shards[shard].current
+        suspects = self._context.fencing.list_suspects(self._progress_s)
+        kept = tuple(
+            other
+            for other in current.leases
+            if other.incarnation != self._context.me
+            and other.incarnation not in suspects
+            and state.is_live(other)
+        )
+        avoid: set[IncarnationId] = {self._context.me, *suspects}
+        chain = choose_successors(state, shard, find_service(shard), kept, avoid=avoid)
+        if not chain:
+            return None
+        return Assignment(shard=shard, base_epoch=current.epoch, chain=chain)
+
+    def _drain(self, now: float) -> None:
+        if not self._claims.stopped:
+            self._claims.stopped = True
+            self._claims.touch(*self._context.rights.rights)
+            return
+        if not self._context.rights.in_flight and not self._context.rights.draining:
+            self._enter(Stage.FENCING, now)
+
+    def _fence(self, now: float) -> None:
+        left = [holder for holder in self._context.holders.values() if not holder.ended]
+        for holder in left:
+            if len(holder.fenced_by) >= count_fences(len(holder.witnesses)):
+                holder.end()
+        late = now - self._stage_since_s > DRAIN_PATIENCE_S
+        if not left or late or not any(holder.witnesses for holder in left):
+            self._enter(Stage.RETIRING, now)
+        elif self._context.is_due("resign", now, QUERY_INTERVAL_S):
+            for holder in left:
+                for witness in holder.witnesses:
+                    message = Fence(lease=holder.lease, resigned=True)
+                    self._context.send(witness, message)
+
+    def _retire(self, now: float) -> None:
+        member = self._context.state.members.get(self._context.me)
+        done = member is None or member.ended is not None
+        if done or now - self._stage_since_s > DRAIN_PATIENCE_S:
+            self._enter(Stage.FINISHED, now)
+            self._context.effects.append(FinishNode(resigned=True))
+        elif self._context.is_due("retire", now, RETRY_APPEND_S):
+            record = Retire(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                incarnation=self._context.me,
+            )
+            self._context.append(record)
--- a/src/papayatack/core/ownership/fencing.py
+++ b/src/papayatack/core/ownership/fencing.py
@@ -67,7 +67,10 @@
         waits = mark.kind in (EndKind.SUPERSEDED, EndKind.LOST)
         wait_s = LEASE_DURATION_S * (1 + CLOCK_RATE_BOUND) if waits else 0.0
         end = LeaseEnd(
-            floor=mark.floor, confirmed_floor=0, ready_s=now + wait_s, drained=mark.drained
+            floor=mark.floor,
+            confirmed_floor=0,
+            ready_s=now + wait_s,
+            drained=mark.drained,
         )
         self._ends.setdefault(lease, end)
         self._rounds.pop(lease, None)
@@ -113,13 +116,17 @@
                 continue
             if lease_round.due_s <= now:
                 lease_round.due_s = now + QUERY_INTERVAL_S
-                asked = [name for name in entry.witnesses if name not in lease_round.replies]
+                asked = [
+                    name for name in entry.witnesses if name not in lease_round.replies
+                ]
                 due.append((lease, tuple(asked)))
         return due
 
     def find_next_due(self) -> float:
         """Return when :meth:`list_due` has something to say next."""
-        return min((entry.due_s for entry in self._rounds.values()), default=float("inf"))
+        return min(
+            (entry.due_s for entry in self._rounds.values()), default=float("inf")
+        )
 
     def list_suspects(self, now: float) -> set[IncarnationId]:
         """Return the holders whose lease lapsed at a witness not long ago."""
@@ -134,6 +141,10 @@
             if self._state.find_lease(lease.incarnation) in (lease, None)
         }
 
+    def list_ahead(self, position: int) -> list[LeaseId]:
+        """Return the ended leases whose floor is not applied here yet."""
+        return [lease for lease, end in self._ends.items() if end.floor > position]
+
     def forget_dropped(self) -> None:
         """Forget the leases that the fold has dropped."""
         for held in (self._lapses, self._ends):
--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -60,9 +60,7 @@
     members: tuple[IncarnationId, ...] = ()
 
 
-def fold(
-    state: OwnershipState, offset: int, record: OwnershipRecord | None
-) -> Change:
+def fold(state: OwnershipState, offset: int, record: OwnershipRecord | None) -> Change:
     """Apply the record at ``offset`` to ``state``.
 
     Args:
@@ -248,9 +246,7 @@
 
 
 @_apply.register
-def _checkpoint(
-    record: CheckpointChunk, state: OwnershipState, offset: int
-) -> Change:
+def _checkpoint(record: CheckpointChunk, state: OwnershipState, offset: int) -> Change:
     return Change(effective=True)
 
 
--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -43,6 +43,9 @@
         ended: The lease has ended for good.
         heard_s: When each witness last answered.
         fenced_by: Witnesses that have fenced the lease.
+        last_sent_s: When the last renewal was made.
+        sent_floor: Floor of the last renewal.
+        extended_s: End of the view when the upstream's grants were last extended.
     """
 
     def __init__(
@@ -56,6 +59,8 @@
         self.heard_s = dict.fromkeys(witnesses, now)
         self.fenced_by: set[IncarnationId] = set()
         self.last_sent_s = float("-inf")
+        self.sent_floor = 0
+        self.extended_s = float("-inf")
         self._round = 0
         self._rounds: dict[int, _Round] = {}
         self._promised_s: dict[IncarnationId, float] = {}
@@ -77,6 +82,7 @@
         """Return the next renewal, to be sent to every witness."""
         self._round += 1
         self.last_sent_s = now
+        self.sent_floor = floor
         self._rounds[self._round] = _Round(sent_s=now, floor=floor)
         self._rounds.pop(self._round - ROUNDS_KEPT, None)
         if not self.witnesses:
@@ -103,15 +109,13 @@
             return False
         self.heard_s[witness] = now
         if reply.fenced:
-            self._accept_fence(witness)
+            self.accept_fence(witness)
             return False
         if sent is None or reply.promised_us <= 0:
             return False
         self._floors[witness] = max(self._floors.get(witness, 0), sent.floor)
         self._update_floor()
-        if not self._is_config_fresh(
-            witness, reply.config_offset, config_offset, now
-        ):
+        if not self._is_config_fresh(witness, reply.config_offset, config_offset, now):
             return False
         promised_s = min(reply.promised_us / MICROSECONDS, LEASE_DURATION_S)
         until_s = sent.sent_s + promised_s * (1 - CLOCK_RATE_BOUND)
@@ -119,7 +123,8 @@
         self._update_view()
         return True
 
-    def _accept_fence(self, witness: IncarnationId) -> None:
+    def accept_fence(self, witness: IncarnationId) -> None:
+        """Take in that a witness has fenced the lease."""
         self.fenced_by.add(witness)
         self._promised_s.pop(witness, None)
         if len(self.fenced_by) >= count_fences(len(self.witnesses)):
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -25,27 +25,431 @@
     Renew,
     RenewReply,
 )
+from papayatack.core.ownership.admission import Admission
 from papayatack.core.ownership.claims import Claims
-from papayatack.core.ownership.departure import Departure
+from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.departure import Departure, Stage
 from papayatack.core.ownership.effects import (
     Effect,
     ExtendLease,
     FinishNode,
     GrantShards,
-    NoteEvent,
     RevokeShards,
-    SendMessage,
     SendRecords,
 )
 from papayatack.core.ownership.fencing import Fencing
 from papayatack.core.ownership.fold import Change, fold
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.reporting import Reporting
-from papayatack.core.ownership.rights import Rights
+from papayatack.core.ownership.rights import Right, Rights
 from papayatack.core.ownership.state import Member, OwnershipState
-from papayatack.core.ownership.timing import RENEW_INTERVAL_S
+from papayatack.core.ownership.succession import LeaseEnd
+from papayatack.core.ownership.timing import QUERY_INTERVAL_S, RENEW_INTERVAL_S
 from papayatack.core.ownership.witnessing import Witnessing
-from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM, OwnershipRecord
-from papayatack.proxy.interface import Grant
+from papayatack.core.records import (
+    CONFIG_STREAM,
+    OWNERSHIP_STREAM,
+    Announce,
+    OwnershipRecord,
+)
 
 __all__ = ["NodeCore"]
+
+RETRY_UNAVAILABLE_S = 1.0
+NOTICES_BEFORE_FENCE = 5
+EXTEND_STEP_S = 0.1
+
+
+class NodeCore:
+    """One node's leases, witnessed leases and shards.
+
+    Args:
+        announcement: What to announce; record ids and the superseded incarnation are
+            filled in.
+        state: The state to start from, folded from the log or loaded.
+        now: Time of the event loop.
+        linger_s: Longest request, in seconds, that an upstream of a service may still
+            run after its grant has run out; 0 if it checks grants.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: Announce,
+        state: OwnershipState,
+        now: float,
+        linger_s: Callable[[str], float] = lambda service: 0.0,
+    ) -> None:
+        me = announcement.incarnation
+        self.context = Context(
+            me=me,
+            state=state,
+            rights=Rights(state=state),
+            fencing=Fencing(state=state),
+            witnessing=Witnessing(me=me, state=state),
+            linger_s=linger_s,
+        )
+        self.claims = Claims(context=self.context)
+        self.departure = Departure(context=self.context, claims=self.claims)
+        self._admission = Admission(context=self.context, announcement=announcement)
+        self._reporting = Reporting(context=self.context)
+        self._finished = False
+        self.config_position = 0
+        for lease in state.leases:
+            self._follow_lease(lease, now)
+
+    @property
+    def me(self) -> IncarnationId:
+        """This process."""
+        return self.context.me
+
+    @property
+    def state(self) -> OwnershipState:
+        """The folded ownership stream; to be read only."""
+        return self.context.state
+
+    def apply_record(
+        self, offset: int, record: OwnershipRecord | None, *, now: float
+    ) -> tuple[Change, list[Effect]]:
+        """Fold the record at ``offset``, ``None`` for a malformed one."""
+        change = fold(self.context.state, offset, record)
+        for lease in change.leases:
+            self._follow_lease(lease, now)
+        self.claims.touch(*change.shards)
+        if change.members:
+            self.context.fencing.forget_dropped()
+            self.context.witnessing.forget_dropped()
+            self._check_ended()
+        self.claims.touch_blocked()
+        return change, self._settle(now)
+
+    def receive(
+        self, sender: IncarnationId, message: ControlMessage, *, now: float
+    ) -> list[Effect]:
+        """Take in a control message that was sent to this very process."""
+        self._receive(message, sender, now)
+        return self._settle(now)
+
+    def advance(self, now: float) -> list[Effect]:
+        """Do what has become due."""
+        if not self._finished:
+            self._renew_due(now)
+            self._admission.advance(now)
+            self._reporting.advance(now)
+            self.departure.advance(now)
+        return self._settle(now)
+
+    def start_departure(self, now: float) -> list[Effect]:
+        """Begin a planned stop; it ends with :class:`FinishNode`."""
+        self.departure.start(now)
+        return self.advance(now)
+
+    def authorize(self, shard: ShardId, now: float) -> Result[Right, Refusal]:
+        """Return the right under which a request may go to the upstream now.
+
+        Every success must be paired with one call of :meth:`finish`.
+        """
+        right = self.context.rights.rights.get(shard)
+        if right is None:
+            return self._refuse(ErrorKind.NOT_OWNER)
+        holder = right.holder
+        if holder.ended or now >= holder.view_end_s:
+            return self._refuse(ErrorKind.LEASE_EXPIRED)
+        if not right.token:
+            return self._refuse(ErrorKind.NO_OWNER)
+        self.context.rights.begin(shard)
+        return Success(right)
+
+    def _refuse(self, kind: ErrorKind) -> Result[Right, Refusal]:
+        return Failure(Refusal(kind=kind, retry_after_s=RETRY_UNAVAILABLE_S))
+
+    def finish(self, shard: ShardId, *, now: float) -> list[Effect]:
+        """Take in that a request that was authorized has ended."""
+        if self.context.rights.finish(shard) and shard in self.context.rights.draining:
+            return self._settle(now)
+        return []
+
+    def confirm_grant(
+        self, lease: LeaseId, tokens: dict[ShardId, int], *, done: bool, now: float
+    ) -> list[Effect]:
+        """Take in the upstream's answer to :class:`GrantShards`."""
+        for shard, token in tokens.items():
+            self.context.rights.confirm_grant(lease, shard, token, done=done)
+        return self._settle(now) if done else []
+
+    def confirm_revoke(
+        self, lease: LeaseId, shards: tuple[ShardId, ...], *, done: bool, now: float
+    ) -> list[Effect]:
+        """Take in the upstream's answer to :class:`RevokeShards`."""
+        for shard in shards:
+            self.context.rights.confirm_revoke(lease, shard, done=done)
+        return self._settle(now) if done else []
+
+    def find_owner(self, shard: ShardId) -> Member | None:
+        """Return the node that is believed to serve a shard."""
+        entry = self.context.state.shards.get(shard)
+        if entry is None:
+            return None
+        for lease in entry.current.leases:
+            known = self.context.fencing.find_end(lease) or lease in self.context.hints
+            if not known and self.context.state.is_live(lease):
+                return self.context.state.members.get(lease.incarnation)
+        return None
+
+    def _follow_lease(self, lease: LeaseId, now: float) -> None:
+        entry = self.context.state.leases.get(lease)
+        self.context.witnessing.update(lease, now)
+        if entry is None:
+            return
+        if entry.mark is not None:
+            self.context.fencing.note_mark(lease, entry.mark, now)
+            self.context.hints.discard(lease)
+            self.claims.touch_lease(lease)
+        if lease.incarnation != self.context.me:
+            return
+        holder = self.context.holders.get(lease)
+        if holder is None:
+            holder = Holder(lease=lease, witnesses=entry.witnesses, now=now)
+            self.context.holders[lease] = holder
+        if entry.mark is not None:
+            holder.end()
+
+    def _check_ended(self) -> None:
+        member = self.context.state.members.get(self.context.me)
+        serving = self.departure.stage is Stage.SERVING
+        if member is None or member.ended is None or self._finished or not serving:
+            return
+        self._finished = True
+        self.context.note("INCARNATION_ENDED", str(member.ended), self.context.me)
+        self.context.effects.append(FinishNode(resigned=False))
+
+    def _renew_due(self, now: float) -> None:
+        if self.departure.stage in (Stage.FENCING, Stage.RETIRING, Stage.FINISHED):
+            return
+        floor = self.context.rights.find_floor()
+        for holder in self.context.holders.values():
+            if holder.ended:
+                continue
+            raised = floor > holder.sent_floor and self._wants_floor()
+            if raised or now - holder.last_sent_s >= RENEW_INTERVAL_S:
+                self._renew(holder, floor, now)
+
+    def _wants_floor(self) -> bool:
+        """Tell whether another lease waits for a higher floor here."""
+        return self.claims.has_queries or self.claims.is_blocked
+
+    def _renew(self, holder: Holder, floor: int, now: float) -> None:
+        message = holder.renew(
+            now=now,
+            floor=floor,
+            config_offset=self.config_position,
+            ownership_offset=self.context.state.position,
+        )
+        for witness in holder.witnesses:
+            self.context.send(witness, message)
+
+    def _settle(self, now: float) -> list[Effect]:
+        for lease in self.context.witnessing.list_lapsed(now):
+            self._tell_claimants(lease, now)
+        self._send_fences(now)
+        self._query_missing(now)
+        self.claims.settle(now)
+        for lease, shards in self.context.rights.collect_revocable().items():
+            self.context.effects.append(RevokeShards(lease=lease, shards=tuple(shards)))
+        if not self._finished and self._wants_floor():
+            self._renew_due(now)
+            self.claims.touch_blocked()
+            self.claims.settle(now)
+        self._collect_grants(now)
+        effects = self.context.effects
+        self.context.effects = []
+        return effects
+
+    def _collect_grants(self, now: float) -> None:
+        for lease, tokens in self.context.rights.collect_grants(now).items():
+            remaining_s = self.context.holders[lease].view_end_s - now
+            self.context.effects.append(
+                GrantShards(lease=lease, tokens=tokens, remaining_s=remaining_s)
+            )
+
+    def _deliver(
+        self, recipient: IncarnationId, message: ControlMessage, now: float
+    ) -> None:
+        """Send a message, or take it in at once if it is for this node."""
+        if recipient == self.context.me:
+            self._receive(message, recipient, now)
+        else:
+            self.context.send(recipient, message)
+
+    def _send_fences(self, now: float) -> None:
+        for lease, witnesses in self.context.fencing.list_due(now):
+            for witness in witnesses:
+                self._deliver(witness, Fence(lease=lease), now)
+
+    def _query_missing(self, now: float) -> None:
+        """Ask for the records that a fenced holder had applied and this node lacks."""
+        position = self.context.state.position
+        for lease in self.context.fencing.list_ahead(position):
+            entry = self.context.state.leases.get(lease)
+            key = f"records of {lease}"
+            if entry is None or not self.context.is_due(key, now, QUERY_INTERVAL_S):
+                continue
+            for witness in entry.witnesses:
+                message = LogQuery(stream=OWNERSHIP_STREAM, offset=position)
+                self._deliver(witness, message, now)
+
+    def _tell_claimants(self, lease: LeaseId, now: float) -> None:
+        """Tell those who would serve next, or else the witnesses, to fence a lease."""
+        state = self.context.state
+        claimants = {
+            other.incarnation
+            for shard in state.references.get(lease, ())
+            for other in state.shards[shard].current.leases
+        }
+        claimants.discard(lease.incarnation)
+        if not claimants:
+            if self.context.witnessing.count_notices(lease) < NOTICES_BEFORE_FENCE:
+                return
+            claimants.update(state.leases[lease].witnesses)
+        for claimant in sorted(claimants):
+            self._deliver(claimant, LeaseLapsed(lease=lease), now)
+
+    def _exchange_records(
+        self, peer: IncarnationId, config_offset: int, offset: int, now: float
+    ) -> None:
+        """Send a peer the records that it lacks and this node has."""
+        ours = {
+            CONFIG_STREAM: (config_offset, self.config_position),
+            OWNERSHIP_STREAM: (offset, self.context.state.position),
+        }
+        for stream, (theirs, position) in ours.items():
+            if theirs >= position:
+                continue
+            key = f"{stream} for {peer} to {position}"
+            if self.context.is_due(key, now, RENEW_INTERVAL_S * 2):
+                self.context.effects.append(
+                    SendRecords(recipient=peer, stream=stream, offset=theirs)
+                )
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: ControlMessage, sender: IncarnationId, now: float
+    ) -> None:
+        self._refuse_message(message, sender, "unexpected")
+
+    @_receive.register
+    def _(self, message: Renew, sender: IncarnationId, now: float) -> None:
+        if sender != message.lease.incarnation:
+            self._refuse_message(message, sender, "not the holder")
+            return
+        promised_us, fenced = self.context.witnessing.renew(message, now)
+        reply = RenewReply(
+            lease=message.lease,
+            round=message.round,
+            promised_us=promised_us,
+            fenced=fenced,
+            config_offset=self.config_position,
+            ownership_offset=self.context.state.position,
+        )
+        self._deliver(sender, reply, now)
+        self._exchange_records(
+            sender, message.config_offset, message.ownership_offset, now
+        )
+
+    @_receive.register
+    def _(self, message: RenewReply, sender: IncarnationId, now: float) -> None:
+        holder = self.context.holders.get(message.lease)
+        if holder is None or sender not in holder.witnesses:
+            self._refuse_message(message, sender, "not a witness")
+            return
+        self._exchange_records(
+            sender, message.config_offset, message.ownership_offset, now
+        )
+        was_live = holder.is_live(now)
+        floor = holder.confirmed_floor
+        holder.accept(sender, message, now=now, config_offset=self.config_position)
+        if holder.ended:
+            self._note_own_end(holder)
+        elif holder.is_live(now) and not was_live:
+            self.context.rights.forget_grants(holder)
+            self.context.note("LEASE_LIVE", subject=holder.lease)
+        elif holder.is_live(now):
+            self._extend(holder, now)
+        if holder.confirmed_floor != floor:
+            self.claims.touch_blocked()
+
+    def _note_own_end(self, holder: Holder) -> None:
+        self.claims.touch_lease(holder.lease)
+        self.context.note("LEASE_FENCED", "own", holder.lease)
+
+    def _extend(self, holder: Holder, now: float) -> None:
+        if holder.view_end_s - holder.extended_s < EXTEND_STEP_S:
+            return
+        holder.extended_s = holder.view_end_s
+        self.context.effects.append(
+            ExtendLease(lease=holder.lease, remaining_s=holder.view_end_s - now)
+        )
+
+    @_receive.register
+    def _(self, message: Fence, sender: IncarnationId, now: float) -> None:
+        if message.resigned and sender != message.lease.incarnation:
+            self._refuse_message(message, sender, "not the holder")
+            return
+        reply = self.context.witnessing.fence(message, now)
+        if reply is not None:
+            self._deliver(sender, reply, now)
+
+    @_receive.register
+    def _(self, message: FenceReply, sender: IncarnationId, now: float) -> None:
+        holder = self.context.holders.get(message.lease)
+        if holder is not None:
+            if message.fenced and sender in holder.witnesses:
+                holder.accept_fence(sender)
+            return
+        end = self.context.fencing.accept(sender, message, now)
+        if end is not None:
+            self._note_end(message.lease, end, now)
+
+    def _note_end(self, lease: LeaseId, end: LeaseEnd, now: float) -> None:
+        self.context.note(
+            "LEASE_FENCED", "resigned" if end.drained else "lapsed", lease
+        )
+        self._reporting.note_end(lease, end, now)
+        self.claims.touch_lease(lease)
+
+    @_receive.register
+    def _(self, message: LeaseLapsed, sender: IncarnationId, now: float) -> None:
+        if self.context.fencing.note_lapse(message.lease, sender, now):
+            self._send_fences(now)
+
+    @_receive.register
+    def _(self, message: LeaseFenced, sender: IncarnationId, now: float) -> None:
+        if self.context.state.is_live(message.lease):
+            self.context.hints.add(message.lease)
+
+    @_receive.register
+    def _(self, message: Release, sender: IncarnationId, now: float) -> None:
+        if sender != message.lease.incarnation:
+            self._refuse_message(message, sender, "not the holder")
+            return
+        self.claims.accept_release(message)
+
+    @_receive.register
+    def _(self, message: ReleaseQuery, sender: IncarnationId, now: float) -> None:
+        if sender != message.asker.incarnation:
+            self._refuse_message(message, sender, "not the asker")
+            return
+        self.claims.accept_query(sender, message)
+
+    @_receive.register
+    def _(self, message: LogQuery, sender: IncarnationId, now: float) -> None:
+        effect = SendRecords(
+            recipient=sender, stream=message.stream, offset=message.offset
+        )
+        self.context.effects.append(effect)
+
+    def _refuse_message(
+        self, message: ControlMessage, sender: IncarnationId, reason: str
+    ) -> None:
+        subject = f"{type(message).__name__} from {sender}"
+        self.context.note("PEER_MESSAGE_REFUSED", reason, subject)
--- /dev/null
+++ b/src/papayatack/core/ownership/repairs.py
@@ -0,0 +1,87 @@
+"""Chains that lost a holder, or lack one, and what replaces them."""
+
+from collections.abc import Collection, Iterable
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.context import find_service
+from papayatack.core.ownership.selection import CHAIN_LENGTH, choose_successors
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.records import Assignment
+
+__all__ = ["plan_first_chains", "plan_repairs"]
+
+
+def plan_repairs(
+    state: OwnershipState,
+    *,
+    avoid: Collection[IncarnationId] = (),
+    limit: int,
+) -> tuple[Assignment, ...]:
+    """Return new chains for shards whose chain is short or names an ended lease.
+
+    The holder that serves stays first, so that nothing is interrupted. A shard that
+    is still moving is left alone unless its owner has ended.
+
+    Args:
+        state: The folded ownership stream.
+        avoid: Incarnations that are leaving or suspected.
+        limit: Most assignments to return.
+    """
+    found: list[Assignment] = []
+    for shard, entry in state.shards.items():
+        if len(found) >= limit:
+            break
+        current = entry.current
+        kept = tuple(lease for lease in current.leases if state.is_live(lease))
+        owner_ended = current.leases[0] not in kept
+        if len(kept) >= CHAIN_LENGTH or (not entry.active and not owner_ended):
+            continue
+        chain = choose_successors(state, shard, find_service(shard), kept, avoid=avoid)
+        if chain and chain != current.leases:
+            assignment = Assignment(shard=shard, base_epoch=current.epoch, chain=chain)
+            found.append(assignment)
+    return tuple(found)
+
+
+def plan_first_chains(
+    state: OwnershipState,
+    shards: Iterable[ShardId],
+    *,
+    avoid: Collection[IncarnationId] = (),
+    limit: int,
+) -> tuple[Assignment, ...]:
+    """Return chains for shards that have none, spread evenly over the nodes."""
+    owned: dict[LeaseId, int] = {}
+    for entry in state.shards.values():
+        owner = entry.current.leases[0]
+        owned[owner] = owned.get(owner, 0) + 1
+    found: list[Assignment] = []
+    for shard in shards:
+        if len(found) >= limit:
+            break
+        if shard in state.shards:
+            continue
+        owner = _find_least_loaded(state, find_service(shard), owned, avoid)
+        if owner is None:
+            continue
+        owned[owner] = owned.get(owner, 0) + 1
+        chain = choose_successors(
+            state, shard, find_service(shard), (owner,), avoid=avoid
+        )
+        found.append(Assignment(shard=shard, base_epoch=0, chain=chain))
+    return tuple(found)
+
+
+def _find_least_loaded(
+    state: OwnershipState,
+    service: str,
+    owned: dict[LeaseId, int],
+    avoid: Collection[IncarnationId],
+) -> LeaseId | None:
+    leases = [
+        state.find_lease(member.incarnation)
+        for member in state.list_live_members()
+        if member.service == service and member.incarnation not in avoid
+    ]
+    live = [lease for lease in leases if lease is not None]
+    return min(live, key=lambda lease: (owned.get(lease, 0), lease), default=None)
--- /dev/null
+++ b/src/papayatack/core/ownership/reporting.py
@@ -0,0 +1,86 @@
+"""Telling the log afterwards what happened without it."""
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.messages import LeaseFenced
+from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.selection import rank_member
+from papayatack.core.ownership.succession import LeaseEnd
+from papayatack.core.ownership.timing import RETRY_APPEND_S
+from papayatack.core.records import Activate, Activation, Fenced
+
+__all__ = ["Reporting"]
+
+ACTIVATE_INTERVAL_S = 0.5
+MAX_ACTIVATIONS = 256
+REPORT_STAGGER_S = 0.5
+MAX_REPORT_DELAY_S = 5.0
+
+
+class Reporting:
+    """Writes activations and fences."""
+
+    def __init__(self, *, context: Context) -> None:
+        self._context = context
+        self._fenced: dict[LeaseId, tuple[float, LeaseEnd]] = {}
+
+    def note_end(self, lease: LeaseId, end: LeaseEnd, now: float) -> None:
+        """Report a fence unless another claimant does so first."""
+        delay_s = REPORT_STAGGER_S * self._find_rank(lease)
+        self._fenced[lease] = (now + min(delay_s, MAX_REPORT_DELAY_S), end)
+
+    def _find_rank(self, lease: LeaseId) -> int:
+        """Return how many other claimants of the lease come before this node."""
+        state = self._context.state
+        claimants = {
+            other.incarnation
+            for shard in state.references.get(lease, ())
+            for other in state.shards[shard].current.leases
+            if other != lease
+        }
+        own = rank_member(str(lease), self._context.me)
+        return sum(1 for name in claimants if rank_member(str(lease), name) < own)
+
+    def advance(self, now: float) -> None:
+        """Write what is due."""
+        for lease, (due_s, end) in list(self._fenced.items()):
+            if not self._context.state.is_live(lease):
+                del self._fenced[lease]
+            elif due_s <= now:
+                self._report(lease, end, now)
+        self._activate(now)
+
+    def _report(self, lease: LeaseId, end: LeaseEnd, now: float) -> None:
+        if end.floor > self._context.state.position:
+            return
+        if not self._context.is_due(f"fenced {lease}", now, RETRY_APPEND_S):
+            return
+        record = Fenced(
+            record_id=self._context.make_record_id(),
+            writer=self._context.me,
+            lease=lease,
+            floor=end.floor,
+            drained=end.drained,
+        )
+        self._context.append(record)
+        for member in self._context.state.list_live_members():
+            if member.incarnation not in (self._context.me, lease.incarnation):
+                self._context.send(member.incarnation, LeaseFenced(lease=lease))
+
+    def _activate(self, now: float) -> None:
+        found = []
+        for shard, right in self._context.rights.rights.items():
+            entry = self._context.state.shards[shard]
+            if entry.active or not right.token or len(found) >= MAX_ACTIVATIONS:
+                continue
+            if right.holder.confirmed_floor < entry.current.since:
+                continue
+            owner = right.holder.lease
+            epoch = entry.current.epoch
+            found.append(Activation(shard=shard, epoch=epoch, owner=owner))
+        if found and self._context.is_due("activate", now, ACTIVATE_INTERVAL_S):
+            record = Activate(
+                record_id=self._context.make_record_id(),
+                writer=self._context.me,
+                activations=tuple(found),
+            )
+            self._context.append(record)
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -119,13 +119,17 @@
                 found.setdefault(right.holder.lease, {})[shard] = right.wanted_token
         return found
 
-    def confirm_grant(self, lease: LeaseId, shard: ShardId, token: int) -> None:
-        """Take in that the upstream has a grant."""
+    def confirm_grant(
+        self, lease: LeaseId, shard: ShardId, token: int, *, done: bool
+    ) -> None:
+        """Take in the upstream's answer to a grant; one that failed is asked again."""
         right = self.rights.get(shard)
         if right is None or right.holder.lease != lease:
             return
-        if right.wanted_token == token:
+        if right.wanted_token == token and done:
             right.token = token
+        elif right.wanted_token == token:
+            right.asked = False
 
     def forget_grants(self, holder: Holder) -> None:
         """Ask the upstream again for all grants of a lease."""
@@ -160,15 +164,25 @@
         else:
             draining.revoking = False
 
-    def can_release(self, holder: Holder, shard: ShardId, epoch: int) -> bool:
-        """Tell whether nothing under ``holder`` serves a shard before ``epoch``."""
+    def can_release(
+        self, holder: Holder, shard: ShardId, epoch: int, *, to_self: bool = False
+    ) -> bool:
+        """Tell whether nothing under ``holder`` serves a shard before ``epoch``.
+
+        Args:
+            holder: A lease of this node.
+            shard: The shard.
+            epoch: Epoch of the chain that waits for the release.
+            to_self: That chain's claimant is another lease of this node; requests in
+                flight go on under it.
+        """
         entry = self._state.shards.get(shard)
         if entry is None or entry.current.epoch < epoch or shard in self.draining:
             return False
         right = self.rights.get(shard)
         if right is not None and right.epoch < epoch:
             return False
-        if right is None and shard in self.in_flight:
+        if right is None and shard in self.in_flight and not to_self:
             return False
         since = min(
             chain.since for chain in entry.list_chains() if chain.epoch >= epoch
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -22,7 +22,7 @@
 
 def rank_member(subject: str, incarnation: IncarnationId) -> int:
     """Return a member's rank for a subject; the lowest comes first."""
-    return xxhash.xxh3_64_intdigest(f"{subject}|{incarnation}")
+    return xxhash.xxh3_64_intdigest(f"{subject}|{incarnation}".encode())
 
 
 def choose_witnesses(
@@ -34,7 +34,8 @@
     """Return the witnesses for a new lease of ``member``.
 
     They run in the member's region, in as many data centres as there are, the
-    member's own last. Those to ``avoid`` are taken only where others are too few.
+    member's own last. Those to ``avoid``, and those whose own lease is fenced, are
+    taken only where others are too few.
     """
     others = [
         other
@@ -44,7 +45,7 @@
 
     def rate(other: Member) -> tuple[bool, bool, int]:
         return (
-            other.incarnation in avoid,
+            other.incarnation in avoid or _is_fenced(state, other),
             other.data_centre == member.data_centre,
             rank_member(member.incarnation, other.incarnation),
         )
@@ -53,6 +54,10 @@
     return tuple(other.incarnation for other in chosen)
 
 
+def _is_fenced(state: OwnershipState, member: Member) -> bool:
+    return bool(member.term) and state.find_lease(member.incarnation) is None
+
+
 def _spread(
     candidates: Iterable[Member],
     count: int,
@@ -66,7 +71,8 @@
     chosen: list[Member] = []
     while left and len(chosen) < count:
         best = min(
-            left, key=lambda other: (rate(other)[0], uses[other.data_centre], rate(other))
+            left,
+            key=lambda other: (rate(other)[0], uses[other.data_centre], rate(other)),
         )
         left.remove(best)
         uses[best.data_centre] += 1
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -60,12 +60,14 @@
 
     def forget_dropped(self) -> None:
         """Forget the leases that the fold has dropped."""
-        for lease in [lease for lease in self._promises if lease not in self._state.leases]:
+        for lease in [
+            lease for lease in self._promises if lease not in self._state.leases
+        ]:
             del self._promises[lease]
             self._notices.pop(lease, None)
 
     def renew(self, message: Renew, now: float) -> tuple[int, bool]:
-        """Promise a lease; return the promise's microseconds and whether it is fenced."""
+        """Promise a lease; return the microseconds and whether it is fenced."""
         promise = self._promises.get(message.lease)
         if promise is None:
             return 0, self._has_been_dropped(message.lease)
--- /dev/null
+++ b/tests/fakes/fleet.py
@@ -0,0 +1,423 @@
+"""Drives several node cores through faults on one virtual clock.
+
+After every event it checks that no two nodes may serve a shard, and that no two
+upstreams hold a live grant for one.
+"""
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+
+from papayatack.core.messages import LogBatch
+from papayatack.core.ownership.effects import (
+    AppendRecord,
+    ExtendLease,
+    FinishNode,
+    GrantShards,
+    NoteEvent,
+    RevokeShards,
+    SendMessage,
+    SendRecords,
+)
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.repairs import plan_first_chains, plan_repairs
+from papayatack.core.ownership.selection import find_planner
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.records import OWNERSHIP_STREAM, Announce, Assign
+
+TICK_S = 0.05
+PLAN_EVERY_S = 1.0
+LOG_WAIT_S = 0.02
+
+
+@dataclasses.dataclass
+class Upstream:
+    """Holds grants by shard: token and expiry on the fleet's clock."""
+
+    grants: dict = dataclasses.field(default_factory=dict)
+    tokens: dict = dataclasses.field(default_factory=dict)
+
+    def grant(self, lease, tokens, expiry):
+        """Accept a grant whose token did not go back."""
+        for shard, token in tokens.items():
+            if token >= self.tokens.get(shard, 0):
+                self.tokens[shard] = token
+                self.grants[shard] = (lease, expiry)
+
+    def extend(self, lease, expiry, now):
+        """Extend the live grants of a lease."""
+        for shard, (held, until) in list(self.grants.items()):
+            if held == lease and until > now:
+                self.grants[shard] = (lease, max(expiry, until))
+
+    def revoke(self, lease, shards):
+        """End grants of a lease."""
+        for shard in shards:
+            if self.grants.get(shard, (None, 0))[0] == lease:
+                del self.grants[shard]
+
+
+@dataclasses.dataclass
+class Slot:
+    """One place for a process: its address, data centre, upstream and clock."""
+
+    name: str
+    data_centre: str
+    region: str
+    service: str
+    rate: float = 1.0
+    upstream: Upstream = dataclasses.field(default_factory=Upstream)
+    core: NodeCore | None = None
+    starts: int = 0
+    frozen: bool = False
+    tail_due: bool = False
+    plan_due_s: float = 0.0
+    backlog: list = dataclasses.field(default_factory=list)
+    notes: list = dataclasses.field(default_factory=list)
+    finished: list = dataclasses.field(default_factory=list)
+
+    def read_clock(self, now):
+        """Return this place's own clock."""
+        return now * self.rate
+
+
+class Fleet:
+    """Slots, a log and a network, all in one event queue."""
+
+    def __init__(self, *, seed=1, shards=6, latency_s=0.002, service="s", linger_s=0.0):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.slots = {}
+        self.log = []
+        self.log_up = True
+        self.log_delay_s = 0.004
+        self.lose_answers = False
+        self.drop = 0.0
+        self.duplicate = 0.0
+        self.extra_delay_s = 0.0
+        self.cut = set()
+        self.log_cut = set()
+        self.latency_s = latency_s
+        self.service = service
+        self.linger_s = linger_s
+        self.shards = [f"{service}/all/{number}" for number in range(shards)]
+        self.messages = 0
+        self.served_s = dict.fromkeys(self.shards, 0.0)
+        self.gaps = dict.fromkeys(self.shards, 0.0)
+        self.violations = []
+        self.planners_everywhere = False
+        self._queue = []
+        self._order = itertools.count()
+
+    def add(self, name, data_centre, *, region="r", rate=1.0, service=None):
+        """Add a place and start a process there."""
+        self.slots[name] = Slot(
+            name=name,
+            data_centre=data_centre,
+            region=region,
+            service=service or self.service,
+            rate=rate,
+        )
+        self.start(name)
+
+    def start(self, name, *, state=None):
+        """Start a new incarnation at a place."""
+        slot = self.slots[name]
+        slot.starts += 1
+        announcement = Announce(
+            record_id="",
+            writer=name,
+            incarnation=f"{name}#{slot.starts}",
+            address=name,
+            operator_address=name,
+            data_centre=slot.data_centre,
+            region=slot.region,
+            service=slot.service,
+            upstream=name,
+            slots=4,
+            connections=10,
+        )
+        slot.frozen = False
+        slot.backlog.clear()
+        slot.core = NodeCore(
+            announcement=announcement,
+            state=state or OwnershipState(),
+            now=slot.read_clock(self.now),
+            linger_s=lambda service: self.linger_s,
+        )
+        slot.tail_due = False
+        self._at(0.0, functools.partial(self._tick, slot, slot.core))
+
+    def kill(self, name):
+        """End a process at once; its upstream goes on."""
+        self.slots[name].core = None
+
+    def freeze(self, name):
+        """Stop a process without its knowing."""
+        self.slots[name].frozen = True
+
+    def thaw(self, name):
+        """Let a frozen process go on, with all that arrived meanwhile."""
+        slot = self.slots[name]
+        slot.frozen = False
+        backlog, slot.backlog = slot.backlog, []
+        for action in backlog:
+            self._at(0.0, action)
+
+    def isolate(self, name, *, others=None, one_way=False):
+        """Cut a place off from others, or from all."""
+        for other in others if others is not None else self.slots:
+            if other != name:
+                self.cut.add((name, other))
+                if not one_way:
+                    self.cut.add((other, name))
+
+    def heal(self):
+        """End all cuts."""
+        self.cut.clear()
+        self.log_cut.clear()
+
+    def leave(self, name):
+        """Begin a planned stop."""
+        slot = self.slots[name]
+        now = slot.read_clock(self.now)
+        self._carry_out(slot, slot.core, slot.core.start_departure(now))
+
+    def run(self, duration_s):
+        """Let time pass, checking after each event."""
+        end = self.now + duration_s
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+            self.check()
+        self.now = end
+        self.check()
+
+    def run_until(self, condition, limit_s):
+        """Let time pass until a condition holds; return how long that took."""
+        start = self.now
+        while not condition():
+            if self.now - start > limit_s:
+                raise AssertionError(f"not reached within {limit_s} s")
+            self.run(TICK_S / 5)
+        return self.now - start
+
+    def list_owners(self, shard):
+        """Return the places that may forward a request for a shard now."""
+        owners = []
+        for slot in self.slots.values():
+            if slot.core is None:
+                continue
+            right = slot.core.context.rights.rights.get(shard)
+            if right is None or not right.token:
+                continue
+            if right.holder.is_live(slot.read_clock(self.now)):
+                owners.append(slot.name)
+        return owners
+
+    def all_served(self):
+        """Tell whether every shard has an owner that is not frozen."""
+        return all(
+            any(not self.slots[name].frozen for name in self.list_owners(shard))
+            for shard in self.shards
+        )
+
+    def check(self):
+        """Raise if a shard has two owners, or two upstreams hold it."""
+        for shard in self.shards:
+            owners = self.list_owners(shard)
+            granted = [
+                slot.name
+                for slot in self.slots.values()
+                if slot.upstream.grants.get(shard, (None, -1.0))[1] > self.now
+            ]
+            if (
+                len(owners) > 1
+                or len(granted) > 1
+                or (owners and granted and owners != granted)
+            ):
+                raise AssertionError(
+                    f"{shard} at {self.now:.3f}: owners {owners}, grants {granted}"
+                )
+            if any(not self.slots[name].frozen for name in owners):
+                gap = self.now - self.served_s[shard]
+                self.gaps[shard] = max(self.gaps[shard], gap)
+                self.served_s[shard] = self.now
+
+    def forget_gaps(self):
+        """Measure unavailable time from now on."""
+        for shard in self.shards:
+            self.served_s[shard] = self.now
+            self.gaps[shard] = 0.0
+
+    def read_longest_gap(self):
+        """Return the longest time for which a shard had no owner."""
+        open_gaps = [self.now - served for served in self.served_s.values()]
+        return max(*self.gaps.values(), *open_gaps)
+
+    def _at(self, delay_s, action):
+        heapq.heappush(self._queue, (self.now + delay_s, next(self._order), action))
+
+    def _tick(self, slot, core):
+        if slot.core is not core:
+            return
+        if slot.frozen:
+            slot.backlog.append(functools.partial(self._tick, slot, core))
+            return
+        now = slot.read_clock(self.now)
+        self._carry_out(slot, core, core.advance(now))
+        if self.now >= slot.plan_due_s:
+            slot.plan_due_s = self.now + PLAN_EVERY_S
+            self._plan(slot, core)
+        if not slot.tail_due:
+            slot.tail_due = True
+            self._at(self._log_delay(), functools.partial(self._tail, slot, core))
+        self._at(TICK_S, functools.partial(self._tick, slot, core))
+
+    def _log_delay(self):
+        return self.log_delay_s * (0.5 + self.random.random())
+
+    def _can_log(self, slot):
+        return self.log_up and slot.name not in self.log_cut
+
+    def _tail(self, slot, core):
+        if slot.core is not core:
+            return
+        if slot.frozen:
+            slot.backlog.append(functools.partial(self._tail, slot, core))
+            return
+        slot.tail_due = False
+        if not self._can_log(slot):
+            return
+        position = core.state.position
+        self._apply(slot, core, position, self.log[position : position + 500])
+
+    def _apply(self, slot, core, first, records):
+        for offset, record in enumerate(records, first):
+            if offset >= core.state.position:
+                now = slot.read_clock(self.now)
+                _, effects = core.apply_record(offset, record, now=now)
+                self._carry_out(slot, core, effects)
+
+    def _plan(self, slot, core):
+        planner = find_planner(core.state)
+        if core.me != planner and not self.planners_everywhere:
+            return
+        if not self.log or core.me not in core.state.members:
+            return
+        repairs = plan_repairs(core.state, limit=50)
+        first = plan_first_chains(core.state, self.shards, limit=50)
+        if repairs or first:
+            record = Assign(
+                record_id=core.context.make_record_id(),
+                writer=core.me,
+                assignments=(*first, *repairs),
+            )
+            self._append(slot, record)
+
+    def append(self, record):
+        """Append a record from outside."""
+        self.log.append(record)
+
+    def _append(self, slot, record):
+        if self._can_log(slot):
+            self._at(self._log_delay(), functools.partial(self._store, record))
+
+    def _store(self, record):
+        if self.log_up:
+            self.log.append(record)
+            self._wake_tails()
+
+    def _wake_tails(self):
+        for slot in self.slots.values():
+            if slot.core is not None and not slot.tail_due:
+                slot.tail_due = True
+                action = functools.partial(self._tail, slot, slot.core)
+                self._at(self._log_delay(), action)
+
+    def _carry_out(self, slot, core, effects):
+        for effect in effects:
+            self._perform(effect, slot, core)
+
+    @functools.singledispatchmethod
+    def _perform(self, effect, slot, core):
+        raise TypeError(effect)
+
+    @_perform.register
+    def _(self, effect: SendMessage, slot, core):
+        self._send(core.me, effect.recipient, effect.message)
+
+    @_perform.register
+    def _(self, effect: SendRecords, slot, core):
+        position = core.state.position
+        if effect.stream == OWNERSHIP_STREAM and effect.offset < position:
+            records = tuple(self.log[effect.offset : position][:100])
+            batch = LogBatch(
+                stream=effect.stream, first=effect.offset, payloads=records
+            )
+            self._send(core.me, effect.recipient, batch)
+
+    @_perform.register
+    def _(self, effect: AppendRecord, slot, core):
+        self._append(slot, effect.record)
+
+    @_perform.register
+    def _(self, effect: GrantShards, slot, core):
+        expiry = self.now + effect.remaining_s / slot.rate
+        slot.upstream.grant(effect.lease, effect.tokens, expiry)
+        now = slot.read_clock(self.now)
+        done = core.confirm_grant(effect.lease, effect.tokens, done=True, now=now)
+        self._carry_out(slot, core, done)
+
+    @_perform.register
+    def _(self, effect: ExtendLease, slot, core):
+        expiry = self.now + effect.remaining_s / slot.rate
+        slot.upstream.extend(effect.lease, expiry, self.now)
+
+    @_perform.register
+    def _(self, effect: RevokeShards, slot, core):
+        slot.upstream.revoke(effect.lease, effect.shards)
+        now = slot.read_clock(self.now)
+        done = core.confirm_revoke(effect.lease, effect.shards, done=True, now=now)
+        self._carry_out(slot, core, done)
+
+    @_perform.register
+    def _(self, effect: NoteEvent, slot, core):
+        slot.notes.append((self.now, effect))
+
+    @_perform.register
+    def _(self, effect: FinishNode, slot, core):
+        slot.finished.append((self.now, effect.resigned))
+        slot.core = None
+
+    def _send(self, sender, recipient, message):
+        self.messages += 1
+        source, target = sender.split("#")[0], recipient.split("#")[0]
+        copies = 2 if self.random.random() < self.duplicate else 1
+        for _ in range(copies):
+            if (source, target) in self.cut or self.random.random() < self.drop:
+                continue
+            delay_s = self.latency_s * (0.5 + self.random.random())
+            delay_s += self.extra_delay_s * self.random.random()
+            action = functools.partial(self._arrive, sender, recipient, message)
+            self._at(delay_s, action)
+
+    def _arrive(self, sender, recipient, message):
+        slot = self.slots.get(recipient.split("#")[0])
+        if slot is None or slot.core is None:
+            return
+        if slot.frozen:
+            action = functools.partial(self._arrive, sender, recipient, message)
+            slot.backlog.append(action)
+            return
+        if slot.core.me != recipient:
+            return
+        core = slot.core
+        if isinstance(message, LogBatch):
+            if message.first <= core.state.position:
+                self._apply(slot, core, message.first, message.payloads)
+            return
+        now = slot.read_clock(self.now)
+        self._carry_out(slot, core, core.receive(sender, message, now=now))
