--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -166,7 +166,15 @@
 
 
 class InventoryError(PapayatackError):
-    """An inventory or its rules are not usable; the message names each fault."""
+    """An inventory or its rules are not usable.
+
+    Attributes:
+        faults: One sentence each, with its place in the document and the remedy.
+    """
+
+    def __init__(self, *faults: str) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
 
 
 class ConfigConflictError(PapayatackError):
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -50,12 +50,15 @@
         low: Smallest key of the range; keys compare as strings.
         high: First key after the range, or ``None`` for no end.
         shards: Number of shards into which the keys of the range hash.
+        retired: Its keys are given up and no longer served; only a retired range
+            may be removed.
     """
 
     name: str
     low: str = ""
     high: str | None = None
     shards: int = 16
+    retired: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/papayatack/core/path_pattern.py
@@ -0,0 +1,119 @@
+"""Path patterns of request rules: a subset of regular expressions.
+
+Every request is matched against them, with text that callers choose. The subset is
+such that matching takes time linear in the path's length, or quadratic at worst:
+nothing repeats a group, and two repetitions are separated by a slash that the first
+cannot match.
+"""
+
+import dataclasses
+import re
+
+__all__ = ["check_path_pattern"]
+
+MAX_PATTERN_LENGTH = 200
+MAX_REPEAT_COUNT = 64
+
+_TOKEN = re.compile(
+    r"""
+    (?P<group>\((?:\?:)?)
+    | (?P<close>\))
+    | (?P<or>\|)
+    | (?P<quantifier>[*+?][*+?]?|\{[^}]*\}[+?]?)
+    | (?P<set>\[\^?(?:\\.|[^\]\\])+\])
+    | (?P<escape>\\.)
+    | (?P<any>\.)
+    | (?P<literal>[^\\()\[\]{}*+?|.])
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+_COUNT = re.compile(r"\{(\d{1,4})?(,)?(\d{1,4})?\}")
+_ESCAPES = frozenset(r"\./-_~()[]{}*+?|^$:@!&',;=%" + "dw")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Scan:
+    """What has been seen of a pattern, up to the present token."""
+
+    previous: str = ""
+    previous_text: str = ""
+    open_repeat: bool = False
+    open_before_slash: bool = False
+    wide_repeats: int = 0
+    depth: int = 0
+
+
+def check_path_pattern(pattern: str) -> str | None:
+    """Return why ``pattern`` may not be used, or ``None`` if it may."""
+    if len(pattern) > MAX_PATTERN_LENGTH:
+        return f"longer than {MAX_PATTERN_LENGTH} characters"
+    try:
+        re.compile(pattern)
+    except (re.error, OverflowError, RecursionError) as error:
+        return f"not a regular expression: {error}"
+    scan = _Scan()
+    position = 0
+    while position < len(pattern):
+        match = _TOKEN.match(pattern, position)
+        if match is None:
+            return f"unsupported syntax at character {position + 1}"
+        problem = _check_token(scan, match.lastgroup or "", match.group())
+        if problem:
+            return f"{problem} at character {position + 1}"
+        position = match.end()
+    return None
+
+
+def _check_token(scan: _Scan, kind: str, text: str) -> str | None:
+    if kind == "quantifier":
+        problem = _check_quantifier(scan, text)
+    else:
+        problem = _check_atom(scan, kind, text)
+    scan.previous, scan.previous_text = kind, text
+    return problem
+
+
+def _check_atom(scan: _Scan, kind: str, text: str) -> str | None:
+    scan.depth += {"group": 1, "close": -1}.get(kind, 0)
+    if text == "/" and scan.depth == 0:
+        scan.open_before_slash = scan.open_repeat
+        scan.open_repeat = False
+    if kind == "escape" and text[1] not in _ESCAPES:
+        return f"unsupported escape {text!r}"
+    return None
+
+
+def _check_quantifier(scan: _Scan, text: str) -> str | None:
+    if scan.previous in ("", "group", "or", "quantifier"):
+        return "a repetition of nothing"
+    if scan.previous_text == "/":
+        scan.open_repeat = scan.open_before_slash
+    if text == "?":
+        return None
+    if len(text) > 1 and not text.endswith("}"):
+        return f"unsupported repetition {text!r}"
+    if scan.previous == "close":
+        return "a repeated group"
+    if text.startswith("{") and not _is_small_count(text):
+        return f"a repetition outside 0 to {MAX_REPEAT_COUNT}"
+    return _check_repeat(scan)
+
+
+def _check_repeat(scan: _Scan) -> str | None:
+    if scan.open_repeat:
+        return "a second repetition with no '/' after the first"
+    if re.fullmatch(scan.previous_text, "/"):
+        scan.wide_repeats += 1
+        if scan.wide_repeats > 1:
+            return "a second repetition that matches '/'"
+    scan.open_repeat = True
+    return None
+
+
+def _is_small_count(text: str) -> bool:
+    match = _COUNT.fullmatch(text)
+    if match is None:
+        return False
+    low, comma, high = match.groups()
+    last = high if comma else low
+    return last is not None and int(last) <= MAX_REPEAT_COUNT
--- /dev/null
+++ b/tests/core/test_configuration.py
@@ -0,0 +1,166 @@
+"""Tests of papayatack.core.configuration."""
+
+import pathlib
+import unittest
+
+from papayatack.core.configuration import list_warnings, parse_configuration
+from papayatack.core.errors import InventoryError
+from papayatack.core.inventory import KeySource, RequestClass
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
+
+INVENTORY = """
+[[places]]
+name = "east"
+region = "r"
+
+[[places]]
+name = "west"
+region = "r"
+
+[[services]]
+name = "orders"
+prefix = "/orders"
+places = ["east", "west"]
+key = { path_segment = 1 }
+checks_grants = true
+slots = 14
+connections = 130
+
+[[services.key_ranges]]
+name = "low"
+high = "m"
+shards = 4
+
+[[services.key_ranges]]
+name = "high"
+low = "m"
+shards = 4
+"""
+
+
+def read_example(user):
+    """Return a user's example documents."""
+    folder = EXAMPLES / user
+    return (
+        (folder / "inventory.toml").read_text(encoding="utf-8"),
+        (folder / "rules.toml").read_text(encoding="utf-8"),
+    )
+
+
+class ExampleTests(unittest.TestCase):
+    """The documents that both users would write."""
+
+    def test_examples_are_valid(self):
+        """Both examples parse without a warning."""
+        for user in ("barranquilla", "estonia"):
+            with self.subTest(user=user):
+                configuration = parse_configuration(*read_example(user), version=3)
+                self.assertEqual(configuration.version, 3)
+                self.assertEqual(list_warnings(configuration), ())
+
+    def test_hiring_is_read_whole(self):
+        """Limits, key and rules of the hiring service arrive in the data classes."""
+        configuration = parse_configuration(*read_example("barranquilla"), version=1)
+        hiring = configuration.services[0]
+        self.assertEqual(hiring.key, KeySource(kind="path", name="2"))
+        self.assertEqual((hiring.slots, hiring.connections), (14, 130))
+        self.assertEqual(
+            [r.name for r in hiring.key_ranges], ["candidates", "vacancies"]
+        )
+        self.assertFalse(hiring.request_rules[0].repeatable)
+        self.assertIs(hiring.request_rules[0].request_class, RequestClass.ORDER)
+        self.assertEqual(len(hiring.request_rules), 4)
+
+    def test_one_place_is_warned_of(self):
+        """A keyed service in one data centre is valid but warned of."""
+        text = INVENTORY.replace('["east", "west"]', '["east"]')
+        warnings = list_warnings(parse_configuration(text, "", version=1))
+        self.assertIn("one data centre", warnings[0])
+
+
+class FaultTests(unittest.TestCase):
+    """Each fault is named with its place."""
+
+    def assert_fault(self, inventory, rules, *parts):
+        """Check that one fault holds all parts, and no other exception escapes."""
+        with self.assertRaises(InventoryError) as caught:
+            parse_configuration(inventory, rules, version=1)
+        matching = [
+            fault
+            for fault in caught.exception.faults
+            if all(part in fault for part in parts)
+        ]
+        self.assertTrue(matching, caught.exception.faults)
+
+    def test_inventory_faults(self):
+        """Faults of the inventory name table and field."""
+        cases = [
+            ('high = "m"', 'high = "n"', ("key_ranges (high)", "overlaps low")),
+            ('high = "m"', 'high = ""', ("key_ranges (low)", "empty")),
+            ('high = "m"', "", ("key_ranges (high)", "overlaps low")),
+            ('name = "high"', 'name = "low"', ("key_ranges", "low stands 2 times")),
+            ('name = "west"', 'name = "east"', ("places", "east stands 2 times")),
+            ('["east", "west"]', '["north"]', ("(orders).places", "north")),
+            ('["east", "west"]', "[]", ("services[1] (orders).places",)),
+            ('"orders"', '"or/ders"', ("services[1] (or/ders).name",)),
+            ('"orders"', '"or\\u0000ders"', (".name",)),
+            ('low = "m"', 'low = "m\\u0000"', ("key_ranges[2] (high).low",)),
+            ("slots = 14", "slots = 0", ("services[1] (orders).slots",)),
+            ("slots = 14", 'slots = "14"', ("services[1] (orders).slots",)),
+            ("slots = 14", "slots = true", ("services[1] (orders).slots",)),
+            ("slots = 14", f"slots = 0x1{'0' * 5000}", ("(orders).slots",)),
+            ("slots = 14", "", ("services[1] (orders).slots", "missing")),
+            ("slots = 14", "slots = 14\nsolts = 1", ("solts", "not a known field")),
+            ("slots = 14", "slots = 14\ndeadline_s = nan", ("deadline_s",)),
+            ("slots = 14", "slots = 14\ndeadline_s = inf", ("deadline_s",)),
+            ("path_segment = 1", "path_segment = 0", ("key.path_segment",)),
+            ("path_segment = 1", 'path_segment = 1, query = "q"', ("exactly one",)),
+            ("key = { path_segment = 1 }", "", ("(orders).key", "missing")),
+            ('"/orders"', '"orders"', ("(orders).prefix",)),
+            ('"/orders"', '"/a/../b"', ("(orders).prefix",)),
+            ("shards = 4", "shards = 1000000", ("key_ranges[1] (low).shards",)),
+            ("[[places]]", "[[places", ("not valid TOML",)),
+        ]
+        for old, new, parts in cases:
+            with self.subTest(new=new[:40]):
+                self.assertIn(old, INVENTORY)
+                self.assert_fault(INVENTORY.replace(old, new, 1), "", *parts)
+
+    def test_prefixes_must_be_apart(self):
+        """Two services never claim the same path."""
+        start = INVENTORY.index("[[services]]")
+        for prefix in ("/orders", "/orders/old", "/"):
+            other = INVENTORY[start:].replace('"orders"', '"other"')
+            other = other.replace('"/orders"', f'"{prefix}"')
+            with self.subTest(prefix=prefix):
+                self.assert_fault(INVENTORY + other, "", "prefix", "separate prefixes")
+
+    def test_rules_faults(self):
+        """Faults of the rules name table and field."""
+        cases = [
+            ('[[partners]]\nname = "a"\nweight = 0.0', ("partners[1] (a).weight",)),
+            ('[[partners]]\nname = "a"\nweight = -1.0', ("partners[1] (a).weight",)),
+            ('[[partners]]\nname = "a"\n' * 2, ("a stands 2 times",)),
+            ('[[requests]]\nservice = "x"', ("requests[1].service", "x")),
+            ('[[requests]]\nservice = "orders"\nclass = "vip"', ("class", "browse")),
+            ('[[requests]]\nservice = "orders"\npath = "("', ("requests[1].path",)),
+            ('[[requests]]\nservice = "orders"\nmethods = ["get"]', ("methods[1]",)),
+            (
+                '[[localities]]\nservice = "orders"\nkey_range = "x"\nplace = "south"',
+                ("localities[1].place", "south"),
+            ),
+            ('partner_header = "X Partner"', ("partner_header",)),
+            ("a = " + "[" * 5000, ("not valid TOML",)),
+            ("# " + "x" * 300_000, ("larger than",)),
+        ]
+        for rules, parts in cases:
+            with self.subTest(rules=rules[:60]):
+                self.assert_fault(INVENTORY, rules, *parts)
+
+    def test_all_faults_are_named_together(self):
+        """Faults of both documents are reported in one go."""
+        text = INVENTORY.replace("slots = 14", "slots = 0", 1)
+        with self.assertRaises(InventoryError) as caught:
+            parse_configuration(text, "unknown = 1", version=1)
+        self.assertEqual(len(caught.exception.faults), 2)
