Plan placement: repairs, hot keys, moves for load, locality

The planner is a pure function of the view. A lost owner is followed by the successor agreed before, so that no key moves twice; successors are chosen such that a loss is shared by many.

--- /dev/null
+++ b/src/papayatack/core/placement/draft.py
@@ -0,0 +1,114 @@
+"""The state of a plan in the making."""
+
+from collections.abc import Iterable, Sequence
+
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.placement.fleet import Fleet
+from papayatack.core.placement.limits import PlacementLimits
+from papayatack.core.placement.loads import IDLE_UTILISATION, estimate_loads
+from papayatack.core.placement.view import PlacementShard, PlacementView
+from papayatack.core.records import Assignment
+from papayatack.core.shards import HOT_MARK, list_shards
+
+__all__ = ["Draft", "is_hot"]
+
+_UNASSIGNED = PlacementShard(epoch=0, chain=())
+
+
+def is_hot(shard: ShardId) -> bool:
+    """Return whether a shard holds a single hot key."""
+    return f"/{HOT_MARK}" in shard
+
+
+class Draft:
+    """The chains as they would be after the changes planned so far."""
+
+    def __init__(self, *, view: PlacementView, limits: PlacementLimits) -> None:
+        self.view = view
+        self.limits = limits
+        self.assignments: list[Assignment] = []
+        self._changed: set[ShardId] = set()
+        hot = (s for s, state in view.shards.items() if state.chain and is_hot(s))
+        self.shards = list_shards(view.configuration, hot)
+        self.measured = estimate_loads(view, self.shards)
+        self.fleets = {
+            service.name: Fleet(
+                configuration=view.configuration,
+                service=service,
+                nodes=(node for node in view.nodes if node.service == service.name),
+                chain_length=limits.chain_length,
+            )
+            for service in view.configuration.services
+            if service.key_ranges
+        }
+        self.loads = self._weigh()
+        self.chains: dict[ShardId, tuple[LeaseId, ...]] = {}
+        for shard in self.shards:
+            self.chains[shard] = self.find_state(shard).chain
+            self.find_fleet(shard).put(shard, self.loads[shard], self.chains[shard])
+
+    def _weigh(self) -> dict[ShardId, float]:
+        """Add to each measured load its part of the idle load."""
+        counts: dict[str, int] = {}
+        for shard in self.shards:
+            service = _find_service(shard)
+            counts[service] = counts.get(service, 0) + 1
+        idle = {
+            service: IDLE_UTILISATION * (self.fleets[service].capacity or 1.0) / count
+            for service, count in counts.items()
+        }
+        return {
+            shard: load + idle[_find_service(shard)]
+            for shard, load in self.measured.items()
+        }
+
+    def find_state(self, shard: ShardId) -> PlacementShard:
+        """Return a shard's state before the plan."""
+        return self.view.shards.get(shard, _UNASSIGNED)
+
+    def find_fleet(self, shard: ShardId) -> Fleet:
+        """Return the nodes that may own a shard."""
+        return self.fleets[_find_service(shard)]
+
+    def is_settled(self, shard: ShardId) -> bool:
+        """Return whether a shard may be moved for the sake of load."""
+        state = self.find_state(shard)
+        moving = state.moving or shard in self._changed
+        return not moving and state.age_s >= self.limits.settle_s
+
+    def is_changed(self, shard: ShardId) -> bool:
+        """Return whether the plan changes a shard already."""
+        return shard in self._changed
+
+    def assign(self, shard: ShardId, chain: Sequence[LeaseId]) -> None:
+        """Plan a new chain for a shard."""
+        fleet, load = self.find_fleet(shard), self.loads[shard]
+        fleet.take(shard, load, self.chains[shard])
+        fleet.put(shard, load, chain)
+        self.chains[shard] = tuple(chain)
+        self.record(shard, chain)
+
+    def record(
+        self,
+        shard: ShardId,
+        chain: Iterable[LeaseId],
+        *,
+        parent: ShardId | None = None,
+    ) -> None:
+        """Add an entry to the plan."""
+        self._changed.add(shard)
+        if parent:
+            self._changed.add(parent)
+        self.assignments.append(
+            Assignment(
+                shard=shard,
+                base_epoch=self.find_state(shard).epoch,
+                chain=tuple(chain),
+                parent=parent or ShardId(""),
+                parent_epoch=self.find_state(parent).epoch if parent else 0,
+            )
+        )
+
+
+def _find_service(shard: ShardId) -> str:
+    return shard.partition("/")[0]
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -1,6 +1,7 @@
 """What the planner sees of the fleet, and what it answers."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from papayatack.core.identity import LeaseId, ShardId
@@ -40,13 +41,15 @@
 
     Attributes:
         epoch: Its current epoch, 0 if it was never assigned.
-        chain: Owner first.
+        chain: Owner first; empty if nobody is to own it.
         moving: Its last move is not activated yet.
+        age_s: Seconds since its last move, as far as this node knows.
     """
 
     epoch: int
     chain: tuple[LeaseId, ...]
     moving: bool = False
+    age_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/records.py
+++ b/src/papayatack/core/records.py
@@ -94,18 +94,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Assignment:
-    """A shard's new chain.
+    """A shard's new chain, the split of a hot key's shard, or its return.
+
+    An entry with a ``parent`` gives a hot key a shard of its own (``chain`` is the
+    parent's), or returns it (``chain`` is empty). Both take effect only while the
+    parent is at ``parent_epoch``, both shards have the same chain, and neither has a
+    chain that is not cleared yet: docs/design/placement.md.
 
     Attributes:
         shard: The shard.
         base_epoch: The epoch it was planned against (0: not yet assigned); another
             current epoch voids this entry.
-        chain: Owner first, then its successors.
+        chain: Owner first, then its successors; empty if nobody is to own it.
+        parent: The shard to which a hot key belongs otherwise, for split and return.
+        parent_epoch: The epoch of the parent that this entry was planned against.
     """
 
     shard: ShardId
     base_epoch: int
     chain: tuple[LeaseId, ...]
+    parent: ShardId = ShardId("")
+    parent_epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/core/placement/test_planner.py
@@ -0,0 +1,284 @@
+"""Tests of papayatack.core.placement.planner."""
+
+import dataclasses
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.placement import PlacementLimits, plan
+from tests.core.placement.fleets import (
+    apply_plan,
+    find_best_maximum,
+    list_places,
+    make_configuration,
+    make_node,
+    make_view,
+    remove_node,
+    report_loads,
+    settle,
+    shard_id,
+    sum_loads,
+)
+
+LOADS = st.lists(
+    st.floats(min_value=0.0, max_value=8.0, allow_nan=False), min_size=6, max_size=6
+)
+
+
+class FirstPlanTests(unittest.TestCase):
+    """A fleet without any assignment."""
+
+    def test_every_shard_gets_a_spread_chain(self):
+        """Each shard has an owner and two successors, all in other data centres."""
+        view, _ = settle(make_view(nodes=9, shards=32))
+        self.assertEqual(set(view.shards), {shard_id(n) for n in range(32)})
+        for state in view.shards.values():
+            self.assertEqual(len(set(list_places(view, state.chain))), 3)
+
+    def test_shards_are_even(self):
+        """Without loads, no node owns more than one shard above another."""
+        view, _ = settle(make_view(nodes=9, shards=32))
+        counts = sum_loads(view, dict.fromkeys(view.shards, 1.0)).values()
+        self.assertLessEqual(max(counts) - min(counts), 1)
+
+    def test_no_node_no_plan(self):
+        """Without a node nothing is planned."""
+        self.assertEqual(plan(make_view(nodes=0)).assignments, ())
+
+    def test_one_node_owns_all(self):
+        """A single node owns everything, without successors."""
+        view, _ = settle(make_view(nodes=1, shards=4))
+        self.assertTrue(all(len(s.chain) == 1 for s in view.shards.values()))
+
+    def test_successors_stay_in_the_region(self):
+        """The first successor is in another data centre of the owner's region."""
+        view, _ = settle(make_view(nodes=12, shards=24, places=4, regions=2))
+        regions = {node.lease: node.region for node in view.nodes}
+        for state in view.shards.values():
+            self.assertEqual(regions[state.chain[0]], regions[state.chain[1]])
+
+    def test_repairs_are_bounded(self):
+        """One plan gives out no more chains than its limit."""
+        planned = plan(make_view(shards=32), limits=PlacementLimits(repairs=5))
+        self.assertEqual(len(planned.assignments), 5)
+
+    def test_plan_is_pure(self):
+        """The same view gives the same plan."""
+        view = make_view(nodes=9, shards=32)
+        self.assertEqual(plan(view), plan(view))
+
+
+class LossTests(unittest.TestCase):
+    """Nodes that are lost, leave or return."""
+
+    def setUp(self):
+        """Settle nine nodes in three data centres."""
+        self.view, _ = settle(make_view(nodes=9, shards=180))
+
+    def test_successor_takes_over(self):
+        """A lost owner is followed by the first successor, as agreed before."""
+        lost = self.view.nodes[0].lease
+        planned = plan(remove_node(self.view, 0))
+        chains = {entry.shard: entry.chain for entry in planned.assignments}
+        for shard, state in self.view.shards.items():
+            if state.chain[0] == lost:
+                self.assertEqual(chains[shard][0], state.chain[1])
+                self.assertNotIn(lost, chains[shard])
+
+    def test_one_loss_is_shared_by_many(self):
+        """No node inherits more than twice its part of a lost node's shards."""
+        lost = self.view.nodes[0].lease
+        heirs = [s.chain[1] for s in self.view.shards.values() if s.chain[0] == lost]
+        part = len(heirs) / 6
+        self.assertEqual(len(set(heirs)), 6)
+        self.assertLessEqual(max(heirs.count(h) for h in set(heirs)), 2 * part)
+
+    def test_moves_after_a_loss_are_near_the_unavoidable(self):
+        """At most 1.2 owner changes follow for each shard of a lost node."""
+        for number in range(9):
+            with self.subTest(number=number):
+                lost = self.view.nodes[number].lease
+                owned = sum(s.chain[0] == lost for s in self.view.shards.values())
+                _, moved = settle(remove_node(self.view, number))
+                self.assertLessEqual(moved, 1.2 * owned)
+
+    def test_leaving_node_gives_up_everything(self):
+        """A leaving node is in no chain afterwards."""
+        nodes = list(self.view.nodes)
+        nodes[3] = dataclasses.replace(nodes[3], leaving=True)
+        view, _ = settle(dataclasses.replace(self.view, nodes=tuple(nodes)))
+        for state in view.shards.values():
+            self.assertNotIn(nodes[3].lease, state.chain)
+
+    def test_lost_data_centre_leaves_no_shard_behind(self):
+        """All shards have live chains in the two data centres that are left."""
+        nodes = tuple(n for n in self.view.nodes if n.data_centre != "dc1")
+        view, _ = settle(dataclasses.replace(self.view, nodes=nodes))
+        for state in view.shards.values():
+            self.assertEqual(set(list_places(view, state.chain)), {"dc0", "dc2"})
+
+    def test_new_lease_of_the_same_incarnation_keeps_its_shards(self):
+        """After a readmission the owners are the same incarnations."""
+        nodes = list(self.view.nodes)
+        lease = LeaseId(nodes[0].lease.incarnation, 2)
+        nodes[0] = dataclasses.replace(nodes[0], lease=lease)
+        view, _ = settle(dataclasses.replace(self.view, nodes=tuple(nodes)))
+        for shard, state in view.shards.items():
+            before = self.view.shards[shard].chain[0]
+            self.assertEqual(state.chain[0].incarnation, before.incarnation)
+            if before == self.view.nodes[0].lease:
+                self.assertEqual(state.chain[0], lease)
+
+    def test_moving_shard_is_left_alone(self):
+        """A shard whose owner is sound is not moved again before it has arrived."""
+        shards = {
+            shard: dataclasses.replace(state, moving=True)
+            for shard, state in self.view.shards.items()
+        }
+        lease = self.view.nodes[0].lease
+        shards[shard_id(0)] = dataclasses.replace(shards[shard_id(0)], chain=(lease,))
+        view = dataclasses.replace(self.view, shards=shards)
+        self.assertEqual(plan(view).assignments, ())
+
+    def test_cold_node_is_filled_little_by_little(self):
+        """A node that has just come gets less than a warm one."""
+        cold = make_node(9, age_s=0.0)
+        view = dataclasses.replace(self.view, nodes=(*self.view.nodes, cold))
+        settled, _ = settle(view)
+        warm = dataclasses.replace(cold, age_s=3600.0)
+        nodes = (*self.view.nodes, warm)
+        later, _ = settle(dataclasses.replace(settled, nodes=nodes))
+        counts = [
+            sum_loads(v, dict.fromkeys(v.shards, 1.0))[cold.lease]
+            for v in (settled, later)
+        ]
+        self.assertGreater(counts[0], 0)
+        self.assertLess(counts[0], counts[1] / 2)
+
+
+class RuleTests(unittest.TestCase):
+    """Operators' rules and changes of places."""
+
+    def test_locality_keeps_owners_near(self):
+        """Owners are in the preferred data centre while it has room."""
+        configuration = make_configuration(shards=30, locality="dc1")
+        view = make_view(nodes=9, configuration=configuration)
+        settled, _ = settle(view, dict.fromkeys(map(shard_id, range(30)), 0.1))
+        for state in settled.shards.values():
+            self.assertEqual(list_places(settled, state.chain)[0], "dc1")
+
+    def test_locality_yields_to_capacity(self):
+        """More load than the data centre can carry spreads beyond it."""
+        configuration = make_configuration(shards=30, locality="dc1")
+        view = make_view(nodes=9, configuration=configuration)
+        busy = dict.fromkeys(map(shard_id, range(30)), 3.0)
+        settled, _ = settle(view, busy)
+        totals = sum_loads(settled, busy)
+        self.assertLess(max(totals.values()), 14.0)
+
+    def test_owners_return_when_the_place_is_back(self):
+        """A locality rule is met again once its data centre has nodes."""
+        configuration = make_configuration(shards=30, locality="dc1")
+        view = make_view(nodes=9, configuration=configuration)
+        busy = dict.fromkeys(map(shard_id, range(30)), 0.1)
+        away = tuple(n for n in view.nodes if n.data_centre != "dc1")
+        settled, _ = settle(dataclasses.replace(view, nodes=away), busy)
+        back, _ = settle(dataclasses.replace(settled, nodes=view.nodes), busy)
+        for state in back.shards.values():
+            self.assertEqual(list_places(back, state.chain)[0], "dc1")
+
+    def test_retired_range_is_released(self):
+        """Nobody owns the shards of a retired range."""
+        view, _ = settle(make_view())
+        retired = make_configuration(retired=True)
+        planned = plan(dataclasses.replace(view, configuration=retired))
+        self.assertEqual(len(planned.assignments), 12)
+        self.assertTrue(all(entry.chain == () for entry in planned.assignments))
+
+    def test_unknown_range_is_left_alone(self):
+        """A planner with an older configuration takes nothing from a newer range."""
+        view, _ = settle(make_view(shards=12))
+        older = make_configuration(shards=4)
+        planned = plan(dataclasses.replace(view, configuration=older))
+        self.assertTrue(all(entry.chain for entry in planned.assignments))
+
+
+class LoadTests(unittest.TestCase):
+    """Moves for the sake of load."""
+
+    def test_small_imbalance_moves_nothing(self):
+        """Within the hysteresis, differences in load cause no churn."""
+        view, _ = settle(make_view(nodes=3, shards=30))
+        busy = dict.fromkeys(view.shards, 0.2)
+        first = next(iter(view.shards))
+        busy[first] += 0.1
+        self.assertEqual(plan(report_loads(view, busy)).assignments, ())
+
+    def test_budget_bounds_moves(self):
+        """Shards already on the move count against the budget."""
+        view, _ = settle(make_view(nodes=6, shards=60))
+        owner = view.nodes[0].lease
+        busy = {s: 2.0 if t.chain[0] == owner else 0.1 for s, t in view.shards.items()}
+        view = report_loads(view, busy)
+        few = plan(view, limits=PlacementLimits(moves=2))
+        self.assertEqual(len(few.assignments), 2)
+        on_the_move = apply_plan(view, few, moving=True)
+        on_the_move = report_loads(on_the_move, busy)
+        again = plan(on_the_move, limits=PlacementLimits(moves=2))
+        self.assertEqual(again.assignments, ())
+
+    @settings(max_examples=60)
+    @given(LOADS)
+    def test_every_move_gains(self, loads):
+        """Each move lowers the sum of squared loads, until none is left.
+
+        The measure is that of the design note: beside its own load, each shard has
+        an even part of 2% of all slots.
+        """
+        view, _ = settle(make_view(nodes=3, shards=6))
+        busy = {shard_id(number): load for number, load in enumerate(loads)}
+        weights = {shard: load + 0.02 * 3 * 14 / 6 for shard, load in busy.items()}
+        for _ in range(20):
+            view = report_loads(view, busy)
+            planned = plan(view, limits=PlacementLimits(moves=1))
+            if not planned.assignments:
+                return
+            after = apply_plan(view, planned)
+            squares = [
+                sum(load**2 for load in sum_loads(v, weights).values())
+                for v in (view, after)
+            ]
+            self.assertLess(squares[1], squares[0])
+            view = after
+        self.fail("still moving after 20 plans")
+
+    @settings(max_examples=60)
+    @given(LOADS)
+    def test_near_the_best_of_all_assignments(self, loads):
+        """The highest load is within the largest shard of the exhaustive optimum."""
+        view, _ = settle(make_view(nodes=3, shards=6))
+        busy = {shard_id(number): load for number, load in enumerate(loads)}
+        settled, _ = settle(view, busy)
+        mean = sum(loads) / 3
+        best = find_best_maximum(busy, 3)
+        highest = max(sum_loads(settled, busy).values())
+        allowed = best + max(loads) / 2 + 0.08 * mean + 0.5
+        self.assertLessEqual(highest, allowed)
+
+    @settings(max_examples=40)
+    @given(
+        st.integers(min_value=1, max_value=8),
+        st.integers(min_value=1, max_value=4),
+        st.lists(st.floats(min_value=0.0, max_value=6.0), min_size=10, max_size=10),
+    )
+    def test_any_small_fleet_settles(self, nodes, places, loads):
+        """Every shard is placed, as spread as possible, and planning comes to rest."""
+        view = make_view(nodes=nodes, places=places, shards=10)
+        busy = {shard_id(number): load for number, load in enumerate(loads)}
+        settled, _ = settle(view, busy)
+        wanted = min(nodes, places, 3)
+        for state in settled.shards.values():
+            self.assertEqual(len(state.chain), min(nodes, 3))
+            self.assertEqual(len(set(list_places(settled, state.chain))), wanted)
+            self.assertEqual(len(set(state.chain)), len(state.chain))
