--- a/src/papayatack/logservice/__init__.py
+++ b/src/papayatack/logservice/__init__.py
@@ -1,1 +1,33 @@
 """Client of the platform's log service."""
+
+from papayatack.logservice.appender import Appender, Pacer
+from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
+from papayatack.logservice.http import HttpLogService
+from papayatack.logservice.interface import (
+    LogFailure,
+    LogFailureKind,
+    LogPage,
+    LogService,
+)
+from papayatack.logservice.tailer import (
+    RecordsExpired,
+    RecordsRead,
+    Tailer,
+    TailMessage,
+)
+
+__all__ = [
+    "Appender",
+    "HttpLogService",
+    "LogFailure",
+    "LogFailureKind",
+    "LogPage",
+    "LogService",
+    "LoggedRecord",
+    "Pacer",
+    "RecordDecoder",
+    "RecordsExpired",
+    "RecordsRead",
+    "TailMessage",
+    "Tailer",
+]
--- /dev/null
+++ b/src/papayatack/logservice/appender.py
@@ -0,0 +1,260 @@
+"""Appends of records whose outcome is always found out.
+
+An append whose answer is lost may have taken effect, now or later. The appender reads
+on from where the record can be at the earliest until it sees the record's id; if it
+does not, it appends the same record again. That is harmless, because the fold ignores
+a repeated id; and once the repeated append is answered, the first place of the id
+between start and answer is where the record counts.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+
+from returns.result import Failure, Result, Success
+
+from papayatack.core.records import ConfigRecord, OwnershipRecord
+from papayatack.logservice.backoff import Backoff
+from papayatack.logservice.interface import LogFailure, LogFailureKind, LogService
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.wire.records import decode_record, encode_record
+
+__all__ = ["Appender", "Pacer"]
+
+LOGGER = logging.getLogger(__name__)
+
+APPENDS_PER_S = 5.0
+BURST_APPENDS = 10
+CALL_TIMEOUT_S = 5.0
+PAGE_RECORDS = 500
+MAX_UNRESOLVED = 1000
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 2.0
+
+
+class Pacer:
+    """Spaces appends so that a node stays within its share of the log's capacity.
+
+    Args:
+        rate_per_s: Appends a second in the long run.
+        burst: Appends that may go out at once after a pause.
+    """
+
+    def __init__(
+        self, *, rate_per_s: float = APPENDS_PER_S, burst: int = BURST_APPENDS
+    ) -> None:
+        self._interval_s = 1 / rate_per_s
+        self._credit_s = (burst - 1) * self._interval_s
+        self._next_s = -math.inf
+
+    async def wait(self) -> None:
+        """Wait until the next append is due."""
+        now_s = asyncio.get_running_loop().time()
+        due_s = max(self._next_s, now_s - self._credit_s)
+        self._next_s = due_s + self._interval_s
+        if due_s > now_s:
+            await asyncio.sleep(due_s - now_s)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Search:
+    """The search for a record whose append had no answer.
+
+    Attributes:
+        record_id: Id of the record.
+        offset: Next offset to be read.
+    """
+
+    record_id: str
+    offset: int
+
+
+class Appender:
+    """Appends records to one stream, one after the other.
+
+    Wire one per stream and process and call :meth:`observe` with the offsets that the
+    tailer reads, so that a search starts near the end of the stream. The answer
+    "appended at offset N" says nothing of the effect: ask the fold once it has
+    applied offset N.
+
+    Args:
+        log: The log service.
+        stream: The stream's name.
+        metrics: Counts ``log_appends`` by outcome.
+        random: Source of the backoff's jitter.
+        pacer: Limits the rate.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        stream: str,
+        metrics: Metrics,
+        random: random.Random,
+        pacer: Pacer | None = None,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._metrics = metrics
+        self._random = random
+        self._pacer = pacer or Pacer()
+        self._lock = asyncio.Lock()
+        self._known_end = 0
+        self._unresolved: dict[str, int] = {}
+
+    def observe(self, end: int) -> None:
+        """Note that the records before ``end`` exist already."""
+        self._known_end = max(self._known_end, end)
+
+    async def append(
+        self, record: OwnershipRecord | ConfigRecord, *, deadline_s: float
+    ) -> Result[int, LogFailure]:
+        """Append a record and return the offset at which it counts.
+
+        Args:
+            record: The record; it may be appended again after a failure.
+            deadline_s: Event loop time at which to give up.
+
+        Returns:
+            The offset, or a failure: ``REFUSED`` if the record was surely not
+            appended, ``UNKNOWN`` if that could not be found out in time.
+        """
+        payload = encode_record(record)
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                await self._lock.acquire()
+        except TimeoutError:
+            return self._give_up(LogFailureKind.REFUSED, record.record_id)
+        try:
+            return await self._append_locked(record.record_id, payload, deadline_s)
+        finally:
+            self._lock.release()
+
+    async def _append_locked(
+        self, record_id: str, payload: bytes, deadline_s: float
+    ) -> Result[int, LogFailure]:
+        earlier = self._unresolved.pop(record_id, None)
+        state = _State(doubtful=earlier is not None)
+        start = self._known_end if earlier is None else earlier
+        search = _Search(record_id=record_id, offset=start)
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                offset = await self._append_until_known(payload, search, state)
+        except TimeoutError:
+            if not state.doubtful:
+                return self._give_up(LogFailureKind.REFUSED, record_id)
+            self._remember_unresolved(search)
+            return self._give_up(LogFailureKind.UNKNOWN, record_id)
+        self.observe(offset + 1)
+        return Success(offset)
+
+    async def _append_until_known(
+        self, payload: bytes, search: _Search, state: "_State"
+    ) -> int:
+        backoff = Backoff(
+            first_s=FIRST_BACKOFF_S,
+            longest_s=LONGEST_BACKOFF_S,
+            random=self._random,
+        )
+        while True:
+            await self._pacer.wait()
+            result = await self._call_append(payload, state)
+            match result:
+                case Success(offset) if not state.doubtful:
+                    return offset
+                case Success(offset):
+                    found = await self._search_to_end(search, backoff, offset)
+                    return offset if found is None else found
+                case Failure(failure):
+                    self._metrics.count("log_appends", failure.kind.value)
+            if state.doubtful:
+                found = await self._search_once(search)
+                if found is not None:
+                    self._metrics.count("log_appends", "found")
+                    return found
+            await asyncio.sleep(backoff.take_delay_s())
+
+    async def _call_append(self, payload: bytes, state: "_State"):
+        doubtful_before = state.doubtful
+        state.doubtful = True
+        result = await self._log.append(self._stream, payload, timeout_s=CALL_TIMEOUT_S)
+        match result:
+            case Success(_):
+                self._metrics.count("log_appends", "appended")
+                state.doubtful = doubtful_before
+            case Failure(failure) if failure.kind is not LogFailureKind.UNKNOWN:
+                state.doubtful = doubtful_before
+        return result
+
+    async def _search_to_end(
+        self, search: _Search, backoff: Backoff, end: int
+    ) -> int | None:
+        """Read up to ``end``, through outages, and return the id's first place."""
+        while search.offset < end:
+            found = await self._search_once(search)
+            if found is not None:
+                return found
+            if search.offset < end:
+                await asyncio.sleep(backoff.take_delay_s())
+        return None
+
+    async def _search_once(self, search: _Search) -> int | None:
+        """Read on until the id, the end of the stream or a failure."""
+        while True:
+            result = await self._log.read(
+                self._stream,
+                search.offset,
+                limit=PAGE_RECORDS,
+                wait_s=0.0,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+            match result:
+                case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
+                    search.offset = max(search.offset, failure.first)
+                    continue
+                case Failure(_):
+                    return None
+                case Success(page):
+                    pass
+            for index, payload in enumerate(page.payloads):
+                if _has_id(self._stream, payload, search.record_id):
+                    return page.first + index
+            search.offset = max(search.offset, page.first + len(page.payloads))
+            if not page.payloads:
+                return None
+
+    def _remember_unresolved(self, search: _Search) -> None:
+        """Keep where to search, should the same record be appended again."""
+        self._unresolved[search.record_id] = search.offset
+        if len(self._unresolved) > MAX_UNRESOLVED:
+            del self._unresolved[next(iter(self._unresolved))]
+
+    def _give_up(self, kind: LogFailureKind, record_id: str) -> Result[int, LogFailure]:
+        self._metrics.count("log_appends", f"gave-up-{kind.value}")
+        if kind is LogFailureKind.UNKNOWN:
+            log_event(
+                LOGGER,
+                Event.LOG_APPEND_UNKNOWN,
+                level=logging.WARNING,
+                stream=self._stream,
+                record_id=record_id,
+            )
+        return Failure(LogFailure(kind=kind, detail="deadline"))
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _State:
+    """Whether some append of the record may have taken effect unanswered."""
+
+    doubtful: bool = False
+
+
+def _has_id(stream: str, payload: bytes, record_id: str) -> bool:
+    match decode_record(stream, payload):
+        case Success(record):
+            return record.record_id == record_id
+    return False
--- /dev/null
+++ b/src/papayatack/logservice/tailer.py
@@ -0,0 +1,199 @@
+"""A task that follows one stream of the log."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+
+from returns.result import Failure, Success
+
+from papayatack.logservice.backoff import Backoff
+from papayatack.logservice.interface import (
+    LogFailure,
+    LogFailureKind,
+    LogPage,
+    LogService,
+)
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["RecordsExpired", "RecordsRead", "TailMessage", "Tailer"]
+
+LOGGER = logging.getLogger(__name__)
+
+PAGE_RECORDS = 500
+WAIT_S = 5.0
+TIMEOUT_S = 8.0
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordsRead:
+    """Consecutive payloads of a stream.
+
+    Attributes:
+        stream: The stream's name.
+        first: Offset of the first payload.
+        payloads: The payloads, as they are in the log.
+        end: Offset that the next append gets, as the service knew it.
+    """
+
+    stream: str
+    first: int
+    payloads: tuple[bytes, ...]
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordsExpired:
+    """The next records are kept no longer; the tailer goes on at the oldest kept.
+
+    The reader must load a checkpoint, or write one if it already holds a state that
+    covers ``first``, before it folds what follows.
+
+    Attributes:
+        stream: The stream's name.
+        wanted: Offset that the tailer wanted.
+        first: Oldest offset that is kept.
+    """
+
+    stream: str
+    wanted: int
+    first: int
+
+
+TailMessage = RecordsRead | RecordsExpired
+
+
+class Tailer:
+    """Follows a stream and puts what it reads into a queue.
+
+    Wire it as a task: ``asyncio.create_task(tailer.run())``; the reader takes
+    :data:`TailMessage` from ``queue``. A full queue (``asyncio.Queue(maxsize=...)``)
+    holds the tailer back. Records that reached the node by another way are skipped
+    with :meth:`skip_to`. End it by cancelling the task.
+
+    Args:
+        log: The log service.
+        stream: The stream's name.
+        offset: First offset wanted.
+        queue: Takes the messages.
+        metrics: Counts ``log_reads`` by outcome.
+        random: Source of the backoff's jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        stream: str,
+        offset: int,
+        queue: asyncio.Queue[TailMessage],
+        metrics: Metrics,
+        random: random.Random,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._offset = offset
+        self._queue = queue
+        self._metrics = metrics
+        self._backoff = Backoff(
+            first_s=FIRST_BACKOFF_S, longest_s=LONGEST_BACKOFF_S, random=random
+        )
+        self._last_read_s: float | None = None
+        self.available = True
+
+    @property
+    def offset(self) -> int:
+        """Offset that it reads next."""
+        return self._offset
+
+    @property
+    def last_read_s(self) -> float | None:
+        """Event loop time of the last answer of the service, if any came."""
+        return self._last_read_s
+
+    def skip_to(self, offset: int) -> None:
+        """Leave out the records before ``offset``; they came by another way."""
+        self._offset = max(self._offset, offset)
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            await self.read_once()
+
+    async def read_once(self) -> None:
+        """Read one page, or wait after a failure."""
+        offset = self._offset
+        result = await self._log.read(
+            self._stream,
+            offset,
+            limit=PAGE_RECORDS,
+            wait_s=WAIT_S,
+            timeout_s=TIMEOUT_S,
+        )
+        match result:
+            case Success(page):
+                self._note_available()
+                await self._take_page(page)
+            case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
+                self._note_available()
+                await self._take_expiry(offset, failure)
+            case Failure(failure):
+                self._note_unavailable(failure)
+                await asyncio.sleep(self._backoff.take_delay_s())
+
+    async def _take_page(self, page: LogPage) -> None:
+        if page.end < page.first:
+            self._metrics.count("log_reads", "regressed")
+            await asyncio.sleep(self._backoff.take_delay_s())
+            return
+        self._metrics.count("log_reads", "records" if page.payloads else "empty")
+        self._backoff.reset()
+        skipped = min(max(self._offset - page.first, 0), len(page.payloads))
+        payloads = page.payloads[skipped:]
+        if not payloads:
+            return
+        message = RecordsRead(
+            stream=self._stream,
+            first=page.first + skipped,
+            payloads=payloads,
+            end=page.end,
+        )
+        self._offset = message.first + len(payloads)
+        await self._queue.put(message)
+
+    async def _take_expiry(self, wanted: int, failure: LogFailure) -> None:
+        self._metrics.count("log_reads", "expired")
+        log_event(
+            LOGGER,
+            Event.LOG_RECORDS_EXPIRED,
+            level=logging.WARNING,
+            stream=self._stream,
+            wanted=wanted,
+            first=failure.first,
+        )
+        self.skip_to(failure.first)
+        message = RecordsExpired(
+            stream=self._stream, wanted=wanted, first=failure.first
+        )
+        await self._queue.put(message)
+
+    def _note_available(self) -> None:
+        self._last_read_s = asyncio.get_running_loop().time()
+        if not self.available:
+            self.available = True
+            log_event(LOGGER, Event.LOG_AVAILABLE, stream=self._stream)
+
+    def _note_unavailable(self, failure: LogFailure) -> None:
+        self._metrics.count("log_reads", failure.kind.value)
+        if self.available:
+            self.available = False
+            log_event(
+                LOGGER,
+                Event.LOG_UNAVAILABLE,
+                level=logging.WARNING,
+                stream=self._stream,
+                detail=failure.detail,
+            )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the platform's parts, for tests and trials on one machine."""
--- /dev/null
+++ b/tests/logservice/test_tailer.py
@@ -0,0 +1,129 @@
+"""Tests of papayatack.logservice.tailer."""
+
+import asyncio
+import contextlib
+import random
+
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.logservice.tailer import RecordsExpired, RecordsRead, Tailer
+from standins.logstore import Outage
+from tests.logservice.helpers import LogFixture, VirtualTimeTestCase
+
+
+@contextlib.asynccontextmanager
+async def follow(fixture, *, offset=0, maxsize=0):
+    """Run a tailer and give it with its queue."""
+    queue = asyncio.Queue(maxsize=maxsize)
+    tailer = Tailer(
+        log=fixture.log,
+        stream=OWNERSHIP_STREAM,
+        offset=offset,
+        queue=queue,
+        metrics=fixture.metrics,
+        random=random.Random(1),
+    )
+    task = asyncio.create_task(tailer.run())
+    yield tailer, queue
+    task.cancel()
+
+
+class TailerTests(VirtualTimeTestCase):
+    """Tailer.run."""
+
+    def test_records_come_in_order(self):
+        """What is appended before and while following is read once, in order."""
+
+        async def check():
+            fixture = LogFixture()
+            fixture.store.append(OWNERSHIP_STREAM, b"a")
+            async with follow(fixture) as (_, queue):
+                first = await queue.get()
+                await asyncio.sleep(100)
+                fixture.store.append(OWNERSHIP_STREAM, b"b")
+                second = await queue.get()
+            self.assertEqual((first.first, first.payloads), (0, (b"a",)))
+            self.assertEqual((second.first, second.payloads), (1, (b"b",)))
+            self.assertEqual(asyncio.get_running_loop().time(), 100)
+
+        self.run_virtually(check())
+
+    def test_survives_outages(self):
+        """After each kind of outage the next records are read without a gap."""
+
+        async def check():
+            fixture = LogFixture()
+            async with follow(fixture) as (tailer, queue):
+                for number, outage in enumerate(list(Outage)[1:]):
+                    await asyncio.sleep(10)
+                    fixture.store.faults.outage = outage
+                    await asyncio.sleep(3600)
+                    self.assertFalse(tailer.available)
+                    fixture.store.append(OWNERSHIP_STREAM, b"x")
+                    fixture.store.faults.outage = Outage.NONE
+                    message = await queue.get()
+                    self.assertEqual(message.first, number)
+                    self.assertTrue(tailer.available)
+
+        self.run_virtually(check())
+
+    def test_outage_is_not_hammered(self):
+        """During an outage the calls are spaced by the longest backoff."""
+
+        async def check():
+            fixture = LogFixture()
+            fixture.store.faults.outage = Outage.REFUSE
+            async with follow(fixture):
+                await asyncio.sleep(3600)
+            calls = fixture.metrics.read_count("log_reads", "refused")
+            self.assertLess(calls, 3600 + 10)
+
+        self.run_virtually(check())
+
+    def test_expiry_is_told(self):
+        """The reader learns which records it lost before it gets the next ones."""
+
+        async def check():
+            fixture = LogFixture()
+            for _ in range(5):
+                fixture.store.append(OWNERSHIP_STREAM, b"x")
+            fixture.store.expire(OWNERSHIP_STREAM, 3)
+            async with follow(fixture, offset=1) as (_, queue):
+                expired = await queue.get()
+                read = await queue.get()
+            self.assertEqual(
+                expired, RecordsExpired(stream=OWNERSHIP_STREAM, wanted=1, first=3)
+            )
+            self.assertIsInstance(read, RecordsRead)
+            self.assertEqual(read.first, 3)
+
+        self.run_virtually(check())
+
+    def test_records_known_otherwise_are_left_out(self):
+        """Records that came through a peer are not delivered again."""
+
+        async def check():
+            fixture = LogFixture()
+            async with follow(fixture) as (tailer, queue):
+                await asyncio.sleep(1)
+                tailer.skip_to(1)
+                fixture.store.append(OWNERSHIP_STREAM, b"a")
+                fixture.store.append(OWNERSHIP_STREAM, b"b")
+                message = await queue.get()
+            self.assertEqual((message.first, message.payloads), (1, (b"b",)))
+
+        self.run_virtually(check())
+
+    def test_full_queue_holds_the_tailer_back(self):
+        """A slow reader bounds what is buffered."""
+
+        async def check():
+            fixture = LogFixture()
+            for _ in range(5000):
+                fixture.store.append(OWNERSHIP_STREAM, b"x")
+            async with follow(fixture, maxsize=1) as (tailer, queue):
+                await asyncio.sleep(100)
+                self.assertLessEqual(tailer.offset, 1000)
+                offsets = [(await queue.get()).first for _ in range(10)]
+            self.assertEqual(offsets, list(range(0, 5000, 500)))
+
+        self.run_virtually(check())
