Fold splits and returns of hot keys, and wait for their requests

Cause: a key that became a shard of its own could be released while requests for it ran under its parent shard. Change: the fold takes splits and returns only while both shards have one chain and nothing to clear; a release waits for the other shard's requests at most the service's deadline after a split or return.

--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -182,12 +182,14 @@
         shards: Its shards with notable load.
         busy: Mean number of its slots in use.
         hot_keys: Single keys with notable load, as shards of their own.
+        leaving: The node hands its shards on and wants no others.
     """
 
     incarnation: IncarnationId
     busy: float
     shards: tuple[ShardLoad, ...] = ()
     hot_keys: tuple[ShardLoad, ...] = ()
+    leaving: bool = False
 
 
 ControlMessage = (
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -2,7 +2,7 @@
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.messages import Release, ReleaseQuery
-from papayatack.core.ownership.context import Context, find_service
+from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import ShardEntry
 from papayatack.core.ownership.succession import (
@@ -33,6 +33,7 @@
         self._released: dict[ShardId, dict[LeaseId, int]] = {}
         self._queries: dict[tuple[LeaseId, ShardId], tuple[int, IncarnationId]] = {}
         self._query_due_s = float("inf")
+        self._now = float("-inf")
         self.stopped = False
 
     def find_end(self, lease: LeaseId) -> LeaseEnd | None:
@@ -50,7 +51,7 @@
         holder = self._context.holders.get(lease)
         if holder is not None:
             return not holder.ended and self._context.rights.can_release(
-                holder, shard, epoch, to_self=True
+                holder, shard, epoch, now=self._now, to_self=True
             )
         return self._released.get(shard, {}).get(lease, 0) >= epoch
 
@@ -98,6 +99,7 @@
 
     def settle(self, now: float) -> None:
         """Examine what has changed, until nothing changes any more."""
+        self._now = now
         for shard in [shard for shard, due in self._due_s.items() if due <= now]:
             del self._due_s[shard]
             self._dirty.add(shard)
@@ -116,6 +118,7 @@
         self._due_s.pop(shard, None)
         entry = self._context.state.shards.get(shard)
         if entry is None:
+            self._stop(shard, drains=True)
             return
         if not entry.earlier:
             self._released.pop(shard, None)
@@ -129,7 +132,7 @@
             return
         ready_s = claim.ready_s
         if claim.linger:
-            ready_s += self._context.linger_s(find_service(shard))
+            ready_s += self._context.find_linger_s(find_service_name(shard))
         if now < ready_s and shard not in self._context.rights.rights:
             self._due_s[shard] = ready_s
             return
@@ -194,7 +197,7 @@
             holder = self._context.holders.get(lease)
             if holder is None or holder.ended:
                 del self._queries[lease, shard]
-            elif self._context.rights.can_release(holder, shard, epoch):
+            elif self._context.rights.can_release(holder, shard, epoch, now=self._now):
                 del self._queries[lease, shard]
                 answers.setdefault((lease, asker), []).append((shard, epoch))
         for (lease, asker), entries in answers.items():
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.inventory import Service
 from papayatack.core.messages import ControlMessage
 from papayatack.core.ownership.effects import (
     AppendRecord,
@@ -18,12 +19,13 @@
 from papayatack.core.ownership.witnessing import Witnessing
 from papayatack.core.records import OwnershipRecord
 
-__all__ = ["Context", "find_service"]
+__all__ = ["Context", "find_service_name"]
 
 MAX_KEYS = 1000
+UNKNOWN_DEADLINE_S = 10.0
 
 
-def find_service(shard: ShardId) -> str:
+def find_service_name(shard: ShardId) -> str:
     """Return the name of the service that a shard belongs to."""
     return shard.split("/", 1)[0]
 
@@ -39,7 +41,7 @@
         rights: Shards that it serves.
         fencing: What it knows of the ends of others' leases.
         witnessing: Leases that it witnesses.
-        linger_s: Longest request of a service that may outlive a grant, in seconds.
+        find_service: Returns the service of a name, as far as it is known.
         effects: What the current input has led to so far.
         hints: Leases that others say are fenced; used for routing alone.
     """
@@ -49,13 +51,25 @@
     rights: Rights
     fencing: Fencing
     witnessing: Witnessing
-    linger_s: Callable[[str], float]
+    find_service: Callable[[str], Service | None]
     holders: dict[LeaseId, Holder] = dataclasses.field(default_factory=dict)
     effects: list[Effect] = dataclasses.field(default_factory=list)
     hints: set[LeaseId] = dataclasses.field(default_factory=set)
     records_made: int = 0
     due_s_by_key: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    def find_deadline_s(self, service: str) -> float:
+        """Return the longest time for a request of a service, in seconds."""
+        found = self.find_service(service)
+        return found.deadline_s if found is not None else UNKNOWN_DEADLINE_S
+
+    def find_linger_s(self, service: str) -> float:
+        """Return how long a request may run on after its grant has run out."""
+        found = self.find_service(service)
+        if found is not None and found.checks_grants:
+            return 0.0
+        return self.find_deadline_s(service)
+
     def send(self, recipient: IncarnationId, message: ControlMessage) -> None:
         """Ask for a message to be sent."""
         self.effects.append(SendMessage(recipient=recipient, message=message))
--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -5,7 +5,7 @@
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.messages import Fence
 from papayatack.core.ownership.claims import Claims
-from papayatack.core.ownership.context import Context, find_service
+from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.effects import FinishNode
 from papayatack.core.ownership.selection import choose_successors
 from papayatack.core.ownership.timing import (
@@ -113,7 +113,9 @@
             and state.is_live(other)
         )
         avoid: set[IncarnationId] = {self._context.me, *suspects}
-        chain = choose_successors(state, shard, find_service(shard), kept, avoid=avoid)
+        chain = choose_successors(
+            state, shard, find_service_name(shard), kept, avoid=avoid
+        )
         if not chain:
             return None
         return Assignment(shard=shard, base_epoch=current.epoch, chain=chain)
--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -51,6 +51,7 @@
         shards: Shards whose chains changed.
         leases: Leases that were admitted or ended.
         members: Incarnations that were announced or ended.
+        mixed: Pairs of shards between which keys went over under the same chain.
     """
 
     effective: bool
@@ -58,6 +59,7 @@
     shards: tuple[ShardId, ...] = ()
     leases: tuple[LeaseId, ...] = ()
     members: tuple[IncarnationId, ...] = ()
+    mixed: tuple[tuple[ShardId, ShardId], ...] = ()
 
 
 def fold(state: OwnershipState, offset: int, record: OwnershipRecord | None) -> Change:
@@ -159,16 +161,21 @@
 def _assign(record: Assign, state: OwnershipState, offset: int) -> Change:
     changed: list[ShardId] = []
     reason = "empty"
+    mixed: list[tuple[ShardId, ShardId]] = []
     for assignment in record.assignments:
         refusal = _check_assignment(assignment, state)
         if refusal or assignment.shard in changed:
             reason = refusal or "repeated"
             continue
-        _move(assignment, state, offset)
+        if assignment.parent:
+            _split_or_return(assignment, state, offset)
+            mixed.append((assignment.shard, assignment.parent))
+        else:
+            _move(assignment, state, offset)
         changed.append(assignment.shard)
     if not changed:
         return _void(reason)
-    return Change(effective=True, shards=tuple(changed))
+    return Change(effective=True, shards=tuple(changed), mixed=tuple(mixed))
 
 
 def _check_assignment(assignment: Assignment, state: OwnershipState) -> str:
@@ -177,13 +184,56 @@
     chain = assignment.chain
     if assignment.base_epoch != epoch:
         return "epoch taken"
-    if not chain or len(chain) > MAX_CHAIN or len(set(chain)) != len(chain):
+    if len(chain) > MAX_CHAIN or len(set(chain)) != len(chain):
+        return "malformed"
+    if assignment.parent:
+        return _check_parent(assignment, entry, state)
+    if not chain and entry is None:
         return "malformed"
     if not all(state.is_live(lease) for lease in chain):
         return "lease ended"
     return ""
 
 
+def _check_parent(
+    assignment: Assignment, entry: ShardEntry | None, state: OwnershipState
+) -> str:
+    """Return why a split or return is void.
+
+    Both shards must have one and the same chain and nothing left to be cleared: then
+    whoever could serve one could serve the other, before as after.
+    """
+    parent = state.shards.get(assignment.parent)
+    if parent is None or parent.current.epoch != assignment.parent_epoch:
+        return "epoch taken"
+    if parent.earlier or not parent.active:
+        return "parent moving"
+    if assignment.chain:
+        same = entry is None and assignment.chain == parent.current.leases
+    else:
+        same = (
+            entry is not None
+            and entry.active
+            and entry.current.leases == parent.current.leases
+        )
+    return "" if same else "chain differs"
+
+
+def _split_or_return(
+    assignment: Assignment, state: OwnershipState, offset: int
+) -> None:
+    """Give a key its own shard, or forget that shard.
+
+    The epoch of a new one starts at its position in the log, beyond every epoch that
+    a forgotten shard of the same key can have had: each of its moves took a record.
+    """
+    if not assignment.chain:
+        state.remove_shard(assignment.shard)
+        return
+    chain = Chain(epoch=offset + 1, leases=assignment.chain, since=offset + 1)
+    state.set_shard(assignment.shard, ShardEntry(current=chain, active=True))
+
+
 def _move(assignment: Assignment, state: OwnershipState, offset: int) -> None:
     entry = state.shards.get(assignment.shard)
     chain = Chain(
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -13,6 +13,7 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.inventory import Service
 from papayatack.core.messages import (
     ControlMessage,
     Fence,
@@ -27,7 +28,7 @@
 )
 from papayatack.core.ownership.admission import Admission
 from papayatack.core.ownership.claims import Claims
-from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.departure import Departure, Stage
 from papayatack.core.ownership.effects import (
     Effect,
@@ -68,8 +69,7 @@
             filled in.
         state: The state to start from, folded from the log or loaded.
         now: Time of the event loop.
-        linger_s: Longest request, in seconds, that an upstream of a service may still
-            run after its grant has run out; 0 if it checks grants.
+        find_service: Returns the service of a name, as far as it is known.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         announcement: Announce,
         state: OwnershipState,
         now: float,
-        linger_s: Callable[[str], float] = lambda service: 0.0,
+        find_service: Callable[[str], Service | None],
     ) -> None:
         me = announcement.incarnation
         self.context = Context(
@@ -87,7 +87,7 @@
             rights=Rights(state=state),
             fencing=Fencing(state=state),
             witnessing=Witnessing(me=me, state=state),
-            linger_s=linger_s,
+            find_service=find_service,
         )
         self.claims = Claims(context=self.context)
         self.departure = Departure(context=self.context, claims=self.claims)
@@ -116,6 +116,9 @@
         for lease in change.leases:
             self._follow_lease(lease, now)
         self.claims.touch(*change.shards)
+        for shard, parent in change.mixed:
+            deadline_s = self.context.find_deadline_s(find_service_name(shard))
+            self.context.rights.mix(shard, parent, now + deadline_s)
         if change.members:
             self.context.fencing.forget_dropped()
             self.context.witnessing.forget_dropped()
@@ -254,7 +257,7 @@
         self._send_fences(now)
         self._query_missing(now)
         self.claims.settle(now)
-        for lease, shards in self.context.rights.collect_revocable().items():
+        for lease, shards in self.context.rights.collect_revocable(now).items():
             self.context.effects.append(RevokeShards(lease=lease, shards=tuple(shards)))
         if not self._finished and self._wants_floor():
             self._renew_due(now)
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -52,6 +52,31 @@
         self.in_flight: dict[ShardId, int] = {}
         self.draining: dict[ShardId, Draining] = {}
         self._transferred: dict[ShardId, Right] = {}
+        self._mixed: dict[ShardId, dict[ShardId, float]] = {}
+
+    def mix(self, shard: ShardId, other: ShardId, until_s: float) -> None:
+        """Note that requests for keys of one shard may be in flight as the other's.
+
+        Args:
+            shard: One shard.
+            other: The other.
+            until_s: Time by which the requests that had begun before have ended.
+        """
+        self._mixed.setdefault(shard, {})[other] = until_s
+        self._mixed.setdefault(other, {})[shard] = until_s
+
+    def is_busy(self, shard: ShardId, now: float) -> bool:
+        """Tell whether requests for keys of a shard may be in flight."""
+        if shard in self.in_flight:
+            return True
+        others = self._mixed.get(shard)
+        if others is None:
+            return False
+        for other in [other for other, until in others.items() if until <= now]:
+            del others[other]
+        if not others:
+            del self._mixed[shard]
+        return any(other in self.in_flight for other in others)
 
     def begin(self, shard: ShardId) -> None:
         """Count a request in."""
@@ -103,7 +128,7 @@
         entry = self._state.shards.get(shard)
         chains: tuple[Chain, ...] = entry.list_chains() if entry is not None else ()
         later = [chain.since - 1 for chain in chains if chain.epoch > epoch]
-        return min(later, default=self._state.position)
+        return min(later, default=self._state.position - 1)
 
     def find_floor(self) -> int:
         """Return the position up to which all taken shards are drained."""
@@ -138,14 +163,14 @@
                 right.token = 0
                 right.asked = False
 
-    def collect_revocable(self) -> dict[LeaseId, list[ShardId]]:
+    def collect_revocable(self, now: float) -> dict[LeaseId, list[ShardId]]:
         """Return the shards whose requests have finished but whose grant stands.
 
         The grants of an ended lease are extended no more and need no revocation.
         """
         found: dict[LeaseId, list[ShardId]] = {}
         for shard, draining in list(self.draining.items()):
-            if shard in self.in_flight or draining.revoking:
+            if draining.revoking or self.is_busy(shard, now):
                 continue
             if draining.holder.ended:
                 del self.draining[shard]
@@ -165,7 +190,13 @@
             draining.revoking = False
 
     def can_release(
-        self, holder: Holder, shard: ShardId, epoch: int, *, to_self: bool = False
+        self,
+        holder: Holder,
+        shard: ShardId,
+        epoch: int,
+        *,
+        now: float,
+        to_self: bool = False,
     ) -> bool:
         """Tell whether nothing under ``holder`` serves a shard before ``epoch``.
 
@@ -173,6 +204,7 @@
             holder: A lease of this node.
             shard: The shard.
             epoch: Epoch of the chain that waits for the release.
+            now: Time of the event loop.
             to_self: That chain's claimant is another lease of this node; requests in
                 flight go on under it.
         """
@@ -182,7 +214,7 @@
         right = self.rights.get(shard)
         if right is not None and right.epoch < epoch:
             return False
-        if right is None and shard in self.in_flight and not to_self:
+        if right is None and not to_self and self.is_busy(shard, now):
             return False
         since = min(
             chain.since for chain in entry.list_chains() if chain.epoch >= epoch
--- a/src/papayatack/core/ownership/state.py
+++ b/src/papayatack/core/ownership/state.py
@@ -165,6 +165,15 @@
         self.shards[shard] = entry
         before = _list_leases(old) if old is not None else set()
         after = _list_leases(entry)
+        self._update_references(shard, before, after)
+
+    def remove_shard(self, shard: ShardId) -> None:
+        """Forget a shard."""
+        self._update_references(shard, _list_leases(self.shards.pop(shard)), set())
+
+    def _update_references(
+        self, shard: ShardId, before: set[LeaseId], after: set[LeaseId]
+    ) -> None:
         for lease in before - after:
             held = self.references[lease]
             held.discard(shard)
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -27,7 +27,7 @@
 struct ShardLoad { 1: string shard, 2: double rate, 3: double busy }
 struct LoadReport {
   1: string incarnation, 2: double busy,
-  3: list<ShardLoad> shards, 4: list<ShardLoad> hot_keys
+  3: list<ShardLoad> shards, 4: list<ShardLoad> hot_keys, 5: bool leaving
 }
 struct Control {
   1: string sender, 2: string recipient,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -10,6 +10,7 @@
 import itertools
 import random
 
+from papayatack.core.inventory import Service
 from papayatack.core.messages import LogBatch
 from papayatack.core.ownership.effects import (
     AppendRecord,
@@ -22,10 +23,10 @@
     SendRecords,
 )
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.repairs import plan_first_chains, plan_repairs
 from papayatack.core.ownership.selection import find_planner
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.records import OWNERSHIP_STREAM, Announce, Assign
+from tests.fakes.planner import plan_first_chains, plan_repairs
 
 TICK_S = 0.05
 PLAN_EVERY_S = 1.0
@@ -86,7 +87,9 @@
 class Fleet:
     """Slots, a log and a network, all in one event queue."""
 
-    def __init__(self, *, seed=1, shards=6, latency_s=0.002, service="s", linger_s=0.0):
+    def __init__(
+        self, *, seed=1, shards=6, latency_s=0.002, service="s", checks_grants=True
+    ):
         self.now = 0.0
         self.random = random.Random(seed)
         self.slots = {}
@@ -101,7 +104,10 @@
         self.log_cut = set()
         self.latency_s = latency_s
         self.service = service
-        self.linger_s = linger_s
+        self.services = {
+            service: Service(name=service, prefix="/", checks_grants=checks_grants)
+        }
+        self.find_service = self.services.get
         self.shards = [f"{service}/all/{number}" for number in range(shards)]
         self.messages = 0
         self.served_s = dict.fromkeys(self.shards, 0.0)
@@ -145,7 +151,7 @@
             announcement=announcement,
             state=state or OwnershipState(),
             now=slot.read_clock(self.now),
-            linger_s=lambda service: self.linger_s,
+            find_service=self.find_service,
         )
         slot.tail_due = False
         self._at(0.0, functools.partial(self._tick, slot, slot.core))
--- a/src/papayatack/core/ownership/repairs.py
+++ b/tests/fakes/planner.py
@@ -1,9 +1,9 @@
-"""Chains that lost a holder, or lack one, and what replaces them."""
+"""A plain planner: even numbers of shards, repairs without interruption."""
 
 from collections.abc import Collection, Iterable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
-from papayatack.core.ownership.context import find_service
+from papayatack.core.ownership.context import find_service_name
 from papayatack.core.ownership.selection import CHAIN_LENGTH, choose_successors
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.records import Assignment
@@ -36,7 +36,9 @@
         owner_ended = current.leases[0] not in kept
         if len(kept) >= CHAIN_LENGTH or (not entry.active and not owner_ended):
             continue
-        chain = choose_successors(state, shard, find_service(shard), kept, avoid=avoid)
+        chain = choose_successors(
+            state, shard, find_service_name(shard), kept, avoid=avoid
+        )
         if chain and chain != current.leases:
             assignment = Assignment(shard=shard, base_epoch=current.epoch, chain=chain)
             found.append(assignment)
@@ -61,12 +63,12 @@
             break
         if shard in state.shards:
             continue
-        owner = _find_least_loaded(state, find_service(shard), owned, avoid)
+        owner = _find_least_loaded(state, find_service_name(shard), owned, avoid)
         if owner is None:
             continue
         owned[owner] = owned.get(owner, 0) + 1
         chain = choose_successors(
-            state, shard, find_service(shard), (owner,), avoid=avoid
+            state, shard, find_service_name(shard), (owner,), avoid=avoid
         )
         found.append(Assignment(shard=shard, base_epoch=0, chain=chain))
     return tuple(found)
