Run the ownership core in a control node of asyncio tasks

Cause: nothing connected the core with log, peers, upstream and requests. Change: one node of tasks that talk by queues: log tail, inbox, ticks, appender, grants, planner, load reports; it implements the request path's view of ownership.

--- a/src/papayatack/control/__init__.py
+++ b/src/papayatack/control/__init__.py
@@ -1,1 +1,6 @@
-"""Tasks that drive the ownership core: timers, log tail, peer messages."""
+"""Tasks that drive ownership: timers, log tail, peer messages, grants, planning."""
+
+from papayatack.control.interface import GrantSink, PeerSender
+from papayatack.control.node import ControlNode
+
+__all__ = ["ControlNode", "GrantSink", "PeerSender"]
--- /dev/null
+++ b/src/papayatack/control/directory.py
@@ -0,0 +1,130 @@
+"""Who serves a key, as this node knows it."""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from papayatack.control.loads import LoadMeter
+from papayatack.core.config_fold import ConfigFold
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import ShardId
+from papayatack.core.inventory import Configuration
+from papayatack.core.ownership.effects import Effect
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.state import Member
+from papayatack.core.shards import format_hot_shard, locate_shard
+from papayatack.proxy.interface import Grant, Route
+
+__all__ = ["Directory"]
+
+RETRY_AFTER_S = 1.0
+
+
+class Directory:
+    """Implements :class:`papayatack.proxy.interface.Ownership`.
+
+    Args:
+        core: The node's ownership.
+        config: The folded config stream.
+        loads: Counts requests by shard and key.
+        carry_out: Carries out effects of the core.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: NodeCore,
+        config: ConfigFold,
+        loads: LoadMeter,
+        carry_out: Callable[[list[Effect]], None],
+    ) -> None:
+        self._core = core
+        self._config = config
+        self._loads = loads
+        self._carry_out = carry_out
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this node."""
+        return self._config.configuration
+
+    def locate(self, service: str, key: str) -> Result[Route, Refusal]:
+        """Return where the key of the service is served."""
+        shards = self._core.state.shards
+        found = locate_shard(self._config.configuration, service, key, shards)
+        if isinstance(found, Failure):
+            return found
+        shard = found.unwrap()
+        owner = self._core.find_owner(shard)
+        if owner is None:
+            refusal = Refusal(
+                kind=ErrorKind.NO_OWNER, detail=shard, retry_after_s=RETRY_AFTER_S
+            )
+            return Failure(refusal)
+        local = owner.incarnation == self._core.me
+        if local:
+            key_range = shard.split("/", 2)[1]
+            key_shard = format_hot_shard(service, key_range, key)
+            self._loads.note_key(shard, key_shard)
+        return Success(_make_route(shard, owner, local=local))
+
+    def list_nodes(self, service: str) -> tuple[Route, ...]:
+        """Return the nodes of a service without keys, nearest first."""
+        own = self._core.state.members.get(self._core.me)
+        members = [
+            member
+            for member in self._core.state.list_live_members()
+            if member.service == service and self._is_in_service(member)
+        ]
+        members.sort(key=lambda member: _rate_distance(member, own))
+        return tuple(
+            _make_route(ShardId(""), member, local=member.incarnation == self._core.me)
+            for member in members
+        )
+
+    def _is_in_service(self, member: Member) -> bool:
+        """Tell whether a node is not known to have lost its lease."""
+        if member.incarnation == self._core.me:
+            return True
+        lease = self._core.state.find_lease(member.incarnation)
+        return lease is not None and not self._core.is_ended(lease)
+
+    def authorize(self, shard: ShardId) -> Result[Grant, Refusal]:
+        """Return the grant under which a request may go to the upstream now."""
+        now = asyncio.get_running_loop().time()
+        result = self._core.authorize(shard, now)
+        if isinstance(result, Failure):
+            return result
+        right = result.unwrap()
+        grant = Grant(
+            shard=shard,
+            token=right.token,
+            remaining_s=right.holder.view_end_s - now,
+        )
+        return Success(grant)
+
+    def finish(self, shard: ShardId, *, service_time_s: float) -> None:
+        """Report that a request that was authorized has ended."""
+        now = asyncio.get_running_loop().time()
+        self._loads.note_finish(shard, service_time_s)
+        self._carry_out(self._core.finish(shard, now=now))
+
+
+def _make_route(shard: ShardId, member: Member, *, local: bool) -> Route:
+    return Route(
+        shard=shard,
+        local=local,
+        incarnation=member.incarnation,
+        address=member.address,
+    )
+
+
+def _rate_distance(member: Member, own: Member | None) -> tuple[bool, bool, str]:
+    if own is None:
+        return False, False, member.incarnation
+    return (
+        member.data_centre != own.data_centre,
+        member.region != own.region,
+        member.incarnation,
+    )
--- /dev/null
+++ b/src/papayatack/control/node.py
@@ -0,0 +1,402 @@
+"""The control side of one node: tasks round the ownership core.
+
+Construct a :class:`ControlNode`, await :meth:`~ControlNode.run` in a task, and cancel
+that task to end it. A daemon wires it thus::
+
+    control = ControlNode(
+        announcement=Announce(record_id="", writer=me, incarnation=me, ...),
+        log=HttpLogService(...),      # papayatack.logservice
+        sender=peers,                 # control.interface.PeerSender
+        sink=upstream_grants,         # control.interface.GrantSink
+        plan=papayatack.core.placement.plan,
+        metrics=metrics,
+        random=random.Random(),
+    )
+    peers.on_control(control.receive)     # (sender, recipient, message)
+    ownership = control.ownership         # proxy.interface.Ownership
+    task = asyncio.create_task(control.run())
+    ...
+    control.start_departure()             # planned stop
+    resigned = await control.wait_finished()
+
+``state`` and ``config`` take what a checkpoint gave; without them the node folds both
+streams from their start. :meth:`ControlNode.wait_finished` returns ``False`` if the log
+ended this incarnation (superseded or declared lost): the process must then start anew
+under a new incarnation id.
+"""
+
+import asyncio
+import functools
+import logging
+import random
+from collections.abc import Callable
+
+from papayatack.control.directory import Directory
+from papayatack.control.grants import GrantEffect, GrantTask
+from papayatack.control.interface import GrantSink, PeerSender
+from papayatack.control.loads import LoadMeter
+from papayatack.control.planning import Planner
+from papayatack.control.recent import RecentRecords
+from papayatack.core.config_fold import ConfigFold
+from papayatack.core.identity import IncarnationId
+from papayatack.core.inventory import Service
+from papayatack.core.messages import ControlMessage, LoadReport, LogBatch
+from papayatack.core.ownership.effects import (
+    AppendRecord,
+    Effect,
+    ExtendLease,
+    FinishNode,
+    GrantShards,
+    NoteEvent,
+    RevokeShards,
+    SendMessage,
+    SendRecords,
+)
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.placement.view import PlacementView, Plan
+from papayatack.core.records import (
+    CONFIG_STREAM,
+    OWNERSHIP_STREAM,
+    Announce,
+    OwnershipRecord,
+)
+from papayatack.logservice.appender import Appender
+from papayatack.logservice.decoding import RecordDecoder
+from papayatack.logservice.interface import LogService
+from papayatack.logservice.tailer import (
+    RecordsExpired,
+    RecordsRead,
+    Tailer,
+    TailMessage,
+)
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.proxy.interface import Ownership
+
+__all__ = ["ControlNode"]
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.05
+MAX_INBOX = 10_000
+MAX_APPENDS = 32
+APPEND_DEADLINE_S = 5.0
+MIN_REPORT_INTERVAL_S = 5.0
+REPORT_INTERVAL_PER_MEMBER_S = 0.05
+
+_Input = tuple[IncarnationId, ControlMessage] | TailMessage
+
+
+class ControlNode:
+    """Owns the core of a node and the tasks that feed it.
+
+    Args:
+        announcement: Who this process is; record id and superseded incarnation are
+            filled in.
+        log: The platform's log.
+        sender: Sends control messages to other nodes.
+        sink: The own upstream.
+        plan: The planner's pure function.
+        metrics: Counters of the process.
+        random: Jitter of retries.
+        state: Ownership state to start from.
+        config: Config state to start from.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: Announce,
+        log: LogService,
+        sender: PeerSender,
+        sink: GrantSink,
+        plan: Callable[[PlacementView], Plan],
+        metrics: Metrics,
+        random: random.Random,
+        state: OwnershipState | None = None,
+        config: ConfigFold | None = None,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        self._metrics = metrics
+        self._sender = sender
+        self._config = config or ConfigFold()
+        self.core = NodeCore(
+            announcement=announcement,
+            state=state or OwnershipState(),
+            now=now,
+            find_service=self._find_service,
+        )
+        self.core.config_position = self._config.next_offset
+        self._loads = LoadMeter(now=now)
+        self._directory = Directory(
+            core=self.core,
+            config=self._config,
+            loads=self._loads,
+            carry_out=self._carry_out,
+        )
+        self._inbox: asyncio.Queue[_Input] = asyncio.Queue(maxsize=MAX_INBOX)
+        self._appends: asyncio.Queue[OwnershipRecord] = asyncio.Queue(MAX_APPENDS)
+        self._finished: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._decoder = RecordDecoder(metrics=metrics)
+        self._grants = GrantTask(sink=sink, confirm=self._confirm)
+        self._appender = Appender(
+            log=log, stream=OWNERSHIP_STREAM, metrics=metrics, random=random
+        )
+        self._planner = Planner(
+            core=self.core,
+            read_configuration=lambda: self._config.configuration,
+            plan=plan,
+            append=self._queue_append,
+        )
+        positions = {
+            CONFIG_STREAM: self._config.next_offset,
+            OWNERSHIP_STREAM: self.core.state.position,
+        }
+        self._recent = {
+            stream: RecentRecords(stream=stream, first=first)
+            for stream, first in positions.items()
+        }
+        self._tailers = {
+            stream: Tailer(
+                log=log,
+                stream=stream,
+                offset=first,
+                queue=self._inbox,
+                metrics=metrics,
+                random=random,
+            )
+            for stream, first in positions.items()
+        }
+
+    @property
+    def ownership(self) -> Ownership:
+        """Who serves a key, for the request path."""
+        return self._directory
+
+    @property
+    def config(self) -> ConfigFold:
+        """The folded config stream; to be read only."""
+        return self._config
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self.core.is_leaving
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            for tailer in self._tailers.values():
+                tasks.create_task(tailer.run())
+            tasks.create_task(self._grants.run())
+            tasks.create_task(self._append_records())
+            tasks.create_task(self._planner.run())
+            tasks.create_task(self._report_loads())
+            tasks.create_task(self._read_inbox())
+            tasks.create_task(self._advance())
+
+    def receive(
+        self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
+    ) -> None:
+        """Queue a control message of another node; never blocks."""
+        if recipient != self.core.me:
+            self._metrics.count("control_messages_dropped", "other-incarnation")
+            return
+        try:
+            self._inbox.put_nowait((sender, message))
+        except asyncio.QueueFull:
+            self._metrics.count("control_messages_dropped", "inbox-full")
+
+    def start_departure(self) -> None:
+        """Begin a planned stop: hand the shards on, then end the leases."""
+        self._carry_out(self.core.start_departure(self._read_clock()))
+        self._send_report()
+
+    async def wait_finished(self) -> bool:
+        """Wait for the end; ``False`` if the log ended this incarnation."""
+        return await asyncio.shield(self._finished)
+
+    def _read_clock(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _find_service(self, name: str) -> Service | None:
+        for service in self._config.configuration.services:
+            if service.name == name:
+                return service
+        return None
+
+    async def _advance(self) -> None:
+        while True:
+            self._note_caught_up()
+            self._carry_out(self.core.advance(self._read_clock()))
+            await asyncio.sleep(TICK_S)
+
+    def _note_caught_up(self) -> None:
+        tailers = self._tailers.values()
+        if all(tailer.last_read_s is not None for tailer in tailers):
+            waiting = self._tailers[OWNERSHIP_STREAM].offset > self.core.state.position
+            self.core.caught_up = self.core.caught_up or not waiting
+
+    async def _read_inbox(self) -> None:
+        while True:
+            self._take(await self._inbox.get())
+
+    @functools.singledispatchmethod
+    def _take(self, item: _Input) -> None:
+        raise TypeError(item)
+
+    @_take.register
+    def _(self, item: tuple) -> None:
+        sender, message = item
+        self._take_message(message, sender)
+
+    @_take.register
+    def _(self, item: RecordsRead) -> None:
+        self._apply(item.stream, item.first, item.payloads)
+
+    @_take.register
+    def _(self, item: RecordsExpired) -> None:
+        if self._recent[item.stream].end < item.first:
+            self._metrics.count("log_gaps", item.stream)
+
+    @functools.singledispatchmethod
+    def _take_message(self, message: ControlMessage, sender: IncarnationId) -> None:
+        effects = self.core.receive(sender, message, now=self._read_clock())
+        self._carry_out(effects)
+
+    @_take_message.register
+    def _(self, message: LogBatch, sender: IncarnationId) -> None:
+        if message.stream in self._recent:
+            self._apply(message.stream, message.first, message.payloads)
+
+    @_take_message.register
+    def _(self, message: LoadReport, sender: IncarnationId) -> None:
+        if message.incarnation == sender:
+            self._planner.take_report(message, self._read_clock())
+
+    def _apply(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
+        """Fold the records that are next; others are left to the tailer."""
+        recent = self._recent[stream]
+        for offset, payload in enumerate(payloads, first):
+            if offset != recent.end:
+                continue
+            recent.add(offset, payload)
+            record = self._decoder.decode(stream, offset, payload).record
+            if stream == CONFIG_STREAM:
+                self._config.apply(offset, record)
+                self.core.config_position = self._config.next_offset
+            else:
+                change, effects = self.core.apply_record(
+                    offset, record, now=self._read_clock()
+                )
+                if not change.effective:
+                    self._metrics.count("ownership_records_void", change.reason)
+                self._carry_out(effects)
+        self._tailers[stream].skip_to(recent.end)
+        if stream == OWNERSHIP_STREAM:
+            self._appender.observe(recent.end)
+            self._carry_out(self.core.advance(self._read_clock()))
+
+    def _queue_append(self, record: OwnershipRecord) -> None:
+        try:
+            self._appends.put_nowait(record)
+        except asyncio.QueueFull:
+            self._metrics.count("ownership_appends_dropped", type(record).__name__)
+
+    async def _append_records(self) -> None:
+        while True:
+            record = await self._appends.get()
+            deadline_s = self._read_clock() + APPEND_DEADLINE_S
+            await self._appender.append(record, deadline_s=deadline_s)
+
+    async def _report_loads(self) -> None:
+        while True:
+            members = len(self.core.state.members)
+            interval_s = REPORT_INTERVAL_PER_MEMBER_S * members
+            await asyncio.sleep(max(interval_s, MIN_REPORT_INTERVAL_S))
+            self._send_report()
+
+    def _send_report(self) -> None:
+        report = self._loads.make_report(
+            self.core.me,
+            members=len(self.core.state.members),
+            leaving=self.is_leaving,
+            now=self._read_clock(),
+        )
+        planner = self._planner.find_planner()
+        if planner == self.core.me:
+            self._planner.take_report(report, self._read_clock())
+        elif planner is not None:
+            self._send(planner, report)
+
+    def _confirm(self, effect: GrantEffect, done: bool) -> None:
+        self._confirm_effect(effect, done, self._read_clock())
+
+    @functools.singledispatchmethod
+    def _confirm_effect(self, effect: GrantEffect, done: bool, now: float) -> None:
+        """Report the upstream's answer to the core."""
+
+    @_confirm_effect.register
+    def _(self, effect: GrantShards, done: bool, now: float) -> None:
+        if not done:
+            self._metrics.count("grants_refused")
+        tokens = dict(effect.tokens)
+        self._carry_out(
+            self.core.confirm_grant(effect.lease, tokens, done=done, now=now)
+        )
+
+    @_confirm_effect.register
+    def _(self, effect: RevokeShards, done: bool, now: float) -> None:
+        self._carry_out(
+            self.core.confirm_revoke(effect.lease, effect.shards, done=done, now=now)
+        )
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self._perform(effect)
+
+    @functools.singledispatchmethod
+    def _perform(self, effect: Effect) -> None:
+        raise TypeError(effect)
+
+    @_perform.register
+    def _(self, effect: SendMessage) -> None:
+        self._send(effect.recipient, effect.message)
+
+    @_perform.register
+    def _(self, effect: SendRecords) -> None:
+        recent = self._recent.get(effect.stream)
+        batch = recent.make_batch(effect.offset) if recent is not None else None
+        if batch is not None:
+            self._send(effect.recipient, batch)
+
+    @_perform.register
+    def _(self, effect: AppendRecord) -> None:
+        self._queue_append(effect.record)
+
+    @_perform.register(GrantShards)
+    @_perform.register(ExtendLease)
+    @_perform.register(RevokeShards)
+    def _(self, effect: GrantEffect) -> None:
+        self._grants.put(effect)
+
+    @_perform.register
+    def _(self, effect: NoteEvent) -> None:
+        event = Event[effect.name]
+        self._metrics.count(event.name.lower(), effect.reason)
+        log_event(LOGGER, event, reason=effect.reason, subject=effect.subject)
+
+    @_perform.register
+    def _(self, effect: FinishNode) -> None:
+        if not self._finished.done():
+            self._finished.set_result(effect.resigned)
+
+    def _send(self, recipient: IncarnationId, message: ControlMessage) -> None:
+        member = self.core.state.members.get(recipient)
+        if member is None:
+            self._metrics.count("control_messages_dropped", "unknown-recipient")
+            return
+        self._sender.send(member.address, recipient, message)
--- /dev/null
+++ b/src/papayatack/control/planning.py
@@ -0,0 +1,171 @@
+"""The task that plans placement while this node is the one to do so."""
+
+import asyncio
+from collections.abc import Callable
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.inventory import Configuration
+from papayatack.core.messages import LoadReport
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.selection import find_planner
+from papayatack.core.ownership.state import Member
+from papayatack.core.placement.view import (
+    PlacementNode,
+    PlacementShard,
+    PlacementView,
+    Plan,
+)
+from papayatack.core.records import Assign
+
+__all__ = ["Planner"]
+
+PLAN_INTERVAL_S = 1.0
+IDLE_PLAN_INTERVAL_S = 15.0
+NEW_LEASE_S = 2.0
+MAX_ASSIGNMENTS = 256
+REPORT_VALID_S = 300.0
+
+
+class Planner:
+    """Plans at intervals, if this node is the planner by :func:`find_planner`.
+
+    Two nodes may plan at once for a moment: the fold voids whatever came second.
+
+    Args:
+        core: The node's ownership.
+        read_configuration: Returns the configuration in force.
+        plan: The planner's pure function.
+        append: Appends an ownership record.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: NodeCore,
+        read_configuration: Callable[[], Configuration],
+        plan: Callable[[PlacementView], Plan],
+        append: Callable[[Assign], None],
+    ) -> None:
+        self._core = core
+        self._read_configuration = read_configuration
+        self._plan = plan
+        self._append = append
+        self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
+        self._seen_s: dict[LeaseId, float] = {}
+        self._moved_s: dict[ShardId, tuple[int, float]] = {}
+        self._planned_at = -1
+        self._planned_s = float("-inf")
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Keep the newest report of a node."""
+        if report.incarnation in self._core.state.members:
+            self._reports[report.incarnation] = (now, report)
+
+    def find_planner(self) -> IncarnationId | None:
+        """Return the node that plans, as this one sees it."""
+        return find_planner(self._core.state)
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            await asyncio.sleep(PLAN_INTERVAL_S)
+            self.plan_once(asyncio.get_running_loop().time())
+
+    def plan_once(self, now: float) -> None:
+        """Plan if it is this node's turn and something may have changed."""
+        if self.find_planner() != self._core.me or not self._core.caught_up:
+            return
+        position = self._core.state.position
+        idle = position == self._planned_at
+        if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
+            return
+        self._planned_at = position
+        self._planned_s = now
+        assignments = self._plan(self.build_view(now)).assignments
+        for start in range(0, len(assignments), MAX_ASSIGNMENTS):
+            record = Assign(
+                record_id=self._core.context.make_record_id(),
+                writer=self._core.me,
+                assignments=assignments[start : start + MAX_ASSIGNMENTS],
+            )
+            self._append(record)
+
+    def build_view(self, now: float) -> PlacementView:
+        """Return what the plan depends on."""
+        self._forget_old(now)
+        state = self._core.state
+        suspects = self._core.context.fencing.list_suspects(now)
+        leaving = {name for name, (_, rep) in self._reports.items() if rep.leaving}
+        nodes = []
+        for member in state.list_live_members():
+            lease = self._choose_lease(member, now)
+            if lease is not None:
+                gone = member.incarnation in suspects or member.incarnation in leaving
+                nodes.append(self._describe_node(member, lease, gone, now))
+        return PlacementView(
+            configuration=self._read_configuration(),
+            nodes=tuple(nodes),
+            shards={
+                shard: PlacementShard(
+                    epoch=entry.current.epoch,
+                    chain=entry.current.leases,
+                    moving=not entry.active and bool(entry.current.leases),
+                    age_s=self._measure_age(shard, entry.current.epoch, now),
+                )
+                for shard, entry in state.shards.items()
+            },
+            loads=tuple(report for _, report in self._reports.values()),
+        )
+
+    def _choose_lease(self, member: Member, now: float) -> LeaseId | None:
+        """Return the lease to plan with: a new one only after it can have come up."""
+        state = self._core.state
+        newest = state.find_lease(member.incarnation)
+        if newest is None:
+            return None
+        since_s = self._seen_s.setdefault(newest, now)
+        older = LeaseId(member.incarnation, newest.term - 1)
+        if now - since_s < NEW_LEASE_S and state.is_live(older):
+            return older
+        return newest
+
+    def _describe_node(
+        self, member: Member, lease: LeaseId, leaving: bool, now: float
+    ) -> PlacementNode:
+        first = LeaseId(member.incarnation, 1)
+        since_s = self._seen_s.setdefault(first, now)
+        return PlacementNode(
+            lease=lease,
+            data_centre=member.data_centre,
+            region=member.region,
+            service=member.service,
+            slots=member.slots,
+            leaving=leaving,
+            age_s=now - since_s,
+        )
+
+    def _measure_age(self, shard: ShardId, epoch: int, now: float) -> float:
+        known = self._moved_s.get(shard)
+        if known is None:
+            self._moved_s[shard] = (epoch, float("-inf"))
+        elif known[0] != epoch:
+            self._moved_s[shard] = (epoch, now)
+        return now - self._moved_s[shard][1]
+
+    def _forget_old(self, now: float) -> None:
+        state = self._core.state
+        self._reports = {
+            name: (seen_s, report)
+            for name, (seen_s, report) in self._reports.items()
+            if now - seen_s < REPORT_VALID_S and name in state.members
+        }
+        self._seen_s = {
+            lease: seen_s
+            for lease, seen_s in self._seen_s.items()
+            if lease.incarnation in state.members
+        }
+        self._moved_s = {
+            shard: seen
+            for shard, seen in self._moved_s.items()
+            if shard in state.shards
+        }
--- /dev/null
+++ b/src/papayatack/control/recent.py
@@ -0,0 +1,55 @@
+"""The newest payloads of a log stream, kept to be sent on to other nodes."""
+
+from collections import deque
+
+from papayatack.core.messages import LogBatch
+
+__all__ = ["RecentRecords"]
+
+MAX_KEPT_RECORDS = 4096
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+MAX_BATCH_RECORDS = 256
+MAX_BATCH_BYTES = 64 * 1024
+
+
+class RecentRecords:
+    """A bounded number of consecutive payloads of one stream."""
+
+    def __init__(self, *, stream: str, first: int = 0) -> None:
+        self._stream = stream
+        self._first = first
+        self._payloads: deque[bytes] = deque()
+        self._bytes = 0
+
+    @property
+    def end(self) -> int:
+        """Offset of the record after the newest one."""
+        return self._first + len(self._payloads)
+
+    def add(self, offset: int, payload: bytes) -> None:
+        """Keep a payload; it starts anew if records before it are missing."""
+        if offset < self.end:
+            return
+        if offset > self.end:
+            self._payloads.clear()
+            self._bytes = 0
+            self._first = offset
+        self._payloads.append(payload)
+        self._bytes += len(payload)
+        while self._bytes > MAX_KEPT_BYTES or len(self._payloads) > MAX_KEPT_RECORDS:
+            self._bytes -= len(self._payloads.popleft())
+            self._first += 1
+
+    def make_batch(self, offset: int) -> LogBatch | None:
+        """Return the records from ``offset`` on, ``None`` if they are not at hand."""
+        if not self._first <= offset < self.end:
+            return None
+        chosen: list[bytes] = []
+        size = 0
+        for index in range(offset - self._first, len(self._payloads)):
+            payload = self._payloads[index]
+            size += len(payload)
+            if chosen and (size > MAX_BATCH_BYTES or len(chosen) >= MAX_BATCH_RECORDS):
+                break
+            chosen.append(payload)
+        return LogBatch(stream=self._stream, first=offset, payloads=tuple(chosen))
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -95,6 +95,7 @@
         self._reporting = Reporting(context=self.context)
         self._finished = False
         self.config_position = 0
+        self.caught_up = False
         for lease in state.leases:
             self._follow_lease(lease, now)
 
@@ -108,6 +109,11 @@
         """The folded ownership stream; to be read only."""
         return self.context.state
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self.departure.stage is not Stage.SERVING
+
     def apply_record(
         self, offset: int, record: OwnershipRecord | None, *, now: float
     ) -> tuple[Change, list[Effect]]:
@@ -137,7 +143,8 @@
         """Do what has become due."""
         if not self._finished:
             self._renew_due(now)
-            self._admission.advance(now)
+            if self.caught_up:
+                self._admission.advance(now)
             self._reporting.advance(now)
             self.departure.advance(now)
         return self._settle(now)
@@ -194,11 +201,18 @@
         if entry is None:
             return None
         for lease in entry.current.leases:
-            known = self.context.fencing.find_end(lease) or lease in self.context.hints
-            if not known and self.context.state.is_live(lease):
+            if not self.is_ended(lease):
                 return self.context.state.members.get(lease.incarnation)
         return None
 
+    def is_ended(self, lease: LeaseId) -> bool:
+        """Tell whether a lease is known, or said, to have ended."""
+        return (
+            lease in self.context.hints
+            or self.context.fencing.find_end(lease) is not None
+            or not self.context.state.is_live(lease)
+        )
+
     def _follow_lease(self, lease: LeaseId, now: float) -> None:
         entry = self.context.state.leases.get(lease)
         self.context.witnessing.update(lease, now)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -299,6 +299,7 @@
             return
         position = core.state.position
         self._apply(slot, core, position, self.log[position : position + 500])
+        core.caught_up = True
 
     def _apply(self, slot, core, first, records):
         for offset, record in enumerate(records, first):
--- /dev/null
+++ b/tests/fakes/nodes.py
@@ -0,0 +1,197 @@
+"""Control nodes of one process: their network, upstreams and a log in memory."""
+
+import asyncio
+import random
+
+from returns.result import Failure, Success
+
+from papayatack.control import ControlNode
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.placement import plan
+from papayatack.core.records import CONFIG_STREAM, Announce, Publish
+from papayatack.observability.metrics import Metrics
+from papayatack.wire.records import encode_record
+from standins.logstore import InProcessLog, LogStore
+
+LATENCY_S = 0.001
+
+INVENTORY = """
+[[places]]
+name = "east"
+region = "r"
+
+[[places]]
+name = "west"
+region = "r"
+
+[[places]]
+name = "south"
+region = "r"
+
+[[services]]
+name = "orders"
+prefix = "/orders"
+places = ["east", "west", "south"]
+key = { path_segment = 1 }
+checks_grants = true
+slots = 4
+connections = 20
+
+[[services.key_ranges]]
+name = "all"
+shards = 8
+"""
+
+
+class FakeUpstream:
+    """Accepts grants, unless told to refuse them."""
+
+    def __init__(self):
+        self.accepting = True
+        self.tokens = {}
+        self.expires_s = {}
+
+    async def grant(self, lease, tokens, remaining_us):
+        """Accept grants with tokens that do not go back."""
+        if not self.accepting:
+            return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED))
+        expiry_s = asyncio.get_running_loop().time() + remaining_us / 1e6
+        for shard, token in tokens.items():
+            if token >= self.tokens.get(shard, 0):
+                self.tokens[shard] = token
+                self.expires_s[shard] = (lease, expiry_s)
+        return Success(None)
+
+    async def extend(self, lease, remaining_us):
+        """Extend the live grants of a lease."""
+        now = asyncio.get_running_loop().time()
+        for shard, (held, until) in list(self.expires_s.items()):
+            if held == lease and until > now:
+                self.expires_s[shard] = (lease, now + remaining_us / 1e6)
+        return Success(None)
+
+    async def revoke(self, lease, shards):
+        """End grants."""
+        for shard in shards:
+            if self.expires_s.get(shard, (None, 0))[0] == lease:
+                del self.expires_s[shard]
+        return Success(None)
+
+
+class FakeNetwork:
+    """Delivers control messages after a while; a cut address gets none."""
+
+    def __init__(self):
+        self.nodes = {}
+        self.cut = set()
+
+    def make_sender(self, own):
+        """Return the sender of the node at an address."""
+        return _Sender(self, own)
+
+    def deliver(self, own, address, recipient, message):
+        """Hand a message over to its recipient."""
+        node = self.nodes.get(address)
+        if node is not None and not {own, address} & self.cut:
+            sender = self.nodes[own].core.me
+            node.receive(sender, recipient, message)
+
+
+class _Sender:
+    def __init__(self, network, own):
+        self._network = network
+        self._own = own
+
+    def send(self, address, recipient, message):
+        """Queue a message."""
+        asyncio.get_running_loop().call_later(
+            LATENCY_S, self._network.deliver, self._own, address, recipient, message
+        )
+
+
+class NodeFixture:
+    """Nodes, by address, with one log."""
+
+    def __init__(self):
+        self.store = LogStore()
+        self.network = FakeNetwork()
+        self.upstreams = {}
+        self.tasks = {}
+        self.starts = 0
+
+    def publish(self, inventory=INVENTORY, *, base_version=0, record_id="p1"):
+        """Append a publication."""
+        record = Publish(
+            record_id=record_id,
+            writer="operator",
+            base_version=base_version,
+            inventory=inventory,
+        )
+        self.store.append(CONFIG_STREAM, encode_record(record))
+
+    def start(self, address, data_centre):
+        """Start a node."""
+        self.starts += 1
+        incarnation = f"{address}#{self.starts}"
+        upstream = self.upstreams.setdefault(address, FakeUpstream())
+        node = ControlNode(
+            announcement=Announce(
+                record_id="",
+                writer=incarnation,
+                incarnation=incarnation,
+                address=address,
+                operator_address=address,
+                data_centre=data_centre,
+                region="r",
+                service="orders",
+                upstream=address,
+                slots=4,
+                connections=20,
+            ),
+            log=InProcessLog(store=self.store),
+            sender=self.network.make_sender(address),
+            sink=upstream,
+            plan=plan,
+            metrics=Metrics(),
+            random=random.Random(self.starts),
+        )
+        self.network.nodes[address] = node
+        self.tasks[address] = asyncio.create_task(node.run())
+        return node
+
+    async def kill(self, address):
+        """End a node at once."""
+        task = self.tasks.pop(address)
+        del self.network.nodes[address]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def stop(self):
+        """End all nodes."""
+        for address in list(self.tasks):
+            await self.kill(address)
+
+    def list_servers(self, key):
+        """Return the nodes that may forward a request for a key now."""
+        found = []
+        for address, node in self.network.nodes.items():
+            match node.ownership.locate("orders", key):
+                case Success(route):
+                    shard = route.shard
+                case _:
+                    continue
+            match node.ownership.authorize(shard):
+                case Success(grant):
+                    node.ownership.finish(grant.shard, service_time_s=0.0)
+                    found.append(address)
+        return found
+
+    async def wait_served(self, keys, limit_s):
+        """Wait until one node serves each key; return how long that took."""
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        while any(len(self.list_servers(key)) != 1 for key in keys):
+            if loop.time() - start_s > limit_s:
+                raise AssertionError(f"not served within {limit_s} s")
+            await asyncio.sleep(0.01)
+        return loop.time() - start_s
