--- /dev/null
+++ b/src/papayatack/ctl/tables.py
@@ -0,0 +1,124 @@
+"""Plain tables and sentences for people."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from tabulate import tabulate
+
+from papayatack.ctl.answers import ConfigAnswer, ExplainAnswer, StatusAnswer
+from papayatack.ctl.watch import WatchReport
+
+__all__ = [
+    "format_check",
+    "format_config",
+    "format_conflict",
+    "format_counters",
+    "format_explain",
+    "format_status",
+    "format_watch",
+]
+
+
+def _format_table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    return tabulate(list(rows), headers=headers, tablefmt="plain", floatfmt="g")
+
+
+def format_check(warnings: Sequence[str], difference: Sequence[str]) -> str:
+    """Return the verdict on valid documents."""
+    lines = ["valid"]
+    lines.extend(f"warning: {warning}" for warning in warnings)
+    lines.extend(f"change: {line}" for line in difference)
+    return "\n".join(lines)
+
+
+def format_conflict(base_version: int, version: int, difference: Sequence[str]) -> str:
+    """Return what came in between, and what to do."""
+    lines = [
+        f"conflict: made from version {base_version}, but version {version} is in"
+        " force; nothing was published",
+        "what was changed meanwhile:",
+        *(f"  {line}" for line in difference),
+        "start again from the documents in force: papayatackctl config --out=DIRECTORY",
+    ]
+    return "\n".join(lines)
+
+
+def format_config(answer: ConfigAnswer) -> str:
+    """Return both documents."""
+    return (
+        f"# version {answer.version}, inventory\n{answer.inventory.rstrip()}\n\n"
+        f"# version {answer.version}, rules\n{answer.rules.rstrip()}"
+    )
+
+
+def format_status(answer: StatusAnswer) -> str:
+    """Return one node's state, then the nodes that it knows."""
+    lease = answer.lease
+    lease_text = "none: it serves nothing"
+    if lease is not None and lease.id:
+        lease_text = (
+            f"term {lease.term}, {lease.remaining_ms / 1000:.1f} s left,"
+            f" {len(lease.witnesses)} witnesses"
+        )
+    own = [
+        ("incarnation", answer.incarnation),
+        ("service", answer.service),
+        ("place", f"{answer.data_centre} ({answer.region})"),
+        ("state", answer.state),
+        ("lease", lease_text),
+        ("shards owned", answer.shards_owned),
+        ("in flight, queued", f"{answer.in_flight}, {answer.queue}"),
+        ("configuration", f"version {answer.config_version}"),
+        (
+            "offsets",
+            f"config {answer.config_offset}, ownership {answer.ownership_offset}",
+        ),
+        ("log", "reachable" if answer.log_reachable else "away"),
+    ]
+    nodes = [
+        (n.incarnation, n.operator_address, n.service, n.data_centre, n.state)
+        for n in answer.nodes
+    ]
+    headers = ("node", "operators' address", "service", "data centre", "state")
+    return f"{_format_table((), own)}\n\n{_format_table(headers, nodes)}"
+
+
+def format_watch(report: WatchReport) -> str:
+    """Return the nodes on which a version is not in force."""
+    if not report.behind and not report.away:
+        return f"version {report.version} is in force on all {report.in_force} nodes"
+    rows = [
+        (entry.incarnation, entry.operator_address, entry.version or "no answer")
+        for entry in (*report.behind, *report.away)
+    ]
+    table = _format_table(("node", "operators' address", "version"), rows)
+    return f"version {report.version} is not in force on:\n{table}"
+
+
+def format_explain(answer: ExplainAnswer) -> str:
+    """Return who owns a key and the chain behind it."""
+    own = [
+        ("shard", answer.shard),
+        ("owner", answer.owner or "none"),
+        ("address", answer.address),
+        ("epoch", answer.epoch),
+        ("token", answer.token),
+    ]
+    chain = [(h.lease, h.data_centre, h.state, h.reason) for h in answer.chain]
+    table = _format_table(("chain", "data centre", "state", "reason"), chain)
+    why = "\n".join(f"- {line}" for line in answer.why)
+    return "\n\n".join(part for part in (_format_table((), own), table, why) if part)
+
+
+def format_counters(samples: Iterable[tuple[str, str, float]], latencies: Any) -> str:
+    """Return the counters that are not zero, and the latencies."""
+    rows = [sample for sample in samples if sample[2]]
+    text = _format_table(("counter", "reason", "value"), rows)
+    if not isinstance(latencies, dict) or not latencies:
+        return text
+    names = sorted({name for value in latencies.values() for name in value})
+    table = [
+        (name, *(value.get(column, "") for column in names))
+        for name, value in latencies.items()
+    ]
+    return f"{text}\n\n{_format_table(('latency', *names), table)}"
