--- /dev/null
+++ b/src/papayatack/core/admission/admission.py
@@ -0,0 +1,318 @@
+"""Admission before one upstream: who gets the next slot, and who is refused."""
+
+import random
+from collections.abc import Iterable, Mapping
+
+from papayatack.core.admission.classes import ClassState
+from papayatack.core.admission.concurrency import WAKE_INTERVAL_S, Concurrency
+from papayatack.core.admission.entry import (
+    Admitted,
+    Entry,
+    EntryState,
+    Refused,
+    Verdict,
+)
+from papayatack.core.admission.headroom import Headroom
+from papayatack.core.admission.heap import KeyedHeap
+from papayatack.core.admission.limits import Limits
+from papayatack.core.admission.queue import FairQueue
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.inventory import Partner, RequestClass
+
+__all__ = ["Admission"]
+
+MIN_RETRY_AFTER_S = 0.5
+MIN_COST = 0.001
+
+
+class Admission:
+    """Shares an upstream's slots among classes and partners.
+
+    Every operation leaves its verdicts in an outbox, which :meth:`poll` returns;
+    each entry gets exactly one verdict, unless it was cancelled before.
+
+    Args:
+        now: The current time.
+        limits: What the upstream takes.
+        partners: Partners of the inventory with their weights.
+        rng: Spreads the times at which refused callers come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        limits: Limits,
+        partners: Iterable[Partner] = (),
+        rng: random.Random | None = None,
+    ) -> None:
+        self.limits = limits
+        self._rng = rng or random.Random()
+        self._concurrency = Concurrency(slots=limits.usable_slots, started_s=now)
+        self._headroom = Headroom(updated_s=now)
+        self._expiries: KeyedHeap[Entry] = KeyedHeap()
+        self._outbox: list[Verdict] = []
+        self._in_use = 0
+        self._number = 0
+        weights = _read_weights(partners)
+        self._classes: Mapping[RequestClass, ClassState] = {
+            request_class: ClassState(
+                share=limits.shares[request_class],
+                queue=FairQueue(weights=weights, max_length=limits.queue_length),
+            )
+            for request_class in RequestClass
+        }
+
+    @property
+    def in_use(self) -> int:
+        """Slots that are held."""
+        return self._in_use
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._expiries)
+
+    def read_class(self, request_class: RequestClass) -> ClassState:
+        """Return the state of a class, for metrics."""
+        return self._classes[request_class]
+
+    def read_limit(self, now: float) -> int:
+        """Return the slots that may be in use now."""
+        return self._concurrency.read_limit(now)
+
+    def configure(self, *, limits: Limits, partners: Iterable[Partner]) -> None:
+        """Put new limits and partners in force; waiting requests keep waiting."""
+        self.limits = limits
+        self._concurrency.resize(limits.usable_slots)
+        weights = _read_weights(partners)
+        for request_class, state in self._classes.items():
+            state.share = limits.shares[request_class]
+            state.queue.max_length = limits.queue_length
+            state.queue.set_weights(weights)
+
+    def restart(self, now: float) -> None:
+        """Ramp up again, for the upstream was restarted and is cold."""
+        self._concurrency.restart(now)
+
+    def offer(
+        self,
+        now: float,
+        *,
+        partner: str,
+        request_class: RequestClass,
+        cost: float,
+        deadline_s: float,
+    ) -> Entry:
+        """Ask for a slot; the verdict comes with :meth:`poll`."""
+        self._measure(now)
+        state = self._classes[request_class]
+        cost = max(cost, MIN_COST)
+        self._number += 1
+        entry = Entry(
+            number=self._number,
+            flow=state.queue.find_flow(partner),
+            request_class=request_class,
+            cost=cost,
+            deadline_s=deadline_s,
+            charge=state.estimate_charge(cost),
+            latest_start_s=deadline_s - state.estimate_service_time(cost),
+        )
+        self._place(now, state, entry)
+        return entry
+
+    def cancel(self, now: float, entry: Entry) -> None:
+        """End an entry whose caller left; a held slot is given back."""
+        if entry.state is EntryState.RUNNING:
+            self.release(now, entry, service_time_s=None)
+        elif entry.state is EntryState.QUEUED:
+            self._measure(now)
+            self._withdraw(entry)
+
+    def release(
+        self,
+        now: float,
+        entry: Entry,
+        *,
+        service_time_s: float | None,
+        error: ErrorKind | None = None,
+    ) -> None:
+        """Take a slot back.
+
+        Args:
+            now: The current time.
+            entry: An admitted entry; releasing it again has no effect.
+            service_time_s: How long the upstream took; ``None`` if it was not asked.
+            error: Why there was no answer. Only answers teach service times: those
+                of failures say nothing about the next request.
+        """
+        if entry.state is not EntryState.RUNNING:
+            return
+        self._measure(now)
+        entry.state = EntryState.ENDED
+        state = self._classes[entry.request_class]
+        state.in_use -= 1
+        if error is ErrorKind.UPSTREAM_SHED:
+            self._concurrency.record_shed(now, self._in_use)
+        elif error is None and service_time_s is not None:
+            self._concurrency.record_answer()
+            state.record_service(entry.cost, service_time_s)
+        self._in_use -= 1
+        state.queue.adjust(entry, (service_time_s or 0.0) - entry.charge)
+
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Give all waiting requests their final answer."""
+        while (head := self._expiries.peek()) is not None:
+            self._withdraw(head[1])
+            self._outbox.append(Refused(entry=head[1], refusal=refusal))
+
+    def poll(self, now: float) -> tuple[Verdict, ...]:
+        """Give up what is late, fill the free slots, and return all verdicts."""
+        self._measure(now)
+        self._expire(now)
+        limit = self._concurrency.read_limit(now)
+        while self._in_use < limit:
+            state = self._choose_class(limit)
+            if state is None:
+                break
+            self._start(now, state)
+        verdicts = tuple(self._outbox)
+        self._outbox.clear()
+        return verdicts
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when :meth:`poll` must be called next without another event."""
+        head = self._expiries.peek()
+        if head is None:
+            return None
+        limit = self._concurrency.read_limit(now)
+        if self._concurrency.is_ramping(now) or self._in_use < limit:
+            return min(head[0], now + WAKE_INTERVAL_S)
+        return head[0]
+
+    def _place(self, now: float, state: ClassState, entry: Entry) -> None:
+        """Queue an entry, or refuse it or another one in its place."""
+        if now >= entry.deadline_s:
+            self._refuse(entry, ErrorKind.DEADLINE_EXPIRED, "late on arrival")
+            return
+        if self._has_free_slot(now, state):
+            # A free slot is given on a pessimistic estimate too: it is what corrects
+            # the estimate.
+            entry.latest_start_s = entry.deadline_s
+        else:
+            wait_s = self._estimate_wait(now, entry.flow, state)
+            if now + wait_s > entry.latest_start_s:
+                self._refuse(
+                    entry,
+                    ErrorKind.DEADLINE_UNREACHABLE,
+                    f"expected wait of {wait_s:.3f} s",
+                    wait_s,
+                )
+                return
+            if len(state.queue) >= state.queue.max_length:
+                self._drop_longest(now, state, entry)
+                if entry.state is EntryState.ENDED:
+                    return
+        state.queue.push(entry)
+        self._expiries.put(entry, entry.latest_start_s)
+
+    def _has_free_slot(self, now: float, state: ClassState) -> bool:
+        limit = self._concurrency.read_limit(now)
+        return (
+            not len(state.queue)
+            and self._in_use < limit
+            and state.in_use < self._bound_class(state, limit)
+        )
+
+    def _drop_longest(self, now: float, state: ClassState, entry: Entry) -> None:
+        """Refuse the newest request of the partner with the most waiting."""
+        victim = state.queue.find_victim()
+        own_length = state.queue.measure_length(entry.flow)
+        if victim is None or own_length >= state.queue.measure_length(victim.flow):
+            victim = entry
+        else:
+            self._withdraw(victim)
+        wait_s = self._estimate_wait(now, victim.flow, state)
+        self._refuse(victim, ErrorKind.QUEUE_FULL, "queue is full", wait_s)
+
+    def _estimate_wait(self, now: float, flow: str, state: ClassState) -> float:
+        """Return how long a new request of the flow would wait."""
+        if state.seconds_per_cost is None:
+            return 0.0
+        limit = self._concurrency.read_limit(now)
+        active = sum(
+            other.share
+            for other in self._classes.values()
+            if other.is_active or other is state
+        )
+        others = self._in_use - state.in_use
+        slots = max(limit * state.share / active, float(limit - others))
+        slots = max(1.0, min(slots, self._bound_class(state, limit)))
+        return state.queue.estimate_work_ahead(flow) / slots
+
+    def _bound_class(self, state: ClassState, limit: int) -> int:
+        """Return the slots that a class may hold at once."""
+        if state is not self._classes[RequestClass.DOWNLOAD]:
+            return limit
+        guaranteed = self.limits.guarantee_slots(RequestClass.DOWNLOAD)
+        return max(min(guaranteed, limit), limit - self._headroom.read_need())
+
+    def _choose_class(self, limit: int) -> ClassState | None:
+        """Return the waiting class that holds the fewest slots for its share."""
+        chosen = None
+        least = 0.0
+        for state in self._classes.values():
+            if not len(state.queue) or state.in_use >= self._bound_class(state, limit):
+                continue
+            held = state.in_use / state.share
+            if chosen is None or held < least:
+                chosen, least = state, held
+        return chosen
+
+    def _start(self, now: float, state: ClassState) -> None:
+        entry = state.queue.pop()
+        self._expiries.remove(entry)
+        entry.state = EntryState.RUNNING
+        entry.started_s = now
+        state.in_use += 1
+        self._in_use += 1
+        self._outbox.append(Admitted(entry=entry))
+
+    def _expire(self, now: float) -> None:
+        """Answer at once what can no longer finish in time."""
+        while (head := self._expiries.peek()) is not None and head[0] <= now:
+            entry = head[1]
+            self._withdraw(entry)
+            state = self._classes[entry.request_class]
+            wait_s = self._estimate_wait(now, entry.flow, state)
+            self._refuse(
+                entry, ErrorKind.DEADLINE_UNREACHABLE, "no slot in time", wait_s
+            )
+
+    def _withdraw(self, entry: Entry) -> None:
+        entry.state = EntryState.ENDED
+        self._classes[entry.request_class].queue.remove(entry)
+        self._expiries.remove(entry)
+
+    def _refuse(
+        self, entry: Entry, kind: ErrorKind, detail: str, wait_s: float | None = None
+    ) -> None:
+        entry.state = EntryState.ENDED
+        retry_after_s = None
+        if wait_s is not None:
+            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S) * self._rng.uniform(1.0, 2.0)
+        refusal = Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s)
+        self._outbox.append(Refused(entry=entry, refusal=refusal))
+
+    def _measure(self, now: float) -> None:
+        """Record the short classes' load up to now."""
+        load = sum(
+            state.in_use + len(state.queue)
+            for request_class, state in self._classes.items()
+            if request_class is not RequestClass.DOWNLOAD
+        )
+        self._headroom.record(now, min(load, self.limits.usable_slots))
+
+
+def _read_weights(partners: Iterable[Partner]) -> dict[str, float]:
+    return {partner.name: partner.weight for partner in partners}
--- /dev/null
+++ b/src/papayatack/core/admission/classes.py
@@ -0,0 +1,48 @@
+"""The state of one request class."""
+
+import dataclasses
+
+from papayatack.core.admission.queue import FairQueue
+
+__all__ = ["ClassState"]
+
+SMOOTHING = 0.05
+PRIOR_SECONDS_PER_COST = 0.02
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ClassState:
+    """Queue, slots in use and measured service time of one class.
+
+    Attributes:
+        share: Share of the slots that the class is guaranteed.
+        queue: Its waiting requests.
+        in_use: Slots that it holds.
+        seconds_per_cost: Mean service time of a request of cost 1, once measured.
+    """
+
+    share: float
+    queue: FairQueue
+    in_use: int = 0
+    seconds_per_cost: float | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the class wants or holds slots."""
+        return bool(self.in_use or len(self.queue))
+
+    def estimate_charge(self, cost: float) -> float:
+        """Return the slot seconds that a request is expected to take."""
+        return cost * (self.seconds_per_cost or PRIOR_SECONDS_PER_COST)
+
+    def estimate_service_time(self, cost: float) -> float:
+        """Return the measured service time, 0 while nothing was measured."""
+        return cost * (self.seconds_per_cost or 0.0)
+
+    def record_service(self, cost: float, service_time_s: float) -> None:
+        """Learn from a request that was answered."""
+        sample = service_time_s / cost
+        if self.seconds_per_cost is None:
+            self.seconds_per_cost = sample
+        else:
+            self.seconds_per_cost += SMOOTHING * (sample - self.seconds_per_cost)
--- /dev/null
+++ b/src/papayatack/core/admission/limits.py
@@ -0,0 +1,50 @@
+"""Limits of admission before one upstream."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from papayatack.core.inventory import RequestClass
+
+__all__ = ["CLASS_SHARES", "Limits"]
+
+CLASS_SHARES: Mapping[RequestClass, float] = {
+    RequestClass.ORDER: 0.35,
+    RequestClass.BROWSE: 0.5,
+    RequestClass.DOWNLOAD: 0.15,
+}
+"""Share of the slots that each class is guaranteed."""
+
+QUEUE_PER_SLOT = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What one upstream takes.
+
+    Attributes:
+        slots: Requests that it runs at once.
+        connections: Connections that it accepts.
+        shares: Share of the slots guaranteed to each class.
+        queue_per_slot: Requests of one class that may wait, for each slot.
+    """
+
+    slots: int = 14
+    connections: int = 130
+    shares: Mapping[RequestClass, float] = dataclasses.field(
+        default_factory=lambda: CLASS_SHARES
+    )
+    queue_per_slot: int = QUEUE_PER_SLOT
+
+    @property
+    def usable_slots(self) -> int:
+        """Return the requests that may run, each on a connection of its own."""
+        return max(1, min(self.slots, self.connections))
+
+    @property
+    def queue_length(self) -> int:
+        """Return how many requests of one class may wait."""
+        return self.usable_slots * self.queue_per_slot
+
+    def guarantee_slots(self, request_class: RequestClass) -> int:
+        """Return the slots guaranteed to a class, at least one."""
+        return max(1, round(self.shares[request_class] * self.usable_slots))
--- /dev/null
+++ b/src/papayatack/core/admission/queue.py
@@ -0,0 +1,163 @@
+"""Start-time fair queueing of the requests of one class over partners."""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Mapping
+
+from papayatack.core.admission.entry import Entry
+from papayatack.core.admission.heap import KeyedHeap
+
+__all__ = ["OTHERS", "FairQueue"]
+
+OTHERS = ""
+"""The flow of all partners that the inventory does not name."""
+
+
+@dataclasses.dataclass(slots=True, eq=False, kw_only=True)
+class _Flow:
+    """A partner's waiting requests and its virtual time."""
+
+    name: str
+    weight: float
+    start: float = 0.0
+    finish: float = 0.0
+    backlog: float = 0.0
+    entries: OrderedDict[int, Entry] = dataclasses.field(default_factory=OrderedDict)
+
+
+class FairQueue:
+    """Serves the partner with the least slot time received per weight.
+
+    A request is charged its expected slot seconds when it is taken; what it really
+    took is charged with :meth:`adjust`. An idle partner earns no credit. All
+    partners without a weight of their own share one flow of weight 1, so that
+    memory is bounded by the inventory and the queue's length.
+    """
+
+    def __init__(self, *, weights: Mapping[str, float], max_length: int) -> None:
+        self.max_length = max_length
+        self._flows: dict[str, _Flow] = {}
+        self._weights: dict[str, float] = {}
+        self._starts: KeyedHeap[str] = KeyedHeap()
+        self._longest: KeyedHeap[str] = KeyedHeap()
+        self._virtual_time = 0.0
+        self._length = 0
+        self._backlog = 0.0
+        self._active_weight = 0.0
+        self.set_weights(weights)
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def flow_count(self) -> int:
+        """Number of partners that take memory."""
+        return len(self._flows)
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Put new weights in force; waiting requests keep their place."""
+        self._weights = {OTHERS: 1.0, **weights}
+        for name, flow in list(self._flows.items()):
+            if flow.entries:
+                self._active_weight -= flow.weight
+                flow.weight = self._weights.get(name, flow.weight)
+                self._active_weight += flow.weight
+                self._rank(flow)
+            elif name in self._weights:
+                flow.weight = self._weights[name]
+            else:
+                del self._flows[name]
+
+    def find_flow(self, partner: str) -> str:
+        """Return the flow in which a partner's requests wait."""
+        return partner if partner in self._weights else OTHERS
+
+    def push(self, entry: Entry) -> None:
+        """Append a request to its partner's flow."""
+        flow = self._flows.get(entry.flow)
+        if flow is None:
+            weight = self._weights.get(entry.flow, 1.0)
+            flow = _Flow(name=entry.flow, weight=weight)
+            self._flows[entry.flow] = flow
+        if not flow.entries:
+            flow.start = max(self._virtual_time, flow.finish)
+            self._active_weight += flow.weight
+            self._starts.put(flow.name, flow.start)
+        flow.entries[entry.number] = entry
+        flow.backlog += entry.charge
+        self._backlog += entry.charge
+        self._length += 1
+        self._rank(flow)
+
+    def pop(self) -> Entry | None:
+        """Take the next request in fair order and charge its partner."""
+        head = self._starts.peek()
+        if head is None:
+            return None
+        flow = self._flows[head[1]]
+        self._virtual_time = max(self._virtual_time, flow.start)
+        _, entry = flow.entries.popitem(last=False)
+        flow.finish = flow.start + entry.charge / flow.weight
+        flow.start = flow.finish
+        self._forget(flow, entry)
+        if flow.entries:
+            self._starts.put(flow.name, flow.start)
+        return entry
+
+    def remove(self, entry: Entry) -> None:
+        """Take out a waiting request without charging it."""
+        flow = self._flows[entry.flow]
+        del flow.entries[entry.number]
+        self._forget(flow, entry)
+
+    def adjust(self, entry: Entry, difference: float) -> None:
+        """Charge a partner for slot seconds beyond, or below, the expected ones."""
+        flow = self._flows.get(entry.flow)
+        if flow is None:
+            return
+        flow.finish += difference / flow.weight
+        if flow.entries:
+            flow.start = max(self._virtual_time, flow.start + difference / flow.weight)
+            self._starts.put(flow.name, flow.start)
+
+    def find_victim(self) -> Entry | None:
+        """Return the newest request of the partner with the longest queue."""
+        head = self._longest.peek()
+        if head is None:
+            return None
+        flow = self._flows[head[1]]
+        return flow.entries[next(reversed(flow.entries))]
+
+    def measure_length(self, flow_name: str) -> float:
+        """Return the number of a flow's waiting requests per weight."""
+        flow = self._flows.get(flow_name)
+        return len(flow.entries) / flow.weight if flow else 0.0
+
+    def estimate_work_ahead(self, flow_name: str) -> float:
+        """Return the slot seconds served before a new request of the flow."""
+        flow = self._flows.get(flow_name)
+        if flow is None or not flow.entries:
+            return 0.0
+        fair = flow.backlog * self._active_weight / flow.weight
+        return min(fair, self._backlog)
+
+    def _rank(self, flow: _Flow) -> None:
+        self._longest.put(flow.name, -len(flow.entries) / flow.weight)
+
+    def _forget(self, flow: _Flow, entry: Entry) -> None:
+        """Keep the sums after a request left its flow."""
+        flow.backlog = max(0.0, flow.backlog - entry.charge)
+        self._backlog = max(0.0, self._backlog - entry.charge)
+        self._length -= 1
+        if flow.entries:
+            self._rank(flow)
+            return
+        self._starts.remove(flow.name)
+        self._longest.remove(flow.name)
+        self._active_weight -= flow.weight
+        flow.backlog = 0.0
+        if not self._length:
+            self._backlog = 0.0
+            self._active_weight = 0.0
+        if flow.name not in self._weights:
+            del self._flows[flow.name]
--- /dev/null
+++ b/tests/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of papayatack.core.admission."""
--- /dev/null
+++ b/tests/core/admission/test_admission.py
@@ -0,0 +1,260 @@
+"""Tests of papayatack.core.admission.admission."""
+
+import random
+import unittest
+
+from papayatack.core.admission import Admission, Admitted, Limits, Refused
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.inventory import Partner, RequestClass
+
+PARTNERS = (Partner(name="a"), Partner(name="b"))
+RAMPED_S = 100.0
+
+
+def build_admission(*, slots=4, queue_per_slot=8, connections=130):
+    """Return an admission that has ramped up at ``RAMPED_S``."""
+    limits = Limits(slots=slots, connections=connections, queue_per_slot=queue_per_slot)
+    return Admission(now=0.0, limits=limits, partners=PARTNERS, rng=random.Random(1))
+
+
+def offer(
+    admission, now, *, partner="a", kind=RequestClass.BROWSE, cost=1.0, within_s=10.0
+):
+    """Offer a request and return its entry."""
+    return admission.offer(
+        now,
+        partner=partner,
+        request_class=kind,
+        cost=cost,
+        deadline_s=now + within_s,
+    )
+
+
+def list_admitted(verdicts):
+    """Return the entries that got a slot."""
+    return [verdict.entry for verdict in verdicts if isinstance(verdict, Admitted)]
+
+
+def list_refused(verdicts):
+    """Return entries and kinds of the refusals."""
+    return [
+        (verdict.entry, verdict.refusal.kind)
+        for verdict in verdicts
+        if isinstance(verdict, Refused)
+    ]
+
+
+def fill(admission, now, **fields):
+    """Fill all slots and return their entries."""
+    limit = admission.read_limit(now)
+    entries = [offer(admission, now, **fields) for _ in range(limit)]
+    admission.poll(now)
+    return entries
+
+
+def teach(admission, now, service_time_s, kind=RequestClass.BROWSE):
+    """Let the admission measure one request's service time."""
+    entry = offer(admission, now, kind=kind)
+    admission.poll(now)
+    admission.release(now, entry, service_time_s=service_time_s)
+
+
+class SlotTests(unittest.TestCase):
+    """Slots and connections."""
+
+    def test_admits_up_to_slots(self):
+        """As many requests run as there are slots; the next one waits."""
+        admission = build_admission(slots=4)
+        entries = [offer(admission, RAMPED_S) for _ in range(5)]
+        admitted = list_admitted(admission.poll(RAMPED_S))
+        self.assertEqual(admitted, entries[:4])
+        admission.release(RAMPED_S, entries[0], service_time_s=0.01)
+        self.assertEqual(list_admitted(admission.poll(RAMPED_S)), entries[4:])
+
+    def test_connections_limit_slots(self):
+        """No more requests run than there are connections for them."""
+        admission = build_admission(slots=4, connections=2)
+        fill(admission, RAMPED_S)
+        self.assertEqual(admission.in_use, 2)
+
+    def test_cold_upstream_ramps(self):
+        """A cold upstream gets a part of its slots, and all in the end."""
+        admission = build_admission(slots=16)
+        self.assertEqual(admission.read_limit(0.0), 4)
+        self.assertLess(admission.read_limit(5.0), 16)
+        self.assertEqual(admission.read_limit(10.0), 16)
+
+    def test_shed_lowers_concurrency(self):
+        """Sheds cut the limit; answers raise it again."""
+        admission = build_admission(slots=10)
+        entries = fill(admission, RAMPED_S)
+        for entry in entries:
+            admission.release(
+                RAMPED_S, entry, service_time_s=0.0, error=ErrorKind.UPSTREAM_SHED
+            )
+        self.assertEqual(admission.read_limit(RAMPED_S), 8)
+        for _ in range(100):
+            teach(admission, RAMPED_S, 0.01)
+        self.assertEqual(admission.read_limit(RAMPED_S), 10)
+
+    def test_double_release_has_no_effect(self):
+        """A slot is given back once."""
+        admission = build_admission()
+        entries = fill(admission, RAMPED_S)
+        admission.release(RAMPED_S, entries[0], service_time_s=0.01)
+        admission.release(RAMPED_S, entries[0], service_time_s=0.01)
+        self.assertEqual(admission.in_use, 3)
+
+
+class DeadlineTests(unittest.TestCase):
+    """Refusals of what cannot finish in time."""
+
+    def test_expired_on_arrival(self):
+        """A request that is late on arrival is refused as expired."""
+        admission = build_admission()
+        entry = offer(admission, RAMPED_S, within_s=0.0)
+        refused = list_refused(admission.poll(RAMPED_S))
+        self.assertEqual(refused, [(entry, ErrorKind.DEADLINE_EXPIRED)])
+
+    def test_unreachable_is_refused_at_once(self):
+        """Measured service times tell at once that a wait is too long."""
+        admission = build_admission(slots=1)
+        teach(admission, RAMPED_S, 1.0)
+        fill(admission, RAMPED_S)
+        waiting = [offer(admission, RAMPED_S, within_s=4.5) for _ in range(4)]
+        late = offer(admission, RAMPED_S, within_s=4.5)
+        verdicts = admission.poll(RAMPED_S)
+        self.assertEqual(
+            list_refused(verdicts), [(late, ErrorKind.DEADLINE_UNREACHABLE)]
+        )
+        self.assertGreaterEqual(verdicts[0].refusal.retry_after_s, 4.0)
+        self.assertEqual(admission.queued, len(waiting))
+
+    def test_waiting_is_given_up_at_latest_start(self):
+        """The final answer comes when there is no time left, not at the deadline."""
+        admission = build_admission(slots=1)
+        teach(admission, RAMPED_S, 1.0)
+        fill(admission, RAMPED_S)
+        entry = offer(admission, RAMPED_S, within_s=3.0)
+        self.assertEqual(admission.poll(RAMPED_S), ())
+        self.assertEqual(admission.next_wakeup(RAMPED_S), RAMPED_S + 2.0)
+        refused = list_refused(admission.poll(RAMPED_S + 2.0))
+        self.assertEqual(refused, [(entry, ErrorKind.DEADLINE_UNREACHABLE)])
+
+    def test_free_slot_is_given_on_pessimistic_estimate(self):
+        """A long measured time does not keep an idle upstream idle."""
+        admission = build_admission()
+        teach(admission, RAMPED_S, 60.0)
+        entry = offer(admission, RAMPED_S, within_s=1.0)
+        self.assertEqual(list_admitted(admission.poll(RAMPED_S)), [entry])
+
+    def test_failures_teach_no_service_time(self):
+        """Timeouts of a frozen upstream leave the estimate as it was."""
+        admission = build_admission()
+        teach(admission, RAMPED_S, 0.01)
+        entries = fill(admission, RAMPED_S)
+        for entry in entries:
+            admission.release(
+                RAMPED_S, entry, service_time_s=10.0, error=ErrorKind.UPSTREAM_TIMEOUT
+            )
+        measured = admission.read_class(RequestClass.BROWSE).seconds_per_cost
+        self.assertEqual(measured, 0.01)
+
+
+class QueueTests(unittest.TestCase):
+    """The bound of the queues."""
+
+    def test_full_queue_drops_from_longest(self):
+        """The partner with the most waiting loses its newest request."""
+        admission = build_admission(slots=1, queue_per_slot=4)
+        fill(admission, RAMPED_S)
+        heavy = [offer(admission, RAMPED_S, partner="a") for _ in range(4)]
+        admission.poll(RAMPED_S)
+        offer(admission, RAMPED_S, partner="b")
+        refused = list_refused(admission.poll(RAMPED_S))
+        self.assertEqual(refused, [(heavy[-1], ErrorKind.QUEUE_FULL)])
+
+    def test_heavy_partner_cannot_push_others_out(self):
+        """A request of the longest queue is refused itself."""
+        admission = build_admission(slots=1, queue_per_slot=4)
+        fill(admission, RAMPED_S)
+        for partner in "aaab":
+            offer(admission, RAMPED_S, partner=partner)
+        admission.poll(RAMPED_S)
+        late = offer(admission, RAMPED_S, partner="a")
+        refused = list_refused(admission.poll(RAMPED_S))
+        self.assertEqual(refused, [(late, ErrorKind.QUEUE_FULL)])
+
+    def test_unknown_partners_share_one_flow(self):
+        """Any number of invented names takes one flow's memory."""
+        admission = build_admission(slots=1, queue_per_slot=1000)
+        for number in range(1000):
+            offer(admission, RAMPED_S, partner=f"invented-{number}")
+        admission.poll(RAMPED_S)
+        queue = admission.read_class(RequestClass.BROWSE).queue
+        self.assertEqual(queue.flow_count, 1)
+
+    def test_refuse_waiting_answers_all(self):
+        """All waiting requests get the given refusal."""
+        admission = build_admission()
+        fill(admission, RAMPED_S)
+        waiting = [offer(admission, RAMPED_S) for _ in range(3)]
+        admission.refuse_waiting(Refusal(kind=ErrorKind.NODE_DRAINING))
+        refused = list_refused(admission.poll(RAMPED_S))
+        self.assertEqual(
+            refused, [(entry, ErrorKind.NODE_DRAINING) for entry in waiting]
+        )
+
+
+class ClassTests(unittest.TestCase):
+    """Guarantees of the classes."""
+
+    def test_order_overtakes_browse_backlog(self):
+        """An order gets the next free slot while browsing holds more than its share."""
+        admission = build_admission(slots=10)
+        running = fill(admission, RAMPED_S)
+        for _ in range(20):
+            offer(admission, RAMPED_S)
+        order = offer(admission, RAMPED_S, kind=RequestClass.ORDER)
+        admission.poll(RAMPED_S)
+        admission.release(RAMPED_S, running[0], service_time_s=0.01)
+        self.assertEqual(list_admitted(admission.poll(RAMPED_S)), [order])
+
+    def test_browse_overtakes_order_flood(self):
+        """A flood of orders leaves browsing its guarantee."""
+        admission = build_admission(slots=10)
+        running = fill(admission, RAMPED_S, kind=RequestClass.ORDER)
+        for _ in range(20):
+            offer(admission, RAMPED_S, kind=RequestClass.ORDER)
+            offer(admission, RAMPED_S)
+        admission.poll(RAMPED_S)
+        for entry in running:
+            admission.release(RAMPED_S, entry, service_time_s=0.01)
+            admission.poll(RAMPED_S)
+        browse = admission.read_class(RequestClass.BROWSE)
+        self.assertGreaterEqual(browse.in_use, 5)
+
+    def test_downloads_use_idle_upstream(self):
+        """Without other requests downloads get all slots."""
+        admission = build_admission(slots=10)
+        fill(admission, RAMPED_S, kind=RequestClass.DOWNLOAD)
+        self.assertEqual(admission.in_use, 10)
+
+    def test_downloads_leave_headroom_for_browsing(self):
+        """Beside browsing, downloads get no more than the spare slots."""
+        admission = build_admission(slots=10)
+        now = RAMPED_S
+        browse = [offer(admission, now) for _ in range(4)]
+        admission.poll(now)
+        now += 30.0
+        for _ in range(10):
+            offer(admission, now, kind=RequestClass.DOWNLOAD, within_s=600.0)
+        admission.poll(now)
+        downloads = admission.read_class(RequestClass.DOWNLOAD)
+        # Four busy slots need 4 + 2 * sqrt(4) = 8.
+        self.assertEqual(downloads.in_use, 2)
+        for entry in browse:
+            admission.release(now, entry, service_time_s=0.01)
+        admission.poll(now)
+        admission.poll(now + 200.0)
+        self.assertEqual(downloads.in_use, 10)
--- /dev/null
+++ b/tests/proxy/test_gate.py
@@ -0,0 +1,168 @@
+"""Tests of papayatack.proxy.gate."""
+
+import asyncio
+import random
+import unittest
+
+import looptime
+
+from papayatack.core.admission import Admission, Limits
+from papayatack.core.errors import ErrorKind
+from papayatack.core.inventory import Partner, RequestClass
+from papayatack.observability.metrics import Metrics
+from papayatack.proxy.gate import AdmissionGate
+from papayatack.proxy.interface import Ticket
+
+RAMPED_S = 20.0
+
+
+def run(coroutine):
+    """Run a coroutine on virtual time."""
+    loop = looptime.new_event_loop(start=0.0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+def build_gate(slots=1):
+    """Return a gate and its admission; call inside a loop."""
+    admission = Admission(
+        now=asyncio.get_running_loop().time(),
+        limits=Limits(slots=slots),
+        partners=(Partner(name="a"),),
+        rng=random.Random(1),
+    )
+    return AdmissionGate(admission=admission, metrics=Metrics()), admission
+
+
+def build_ticket(within_s=5.0):
+    """Return a browse ticket with a deadline from now."""
+    return Ticket(
+        partner="a",
+        request_class=RequestClass.BROWSE,
+        cost=1.0,
+        deadline_s=asyncio.get_running_loop().time() + within_s,
+    )
+
+
+class AdmissionGateTests(unittest.TestCase):
+    """Waiting for slots."""
+
+    def test_waiter_gets_released_slot(self):
+        """A release hands the slot to the request that waits."""
+
+        async def scenario():
+            gate, _ = build_gate()
+            first = (await gate.acquire(build_ticket())).unwrap()
+            waiting = asyncio.create_task(gate.acquire(build_ticket()))
+            await asyncio.sleep(1.0)
+            self.assertFalse(waiting.done())
+            first.release(service_time_s=1.0)
+            second = (await waiting).unwrap()
+            second.release(service_time_s=1.0)
+
+        run(scenario())
+
+    def test_refusal_comes_by_timer(self):
+        """A request that waits in vain is answered without any other event."""
+
+        async def scenario():
+            gate, _ = build_gate()
+            (await gate.acquire(build_ticket())).unwrap().release(service_time_s=1.0)
+            (await gate.acquire(build_ticket())).unwrap()
+            started_s = asyncio.get_running_loop().time()
+            refusal = (await gate.acquire(build_ticket(5.0))).failure()
+            waited_s = asyncio.get_running_loop().time() - started_s
+            self.assertEqual(refusal.kind, ErrorKind.DEADLINE_UNREACHABLE)
+            self.assertAlmostEqual(waited_s, 4.0)
+
+        run(scenario())
+
+    def test_cancelled_wait_leaves_queue(self):
+        """A caller that leaves while waiting takes no slot later."""
+
+        async def scenario():
+            gate, admission = build_gate()
+            first = (await gate.acquire(build_ticket())).unwrap()
+            waiting = asyncio.create_task(gate.acquire(build_ticket()))
+            await asyncio.sleep(0.1)
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            self.assertEqual(admission.queued, 0)
+            first.release(service_time_s=0.1)
+            self.assertEqual(admission.in_use, 0)
+
+        run(scenario())
+
+    def test_cancel_after_verdict_gives_slot_back(self):
+        """A permit that its caller never saw is given back."""
+
+        async def scenario():
+            gate, admission = build_gate()
+            first = (await gate.acquire(build_ticket())).unwrap()
+            waiting = asyncio.create_task(gate.acquire(build_ticket()))
+            await asyncio.sleep(0.1)
+            first.release(service_time_s=0.1)
+            self.assertEqual(admission.in_use, 1)
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            self.assertEqual(admission.in_use, 0)
+
+        run(scenario())
+
+    def test_ramp_admits_without_other_events(self):
+        """Waiting requests get the slots that the ramp opens."""
+
+        async def scenario():
+            gate, admission = build_gate(slots=8)
+            tasks = [
+                asyncio.create_task(gate.acquire(build_ticket(30.0))) for _ in range(8)
+            ]
+            await asyncio.sleep(0)
+            self.assertEqual(admission.in_use, 2)
+            await asyncio.sleep(RAMPED_S)
+            self.assertTrue(all(task.done() for task in tasks))
+
+        run(scenario())
+
+    def test_unknown_error_still_frees_slot(self):
+        """A release with an error outside the list frees the slot as well."""
+
+        async def scenario():
+            gate, admission = build_gate()
+            permit = (await gate.acquire(build_ticket())).unwrap()
+            permit.release(service_time_s=0.1, error="no such kind")
+            self.assertEqual(admission.in_use, 0)
+
+        run(scenario())
+
+    def test_close_refuses_waiting(self):
+        """A closed gate answers all that wait."""
+
+        async def scenario():
+            gate, _ = build_gate()
+            (await gate.acquire(build_ticket())).unwrap()
+            waiting = asyncio.create_task(gate.acquire(build_ticket()))
+            await asyncio.sleep(0.1)
+            gate.close()
+            refusal = (await waiting).failure()
+            self.assertEqual(refusal.kind, ErrorKind.NODE_DRAINING)
+
+        run(scenario())
+
+    def test_counts_verdicts(self):
+        """Admissions and refusals are counted by class and kind."""
+
+        async def scenario():
+            admission = Admission(now=0.0, limits=Limits())
+            metrics = Metrics()
+            gate = AdmissionGate(admission=admission, metrics=metrics)
+            await gate.acquire(build_ticket())
+            await gate.acquire(build_ticket(0.0))
+            self.assertEqual(metrics.read_count("admissions", "browse"), 1)
+            self.assertEqual(
+                metrics.read_count("admission_refusals", "deadline-expired"), 1
+            )
+
+        run(scenario())
