Keep outcomes under idempotency keys, honestly after a loss

Cause: a repeated order must not run twice, also when its owner was lost. Change: core/idempotency.py keeps outcomes per shard and key in bounded memory, hands them over in bounded parts, and after a loss runs an unknown key only if the caller states by fencing token that its first attempt was made under this owner.

--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -13,10 +13,10 @@
     Verdict,
 )
 from papayatack.core.admission.headroom import Headroom
-from papayatack.core.admission.heap import KeyedHeap
 from papayatack.core.admission.limits import Limits
 from papayatack.core.admission.queue import FairQueue
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.heap import KeyedHeap
 from papayatack.core.inventory import Partner, RequestClass
 
 __all__ = ["Admission"]
--- a/src/papayatack/core/admission/queue.py
+++ b/src/papayatack/core/admission/queue.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from papayatack.core.admission.entry import Entry
-from papayatack.core.admission.heap import KeyedHeap
+from papayatack.core.heap import KeyedHeap
 
 __all__ = ["OTHERS", "FairQueue"]
 
--- /dev/null
+++ b/src/papayatack/core/idempotency.py
@@ -0,0 +1,529 @@
+"""Outcomes kept under the callers' idempotency keys.
+
+The owner of a shard remembers, for a window, what became of each keyed request. A
+repeat is joined to a running one or gets the kept answer; it is never run again. An
+outcome is not forgotten before its window ends: when memory runs short, kept answers
+shrink to the fact that there was one, and then new keys are refused.
+
+An owner that took a shard over after a loss does not know the keys that the lost
+owner saw. Until the window has passed it runs a key that it does not know only if
+the caller states, by the fencing token that the router gave it, that the first
+attempt was made under this owner.
+"""
+
+import dataclasses
+import enum
+from collections import OrderedDict
+
+from papayatack.core.errors import ErrorKind, Outcome, Refusal
+from papayatack.core.heap import KeyedHeap
+from papayatack.core.identity import ShardId
+
+__all__ = [
+    "Decision",
+    "IdempotencyStore",
+    "Inheritance",
+    "Join",
+    "KeptAnswer",
+    "Outcomes",
+    "Refuse",
+    "Replay",
+    "Run",
+    "StoredOutcome",
+]
+
+WINDOW_S = 600.0
+MAX_ENTRIES = 50_000
+MAX_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024
+MAX_JOINED = 64
+MAX_KEY_BYTES = 256
+ENTRY_OVERHEAD_BYTES = 64
+HANDOVER_RETRY_S = 0.5
+
+
+class Inheritance(enum.Enum):
+    """What a new owner knows of the keys that earlier owners saw."""
+
+    NOTHING = enum.auto()
+    """There was no earlier owner, so all its own keys are all keys."""
+
+    EXPECTED = enum.auto()
+    """The former owner released the shard and hands its outcomes over."""
+
+    LOST = enum.auto()
+    """The former owner was lost with its outcomes."""
+
+    OWN = enum.auto()
+    """This node is the former owner itself, with no other owner in between."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeptAnswer:
+    """An upstream's whole answer.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header fields in their order.
+        body: The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that the answer takes."""
+        return len(self.body) + sum(
+            len(name) + len(text) for name, text in self.headers
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """Run the request, then call :meth:`IdempotencyStore.complete`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Join:
+    """Wait for the running request; its completion names this number.
+
+    Attributes:
+        number: Identifies the waiting repeat.
+    """
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """Answer with the kept answer."""
+
+    answer: KeptAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """Do not run the request.
+
+    Attributes:
+        refusal: What the caller is told.
+        token: Fencing token with which the caller can state that its next attempt
+            is the first one; ``None`` if that would not help.
+    """
+
+    refusal: Refusal
+    token: int | None = None
+
+
+Decision = Run | Join | Replay | Refuse
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoredOutcome:
+    """One key's outcome on its way to a new owner.
+
+    Attributes:
+        key: The caller's key.
+        fingerprint: Digest of the request that used it first.
+        remaining_s: Seconds for which it must still be kept.
+        answer: The answer; ``None`` if it is not known or no longer kept.
+    """
+
+    key: str
+    fingerprint: bytes
+    remaining_s: float
+    answer: KeptAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcomes:
+    """A part of a shard's outcomes, for the next owner.
+
+    Attributes:
+        shard: The shard.
+        index: Number of this part, from 0.
+        last: Whether no part follows.
+        unknown_remaining_s: Seconds for which keys of an earlier, lost owner may
+            still be repeated; 0 if there are none.
+        unknown_before: First fencing token after that loss.
+        outcomes: The outcomes.
+    """
+
+    shard: ShardId
+    index: int
+    last: bool
+    unknown_remaining_s: float = 0.0
+    unknown_before: int = 0
+    outcomes: tuple[StoredOutcome, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, eq=False, kw_only=True)
+class _Record:
+    """A key's state: running while ``expires_s`` is ``None``."""
+
+    shard: ShardId
+    key: str
+    fingerprint: bytes
+    expires_s: float | None = None
+    answer: KeptAnswer | None = None
+    joined: list[int] = dataclasses.field(default_factory=list)
+
+    @property
+    def fixed_size(self) -> int:
+        return len(self.key) + len(self.fingerprint) + ENTRY_OVERHEAD_BYTES
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Shard:
+    """What is known of a shard's keys."""
+
+    token: int
+    awaited_part: int | None = None
+    unknown_until_s: float = float("-inf")
+    unknown_before: int = 0
+    records: dict[str, _Record] = dataclasses.field(default_factory=dict)
+
+
+class IdempotencyStore:
+    """Keeps the outcomes of all shards that one node owns.
+
+    Args:
+        window_s: Seconds for which an outcome is kept.
+        max_entries: Keys that are kept at most.
+        max_bytes: Bytes that keys and answers take at most.
+        max_answer_bytes: Size up to which an answer is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        window_s: float = WINDOW_S,
+        max_entries: int = MAX_ENTRIES,
+        max_bytes: int = MAX_BYTES,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._window_s = window_s
+        self._max_entries = max_entries
+        self._max_bytes = max_bytes
+        self._max_answer_bytes = max_answer_bytes
+        self._shards: dict[ShardId, _Shard] = {}
+        self._expiries: KeyedHeap[_Record] = KeyedHeap()
+        self._answered: OrderedDict[_Record, None] = OrderedDict()
+        self._entries = 0
+        self._bytes = 0
+        self._last_number = 0
+
+    @property
+    def entries(self) -> int:
+        """Number of keys in memory."""
+        return self._entries
+
+    @property
+    def size(self) -> int:
+        """Bytes that keys and answers take."""
+        return self._bytes
+
+    def open_shard(
+        self, now: float, shard: ShardId, *, token: int, inheritance: Inheritance
+    ) -> None:
+        """Start to keep outcomes of a shard that this node now owns.
+
+        Args:
+            now: The current time.
+            shard: The shard.
+            token: Fencing token of the new tenure.
+            inheritance: What became of the outcomes of the former owner.
+        """
+        if inheritance is Inheritance.OWN and shard in self._shards:
+            self._shards[shard].token = token
+            return
+        self.close_shard(shard)
+        state = _Shard(token=token)
+        if inheritance is Inheritance.EXPECTED:
+            state.awaited_part = 0
+        elif inheritance is not Inheritance.NOTHING:
+            state.unknown_until_s = now + self._window_s
+            state.unknown_before = token
+        self._shards[shard] = state
+
+    def give_up_handover(self, now: float, shard: ShardId) -> None:
+        """Treat a shard whose outcomes did not all arrive as taken over by loss."""
+        state = self._shards.get(shard)
+        if state is not None and state.awaited_part is not None:
+            state.awaited_part = None
+            state.unknown_until_s = now + self._window_s
+            state.unknown_before = state.token
+
+    def close_shard(self, shard: ShardId) -> tuple[int, ...]:
+        """Forget a shard; return the repeats that still wait for an outcome."""
+        state = self._shards.pop(shard, None)
+        if state is None:
+            return ()
+        joined: list[int] = []
+        for record in state.records.values():
+            joined.extend(record.joined)
+            self._unlink(record)
+        return tuple(joined)
+
+    def begin(
+        self,
+        now: float,
+        shard: ShardId,
+        key: str,
+        fingerprint: bytes,
+        *,
+        since: int | None = None,
+    ) -> Decision:
+        """Decide what becomes of a keyed request.
+
+        Args:
+            now: The current time.
+            shard: The shard of the request's own key.
+            key: The caller's idempotency key.
+            fingerprint: Digest of all that must be equal in a repeat.
+            since: Fencing token under which the caller first sent the request, if
+                it says so.
+        """
+        self._expire(now)
+        state = self._shards.get(shard)
+        if state is None:
+            return _refuse(ErrorKind.NOT_OWNER, "shard is not served here")
+        record = state.records.get(key)
+        if record is not None:
+            return self._repeat(record, fingerprint)
+        if state.awaited_part is not None:
+            return _refuse(
+                ErrorKind.NO_OWNER, "outcomes are being handed over", HANDOVER_RETRY_S
+            )
+        if now < state.unknown_until_s and (since or 0) < state.unknown_before:
+            return _refuse(
+                ErrorKind.IDEMPOTENCY_UNKNOWN,
+                "the key may have been used before the former owner was lost",
+                token=state.token,
+            )
+        return self._admit(state, shard, key, fingerprint)
+
+    def complete(
+        self,
+        now: float,
+        shard: ShardId,
+        key: str,
+        *,
+        outcome: Outcome,
+        answer: KeptAnswer | None = None,
+    ) -> tuple[int, ...]:
+        """Record how a request that was run has ended.
+
+        A request that was not run frees its key. One whose end is not known keeps
+        it, so that no repeat is run.
+
+        Returns:
+            The repeats that joined; they get the same result as the first.
+        """
+        state = self._shards.get(shard)
+        record = state.records.get(key) if state is not None else None
+        if record is None or record.expires_s is not None:
+            return ()
+        joined = tuple(record.joined)
+        record.joined.clear()
+        if outcome is Outcome.NOT_RUN:
+            self._drop(record)
+            return joined
+        record.expires_s = now + self._window_s
+        self._expiries.put(record, record.expires_s)
+        if outcome is Outcome.ANSWERED and answer is not None:
+            self._keep_answer(record, answer)
+        return joined
+
+    def leave(self, shard: ShardId, key: str, number: int) -> None:
+        """Forget a joined repeat whose caller left."""
+        state = self._shards.get(shard)
+        record = state.records.get(key) if state is not None else None
+        if record is not None and number in record.joined:
+            record.joined.remove(number)
+
+    def export_shard(
+        self, now: float, shard: ShardId, *, max_bytes: int = 64 * 1024
+    ) -> tuple[Outcomes, ...]:
+        """Return a released shard's outcomes in parts of bounded size.
+
+        Nothing runs any more on a released shard; a request that still does is
+        handed over as one whose end is not known.
+        """
+        self._expire(now)
+        state = self._shards.get(shard)
+        if state is None:
+            return ()
+        if state.awaited_part is not None:
+            self.give_up_handover(now, shard)
+        parts = _split(
+            [self._export_record(now, record) for record in state.records.values()],
+            max_bytes,
+        )
+        return tuple(
+            Outcomes(
+                shard=shard,
+                index=index,
+                last=index == len(parts) - 1,
+                unknown_remaining_s=max(0.0, state.unknown_until_s - now),
+                unknown_before=state.unknown_before,
+                outcomes=tuple(part),
+            )
+            for index, part in enumerate(parts)
+        )
+
+    def import_part(self, now: float, part: Outcomes) -> bool:
+        """Take over a part; return whether it was the awaited one.
+
+        A part that comes twice is ignored. One that comes out of turn is ignored
+        too, for its sender sends again from the first part not acknowledged.
+        """
+        state = self._shards.get(part.shard)
+        if state is None or state.awaited_part != part.index:
+            return False
+        for stored in part.outcomes:
+            self._import_record(now, state, part.shard, stored)
+        if part.unknown_remaining_s > 0:
+            state.unknown_until_s = now + part.unknown_remaining_s
+            state.unknown_before = part.unknown_before
+        state.awaited_part = None if part.last else part.index + 1
+        return True
+
+    def _repeat(self, record: _Record, fingerprint: bytes) -> Decision:
+        """Answer a request whose key is known."""
+        if record.fingerprint != fingerprint:
+            return _refuse(
+                ErrorKind.IDEMPOTENCY_MISMATCH, "the key was used by another request"
+            )
+        if record.answer is not None:
+            return Replay(answer=record.answer)
+        if record.expires_s is not None:
+            return _refuse(
+                ErrorKind.IDEMPOTENCY_UNKNOWN, "the first answer is not known any more"
+            )
+        if len(record.joined) >= MAX_JOINED:
+            return _refuse(
+                ErrorKind.IDEMPOTENCY_UNKNOWN,
+                "the request is running and too many repeats wait for it",
+                HANDOVER_RETRY_S,
+            )
+        self._last_number += 1
+        record.joined.append(self._last_number)
+        return Join(number=self._last_number)
+
+    def _admit(
+        self, state: _Shard, shard: ShardId, key: str, fingerprint: bytes
+    ) -> Decision:
+        """Note a new key, if there is memory for its outcome."""
+        record = _Record(shard=shard, key=key, fingerprint=fingerprint)
+        if len(key) > MAX_KEY_BYTES:
+            return _refuse(ErrorKind.HEADER_TOO_LARGE, "Idempotency-Key is too long")
+        self._shrink(record.fixed_size)
+        if (
+            self._entries >= self._max_entries
+            or self._bytes + record.fixed_size > self._max_bytes
+        ):
+            return _refuse(
+                ErrorKind.QUEUE_FULL,
+                "no memory for another idempotency key",
+                self._window_s / 10,
+            )
+        state.records[key] = record
+        self._entries += 1
+        self._bytes += record.fixed_size
+        return Run()
+
+    def _keep_answer(self, record: _Record, answer: KeptAnswer) -> None:
+        if answer.size > min(self._max_answer_bytes, self._max_bytes):
+            return
+        self._shrink(answer.size)
+        if self._bytes + answer.size > self._max_bytes:
+            return
+        record.answer = answer
+        self._answered[record] = None
+        self._bytes += answer.size
+
+    def _shrink(self, needed: int) -> None:
+        """Drop the oldest answers, but not their keys, until there is room."""
+        while self._answered and self._bytes + needed > self._max_bytes:
+            record, _ = self._answered.popitem(last=False)
+            self._bytes -= record.answer.size
+            record.answer = None
+
+    def _export_record(self, now: float, record: _Record) -> StoredOutcome:
+        expires_s = record.expires_s
+        remaining_s = self._window_s if expires_s is None else expires_s - now
+        return StoredOutcome(
+            key=record.key,
+            fingerprint=record.fingerprint,
+            remaining_s=remaining_s,
+            answer=record.answer,
+        )
+
+    def _import_record(
+        self, now: float, state: _Shard, shard: ShardId, stored: StoredOutcome
+    ) -> None:
+        """Keep an inherited outcome, over the limit of entries if need be."""
+        if stored.key in state.records:
+            return
+        record = _Record(
+            shard=shard,
+            key=stored.key,
+            fingerprint=stored.fingerprint,
+            expires_s=now + stored.remaining_s,
+        )
+        self._shrink(record.fixed_size)
+        state.records[stored.key] = record
+        self._entries += 1
+        self._bytes += record.fixed_size
+        self._expiries.put(record, record.expires_s)
+        if stored.answer is not None:
+            self._keep_answer(record, stored.answer)
+
+    def _expire(self, now: float) -> None:
+        while (head := self._expiries.peek()) is not None and head[0] <= now:
+            self._drop(head[1])
+
+    def _drop(self, record: _Record) -> None:
+        del self._shards[record.shard].records[record.key]
+        self._unlink(record)
+
+    def _unlink(self, record: _Record) -> None:
+        """Take a record out of the sums and orders."""
+        self._expiries.remove(record)
+        self._entries -= 1
+        self._bytes -= record.fixed_size
+        if record.answer is not None:
+            del self._answered[record]
+            self._bytes -= record.answer.size
+
+
+def _refuse(
+    kind: ErrorKind,
+    detail: str,
+    retry_after_s: float | None = None,
+    *,
+    token: int | None = None,
+) -> Refuse:
+    return Refuse(
+        refusal=Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s),
+        token=token,
+    )
+
+
+def _split(outcomes: list[StoredOutcome], max_bytes: int) -> list[list[StoredOutcome]]:
+    """Group outcomes into parts below a size; there is at least one part."""
+    parts: list[list[StoredOutcome]] = [[]]
+    size = 0
+    for stored in outcomes:
+        answer_size = stored.answer.size if stored.answer is not None else 0
+        item_size = len(stored.key) + len(stored.fingerprint) + answer_size
+        item_size += ENTRY_OVERHEAD_BYTES
+        if parts[-1] and size + item_size > max_bytes:
+            parts.append([])
+            size = 0
+        parts[-1].append(stored)
+        size += item_size
+    return parts
