--- /dev/null
+++ b/src/papayatack/core/health.py
@@ -0,0 +1,277 @@
+"""Which nodes or upstreams are in use, by what this node measured itself.
+
+Reports of health endpoints lag and mislead, so they neither eject a node nor bring
+one back: only own attempts do. A report's one effect is that a node that is out and
+is reported healthy may be probed with a request that must not be repeated.
+"""
+
+import dataclasses
+import enum
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Hashable, Iterable
+from typing import Generic, TypeVar
+
+from papayatack.core.errors import ErrorKind
+
+__all__ = ["FAILURES", "HealthState", "HealthTracker"]
+
+Node = TypeVar("Node", bound=Hashable)
+
+FAILURES = frozenset(
+    {
+        ErrorKind.UPSTREAM_UNREACHABLE,
+        ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_TIMEOUT,
+        ErrorKind.RESPONSE_TRUNCATED,
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.PEER_LOST,
+    }
+)
+"""Errors that speak against the node; sheds and refusals do not."""
+
+CONSECUTIVE_FAILURES = 5
+FAILURE_SMOOTHING = 0.1
+FAILURE_SHARE = 0.5
+FAILURE_MIN_SAMPLES = 20
+STALL_MIN_S = 1.0
+STALL_UNMEASURED_S = 5.0
+STALL_FACTOR = 4.0
+STALL_LIMIT_S = 10.0
+LONGEST_SMOOTHING = 0.01
+EJECTION_START_S = 0.5
+EJECTION_FACTOR = 2.0
+EJECTION_LIMIT_S = 15.0
+PROBES_TO_RECOVER = 2
+PROBE_PATIENCE_S = 2.0
+REPORT_FRESH_S = 5.0
+MAX_EJECTED_SHARE = 0.5
+
+
+class HealthState(enum.StrEnum):
+    """How a node is used."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _NodeHealth:
+    """What was measured of one node."""
+
+    state: HealthState = HealthState.HEALTHY
+    until_s: float = 0.0
+    ejection_s: float = EJECTION_START_S
+    consecutive_failures: int = 0
+    samples: int = 0
+    failure_share: float = 0.0
+    longest_s: float | None = None
+    progress_s: float = 0.0
+    probes_passed: int = 0
+    reported_healthy_s: float = float("-inf")
+    started: OrderedDict[int, float] = dataclasses.field(default_factory=OrderedDict)
+
+    def read_stall_limit(self) -> float:
+        """Return the silence after which a busy node counts as frozen."""
+        if self.longest_s is None:
+            return STALL_UNMEASURED_S
+        return min(max(STALL_MIN_S, STALL_FACTOR * self.longest_s), STALL_LIMIT_S)
+
+    def find_probe(self) -> float | None:
+        """Return when the probe under way was started, older attempts left aside."""
+        if self.state is HealthState.HEALTHY or not self.started:
+            return None
+        newest_s = next(reversed(self.started.values()))
+        return newest_s if newest_s >= self.until_s else None
+
+    def find_stall(self) -> float | None:
+        """Return when the node counts as frozen if it answers nothing until then."""
+        if self.state is not HealthState.HEALTHY:
+            waiting_s = self.find_probe()
+        else:
+            waiting_s = next(iter(self.started.values()), None)
+        if waiting_s is None:
+            return None
+        return max(self.progress_s, waiting_s) + self.read_stall_limit()
+
+
+class HealthTracker(Generic[Node]):
+    """Ejects failing and frozen nodes and probes them, one request at a time.
+
+    Args:
+        nodes: All nodes among which is chosen.
+        max_ejected_share: Share of the nodes that may be out at once. Beyond it a
+            bad node stays in use: rather a part of the answers than none.
+        rng: Spreads the probes of many trackers.
+        count: Called with ``health`` and what happened.
+    """
+
+    def __init__(
+        self,
+        *,
+        nodes: Iterable[Node],
+        max_ejected_share: float = MAX_EJECTED_SHARE,
+        rng: random.Random | None = None,
+        count: Callable[[str, str], None] | None = None,
+    ) -> None:
+        self._max_ejected_share = max_ejected_share
+        self._rng = rng or random.Random()
+        self._count = count
+        self._number = 0
+        self._nodes = {node: _NodeHealth() for node in nodes}
+
+    def set_nodes(self, nodes: Iterable[Node]) -> None:
+        """Follow the service's nodes; known ones keep their measurements."""
+        self._nodes = {node: self._nodes.get(node, _NodeHealth()) for node in nodes}
+
+    def read_state(self, node: Node) -> HealthState:
+        """Return how a node is used."""
+        return self._nodes[node].state
+
+    def start(self, now: float, node: Node) -> int:
+        """Note that a request goes to the node; return the attempt's number."""
+        health = self._nodes.get(node)
+        self._number += 1
+        if health is not None:
+            if not health.started:
+                health.progress_s = now
+            health.started[self._number] = now
+        return self._number
+
+    def finish(
+        self, now: float, node: Node, attempt: int, *, error: ErrorKind | None
+    ) -> None:
+        """Note how an attempt ended."""
+        health = self._nodes.get(node)
+        started_s = health.started.pop(attempt, None) if health is not None else None
+        if health is None or started_s is None:
+            return
+        if error in FAILURES:
+            self._record_failure(now, health, started_s)
+        elif error is not ErrorKind.CALLER_LEFT:
+            self._record_success(now, health, now - started_s)
+
+    def report(self, now: float, node: Node, *, healthy: bool) -> None:
+        """Note what the node's health endpoint says."""
+        health = self._nodes.get(node)
+        if health is not None and healthy:
+            health.reported_healthy_s = now
+
+    def check(self, now: float) -> tuple[Node, ...]:
+        """Eject nodes that have gone silent, and return them."""
+        frozen = []
+        for node, health in self._nodes.items():
+            if health.state is HealthState.EJECTED and now >= health.until_s:
+                health.state = HealthState.PROBING
+            stall_s = health.find_stall()
+            if stall_s is None or now < stall_s:
+                continue
+            if self._eject(now, health, "frozen"):
+                frozen.append(node)
+        return tuple(frozen)
+
+    def next_check(self) -> float | None:
+        """Return when :meth:`check` must be called without another event."""
+        times_s = []
+        for health in self._nodes.values():
+            if health.state is HealthState.EJECTED:
+                times_s.append(health.until_s)
+            elif (stall_s := health.find_stall()) is not None:
+                times_s.append(stall_s)
+        return min(times_s, default=None)
+
+    def allows(self, now: float, node: Node, *, repeatable: bool) -> bool:
+        """Return whether a request may go to the node now.
+
+        A request that must not be repeated is a probe only if the node reports
+        itself healthy, or if no other request has come for a while.
+        """
+        health = self._nodes.get(node)
+        if health is None:
+            return False
+        if health.state is HealthState.HEALTHY:
+            return True
+        if now < health.until_s or health.find_probe() is not None:
+            return False
+        if repeatable or now >= health.until_s + PROBE_PATIENCE_S:
+            return True
+        return now - health.reported_healthy_s < REPORT_FRESH_S
+
+    def read_retry_after(self, now: float, node: Node) -> float:
+        """Return the seconds after which the node may be asked again."""
+        health = self._nodes[node]
+        return max(health.until_s - now, EJECTION_START_S)
+
+    def _record_failure(
+        self, now: float, health: _NodeHealth, started_s: float
+    ) -> None:
+        health.consecutive_failures += 1
+        self._add_sample(health, 1.0)
+        if health.state is HealthState.HEALTHY:
+            often = (
+                health.samples >= FAILURE_MIN_SAMPLES
+                and health.failure_share >= FAILURE_SHARE
+            )
+            if often or health.consecutive_failures >= CONSECUTIVE_FAILURES:
+                self._eject(now, health, "failing")
+        elif started_s >= health.until_s:
+            self._eject(now, health, "probe-failed")
+
+    def _record_success(
+        self, now: float, health: _NodeHealth, latency_s: float
+    ) -> None:
+        health.consecutive_failures = 0
+        health.progress_s = now
+        self._add_sample(health, 0.0)
+        if health.state is not HealthState.HEALTHY:
+            # The time that a frozen node took says nothing of its usual work.
+            self._record_probe(now, health)
+            return
+        longest_s = health.longest_s
+        if longest_s is None or latency_s > longest_s:
+            health.longest_s = latency_s
+        else:
+            health.longest_s += (latency_s - longest_s) * LONGEST_SMOOTHING
+
+    def _record_probe(self, now: float, health: _NodeHealth) -> None:
+        """Count an answer of a node that is out; an early one opens the probing."""
+        health.until_s = min(health.until_s, now)
+        health.state = HealthState.PROBING
+        health.probes_passed += 1
+        if health.probes_passed < PROBES_TO_RECOVER:
+            return
+        health.state = HealthState.HEALTHY
+        health.ejection_s = EJECTION_START_S
+        health.samples = 0
+        health.failure_share = 0.0
+        self._note("recovered")
+
+    def _add_sample(self, health: _NodeHealth, failed: float) -> None:
+        health.samples += 1
+        health.failure_share += FAILURE_SMOOTHING * (failed - health.failure_share)
+
+    def _eject(self, now: float, health: _NodeHealth, reason: str) -> bool:
+        """Take a node out, unless too many are out already."""
+        others_out = sum(
+            other.state is not HealthState.HEALTHY
+            for other in self._nodes.values()
+            if other is not health
+        )
+        if others_out + 1 > self._max_ejected_share * len(self._nodes):
+            self._note("ejection-refused")
+            health.progress_s = now
+            return False
+        if health.state is not HealthState.HEALTHY:
+            health.ejection_s = min(
+                health.ejection_s * EJECTION_FACTOR, EJECTION_LIMIT_S
+            )
+        health.state = HealthState.EJECTED
+        health.until_s = now + health.ejection_s * self._rng.uniform(0.8, 1.2)
+        health.probes_passed = 0
+        self._note(reason)
+        return True
+
+    def _note(self, reason: str) -> None:
+        if self._count is not None:
+            self._count("health", reason)
--- /dev/null
+++ b/tests/core/test_balance.py
@@ -0,0 +1,115 @@
+"""Tests of papayatack.core.balance."""
+
+import collections
+import heapq
+import random
+import unittest
+
+from papayatack.core.balance import Balancer
+from papayatack.core.errors import ErrorKind
+from papayatack.core.health import HealthTracker
+
+INTERVAL_S = 0.002
+
+
+def serve(latencies_s, *, near=None, reports=None, failing=(), requests=4000):
+    """Send requests through a balancer; return how often each node was chosen.
+
+    Args:
+        latencies_s: Service time of each node.
+        near: Nodes in the caller's data centre, or all.
+        reports: Share of busy slots that nodes report, true or not.
+        failing: Nodes that fail at once.
+        requests: How many.
+    """
+    rng = random.Random(7)
+    balancer = Balancer(rng=rng)
+    health = HealthTracker(nodes=latencies_s, max_ejected_share=0.0, rng=rng)
+    near = list(latencies_s) if near is None else near
+    far = [node for node in latencies_s if node not in near]
+    chosen = collections.Counter()
+    ends = []
+    for number in range(requests):
+        now = number * INTERVAL_S
+        while ends and ends[0][0] <= now:
+            end_s, node, latency_s, error = heapq.heappop(ends)
+            balancer.finish(end_s, node, latency_s=latency_s, error=error)
+        for node, busy in (reports or {}).items():
+            balancer.report(now, node, busy=busy)
+        node = balancer.choose(now, near=near, far=far, health=health)
+        chosen[node] += 1
+        balancer.start(node)
+        error = ErrorKind.UPSTREAM_LOST if node in failing else None
+        latency_s = 0.0001 if error else latencies_s[node] * rng.uniform(0.8, 1.2)
+        heapq.heappush(ends, (now + latency_s, node, latency_s, error))
+    return chosen
+
+
+class BalancerTests(unittest.TestCase):
+    """Choices by own measurements."""
+
+    def test_equal_nodes_share_equally(self):
+        """Three equal nodes get about a third each."""
+        chosen = serve({"a": 0.02, "b": 0.02, "c": 0.02})
+        for node in "abc":
+            self.assertAlmostEqual(chosen[node] / 4000, 1 / 3, delta=0.03)
+
+    def test_slow_node_gets_less(self):
+        """A node that takes four times as long gets well below its even share."""
+        chosen = serve({"a": 0.02, "b": 0.02, "c": 0.08})
+        self.assertLess(chosen["c"], 4000 / 3 / 2)
+
+    def test_fast_failures_attract_nothing(self):
+        """A node that fails at once is quick, and still gets the least."""
+        chosen = serve({"a": 0.02, "b": 0.02, "c": 0.02}, failing=("c",))
+        self.assertLess(chosen["c"], 4000 / 3 / 2)
+
+    def test_near_nodes_first(self):
+        """Nodes of the caller's data centre get the requests while they keep up."""
+        chosen = serve({"a": 0.02, "b": 0.02, "far": 0.02}, near=["a", "b"])
+        self.assertLess(chosen["far"] / 4000, 0.05)
+
+    def test_slow_near_nodes_spill(self):
+        """When the near nodes are much slower, the distant ones help."""
+        chosen = serve({"a": 0.2, "b": 0.2, "far": 0.02}, near=["a", "b"])
+        self.assertGreater(chosen["far"] / 4000, 0.3)
+
+    def test_avoids_nodes_already_tried(self):
+        """A further attempt goes elsewhere, or back if there is no other node."""
+        balancer = Balancer(rng=random.Random(1))
+        health = HealthTracker(nodes="ab", rng=random.Random(1))
+        for _ in range(20):
+            node = balancer.choose(
+                0.0, near="ab", far=(), health=health, avoid=frozenset("a")
+            )
+            self.assertEqual(node, "b")
+        only = balancer.choose(
+            0.0, near="a", far=(), health=health, avoid=frozenset("a")
+        )
+        self.assertEqual(only, "a")
+
+    def test_no_usable_node(self):
+        """With every node out, there is no choice."""
+        balancer = Balancer(rng=random.Random(1))
+        health = HealthTracker(nodes=("a",), max_ejected_share=1.0)
+        for _ in range(5):
+            number = health.start(0.0, "a")
+            health.finish(0.0, "a", number, error=ErrorKind.UPSTREAM_LOST)
+        self.assertIsNone(balancer.choose(0.1, near="a", far=(), health=health))
+
+
+class LyingReportTests(unittest.TestCase):
+    """Load endpoints that lag or lie."""
+
+    def test_report_of_no_load_attracts_nothing(self):
+        """A slow node that reports no load gets what its own latency earns."""
+        latencies_s = {"a": 0.02, "b": 0.02, "c": 0.08}
+        honest = serve(latencies_s)
+        lying = serve(latencies_s, reports={"a": 1.0, "b": 1.0, "c": 0.0})
+        self.assertLess(lying["c"], 1.2 * honest["c"])
+
+    def test_report_of_full_load_repels_nothing(self):
+        """A node that answers well and reports full load keeps its share."""
+        latencies_s = {"a": 0.02, "b": 0.02, "c": 0.02}
+        lying = serve(latencies_s, reports={"a": 0.0, "b": 0.0, "c": 1.0})
+        self.assertGreater(lying["c"], 0.8 * 4000 / 3)
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,160 @@
+"""Tests of papayatack.core.health."""
+
+import random
+import unittest
+
+from papayatack.core.errors import ErrorKind
+from papayatack.core.health import HealthState, HealthTracker
+
+
+def build_tracker(nodes="abcd", **fields):
+    """Return a tracker with a fixed seed."""
+    return HealthTracker(nodes=nodes, rng=random.Random(1), **fields)
+
+
+def attempt(tracker, now, node, *, error=None, latency_s=0.01):
+    """Make one attempt that ends after a while."""
+    number = tracker.start(now, node)
+    tracker.finish(now + latency_s, node, number, error=error)
+
+
+def fail(tracker, now, node, times=5, error=ErrorKind.UPSTREAM_LOST):
+    """Let attempts at a node fail."""
+    for _ in range(times):
+        attempt(tracker, now, node, error=error)
+
+
+class EjectionTests(unittest.TestCase):
+    """Nodes that go out."""
+
+    def test_consecutive_failures_eject(self):
+        """Five failures in a row take a node out, four do not."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a", times=4)
+        self.assertTrue(tracker.allows(0.1, "a", repeatable=True))
+        fail(tracker, 0.1, "a", times=1)
+        self.assertFalse(tracker.allows(0.2, "a", repeatable=True))
+
+    def test_frequent_failures_eject(self):
+        """A node that fails most requests goes out though some succeed."""
+        tracker = build_tracker()
+        for number in range(40):
+            error = None if number % 4 == 0 else ErrorKind.UPSTREAM_LOST
+            attempt(tracker, number * 0.01, "a", error=error)
+        self.assertIs(tracker.read_state("a"), HealthState.EJECTED)
+
+    def test_sheds_do_not_eject(self):
+        """An upstream that sheds is loaded, not broken."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a", times=50, error=ErrorKind.UPSTREAM_SHED)
+        self.assertIs(tracker.read_state("a"), HealthState.HEALTHY)
+
+    def test_silence_ejects(self):
+        """A node that answers nothing for long is out before any timeout."""
+        tracker = build_tracker()
+        attempt(tracker, 0.0, "a")
+        tracker.start(1.0, "a")
+        self.assertEqual(tracker.next_check(), 2.0)
+        self.assertEqual(tracker.check(1.9), ())
+        self.assertEqual(tracker.check(2.0), ("a",))
+
+    def test_long_answers_are_no_silence(self):
+        """Where answers take seconds, seconds of silence mean nothing."""
+        tracker = build_tracker()
+        attempt(tracker, 0.0, "a", latency_s=2.0)
+        tracker.start(3.0, "a")
+        self.assertEqual(tracker.check(10.0), ())
+        self.assertEqual(tracker.check(11.0), ("a",))
+
+    def test_ejected_share_is_bounded(self):
+        """With all nodes failing, half of them stay in use."""
+        tracker = build_tracker()
+        for node in "abcd":
+            fail(tracker, 0.0, node, times=20)
+        states = [tracker.read_state(node) for node in "abcd"]
+        self.assertEqual(states.count(HealthState.EJECTED), 2)
+
+
+class ProbeTests(unittest.TestCase):
+    """Nodes that come back."""
+
+    def test_probes_one_at_a_time(self):
+        """A node that is out gets single requests, and is in after two answers."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a")
+        self.assertFalse(tracker.allows(0.3, "a", repeatable=True))
+        self.assertTrue(tracker.allows(1.0, "a", repeatable=True))
+        number = tracker.start(1.0, "a")
+        self.assertFalse(tracker.allows(1.0, "a", repeatable=True))
+        tracker.finish(1.01, "a", number, error=None)
+        attempt(tracker, 1.02, "a")
+        self.assertIs(tracker.read_state("a"), HealthState.HEALTHY)
+
+    def test_failed_probe_doubles_ejection(self):
+        """Each failed probe lengthens the time out, up to a limit."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a")
+        now, waits_s = 0.0, []
+        for _ in range(8):
+            until_s = tracker.next_check()
+            waits_s.append(until_s - now)
+            now = until_s
+            attempt(tracker, now, "a", error=ErrorKind.UPSTREAM_LOST, latency_s=0.0)
+        self.assertGreater(waits_s[2], 1.3 * waits_s[1])
+        self.assertLessEqual(max(waits_s), 15.0 * 1.2)
+
+    def test_silent_probe_ejects_again(self):
+        """A probe that is not answered takes the node out again."""
+        tracker = build_tracker()
+        attempt(tracker, 0.0, "a")
+        tracker.start(1.0, "a")
+        tracker.check(2.0)
+        tracker.check(3.0)
+        self.assertIs(tracker.read_state("a"), HealthState.PROBING)
+        tracker.start(3.0, "a")
+        self.assertEqual(tracker.check(4.0), ("a",))
+
+    def test_old_timeouts_do_not_spoil_probes(self):
+        """Attempts from before the ejection that time out later count no more."""
+        tracker = build_tracker()
+        attempt(tracker, 0.0, "a")
+        old = tracker.start(1.0, "a")
+        tracker.check(2.0)
+        tracker.check(3.0)
+        tracker.finish(3.1, "a", old, error=ErrorKind.UPSTREAM_TIMEOUT)
+        self.assertIs(tracker.read_state("a"), HealthState.PROBING)
+
+    def test_unrepeatable_request_is_no_probe(self):
+        """An order is not sent to a node in doubt, unless nothing else probes it."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a")
+        self.assertFalse(tracker.allows(1.0, "a", repeatable=False))
+        self.assertTrue(tracker.allows(4.0, "a", repeatable=False))
+
+
+class LyingReportTests(unittest.TestCase):
+    """Health endpoints that lag or lie."""
+
+    def test_healthy_report_does_not_bring_back(self):
+        """A frozen node that reports itself healthy stays out."""
+        tracker = build_tracker()
+        fail(tracker, 0.0, "a")
+        tracker.report(0.1, "a", healthy=True)
+        self.assertFalse(tracker.allows(0.2, "a", repeatable=True))
+
+    def test_unhealthy_report_does_not_eject(self):
+        """A node that answers stays in, whatever it reports."""
+        tracker = build_tracker()
+        for number in range(100):
+            tracker.report(number * 0.1, "a", healthy=False)
+            attempt(tracker, number * 0.1, "a")
+        self.assertTrue(tracker.allows(10.0, "a", repeatable=False))
+
+    def test_stale_report_admits_no_order(self):
+        """Only a fresh healthy report lets an order be the probe."""
+        tracker = build_tracker()
+        tracker.report(0.0, "a", healthy=True)
+        fail(tracker, 9.0, "a")
+        self.assertFalse(tracker.allows(10.0, "a", repeatable=False))
+        tracker.report(10.0, "a", healthy=True)
+        self.assertTrue(tracker.allows(10.0, "a", repeatable=False))
