--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -18,6 +18,8 @@
     DAEMON_STOPPED = 102
     SETTINGS_REJECTED = 103
     UPSTREAM_ANNOUNCED = 104
+    UPSTREAM_EJECTED = 501
+    UPSTREAM_RECOVERED = 502
 
 
 def log_event(
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -81,12 +81,14 @@
         request_class: The class in which it queues.
         cost: Work relative to a browse request.
         deadline_s: Event loop time after which it is of no use.
+        repeatable: Whether it may be run more than once.
     """
 
     partner: str
     request_class: RequestClass
     cost: float
     deadline_s: float
+    repeatable: bool = False
 
 
 class Permit(Protocol):
