--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -28,6 +28,8 @@
     CHECKPOINT_MISMATCH = 208
     BOOTSTRAP_LOADED = 209
     BOOTSTRAP_FAILED = 210
+    UPSTREAM_EJECTED = 501
+    UPSTREAM_RECOVERED = 502
 
 
 def log_event(
