--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -34,6 +34,8 @@
     INCARNATION_ENDED = 304
     DEPARTURE_STAGE = 305
     PEER_MESSAGE_REFUSED = 306
+    UPSTREAM_EJECTED = 501
+    UPSTREAM_RECOVERED = 502
 
 
 def log_event(
