Test failures of nodes, network and log on one virtual clock

Found by the tests and mended: a holder that is heard but hears nothing kept its promises for ever (a renewal now says which answer was heard last); a node whose two witnesses are lost could neither serve nor be fenced (it ends its lease itself once another witness answers, or takes a new lease); readmission to fewer witnesses was never thought better.

--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -37,6 +37,7 @@
             took away is drained.
         config_offset: All config records before it are applied.
         ownership_offset: All ownership records before it are applied.
+        heard: Newest round that this witness answered, as far as the holder heard.
     """
 
     lease: LeaseId
@@ -44,6 +45,7 @@
     floor: int
     config_offset: int
     ownership_offset: int
+    heard: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -9,10 +9,13 @@
 from papayatack.core.ownership.state import Member
 from papayatack.core.ownership.timing import (
     ADMISSION_SETTLE_S,
+    GIVE_UP_S,
     READMIT_INTERVAL_S,
     RETRY_APPEND_S,
-    WITNESS_SILENT_S,
+    SILENT_ROUNDS,
+    SILENT_ROUNDS_URGENT,
     WITNESSES_WANTED,
+    count_promises,
 )
 from papayatack.core.records import (
     Admit,
@@ -92,11 +95,8 @@
     def _list_silent(self, holder: Holder | None, now: float) -> set[IncarnationId]:
         if holder is None:
             return set()
-        return {
-            witness
-            for witness, heard_s in holder.heard_s.items()
-            if now - heard_s > WITNESS_SILENT_S
-        }
+        live = holder.is_live(now)
+        return holder.list_silent(SILENT_ROUNDS if live else SILENT_ROUNDS_URGENT)
 
     def _is_better(
         self,
@@ -111,14 +111,16 @@
 
     def _rate(
         self, witnesses: tuple[IncarnationId, ...], bad: set[IncarnationId]
-    ) -> tuple[int, int]:
+    ) -> tuple[bool, int, int]:
+        """Rate witnesses: enough of them, many, in many data centres."""
         members = [
             self._context.state.members[name]
             for name in witnesses
             if name in self._context.state.members and name not in bad
         ]
         live = [member for member in members if member.ended is None]
-        return len(live), len({member.data_centre for member in live})
+        enough = len(live) >= count_promises(len(witnesses))
+        return enough, len(live), len({member.data_centre for member in live})
 
     def _replace_old_leases(self, member: Member, now: float) -> None:
         """Move the chains that name an older lease of this process to the newest."""
@@ -142,7 +144,7 @@
             self._dead_since_s.pop(holder.lease, None)
             return
         since_s = self._dead_since_s.setdefault(holder.lease, now)
-        if now - since_s < WITNESS_SILENT_S:
+        if now - since_s < GIVE_UP_S:
             return
         holder.end()
         if not self._context.state.is_live(holder.lease):
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -100,6 +100,16 @@
         kept = {key: due for key, due in self.due_s_by_key.items() if due > now}
         self.due_s_by_key = kept
 
+    def list_claimants(self, lease: LeaseId) -> set[IncarnationId]:
+        """Return the other nodes in whose way a lease stands."""
+        claimants = {
+            other.incarnation
+            for shard in self.state.references.get(lease, ())
+            for other in self.state.shards[shard].current.leases
+        }
+        claimants.discard(lease.incarnation)
+        return claimants
+
     def find_newest_holder(self) -> Holder | None:
         """Return the holder of the newest lease of this process."""
         member = self.state.members.get(self.me)
--- a/src/papayatack/core/ownership/fencing.py
+++ b/src/papayatack/core/ownership/fencing.py
@@ -82,6 +82,8 @@
         """Take in a witness's answer; return the proof when it becomes complete."""
         lease_round = self._rounds.get(reply.lease)
         entry = self._state.leases.get(reply.lease)
+        if witness == reply.lease.incarnation:
+            return self._accept_own_word(reply, now)
         if lease_round is None or entry is None or witness not in entry.witnesses:
             return None
         if not reply.fenced:
@@ -106,6 +108,20 @@
         self._lapses.pop(reply.lease, None)
         return end
 
+    def _accept_own_word(self, reply: FenceReply, now: float) -> LeaseEnd | None:
+        """Take in that a holder has ended its lease itself, for good."""
+        if not reply.fenced or reply.lease in self._ends:
+            return None
+        if reply.lease not in self._state.leases:
+            return None
+        end = LeaseEnd(
+            floor=reply.floor, confirmed_floor=0, ready_s=now, drained=reply.drained
+        )
+        self._ends[reply.lease] = end
+        self._rounds.pop(reply.lease, None)
+        self._lapses.pop(reply.lease, None)
+        return end
+
     def list_due(self, now: float) -> list[tuple[LeaseId, tuple[IncarnationId, ...]]]:
         """Return the leases to be fenced now, with the witnesses to be asked."""
         due = []
--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -269,6 +269,8 @@
 def _retire(record: Retire, state: OwnershipState, offset: int) -> Change:
     if not _is_present(state, record.incarnation):
         return _void("unknown incarnation")
+    if record.writer != record.incarnation:
+        return _void("not the writer")
     ended = _end_member(state, record.incarnation, EndKind.RETIRED, offset)
     return Change(effective=True, leases=ended, members=(record.incarnation,))
 
--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -8,6 +8,7 @@
     CLOCK_RATE_BOUND,
     CONFIG_GRACE_S,
     LEASE_DURATION_S,
+    SILENT_ROUNDS_END,
     count_fences,
     count_promises,
 )
@@ -41,7 +42,6 @@
         confirmed_floor: Floor that enough witnesses keep: who fences the lease from
             now on learns of at least this floor.
         ended: The lease has ended for good.
-        heard_s: When each witness last answered.
         fenced_by: Witnesses that have fenced the lease.
         last_sent_s: When the last renewal was made.
         sent_floor: Floor of the last renewal.
@@ -56,7 +56,6 @@
         self.view_end_s = now if witnesses else float("inf")
         self.confirmed_floor = 0
         self.ended = False
-        self.heard_s = dict.fromkeys(witnesses, now)
         self.fenced_by: set[IncarnationId] = set()
         self.last_sent_s = float("-inf")
         self.sent_floor = 0
@@ -65,6 +64,7 @@
         self._rounds: dict[int, _Round] = {}
         self._promised_s: dict[IncarnationId, float] = {}
         self._floors: dict[IncarnationId, int] = {}
+        self._heard = dict.fromkeys(witnesses, 0)
         self._behind_since_s: dict[IncarnationId, float] = {}
 
     def is_live(self, now: float) -> bool:
@@ -79,7 +79,7 @@
     def renew(
         self, *, now: float, floor: int, config_offset: int, ownership_offset: int
     ) -> Renew:
-        """Return the next renewal, to be sent to every witness."""
+        """Return the next renewal, for :meth:`address` to every witness."""
         self._round += 1
         self.last_sent_s = now
         self.sent_floor = floor
@@ -95,6 +95,30 @@
             ownership_offset=ownership_offset,
         )
 
+    def address(self, renewal: Renew, witness: IncarnationId) -> Renew:
+        """Return a renewal as it goes to one witness."""
+        return dataclasses.replace(renewal, heard=self._heard[witness])
+
+    def list_silent(self, rounds: int) -> set[IncarnationId]:
+        """Return the witnesses that answered none of so many renewals."""
+        return {
+            witness
+            for witness, heard in self._heard.items()
+            if self._round - heard >= rounds
+        }
+
+    def is_stranded(self, now: float) -> bool:
+        """Tell whether the lease can neither be renewed nor be fenced.
+
+        So it is if too many witnesses are silent while another answers: then they are
+        lost, and not this node.
+        """
+        if self.ended or not self.witnesses or self.is_live(now):
+            return False
+        silent = len(self.list_silent(SILENT_ROUNDS_END))
+        answering = len(self.witnesses) - silent
+        return 0 < answering < count_promises(len(self.witnesses))
+
     def accept(
         self,
         witness: IncarnationId,
@@ -105,9 +129,9 @@
     ) -> bool:
         """Take in a witness's answer; return whether it counts as a promise."""
         sent = self._rounds.get(reply.round)
-        if witness not in self.heard_s or self.ended:
+        if witness not in self._heard or self.ended:
             return False
-        self.heard_s[witness] = now
+        self._heard[witness] = max(self._heard[witness], reply.round)
         if reply.fenced:
             self.accept_fence(witness)
             return False
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -94,6 +94,7 @@
         self._admission = Admission(context=self.context, announcement=announcement)
         self._reporting = Reporting(context=self.context)
         self._finished = False
+        self._stranded: set[LeaseId] = set()
         self.config_position = 0
         self.caught_up = False
         for lease in state.leases:
@@ -143,6 +144,7 @@
         """Do what has become due."""
         if not self._finished:
             self._renew_due(now)
+            self._end_stranded(now)
             if self.caught_up:
                 self._admission.advance(now)
             self._reporting.advance(now)
@@ -251,6 +253,35 @@
             if raised or now - holder.last_sent_s >= RENEW_INTERVAL_S:
                 self._renew(holder, floor, now)
 
+    def _end_stranded(self, now: float) -> None:
+        """End leases that others could not end, and tell those who come next.
+
+        The claimants are told again until the log knows, or the chains have changed.
+        """
+        for holder in self.context.holders.values():
+            if holder.is_stranded(now):
+                holder.end()
+                self._stranded.add(holder.lease)
+                self._note_own_end(holder)
+        for lease in list(self._stranded):
+            if not self.context.state.is_live(lease):
+                self._stranded.discard(lease)
+            elif self.context.is_due(f"stranded {lease}", now, QUERY_INTERVAL_S):
+                self._tell_end(lease)
+
+    def _tell_end(self, lease: LeaseId) -> None:
+        shards = self.context.state.references.get(lease, ())
+        busy = any(shard in self.context.rights.in_flight for shard in shards)
+        message = FenceReply(
+            lease=lease,
+            fenced=True,
+            floor=self.context.state.position,
+            remaining_us=0,
+            drained=not busy,
+        )
+        for claimant in sorted(self.context.list_claimants(lease)):
+            self.context.send(claimant, message)
+
     def _wants_floor(self) -> bool:
         """Tell whether another lease waits for a higher floor here."""
         return self.claims.has_queries or self.claims.is_blocked
@@ -263,7 +294,7 @@
             ownership_offset=self.context.state.position,
         )
         for witness in holder.witnesses:
-            self.context.send(witness, message)
+            self.context.send(witness, holder.address(message, witness))
 
     def _settle(self, now: float) -> list[Effect]:
         for lease in self.context.witnessing.list_lapsed(now):
@@ -317,17 +348,11 @@
 
     def _tell_claimants(self, lease: LeaseId, now: float) -> None:
         """Tell those who would serve next, or else the witnesses, to fence a lease."""
-        state = self.context.state
-        claimants = {
-            other.incarnation
-            for shard in state.references.get(lease, ())
-            for other in state.shards[shard].current.leases
-        }
-        claimants.discard(lease.incarnation)
+        claimants = self.context.list_claimants(lease)
         if not claimants:
             if self.context.witnessing.count_notices(lease) < NOTICES_BEFORE_FENCE:
                 return
-            claimants.update(state.leases[lease].witnesses)
+            claimants.update(self.context.state.leases[lease].witnesses)
         for claimant in sorted(claimants):
             self._deliver(claimant, LeaseLapsed(lease=lease), now)
 
--- a/src/papayatack/core/ownership/reporting.py
+++ b/src/papayatack/core/ownership/reporting.py
@@ -30,13 +30,7 @@
 
     def _find_rank(self, lease: LeaseId) -> int:
         """Return how many other claimants of the lease come before this node."""
-        state = self._context.state
-        claimants = {
-            other.incarnation
-            for shard in state.references.get(lease, ())
-            for other in state.shards[shard].current.leases
-            if other != lease
-        }
+        claimants = self._context.list_claimants(lease)
         own = rank_member(str(lease), self._context.me)
         return sum(1 for name in claimants if rank_member(str(lease), name) < own)
 
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -5,7 +5,11 @@
 from papayatack.core.identity import IncarnationId, LeaseId
 from papayatack.core.messages import Fence, FenceReply, Renew
 from papayatack.core.ownership.state import OwnershipState
-from papayatack.core.ownership.timing import LAPSE_REPEAT_S, LEASE_DURATION_S
+from papayatack.core.ownership.timing import (
+    LAPSE_REPEAT_S,
+    LEASE_DURATION_S,
+    MAX_UNHEARD_ROUNDS,
+)
 from papayatack.core.ownership.witness import (
     Promise,
     fence_promise,
@@ -71,6 +75,8 @@
         promise = self._promises.get(message.lease)
         if promise is None:
             return 0, self._has_been_dropped(message.lease)
+        if message.round - message.heard > MAX_UNHEARD_ROUNDS:
+            return 0, promise.fenced
         promise = renew_promise(
             promise, now=now, duration_s=LEASE_DURATION_S, floor=message.floor
         )
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -6,7 +6,7 @@
 /* Control: see papayatack/core/messages.py. */
 struct Renew {
   1: LeaseId lease, 2: i64 round, 3: i64 floor,
-  4: i64 config_offset, 5: i64 ownership_offset
+  4: i64 config_offset, 5: i64 ownership_offset, 6: i64 heard
 }
 struct RenewReply {
   1: LeaseId lease, 2: i64 round, 3: i64 promised_us, 4: bool fenced,
--- /dev/null
+++ b/tests/core/ownership/test_failures.py
@@ -0,0 +1,376 @@
+"""Failures of nodes, network and log, one at a time and together.
+
+The driver checks after every event that nothing is owned twice and that no activated
+assignment is lost; see :mod:`tests.fakes.fleet`.
+"""
+
+import unittest
+
+from papayatack.core.records import DeclareLost
+from tests.fakes.fleet import Fleet
+
+TARGET_S = 2.0
+PLACES = {"a": "1", "b": "2", "c": "3", "d": "1", "e": "2", "f": "3"}
+SETTLED_S = 12.0
+
+
+def make_fleet(*, places=None, **options):
+    """Return a fleet that serves all its shards, with all leases settled."""
+    fleet = Fleet(**options)
+    for number, (name, data_centre) in enumerate((places or PLACES).items()):
+        fleet.add(name, data_centre, rate=1 + 0.01 * (-1) ** number)
+    fleet.run_until(fleet.all_served, 20)
+    fleet.run(SETTLED_S)
+    fleet.forget_gaps()
+    return fleet
+
+
+class LossTests(unittest.TestCase):
+    """Nodes end without a word."""
+
+    def test_kill_with_log_up(self):
+        """Any one node is taken over within the target."""
+        for name in PLACES:
+            with self.subTest(name=name):
+                fleet = make_fleet()
+                fleet.kill(name)
+                fleet.run(10)
+                self.assertLess(fleet.read_longest_gap(), TARGET_S)
+                fleet.check_agreement()
+
+    def test_kill_with_log_down(self):
+        """The same without the log, as the succession was agreed beforehand."""
+        for name in PLACES:
+            with self.subTest(name=name):
+                fleet = make_fleet()
+                fleet.log_up = False
+                fleet.run(5)
+                fleet.kill(name)
+                fleet.run(10)
+                self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_kill_without_checked_grants(self):
+        """An upstream that does not check grants is waited out as well."""
+        fleet = make_fleet(checks_grants=False, longest_s=0.8)
+        fleet.kill("a")
+        fleet.run(10)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S + 0.8)
+
+    def test_witness_and_owner_lost_together(self):
+        """An owner and any one of its witnesses may be lost at once.
+
+        The two may witness a third node: its keys need the log for a new lease.
+        """
+        for number in range(3):
+            for log_up in (True, False):
+                with self.subTest(number=number, log_up=log_up):
+                    fleet = make_fleet()
+                    owner = fleet.slots["a"].core
+                    holder = owner.context.find_newest_holder()
+                    witness = holder.witnesses[number].split("#")[0]
+                    if not log_up:
+                        fleet.shards = fleet.list_owned("a")
+                    fleet.log_up = log_up
+                    fleet.forget_gaps()
+                    fleet.kill("a")
+                    fleet.kill(witness)
+                    fleet.run(10)
+                    self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_data_centre_lost(self):
+        """All nodes of one data centre may be lost at once."""
+        for data_centre in "123":
+            for log_up in (True, False):
+                with self.subTest(data_centre=data_centre, log_up=log_up):
+                    fleet = make_fleet()
+                    fleet.log_up = log_up
+                    for name, place in PLACES.items():
+                        if place == data_centre:
+                            fleet.kill(name)
+                    fleet.run(10)
+                    self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_loss_beyond_tolerance_waits_for_a_declaration(self):
+        """Owner and two witnesses lost: unavailable, until declared lost."""
+        fleet = make_fleet()
+        holder = fleet.slots["a"].core.context.find_newest_holder()
+        lost = [name.split("#")[0] for name in holder.witnesses[:2]]
+        for name in ("a", *lost):
+            fleet.kill(name)
+        fleet.run(30)
+        self.assertFalse(fleet.all_served())
+        incarnations = tuple(f"{name}#1" for name in ("a", *lost))
+        record = DeclareLost(record_id="d", writer="op", incarnations=incarnations)
+        fleet.append(record)
+        fleet.run_until(fleet.all_served, 10)
+
+
+class PauseTests(unittest.TestCase):
+    """Nodes freeze and come back as if nothing had happened."""
+
+    def test_freeze_for_a_minute(self):
+        """The keys are served elsewhere, and the node comes back as a spare."""
+        for log_up in (True, False):
+            with self.subTest(log_up=log_up):
+                fleet = make_fleet()
+                fleet.log_up = log_up
+                fleet.freeze("a")
+                fleet.run(60)
+                fleet.thaw("a")
+                fleet.run(10)
+                self.assertLess(fleet.read_longest_gap(), TARGET_S)
+                fleet.log_up = True
+                fleet.run(20)
+                fleet.check_agreement()
+                self.assertIsNotNone(fleet.slots["a"].core)
+
+    def test_short_freezes(self):
+        """Pauses round the lease's length never lead to two owners."""
+        fleet = make_fleet()
+        for number in range(12):
+            fleet.freeze("b")
+            fleet.run(0.8 + number * 0.05)
+            fleet.thaw("b")
+            fleet.run(3)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_all_freeze(self):
+        """A pause of all nodes ends with all keys served again."""
+        fleet = make_fleet()
+        for name in PLACES:
+            fleet.freeze(name)
+        fleet.run(60)
+        for name in PLACES:
+            fleet.thaw(name)
+        fleet.run_until(fleet.all_served, 20)
+
+
+class PartitionTests(unittest.TestCase):
+    """Nodes cannot reach one another, or the log."""
+
+    def test_isolated_from_all(self):
+        """A node that reaches nobody stops in time and is taken over."""
+        fleet = make_fleet()
+        fleet.isolate("a")
+        fleet.log_cut.add("a")
+        fleet.run(30)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+        fleet.heal()
+        fleet.run(20)
+        fleet.check_agreement()
+
+    def test_isolated_from_log(self):
+        """A node that reaches all but the log goes on serving."""
+        fleet = make_fleet()
+        fleet.log_cut.add("a")
+        fleet.run(60)
+        self.assertLess(fleet.read_longest_gap(), 0.1)
+
+    def test_isolated_from_witnesses(self):
+        """A node cut off from its witnesses alone is taken over."""
+        fleet = make_fleet()
+        holder = fleet.slots["a"].core.context.find_newest_holder()
+        fleet.isolate("a", others=[name.split("#")[0] for name in holder.witnesses])
+        fleet.run(30)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_one_way_partition(self):
+        """A node that hears but is not heard, or the reverse, is taken over."""
+        for outward in (True, False):
+            with self.subTest(outward=outward):
+                fleet = make_fleet()
+                if outward:
+                    fleet.isolate("c", one_way=True)
+                else:
+                    for other in PLACES:
+                        fleet.isolate(other, others=["c"], one_way=True)
+                fleet.run(20)
+                self.assertLess(fleet.read_longest_gap(), TARGET_S)
+                fleet.heal()
+                fleet.run(20)
+                self.assertTrue(fleet.all_served())
+
+    def test_data_centre_cut_off(self):
+        """A data centre without links stops; the others serve its keys."""
+        fleet = make_fleet()
+        inside = [name for name, place in PLACES.items() if place == "1"]
+        outside = [name for name in PLACES if name not in inside]
+        for name in inside:
+            fleet.isolate(name, others=outside)
+            fleet.log_cut.add(name)
+        fleet.run(30)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+        fleet.heal()
+        fleet.run(20)
+        fleet.check_agreement()
+
+
+class LogTests(unittest.TestCase):
+    """The log fails in its ways."""
+
+    def test_log_away_for_an_hour(self):
+        """Nothing stops, and losses meanwhile are taken over."""
+        fleet = make_fleet(places=dict(zip("abcd", "1231", strict=True)), shards=3)
+        fleet.has_requests = False
+        fleet.tick_s = 0.125
+        fleet.log_up = False
+        fleet.run(1800)
+        fleet.kill("b")
+        fleet.run(1800)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+        fleet.log_up = True
+        fleet.run(20)
+        fleet.check_agreement()
+
+    def test_slow_log(self):
+        """Seconds per append delay moves, not takeovers."""
+        fleet = make_fleet()
+        fleet.log_delay_s = 4.0
+        fleet.kill("a")
+        fleet.run(40)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+        fleet.log_delay_s = 0.004
+        fleet.run(20)
+        fleet.check_agreement()
+
+    def test_appends_without_answer(self):
+        """Records that took effect unseen, or twice, change nothing."""
+        fleet = make_fleet()
+        for record in list(fleet.log):
+            fleet.append(record)
+        fleet.run(10)
+        self.assertLess(fleet.read_longest_gap(), 0.1)
+        fleet.check_agreement()
+
+    def test_two_planners(self):
+        """Plans of all nodes at once: the fold voids all but one."""
+        fleet = make_fleet()
+        fleet.planners_everywhere = True
+        fleet.kill("a")
+        fleet.run(20)
+        self.assertLess(fleet.read_longest_gap(), TARGET_S)
+        fleet.check_agreement()
+
+    def test_late_announcement_of_a_dead_process(self):
+        """An old announcement that arrives late does not end its successor."""
+        fleet = make_fleet()
+        old = next(record for record in fleet.log if record.writer == "a")
+        late = type(old)(
+            **{
+                **{name: getattr(old, name) for name in type(old).__slots__},
+                "record_id": "late",
+                "incarnation": "a#0",
+            }
+        )
+        fleet.append(late)
+        fleet.run(5)
+        self.assertLess(fleet.read_longest_gap(), 0.1)
+        self.assertIsNotNone(fleet.slots["a"].core)
+
+
+class RestartTests(unittest.TestCase):
+    """Nodes are restarted and replaced."""
+
+    def test_full_restart_at_once(self):
+        """All nodes start anew with nothing but the log."""
+        fleet = make_fleet()
+        for name in PLACES:
+            fleet.kill(name)
+        fleet.run(1)
+        for name in PLACES:
+            fleet.start(name)
+        fleet.run_until(fleet.all_served, 15)
+        fleet.run(5)
+        fleet.check_agreement()
+
+    def test_restart_in_place(self):
+        """A process that is back at once under a new incarnation takes nothing on."""
+        for pause_s in (0.0, 0.3, 2.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = make_fleet(checks_grants=False)
+                fleet.kill("a")
+                fleet.run(pause_s)
+                fleet.start("a")
+                fleet.run(15)
+                self.assertLess(fleet.read_longest_gap(), TARGET_S + 0.3)
+                fleet.check_agreement()
+
+    def test_rolling_restart(self):
+        """Every node leaves and comes back; the keys are always served."""
+        for log_up in (True, False):
+            with self.subTest(log_up=log_up):
+                fleet = make_fleet()
+                for name in PLACES:
+                    fleet.log_up = log_up
+                    fleet.leave(name)
+                    slot = fleet.slots[name]
+                    fleet.run_until(lambda: slot.core is None, 30)  # noqa: B023
+                    self.assertTrue(slot.finished[-1][1])
+                    fleet.log_up = True
+                    fleet.start(name)
+                    fleet.run(SETTLED_S)
+                self.assertLess(fleet.read_longest_gap(), 0.5)
+                fleet.check_agreement()
+
+    def test_departure_waits_for_requests(self):
+        """A planned stop ends no request in flight, and overlaps with none."""
+        for log_up in (True, False):
+            with self.subTest(log_up=log_up):
+                fleet = make_fleet(checks_grants=False, longest_s=3.0)
+                fleet.log_up = log_up
+                fleet.leave("a")
+                slot = fleet.slots["a"]
+                fleet.run_until(lambda: slot.core is None, 30)  # noqa: B023
+                self.assertFalse(+slot.upstream.running)
+                fleet.run(10)
+                self.assertTrue(fleet.all_served())
+
+    def test_declared_process_is_told(self):
+        """A process that the log ended while it ran stops and says so."""
+        fleet = make_fleet()
+        fleet.append(DeclareLost(record_id="d", writer="op", incarnations=("a#1",)))
+        fleet.run(10)
+        self.assertEqual(fleet.slots["a"].finished[-1][1], False)
+        self.assertTrue(fleet.all_served())
+
+
+class SmallFleetTests(unittest.TestCase):
+    """Fewer nodes than witnesses wanted."""
+
+    def test_lone_node(self):
+        """A single node serves without witnesses, and again after a restart."""
+        fleet = make_fleet(places={"a": "1"})
+        fleet.kill("a")
+        fleet.start("a")
+        fleet.run_until(fleet.all_served, 10)
+
+    def test_three_nodes_tolerate_one_loss(self):
+        """With two witnesses, either one keeps the lease; both end it."""
+        for log_up in (True, False):
+            for name in "abc":
+                with self.subTest(name=name, log_up=log_up):
+                    fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"})
+                    fleet.log_up = log_up
+                    fleet.kill(name)
+                    fleet.run(10)
+                    self.assertLess(fleet.read_longest_gap(), TARGET_S)
+
+    def test_two_nodes_wait_for_a_declaration(self):
+        """Of two nodes, the one that is left serves once the other is declared lost."""
+        fleet = make_fleet(places={"a": "1", "b": "2"})
+        fleet.kill("a")
+        fleet.run(10)
+        self.assertFalse(fleet.all_served())
+        fleet.append(DeclareLost(record_id="d", writer="op", incarnations=("a#1",)))
+        fleet.run_until(fleet.all_served, 15)
+
+    def test_fleet_that_grows(self):
+        """Nodes that join give earlier ones more witnesses, without interruption."""
+        fleet = make_fleet(places={"a": "1"})
+        for name, place in list(PLACES.items())[1:]:
+            fleet.add(name, place)
+            fleet.run(8)
+        self.assertLess(fleet.read_longest_gap(), 0.5)
+        for slot in fleet.slots.values():
+            holder = slot.core.context.find_newest_holder()
+            self.assertEqual(len(holder.witnesses), 3)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -1,17 +1,22 @@
 """Drives several node cores through faults on one virtual clock.
 
-After every event it checks that no two nodes may serve a shard, and that no two
-upstreams hold a live grant for one.
+After every event it checks that no two nodes may serve a shard, that no two upstreams
+hold a live grant for one, that no two that do not check grants run requests for one,
+and that nobody serves under a chain older than one that the log has activated.
 """
 
+import collections
 import dataclasses
 import functools
 import heapq
 import itertools
 import random
 
+from returns.pipeline import is_successful
+
 from papayatack.core.inventory import Service
 from papayatack.core.messages import LogBatch
+from papayatack.core.ownership import dump_state, fold
 from papayatack.core.ownership.effects import (
     AppendRecord,
     ExtendLease,
@@ -29,6 +34,7 @@
 from tests.fakes.planner import plan_first_chains, plan_repairs
 
 TICK_S = 0.05
+REQUEST_EVERY_S = 0.03
 PLAN_EVERY_S = 1.0
 LOG_WAIT_S = 0.02
 
@@ -39,6 +45,9 @@
 
     grants: dict = dataclasses.field(default_factory=dict)
     tokens: dict = dataclasses.field(default_factory=dict)
+    running: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def grant(self, lease, tokens, expiry):
         """Accept a grant whose token did not go back."""
@@ -88,7 +97,14 @@
     """Slots, a log and a network, all in one event queue."""
 
     def __init__(
-        self, *, seed=1, shards=6, latency_s=0.002, service="s", checks_grants=True
+        self,
+        *,
+        seed=1,
+        shards=6,
+        latency_s=0.002,
+        service="s",
+        checks_grants=True,
+        longest_s=0.3,
     ):
         self.now = 0.0
         self.random = random.Random(seed)
@@ -105,8 +121,19 @@
         self.latency_s = latency_s
         self.service = service
         self.services = {
-            service: Service(name=service, prefix="/", checks_grants=checks_grants)
+            service: Service(
+                name=service,
+                prefix="/",
+                checks_grants=checks_grants,
+                deadline_s=longest_s,
+            )
         }
+        self.longest_s = longest_s
+        self.checks_grants = checks_grants
+        self.truth = OwnershipState()
+        self.activated = {}
+        self.has_requests = True
+        self.tick_s = TICK_S
         self.find_service = self.services.get
         self.shards = [f"{service}/all/{number}" for number in range(shards)]
         self.messages = 0
@@ -155,6 +182,7 @@
         )
         slot.tail_due = False
         self._at(0.0, functools.partial(self._tick, slot, slot.core))
+        self._at(0.0, functools.partial(self._request, slot, slot.core))
 
     def kill(self, name):
         """End a process at once; its upstream goes on."""
@@ -223,6 +251,10 @@
                 owners.append(slot.name)
         return owners
 
+    def list_owned(self, name):
+        """Return the shards that a place may serve now."""
+        return [shard for shard in self.shards if name in self.list_owners(shard)]
+
     def all_served(self):
         """Tell whether every shard has an owner that is not frozen."""
         return all(
@@ -247,13 +279,40 @@
                 raise AssertionError(
                     f"{shard} at {self.now:.3f}: owners {owners}, grants {granted}"
                 )
+            self._check_epoch(shard, owners)
+            if not self.checks_grants:
+                self._check_running(shard)
             if any(not self.slots[name].frozen for name in owners):
                 gap = self.now - self.served_s[shard]
                 self.gaps[shard] = max(self.gaps[shard], gap)
                 self.served_s[shard] = self.now
 
+    def _check_epoch(self, shard, owners):
+        for name in owners:
+            epoch = self.slots[name].core.context.rights.rights[shard].epoch
+            if epoch < self.activated.get(shard, 0):
+                raise AssertionError(f"{shard} served by {name} under epoch {epoch}")
+
+    def _check_running(self, shard):
+        running = [
+            slot.name
+            for slot in self.slots.values()
+            if slot.upstream.running[shard] > 0
+        ]
+        if len(running) > 1:
+            raise AssertionError(f"{shard} at {self.now:.3f}: runs at {running}")
+
+    def check_agreement(self):
+        """Raise if a node that reads the log has not come to the log's own state."""
+        expected = dump_state(self.truth)
+        for slot in self.slots.values():
+            if slot.core is not None and dump_state(slot.core.state) != expected:
+                raise AssertionError(f"{slot.name} folded another state")
+
     def forget_gaps(self):
         """Measure unavailable time from now on."""
+        self.served_s.clear()
+        self.gaps.clear()
         for shard in self.shards:
             self.served_s[shard] = self.now
             self.gaps[shard] = 0.0
@@ -280,7 +339,34 @@
         if not slot.tail_due:
             slot.tail_due = True
             self._at(self._log_delay(), functools.partial(self._tail, slot, core))
-        self._at(TICK_S, functools.partial(self._tick, slot, core))
+        self._at(self.tick_s, functools.partial(self._tick, slot, core))
+
+    def _request(self, slot, core):
+        """Send a request now and then; the upstream ends it, whatever happens."""
+        if slot.core is not core or not self.has_requests:
+            return
+        if slot.frozen:
+            slot.backlog.append(functools.partial(self._request, slot, core))
+            return
+        shard = self.random.choice(self.shards)
+        if is_successful(core.authorize(shard, slot.read_clock(self.now))):
+            slot.upstream.running[shard] += 1
+            duration_s = self.random.random() * self.longest_s
+            self._at(duration_s, functools.partial(self._end, slot, shard))
+            self._at(duration_s, functools.partial(self._finish, slot, core, shard))
+        self._at(REQUEST_EVERY_S, functools.partial(self._request, slot, core))
+
+    def _end(self, slot, shard):
+        slot.upstream.running[shard] -= 1
+
+    def _finish(self, slot, core, shard):
+        if slot.core is not core:
+            return
+        if slot.frozen:
+            slot.backlog.append(functools.partial(self._finish, slot, core, shard))
+            return
+        effects = core.finish(shard, now=slot.read_clock(self.now))
+        self._carry_out(slot, core, effects)
 
     def _log_delay(self):
         return self.log_delay_s * (0.5 + self.random.random())
@@ -326,7 +412,7 @@
 
     def append(self, record):
         """Append a record from outside."""
-        self.log.append(record)
+        self._store(record)
 
     def _append(self, slot, record):
         if self._can_log(slot):
@@ -334,9 +420,17 @@
 
     def _store(self, record):
         if self.log_up:
+            self._fold_truth(record)
             self.log.append(record)
             self._wake_tails()
 
+    def _fold_truth(self, record):
+        change = fold(self.truth, len(self.log), record)
+        for shard in change.shards:
+            entry = self.truth.shards.get(shard)
+            if entry is not None and entry.active:
+                self.activated[shard] = entry.current.epoch
+
     def _wake_tails(self):
         for slot in self.slots.values():
             if slot.core is not None and not slot.tail_due:
