Test random schedules of faults and the fold against a naive version

Cause: chosen failures leave out what nobody thought of. Change: hypothesis draws schedules of kills, freezes, cuts, log outages, delays, moves and hot keys; the fold is compared with a replay of the whole log.

--- /dev/null
+++ b/tests/core/ownership/naive.py
@@ -0,0 +1,192 @@
+"""A naive owner of shards: one map, one lock, perfect knowledge.
+
+It folds the same records as :mod:`papayatack.core.ownership.fold` by replaying the
+whole log on every question, with plain dictionaries and no memory between calls.
+"""
+
+import threading
+
+from papayatack.core import records
+
+
+class NaiveFleet:
+    """What the log means, told the long way."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._log = []
+
+    def append(self, record):
+        """Append a record, or ``None`` for one that does not decode."""
+        with self._lock:
+            self._log.append(record)
+
+    def replay(self):
+        """Return the whole meaning of the log."""
+        with self._lock:
+            world = {"nodes": {}, "at": {}, "leases": {}, "shards": {}, "effective": []}
+            seen = set()
+            for offset, record in enumerate(self._log):
+                effective = (
+                    record is not None
+                    and record.record_id not in seen
+                    and self._apply(world, offset, record)
+                )
+                if effective:
+                    seen.add(record.record_id)
+                world["effective"].append(bool(effective))
+            return world
+
+    def _apply(self, world, offset, record):
+        if isinstance(record, records.Announce):
+            return self._announce(world, record)
+        if isinstance(record, records.Admit):
+            return self._admit(world, record)
+        if isinstance(record, records.Assign):
+            outcomes = []
+            done = set()
+            for entry in record.assignments:
+                if entry.shard in done:
+                    continue
+                outcomes.append(self._assign(world, offset, entry))
+                if outcomes[-1]:
+                    done.add(entry.shard)
+            return any(outcomes)
+        if isinstance(record, records.Activate):
+            activated = [self._activate(world, e) for e in record.activations]
+            return any(activated)
+        if isinstance(record, records.Retire):
+            own = record.writer == record.incarnation
+            return own and self._end(world, record.incarnation)
+        if isinstance(record, records.Fenced):
+            lease = world["leases"].get(record.lease)
+            if lease is None or lease["ended"] or not 0 <= record.floor <= offset:
+                return False
+            lease["ended"] = True
+            return True
+        if isinstance(record, records.DeclareLost):
+            ended = [self._end(world, name) for name in record.incarnations]
+            return any(ended)
+        return isinstance(record, records.CheckpointChunk)
+
+    def _announce(self, world, record):
+        current = world["at"].get(record.address)
+        holder = world["nodes"].get(current)
+        named = record.supersedes or None
+        if record.incarnation in world["nodes"] or named != current:
+            return False
+        if holder is not None:
+            self._end(world, current)
+        world["nodes"][record.incarnation] = {
+            "live": True,
+            "term": 0,
+            "address": record.address,
+        }
+        world["at"][record.address] = record.incarnation
+        self._forget(world)
+        return True
+
+    def _forget(self, world):
+        """Forget what has ended and is named by no chain."""
+        named = {
+            lease
+            for chains in world["shards"].values()
+            for chain in chains["chains"]
+            for lease in chain["leases"]
+        }
+        for lease in list(world["leases"]):
+            node = world["nodes"][lease.incarnation]
+            old = lease.term < node["term"] or not node["live"]
+            if old and lease not in named:
+                del world["leases"][lease]
+        for name, node in list(world["nodes"].items()):
+            if not node["live"] and not any(
+                lease.incarnation == name for lease in world["leases"]
+            ):
+                del world["nodes"][name]
+                if world["at"].get(node["address"]) == name:
+                    del world["at"][node["address"]]
+
+    def _admit(self, world, record):
+        node = world["nodes"].get(record.lease.incarnation)
+        if node is None or not node["live"]:
+            return False
+        if record.lease.term != node["term"] + 1:
+            return False
+        names = list(record.witnesses)
+        if len(names) > 7 or len(names) != len(set(names)):
+            return False
+        for name in names:
+            witness = world["nodes"].get(name)
+            if name == record.lease.incarnation or not witness or not witness["live"]:
+                return False
+        node["term"] += 1
+        world["leases"][record.lease] = {"ended": False, "witnesses": tuple(names)}
+        return True
+
+    def _end(self, world, name):
+        node = world["nodes"].get(name)
+        if node is None or not node["live"]:
+            return False
+        node["live"] = False
+        for lease, entry in world["leases"].items():
+            if lease.incarnation == name:
+                entry["ended"] = True
+        return True
+
+    def _assign(self, world, offset, entry):
+        shard = world["shards"].get(entry.shard)
+        epoch = shard["chains"][-1]["epoch"] if shard else 0
+        chain = tuple(entry.chain)
+        if epoch != entry.base_epoch or len(chain) > 8 or len(chain) != len(set(chain)):
+            return False
+        if entry.parent:
+            return self._split_or_return(world, offset, entry, shard)
+        if not chain and shard is None:
+            return False
+        for lease in chain:
+            known = world["leases"].get(lease)
+            if known is None or known["ended"]:
+                return False
+        new = {"epoch": epoch + 1, "leases": chain, "since": offset + 1}
+        if shard is None:
+            world["shards"][entry.shard] = {"chains": [new], "active": False}
+        else:
+            shard["chains"].append(new)
+            shard["active"] = False
+        return True
+
+    def _split_or_return(self, world, offset, entry, shard):
+        parent = world["shards"].get(entry.parent)
+        if parent is None or not parent["active"] or len(parent["chains"]) != 1:
+            return False
+        top = parent["chains"][-1]
+        if top["epoch"] != entry.parent_epoch:
+            return False
+        if entry.chain:
+            if shard is not None or tuple(entry.chain) != top["leases"]:
+                return False
+            chain = {
+                "epoch": offset + 1,
+                "leases": top["leases"],
+                "since": offset + 1,
+            }
+            world["shards"][entry.shard] = {"chains": [chain], "active": True}
+            return True
+        if shard is None or not shard["active"]:
+            return False
+        if shard["chains"][-1]["leases"] != top["leases"]:
+            return False
+        del world["shards"][entry.shard]
+        return True
+
+    def _activate(self, world, entry):
+        shard = world["shards"].get(entry.shard)
+        if shard is None or shard["active"]:
+            return False
+        top = shard["chains"][-1]
+        if top["epoch"] != entry.epoch or entry.owner not in top["leases"]:
+            return False
+        shard["chains"] = [top]
+        shard["active"] = True
+        return True
--- /dev/null
+++ b/tests/core/ownership/test_fold.py
@@ -0,0 +1,258 @@
+"""Tests of papayatack.core.ownership.fold, against a naive version."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.ownership import OwnershipState, dump_state, fold, load_state
+from papayatack.core.ownership.fold import RECENT_IDS
+from papayatack.core.records import (
+    Activate,
+    Activation,
+    Admit,
+    Announce,
+    Assign,
+    Assignment,
+    CheckpointChunk,
+    DeclareLost,
+    Fenced,
+    Retire,
+)
+from tests.core.ownership.naive import NaiveFleet
+
+NAMES = ["a#1", "b#1", "c#1", "a#2"]
+SHARDS = ["s/r/0", "s/r/1", "s/r/=k"]
+
+
+def make_announce(name, *, record_id="i", supersedes="", writer=""):
+    """Return the announcement of a process."""
+    return Announce(
+        record_id=record_id,
+        writer=writer or name,
+        incarnation=name,
+        address=name[0],
+        operator_address="",
+        data_centre=name[0],
+        region="r",
+        service="s",
+        upstream="u",
+        slots=1,
+        connections=1,
+        supersedes=supersedes,
+    )
+
+
+_names = st.sampled_from(NAMES)
+_leases = st.builds(LeaseId, _names, st.integers(1, 2))
+_chains = st.lists(_leases, max_size=3).map(tuple)
+_ids = st.integers(0, 60).map(str)
+_epochs = st.integers(0, 3)
+_assignments = st.builds(
+    Assignment,
+    shard=st.sampled_from(SHARDS),
+    base_epoch=st.one_of(_epochs, st.integers(0, 30)),
+    chain=_chains,
+    parent=st.sampled_from(["", "", "", SHARDS[0]]),
+    parent_epoch=_epochs,
+)
+_activations = st.builds(
+    Activation,
+    shard=st.sampled_from(SHARDS),
+    epoch=st.one_of(_epochs, st.integers(0, 30)),
+    owner=_leases,
+)
+_records = st.one_of(
+    st.none(),
+    st.builds(
+        make_announce,
+        _names,
+        record_id=_ids,
+        supersedes=st.sampled_from(["", "", "a#1", "a#2", "b#1"]),
+    ),
+    st.builds(
+        Admit,
+        record_id=_ids,
+        writer=_names,
+        lease=_leases,
+        witnesses=st.lists(_names, max_size=3).map(tuple),
+    ),
+    st.builds(
+        Assign,
+        record_id=_ids,
+        writer=_names,
+        assignments=st.lists(_assignments, max_size=3).map(tuple),
+    ),
+    st.builds(
+        Activate,
+        record_id=_ids,
+        writer=_names,
+        activations=st.lists(_activations, max_size=3).map(tuple),
+    ),
+    st.builds(Retire, record_id=_ids, writer=_names, incarnation=_names),
+    st.builds(
+        Fenced,
+        record_id=_ids,
+        writer=_names,
+        lease=_leases,
+        floor=st.integers(-1, 40),
+    ),
+    st.builds(
+        DeclareLost,
+        record_id=_ids,
+        writer=_names,
+        incarnations=st.lists(_names, max_size=2).map(tuple),
+    ),
+    st.builds(
+        CheckpointChunk,
+        record_id=_ids,
+        writer=_names,
+        checkpoint_id=_ids,
+        covers=st.integers(0, 9),
+        index=st.just(0),
+        count=st.just(1),
+        digest=st.just(""),
+        data=st.just(""),
+    ),
+)
+START = [
+    *(make_announce(name, record_id=f"n{name}") for name in NAMES[:3]),
+    Admit(
+        record_id="l1",
+        writer="a#1",
+        lease=LeaseId("a#1", 1),
+        witnesses=("b#1", "c#1"),
+    ),
+    Admit(record_id="l2", writer="b#1", lease=LeaseId("b#1", 1), witnesses=("c#1",)),
+    Assign(
+        record_id="m1",
+        writer="a#1",
+        assignments=(
+            Assignment(shard=SHARDS[0], base_epoch=0, chain=(LeaseId("a#1", 1),)),
+        ),
+    ),
+]
+
+
+def fold_all(log):
+    """Return the folded state and whether each record took effect."""
+    state = OwnershipState()
+    effective = [
+        fold(state, offset, record).effective for offset, record in enumerate(log)
+    ]
+    return state, effective
+
+
+def describe(state):
+    """Return the state in the naive version's terms."""
+    return {
+        "nodes": {
+            name: {
+                "live": member.ended is None,
+                "term": member.term,
+                "address": member.address,
+            }
+            for name, member in state.members.items()
+        },
+        "at": dict(state.addresses),
+        "leases": {
+            lease: {"ended": entry.mark is not None, "witnesses": entry.witnesses}
+            for lease, entry in state.leases.items()
+        },
+        "shards": {
+            shard: {
+                "chains": [
+                    {
+                        "epoch": chain.epoch,
+                        "leases": chain.leases,
+                        "since": chain.since,
+                    }
+                    for chain in entry.list_chains()
+                ],
+                "active": entry.active,
+            }
+            for shard, entry in state.shards.items()
+        },
+    }
+
+
+class DifferentialTests(unittest.TestCase):
+    """The fold and the naive version read any log alike."""
+
+    @settings(max_examples=400)
+    @given(records=st.lists(_records, max_size=40))
+    def test_same_meaning(self, records):
+        """State and effect of every record agree."""
+        log = [*START, *records]
+        naive = NaiveFleet()
+        for record in log:
+            naive.append(record)
+        state, effective = fold_all(log)
+        world = naive.replay()
+        self.assertEqual(world.pop("effective"), effective)
+        self.assertEqual(describe(state), world)
+
+    @settings(max_examples=100)
+    @given(records=st.lists(_records, max_size=30), cut=st.integers(0, 36))
+    def test_snapshot_resumes(self, records, cut):
+        """A state that was dumped and loaded goes on as the original."""
+        log = [*START, *records]
+        state, _ = fold_all(log[:cut])
+        loaded = load_state(dump_state(state))
+        for offset, record in enumerate(log[cut:], min(cut, len(log))):
+            self.assertEqual(fold(state, offset, record), fold(loaded, offset, record))
+        self.assertEqual(loaded, state)
+        self.assertEqual(dump_state(loaded), dump_state(state))
+
+
+class FoldTests(unittest.TestCase):
+    """Single rules of the fold."""
+
+    def test_offsets(self):
+        """A folded offset is skipped; a gap is an error."""
+        state, _ = fold_all(START)
+        before = dump_state(state)
+        self.assertFalse(fold(state, 2, START[2]).effective)
+        self.assertEqual(dump_state(state), before)
+        with self.assertRaises(ValueError):
+            fold(state, len(START) + 1, None)
+
+    def test_forgotten_ids_stay_harmless(self):
+        """A repetition is void by its version after its id is forgotten."""
+        state, _ = fold_all(START)
+        for number in range(RECENT_IDS + 1):
+            chunk = CheckpointChunk(
+                record_id=f"c{number}",
+                writer="w",
+                checkpoint_id="c",
+                covers=0,
+                index=0,
+                count=1,
+                digest="",
+                data="",
+            )
+            fold(state, state.position, chunk)
+        self.assertNotIn("m1", state.recent_ids)
+        for record in START:
+            with self.subTest(record_id=record.record_id):
+                self.assertFalse(fold(state, state.position, record).effective)
+
+    def test_restart_supersedes(self):
+        """A new process at an address ends the leases of the one before."""
+        state, _ = fold_all(START)
+        change = fold(state, state.position, make_announce("a#2", supersedes="a#1"))
+        self.assertEqual(change.leases, (LeaseId("a#1", 1),))
+        self.assertFalse(state.is_live(LeaseId("a#1", 1)))
+
+    def test_stale_announcement_is_void(self):
+        """An announcement made before another took the address ends nobody."""
+        state, _ = fold_all(START)
+        change = fold(state, state.position, make_announce("a#2"))
+        self.assertEqual((change.effective, change.reason), (False, "address taken"))
+        self.assertTrue(state.is_live(LeaseId("a#1", 1)))
+
+    def test_damaged_dump(self):
+        """Whatever is not a dump is a ValueError."""
+        for text in ("", "{}", "[]", '{"format": 2}', "null", '{"format": 1}'):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                load_state(text)
--- /dev/null
+++ b/tests/core/ownership/test_schedules.py
@@ -0,0 +1,226 @@
+"""Random schedules of faults, with the same checks as the chosen failures."""
+
+import unittest
+
+from hypothesis import Phase, given, settings, strategies as st
+
+from papayatack.core.records import Assign, Assignment, DeclareLost
+from tests.fakes.fleet import Fleet
+
+PLACES = {"a": "1", "b": "2", "c": "3", "d": "1", "e": "2"}
+HOT = "s/all/=hot"
+EXAMPLES = 25
+
+_names = st.sampled_from(sorted(PLACES))
+_pauses = st.sampled_from([0.01, 0.05, 0.2, 0.5, 1.0, 1.5, 3.0])
+_faults = st.one_of(
+    st.tuples(st.just("kill"), _names),
+    st.tuples(st.just("start"), _names),
+    st.tuples(st.just("freeze"), _names),
+    st.tuples(st.just("thaw"), _names),
+    st.tuples(st.just("leave"), _names),
+    st.tuples(st.just("declare"), _names),
+    st.tuples(st.just("cut"), _names, _names, st.booleans()),
+    st.tuples(st.just("cut_log"), _names),
+    st.tuples(st.just("heal")),
+    st.tuples(st.just("log"), st.booleans()),
+    st.tuples(st.just("slow_log"), st.sampled_from([0.004, 0.5, 3.0])),
+    st.tuples(st.just("drop"), st.sampled_from([0.0, 0.1, 0.4])),
+    st.tuples(st.just("duplicate"), st.sampled_from([0.0, 0.3])),
+    st.tuples(st.just("delay"), st.sampled_from([0.0, 0.1, 1.5])),
+    st.tuples(st.just("planners"), st.booleans()),
+    st.tuples(st.just("repeat"), st.integers(0, 200)),
+    st.tuples(st.just("move"), st.integers(0, 2), st.permutations(sorted(PLACES))),
+    st.tuples(st.just("split")),
+    st.tuples(st.just("return_key")),
+    st.tuples(st.just("move_hot"), st.permutations(sorted(PLACES))),
+)
+_schedules = st.lists(st.tuples(_faults, _pauses), min_size=4, max_size=40)
+
+
+class Schedule:
+    """Carries out one schedule on a fleet."""
+
+    def __init__(self, *, seed, checks_grants):
+        self.fleet = Fleet(
+            seed=seed, shards=3, checks_grants=checks_grants, longest_s=0.5
+        )
+        for number, (name, place) in enumerate(PLACES.items()):
+            rate = 1 + 0.0099 * (-1) ** number
+            self.fleet.add(name, place, rate=rate)
+        self.fleet.hot_keys[HOT] = self.fleet.shards[0]
+        self.killed = set()
+        self.records = 0
+        self.fleet.run_until(self.fleet.all_served, 20)
+
+    def perform(self, fault):
+        """Carry out one fault."""
+        name, *arguments = fault
+        getattr(self, name)(*arguments)
+
+    def kill(self, name):
+        """End a process."""
+        slot = self.fleet.slots[name]
+        if slot.core is not None:
+            self.killed.add(slot.core.me)
+        self.fleet.kill(name)
+
+    def start(self, name):
+        """Start a process where none runs."""
+        if self.fleet.slots[name].core is None:
+            self.fleet.start(name)
+
+    def freeze(self, name):
+        """Pause a process."""
+        self.fleet.freeze(name)
+
+    def thaw(self, name):
+        """Let a process go on."""
+        self.fleet.thaw(name)
+
+    def leave(self, name):
+        """Begin a planned stop."""
+        slot = self.fleet.slots[name]
+        if slot.core is not None and not slot.frozen:
+            self.fleet.leave(name)
+
+    def declare(self, name):
+        """Declare the dead processes of a place lost."""
+        dead = [me for me in sorted(self.killed) if me.split("#")[0] == name]
+        if dead:
+            self._append(DeclareLost, incarnations=tuple(dead))
+
+    def cut(self, name, other, one_way):
+        """Cut a link."""
+        self.fleet.isolate(name, others=[other], one_way=one_way)
+
+    def cut_log(self, name):
+        """Cut a place off from the log."""
+        self.fleet.log_cut.add(name)
+
+    def heal(self):
+        """End all cuts."""
+        self.fleet.heal()
+
+    def log(self, up):
+        """Turn the log on or off."""
+        self.fleet.log_up = up
+
+    def slow_log(self, delay_s):
+        """Slow the log down."""
+        self.fleet.log_delay_s = delay_s
+
+    def drop(self, share):
+        """Lose a share of the messages."""
+        self.fleet.drop = share
+
+    def duplicate(self, share):
+        """Double a share of the messages."""
+        self.fleet.duplicate = share
+
+    def delay(self, longest_s):
+        """Delay and reorder messages."""
+        self.fleet.extra_delay_s = longest_s
+
+    def planners(self, everywhere):
+        """Let all nodes plan."""
+        self.fleet.planners_everywhere = everywhere
+
+    def repeat(self, index):
+        """Append an old record once more."""
+        if index < len(self.fleet.log):
+            self.fleet.append(self.fleet.log[index])
+
+    def move(self, number, names):
+        """Move a shard to any live leases."""
+        shard = self.fleet.shards[number]
+        entry = self.fleet.truth.shards.get(shard)
+        if entry is not None:
+            self._assign(shard, entry.current.epoch, self._list_leases(names))
+
+    def split(self):
+        """Give a key its own shard."""
+        parent = self.fleet.shards[0]
+        if HOT in self.fleet.truth.shards:
+            return
+        entry = self.fleet.truth.shards[parent]
+        self._assign(HOT, 0, entry.current.leases, parent, entry.current.epoch)
+
+    def return_key(self):
+        """Return the key to its parent, at the next chance."""
+        entry = self.fleet.truth.shards.get(HOT)
+        if entry is None:
+            return
+        parent = self.fleet.hot_keys[HOT]
+        parent_entry = self.fleet.truth.shards[parent]
+        if entry.current.leases != parent_entry.current.leases:
+            self._assign(HOT, entry.current.epoch, parent_entry.current.leases)
+            return
+        epoch = parent_entry.current.epoch
+        self._assign(HOT, entry.current.epoch, (), parent, epoch)
+
+    def move_hot(self, names):
+        """Move a key's own shard."""
+        entry = self.fleet.truth.shards.get(HOT)
+        if entry is not None:
+            self._assign(HOT, entry.current.epoch, self._list_leases(names))
+
+    def finish(self):
+        """End all faults, and check that the fleet comes up again."""
+        fleet = self.fleet
+        fleet.heal()
+        fleet.log_up = True
+        fleet.log_delay_s = 0.004
+        fleet.drop = fleet.duplicate = fleet.extra_delay_s = 0.0
+        fleet.planners_everywhere = False
+        for name in PLACES:
+            fleet.thaw(name)
+        fleet.run(1.0)
+        dead = []
+        for name in PLACES:
+            self.start(name)
+        dead = [me for me in self.killed if me in fleet.truth.members]
+        fleet.run(1.0)
+        if dead:
+            self._append(DeclareLost, incarnations=tuple(sorted(dead)))
+        fleet.run_until(fleet.all_served, 60)
+        fleet.run(3.0)
+        fleet.check_agreement()
+
+    def _list_leases(self, names):
+        truth = self.fleet.truth
+        found = (
+            truth.find_lease(f"{name}#{self.fleet.slots[name].starts}")
+            for name in names[:3]
+        )
+        return tuple(lease for lease in found if lease is not None)
+
+    def _assign(self, shard, epoch, chain, parent="", parent_epoch=0):
+        assignment = Assignment(
+            shard=shard,
+            base_epoch=epoch,
+            chain=chain,
+            parent=parent,
+            parent_epoch=parent_epoch,
+        )
+        self._append(Assign, assignments=(assignment,))
+
+    def _append(self, kind, **fields):
+        self.records += 1
+        self.fleet.append(
+            kind(record_id=f"operator/{self.records}", writer="operator", **fields)
+        )
+
+
+class ScheduleTests(unittest.TestCase):
+    """Any schedule of faults."""
+
+    @settings(max_examples=EXAMPLES, phases=[Phase.explicit, Phase.generate])
+    @given(schedule=_schedules, seed=st.integers(0, 99), checks_grants=st.booleans())
+    def test_one_owner(self, schedule, seed, checks_grants):
+        """At most one owner throughout, and all keys served after the faults."""
+        run = Schedule(seed=seed, checks_grants=checks_grants)
+        for fault, pause_s in schedule:
+            run.perform(fault)
+            run.fleet.run(pause_s)
+        run.finish()
