Show that each guard of ownership can fail, and mend two holes found so

The view now never shrinks. The test of the floor at a majority found that a witness raised a lease's floor from a record of the log, by which a claimant could take it for confirmed; the floor now stays as the holder told it. Change: fifteen scenarios, fourteen of them run again without one guard, where the driver must see a violation.

--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -148,9 +148,12 @@
         return True
 
     def accept_fence(self, witness: IncarnationId) -> None:
-        """Take in that a witness has fenced the lease."""
+        """Take in that a witness has fenced the lease.
+
+        Its last promise had run out before, so that the view need not shrink: the
+        upstream's grants last as long as the view once did.
+        """
         self.fenced_by.add(witness)
-        self._promised_s.pop(witness, None)
         if len(self.fenced_by) >= count_fences(len(self.witnesses)):
             self.end()
 
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -42,7 +42,11 @@
         self._notices: dict[LeaseId, _Notice] = {}
 
     def update(self, lease: LeaseId, now: float) -> None:
-        """Follow the fold: adopt, end or forget a lease."""
+        """Follow the fold: adopt, end or forget a lease.
+
+        The floor stays as the holder told it: a claimant takes it as proof that no
+        one else can have fenced the lease with a lower one.
+        """
         entry = self._state.leases.get(lease)
         if entry is None or self._me not in entry.witnesses:
             self._promises.pop(lease, None)
@@ -56,7 +60,6 @@
             promise = dataclasses.replace(
                 promise,
                 fenced=True,
-                floor=max(promise.floor, entry.mark.floor),
                 drained=promise.drained or entry.mark.drained,
             )
             self._notices.pop(lease, None)
--- /dev/null
+++ b/tests/core/ownership/test_guards.py
@@ -0,0 +1,392 @@
+"""Each guard of the protocol, taken away, breaks an invariant.
+
+Every test runs a scenario twice: as the code is, which must hold, and without one
+guard, where the driver must find two owners. So the checks are shown to be able to
+fail.
+"""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.messages import LeaseLapsed
+from papayatack.core.ownership import (
+    claims,
+    fencing,
+    holder,
+    rights,
+    succession,
+    witnessing,
+)
+from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.succession import examine_claim
+from papayatack.core.records import Assign, Assignment, DeclareLost
+from tests.fakes.fleet import Fleet
+
+PLACES = {"a": "1", "b": "2", "c": "3", "d": "1", "e": "2", "f": "3", "g": "1"}
+SHARD = "s/all/0"
+
+
+def make_fleet(**options):
+    """Return a fleet with one shard, owned by ``a``; nobody plans further.
+
+    Its successors, and the spares beside them, are no witnesses of ``a``.
+    """
+    fleet = Fleet(shards=1, **options)
+    for name, data_centre in PLACES.items():
+        fleet.add(name, data_centre)
+    fleet.run_until(fleet.all_served, 20)
+    fleet.run(3)
+    fleet.plans = False
+    witnesses = list_witnesses(fleet, "a")
+    fleet.spares = [name for name in "bcdefg" if name not in witnesses]
+    move(fleet, "a", *fleet.spares[:2])
+    fleet.run(3)
+    fleet.forget_gaps()
+    return fleet
+
+
+def find_lease(fleet, name):
+    """Return the newest lease of a place."""
+    return fleet.truth.find_lease(fleet.slots[name].core.me)
+
+
+def move(fleet, *names, shard=SHARD):
+    """Append a move of a shard to the given chain."""
+    assignment = Assignment(
+        shard=shard,
+        base_epoch=fleet.truth.shards[shard].current.epoch,
+        chain=tuple(find_lease(fleet, name) for name in names),
+    )
+    append(fleet, assignment)
+
+
+def append(fleet, assignment):
+    """Append one assignment."""
+    number = len(fleet.log)
+    fleet.append(
+        Assign(record_id=f"op/{number}", writer="op", assignments=(assignment,))
+    )
+
+
+def hide_log(fleet, *names):
+    """Keep places from all news of the log."""
+    for name in names:
+        fleet.log_cut.add(name)
+        fleet.withheld.add(name)
+
+
+def list_witnesses(fleet, name):
+    """Return the places that witness another."""
+    lease = find_lease(fleet, name)
+    return [other.split("#")[0] for other in fleet.truth.leases[lease].witnesses]
+
+
+def tell_lapse(fleet, name):
+    """Deliver old notices of the owner's lapse to a place that missed a move."""
+    lease = LeaseId("a#1", 1)
+    core = fleet.slots[name].core
+    for witness in core.state.leases[lease].witnesses:
+        fleet._arrive(witness, core.me, LeaseLapsed(lease=lease))
+
+
+def isolate_owner():
+    """The owner is cut off, with the slowest clock that is allowed."""
+    fleet = make_fleet()
+    slot = fleet.slots["a"]
+    slot.rate = 0.9901
+    for name in PLACES:
+        if name != "a":
+            fleet.slots[name].rate = 1.0099
+    fleet.run(2)
+    fleet.isolate("a")
+    fleet.run(5)
+
+
+def slow_owner():
+    """The owner's links are slow, then cut."""
+    fleet = make_fleet()
+    fleet.slow["a"] = 0.2
+    fleet.run(3)
+    fleet.isolate("a", one_way=True)
+    fleet.run(5)
+
+
+def lapse_at_one_witness():
+    """One witness alone misses the owner's renewals."""
+    fleet = make_fleet()
+    fleet.isolate("a", others=list_witnesses(fleet, "a")[:1])
+    fleet.run(8)
+
+
+def lapse_at_every_witness():
+    """The owner is cut off from all but keeps its promises for a while."""
+    fleet = make_fleet()
+    fleet.run(0.13)
+    for witness in list_witnesses(fleet, "a"):
+        core = fleet.slots[witness].core
+        lease = find_lease(fleet, "a")
+        core.context.witnessing._notices[lease].due_s = fleet.now
+    fleet.run(5)
+
+
+def thaw_fenced_owner():
+    """A fenced owner comes back, cut off from the log."""
+    fleet = make_fleet()
+    hide_log(fleet, *PLACES)
+    fleet.freeze("a")
+    fleet.run(5)
+    fleet.thaw("a")
+    fleet.run(5)
+
+
+def restart_witnesses():
+    """Witnesses restart after they fenced; the old owner asks them again."""
+    fleet = make_fleet()
+    hide_log(fleet, "a", *fleet.spares)
+    fleet.freeze("a")
+    fleet.run(5)
+    for name in list_witnesses(fleet, "a"):
+        fleet.kill(name)
+        fleet.start(name, reuse_incarnation=restart_witnesses.reuse)
+    fleet.run(0.6)
+    fleet.thaw("a")
+    fleet.run(5)
+
+
+restart_witnesses.reuse = False
+
+
+def stale_successor():
+    """A successor that missed a move fences the old owner."""
+    fleet = make_fleet()
+    hide_log(fleet, fleet.spares[0])
+    move(fleet, fleet.spares[2])
+    fleet.run(2)
+    fleet.kill("a")
+    fleet.run(1.5)
+    tell_lapse(fleet, fleet.spares[0])
+    fleet.run(5)
+
+
+def floor_at_one_witness():
+    """The owner told its floor to one witness only, before it was lost."""
+    fleet = make_fleet()
+    first, *others = list_witnesses(fleet, "a")
+    stale, _, new = fleet.spares
+    hide_log(fleet, stale)
+    fleet.isolate(stale, others=[first])
+    move(fleet, new)
+    fleet.isolate("a", others=others)
+    fleet.isolate(new, others=others[1:])
+    fleet.run(0.6)
+    fleet.kill("a")
+    fleet.run(1.2)
+    tell_lapse(fleet, stale)
+    fleet.run(8)
+
+
+def stale_successor_in_old_chain():
+    """The old owner is lost and taken over by a successor that missed the move."""
+    fleet = make_fleet()
+    hide_log(fleet, fleet.spares[0])
+    fleet.kill("a")
+    move(fleet, fleet.spares[2])
+    fleet.run(1.2)
+    tell_lapse(fleet, fleet.spares[0])
+    fleet.run(5)
+
+
+def two_moves():
+    """Two moves on top of each other, while the owner hears of neither."""
+    fleet = make_fleet()
+    hide_log(fleet, "a")
+    move(fleet, "d", "e")
+    move(fleet, "f", "g")
+    fleet.run(5)
+
+
+def move_under_load():
+    """A move while requests run at an upstream that does not check grants."""
+    fleet = make_fleet(checks_grants=False, longest_s=1.5)
+    for name in "dafbe":
+        fleet.run(1.0)
+        move(fleet, name)
+        fleet.run(4)
+
+
+def lose_under_load():
+    """A loss while requests run at an upstream that does not check grants."""
+    fleet = make_fleet(checks_grants=False, longest_s=3.0)
+    fleet.kill("a")
+    fleet.run(5)
+
+
+def restart_in_place():
+    """A process is back before its grants have run out."""
+    fleet = make_fleet()
+    fleet.kill("a")
+    fleet.start("a")
+    fleet.run(5)
+
+
+def declare_a_live_owner():
+    """An operator declares a process lost that still runs, and hears of it."""
+    fleet = make_fleet()
+    hide_log(fleet, "a")
+    record = DeclareLost(record_id="d", writer="op", incarnations=("a#1",))
+    fleet.append(record)
+    fleet.run(5)
+
+
+def split_and_move():
+    """A key gets its own shard, which moves while older requests run."""
+    fleet = make_fleet(checks_grants=False, longest_s=3.0)
+    hot = "s/all/=k"
+    fleet.hot_keys[hot] = SHARD
+    fleet.run(3)
+    fleet.has_requests = False
+    current = fleet.truth.shards[SHARD].current
+    append(
+        fleet,
+        Assignment(
+            shard=hot,
+            base_epoch=0,
+            chain=current.leases,
+            parent=SHARD,
+            parent_epoch=current.epoch,
+        ),
+    )
+    fleet.run(0.1)
+    move(fleet, fleet.spares[2], shard=hot)
+    fleet.run(0.5)
+    fleet.has_requests = True
+    fleet.start_requests(fleet.spares[2])
+    fleet.run(6)
+
+
+def _fence_at_once(promise, *, now, resigned=False):
+    return dataclasses.replace(promise, fenced=True, drained=resigned)
+
+
+def _renew_fenced(promise, *, now, duration_s, floor):
+    return dataclasses.replace(promise, fenced=False, expires_s=now + duration_s)
+
+
+def _find_end_without_floor(self, lease):
+    return self._context.fencing.find_end(lease)
+
+
+def _examine_last(shard, entry, claimant, evidence):
+    last = dataclasses.replace(entry, earlier=entry.earlier[-1:])
+    return examine_claim(shard, last, claimant, evidence)
+
+
+def _walk_first(shard, chain, successor, claimant, evidence, ends):
+    lease = chain.leases[0]
+    if evidence.has_released(lease, shard, successor.epoch):
+        return None
+    return lease if evidence.find_end(lease) is None else None
+
+
+def _count_from_reply(accept):
+    def count(self, witness, reply, *, now, config_offset):
+        sent = self._rounds.get(reply.round)
+        if sent is not None:
+            self._rounds[reply.round] = dataclasses.replace(sent, sent_s=now)
+        return accept(self, witness, reply, now=now, config_offset=config_offset)
+
+    return count
+
+
+class GuardTests(unittest.TestCase):
+    """Scenarios with and without one guard."""
+
+    def check_guard(self, scenario, target, name, replacement):
+        """Run a scenario, which must hold with the guard and fail without it."""
+        scenario()
+        with (
+            mock.patch.object(target, name, replacement),
+            self.assertRaises(AssertionError),
+        ):
+            scenario()
+
+    def test_promise_expiry(self):
+        """A fence waits for the promise."""
+        self.check_guard(
+            lapse_at_every_witness, witnessing, "fence_promise", _fence_at_once
+        )
+
+    def test_majority(self):
+        """One witness cannot end a lease."""
+        self.check_guard(lapse_at_one_witness, fencing, "count_fences", lambda n: 1)
+
+    def test_fence_permanence(self):
+        """A fenced lease is never promised again."""
+        self.check_guard(thaw_fenced_owner, witnessing, "renew_promise", _renew_fenced)
+
+    def test_incarnation(self):
+        """A restarted witness is not the witness that it was."""
+        self.check_guard(restart_witnesses, restart_witnesses, "reuse", True)
+
+    def test_clock_rate(self):
+        """The view is shortened by the difference of the clocks' rates."""
+        self.check_guard(isolate_owner, holder, "CLOCK_RATE_BOUND", 0.0)
+
+    def test_view_from_send(self):
+        """The view counts from before the renewal was sent."""
+        replacement = _count_from_reply(holder.Holder.accept)
+        self.check_guard(slow_owner, holder.Holder, "accept", replacement)
+
+    def test_floor_at_takeover(self):
+        """A successor first applies what the lost holder had applied."""
+        self.check_guard(
+            stale_successor, claims.Claims, "find_end", _find_end_without_floor
+        )
+
+    def test_floor_at_majority(self):
+        """A floor at a minority of the witnesses does not end the walk."""
+        self.check_guard(
+            floor_at_one_witness,
+            fencing,
+            "find_kth_largest",
+            lambda values, k, *, default: max(values, default=default),
+        )
+
+    def test_whole_chain(self):
+        """The walk goes on to the successors of a fenced holder."""
+        self.check_guard(
+            stale_successor_in_old_chain,
+            succession,
+            "_walk_chain",
+            _walk_first,
+        )
+
+    def test_stacked_chains(self):
+        """Every chain that is not cleared is walked."""
+        self.check_guard(two_moves, claims, "examine_claim", _examine_last)
+
+    def test_drain_before_floor(self):
+        """The floor stays below a move until its shard is drained."""
+        self.check_guard(
+            move_under_load, rights.Rights, "is_busy", lambda self, shard, now: False
+        )
+
+    def test_linger(self):
+        """Requests at an upstream that does not check grants are waited out."""
+        self.check_guard(
+            lose_under_load, Context, "find_linger_s", lambda self, service: 0.0
+        )
+
+    def test_supersession_waits(self):
+        """Grants of a superseded process run out before another serves."""
+        self.check_guard(restart_in_place, fencing, "LEASE_DURATION_S", 0.0)
+
+    def test_split_waits(self):
+        """A key's own shard waits for its requests under the parent."""
+        self.check_guard(split_and_move, rights.Rights, "mix", lambda *arguments: None)
+
+    def test_declaration_of_a_live_process(self):
+        """A process declared lost by mistake is refused by its witnesses in time."""
+        declare_a_live_owner()
--- /dev/null
+++ b/tests/core/ownership/test_witnessing.py
@@ -0,0 +1,102 @@
+"""Tests of papayatack.core.ownership.witnessing."""
+
+import unittest
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.messages import Fence, Renew
+from papayatack.core.ownership import OwnershipState, fold
+from papayatack.core.ownership.timing import (
+    LEASE_DURATION_S,
+    MAX_UNHEARD_ROUNDS,
+    count_fences,
+    count_promises,
+)
+from papayatack.core.ownership.witnessing import Witnessing
+from papayatack.core.records import Admit, Fenced
+from tests.core.ownership.test_fold import make_announce
+
+LEASE = LeaseId("a#1", 1)
+
+
+def make_renew(*, lease=LEASE, number=1, floor=0, heard=None):
+    """Return a renewal."""
+    return Renew(
+        lease=lease,
+        round=number,
+        floor=floor,
+        config_offset=0,
+        ownership_offset=0,
+        heard=number if heard is None else heard,
+    )
+
+
+class WitnessingTests(unittest.TestCase):
+    """What one witness answers."""
+
+    def setUp(self):
+        """Fold a lease that ``b#1`` witnesses."""
+        self.state = OwnershipState()
+        for name in ("a#1", "b#1"):
+            fold(self.state, self.state.position, make_announce(name, record_id=name))
+        admit = Admit(record_id="l", writer="a", lease=LEASE, witnesses=("b#1",))
+        fold(self.state, self.state.position, admit)
+        self.witnessing = Witnessing(me="b#1", state=self.state)
+        self.witnessing.update(LEASE, 0.0)
+
+    def test_promise_then_fence(self):
+        """A fence is refused with the time that is left, then granted with floor."""
+        self.witnessing.renew(make_renew(floor=3), 5.0)
+        refused = self.witnessing.fence(Fence(lease=LEASE), 5.4)
+        self.assertFalse(refused.fenced)
+        self.assertAlmostEqual(refused.remaining_us / 1e6, LEASE_DURATION_S - 0.4, 5)
+        granted = self.witnessing.fence(Fence(lease=LEASE), 5.0 + LEASE_DURATION_S)
+        self.assertEqual((granted.fenced, granted.floor), (True, 3))
+        self.assertEqual(self.witnessing.renew(make_renew(), 9.0), (0, True))
+
+    def test_resignation_needs_no_wait(self):
+        """The holder's own fence is granted at once and marked as drained."""
+        self.witnessing.renew(make_renew(), 5.0)
+        reply = self.witnessing.fence(Fence(lease=LEASE, resigned=True), 5.1)
+        self.assertTrue(reply.fenced and reply.drained)
+
+    def test_new_lease_is_promised_before_it_is_heard(self):
+        """A lease just admitted is not fenced before its holder had its time."""
+        self.assertFalse(self.witnessing.fence(Fence(lease=LEASE), 0.5).fenced)
+
+    def test_unknown_lease(self):
+        """A lease that the fold does not know is neither promised nor fenced."""
+        unknown = LeaseId("a#1", 2)
+        renewal = make_renew(lease=unknown)
+        self.assertEqual(self.witnessing.renew(renewal, 1.0), (0, False))
+        self.assertIsNone(self.witnessing.fence(Fence(lease=unknown), 9.0))
+
+    def test_mark_leaves_the_floor(self):
+        """An end in the log fences the lease but proves no floor of the holder."""
+        self.witnessing.renew(make_renew(floor=1), 1.0)
+        record = Fenced(record_id="f", writer="c", lease=LEASE, floor=3)
+        fold(self.state, self.state.position, record)
+        self.witnessing.update(LEASE, 1.1)
+        reply = self.witnessing.fence(Fence(lease=LEASE), 1.2)
+        self.assertEqual((reply.fenced, reply.floor), (True, 1))
+
+    def test_unheard_holder_is_not_promised(self):
+        """A holder that hears no answers does not keep its lease."""
+        late = make_renew(number=9, heard=9 - MAX_UNHEARD_ROUNDS - 1)
+        self.assertEqual(self.witnessing.renew(late, 1.0), (0, False))
+
+    def test_notices_repeat(self):
+        """Claimants are told again while the lease stays lapsed, and not before."""
+        self.assertEqual(self.witnessing.list_lapsed(0.9), [])
+        self.assertEqual(self.witnessing.list_lapsed(1.0), [LEASE])
+        self.assertEqual(self.witnessing.list_lapsed(1.05), [])
+        self.assertEqual(self.witnessing.list_lapsed(1.2), [LEASE])
+
+
+class QuorumTests(unittest.TestCase):
+    """How many witnesses each step needs."""
+
+    def test_promises_and_fences_exclude_each_other(self):
+        """Enough promises and enough fences never fit into one set of witnesses."""
+        for count in range(8):
+            with self.subTest(count=count):
+                self.assertGreater(count_promises(count) + count_fences(count), count)
