--- a/src/papayatack/core/path_pattern.py
+++ b/src/papayatack/core/path_pattern.py
@@ -23,7 +23,7 @@
     | (?P<set>\[\^?(?:\\.|[^\]\\])+\])
     | (?P<escape>\\.)
     | (?P<any>\.)
-    | (?P<literal>[^\\()\[\]{}*+?|.])
+    | (?P<literal>[^\\()\[\]{}*+?|.^$])
     """,
     re.VERBOSE | re.DOTALL,
 )
--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -1,5 +1,6 @@
 """The state of a plan in the making."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from papayatack.core.identity import LeaseId, ShardId
@@ -48,17 +49,16 @@
             self.find_fleet(shard).put(shard, self.loads[shard], self.chains[shard])
 
     def _weigh(self) -> dict[ShardId, float]:
-        """Add to each measured load its part of the idle load."""
-        counts: dict[str, int] = {}
-        for shard in self.shards:
-            service = _find_service(shard)
-            counts[service] = counts.get(service, 0) + 1
+        """Add to each shard's measured load its part of the idle load."""
+        counts = Counter(
+            _find_service(shard) for shard in self.shards if not is_hot(shard)
+        )
         idle = {
             service: IDLE_UTILISATION * (self.fleets[service].capacity or 1.0) / count
             for service, count in counts.items()
         }
         return {
-            shard: load + idle[_find_service(shard)]
+            shard: load + (0.0 if is_hot(shard) else idle[_find_service(shard)])
             for shard, load in self.measured.items()
         }
 
--- /dev/null
+++ b/tests/core/placement/test_hot_keys.py
@@ -0,0 +1,148 @@
+"""Tests of papayatack.core.placement.hot_keys."""
+
+import dataclasses
+import unittest
+
+from papayatack.core.placement import PlacementLimits, plan
+from papayatack.core.shards import find_parent, format_hot_shard
+from tests.core.placement.fleets import (
+    RANGE,
+    SERVICE,
+    apply_plan,
+    count_moved,
+    make_view,
+    report_loads,
+    settle,
+    sum_loads,
+)
+
+HOT_BUSY = 4.0
+
+
+def hot_shard(number):
+    """Return the shard of one hot key."""
+    return format_hot_shard(SERVICE, RANGE, f"key-{number}")
+
+
+class HotKeyTests(unittest.TestCase):
+    """Split, move and return of hot keys."""
+
+    def setUp(self):
+        """Settle six nodes; four keys of their shards are hot."""
+        self.view, _ = settle(make_view(nodes=6, shards=24))
+        self.hot = [hot_shard(number) for number in range(4)]
+        configuration = self.view.configuration
+        self.parents = {hot: find_parent(configuration, hot) for hot in self.hot}
+
+    def report(self, view, busy_of_hot=HOT_BUSY):
+        """Return the view with loads as owners would report them."""
+        busy = dict.fromkeys(view.shards, 0.2)
+        told = []
+        for hot, parent in self.parents.items():
+            if hot in view.shards:
+                busy[hot] = busy_of_hot
+            else:
+                busy[parent] += busy_of_hot
+                told.append((parent, hot, busy_of_hot))
+        return report_loads(view, busy, told), busy
+
+    def split(self):
+        """Return the view after the keys were split off."""
+        view, _ = self.report(self.view)
+        return apply_plan(view, plan(view, limits=PlacementLimits(moves=0)))
+
+    def test_split_changes_no_owner(self):
+        """A hot key's shard starts with its parent's chain, against its epoch."""
+        view, _ = self.report(self.view)
+        planned = plan(view, limits=PlacementLimits(moves=0))
+        self.assertEqual({entry.shard for entry in planned.assignments}, set(self.hot))
+        for entry in planned.assignments:
+            parent = view.shards[self.parents[entry.shard]]
+            self.assertEqual(entry.parent, self.parents[entry.shard])
+            self.assertEqual(entry.parent_epoch, parent.epoch)
+            self.assertEqual(entry.chain, parent.chain)
+
+    def test_hot_keys_are_spread(self):
+        """After split and moves no node has two hot keys."""
+        view, moved = self.view, 0
+        for _ in range(6):
+            view, busy = self.report(view)
+            after = apply_plan(view, plan(view))
+            moved += count_moved(view, after)
+            view = after
+        owners = [view.shards[hot].chain[0] for hot in self.hot]
+        self.assertEqual(len(set(owners)), 4)
+        self.assertLessEqual(max(sum_loads(view, busy).values()), HOT_BUSY + 0.4)
+
+    def test_number_of_hot_keys_is_limited(self):
+        """No more keys are split off than the limit says."""
+        view, _ = self.report(self.view)
+        limits = PlacementLimits(moves=0, hot_shards=2)
+        self.assertEqual(len(plan(view, limits=limits).assignments), 2)
+
+    def test_moving_parent_is_not_split(self):
+        """While the parent is on the move nobody can tell who owns the key."""
+        shards = {
+            shard: dataclasses.replace(state, moving=True)
+            for shard, state in self.view.shards.items()
+        }
+        view, _ = self.report(dataclasses.replace(self.view, shards=shards))
+        self.assertEqual(plan(view).assignments, ())
+
+    def test_cool_key_returns_by_way_of_its_parent(self):
+        """A key that cooled moves to its parent's chain first, then is returned."""
+        view = self.split()
+        parent_chain = view.shards[self.parents[self.hot[0]]].chain
+        elsewhere = next(
+            state.chain
+            for state in view.shards.values()
+            if state.chain[0] != parent_chain[0]
+        )
+        shards = dict(view.shards)
+        away = dataclasses.replace(shards[self.hot[0]], chain=elsewhere)
+        shards[self.hot[0]] = away
+        view, _ = self.report(dataclasses.replace(view, shards=shards), 0.0)
+        entries = {e.shard: e for e in plan(view).assignments}
+        self.assertEqual(entries[self.hot[0]].chain, parent_chain)
+        self.assertEqual(entries[self.hot[0]].parent, "")
+        self.assertEqual(entries[self.hot[1]].chain, ())
+        self.assertEqual(entries[self.hot[1]].parent, self.parents[self.hot[1]])
+
+    def test_all_cool_keys_return(self):
+        """In the end only the shards of the inventory are left."""
+        view = self.split()
+        for _ in range(6):
+            view, _ = self.report(view, 0.0)
+            view = apply_plan(view, plan(view))
+        self.assertEqual(set(view.shards), set(self.view.shards))
+
+    def test_tokens_of_a_key_only_grow(self):
+        """Over split, return and a second split a key's epoch never falls."""
+        hot = self.hot[0]
+        parent = self.parents[hot]
+        epochs = [self.view.shards[parent].epoch]
+        view = self.split()
+        epochs.append(view.shards[hot].epoch)
+        view, _ = self.report(view, 0.0)
+        view = apply_plan(view, plan(view))
+        epochs.append(view.shards[parent].epoch)
+        view, _ = self.report(view)
+        view = apply_plan(view, plan(view, limits=PlacementLimits(moves=0)))
+        epochs.append(view.shards[hot].epoch)
+        self.assertEqual(epochs, sorted(set(epochs)))
+
+    def test_lukewarm_key_stays(self):
+        """Between the two thresholds nothing is split and nothing returned."""
+        mean = 24 * 0.2 / 6
+        view, _ = self.report(self.split(), 0.06 * mean)
+        self.assertEqual(plan(view).assignments, ())
+
+    def test_young_hot_shard_stays(self):
+        """A key that was split off a moment ago is not returned."""
+        view = self.split()
+        shards = {
+            shard: dataclasses.replace(state, age_s=10.0)
+            for shard, state in view.shards.items()
+        }
+        view, _ = self.report(dataclasses.replace(view, shards=shards), 0.0)
+        self.assertEqual(plan(view).assignments, ())
--- /dev/null
+++ b/tests/core/test_shards.py
@@ -0,0 +1,96 @@
+"""Tests of papayatack.core.shards."""
+
+import unittest
+
+from hypothesis import given, strategies as st
+
+from papayatack.core.configuration import parse_configuration
+from papayatack.core.errors import ErrorKind
+from papayatack.core.identity import ShardId
+from papayatack.core.shards import (
+    find_parent,
+    format_hot_shard,
+    list_shards,
+    locate_shard,
+)
+from tests.core.test_configuration import INVENTORY, read_example
+
+CONFIGURATION = parse_configuration(INVENTORY, "", version=1)
+RETIRED = parse_configuration(
+    INVENTORY.replace('high = "m"', 'high = "m"\nretired = true'), "", version=1
+)
+
+
+class LocateShardTests(unittest.TestCase):
+    """From key to shard."""
+
+    def test_assignment_of_keys_never_changes(self):
+        """These keys fall into these shards in every release: owners depend on it."""
+        expected = {
+            "a": "orders/low/3",
+            "order-17": "orders/high/2",
+            "õun": "orders/high/0",
+            "": "orders/low/2",
+        }
+        found = {
+            key: locate_shard(CONFIGURATION, "orders", key).unwrap() for key in expected
+        }
+        self.assertEqual(found, expected)
+
+    @given(st.text(alphabet=st.characters(exclude_categories=["Cs"]), max_size=20))
+    def test_agrees_with_a_plain_search(self, key):
+        """The range found is the only one that holds the key."""
+        shard = locate_shard(CONFIGURATION, "orders", key).unwrap()
+        holders = [
+            key_range.name
+            for key_range in CONFIGURATION.services[0].key_ranges
+            if key_range.low <= key and (key_range.high is None or key < key_range.high)
+        ]
+        self.assertEqual([shard.split("/")[1]], holders)
+        self.assertIn(shard, list_shards(CONFIGURATION))
+
+    def test_refusals(self):
+        """Unknown services and keys outside all ranges are told apart."""
+        estonia = parse_configuration(*read_example("estonia"), version=1)
+        cases = [
+            ("nothing", "order:1", ErrorKind.NO_SUCH_SERVICE),
+            ("ordering", "a", ErrorKind.KEY_OUT_OF_RANGE),
+            ("ordering", "order;", ErrorKind.KEY_OUT_OF_RANGE),
+            ("ordering", "zzz", ErrorKind.KEY_OUT_OF_RANGE),
+            ("ordering", "order:\udc80", ErrorKind.MALFORMED_REQUEST),
+        ]
+        for service, key, kind in cases:
+            with self.subTest(service=service, key=key):
+                refusal = locate_shard(estonia, service, key).failure()
+                self.assertIs(refusal.kind, kind)
+
+    def test_retired_range_serves_no_key(self):
+        """Keys of a retired range are out of range, and its shards need no owner."""
+        refusal = locate_shard(RETIRED, "orders", "a").failure()
+        self.assertIs(refusal.kind, ErrorKind.KEY_OUT_OF_RANGE)
+        self.assertEqual(len(list_shards(RETIRED)), 4)
+
+    def test_hot_key_has_its_own_shard(self):
+        """A hot key, slashes included, is found in its own shard and no other is."""
+        hot = format_hot_shard("orders", "low", "a/b=c")
+        found = locate_shard(CONFIGURATION, "orders", "a/b=c", {hot}).unwrap()
+        self.assertEqual(found, hot)
+        other = locate_shard(CONFIGURATION, "orders", "a/b", {hot}).unwrap()
+        self.assertNotEqual(other, hot)
+
+    def test_parent_of_a_hot_key(self):
+        """A hot key returns to the shard that its key hashes to."""
+        hot = format_hot_shard("orders", "low", "a/b=c")
+        parent = locate_shard(CONFIGURATION, "orders", "a/b=c").unwrap()
+        self.assertEqual(find_parent(CONFIGURATION, hot), parent)
+        self.assertIsNone(find_parent(CONFIGURATION, ShardId("orders/low/1")))
+        self.assertIsNone(find_parent(CONFIGURATION, ShardId("other/low/=a")))
+
+    def test_index_follows_the_configuration(self):
+        """Many configurations in turn are each answered from their own ranges."""
+        for number in range(10):
+            low = parse_configuration(
+                INVENTORY.replace('"m"', f'"m{number}"'), "", version=1
+            )
+            found = locate_shard(low, "orders", f"m{number}").unwrap()
+            self.assertTrue(found.startswith("orders/high/"))
