--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -181,6 +181,11 @@
         """The folded config stream; to be read only."""
         return self._config
 
+    @property
+    def log_reachable(self) -> bool:
+        """Tell whether the log answered the last call of each stream's tailer."""
+        return all(tailer.available for tailer in self._tailers.values())
+
     @property
     def is_leaving(self) -> bool:
         """Tell whether a planned stop has begun."""
--- /dev/null
+++ b/src/papayatack/daemon/status.py
@@ -0,0 +1,183 @@
+"""What a node tells operators of itself and of a key."""
+
+from returns.result import Success
+
+from papayatack.control.node import ControlNode
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.ownership.holder import Holder as LeaseHolder
+from papayatack.core.ownership.state import Chain, Member, OwnershipState
+from papayatack.core.records import Announce
+from papayatack.core.shards import locate_shard
+from papayatack.ctl.answers import (
+    ExplainAnswer,
+    Holder,
+    LeaseState,
+    NodeEntry,
+    StatusAnswer,
+)
+
+__all__ = ["describe_key", "describe_node"]
+
+MILLISECONDS = 1_000
+
+
+def describe_node(
+    control: ControlNode,
+    announcement: Announce,
+    *,
+    now: float,
+    in_flight: int,
+    queue: int,
+) -> StatusAnswer:
+    """Return the state of this node.
+
+    Args:
+        control: The node's control side.
+        announcement: How the node announced itself.
+        now: Event loop time, in seconds.
+        in_flight: Requests that its upstream runs now.
+        queue: Requests that wait for a slot.
+    """
+    core = control.core
+    state = core.state
+    me = state.members.get(core.me)
+    holder = _find_holder(control)
+    return StatusAnswer(
+        incarnation=core.me,
+        address=announcement.address,
+        operator_address=announcement.operator_address,
+        data_centre=announcement.data_centre,
+        region=announcement.region,
+        service=announcement.service,
+        state=_name_state(control, me, holder, now),
+        config_version=control.config.version,
+        config_offset=control.config.next_offset,
+        ownership_offset=state.position,
+        log_reachable=control.log_reachable,
+        lease=_describe_lease(holder, now),
+        shards_owned=len(core.context.rights.rights),
+        nodes=[_describe_member(control, member) for member in state.members.values()],
+        in_flight=in_flight,
+        queue=queue,
+    )
+
+
+def describe_key(control: ControlNode, service: str, key: str) -> ExplainAnswer | str:
+    """Return who owns a key and why, or why there is no such key."""
+    state = control.core.state
+    found = locate_shard(control.config.configuration, service, key, state.shards)
+    match found:
+        case Success(shard):
+            return _describe_shard(control, shard)
+    return found.failure().detail
+
+
+def _describe_shard(control: ControlNode, shard: ShardId) -> ExplainAnswer:
+    state = control.core.state
+    entry = state.shards.get(shard)
+    if entry is None:
+        return ExplainAnswer(shard=shard, why=["the planner has not assigned it yet"])
+    owner = control.core.find_owner(shard)
+    return ExplainAnswer(
+        shard=shard,
+        epoch=entry.current.epoch,
+        owner=owner.incarnation if owner else "",
+        address=owner.address if owner else "",
+        chain=[_describe_holder(control, lease) for lease in entry.current.leases],
+        token=_find_token(control, shard),
+        why=list(_explain_chain(control, entry.current, active=entry.active)),
+    )
+
+
+def _explain_chain(control: ControlNode, chain: Chain, *, active: bool) -> list[str]:
+    lines = [f"epoch {chain.epoch} stands in the log at offset {chain.since - 1}"]
+    for position, lease in enumerate(chain.leases):
+        role = "owner" if position == 0 else f"successor {position}"
+        reason = _explain_lease(control, lease)
+        lines.append(f"{role} {lease.incarnation} (lease {lease.term}): {reason}")
+        if not control.core.is_ended(lease):
+            break
+    if not active:
+        lines.append("the move to this chain is under way or not yet confirmed")
+    return lines
+
+
+def _describe_holder(control: ControlNode, lease: LeaseId) -> Holder:
+    member = control.core.state.members.get(lease.incarnation)
+    ended = control.core.is_ended(lease)
+    return Holder(
+        lease=f"{lease.incarnation}/{lease.term}",
+        data_centre=member.data_centre if member else "",
+        state="ended" if ended else "live",
+        reason=_explain_lease(control, lease),
+    )
+
+
+def _explain_lease(control: ControlNode, lease: LeaseId) -> str:
+    state: OwnershipState = control.core.state
+    entry = state.leases.get(lease)
+    if entry is None:
+        return "no longer known; its lease ended"
+    if entry.mark is not None:
+        return f"{entry.mark.kind.value}, says the log"
+    if control.core.is_ended(lease):
+        return "fenced by its witnesses"
+    witnesses = ", ".join(entry.witnesses) or "none"
+    return f"holds a live lease; witnesses: {witnesses}"
+
+
+def _find_token(control: ControlNode, shard: ShardId) -> int:
+    """Return the token under which this node serves the shard, 0 if it does not."""
+    right = control.core.context.rights.rights.get(shard)
+    return right.token if right else 0
+
+
+def _find_holder(control: ControlNode) -> LeaseHolder | None:
+    """Return the newest lease of this node that has not ended."""
+    holders = [h for h in control.core.context.holders.values() if not h.ended]
+    return max(holders, key=lambda holder: holder.lease.term, default=None)
+
+
+def _describe_lease(holder: LeaseHolder | None, now: float) -> LeaseState | None:
+    if holder is None:
+        return None
+    remaining_ms = max(holder.view_end_s - now, 0.0) * MILLISECONDS
+    return LeaseState(
+        id=f"{holder.lease.incarnation}/{holder.lease.term}",
+        term=holder.lease.term,
+        remaining_ms=min(remaining_ms, float(2**53)),
+        witnesses=list(holder.witnesses),
+    )
+
+
+def _describe_member(control: ControlNode, member: Member) -> NodeEntry:
+    lease = control.core.state.find_lease(member.incarnation)
+    if member.ended is not None:
+        state = member.ended.value
+    elif lease is None:
+        state = "joining"
+    elif control.core.is_ended(lease):
+        state = "suspect"
+    else:
+        state = "live"
+    return NodeEntry(
+        incarnation=member.incarnation,
+        operator_address=member.operator_address,
+        data_centre=member.data_centre,
+        service=member.service,
+        state=state,
+    )
+
+
+def _name_state(
+    control: ControlNode, me: Member | None, holder: LeaseHolder | None, now: float
+) -> str:
+    if me is None:
+        return "joining"
+    if me.ended is not None:
+        return me.ended.value
+    if control.is_leaving:
+        return "draining"
+    if holder is None:
+        return "joining"
+    return "serving" if now < holder.view_end_s else "lease expired"
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -124,13 +124,18 @@
             await self.read_once()
 
     async def read_once(self) -> None:
-        """Read one page, or wait after a failure."""
+        """Read one page, or wait after a failure.
+
+        The first read does not wait for records, so that a new node soon knows that
+        it has caught up.
+        """
         offset = self._offset
+        wait_s = 0.0 if self._last_read_s is None else WAIT_S
         result = await self._log.read(
             self._stream,
             offset,
             limit=PAGE_RECORDS,
-            wait_s=WAIT_S,
+            wait_s=wait_s,
             timeout_s=TIMEOUT_S,
         )
         match result:
