--- /dev/null
+++ b/src/papayatack/network/answers.py
@@ -0,0 +1,61 @@
+"""The answer to a request that no upstream answered."""
+
+import http
+import json
+import math
+
+from papayatack.core.errors import Refusal, find_answer
+from papayatack.network.bodies import BytesBody
+from papayatack.network.exchanges import Response
+
+__all__ = [
+    "ERROR_HEADER",
+    "OUTCOME_HEADER",
+    "build_error_response",
+]
+
+OUTCOME_HEADER = b"papayatack-outcome"
+ERROR_HEADER = b"papayatack-error"
+RETRY_AFTER_STATUSES = (503,)
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+def build_error_response(refusal: Refusal) -> Response:
+    """Return the response that the table of answers gives for a refusal."""
+    answer = find_answer(refusal.kind)
+    document = {
+        "error": refusal.kind.value,
+        "outcome": answer.outcome.value,
+        "detail": refusal.detail,
+        "remedy": answer.remedy,
+    }
+    data = json.dumps(document).encode() + b"\n"
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(data)),
+        (OUTCOME_HEADER, answer.outcome.value.encode()),
+        (ERROR_HEADER, refusal.kind.value.encode()),
+    ]
+    if answer.status in RETRY_AFTER_STATUSES:
+        headers.append((b"retry-after", _format_retry_after(refusal)))
+    return Response(
+        status=answer.status,
+        reason=_find_reason(answer.status),
+        headers=tuple(headers),
+        body=BytesBody(data=data),
+    )
+
+
+def _format_retry_after(refusal: Refusal) -> bytes:
+    """Return whole seconds, the only unit that the field has."""
+    delay_s = refusal.retry_after_s
+    if delay_s is None:
+        delay_s = DEFAULT_RETRY_AFTER_S
+    return b"%d" % max(1, math.ceil(delay_s))
+
+
+def _find_reason(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Client Closed Request"
--- /dev/null
+++ b/src/papayatack/network/bodies.py
@@ -0,0 +1,143 @@
+"""Bodies of requests and responses as streams with back-pressure."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Protocol
+
+from papayatack.core.errors import ErrorKind, PapayatackError
+
+__all__ = ["Body", "BodyCutError", "BodyQueue", "BytesBody"]
+
+
+class BodyCutError(PapayatackError):
+    """A body ended before it was whole.
+
+    Attributes:
+        kind: Why it ended.
+        detail: What happened.
+    """
+
+    def __init__(self, *, kind: ErrorKind, detail: str = "") -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+
+class Body(Protocol):
+    """A stream of bytes with one reader."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of a whole body.
+
+        Raises:
+            BodyCutError: If the body will never be whole.
+        """
+
+    def close(self) -> None:
+        """Give up the rest; every body is closed once it is done with."""
+
+
+class BytesBody:
+    """A body that is held in memory."""
+
+    def __init__(self, *, data: bytes = b"") -> None:
+        self._data = data
+
+    @property
+    def ready(self) -> bool:
+        """Always true."""
+        return True
+
+    async def read(self) -> bytes:
+        """Return all bytes, then ``b""``."""
+        data, self._data = self._data, b""
+        return data
+
+    def close(self) -> None:
+        """Drop the bytes."""
+        self._data = b""
+
+
+def _ignore_read(size: int) -> None:
+    """Accept a read that nobody waits for."""
+
+
+def _ignore_close() -> None:
+    """Accept a close that nobody waits for."""
+
+
+class BodyQueue:
+    """A body that a connection fills while one task reads it.
+
+    The connection bounds what it puts by what ``on_read`` reports as consumed.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_read: Callable[[int], None] = _ignore_read,
+        on_close: Callable[[], None] = _ignore_close,
+    ) -> None:
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._error: BodyCutError | None = None
+        self._on_read = on_read
+        self._on_close = on_close
+        self.buffered_bytes = 0
+        self.finished = False
+        self.closed = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return bool(self._chunks) or self.finished or self._error is not None
+
+    def put(self, data: bytes) -> None:
+        """Add bytes; they are dropped if the reader has closed the body."""
+        if self.closed or not data:
+            return
+        self._chunks.append(data)
+        self.buffered_bytes += len(data)
+        self._wake()
+
+    def finish(self) -> None:
+        """Mark the body as whole."""
+        self.finished = True
+        self._wake()
+
+    def fail(self, *, kind: ErrorKind, detail: str = "") -> None:
+        """End the body before it is whole; a finished body stays whole."""
+        if not self.finished and self._error is None:
+            self._error = BodyCutError(kind=kind, detail=detail)
+            self._wake()
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of a whole body."""
+        while not self._chunks:
+            if self._error is not None:
+                raise self._error
+            if self.finished:
+                return b""
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        data = self._chunks.popleft()
+        self.buffered_bytes -= len(data)
+        self._on_read(len(data))
+        return data
+
+    def close(self) -> None:
+        """Drop what is left and tell the connection once."""
+        if not self.closed:
+            self.closed = True
+            self._chunks.clear()
+            self.buffered_bytes = 0
+            self._on_close()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/src/papayatack/network/caller_connection.py
@@ -0,0 +1,410 @@
+"""One connection of a caller: requests in order, answers streamed back."""
+
+import asyncio
+import logging
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import h11
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.answers import build_error_response
+from papayatack.network.bodies import BodyCutError, BodyQueue
+from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.limits import CallerLimits
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["CallerConnection", "CallerOwner", "Handler"]
+
+_logger = logging.getLogger(__name__)
+
+WRITE_HIGH_BYTES = 64 * 1024
+DISCARD_TIMEOUT_S = 2.0
+STATUS_HEADER_TOO_LARGE = 431
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Handler = Callable[[Request], Awaitable[Response]]
+"""Answers one request; it does not raise but for being cancelled."""
+
+
+class CallerOwner(Protocol):
+    """The server, as a connection sees it."""
+
+    limits: CallerLimits
+    metrics: Metrics
+    draining: bool
+    handler: Handler
+
+    def add_connection(self, connection: "CallerConnection") -> bool:
+        """Note an open connection; false if there are too many."""
+
+    def drop_connection(self, connection: "CallerConnection") -> None:
+        """Forget a closed connection."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """Parses requests, runs one at a time and writes the answers in order."""
+
+    def __init__(self, *, owner: CallerOwner) -> None:
+        self._owner = owner
+        self._limits = owner.limits
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes
+        )
+        self._loop = asyncio.get_running_loop()
+        self._transport: Any = None
+        self._task: asyncio.Task[None] | None = None
+        self._body: BodyQueue | None = None
+        self._body_bytes = 0
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+        self._read_paused = False
+        self._discarding = False
+        self._closing = False
+        self._head_only = False
+        self._deadline_s: float | None = None
+        self._deadline_kind: ErrorKind | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in flight."""
+        return self._task is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accept the connection, or refuse it over the limit."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        if not self._owner.add_connection(self):
+            self._reject(ErrorKind.CONNECTION_LIMIT, "too many open connections")
+            return
+        self._set_deadline(self._limits.idle_timeout_s, None)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sent."""
+        if self._discarding:
+            return
+        if self._task is None and not self._h11.trailing_data[0]:
+            self._set_deadline(self._limits.header_timeout_s, ErrorKind.SLOW_CALLER)
+        try:
+            self._h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._fail_protocol(error)
+            return
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """Treat the end of the caller's bytes as its leaving."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request in flight."""
+        self._owner.drop_connection(self)
+        if self._body is not None:
+            self._body.fail(kind=ErrorKind.CALLER_LEFT, detail="the caller left")
+        if self._task is None:
+            return
+        if not self._closing:
+            self._owner.metrics.count("requests_cancelled", "caller-left")
+        self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold the answer back while the caller takes no bytes."""
+        self._write_paused = True
+        self._set_deadline(self._limits.write_timeout_s, ErrorKind.CALLER_LEFT)
+
+    def resume_writing(self) -> None:
+        """Go on with the answer."""
+        self._write_paused = False
+        self._deadline_s = None
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def check_deadline(self, now: float) -> None:
+        """Act on a caller that is too slow."""
+        if self._deadline_s is None or now < self._deadline_s:
+            return
+        kind = self._deadline_kind
+        self._deadline_s = None
+        if kind is None:
+            self._transport.close()
+        elif self._write_paused:
+            self._owner.metrics.count("caller_connections_cut", "slow-reader")
+            self._cut()
+        elif self._body is not None:
+            self._body.fail(kind=kind, detail="the body came too slowly")
+        else:
+            self._reject(kind, "the request header came too slowly")
+
+    def close_if_idle(self) -> None:
+        """Close between requests, for a graceful stop."""
+        if self._task is None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._cut()
+
+    def _advance(self) -> None:
+        """Handle all complete events of the caller's bytes."""
+        while not self._discarding:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail_protocol(error)
+                return
+            kind = type(event)
+            if kind is h11.Data:
+                self._take_data(event)
+            elif kind is h11.Request:
+                self._start(event)
+            elif kind is h11.EndOfMessage:
+                self._finish_body()
+            else:
+                self._pause_if_pipelined(event)
+                return
+
+    def _pause_if_pipelined(self, event: Any) -> None:
+        """Stop reading once a further request waits for its turn."""
+        if event is h11.PAUSED and not self._read_paused:
+            self._read_paused = True
+            self._transport.pause_reading()
+
+    def _start(self, event: h11.Request) -> None:
+        headers = tuple(event.headers)
+        self._head_only = event.method == b"HEAD"
+        self._body = BodyQueue(on_read=self._take_read)
+        self._body_bytes = 0
+        self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
+        request = Request(
+            method=event.method, target=event.target, headers=headers, body=self._body
+        )
+        refusal = self._check(request)
+        self._task = self._loop.create_task(self._serve(request, refusal))
+
+    def _check(self, request: Request) -> Refusal | None:
+        """Return why a request is refused before any of it is used."""
+        length = find_header(request.headers, b"content-length")
+        if length is None:
+            return None
+        if find_header(request.headers, b"transfer-encoding") is not None:
+            return Refusal(
+                kind=ErrorKind.MALFORMED_REQUEST,
+                detail="both Content-Length and Transfer-Encoding",
+            )
+        if int(length) > self._limits.body_bytes:
+            return Refusal(kind=ErrorKind.BODY_TOO_LARGE, detail="body over the limit")
+        return None
+
+    def _take_data(self, event: h11.Data) -> None:
+        body = self._body
+        if body is None:
+            return
+        self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
+        self._body_bytes += len(event.data)
+        if self._body_bytes > self._limits.body_bytes:
+            body.fail(kind=ErrorKind.BODY_TOO_LARGE, detail="body over the limit")
+            return
+        body.put(bytes(event.data))
+        if body.buffered_bytes > self._limits.buffer_bytes and not self._read_paused:
+            self._read_paused = True
+            self._deadline_s = None
+            self._transport.pause_reading()
+
+    def _take_read(self, size: int) -> None:
+        """Read from the socket again once the body's buffer has room."""
+        body = self._body
+        if (
+            self._read_paused
+            and body is not None
+            and not body.finished
+            and body.buffered_bytes <= self._limits.buffer_bytes // 2
+        ):
+            self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._read_paused:
+            self._read_paused = False
+            self._transport.resume_reading()
+
+    def _finish_body(self) -> None:
+        self._deadline_s = None
+        if self._body is not None:
+            self._body.finish()
+
+    def _fail_protocol(self, error: h11.RemoteProtocolError) -> None:
+        """Answer malformed bytes with a clear error."""
+        kind = ErrorKind.MALFORMED_REQUEST
+        if error.error_status_hint == STATUS_HEADER_TOO_LARGE:
+            kind = ErrorKind.HEADER_TOO_LARGE
+        if self._body is not None:
+            self._body.fail(kind=kind, detail=str(error))
+            self._discarding = True
+        else:
+            self._reject(kind, str(error))
+
+    def _reject(self, kind: ErrorKind, detail: str) -> None:
+        """Answer outside of any request, then close."""
+        self._owner.metrics.count("requests_refused", kind.value)
+        self._discarding = True
+        self._deadline_s = None
+        refusal = Refusal(kind=kind, detail=detail)
+        self._task = self._loop.create_task(self._send_rejection(refusal))
+
+    async def _send_rejection(self, refusal: Refusal) -> None:
+        try:
+            await self._send(build_error_response(refusal))
+        finally:
+            await self._linger()
+
+    async def _serve(self, request: Request, refusal: Refusal | None) -> None:
+        """Answer one request, then go on to the next or close."""
+        body = request.body
+        if self._h11.they_are_waiting_for_100_continue and refusal is None:
+            request.body = _ContinuingBody(body=self._body, send=self._send_continue)
+        try:
+            if refusal is not None:
+                self._owner.metrics.count("requests_refused", refusal.kind.value)
+                response = build_error_response(refusal)
+            else:
+                response = await self._answer(request)
+            try:
+                await self._send(response)
+            finally:
+                response.body.close()
+        except BodyCutError as error:
+            self._owner.metrics.count("answers_cut", error.kind.value)
+            self._cut()
+            return
+        except h11.LocalProtocolError:
+            self._owner.metrics.count("answers_cut", "invalid-answer")
+            self._cut()
+            return
+        body.close()
+        await self._finish()
+
+    async def _answer(self, request: Request) -> Response:
+        try:
+            return await self._owner.handler(request)
+        except Exception as error:  # a fault of one request must not stop others
+            log_event(
+                _logger, Event.REQUEST_FAILED, level=logging.ERROR, error=repr(error)
+            )
+            refusal = Refusal(kind=ErrorKind.INTERNAL, detail="internal error")
+            return build_error_response(refusal)
+
+    def _send_continue(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            head = h11.InformationalResponse(
+                status_code=100, headers=[], reason=b"Continue"
+            )
+            self._transport.write(self._h11.send(head))
+
+    async def _send(self, response: Response) -> None:
+        """Write a response, its head together with the first bytes at hand."""
+        headers = list(response.headers)
+        if self._owner.draining or self._must_close():
+            headers.append((b"connection", b"close"))
+        head = h11.Response(
+            status_code=response.status, headers=headers, reason=response.reason
+        )
+        pending = [self._h11.send(head)]
+        size = 0
+        body = response.body
+        while not self._head_only:
+            if size >= WRITE_HIGH_BYTES or not body.ready:
+                await self._write(pending)
+                pending, size = [], 0
+            data = await body.read()
+            if not data:
+                break
+            pending.append(self._h11.send(h11.Data(data=data)))
+            size += len(data)
+        pending.append(self._h11.send(h11.EndOfMessage()))
+        await self._write(pending)
+
+    def _must_close(self) -> bool:
+        """Whether the request's body will not be read to its end."""
+        return (
+            self._discarding
+            or self._h11.they_are_waiting_for_100_continue
+            or self._h11.their_state is h11.ERROR
+        )
+
+    async def _write(self, parts: list[bytes | None]) -> None:
+        data = b"".join([part for part in parts if part])
+        if data:
+            self._transport.write(data)
+        while self._write_paused:
+            self._write_waiter = self._loop.create_future()
+            await self._write_waiter
+
+    async def _finish(self) -> None:
+        """Go on to the next request of the connection, or close it."""
+        state = self._h11
+        if (
+            self._owner.draining
+            or self._discarding
+            or state.our_state is not h11.DONE
+            or state.their_state is not h11.DONE
+        ):
+            await self._linger()
+            return
+        state.start_next_cycle()
+        self._body = None
+        self._task = None
+        self._set_deadline(self._limits.idle_timeout_s, None)
+        self._resume_reading()
+        self._advance()
+
+    async def _linger(self) -> None:
+        """Close so that the answer is not lost to bytes still on their way."""
+        self._discarding = True
+        self._closing = True
+        self._deadline_s = None
+        if self._h11.their_state is h11.DONE and not self._read_paused:
+            self._transport.close()
+            return
+        self._resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        await asyncio.sleep(DISCARD_TIMEOUT_S)
+        self._transport.close()
+
+    def _cut(self) -> None:
+        """Reset the connection, so that no answer looks whole."""
+        self._closing = True
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def _set_deadline(self, delay_s: float, kind: ErrorKind | None) -> None:
+        self._deadline_s = self._loop.time() + delay_s
+        self._deadline_kind = kind
+
+
+class _ContinuingBody:
+    """A body whose sender waits for ``100 Continue`` until it is read."""
+
+    def __init__(self, *, body: BodyQueue, send: Callable[[], None]) -> None:
+        self._body = body
+        self._send = send
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return self._body.ready
+
+    async def read(self) -> bytes:
+        """Ask for the body, then return its next bytes."""
+        self._send()
+        return await self._body.read()
+
+    def close(self) -> None:
+        """Give up the rest."""
+        self._body.close()
--- /dev/null
+++ b/src/papayatack/network/grants.py
@@ -0,0 +1,143 @@
+"""Grants to the own upstream, and its health and load, over HTTP.
+
+:class:`GrantClient` implements :class:`papayatack.control.interface.GrantSink`. The
+upstream answers ``409`` to a grant that it refuses because it knows a higher token.
+"""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import pydantic
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.network.bodies import BodyCutError, BytesBody
+from papayatack.network.exchanges import Request, Response
+from papayatack.network.upstreams import UpstreamPool
+
+__all__ = ["GrantClient", "UpstreamHealth", "UpstreamLoad", "format_lease"]
+
+CALL_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 64 * 1024
+STATUS_CONFLICT = 409
+GRANTS_TARGET = b"/papayatack/grants"
+
+_Model = TypeVar("_Model", bound=pydantic.BaseModel)
+
+
+class UpstreamHealth(pydantic.BaseModel):
+    """What an upstream says of its health; it may lag or mislead."""
+
+    healthy: bool = True
+    draining: bool = False
+
+
+class UpstreamLoad(pydantic.BaseModel):
+    """What an upstream says of its load; it may lag or mislead."""
+
+    busy: float = 0.0
+    slots: int = 0
+
+
+def format_lease(lease: LeaseId) -> str:
+    """Return a lease as the upstream sees it."""
+    return f"{lease.incarnation}/{lease.term}"
+
+
+class GrantClient:
+    """Tells the own upstream what it may serve."""
+
+    def __init__(self, *, pool: UpstreamPool) -> None:
+        self._pool = pool
+
+    async def grant(
+        self, lease: LeaseId, tokens: Mapping[ShardId, int], remaining_us: int
+    ) -> Result[None, Refusal]:
+        """Grant shards with their fencing tokens, before the first request."""
+        document = {
+            "lease": format_lease(lease),
+            "tokens": dict(tokens),
+            "remaining_us": remaining_us,
+        }
+        return await self._send(b"PUT", GRANTS_TARGET, document)
+
+    async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
+        """Extend all grants of a lease."""
+        document = {"lease": format_lease(lease), "remaining_us": remaining_us}
+        return await self._send(b"POST", GRANTS_TARGET + b"/extend", document)
+
+    async def revoke(
+        self, lease: LeaseId, shards: tuple[ShardId, ...]
+    ) -> Result[None, Refusal]:
+        """End the grants of shards."""
+        document = {"lease": format_lease(lease), "shards": list(shards)}
+        return await self._send(b"POST", GRANTS_TARGET + b"/revoke", document)
+
+    async def read_health(self) -> Result[UpstreamHealth, Refusal]:
+        """Return the upstream's own report of its health."""
+        return await self._read(b"/papayatack/health", UpstreamHealth)
+
+    async def read_load(self) -> Result[UpstreamLoad, Refusal]:
+        """Return the upstream's own report of its load."""
+        return await self._read(b"/papayatack/load", UpstreamLoad)
+
+    async def _send(
+        self, method: bytes, target: bytes, document: Mapping[str, Any]
+    ) -> Result[None, Refusal]:
+        result = await self._call(method, target, json.dumps(document).encode())
+        return result.map(lambda _: None)
+
+    async def _read(
+        self, target: bytes, model: type[_Model]
+    ) -> Result[_Model, Refusal]:
+        result = await self._call(b"GET", target, b"")
+        if not is_successful(result):
+            return Failure(result.failure())
+        try:
+            return Success(model.model_validate_json(result.unwrap()))
+        except pydantic.ValidationError as error:
+            detail = f"unusable report: {error.error_count()} faults"
+            return Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
+
+    async def _call(
+        self, method: bytes, target: bytes, data: bytes
+    ) -> Result[bytes, Refusal]:
+        request = Request(
+            method=method,
+            target=target,
+            headers=(
+                (b"host", self._pool.address.encode()),
+                (b"content-type", b"application/json"),
+                (b"content-length", b"%d" % len(data)),
+            ),
+            body=BytesBody(data=data),
+        )
+        deadline_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        result = await self._pool.exchange(request, deadline_s=deadline_s)
+        if not is_successful(result):
+            return Failure(result.failure())
+        return await _read_answer(result.unwrap())
+
+
+async def _read_answer(response: Response) -> Result[bytes, Refusal]:
+    """Return the whole body of a positive answer."""
+    data = b""
+    try:
+        while chunk := await response.body.read():
+            data += chunk
+            if len(data) > MAX_REPORT_BYTES:
+                raise BodyCutError(kind=ErrorKind.BODY_TOO_LARGE)
+    except BodyCutError as error:
+        return Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=str(error)))
+    finally:
+        response.body.close()
+    if 200 <= response.status < 300:
+        return Success(data)
+    refused = response.status == STATUS_CONFLICT
+    kind = ErrorKind.GRANT_REFUSED if refused else ErrorKind.UPSTREAM_LOST
+    detail = f"the upstream answered {response.status}"
+    return Failure(Refusal(kind=kind, detail=detail))
--- /dev/null
+++ b/src/papayatack/network/links.py
@@ -0,0 +1,273 @@
+"""The connection of a pair of nodes: control first, then bodies in turn."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from papayatack.core.identity import IncarnationId, PeerAddress
+from papayatack.core.messages import ControlMessage
+from papayatack.network.limits import PeerLimits
+from papayatack.network.streams import PeerStream
+from papayatack.observability.metrics import Metrics
+from papayatack.wire.convert import decode_control
+from papayatack.wire.errors import WireError
+from papayatack.wire.frames import FrameReader, encode_frame
+from papayatack.wire.schema import schema
+
+__all__ = ["Link", "LinkOwner", "read_address"]
+
+PROTOCOL_VERSION = 1
+FLUSH_BYTES = 64 * 1024
+WRITE_LOW_BYTES = 16 * 1024
+CONTROL_STREAM = 0
+
+
+def read_address(incarnation: IncarnationId) -> PeerAddress:
+    """Return the address at which an incarnation listens for peers."""
+    return PeerAddress(incarnation.partition("#")[0])
+
+
+class LinkOwner(Protocol):
+    """What a link reports to the network that owns it."""
+
+    incarnation: IncarnationId
+    limits: PeerLimits
+    metrics: Metrics
+
+    def handle_hello(self, link: "Link", incarnation: IncarnationId) -> None:
+        """Note who is at the other end."""
+
+    def handle_control(
+        self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
+    ) -> None:
+        """Take a control message."""
+
+    def handle_request(self, stream: PeerStream, head: Any) -> None:
+        """Serve a request that the other side opened."""
+
+    def handle_loss(self, link: "Link") -> None:
+        """Forget a link that is closed."""
+
+
+class Link(asyncio.Protocol):
+    """One connection with all its streams.
+
+    Streams that this side opens have odd ids if it opened the connection and even
+    ids otherwise.
+    """
+
+    def __init__(self, *, owner: LinkOwner, address: PeerAddress | None) -> None:
+        self.limits = owner.limits
+        self.address = address
+        self.opener = address is not None
+        self.retired = False
+        self.closed = False
+        self.streams: dict[int, PeerStream] = {}
+        self.last_received_s = 0.0
+        self.last_used_s = 0.0
+        self._owner = owner
+        self._reader = FrameReader()
+        self._next_id = 1 if self.opener else 2
+        self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._priority: collections.deque[bytes] = collections.deque()
+        self._ready: collections.deque[PeerStream] = collections.deque()
+        self._flush_scheduled = False
+        self._paused = False
+        self._handlers: tuple[tuple[str, Callable[[Any], None]], ...] = (
+            ("request", self._take_request),
+            ("response", self._take_response),
+            ("body", self._take_body),
+            ("window", self._take_window),
+            ("failure", self._take_failure),
+            ("cancel", self._take_cancel),
+            ("control", self._take_control),
+            ("hello", self._take_hello),
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Introduce this node."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=FLUSH_BYTES, low=WRITE_LOW_BYTES)
+        self.last_received_s = self.last_used_s = self._loop.time()
+        self._send_hello(reply_wanted=False)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle all frames that are complete."""
+        self.last_received_s = self._loop.time()
+        try:
+            for frame in self._reader.feed(data):
+                self._handle(frame)
+        except WireError as error:
+            self._owner.metrics.count("peer_frames_refused", "malformed")
+            self.abort(str(error))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End all streams."""
+        self.closed = True
+        detail = str(exc) if exc else "the peer closed the connection"
+        for stream in list(self.streams.values()):
+            stream.lose(detail)
+        self.streams.clear()
+        self._owner.handle_loss(self)
+
+    def pause_writing(self) -> None:
+        """Hold frames back while the transport is full."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the frames that were held back."""
+        self._paused = False
+        self._schedule_flush()
+
+    def open_stream(self) -> PeerStream:
+        """Return a new stream of this side."""
+        stream = PeerStream(link=self, stream_id=self._next_id)
+        self._next_id += 2
+        self.streams[stream.stream_id] = stream
+        self.last_used_s = self._loop.time()
+        return stream
+
+    def drop_stream(self, stream: PeerStream) -> None:
+        """Forget a stream that has ended."""
+        self.streams.pop(stream.stream_id, None)
+
+    def mark_ready(self, stream: PeerStream) -> None:
+        """Let a stream with queued frames take its turn."""
+        self._ready.append(stream)
+        self._schedule_flush()
+
+    def send_now(self, frame: Any) -> None:
+        """Queue a frame ahead of all bodies."""
+        if not self.closed:
+            self._priority.append(encode_frame(frame))
+            self._schedule_flush()
+
+    def send_control(self, frame: Any) -> None:
+        """Queue a control frame, or drop it if too many wait."""
+        if len(self._priority) >= self.limits.control_queue:
+            self._owner.metrics.count("control_dropped", "queue-full")
+            return
+        self.last_used_s = self._loop.time()
+        self.send_now(frame)
+
+    def check_silence(self, now: float) -> None:
+        """Ask a silent peer for a sign of life, and give it up after a while."""
+        if not self.streams:
+            return
+        silent_s = now - self.last_received_s
+        if silent_s >= self.limits.lost_s:
+            self._owner.metrics.count("peer_links_closed", "silent")
+            self.abort("the peer is silent")
+        elif silent_s >= self.limits.silence_s:
+            self._send_hello(reply_wanted=True)
+
+    def close(self) -> None:
+        """Close after what is queued has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self, detail: str) -> None:
+        """Close at once; all streams end as lost."""
+        for stream in list(self.streams.values()):
+            stream.lose(detail)
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _schedule_flush(self) -> None:
+        if not self._flush_scheduled and not self._paused:
+            self._flush_scheduled = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        """Write control frames, then one frame of each stream in turn."""
+        self._flush_scheduled = False
+        if self._paused or self.closed or self._transport is None:
+            return
+        parts = []
+        size = 0
+        while size < FLUSH_BYTES:
+            part = self._take_part()
+            if part is None:
+                break
+            parts.append(part)
+            size += len(part)
+        if parts:
+            self._transport.write(b"".join(parts))
+        if self._priority or self._ready:
+            self._schedule_flush()
+
+    def _take_part(self) -> bytes | None:
+        if self._priority:
+            return self._priority.popleft()
+        while self._ready:
+            stream = self._ready.popleft()
+            if not stream.has_frames:
+                continue
+            part = stream.take_frame()
+            if stream.has_frames:
+                self._ready.append(stream)
+            return part
+        return None
+
+    def _handle(self, frame: Any) -> None:
+        for name, handler in self._handlers:
+            if getattr(frame, name) is not None:
+                handler(frame)
+
+    def _take_hello(self, frame: Any) -> None:
+        hello = frame.hello
+        if not hello.incarnation:
+            raise WireError("hello lacks the incarnation")
+        if hello.reply_wanted:
+            self._send_hello(reply_wanted=False)
+        self._owner.handle_hello(self, hello.incarnation)
+
+    def _take_control(self, frame: Any) -> None:
+        self.last_used_s = self._loop.time()
+        self._owner.handle_control(*decode_control(frame))
+
+    def _take_request(self, frame: Any) -> None:
+        stream_id = frame.stream
+        if stream_id in self.streams or stream_id % 2 == self._next_id % 2:
+            raise WireError(f"stream {stream_id} may not be opened")
+        stream = PeerStream(link=self, stream_id=stream_id)
+        self.streams[stream_id] = stream
+        self.last_used_s = self._loop.time()
+        self._owner.handle_request(stream, frame.request)
+
+    def _take_response(self, frame: Any) -> None:
+        stream = self.streams.get(frame.stream)
+        if stream is not None:
+            stream.receive_response(frame.response)
+
+    def _take_body(self, frame: Any) -> None:
+        stream = self.streams.get(frame.stream)
+        if stream is not None:
+            stream.receive_body(frame.body)
+
+    def _take_window(self, frame: Any) -> None:
+        stream = self.streams.get(frame.stream)
+        if stream is not None:
+            stream.add_credit(max(frame.window.bytes or 0, 0))
+
+    def _take_failure(self, frame: Any) -> None:
+        stream = self.streams.get(frame.stream)
+        if stream is not None:
+            stream.receive_failure(frame.failure)
+
+    def _take_cancel(self, frame: Any) -> None:
+        stream = self.streams.pop(frame.stream, None)
+        if stream is not None:
+            stream.withdraw()
+
+    def _send_hello(self, *, reply_wanted: bool) -> None:
+        hello = schema.Hello(
+            incarnation=self._owner.incarnation,
+            protocol=PROTOCOL_VERSION,
+            reply_wanted=reply_wanted,
+        )
+        self.send_now(schema.Frame(stream=CONTROL_STREAM, hello=hello))
--- /dev/null
+++ b/src/papayatack/network/peers.py
@@ -0,0 +1,446 @@
+"""All connections of a node to its peers.
+
+One :class:`PeerNetwork` per daemon. It implements
+:class:`papayatack.control.interface.PeerSender` (:meth:`PeerNetwork.send`), gives
+received control messages to ``on_control(sender, recipient, message)``, sends
+requests (:meth:`PeerNetwork.exchange`) and gives received ones to ``on_request``::
+
+    network = PeerNetwork(
+        incarnation=incarnation, host=host, port=port, metrics=metrics, rng=rng
+    )
+    network.on_control = control.handle_message
+    network.on_request = engine.serve_peer
+    await network.start()
+"""
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import IncarnationId, PeerAddress
+from papayatack.core.inventory import RequestClass
+from papayatack.core.messages import ControlMessage
+from papayatack.network.bodies import BodyCutError
+from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.limits import PeerLimits
+from papayatack.network.links import Link, read_address
+from papayatack.network.streams import (
+    US_PER_S,
+    PeerStream,
+    decode_headers,
+    encode_headers,
+    read_body_error,
+)
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.wire.convert import encode_control
+from papayatack.wire.errors import WireError
+from papayatack.wire.schema import schema
+
+__all__ = ["PeerNetwork"]
+
+_logger = logging.getLogger(__name__)
+
+_CLASS_NAMES = frozenset(item.value for item in RequestClass)
+SWEEP_INTERVAL_S = 0.5
+
+RequestHandler = Callable[[PeerRequest], Awaitable[Result[Response, Refusal]]]
+ControlHandler = Callable[[IncarnationId, IncarnationId, ControlMessage], None]
+
+
+async def _refuse_request(request: PeerRequest) -> Result[Response, Refusal]:
+    return Failure(Refusal(kind=ErrorKind.NODE_DRAINING, detail="not serving yet"))
+
+
+def _drop_control(
+    sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
+) -> None:
+    """Drop messages that arrive before the control tasks run."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Backoff:
+    """Pause before the next attempt to reach an address."""
+
+    delay_s: float
+    until_s: float
+
+
+class PeerNetwork:
+    """Connections, by the address at which the peer listens."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: IncarnationId,
+        host: str,
+        port: int,
+        metrics: Metrics,
+        rng: random.Random,
+        limits: PeerLimits | None = None,
+        on_control: ControlHandler = _drop_control,
+        on_request: RequestHandler = _refuse_request,
+    ) -> None:
+        self.incarnation = incarnation
+        self.metrics = metrics
+        self.limits = limits or PeerLimits()
+        self.on_control = on_control
+        self.on_request = on_request
+        self._address = read_address(incarnation)
+        self._host = host
+        self._port = port
+        self._rng = rng
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self._links: dict[PeerAddress, Link] = {}
+        self._all_links: set[Link] = set()
+        self._connecting: dict[PeerAddress, asyncio.Task[Link | None]] = {}
+        self._backoffs: dict[PeerAddress, _Backoff] = {}
+        self._waiting: dict[PeerAddress, list[Any]] = {}
+        self._serving: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """The port on which peers are accepted."""
+        return self._port
+
+    async def start(self) -> None:
+        """Listen for peers; the address must be free."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._build_accepted, self._host, self._port, reuse_port=False
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+        self._sweeper = loop.create_task(self._sweep())
+
+    async def stop(self) -> None:
+        """Finish requests that peers sent, then close all connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._serving:
+            await asyncio.wait(self._serving)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close all connections at once."""
+        if self._server is not None:
+            self._server.close()
+        tasks = [*self._connecting.values(), *self._serving]
+        if self._sweeper is not None:
+            tasks.append(self._sweeper)
+        for task in tasks:
+            task.cancel()
+        for link in list(self._all_links):
+            link.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def send(
+        self, address: PeerAddress, recipient: IncarnationId, message: ControlMessage
+    ) -> None:
+        """Queue a control message for a node; never blocks."""
+        frame = encode_control(self.incarnation, recipient, message)
+        link = self._find_link(address)
+        if link is not None:
+            link.send_control(frame)
+            return
+        if self._is_backing_off(address):
+            self.metrics.count("control_dropped", "peer-unreachable")
+            return
+        waiting = self._waiting.setdefault(address, [])
+        if len(waiting) >= self.limits.control_queue:
+            self.metrics.count("control_dropped", "queue-full")
+            return
+        waiting.append(frame)
+        self._start_connecting(address)
+
+    async def exchange(
+        self, *, address: PeerAddress, peer_request: PeerRequest, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Send a request to a node and return the head of its response.
+
+        The caller closes the response's body. Being cancelled withdraws the request.
+
+        Args:
+            address: Where the node listens for peers.
+            peer_request: The request, with the time that the node may take.
+            deadline_s: Event loop time after which no answer is waited for.
+        """
+        link = self._find_link(address)
+        if link is None:
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    link = await self._connect(address)
+            except TimeoutError:
+                return Failure(Refusal(kind=ErrorKind.DEADLINE_EXPIRED))
+        if link is None:
+            detail = f"no connection to {address}"
+            return Failure(Refusal(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
+        return await self._exchange_on(link, peer_request, deadline_s)
+
+    async def _exchange_on(
+        self, link: Link, peer_request: PeerRequest, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        stream = link.open_stream()
+        frame = schema.Frame(stream=stream.stream_id, request=_build_head(peer_request))
+        loop = asyncio.get_running_loop()
+        timer = loop.call_at(deadline_s, self._expire, stream)
+        stream.task = loop.create_task(self._send_request(stream, frame, peer_request))
+        try:
+            return await stream.response
+        except asyncio.CancelledError:
+            stream.cancel("the caller left")
+            raise
+        finally:
+            timer.cancel()
+
+    async def _send_request(
+        self, stream: PeerStream, frame: Any, peer_request: PeerRequest
+    ) -> None:
+        try:
+            await stream.send(frame, peer_request.request.body)
+        except BodyCutError as error:
+            refusal = read_body_error(error, written=stream.written)
+            stream.cancel("the request body was cut")
+            stream.fail(refusal)
+        except WireError as error:
+            stream.fail(Refusal(kind=ErrorKind.HEADER_TOO_LARGE, detail=str(error)))
+
+    def _expire(self, stream: PeerStream) -> None:
+        kind = (
+            ErrorKind.UPSTREAM_TIMEOUT if stream.written else ErrorKind.DEADLINE_EXPIRED
+        )
+        stream.cancel("deadline")
+        stream.fail(Refusal(kind=kind, detail="no answer from the peer in time"))
+
+    def handle_hello(self, link: Link, incarnation: IncarnationId) -> None:
+        """Use an accepted link for the own requests as well.
+
+        When both sides have opened one, both keep the one opened by the lower
+        address; the other is closed once it carries nothing.
+        """
+        if link.opener or link.address is not None:
+            return
+        link.address = read_address(incarnation)
+        own = self._links.get(link.address)
+        if own is None or own.closed or link.address < self._address:
+            if own is not None:
+                own.retired = True
+            self._links[link.address] = link
+        else:
+            link.retired = True
+
+    def handle_control(
+        self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
+    ) -> None:
+        """Pass on a message that is meant for this incarnation."""
+        if recipient != self.incarnation:
+            self.metrics.count("control_dropped", "other-incarnation")
+            return
+        self.on_control(sender, recipient, message)
+
+    def handle_request(self, stream: PeerStream, head: Any) -> None:
+        """Serve a request of a peer in a task of its own."""
+        task = asyncio.get_running_loop().create_task(self._serve(stream, head))
+        stream.task = task
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    def handle_loss(self, link: Link) -> None:
+        """Forget a link that is closed."""
+        self._all_links.discard(link)
+        if link.address is not None and self._links.get(link.address) is link:
+            del self._links[link.address]
+
+    async def _serve(self, stream: PeerStream, head: Any) -> None:
+        try:
+            await self._serve_checked(stream, head)
+        except Exception as error:  # a fault of one request must not end the link
+            log_event(
+                _logger, Event.REQUEST_FAILED, level=logging.ERROR, error=repr(error)
+            )
+            stream.send_failure(Refusal(kind=ErrorKind.INTERNAL))
+        stream.finish()
+
+    async def _serve_checked(self, stream: PeerStream, head: Any) -> None:
+        refusal = self._check_head(stream, head)
+        if refusal is not None:
+            self.metrics.count("peer_requests_refused", refusal.kind.value)
+            stream.send_failure(refusal)
+            return
+        result = await self.on_request(_read_head(stream, head))
+        if is_successful(result):
+            await self._send_response(stream, result.unwrap())
+        else:
+            stream.send_failure(result.failure())
+
+    async def _send_response(self, stream: PeerStream, response: Response) -> None:
+        head = schema.ResponseHead(
+            status=response.status,
+            reason=response.reason,
+            headers=encode_headers(response.headers),
+        )
+        frame = schema.Frame(stream=stream.stream_id, response=head)
+        try:
+            await stream.send(frame, response.body)
+        except BodyCutError as error:
+            stream.send_failure(Refusal(kind=error.kind, detail=error.detail))
+        except WireError as error:
+            stream.send_failure(
+                Refusal(kind=ErrorKind.RESPONSE_TRUNCATED, detail=str(error))
+            )
+        finally:
+            response.body.close()
+
+    def _check_head(self, stream: PeerStream, head: Any) -> Refusal | None:
+        if head.recipient and head.recipient != self.incarnation:
+            return Refusal(kind=ErrorKind.NOT_OWNER, detail="another incarnation")
+        if len(self._serving) > self.limits.streams:
+            return Refusal(kind=ErrorKind.QUEUE_FULL, detail="too many requests")
+        if head.request_class not in _CLASS_NAMES:
+            return Refusal(kind=ErrorKind.MALFORMED_REQUEST, detail="unknown class")
+        return None
+
+    def _find_link(self, address: PeerAddress) -> Link | None:
+        link = self._links.get(address)
+        if link is None or link.closed:
+            return None
+        return link
+
+    def _is_backing_off(self, address: PeerAddress) -> bool:
+        backoff = self._backoffs.get(address)
+        now = asyncio.get_running_loop().time()
+        return backoff is not None and now < backoff.until_s
+
+    async def _connect(self, address: PeerAddress) -> Link | None:
+        if self._is_backing_off(address):
+            return None
+        return await asyncio.shield(self._start_connecting(address))
+
+    def _start_connecting(self, address: PeerAddress) -> "asyncio.Task[Link | None]":
+        task = self._connecting.get(address)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._open_link(address))
+            self._connecting[address] = task
+        return task
+
+    async def _open_link(self, address: PeerAddress) -> Link | None:
+        """Open a connection, or begin or lengthen the pause before the next try."""
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_s):
+                _, link = await loop.create_connection(
+                    lambda: self._track(Link(owner=self, address=address)),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError, ValueError):
+            self._note_failure(address, loop.time())
+            return None
+        finally:
+            del self._connecting[address]
+        return self._adopt(address, link)
+
+    def _adopt(self, address: PeerAddress, link: Link) -> Link:
+        """Use a new link, unless the peer's own came first and is preferred."""
+        self._backoffs.pop(address, None)
+        other = self._find_link(address)
+        if other is None or self._address < address:
+            if other is not None:
+                other.retired = True
+            self._links[address] = link
+        else:
+            link.retired = True
+        for frame in self._waiting.pop(address, ()):
+            self._links[address].send_control(frame)
+        return self._links[address]
+
+    def _note_failure(self, address: PeerAddress, now: float) -> None:
+        self.metrics.count("peer_connects_failed")
+        dropped = len(self._waiting.pop(address, ()))
+        if dropped:
+            self.metrics.count("control_dropped", "peer-unreachable", dropped)
+        backoff = self._backoffs.get(address)
+        delay_s = self.limits.backoff_initial_s
+        if backoff is not None:
+            delay_s = min(backoff.delay_s * 2, self.limits.backoff_max_s)
+        jittered_s = delay_s * self._rng.uniform(0.5, 1.0)
+        self._backoffs[address] = _Backoff(delay_s=delay_s, until_s=now + jittered_s)
+
+    def _build_accepted(self) -> Link:
+        return self._track(Link(owner=self, address=None))
+
+    def _track(self, link: Link) -> Link:
+        self._all_links.add(link)
+        return link
+
+    async def _sweep(self) -> None:
+        """Find silent peers and unused connections."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = loop.time()
+            for link in list(self._all_links):
+                link.check_silence(now)
+                idle_s = SWEEP_INTERVAL_S if link.retired else self.limits.idle_s
+                if not link.streams and now - link.last_used_s > idle_s:
+                    link.close()
+            self._forget_backoffs(now)
+
+    def _forget_backoffs(self, now: float) -> None:
+        horizon_s = now - self.limits.idle_s
+        for address, backoff in list(self._backoffs.items()):
+            if backoff.until_s < horizon_s:
+                del self._backoffs[address]
+
+
+def _build_head(peer_request: PeerRequest) -> Any:
+    request = peer_request.request
+    return schema.RequestHead(
+        service_name=peer_request.service,
+        shard=peer_request.shard,
+        key=peer_request.key,
+        method=request.method,
+        target=request.target,
+        headers=encode_headers(request.headers),
+        deadline_us=int(peer_request.remaining_s * US_PER_S),
+        partner=peer_request.partner,
+        request_class=peer_request.request_class.value,
+        cost=peer_request.cost,
+        repeatable=peer_request.repeatable,
+        request_id=peer_request.request_id,
+        idempotency_key=peer_request.idempotency_key,
+        hops=peer_request.hops,
+        recipient=peer_request.recipient,
+    )
+
+
+def _read_head(stream: PeerStream, head: Any) -> PeerRequest:
+    request = Request(
+        method=head.method or b"",
+        target=head.target or b"",
+        headers=decode_headers(head.headers),
+        body=stream.inbound,
+    )
+    return PeerRequest(
+        request=request,
+        service=head.service_name or "",
+        shard=head.shard or "",
+        key=head.key or "",
+        remaining_s=(head.deadline_us or 0) / US_PER_S,
+        partner=head.partner or "",
+        request_class=RequestClass(head.request_class),
+        cost=head.cost or 1.0,
+        repeatable=bool(head.repeatable),
+        request_id=head.request_id or "",
+        idempotency_key=head.idempotency_key or "",
+        hops=head.hops or 0,
+        recipient=head.recipient or "",
+    )
--- /dev/null
+++ b/src/papayatack/network/upstream_connection.py
@@ -0,0 +1,312 @@
+"""One connection to the own upstream."""
+
+import asyncio
+from typing import Any, Protocol
+
+import h11
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.bodies import Body, BodyCutError, BodyQueue
+from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.limits import UpstreamLimits
+from papayatack.network.streams import read_body_error
+
+__all__ = ["UpstreamConnection", "UpstreamOwner"]
+
+WRITE_HIGH_BYTES = 64 * 1024
+BODILESS_STATUSES = (204, 304)
+
+
+class UpstreamOwner(Protocol):
+    """The pool, as a connection sees it."""
+
+    limits: UpstreamLimits
+
+    def return_connection(self, connection: "UpstreamConnection") -> None:
+        """Take back a connection that can carry a further request."""
+
+    def drop_connection(self, connection: "UpstreamConnection") -> None:
+        """Forget a closed connection."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Carries one request at a time.
+
+    Attributes:
+        written: Whether any byte of the current request may have left.
+        idle_since_s: When the connection was last returned to the pool.
+        closed: Whether it can carry no further request.
+    """
+
+    def __init__(self, *, owner: UpstreamOwner) -> None:
+        self.written = False
+        self.idle_since_s = 0.0
+        self.closed = False
+        self._owner = owner
+        self._h11 = self._build_state()
+        self._loop = asyncio.get_running_loop()
+        self._transport: Any = None
+        self._busy = False
+        self._head: asyncio.Future[Result[Response, Refusal]] | None = None
+        self._body: BodyQueue | None = None
+        self._pump: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._method = b""
+        self._read_paused = False
+        self._write_paused = False
+        self._write_waiter: asyncio.Future[None] | None = None
+
+    def _build_state(self) -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._owner.limits.header_bytes
+        )
+
+    async def exchange(
+        self, request: Request, *, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Send a request and return the head of its response.
+
+        The caller closes the response's body; that returns the connection to the
+        pool, or closes it if the body was not whole. Being cancelled closes it.
+
+        Args:
+            request: The request, with the headers that the upstream shall see.
+            deadline_s: Event loop time after which the connection is closed.
+        """
+        self._busy = True
+        self.written = False
+        self._method = request.method
+        self._head = self._loop.create_future()
+        self._body = BodyQueue(on_read=self._take_read, on_close=self._close_body)
+        self._timer = self._loop.call_at(deadline_s, self._expire)
+        try:
+            await self._start(request)
+            return await self._head
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+
+    async def _start(self, request: Request) -> None:
+        """Write the head, with the body if that is short and at hand."""
+        head = h11.Request(
+            method=request.method, target=request.target, headers=list(request.headers)
+        )
+        parts = [self._h11.send(head)]
+        body = request.body
+        try:
+            whole = await self._gather_body(parts, body)
+        except BodyCutError as error:
+            self._fail(read_body_error(error, written=False))
+            return
+        if not self._busy:
+            return
+        self._write(parts)
+        if not whole:
+            self._pump = self._loop.create_task(self._send_body(body))
+
+    async def _gather_body(self, parts: list[Any], body: Body) -> bool:
+        """Add what is at hand of the body; whether that is all of it."""
+        size = 0
+        while body.ready and size < WRITE_HIGH_BYTES:
+            data = await body.read()
+            if not data:
+                parts.append(self._h11.send(h11.EndOfMessage()))
+                return True
+            parts.append(self._h11.send(h11.Data(data=data)))
+            size += len(data)
+        return False
+
+    async def _send_body(self, body: Body) -> None:
+        try:
+            while data := await body.read():
+                self._write([self._h11.send(h11.Data(data=data))])
+                await self._wait_writable()
+            self._write([self._h11.send(h11.EndOfMessage())])
+        except BodyCutError as error:
+            self._pump = None
+            self._fail(read_body_error(error, written=True))
+        except h11.LocalProtocolError as error:
+            self._pump = None
+            self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=str(error)))
+        else:
+            self._pump = None
+            self._recycle()
+
+    def _write(self, parts: list[Any]) -> None:
+        data = b"".join([part for part in parts if part])
+        if data:
+            self.written = True
+            self._transport.write(data)
+
+    async def _wait_writable(self) -> None:
+        while self._write_paused:
+            self._write_waiter = self._loop.create_future()
+            await self._write_waiter
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+
+    def pause_writing(self) -> None:
+        """Hold the request body back while the upstream takes no bytes."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the request body."""
+        self._write_paused = False
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the upstream sent."""
+        if not self._busy:
+            self.abort()
+            return
+        self._parse(data)
+
+    def eof_received(self) -> bool:
+        """Treat the end of the upstream's bytes as the end of the connection."""
+        self.closed = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in flight."""
+        self.closed = True
+        if self._busy:
+            lost = ErrorKind.UPSTREAM_LOST
+            self._fail(
+                Refusal(
+                    kind=lost if self.written else ErrorKind.UPSTREAM_UNREACHABLE,
+                    detail=str(exc) if exc else "the upstream closed the connection",
+                )
+            )
+        self._owner.drop_connection(self)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.closed = True
+        self._stop_tasks()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            self._advance()
+        except h11.RemoteProtocolError as error:
+            self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=str(error)))
+
+    def _advance(self) -> None:
+        """Handle all complete events of the upstream's bytes."""
+        while self._busy:
+            event = self._h11.next_event()
+            kind = type(event)
+            if kind is h11.Data:
+                self._take_data(event)
+            elif kind is h11.Response:
+                self._take_head(event)
+            elif kind is h11.EndOfMessage:
+                assert self._body is not None
+                self._body.finish()
+                self._recycle()
+            elif kind is not h11.InformationalResponse:
+                return
+
+    def _take_head(self, event: h11.Response) -> None:
+        headers = tuple(event.headers)
+        if not self._is_framed(event.status_code, headers):
+            detail = "neither Content-Length nor chunked: its end cannot be proved"
+            self._fail(Refusal(kind=ErrorKind.RESPONSE_TRUNCATED, detail=detail))
+            return
+        assert self._head is not None
+        assert self._body is not None
+        response = Response(
+            status=event.status_code,
+            reason=bytes(event.reason),
+            headers=headers,
+            body=self._body,
+        )
+        if not self._head.done():
+            self._head.set_result(Success(response))
+
+    def _is_framed(self, status: int, headers: Any) -> bool:
+        """Whether the end of the response can be told from a lost connection."""
+        return (
+            self._method == b"HEAD"
+            or status in BODILESS_STATUSES
+            or find_header(headers, b"content-length") is not None
+            or find_header(headers, b"transfer-encoding") is not None
+        )
+
+    def _take_data(self, event: h11.Data) -> None:
+        body = self._body
+        assert body is not None
+        body.put(bytes(event.data))
+        limit = self._owner.limits.buffer_bytes
+        if body.buffered_bytes > limit and not self._read_paused:
+            self._read_paused = True
+            self._transport.pause_reading()
+
+    def _take_read(self, size: int) -> None:
+        body = self._body
+        limit = self._owner.limits.buffer_bytes
+        if self._read_paused and body and body.buffered_bytes <= limit // 2:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._read_paused and not self.closed:
+            self._read_paused = False
+            self._transport.resume_reading()
+
+    def _close_body(self) -> None:
+        """Close the connection if the reader does not want the whole body."""
+        if self._busy:
+            self.abort()
+
+    def _expire(self) -> None:
+        kind = (
+            ErrorKind.UPSTREAM_TIMEOUT if self.written else ErrorKind.DEADLINE_EXPIRED
+        )
+        self._fail(Refusal(kind=kind, detail="no whole answer before the deadline"))
+
+    def _fail(self, refusal: Refusal) -> None:
+        """End the request in flight without a whole response."""
+        self._busy = False
+        if self._head is not None and not self._head.done():
+            self._head.set_result(Failure(refusal))
+        if self._body is not None:
+            kind = refusal.kind
+            if kind is ErrorKind.UPSTREAM_LOST:
+                kind = ErrorKind.RESPONSE_TRUNCATED
+            self._body.fail(kind=kind, detail=refusal.detail)
+        self.abort()
+
+    def _recycle(self) -> None:
+        """Return the connection once request and response are both whole."""
+        state = self._h11
+        if not self._busy or self._body is None or not self._body.finished:
+            return
+        if state.our_state is h11.SEND_BODY and self._pump is not None:
+            self._busy = False
+            self.abort()
+            return
+        self._busy = False
+        self._stop_tasks()
+        if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+            self.abort()
+            return
+        state.start_next_cycle()
+        self._resume_reading()
+        if not self.closed:
+            self._owner.return_connection(self)
+
+    def _stop_tasks(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._pump is not None:
+            self._pump.cancel()
+            self._pump = None
--- /dev/null
+++ b/src/papayatack/network/upstreams.py
@@ -0,0 +1,165 @@
+"""The HTTP/1.1 client towards the own upstream.
+
+One :class:`UpstreamPool` per upstream::
+
+    pool = UpstreamPool(host=host, port=port, limits=limits, metrics=metrics)
+    result = await pool.exchange(request, deadline_s=loop.time() + 1.0)
+"""
+
+import asyncio
+import collections
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.exchanges import Request, Response
+from papayatack.network.limits import UpstreamLimits
+from papayatack.network.upstream_connection import UpstreamConnection
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["UpstreamPool"]
+
+
+class UpstreamPool:
+    """Connections to one upstream, within the inventory's limit.
+
+    A refusal tells exactly what may have happened: its outcome is *not run* only if
+    no byte of the request was written.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        metrics: Metrics,
+        limits: UpstreamLimits | None = None,
+    ) -> None:
+        self.limits = limits or UpstreamLimits()
+        self._host = host
+        self._port = port
+        self._metrics = metrics
+        self._idle: list[UpstreamConnection] = []
+        self._open: set[UpstreamConnection] = set()
+        self._opening = 0
+        self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
+
+    @property
+    def address(self) -> str:
+        """The upstream's address."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._open) + self._opening
+
+    async def exchange(
+        self, request: Request, *, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Send a request and return the head of its response.
+
+        Args:
+            request: The request, with the headers that the upstream shall see.
+            deadline_s: Event loop time by which the whole response must be here.
+        """
+        reserved = await self.reserve(deadline_s=deadline_s)
+        if not is_successful(reserved):
+            return Failure(reserved.failure())
+        return await reserved.unwrap().exchange(request, deadline_s=deadline_s)
+
+    async def reserve(
+        self, *, deadline_s: float
+    ) -> Result[UpstreamConnection, Refusal]:
+        """Return an open connection, for one exchange or :meth:`return_connection`."""
+        connection = self._take_idle()
+        if connection is not None:
+            return Success(connection)
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                connection = await self._acquire()
+        except TimeoutError:
+            return Failure(
+                Refusal(kind=ErrorKind.DEADLINE_EXPIRED, detail="no connection in time")
+            )
+        if connection is not None:
+            return Success(connection)
+        self._metrics.count("upstream_connects_failed")
+        return Failure(
+            Refusal(
+                kind=ErrorKind.UPSTREAM_UNREACHABLE,
+                detail=f"no connection to {self.address}",
+            )
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in list(self._open):
+            connection.abort()
+
+    def return_connection(self, connection: UpstreamConnection) -> None:
+        """Take back a connection that can carry a further request."""
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+        self._wake_waiter()
+
+    def drop_connection(self, connection: UpstreamConnection) -> None:
+        """Forget a closed connection."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._wake_waiter()
+
+    async def _acquire(self) -> UpstreamConnection | None:
+        """Return a connection, waiting within the limit; ``None`` if none opens."""
+        while True:
+            connection = self._take_idle()
+            if connection is not None:
+                return connection
+            if self.open_connections < self.limits.connections:
+                return await self._connect()
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake_waiter()
+                raise
+
+    def _take_idle(self) -> UpstreamConnection | None:
+        """Return the connection used last, closing those unused for too long."""
+        oldest_s = asyncio.get_running_loop().time() - self.limits.idle_timeout_s
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.closed:
+                continue
+            if connection.idle_since_s >= oldest_s:
+                return connection
+            connection.abort()
+        return None
+
+    async def _connect(self) -> UpstreamConnection | None:
+        self._opening += 1
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_s):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: UpstreamConnection(owner=self), self._host, self._port
+                )
+        except (OSError, TimeoutError):
+            return None
+        finally:
+            self._opening -= 1
+            self._wake_waiter()
+        if connection.closed:
+            return None
+        self._open.add(connection)
+        return connection
+
+    def _wake_waiter(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -18,6 +18,7 @@
     DAEMON_STOPPED = 102
     SETTINGS_REJECTED = 103
     UPSTREAM_ANNOUNCED = 104
+    REQUEST_FAILED = 401
 
 
 def log_event(
--- /dev/null
+++ b/src/papayatack/proxy/classification.py
@@ -0,0 +1,179 @@
+"""What a request is: its service, key, rule, partner and deadline."""
+
+import dataclasses
+import re
+import urllib.parse
+import uuid
+
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.inventory import (
+    Configuration,
+    KeySource,
+    RequestRule,
+    Service,
+)
+from papayatack.network.exchanges import PeerRequest, Request, find_header
+from papayatack.proxy.headers import DEADLINE_HEADER, clean_request_headers
+
+__all__ = ["Classifier"]
+
+MS_PER_S = 1000
+IDEMPOTENCY_HEADER = b"idempotency-key"
+_DEFAULT_RULE = RequestRule()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _CompiledRule:
+    """A rule with its expression compiled."""
+
+    rule: RequestRule
+    methods: frozenset[bytes]
+    path: re.Pattern[str]
+
+    def matches(self, method: bytes, path: str) -> bool:
+        """Whether the rule decides a request."""
+        if self.methods and method not in self.methods:
+            return False
+        return self.path.fullmatch(path) is not None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _CompiledService:
+    """A service with its rules compiled."""
+
+    service: Service
+    prefix: str
+    rules: tuple[_CompiledRule, ...]
+
+    def covers(self, path: str) -> bool:
+        """Whether the path is the prefix or below it."""
+        prefix = self.prefix
+        return path.startswith(prefix) and path[len(prefix) : len(prefix) + 1] in "/"
+
+    def find_rule(self, method: bytes, path: str) -> RequestRule:
+        """Return the first rule that matches, or the strictest one."""
+        for compiled in self.rules:
+            if compiled.matches(method, path):
+                return compiled.rule
+        return _DEFAULT_RULE
+
+
+class _Refused(Exception):  # noqa: N818
+    """Ends a classification early."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(detail)
+        self.refusal = Refusal(kind=kind, detail=detail)
+
+
+class Classifier:
+    """Classifies requests by one configuration.
+
+    Rules and keys are read from the percent-decoded path, as the upstream sees it, so
+    that an encoding cannot choose another rule or another owner.
+    """
+
+    def __init__(self, *, configuration: Configuration) -> None:
+        self.configuration = configuration
+        compiled = [_compile_service(service) for service in configuration.services]
+        self._services = sorted(compiled, key=lambda item: -len(item.prefix))
+        self._partners = frozenset(partner.name for partner in configuration.partners)
+        self._partner_header = configuration.partner_header.lower().encode()
+
+    def classify(self, request: Request) -> Result[PeerRequest, Refusal]:
+        """Return the request with all that its way depends on."""
+        try:
+            return Success(self._classify(request))
+        except _Refused as refused:
+            return Failure(refused.refusal)
+
+    def _classify(self, request: Request) -> PeerRequest:
+        path, query = _split_target(request.target)
+        compiled = self._find_service(path)
+        service = compiled.service
+        rest = path[len(compiled.prefix) :]
+        rule = compiled.find_rule(request.method, rest)
+        key = ""
+        if service.key is not None:
+            key = _read_key(service.key, request, rest, query)
+        idempotency = find_header(request.headers, IDEMPOTENCY_HEADER) or b""
+        return PeerRequest(
+            request=dataclasses.replace(
+                request, headers=clean_request_headers(request.headers)
+            ),
+            service=service.name,
+            shard="",
+            key=key,
+            remaining_s=_read_deadline(request, service.deadline_s),
+            partner=self._read_partner(request),
+            request_class=rule.request_class,
+            cost=rule.cost,
+            repeatable=rule.repeatable,
+            request_id=uuid.uuid4().hex,
+            idempotency_key=idempotency.decode("latin-1"),
+        )
+
+    def _find_service(self, path: str) -> _CompiledService:
+        for compiled in self._services:
+            if compiled.covers(path):
+                return compiled
+        raise _Refused(ErrorKind.NO_SUCH_SERVICE, "no service has this path")
+
+    def _read_partner(self, request: Request) -> str:
+        value = find_header(request.headers, self._partner_header) or b""
+        name = value.decode("latin-1")
+        return name if name in self._partners else ""
+
+
+def _compile_service(service: Service) -> _CompiledService:
+    rules = tuple(
+        _CompiledRule(
+            rule=rule,
+            methods=frozenset(method.encode() for method in rule.methods),
+            path=re.compile(rule.path),
+        )
+        for rule in service.request_rules
+    )
+    return _CompiledService(
+        service=service, prefix=service.prefix.rstrip("/"), rules=rules
+    )
+
+
+def _split_target(target: bytes) -> tuple[str, str]:
+    """Return decoded path and raw query of an origin-form or absolute target."""
+    raw_path, _, query = target.decode("latin-1").partition("?")
+    if not raw_path.startswith("/"):
+        raw_path = urllib.parse.urlsplit(raw_path).path
+    path = urllib.parse.unquote(raw_path) if "%" in raw_path else raw_path
+    if "/." in path and {".", ".."} & set(path.split("/")):
+        raise _Refused(ErrorKind.MALFORMED_REQUEST, "the path has dot segments")
+    return path, query
+
+
+def _read_key(source: KeySource, request: Request, rest: str, query: str) -> str:
+    """Return the key; a key that stands twice is refused as ambiguous."""
+    if source.kind == "path":
+        segments = rest.split("/")
+        index = int(source.name)
+        values = segments[index : index + 1]
+    elif source.kind == "query":
+        values = urllib.parse.parse_qs(query).get(source.name, [])
+    else:
+        name = source.name.lower().encode()
+        values = [v.decode("latin-1") for n, v in request.headers if n == name]
+    if len(values) != 1 or not values[0]:
+        detail = f"exactly one key is needed in {source.kind} {source.name}"
+        raise _Refused(ErrorKind.KEY_MISSING, detail)
+    return values[0]
+
+
+def _read_deadline(request: Request, longest_s: float) -> float:
+    value = find_header(request.headers, DEADLINE_HEADER)
+    if value is None:
+        return longest_s
+    if not value.isdigit():
+        detail = "Papayatack-Deadline-Ms is not a whole number"
+        raise _Refused(ErrorKind.MALFORMED_REQUEST, detail)
+    return min(int(value) / MS_PER_S, longest_s)
--- /dev/null
+++ b/src/papayatack/proxy/engine.py
@@ -0,0 +1,244 @@
+"""The life of a request: classify, locate, forward, retry, answer.
+
+One :class:`RequestEngine` per daemon, between the callers' server, the peers and the
+own upstream::
+
+    engine = RequestEngine(
+        incarnation=incarnation, ownership=ownership, gate=gate, peers=network,
+        metrics=metrics, retry=retry,
+    )
+    network.on_request = engine.serve_peer
+    server = CallerServer(handler=engine.handle, ...)
+    engine.upstream = UpstreamPool(...)   # once the upstream has announced itself
+"""
+
+import asyncio
+import dataclasses
+from typing import Protocol
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+
+from papayatack.core.errors import ErrorKind, Outcome, Refusal, find_answer
+from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
+from papayatack.core.inventory import Configuration
+from papayatack.network.answers import OUTCOME_HEADER, build_error_response
+from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.metrics import Metrics
+from papayatack.proxy.balance import NodeBalance
+from papayatack.proxy.classification import Classifier
+from papayatack.proxy.headers import REQUEST_ID_HEADER
+from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
+from papayatack.proxy.local import LocalServer
+from papayatack.proxy.replay import ReplayBody
+from papayatack.proxy.settling import settle_response
+
+__all__ = ["PeerClient", "RequestEngine"]
+
+MAX_HOPS = 2
+REPLAY_BYTES = 128 * 1024
+DEADLINE_MARGIN_S = 0.02
+DEADLINE_MARGIN_SHARE = 0.1
+
+
+class PeerClient(Protocol):
+    """Sends requests to other nodes."""
+
+    async def exchange(
+        self, *, address: PeerAddress, peer_request: PeerRequest, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Send a request and return the head of its response."""
+
+
+class RequestEngine:
+    """Answers the requests of callers and of other nodes."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: IncarnationId,
+        ownership: Ownership,
+        gate: Gate,
+        peers: PeerClient,
+        metrics: Metrics,
+        retry: RetryPolicy,
+    ) -> None:
+        self._incarnation = incarnation
+        self._ownership = ownership
+        self._peers = peers
+        self._metrics = metrics
+        self._retry = retry
+        self._local = LocalServer(ownership=ownership, gate=gate, metrics=metrics)
+        self._balance = NodeBalance()
+        self._classifier = Classifier(configuration=Configuration())
+
+    @property
+    def upstream(self) -> UpstreamPool | None:
+        """Connections to the own upstream, once it has announced itself."""
+        return self._local.upstream
+
+    @upstream.setter
+    def upstream(self, upstream: UpstreamPool | None) -> None:
+        self._local.upstream = upstream
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a caller's request."""
+        started_s = self._now()
+        classified = self._find_classifier().classify(request)
+        if not is_successful(classified):
+            return self._answer_refusal(classified.failure())
+        peer_request = classified.unwrap()
+        result = await self._run(peer_request)
+        self._metrics.record_latency("request", self._now() - started_s)
+        request_id = (REQUEST_ID_HEADER, peer_request.request_id.encode())
+        if not is_successful(result):
+            response = self._answer_refusal(result.failure())
+            response.headers = (*response.headers, request_id)
+            return response
+        response = result.unwrap()
+        self._metrics.count("requests", Outcome.ANSWERED.value)
+        outcome = (OUTCOME_HEADER, Outcome.ANSWERED.value.encode())
+        response.headers = (*response.headers, outcome, request_id)
+        return response
+
+    async def serve_peer(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
+        """Serve another node's request here, or pass it on to the owner.
+
+        Only the node that the caller reached retries.
+        """
+        deadline_s = self._now() + peer_request.remaining_s
+        if not peer_request.key:
+            return await self._local.serve(peer_request, deadline_s=deadline_s)
+        located = self._ownership.locate(peer_request.service, peer_request.key)
+        if not is_successful(located):
+            return Failure(located.failure())
+        route = located.unwrap()
+        if not route.local and peer_request.hops >= MAX_HOPS:
+            detail = "the node that was asked does not own the key"
+            return Failure(Refusal(kind=ErrorKind.NOT_OWNER, detail=detail))
+        return await self._forward(peer_request, route, deadline_s)
+
+    async def _run(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
+        """Attempt a request until it is answered or must not be attempted again.
+
+        Once an attempt may have run, no later refusal may claim that it did not.
+        """
+        now = self._now()
+        deadline_s = now + peer_request.remaining_s
+        self._retry.record_request(now)
+        body = ReplayBody(body=peer_request.request.body, limit_bytes=REPLAY_BYTES)
+        peer_request.request.body = body
+        unknown: Refusal | None = None
+        tried: set[IncarnationId] = set()
+        attempt = 1
+        while True:
+            result = await self._attempt(peer_request, deadline_s, tried)
+            if is_successful(result):
+                return result
+            refusal = result.failure()
+            if _is_unknown(refusal):
+                unknown = unknown or refusal
+            delay_s = self._find_retry_delay(
+                refusal, peer_request, body, attempt, deadline_s
+            )
+            if delay_s is None:
+                return Failure(unknown or refusal)
+            self._metrics.count("retries", refusal.kind.value)
+            await asyncio.sleep(delay_s)
+            body.rewind()
+            attempt += 1
+
+    def _find_retry_delay(
+        self,
+        refusal: Refusal,
+        peer_request: PeerRequest,
+        body: ReplayBody,
+        attempt: int,
+        deadline_s: float,
+    ) -> float | None:
+        """Return the delay before a further attempt, or ``None`` for no attempt."""
+        if not find_answer(refusal.kind).retryable:
+            return None
+        if _is_unknown(refusal) and not peer_request.repeatable:
+            self._metrics.count("retries_refused", "not-repeatable")
+            return None
+        if not body.replayable:
+            self._metrics.count("retries_refused", "body-too-large")
+            return None
+        delay_s = self._retry.allow_retry(self._now(), attempt, deadline_s)
+        if delay_s is None:
+            self._metrics.count("retries_refused", "policy")
+        return delay_s
+
+    async def _attempt(
+        self, peer_request: PeerRequest, deadline_s: float, tried: set[IncarnationId]
+    ) -> Result[Response, Refusal]:
+        routed = self._find_route(peer_request, tried)
+        if not is_successful(routed):
+            return Failure(routed.failure())
+        route = routed.unwrap()
+        tried.add(route.incarnation)
+        keyless = not peer_request.key
+        if keyless:
+            self._balance.begin(route.incarnation)
+        try:
+            return await self._forward(peer_request, route, deadline_s)
+        finally:
+            if keyless:
+                self._balance.end(route.incarnation)
+
+    def _find_route(
+        self, peer_request: PeerRequest, tried: set[IncarnationId]
+    ) -> Result[Route, Refusal]:
+        if peer_request.key:
+            return self._ownership.locate(peer_request.service, peer_request.key)
+        nodes = self._ownership.list_nodes(peer_request.service)
+        return self._balance.choose(nodes, tried)
+
+    async def _forward(
+        self, peer_request: PeerRequest, route: Route, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Serve here, or send to the node of the route."""
+        if route.local:
+            located = dataclasses.replace(
+                peer_request, shard=route.shard if peer_request.key else ShardId("")
+            )
+            return await self._local.serve(located, deadline_s=deadline_s)
+        remaining_s = deadline_s - self._now()
+        margin_s = min(DEADLINE_MARGIN_S, remaining_s * DEADLINE_MARGIN_SHARE)
+        if remaining_s <= 0:
+            return Failure(Refusal(kind=ErrorKind.DEADLINE_EXPIRED))
+        sent = dataclasses.replace(
+            peer_request,
+            shard=route.shard,
+            remaining_s=remaining_s - margin_s,
+            recipient=route.incarnation,
+            hops=peer_request.hops + 1,
+        )
+        result = await self._peers.exchange(
+            address=route.address, peer_request=sent, deadline_s=deadline_s
+        )
+        if not is_successful(result):
+            return result
+        return await settle_response(result.unwrap())
+
+    def _find_classifier(self) -> Classifier:
+        """Return the classifier of the configuration in force."""
+        configuration = self._ownership.configuration
+        if self._classifier.configuration is not configuration:
+            self._classifier = Classifier(configuration=configuration)
+        return self._classifier
+
+    def _answer_refusal(self, refusal: Refusal) -> Response:
+        self._metrics.count("requests", find_answer(refusal.kind).outcome.value)
+        self._metrics.count("requests_refused", refusal.kind.value)
+        return build_error_response(refusal)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _is_unknown(refusal: Refusal) -> bool:
+    """Whether the request may have run."""
+    return find_answer(refusal.kind).outcome is Outcome.UNKNOWN
--- /dev/null
+++ b/src/papayatack/proxy/headers.py
@@ -0,0 +1,62 @@
+"""Header fields that end at this node, and those that it adds."""
+
+from papayatack.network.exchanges import Headers, find_header
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "REFUSED_HEADER",
+    "REQUEST_ID_HEADER",
+    "SHARD_HEADER",
+    "TOKEN_HEADER",
+    "clean_request_headers",
+    "clean_response_headers",
+]
+
+DEADLINE_HEADER = b"papayatack-deadline-ms"
+REQUEST_ID_HEADER = b"papayatack-request-id"
+SHARD_HEADER = b"papayatack-shard"
+TOKEN_HEADER = b"papayatack-token"
+REFUSED_HEADER = b"papayatack-refused"
+_OWN_PREFIX = b"papayatack-"
+_CHUNKED = (b"transfer-encoding", b"chunked")
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+def _clean(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Drop what concerns one connection only, and all fields of this product."""
+    named = find_header(headers, b"connection")
+    dropped = _HOP_BY_HOP
+    if named is not None:
+        dropped = dropped | {part.strip().lower() for part in named.split(b",")}
+        dropped = dropped - {b"content-length"}
+    return [
+        field
+        for field in headers
+        if field[0] not in dropped and not field[0].startswith(_OWN_PREFIX)
+    ]
+
+
+def clean_request_headers(headers: Headers) -> Headers:
+    """Return the fields of a caller's request that may travel on."""
+    kept = _clean(headers)
+    if find_header(headers, b"transfer-encoding") is not None:
+        kept.append(_CHUNKED)
+    return tuple(kept)
+
+
+def clean_response_headers(headers: Headers) -> Headers:
+    """Return the fields of an upstream's response that may travel on."""
+    return tuple(_clean(headers))
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -14,7 +14,15 @@
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration, RequestClass
 
-__all__ = ["Gate", "Grant", "Ownership", "Permit", "Route", "Ticket"]
+__all__ = [
+    "Gate",
+    "Grant",
+    "Ownership",
+    "Permit",
+    "RetryPolicy",
+    "Route",
+    "Ticket",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,3 +109,19 @@
 
     async def acquire(self, ticket: Ticket) -> Result[Permit, Refusal]:
         """Wait for a slot; the wait may be cancelled."""
+
+
+class RetryPolicy(Protocol):
+    """Decides whether a failed request may be attempted again."""
+
+    def record_request(self, now: float) -> None:
+        """Note a new request, which earns a share of a retry."""
+
+    def allow_retry(self, now: float, attempt: int, deadline: float) -> float | None:
+        """Return the delay before a further attempt, or ``None`` for no attempt.
+
+        Args:
+            now: Event loop time.
+            attempt: Attempts made so far, from 1.
+            deadline: Event loop time by which the request must be answered.
+        """
--- /dev/null
+++ b/src/papayatack/proxy/local.py
@@ -0,0 +1,184 @@
+"""The last step of a request: through the gate to the own upstream."""
+
+import asyncio
+import dataclasses
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import ShardId
+from papayatack.network.exchanges import (
+    Headers,
+    PeerRequest,
+    Request,
+    Response,
+    find_header,
+)
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.metrics import Metrics
+from papayatack.proxy.headers import (
+    DEADLINE_HEADER,
+    REFUSED_HEADER,
+    REQUEST_ID_HEADER,
+    SHARD_HEADER,
+    TOKEN_HEADER,
+    clean_response_headers,
+)
+from papayatack.proxy.interface import Gate, Grant, Ownership, Permit, Ticket
+from papayatack.proxy.replay import MeteredBody
+from papayatack.proxy.settling import settle_response
+
+__all__ = ["LocalServer"]
+
+MS_PER_S = 1000
+STATUS_CONFLICT = 409
+_REFUSALS = {
+    b"token": ErrorKind.GRANT_REFUSED,
+    b"grant": ErrorKind.GRANT_REFUSED,
+    b"draining": ErrorKind.UPSTREAM_DRAINING,
+    b"shed": ErrorKind.UPSTREAM_SHED,
+}
+_NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
+
+
+@dataclasses.dataclass(slots=True)
+class _Use:
+    """What a request in flight holds and must give back once."""
+
+    ownership: Ownership
+    permit: Permit
+    shard: ShardId
+    started_s: float
+
+    def end(self, kind: ErrorKind | None) -> None:
+        """Give back the slot and the shard."""
+        service_time_s = asyncio.get_running_loop().time() - self.started_s
+        error = None if kind is None else kind.value
+        self.permit.release(service_time_s=service_time_s, error=error)
+        if self.shard:
+            self.ownership.finish(self.shard, service_time_s=service_time_s)
+
+
+class LocalServer:
+    """Serves requests through the own upstream."""
+
+    def __init__(
+        self,
+        *,
+        ownership: Ownership,
+        gate: Gate,
+        metrics: Metrics,
+        upstream: UpstreamPool | None = None,
+    ) -> None:
+        self.upstream = upstream
+        self._ownership = ownership
+        self._gate = gate
+        self._metrics = metrics
+
+    async def serve(
+        self, peer_request: PeerRequest, *, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Wait for a slot, then forward the request under the grant of its shard."""
+        if self.upstream is None:
+            return _refuse(ErrorKind.UPSTREAM_UNREACHABLE, "no upstream is announced")
+        ticket = Ticket(
+            partner=peer_request.partner,
+            request_class=peer_request.request_class,
+            cost=peer_request.cost,
+            deadline_s=deadline_s,
+        )
+        admitted = await self._gate.acquire(ticket)
+        if not is_successful(admitted):
+            return Failure(admitted.failure())
+        use = _Use(
+            ownership=self._ownership,
+            permit=admitted.unwrap(),
+            shard=ShardId(""),
+            started_s=asyncio.get_running_loop().time(),
+        )
+        try:
+            result = await self._forward(peer_request, use, deadline_s)
+        except BaseException:
+            use.end(ErrorKind.CALLER_LEFT)
+            raise
+        if not is_successful(result):
+            use.end(result.failure().kind)
+        return result
+
+    async def _forward(
+        self, peer_request: PeerRequest, use: _Use, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Authorize with a connection in hand, so that no wait follows."""
+        upstream = self.upstream
+        if upstream is None:
+            return _refuse(ErrorKind.UPSTREAM_UNREACHABLE, "the upstream has left")
+        reserved = await upstream.reserve(deadline_s=deadline_s)
+        if not is_successful(reserved):
+            return Failure(reserved.failure())
+        connection = reserved.unwrap()
+        now = asyncio.get_running_loop().time()
+        granted = self._authorize(peer_request, use, deadline_s - now)
+        if not is_successful(granted):
+            upstream.return_connection(connection)
+            return Failure(granted.failure())
+        request = Request(
+            method=peer_request.request.method,
+            target=peer_request.request.target,
+            headers=_build_headers(peer_request, granted.unwrap(), deadline_s - now),
+            body=peer_request.request.body,
+        )
+        result = await connection.exchange(request, deadline_s=deadline_s)
+        if not is_successful(result):
+            return Failure(result.failure())
+        return await self._check_response(result.unwrap(), use)
+
+    def _authorize(
+        self, peer_request: PeerRequest, use: _Use, remaining_s: float
+    ) -> Result[Grant, Refusal]:
+        if remaining_s <= 0:
+            return _refuse(ErrorKind.DEADLINE_EXPIRED, "expired before the forward")
+        if not peer_request.shard:
+            return Success(_NO_GRANT)
+        shard = ShardId(peer_request.shard)
+        granted = self._ownership.authorize(shard)
+        if is_successful(granted):
+            use.shard = shard
+        return granted
+
+    async def _check_response(
+        self, response: Response, use: _Use
+    ) -> Result[Response, Refusal]:
+        refused = find_header(response.headers, REFUSED_HEADER)
+        if response.status == STATUS_CONFLICT and refused in _REFUSALS:
+            response.body.close()
+            kind = _REFUSALS[refused]
+            self._metrics.count("upstream_refusals", refused.decode())
+            return _refuse(kind, "the upstream refused the request")
+        response.headers = clean_response_headers(response.headers)
+        settled = await settle_response(response)
+        if not is_successful(settled):
+            return settled
+        if settled.unwrap() is not response:
+            use.end(None)
+            return settled
+        response.body = MeteredBody(body=response.body, on_end=use.end)
+        return Success(response)
+
+
+def _refuse(kind: ErrorKind, detail: str) -> Result:
+    return Failure(Refusal(kind=kind, detail=detail))
+
+
+def _build_headers(
+    peer_request: PeerRequest, grant: Grant, remaining_s: float
+) -> Headers:
+    """Return the request's fields with those that tell the upstream its terms."""
+    added = [
+        (REQUEST_ID_HEADER, peer_request.request_id.encode()),
+        (DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * MS_PER_S))),
+    ]
+    if peer_request.shard:
+        added.append((SHARD_HEADER, peer_request.shard.encode()))
+        added.append((TOKEN_HEADER, b"%d" % grant.token))
+    return (*peer_request.request.headers, *added)
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -45,7 +45,7 @@
 struct Window { 1: i32 bytes }
 struct Failure { 1: string kind, 2: string detail, 3: i64 retry_after_us }
 struct Cancel { 1: string reason }
-struct Hello { 1: string incarnation, 2: i32 protocol }
+struct Hello { 1: string incarnation, 2: i32 protocol, 3: bool reply_wanted }
 struct Frame {
   1: i32 stream,
   2: optional Control control, 3: optional RequestHead request,
--- /dev/null
+++ b/tests/proxy/test_engine.py
@@ -0,0 +1,165 @@
+"""Tests of papayatack.proxy.engine on loopback."""
+
+import asyncio
+import unittest
+
+from papayatack.core.errors import ErrorKind, Refusal
+from standins.upstream import UpstreamStandin
+from tests.proxy.fakes import Node, build_request, fetch, wait_until
+
+
+class EngineTestCase(unittest.IsolatedAsyncioTestCase):
+    """Two nodes; the second owns the shard."""
+
+    async def asyncSetUp(self):
+        """Start an upstream and two nodes."""
+        self.upstream = UpstreamStandin()
+        await self.upstream.start()
+        self.owner = await Node(name="owner").start(self.upstream.port)
+        self.entry = await Node(name="entry").start()
+        self.owner.ownership.route = self.owner.build_route(local=True)
+        self.entry.ownership.route = self.owner.build_route(local=False)
+        await self.owner.grant()
+
+    async def asyncTearDown(self):
+        """Stop all."""
+        await self.entry.stop()
+        await self.owner.stop()
+        await self.upstream.stop(timeout_s=0)
+
+    async def request(self, node, method="GET", target="/hiring/v/k1", **kwargs):
+        """Return the raw answer of one request."""
+        data = build_request(method, target, **kwargs)
+        return await fetch(node.callers.port, data)
+
+
+class ServingTests(EngineTestCase):
+    """Requests that are answered."""
+
+    async def test_owner_answers_through_its_upstream(self):
+        """A local request is answered whole and marked as answered."""
+        answer = await self.request(self.owner)
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertIn(b"papayatack-outcome: answered", answer)
+        self.assertTrue(answer.endswith(b"xx"))
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
+    async def test_other_node_forwards_to_the_owner(self):
+        """A node that does not own the key sends the request to the owner."""
+        answer = await self.request(self.entry, "POST", body=b"abc")
+        self.assertIn(b"papayatack-outcome: answered", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+        self.assertEqual(self.owner.ownership.finished, 1)
+        self.assertEqual(self.owner.gate.released, 1)
+
+    async def test_large_bodies_pass_whole_both_ways(self):
+        """Bodies larger than all buffers arrive with their full length."""
+        target = "/hiring/v/k1?bytes=1000000"
+        for node in (self.owner, self.entry):
+            for suffix in ("", "&chunked=1"):
+                with self.subTest(node=node.name, suffix=suffix):
+                    answer = await self.request(
+                        node, "POST", target + suffix, body=b"y" * 700_000
+                    )
+                    self.assertGreaterEqual(answer.count(b"x"), 1_000_000)
+
+    async def test_callers_cannot_set_the_routers_own_fields(self):
+        """A caller's token and shard never reach the upstream."""
+        headers = ("Papayatack-Token: 99", "Papayatack-Shard: other")
+        answer = await self.request(self.owner, headers=headers)
+        self.assertIn(b"HTTP/1.1 200", answer)
+
+
+class RefusalTests(EngineTestCase):
+    """Requests that are not answered by the upstream."""
+
+    async def test_stale_token_is_not_run(self):
+        """An upstream that knows a higher token refuses, and nothing runs."""
+        await self.owner.grant(token=2)
+        answer = await self.request(self.entry, "POST", body=b"a")
+        self.assertIn(b"papayatack-error: grant-refused", answer)
+        self.assertIn(b"papayatack-outcome: not-run", answer)
+        self.assertEqual(self.upstream.runs, {})
+
+    async def test_refusal_of_the_gate_is_passed_on(self):
+        """A full queue is told to the caller with a time to come back."""
+        self.owner.gate.refusal = Refusal(kind=ErrorKind.QUEUE_FULL, retry_after_s=2.5)
+        answer = await self.request(self.entry)
+        self.assertIn(b"papayatack-error: queue-full", answer)
+        self.assertIn(b"retry-after: 3", answer)
+
+    async def test_lease_lost_while_waiting_forwards_nothing(self):
+        """Authority is asked for after the wait, right before the forward."""
+        self.owner.ownership.refusal = Refusal(kind=ErrorKind.LEASE_EXPIRED)
+        answer = await self.request(self.owner, "POST", body=b"a")
+        self.assertIn(b"papayatack-error: lease-expired", answer)
+        self.assertEqual(self.upstream.runs, {})
+        self.assertEqual(self.owner.gate.acquired, self.owner.gate.released)
+
+    async def test_cut_answer_of_unrepeatable_request_is_unknown_and_run_once(self):
+        """After a truncated answer the request is not attempted again."""
+        self.upstream.behaviour.cut_after_bytes = 10
+        answer = await self.request(
+            self.entry, "POST", "/hiring/v/k1?bytes=100", body=b"a"
+        )
+        self.assertIn(b"papayatack-outcome: unknown", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
+    async def test_cut_long_answer_never_looks_whole(self):
+        """A long answer that is cut ends without its last chunk."""
+        self.upstream.behaviour.cut_after_bytes = 300_000
+        for suffix in ("", "&chunked=1"):
+            answer = await self.request(
+                self.entry, "GET", "/hiring/v/k1?bytes=900000" + suffix
+            )
+            self.assertNotIn(b"\r\n0\r\n\r\n", answer)
+            self.assertLess(answer.count(b"x"), 900_000)
+
+    async def test_frozen_upstream_gives_unknown_at_the_deadline(self):
+        """A request that was written and not answered in time is unknown."""
+        self.upstream.behaviour.frozen = True
+        self.upstream._thawed.clear()
+        answer = await self.request(
+            self.entry, "POST", body=b"a", headers=("Papayatack-Deadline-Ms: 100",)
+        )
+        self.assertIn(b"papayatack-outcome: unknown", answer)
+        self.assertIn(b"papayatack-error: upstream-timeout", answer)
+
+    async def test_unreachable_peer_is_not_run(self):
+        """A request that could not be sent to the owner was not run."""
+        await self.owner.stop()
+        answer = await self.request(self.entry, "POST", body=b"a")
+        self.assertIn(b"papayatack-error: peer-unreachable", answer)
+        self.assertIn(b"papayatack-outcome: not-run", answer)
+
+    async def test_unknown_attempt_is_never_followed_by_not_run(self):
+        """Once an attempt may have run, a later refusal does not hide it."""
+        self.upstream.behaviour.cut_after_bytes = 1
+        real_acquire = self.owner.gate.acquire
+
+        async def refuse_second(ticket):
+            if self.owner.gate.acquired:
+                self.owner.gate.refusal = Refusal(kind=ErrorKind.QUEUE_FULL)
+            return await real_acquire(ticket)
+
+        self.owner.gate.acquire = refuse_second
+        answer = await self.request(self.entry, "GET")
+        self.assertIn(b"papayatack-outcome: unknown", answer)
+
+
+class CancellationTests(EngineTestCase):
+    """Callers that leave."""
+
+    async def test_leaving_caller_cancels_the_work(self):
+        """The upstream sees the cancellation through both hops."""
+        for node in (self.owner, self.entry):
+            before = self.upstream.cancelled
+            data = build_request("GET", "/hiring/v/k1?sleep_ms=60000")
+            _, writer = await asyncio.open_connection("127.0.0.1", node.callers.port)
+            writer.write(data)
+            await wait_until(lambda: self.upstream._busy)
+            writer.close()
+            await wait_until(
+                lambda expected=before + 1: self.upstream.cancelled == expected
+            )
+        self.assertEqual(self.owner.gate.acquired, self.owner.gate.released)
