--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small models of the platform's log and of upstreams, for tests and measurements."""
+"""Small models of the platform's parts, for tests and trials on one machine."""
