Close a response's body without cutting the next exchange

Cause: under concurrent requests 47 to 53 of 540 through the nine-node mesh ended "upstream-lost" though the upstream had closed nothing. The reader of a whole response closes its body after the connection went back to the pool; by then the connection carried the next request, which the close aborted. Ruled out: closes by the upstream (its connection code, traced, closed none) and the connection limit.

Change: closing a body aborts its connection only if that body is the current one and not whole. Test: a late close spares the next exchange.

The new test fails without the change.

--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -78,7 +78,10 @@
         self.written = False
         self._method = request.method
         self._head = self._loop.create_future()
-        self._body = BodyQueue(on_read=self._take_read, on_close=self._close_body)
+        body = BodyQueue(
+            on_read=self._take_read, on_close=lambda: self._close_body(body)
+        )
+        self._body = body
         self._timer = self._loop.call_at(deadline_s, self._expire)
         try:
             await self._start(request)
@@ -261,9 +264,12 @@
             self._read_paused = False
             self._transport.resume_reading()
 
-    def _close_body(self) -> None:
-        """Close the connection if the reader does not want the whole body."""
-        if self._busy:
+    def _close_body(self, body: BodyQueue) -> None:
+        """Close the connection if the reader does not want the whole body.
+
+        A whole body may be closed after the connection has begun the next exchange.
+        """
+        if self._busy and body is self._body and not body.finished:
             self.abort()
 
     def _expire(self) -> None:
