Measure admission with a queueing model, and bound queues by usable slots

Cause: at four times the capacity the queue of all classes was bounded by all slots, so that a class served by half of them waited up to its deadline. A class's queue is bounded by the slots that it can use now. Downloads are guaranteed a tenth of the slots and short classes keep their load plus 1.5 times its root. Retries are 8% of the requests.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each program prints the figures that the docs quote."""
--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""A plain queueing model of upstreams, and gates to compare before them."""
--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -58,10 +58,13 @@
         self._classes: Mapping[RequestClass, ClassState] = {
             request_class: ClassState(
                 share=limits.shares[request_class],
-                queue=FairQueue(weights=weights, max_length=limits.queue_length),
+                queue=FairQueue(weights=weights),
             )
             for request_class in RequestClass
         }
+        self._order = self._classes[RequestClass.ORDER]
+        self._browse = self._classes[RequestClass.BROWSE]
+        self._download = self._classes[RequestClass.DOWNLOAD]
 
     @property
     def in_use(self) -> int:
@@ -88,7 +91,6 @@
         weights = _read_weights(partners)
         for request_class, state in self._classes.items():
             state.share = limits.shares[request_class]
-            state.queue.max_length = limits.queue_length
             state.queue.set_weights(weights)
 
     def restart(self, now: float) -> None:
@@ -209,8 +211,8 @@
                     wait_s,
                 )
                 return
-            if len(state.queue) >= state.queue.max_length:
-                self._drop_longest(now, state, entry)
+            if len(state.queue) >= self._bound_queue(now, state):
+                self._drop_longest(now, state, entry, wait_s)
                 if entry.state is EntryState.ENDED:
                     return
         state.queue.push(entry)
@@ -224,7 +226,9 @@
             and state.in_use < self._bound_class(state, limit)
         )
 
-    def _drop_longest(self, now: float, state: ClassState, entry: Entry) -> None:
+    def _drop_longest(
+        self, now: float, state: ClassState, entry: Entry, wait_s: float
+    ) -> None:
         """Refuse the newest request of the partner with the most waiting."""
         victim = state.queue.find_victim()
         own_length = state.queue.measure_length(entry.flow)
@@ -232,27 +236,38 @@
             victim = entry
         else:
             self._withdraw(victim)
-        wait_s = self._estimate_wait(now, victim.flow, state)
+            wait_s = self._estimate_wait(now, victim.flow, state)
         self._refuse(victim, ErrorKind.QUEUE_FULL, "queue is full", wait_s)
 
     def _estimate_wait(self, now: float, flow: str, state: ClassState) -> float:
         """Return how long a new request of the flow would wait."""
         if state.seconds_per_cost is None:
             return 0.0
+        slots = self._count_usable_slots(now, state)
+        return state.queue.estimate_work_ahead(flow) / slots
+
+    def _bound_queue(self, now: float, state: ClassState) -> float:
+        """Return how many requests of a class may wait.
+
+        The bound follows the slots that the class can use, so that a full queue
+        means the same wait whether or not the other classes use theirs.
+        """
+        return self._count_usable_slots(now, state) * self.limits.queue_per_slot
+
+    def _count_usable_slots(self, now: float, state: ClassState) -> float:
+        """Return the slots that a class gets while the others ask as they do now."""
         limit = self._concurrency.read_limit(now)
-        active = sum(
-            other.share
-            for other in self._classes.values()
-            if other.is_active or other is state
-        )
+        active = state.share
+        for other in self._classes.values():
+            if other is not state and other.demand:
+                active += other.share
         others = self._in_use - state.in_use
         slots = max(limit * state.share / active, float(limit - others))
-        slots = max(1.0, min(slots, self._bound_class(state, limit)))
-        return state.queue.estimate_work_ahead(flow) / slots
+        return max(1.0, min(slots, self._bound_class(state, limit)))
 
     def _bound_class(self, state: ClassState, limit: int) -> int:
         """Return the slots that a class may hold at once."""
-        if state is not self._classes[RequestClass.DOWNLOAD]:
+        if state is not self._download:
             return limit
         guaranteed = self.limits.guarantee_slots(RequestClass.DOWNLOAD)
         return max(min(guaranteed, limit), limit - self._headroom.read_need())
@@ -306,12 +321,10 @@
 
     def _measure(self, now: float) -> None:
         """Record the short classes' load up to now."""
-        load = sum(
-            state.in_use + len(state.queue)
-            for request_class, state in self._classes.items()
-            if request_class is not RequestClass.DOWNLOAD
-        )
-        self._headroom.record(now, min(load, self.limits.usable_slots))
+        if now <= self._headroom.updated_s:
+            return
+        load = self._order.demand + self._browse.demand
+        self._headroom.record(now, min(load, self._concurrency.slots))
 
 
 def _read_weights(partners: Iterable[Partner]) -> dict[str, float]:
--- a/src/papayatack/core/admission/classes.py
+++ b/src/papayatack/core/admission/classes.py
@@ -27,9 +27,9 @@
     seconds_per_cost: float | None = None
 
     @property
-    def is_active(self) -> bool:
-        """Return whether the class wants or holds slots."""
-        return bool(self.in_use or len(self.queue))
+    def demand(self) -> int:
+        """Return the slots that the class holds or waits for."""
+        return self.in_use + len(self.queue)
 
     def estimate_charge(self, cost: float) -> float:
         """Return the slot seconds that a request is expected to take."""
--- a/src/papayatack/core/admission/concurrency.py
+++ b/src/papayatack/core/admission/concurrency.py
@@ -36,7 +36,9 @@
 
     def read_limit(self, now: float) -> int:
         """Return the slots that may be in use."""
-        return max(1, int(min(self._limit, self._read_ramp(now))))
+        if now < self.started_s + self.ramp_s:
+            return max(1, int(min(self._limit, self._read_ramp(now))))
+        return max(1, int(self._limit))
 
     def is_ramping(self, now: float) -> bool:
         """Return whether time alone will raise the limit."""
--- a/src/papayatack/core/admission/headroom.py
+++ b/src/papayatack/core/admission/headroom.py
@@ -7,7 +7,7 @@
 
 FAST_TIME_CONSTANT_S = 2.0
 SLOW_TIME_CONSTANT_S = 20.0
-SAFETY = 2.0
+SAFETY = 1.5
 NEGLIGIBLE_LOAD = 0.01
 
 
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -9,8 +9,8 @@
 
 CLASS_SHARES: Mapping[RequestClass, float] = {
     RequestClass.ORDER: 0.35,
-    RequestClass.BROWSE: 0.5,
-    RequestClass.DOWNLOAD: 0.15,
+    RequestClass.BROWSE: 0.55,
+    RequestClass.DOWNLOAD: 0.1,
 }
 """Share of the slots that each class is guaranteed."""
 
@@ -25,7 +25,7 @@
         slots: Requests that it runs at once.
         connections: Connections that it accepts.
         shares: Share of the slots guaranteed to each class.
-        queue_per_slot: Requests of one class that may wait, for each slot.
+        queue_per_slot: Requests that may wait for each slot that a class can use.
     """
 
     slots: int = 14
@@ -40,11 +40,6 @@
         """Return the requests that may run, each on a connection of its own."""
         return max(1, min(self.slots, self.connections))
 
-    @property
-    def queue_length(self) -> int:
-        """Return how many requests of one class may wait."""
-        return self.usable_slots * self.queue_per_slot
-
     def guarantee_slots(self, request_class: RequestClass) -> int:
         """Return the slots guaranteed to a class, at least one."""
         return max(1, round(self.shares[request_class] * self.usable_slots))
--- a/src/papayatack/core/admission/queue.py
+++ b/src/papayatack/core/admission/queue.py
@@ -31,11 +31,10 @@
     A request is charged its expected slot seconds when it is taken; what it really
     took is charged with :meth:`adjust`. An idle partner earns no credit. All
     partners without a weight of their own share one flow of weight 1, so that
-    memory is bounded by the inventory and the queue's length.
+    memory is bounded by the inventory and the number of waiting requests.
     """
 
-    def __init__(self, *, weights: Mapping[str, float], max_length: int) -> None:
-        self.max_length = max_length
+    def __init__(self, *, weights: Mapping[str, float]) -> None:
         self._flows: dict[str, _Flow] = {}
         self._weights: dict[str, float] = {}
         self._starts: KeyedHeap[str] = KeyedHeap()
--- a/src/papayatack/core/retry.py
+++ b/src/papayatack/core/retry.py
@@ -10,7 +10,7 @@
 
 __all__ = ["RetryBudget", "RetryDecision", "RetryPolicy", "RetryReason"]
 
-BUDGET_SHARE = 0.1
+BUDGET_SHARE = 0.08
 BUDGET_WINDOW_S = 10.0
 BUDGET_RESERVE = 1.0
 MAX_ATTEMPTS = 4
