--- a/src/papayatack/core/records.py
+++ b/src/papayatack/core/records.py
@@ -62,6 +62,8 @@
         upstream: The upstream's address, ``<ip>:<port>``.
         slots: Requests that the upstream runs at once.
         connections: Connections that the upstream accepts.
+        supersedes: The incarnation that held the address when this was written, or
+            empty; another one there by now voids the record.
     """
 
     record_id: str
@@ -75,6 +77,7 @@
     upstream: str
     slots: int
     connections: int
+    supersedes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,18 +97,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Assignment:
-    """A shard's new chain.
+    """A shard's new chain, the split of a hot key's shard, or its return.
+
+    An entry with a ``parent`` gives a hot key a shard of its own (``chain`` is the
+    parent's), or returns it (``chain`` is empty). Both take effect only while the
+    parent is at ``parent_epoch``, both shards have the same chain, and neither has a
+    chain that is not cleared yet: docs/design/placement.md.
 
     Attributes:
         shard: The shard.
         base_epoch: The epoch it was planned against (0: not yet assigned); another
             current epoch voids this entry.
-        chain: Owner first, then its successors.
+        chain: Owner first, then its successors; empty if nobody is to own it.
+        parent: The shard to which a hot key belongs otherwise, for split and return.
+        parent_epoch: The epoch of the parent that this entry was planned against.
     """
 
     shard: ShardId
     base_epoch: int
     chain: tuple[LeaseId, ...]
+    parent: ShardId = ShardId("")
+    parent_epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,13 +168,15 @@
 
     Attributes:
         lease: The fenced lease.
-        floor: The highest ownership offset that a witness held for it.
+        floor: The highest floor that a witness held for it.
+        drained: The holder had finished its requests and asked for it itself.
     """
 
     record_id: str
     writer: str
     lease: LeaseId
     floor: int
+    drained: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
