Let requests wait while the ownership of their key changes hands

Cause: during moves 56 of 540 requests were refused "no-owner", "not-owner" or "grant-refused". The retry budget, a share of the traffic, is spent by the first few of such a burst, though these refusals cost no upstream anything and end by themselves within the takeover's two seconds.

Other retries keep the budget.

Refusals "queue-full" of a burst of 540 against cold upstreams are another matter and stay.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -9,6 +9,7 @@
 
 from papayatack.control.node import ControlNode
 from papayatack.core.admission import Admission, Limits
+from papayatack.core.handover import HandoverWait
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.inventory import Configuration, Service
 from papayatack.core.placement import plan
@@ -224,6 +225,7 @@
             peers=self._peers,
             metrics=self._metrics,
             retry=RetryPolicy(count=self._metrics.count, rng=self._random),
+            handover=HandoverWait(rng=self._random),
         )
 
     def _build_parts(
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -5,7 +5,7 @@
 
     engine = RequestEngine(
         incarnation=incarnation, ownership=ownership, gate=gate, peers=network,
-        metrics=metrics, retry=retry,
+        metrics=metrics, retry=retry, handover=HandoverWait(rng=rng),
     )
     network.on_request = engine.serve_peer
     server = CallerServer(handler=engine.handle, ...)
@@ -14,12 +14,19 @@
 
 import asyncio
 import dataclasses
+import random
 from typing import Protocol
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal, find_answer
+from papayatack.core.handover import (
+    HANDOVER_KINDS,
+    HandoverReason,
+    HandoverWait,
+    WaitState,
+)
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.network.answers import OUTCOME_HEADER, build_error_response
@@ -63,12 +70,14 @@
         peers: PeerClient,
         metrics: Metrics,
         retry: RetryPolicy,
+        handover: HandoverWait | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._ownership = ownership
         self._peers = peers
         self._metrics = metrics
         self._retry = retry
+        self._handover = handover or HandoverWait(rng=random.Random())
         self._local = LocalServer(ownership=ownership, gate=gate, metrics=metrics)
         self._balance = NodeBalance()
         self._classifier = Classifier(configuration=Configuration())
@@ -120,6 +129,16 @@
         return await self._forward(peer_request, route, deadline_s)
 
     async def _run(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
+        """Attempt a request until it is answered or given up."""
+        state = WaitState()
+        try:
+            return await self._run_attempts(peer_request, state)
+        finally:
+            self._handover.end(state)
+
+    async def _run_attempts(
+        self, peer_request: PeerRequest, state: WaitState
+    ) -> Result[Response, Refusal]:
         """Attempt a request until it is answered or must not be attempted again.
 
         Once an attempt may have run, no later refusal may claim that it did not.
@@ -139,15 +158,29 @@
             refusal = result.failure()
             if _is_unknown(refusal):
                 unknown = unknown or refusal
-            delay_s = self._find_retry_delay(
-                refusal, peer_request, body, attempt, deadline_s
-            )
+            if refusal.kind in HANDOVER_KINDS:
+                delay_s = self._find_pause(body, state, deadline_s)
+            else:
+                delay_s = self._find_retry_delay(
+                    refusal, peer_request, body, attempt, deadline_s
+                )
+                attempt += 1
             if delay_s is None:
                 return Failure(unknown or refusal)
             self._metrics.count("retries", refusal.kind.value)
             await asyncio.sleep(delay_s)
             body.rewind()
-            attempt += 1
+
+    def _find_pause(
+        self, body: ReplayBody, state: WaitState, deadline_s: float
+    ) -> float | None:
+        """Return the pause before asking for the key's owner again."""
+        if not body.replayable:
+            self._metrics.count("retries_refused", "body-too-large")
+            return None
+        reason, pause_s = self._handover.decide(self._now(), state, deadline_s)
+        self._metrics.count("handover_waits", reason.value)
+        return pause_s if reason is HandoverReason.WAITING else None
 
     def _find_retry_delay(
         self,
--- /dev/null
+++ b/tests/core/test_handover.py
@@ -0,0 +1,75 @@
+"""Tests of papayatack.core.handover."""
+
+import random
+import unittest
+
+from papayatack.core.errors import Outcome, find_answer
+from papayatack.core.handover import (
+    HANDOVER_KINDS,
+    HandoverReason,
+    HandoverWait,
+    WaitState,
+)
+
+FAR_S = 1_000.0
+
+
+class HandoverWaitTests(unittest.TestCase):
+    """Waits for a key that changes its owner."""
+
+    def setUp(self):
+        self.wait = HandoverWait(rng=random.Random(7), patience_s=2.0, max_waiting=2)
+
+    def wait_out(self, state, *, deadline_s=FAR_S):
+        """Return the reason that ends the waits of ``state``, and the time."""
+        now = 0.0
+        while True:
+            reason, pause_s = self.wait.decide(now, state, deadline_s)
+            if reason is not HandoverReason.WAITING:
+                return reason, now
+            now += pause_s
+
+    def test_only_kinds_that_were_not_run(self):
+        """No request that may have run is sent again by this rule."""
+        for kind in HANDOVER_KINDS:
+            with self.subTest(kind=kind):
+                self.assertIs(find_answer(kind).outcome, Outcome.NOT_RUN)
+
+    def test_wait_ends_within_patience(self):
+        """A request is given up before its patience is over, not after."""
+        reason, now = self.wait_out(WaitState())
+        self.assertIs(reason, HandoverReason.PATIENCE_OVER)
+        self.assertLessEqual(now, 2.0)
+        self.assertGreater(now, 1.5)
+
+    def test_wait_ends_before_the_deadline(self):
+        """A pause that would pass the deadline is not begun."""
+        reason, now = self.wait_out(WaitState(), deadline_s=0.3)
+        self.assertIs(reason, HandoverReason.DEADLINE_TOO_NEAR)
+        self.assertLess(now, 0.3)
+
+    def test_attempts_are_few(self):
+        """Pauses grow, so that a wait of two seconds asks some twenty times."""
+        state = WaitState()
+        self.wait_out(state)
+        self.assertLess(state.pauses, 30)
+
+    def test_waiting_requests_are_bounded(self):
+        """A third request is answered at once, until another one has ended."""
+        first, second, third = WaitState(), WaitState(), WaitState()
+        self.wait.decide(0.0, first, FAR_S)
+        self.wait.decide(0.0, second, FAR_S)
+        reason, _ = self.wait.decide(0.0, third, FAR_S)
+        self.assertIs(reason, HandoverReason.TOO_MANY_WAITING)
+        self.wait.end(first)
+        reason, _ = self.wait.decide(0.0, third, FAR_S)
+        self.assertIs(reason, HandoverReason.WAITING)
+
+    def test_end_counts_once(self):
+        """Ending a request twice, or one that never waited, changes nothing."""
+        state = WaitState()
+        self.wait.end(state)
+        self.wait.decide(0.0, state, FAR_S)
+        self.wait.end(state)
+        self.wait.end(state)
+        self.assertEqual(self.wait.waiting, 0)
