--- a/examples/mesh.py
+++ b/examples/mesh.py
@@ -93,7 +93,13 @@
 
 async def send_requests(fleet: Fleet) -> int:
     """Send a request for every key through every node; return how many failed."""
-    asked = [_ask(member, number) for member in fleet.members for number in range(KEYS)]
+    at_once = asyncio.Semaphore(MAX_AT_ONCE)
+
+    async def ask(member: Member, number: int) -> bool:
+        async with at_once:
+            return await _ask(member, number)
+
+    asked = [ask(member, n) for member in fleet.members for n in range(KEYS)]
     answered = await asyncio.gather(*asked)
     print(f"answered {sum(answered)} of {len(answered)} requests through all nodes")
     return len(answered) - sum(answered)
