--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -144,7 +144,7 @@
             )
             if delay_s is None:
                 return Failure(unknown or refusal)
-            self._metrics.count("retries", refusal.kind.value)
+            self._metrics.count("retry_causes", refusal.kind.value)
             await asyncio.sleep(delay_s)
             body.rewind()
             attempt += 1
@@ -166,10 +166,7 @@
         if not body.replayable:
             self._metrics.count("retries_refused", "body-too-large")
             return None
-        delay_s = self._retry.allow_retry(self._now(), attempt, deadline_s)
-        if delay_s is None:
-            self._metrics.count("retries_refused", "policy")
-        return delay_s
+        return self._retry.allow_retry(self._now(), attempt, deadline_s)
 
     async def _attempt(
         self, peer_request: PeerRequest, deadline_s: float, tried: set[IncarnationId]
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -87,6 +87,7 @@
             request_class=peer_request.request_class,
             cost=peer_request.cost,
             deadline_s=deadline_s,
+            repeatable=peer_request.repeatable,
         )
         admitted = await self._gate.acquire(ticket)
         if not is_successful(admitted):
