--- /dev/null
+++ b/spec/models.py
@@ -0,0 +1,170 @@
+"""The models that are explored, each small enough to be explored whole."""
+
+import functools
+from collections.abc import Mapping
+from typing import Any
+
+import minicheck
+
+from spec.protocol import (
+    TOKENS_PER_EPOCH,
+    Setting,
+    State,
+    find_token,
+    fold_log,
+    list_steps,
+    make_initial,
+)
+
+__all__ = ["MODELS", "PROGRESS_MODELS", "build_protocol"]
+
+A, B, C, D = range(4)
+
+MODELS: Mapping[str, Setting] = {
+    # One move away from an owner with a successor.
+    "move": Setting(chains=((A, B), (C,)), nodes=(0, 1, 2), witnesses=(3, 3, 0)),
+    # The same with an even number of witnesses.
+    "move-two-witnesses": Setting(
+        chains=((A, B), (C,)), nodes=(0, 1, 2), witnesses=(2, 2, 0)
+    ),
+    # Two moves, one on top of the other; the last one back to an old successor.
+    "stacked-moves": Setting(
+        chains=((A, B), (C,), (B,)), nodes=(0, 1, 2), witnesses=(1, 1, 1)
+    ),
+    # An activation that clears old chains, and a move that overtakes it.
+    "activation": Setting(
+        chains=((A, B), (B, C)),
+        nodes=(0, 1, 2),
+        witnesses=(1, 1, 0),
+        activations=True,
+    ),
+    "late-activation": Setting(
+        chains=((A,), (B,), (C,)),
+        nodes=(0, 1, 2),
+        witnesses=(1, 0, 0),
+        activations=True,
+    ),
+    # Planned stops, with a move at the same time.
+    "resignation": Setting(
+        chains=((A, B), (B, C)),
+        nodes=(0, 1, 2),
+        witnesses=(3, 1, 0),
+        resigning=(A, B),
+    ),
+    # Processes that end and are superseded at their address.
+    "supersession": Setting(
+        chains=((A, B), (C,)),
+        nodes=(0, 1, 2),
+        witnesses=(1, 1, 0),
+        mortal=(0, 1),
+        superseding=True,
+    ),
+    # The owner is admitted anew after a witness was lost: leases A and C are one
+    # node's.
+    "readmission": Setting(
+        chains=((A, B), (C, B)),
+        nodes=(0, 1, 0),
+        witnesses=(3, 1, 1),
+        losing=(A,),
+    ),
+    # A successor loses its own lease while it takes over.
+    "takeover": Setting(chains=((A, B, C),), nodes=(0, 1, 2), witnesses=(3, 3, 0)),
+    # A chain of three holders, and a move.
+    "chain-of-three": Setting(
+        chains=((A, B, C), (D,)), nodes=(0, 1, 2, 3), witnesses=(1, 1, 1, 0)
+    ),
+}
+
+PROGRESS_MODELS: Mapping[str, Setting] = {
+    # The owner and one witness of its lease are lost, at any moment.
+    "loss": Setting(
+        chains=((A, B),),
+        nodes=(0, 1),
+        witnesses=(3, 0),
+        mortal=(0,),
+        losing=(A,),
+        release_by_living=True,
+    ),
+    # The old owner is lost at any moment of a move.
+    "loss-in-move": Setting(
+        chains=((A, B), (C,)),
+        nodes=(0, 1, 2),
+        witnesses=(3, 1, 0),
+        mortal=(0,),
+        losing=(A,),
+        release_by_living=True,
+    ),
+    # The old owner resigns, or is lost and superseded, at any moment of a move.
+    "stop-in-move": Setting(
+        chains=((A, B), (B, C)),
+        nodes=(0, 1, 2),
+        witnesses=(1, 1, 0),
+        resigning=(A,),
+        mortal=(0,),
+        superseding=True,
+        release_by_living=True,
+    ),
+    # A successor loses its own lease while it takes over.
+    "loss-in-takeover": Setting(
+        chains=((A, B, C),),
+        nodes=(0, 1, 2),
+        witnesses=(3, 3, 0),
+        mortal=(0, 1),
+        losing=(A, B),
+        release_by_living=True,
+    ),
+    # The owner is admitted anew; its old lease, with a witness lost, must end first.
+    "readmission": Setting(
+        chains=((A, B), (C, B)),
+        nodes=(0, 1, 0),
+        witnesses=(3, 0, 0),
+        losing=(A,),
+        release_by_living=True,
+    ),
+}
+
+
+def build_protocol(name: str, setting: Setting) -> minicheck.Protocol:
+    """Return the model of a setting with its invariants and its goal."""
+    leases = range(len(setting.nodes))
+
+    def list_tokens(fields: Mapping[str, Any]) -> list[int]:
+        state = State(**fields)
+        tokens = (find_token(setting, state, lease) for lease in leases)
+        return [token for token in tokens if token is not None]
+
+    def has_one_owner(fields: Mapping[str, Any]) -> bool:
+        return len(list_tokens(fields)) <= 1
+
+    def has_no_stale_owner(fields: Mapping[str, Any]) -> bool:
+        newest = fields["top"] // TOKENS_PER_EPOCH
+        return all(token // TOKENS_PER_EPOCH >= newest for token in list_tokens(fields))
+
+    def has_growing_tokens(fields: Mapping[str, Any]) -> bool:
+        return all(token >= fields["top"] for token in list_tokens(fields))
+
+    def keeps_assignments(fields: Mapping[str, Any]) -> bool:
+        log = fields["log"]
+        versioned = setting.guards.activation_version
+        moves = sum(record.kind == "move" for record in log)
+        return fold_log(setting.chains, versioned, log).chains[-1].epoch == moves
+
+    def serves_newest(fields: Mapping[str, Any]) -> bool:
+        moves = sum(record.kind == "move" for record in fields["log"])
+        tokens = list_tokens(fields)
+        return any(token // TOKENS_PER_EPOCH == moves for token in tokens)
+
+    return minicheck.Protocol(
+        name=name,
+        candidate=False,
+        fields=State._fields,
+        initial=make_initial(setting),
+        transitions=functools.partial(list_steps, setting),
+        invariants={
+            "at most one owner": has_one_owner,
+            "no stale owner": has_no_stale_owner,
+            "growing tokens": has_growing_tokens,
+            "assignments are kept": keeps_assignments,
+        },
+        goal=serves_newest,
+    )
