--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -208,6 +208,7 @@
     *,
     method: str = "GET",
     headers: tuple[str, ...] = (),
+    body: bytes = b"",
     timeout_s: float = 5.0,
 ) -> tuple[int, bytes]:
     """Send one HTTP request on a connection of its own.
@@ -219,8 +220,8 @@
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(LOOPBACK, port)
             lines = [f"{method} {target} HTTP/1.1", "Host: papayatack", *headers]
-            lines += ["Content-Length: 0", "Connection: close", "", ""]
-            writer.write("\r\n".join(lines).encode())
+            lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+            writer.write("\r\n".join(lines).encode() + body)
             answer = await reader.read(-1)
             writer.close()
     except (OSError, TimeoutError):
