--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -220,10 +220,10 @@
         if (
             self._read_paused
             and body is not None
-            and not body.finished
             and body.buffered_bytes <= self._limits.buffer_bytes // 2
         ):
-            self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
+            if not body.finished:
+                self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
             self._resume_reading()
 
     def _resume_reading(self) -> None:
@@ -268,6 +268,7 @@
             request.body = _ContinuingBody(body=self._body, send=self._send_continue)
         try:
             if refusal is not None:
+                self._discarding = True
                 self._owner.metrics.count("requests_refused", refusal.kind.value)
                 response = build_error_response(refusal)
             else:
@@ -290,6 +291,8 @@
     async def _answer(self, request: Request) -> Response:
         try:
             return await self._owner.handler(request)
+        except BodyCutError as error:
+            return build_error_response(Refusal(kind=error.kind, detail=error.detail))
         except Exception as error:  # a fault of one request must not stop others
             log_event(
                 _logger, Event.REQUEST_FAILED, level=logging.ERROR, error=repr(error)
--- /dev/null
+++ b/tests/network/test_peers.py
@@ -0,0 +1,201 @@
+"""Tests of papayatack.network.peers on loopback."""
+
+import asyncio
+import random
+import unittest
+
+from returns.result import Failure, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress
+from papayatack.core.inventory import RequestClass
+from papayatack.core.messages import Fence
+from papayatack.network.bodies import BodyCutError, BodyQueue, BytesBody
+from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.limits import PeerLimits
+from papayatack.network.peers import PeerNetwork
+from papayatack.observability.metrics import Metrics
+from papayatack.wire.frames import MAX_FRAME_BYTES
+from tests.proxy.fakes import wait_until
+
+MESSAGE = Fence(lease=LeaseId(IncarnationId("x"), 1))
+
+
+def build_peer_request(body=b"", recipient=""):
+    """Return a request between nodes."""
+    return PeerRequest(
+        request=Request(method=b"GET", target=b"/", body=BytesBody(data=body)),
+        service="hiring",
+        shard="s",
+        key="k",
+        remaining_s=5.0,
+        partner="",
+        request_class=RequestClass.BROWSE,
+        cost=1.0,
+        repeatable=True,
+        request_id="r",
+        recipient=recipient,
+    )
+
+
+class PeerNetworkTests(unittest.IsolatedAsyncioTestCase):
+    """Two networks, of which the second answers."""
+
+    async def asyncSetUp(self):
+        """Start both on free ports."""
+        self.received = []
+        self.first = await self.start("first")
+        self.second = await self.start("second")
+        self.second.on_request = self.answer
+        self.body_size = 2
+
+    async def start(self, name):
+        """Start a network whose incarnation names its port."""
+        probe = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = probe.sockets[0].getsockname()[1]
+        probe.close()
+        network = PeerNetwork(
+            incarnation=IncarnationId(f"127.0.0.1:{port}#{name}"),
+            host="127.0.0.1",
+            port=port,
+            metrics=Metrics(),
+            rng=random.Random(1),
+            on_control=lambda *message: self.received.append((name, *message)),
+        )
+        await network.start()
+        return network
+
+    async def asyncTearDown(self):
+        """Stop both."""
+        await self.first.abort()
+        await self.second.abort()
+
+    async def answer(self, peer_request):
+        """Answer with a body of the chosen size."""
+        data = b"x" * self.body_size
+        return Success(Response(status=200, body=BytesBody(data=data)))
+
+    async def exchange(self, **kwargs):
+        """Send a request from the first to the second."""
+        return await self.first.exchange(
+            address=PeerAddress(f"127.0.0.1:{self.second.port}"),
+            peer_request=build_peer_request(**kwargs),
+            deadline_s=asyncio.get_running_loop().time() + 5.0,
+        )
+
+    def send(self, network, other, recipient=None):
+        """Send a control message."""
+        address = PeerAddress(f"127.0.0.1:{other.port}")
+        network.send(address, recipient or other.incarnation, MESSAGE)
+
+    async def test_control_message_arrives(self):
+        """A message reaches the other node with its sender and recipient."""
+        self.send(self.first, self.second)
+        await wait_until(lambda: self.received)
+        expected = ("second", self.first.incarnation, self.second.incarnation, MESSAGE)
+        self.assertEqual(self.received, [expected])
+
+    async def test_message_for_another_incarnation_is_dropped(self):
+        """A restarted node does not take what was meant for its predecessor."""
+        self.send(self.first, self.second, IncarnationId("gone"))
+        metrics = self.second.metrics
+        await wait_until(
+            lambda: metrics.read_count("control_dropped", "other-incarnation")
+        )
+        self.assertEqual(self.received, [])
+
+    async def test_request_for_another_incarnation_is_not_run(self):
+        """A request names the incarnation that may run it."""
+        result = await self.exchange(recipient="gone")
+        self.assertIs(result.failure().kind, ErrorKind.NOT_OWNER)
+
+    async def test_both_sides_opening_leaves_one_connection_each(self):
+        """Connections opened at once are reduced to the preferred one."""
+        for _ in range(3):
+            self.send(self.first, self.second)
+            self.send(self.second, self.first)
+            await asyncio.sleep(0.01)
+        await wait_until(lambda: len(self.received) == 6)
+        await wait_until(
+            lambda: len(self.first._all_links) == len(self.second._all_links) == 1
+        )
+
+    async def test_slow_reader_bounds_what_is_sent(self):
+        """No more than the window is sent to a reader that takes nothing."""
+        self.body_size = 1_000_000
+        result = await self.exchange()
+        body = result.unwrap().body
+        await asyncio.sleep(0.05)
+        self.assertLessEqual(body.buffered_bytes, PeerLimits().window_bytes)
+        size = 0
+        while data := await body.read():
+            size += len(data)
+        self.assertEqual(size, 1_000_000)
+        body.close()
+
+    async def test_small_answer_is_not_held_up_by_a_large_unread_one(self):
+        """Streams do not wait for one another."""
+        self.body_size = 1_000_000
+        large = await self.exchange()
+        self.body_size = 2
+        small = await self.exchange()
+        self.assertEqual(await small.unwrap().body.read(), b"xx")
+        large.unwrap().body.close()
+        small.unwrap().body.close()
+        await wait_until(lambda: not self.second._serving)
+
+    async def test_refusal_crosses_with_its_time(self):
+        """Kind, detail and retry time arrive as they were given."""
+        refusal = Refusal(kind=ErrorKind.QUEUE_FULL, detail="full", retry_after_s=1.5)
+
+        async def refuse(peer_request):
+            return Failure(refusal)
+
+        self.second.on_request = refuse
+        result = await self.exchange()
+        self.assertEqual(result.failure(), refusal)
+
+    async def test_fault_of_a_handler_is_an_internal_error(self):
+        """A request that fails does not end the connection."""
+
+        async def fail(peer_request):
+            raise KeyError("fault")
+
+        self.second.on_request = fail
+        with self.assertLogs("papayatack.network.peers", "ERROR"):
+            result = await self.exchange()
+        self.assertIs(result.failure().kind, ErrorKind.INTERNAL)
+
+    async def test_bad_frame_closes_the_connection_and_is_counted(self):
+        """Garbage from a peer is refused without harm to others."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.second.port)
+        writer.write((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
+        await reader.read(-1)
+        writer.close()
+        counted = self.second.metrics.read_count("peer_frames_refused", "malformed")
+        self.assertEqual(counted, 1)
+
+    async def test_lost_connection_cuts_the_body(self):
+        """A body whose connection is lost ends as cut by the peer's loss."""
+        queue = BodyQueue()
+        queue.put(b"part")
+
+        async def answer(peer_request):
+            return Success(Response(status=200, body=queue))
+
+        self.second.on_request = answer
+        result = await self.exchange()
+        body = result.unwrap().body
+        self.assertEqual(await body.read(), b"part")
+        await self.second.abort()
+        with self.assertRaises(BodyCutError) as caught:
+            await body.read()
+        self.assertIs(caught.exception.kind, ErrorKind.PEER_LOST)
+
+    async def test_failed_connects_back_off(self):
+        """A node that cannot be reached is not tried on every request."""
+        await self.second.abort()
+        for _ in range(5):
+            result = await self.exchange()
+            self.assertIs(result.failure().kind, ErrorKind.PEER_UNREACHABLE)
+        self.assertEqual(self.first.metrics.read_count("peer_connects_failed"), 1)
--- /dev/null
+++ b/tests/network/test_upstreams.py
@@ -0,0 +1,125 @@
+"""Tests of papayatack.network.upstreams on loopback."""
+
+import asyncio
+import unittest
+
+from returns.pipeline import is_successful
+
+from papayatack.core.errors import ErrorKind
+from papayatack.network.bodies import BodyCutError
+from papayatack.network.exchanges import Request
+from papayatack.network.limits import UpstreamLimits
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.metrics import Metrics
+
+REQUEST = Request(method=b"GET", target=b"/", headers=((b"host", b"a"),))
+
+
+class UpstreamPoolTests(unittest.IsolatedAsyncioTestCase):
+    """A raw server that answers with prepared bytes."""
+
+    async def asyncSetUp(self):
+        """Start the server and a pool of two connections."""
+        self.answers = []
+        self.accepted = 0
+        self.closed = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.pool = UpstreamPool(
+            host="127.0.0.1",
+            port=self.server.sockets[0].getsockname()[1],
+            metrics=Metrics(),
+            limits=UpstreamLimits(connections=2),
+        )
+
+    async def asyncTearDown(self):
+        """Stop both."""
+        self.pool.close()
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        """Answer each request with the next prepared bytes."""
+        self.accepted += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                answer = self.answers.pop(0)
+                writer.write(answer.removesuffix(b"CLOSE"))
+                if answer.endswith(b"CLOSE"):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            self.closed += 1
+        writer.close()
+
+    async def exchange(self, *, timeout_s=5.0):
+        """Send one request."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        return await self.pool.exchange(REQUEST, deadline_s=deadline_s)
+
+    async def read(self, result):
+        """Return the whole body."""
+        data = b""
+        while chunk := await result.unwrap().body.read():
+            data += chunk
+        result.unwrap().body.close()
+        return data
+
+    async def test_connection_is_reused(self):
+        """Requests one after the other share a connection."""
+        self.answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"] * 3
+        for _ in range(3):
+            self.assertEqual(await self.read(await self.exchange()), b"ok")
+        self.assertEqual(self.accepted, 1)
+
+    async def test_answer_without_end_mark_is_refused(self):
+        """A body that ends with the connection cannot be proved whole."""
+        self.answers = [b"HTTP/1.1 200 OK\r\n\r\nsome bytesCLOSE"]
+        result = await self.exchange()
+        self.assertIs(result.failure().kind, ErrorKind.RESPONSE_TRUNCATED)
+
+    async def test_short_body_is_an_error(self):
+        """A body shorter than announced never ends well."""
+        self.answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nokCLOSE"]
+        result = await self.exchange()
+        with self.assertRaises(BodyCutError) as caught:
+            await self.read(result)
+        self.assertIs(caught.exception.kind, ErrorKind.RESPONSE_TRUNCATED)
+
+    async def test_lost_connection_after_the_write_is_unknown(self):
+        """No answer at all, after bytes were written, is a lost upstream."""
+        self.answers = [b"CLOSE"]
+        result = await self.exchange()
+        self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_LOST)
+
+    async def test_no_listener_is_unreachable(self):
+        """A refused connection proves that nothing was sent."""
+        self.server.close()
+        result = await self.exchange()
+        self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_UNREACHABLE)
+
+    async def test_limit_of_connections_holds(self):
+        """A third request waits, and is not run if its deadline comes first."""
+        self.answers = [b""] * 2
+        waiting = [asyncio.create_task(self.exchange()) for _ in range(2)]
+        await asyncio.sleep(0.01)
+        result = await self.exchange(timeout_s=0.02)
+        self.assertIs(result.failure().kind, ErrorKind.DEADLINE_EXPIRED)
+        self.assertEqual(self.pool.open_connections, 2)
+        for task in waiting:
+            task.cancel()
+
+    async def test_cancellation_closes_the_connection(self):
+        """The upstream sees that nobody waits any more."""
+        self.answers = [b""]
+        task = asyncio.create_task(self.exchange())
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        while not self.closed:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        self.assertEqual(self.pool.open_connections, 0)
+
+    async def test_deadline_after_the_write_is_a_timeout(self):
+        """A silent upstream ends the request as unknown at its deadline."""
+        self.answers = [b""]
+        result = await self.exchange(timeout_s=0.02)
+        self.assertFalse(is_successful(result))
+        self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_TIMEOUT)
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -198,12 +198,13 @@
             self.engine.upstream.close()
 
 
-async def fetch(port, data, *, close=True):
+async def fetch(port, data):
     """Send raw bytes and return all that comes back until the end."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(data)
     try:
-        return await reader.read(-1)
+        async with asyncio.timeout(10):
+            return await reader.read(-1)
     except ConnectionError:
         return b""
     finally:
