Keep a stream's state in checkpoints and load it from the log alone

Cause: records expire, so a newcomer could not learn the state, and an outage longer than the retention would have lost it. Change: checkpoints are compressed, chunked and digest-protected; any node whose newest one grows old writes the next; nodes that stand at the same offset compare digests; load_stream gives a newcomer the state or a clear refusal.

--- /dev/null
+++ b/src/papayatack/logservice/bootstrap.py
@@ -0,0 +1,262 @@
+"""How a node that holds nothing gets a stream's state from the log alone."""
+
+import asyncio
+import dataclasses
+import enum
+import logging
+import random
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from papayatack.core.checkpoint import (
+    Checkpoint,
+    CheckpointAssembler,
+    choose_checkpoint,
+)
+from papayatack.core.records import CheckpointChunk
+from papayatack.logservice.backoff import Backoff
+from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
+from papayatack.logservice.interface import LogFailureKind, LogService
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["BootstrapFailure", "BootstrapFailureKind", "Loaded", "load_stream"]
+
+LOGGER = logging.getLogger(__name__)
+
+PAGE_RECORDS = 500
+WAIT_S = 2.0
+TIMEOUT_S = 8.0
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 2.0
+
+State = TypeVar("State")
+
+
+class BootstrapFailureKind(enum.StrEnum):
+    """Why a state could not be loaded."""
+
+    LOG_UNAVAILABLE = "log-unavailable"
+    NO_CHECKPOINT = "no-checkpoint"
+
+
+REMEDIES = {
+    BootstrapFailureKind.LOG_UNAVAILABLE: "restore the log service",
+    BootstrapFailureKind.NO_CHECKPOINT: (
+        "keep a node that holds the state running until it has written a checkpoint"
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BootstrapFailure:
+    """A state that could not be loaded; the node must not serve.
+
+    Attributes:
+        kind: Why.
+        detail: What was found and what to do, for the log and the operator.
+    """
+
+    kind: BootstrapFailureKind
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Loaded(Generic[State]):
+    """A stream's state, to be brought up to date by folding ``records``.
+
+    Attributes:
+        state: The state of the checkpoint, or the empty one.
+        checkpoint: The checkpoint, if one was needed.
+        records: All records that follow, in order; chunks come without their data.
+        next_offset: Where the tailer goes on.
+    """
+
+    state: State
+    checkpoint: Checkpoint | None
+    records: tuple[LoggedRecord, ...]
+    next_offset: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Reading:
+    """What was read so far.
+
+    Attributes:
+        first: Oldest offset that is kept, as far as known.
+        records: The records from there on.
+        checkpoints: Whole checkpoints among them.
+        assembler: Holds the incomplete ones.
+        at_end: Nothing more was to be read, so that the next read waits.
+    """
+
+    first: int = 0
+    records: list[LoggedRecord] = dataclasses.field(default_factory=list)
+    checkpoints: list[Checkpoint] = dataclasses.field(default_factory=list)
+    assembler: CheckpointAssembler = dataclasses.field(
+        default_factory=CheckpointAssembler
+    )
+    at_end: bool = False
+
+    @property
+    def next_offset(self) -> int:
+        return self.first + len(self.records)
+
+    def add(self, logged: LoggedRecord) -> None:
+        """Take in the next record."""
+        record = logged.record
+        if type(record) is CheckpointChunk:
+            match self.assembler.add(logged.offset, record):
+                case Success(checkpoint):
+                    self.checkpoints.append(checkpoint)
+            shortened = dataclasses.replace(record, data="")
+            logged = LoggedRecord(offset=logged.offset, record=shortened)
+        self.records.append(logged)
+
+    def restart(self, first: int) -> None:
+        """Begin again after a gap; a checkpoint that covers ``first`` stays usable."""
+        self.first = first
+        self.records.clear()
+        self.at_end = False
+
+
+async def load_stream(
+    *,
+    log: LogService,
+    stream: str,
+    create: Callable[[], State],
+    load: Callable[[str], State],
+    metrics: Metrics,
+    random: random.Random,
+    deadline_s: float,
+) -> Result[Loaded[State], BootstrapFailure]:
+    """Load a stream's state from the log.
+
+    The newest checkpoint is taken whose successor records are all kept; without any,
+    the whole stream if its first record is kept. A node whose stream cannot be
+    loaded must not start to serve.
+
+    Args:
+        log: The log service.
+        stream: The stream's name.
+        create: Returns the empty state.
+        load: Returns the state of a checkpoint's document; ValueError if it is none.
+        metrics: Counts ``bootstrap`` by outcome.
+        random: Source of the backoff's jitter.
+        deadline_s: Event loop time at which to give up.
+    """
+    reading = _Reading()
+    decoder = RecordDecoder(metrics=metrics)
+    backoff = Backoff(
+        first_s=FIRST_BACKOFF_S, longest_s=LONGEST_BACKOFF_S, random=random
+    )
+    failure = BootstrapFailureKind.LOG_UNAVAILABLE
+    try:
+        async with asyncio.timeout_at(deadline_s):
+            while True:
+                if not await _read_page(log, stream, decoder, reading):
+                    await asyncio.sleep(backoff.take_delay_s())
+                    continue
+                if not reading.at_end:
+                    continue
+                loaded = _choose(reading, stream, create, load, metrics)
+                if loaded is not None:
+                    return _finish(loaded, stream, metrics)
+                failure = BootstrapFailureKind.NO_CHECKPOINT
+    except TimeoutError:
+        return _fail(failure, reading, stream, metrics)
+
+
+async def _read_page(
+    log: LogService, stream: str, decoder: RecordDecoder, reading: _Reading
+) -> bool:
+    """Read on; return whether the log answered."""
+    offset = reading.next_offset
+    wait_s = WAIT_S if reading.at_end else 0.0
+    result = await log.read(
+        stream, offset, limit=PAGE_RECORDS, wait_s=wait_s, timeout_s=TIMEOUT_S
+    )
+    match result:
+        case Success(page):
+            for logged in decoder.decode_page(stream, page.first, page.payloads):
+                reading.add(logged)
+            reading.at_end = reading.next_offset >= page.end
+            return True
+        case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
+            reading.restart(failure.first)
+            return True
+    return False
+
+
+def _choose(
+    reading: _Reading,
+    stream: str,
+    create: Callable[[], State],
+    load: Callable[[str], State],
+    metrics: Metrics,
+) -> Loaded[State] | None:
+    """Return the state from the newest checkpoint that can be loaded."""
+    while True:
+        checkpoint = choose_checkpoint(reading.checkpoints, first_kept=reading.first)
+        if checkpoint is None:
+            return _start_empty(reading, create) if reading.first == 0 else None
+        try:
+            state = load(checkpoint.document)
+        except ValueError as error:
+            reading.checkpoints.remove(checkpoint)
+            metrics.count("checkpoints", "not-loadable")
+            log_event(
+                LOGGER,
+                Event.CHECKPOINT_REJECTED,
+                level=logging.ERROR,
+                stream=stream,
+                checkpoint=checkpoint.checkpoint_id,
+                reason=str(error),
+            )
+            continue
+        start = checkpoint.covers - reading.first
+        return Loaded(
+            state=state,
+            checkpoint=checkpoint,
+            records=tuple(reading.records[start:]),
+            next_offset=reading.next_offset,
+        )
+
+
+def _start_empty(reading: _Reading, create: Callable[[], State]) -> Loaded[State]:
+    return Loaded(
+        state=create(),
+        checkpoint=None,
+        records=tuple(reading.records),
+        next_offset=reading.next_offset,
+    )
+
+
+def _finish(
+    loaded: Loaded[State], stream: str, metrics: Metrics
+) -> Result[Loaded[State], BootstrapFailure]:
+    checkpoint = loaded.checkpoint
+    metrics.count("bootstrap", "from-checkpoint" if checkpoint else "from-start")
+    log_event(
+        LOGGER,
+        Event.BOOTSTRAP_LOADED,
+        stream=stream,
+        covers=checkpoint.covers if checkpoint else 0,
+        next_offset=loaded.next_offset,
+    )
+    return Success(loaded)
+
+
+def _fail(
+    kind: BootstrapFailureKind, reading: _Reading, stream: str, metrics: Metrics
+) -> Result[Loaded[State], BootstrapFailure]:
+    metrics.count("bootstrap", kind.value)
+    detail = (
+        f"stream {stream}: {kind.value}; read offsets {reading.first} to "
+        f"{reading.next_offset}, {len(reading.checkpoints)} whole checkpoints; "
+        f"{REMEDIES[kind]}"
+    )
+    log_event(LOGGER, Event.BOOTSTRAP_FAILED, level=logging.ERROR, detail=detail)
+    return Failure(BootstrapFailure(kind=kind, detail=detail))
--- /dev/null
+++ b/src/papayatack/logservice/checkpoints.py
@@ -0,0 +1,191 @@
+"""Reading, comparing and writing the checkpoints of one stream."""
+
+import asyncio
+import dataclasses
+import functools
+import logging
+import uuid
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from papayatack.core.checkpoint import (
+    Checkpoint,
+    CheckpointAssembler,
+    CheckpointFailure,
+    CheckpointSchedule,
+    compute_digest,
+    split_document,
+)
+from papayatack.core.records import CheckpointChunk, ConfigRecord, OwnershipRecord
+from papayatack.logservice.appender import Appender
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["CheckpointKeeper", "Snapshot"]
+
+LOGGER = logging.getLogger(__name__)
+
+POLL_S = 1.0
+APPEND_DEADLINE_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """A node's own state.
+
+    Attributes:
+        position: All records before this offset are folded.
+        document: The state, as its fold writes it.
+    """
+
+    position: int
+    document: str
+
+
+class CheckpointKeeper:
+    """Sees that a stream always has a checkpoint, and compares those of others.
+
+    Wire one per stream: call :meth:`observe` with every record in the order of the
+    log, before the record is folded; run :meth:`run` as a task.
+
+    Args:
+        stream: The stream's name.
+        incarnation: This node.
+        retention_s: Seconds for which the log keeps records.
+        appender: Appends to the stream; its pacer bounds the rate.
+        take_snapshot: Returns the own state, or ``None`` if records before it are
+            missing, so that it must not be written.
+        is_available: Tells whether the log answers, as the tailer sees it.
+        metrics: Counts ``checkpoints`` by outcome.
+        now: Event loop time.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: str,
+        incarnation: str,
+        retention_s: float,
+        appender: Appender,
+        take_snapshot: Callable[[], Snapshot | None],
+        is_available: Callable[[], bool],
+        metrics: Metrics,
+        now: float,
+    ) -> None:
+        self._stream = stream
+        self._incarnation = incarnation
+        self._appender = appender
+        self._take_snapshot = take_snapshot
+        self._is_available = is_available
+        self._was_available = True
+        self._metrics = metrics
+        self._assembler = CheckpointAssembler()
+        self._schedule = CheckpointSchedule(
+            incarnation=incarnation, retention_s=retention_s, now=now
+        )
+
+    def note_loaded(self, checkpoint: Checkpoint, *, now: float) -> None:
+        """Note the checkpoint from which this node started."""
+        self._schedule.note_loaded(checkpoint, now=now)
+
+    @functools.singledispatchmethod
+    def observe(
+        self,
+        record: OwnershipRecord | ConfigRecord | None,
+        *,
+        offset: int,
+        now: float,
+    ) -> None:
+        """Take in the record at ``offset``, which is folded right after."""
+
+    @observe.register
+    def _(self, record: CheckpointChunk, *, offset: int, now: float) -> None:
+        if record.writer != self._incarnation:
+            self._schedule.note_chunk(now=now)
+            if record.index == 0 and record.covers == offset:
+                self._compare(record)
+        match self._assembler.add(offset, record):
+            case Success(checkpoint):
+                self._metrics.count("checkpoints", "read")
+                self._schedule.note_checkpoint(checkpoint, now=now)
+            case Failure(failure) if failure is not CheckpointFailure.INCOMPLETE:
+                self._metrics.count("checkpoints", failure.value)
+                log_event(
+                    LOGGER,
+                    Event.CHECKPOINT_REJECTED,
+                    level=logging.WARNING,
+                    stream=self._stream,
+                    offset=offset,
+                    checkpoint=record.checkpoint_id,
+                    reason=failure.value,
+                )
+
+    def _compare(self, chunk: CheckpointChunk) -> None:
+        """Compare a checkpoint that covers exactly what is folded here."""
+        snapshot = self._take_snapshot()
+        if snapshot is None or snapshot.position != chunk.covers:
+            return
+        digest = compute_digest(snapshot.document)
+        if digest == chunk.digest:
+            self._metrics.count("checkpoints", "equal")
+            return
+        self._metrics.count("checkpoints", "mismatch")
+        log_event(
+            LOGGER,
+            Event.CHECKPOINT_MISMATCH,
+            level=logging.ERROR,
+            stream=self._stream,
+            covers=chunk.covers,
+            writer=chunk.writer,
+            theirs=chunk.digest,
+            ours=digest,
+        )
+
+    async def run(self) -> None:
+        """Write a checkpoint whenever one is due, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            if self._is_due():
+                await self.write()
+                # The own chunks take a moment to come back through the tailer.
+                self._schedule.note_chunk(now=asyncio.get_running_loop().time())
+
+    def _is_due(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        available = self._is_available()
+        if available and not self._was_available:
+            self._schedule.note_return(now=now)
+        self._was_available = available
+        return available and self._schedule.is_due(now=now)
+
+    async def write(self) -> bool:
+        """Write a checkpoint of the own state; return whether it was written whole."""
+        snapshot = self._take_snapshot()
+        if snapshot is None:
+            self._metrics.count("checkpoints", "gap")
+            return False
+        chunks = split_document(
+            snapshot.document,
+            covers=snapshot.position,
+            checkpoint_id=f"{self._incarnation}/{uuid.uuid4().hex}",
+            writer=self._incarnation,
+        )
+        for chunk in chunks:
+            if self._schedule.newest_covers >= snapshot.position:
+                self._metrics.count("checkpoints", "overtaken")
+                return False
+            deadline_s = asyncio.get_running_loop().time() + APPEND_DEADLINE_S
+            match await self._appender.append(chunk, deadline_s=deadline_s):
+                case Failure(failure):
+                    self._metrics.count("checkpoints", f"append-{failure.kind.value}")
+                    return False
+        self._metrics.count("checkpoints", "written")
+        log_event(
+            LOGGER,
+            Event.CHECKPOINT_WRITTEN,
+            stream=self._stream,
+            covers=snapshot.position,
+            chunks=len(chunks),
+        )
+        return True
--- /dev/null
+++ b/tests/core/test_checkpoint.py
@@ -0,0 +1,251 @@
+"""Tests of papayatack.core.checkpoint."""
+
+import base64
+import dataclasses
+import functools
+import random
+import unittest
+import unittest.mock
+import zlib
+
+import hypothesis
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from papayatack.core.checkpoint import (
+    MAX_CHUNKS,
+    CheckpointAssembler,
+    CheckpointFailure,
+    CheckpointSchedule,
+    choose_checkpoint,
+    split_document,
+)
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.wire.records import decode_record, encode_record
+
+RETENTION_S = 86_400.0
+
+
+@functools.cache
+def make_document(seed, *, size=400_000):
+    """Return a document that does not compress to a single chunk."""
+    return random.Random(seed).randbytes(size).hex()
+
+
+def split(document, *, covers=7, checkpoint_id="c", writer="w"):
+    """Split a document with common defaults."""
+    return split_document(
+        document, covers=covers, checkpoint_id=checkpoint_id, writer=writer
+    )
+
+
+def feed(chunks, *, first=100):
+    """Give chunks to an assembler and return its answers."""
+    assembler = CheckpointAssembler()
+    return [assembler.add(first + index, chunk) for index, chunk in enumerate(chunks)]
+
+
+def list_whole(answers):
+    """Return the documents of the answers that are checkpoints."""
+    return [answer.unwrap().document for answer in answers if not is_failure(answer)]
+
+
+def is_failure(answer):
+    """Tell whether an answer is a failure."""
+    return isinstance(answer, Failure)
+
+
+def complete(**fields):
+    """Return a small whole checkpoint."""
+    (chunk,) = split("x", **fields)
+    return CheckpointAssembler().add(100, chunk).unwrap()
+
+
+class SplitTests(unittest.TestCase):
+    """split_document."""
+
+    def test_chunks_fit_into_records(self):
+        """Every chunk can be written and read as one record."""
+        chunks = split(make_document(1))
+        self.assertGreater(len(chunks), 2)
+        for chunk in chunks:
+            payload = encode_record(chunk)
+            decoded = decode_record(OWNERSHIP_STREAM, payload)
+            self.assertEqual(decoded.unwrap(), chunk)
+
+    def test_too_large_document(self):
+        """A document that needs too many chunks is refused at the writer."""
+        with (
+            unittest.mock.patch("papayatack.core.checkpoint.MAX_CHUNKS", 2),
+            self.assertRaises(ValueError),
+        ):
+            split(make_document(1))
+
+
+class AssemblerTests(unittest.TestCase):
+    """CheckpointAssembler."""
+
+    @hypothesis.given(st.text(st.characters(exclude_categories=["Cs"])))
+    def test_round_trip(self, document):
+        """Any text comes back as it was."""
+        self.assertEqual(list_whole(feed(split(document))), [document])
+
+    @hypothesis.settings(max_examples=25)
+    @hypothesis.given(st.randoms(use_true_random=False))
+    def test_two_writers_in_any_interleaving(self, rng):
+        """Mixed, disordered and repeated chunks give both documents."""
+        documents = [make_document(1), make_document(2)]
+        chunks = [
+            chunk
+            for index, document in enumerate(documents)
+            for chunk in split(document, checkpoint_id=f"c{index}")
+        ]
+        chunks += rng.sample(chunks, 2)
+        rng.shuffle(chunks)
+        self.assertLessEqual(set(documents), set(list_whole(feed(chunks))))
+
+    def test_writer_that_dies_half_way(self):
+        """An incomplete checkpoint is never taken, and disturbs no later one."""
+        abandoned = split(make_document(1), checkpoint_id="dead")[:-1]
+        whole = split(make_document(2))
+        answers = feed(abandoned + whole)
+        self.assertEqual(list_whole(answers), [make_document(2)])
+
+    def test_many_incomplete_checkpoints_are_forgotten(self):
+        """What dead writers leave behind is bounded."""
+        assembler = CheckpointAssembler()
+        chunk = split(make_document(1))[0]
+        for number in range(1000):
+            other = dataclasses.replace(chunk, checkpoint_id=str(number))
+            assembler.add(100 + number, other)
+        self.assertLessEqual(len(assembler._partial), 4)
+
+    def test_corrupted_chunk(self):
+        """A changed chunk is told from a whole checkpoint."""
+        chunks = list(split(make_document(1)))
+        data = chunks[1].data
+        swapped = data[1000:2000] + data[:1000] + data[2000:]
+        chunks[1] = dataclasses.replace(chunks[1], data=swapped)
+        self.assertTrue(all(map(is_failure, feed(chunks))))
+
+    def test_wrong_document_of_the_right_form(self):
+        """A document that is not the digest's is refused."""
+        (chunk,) = split("right")
+        data = base64.b64encode(zlib.compress(b"wrong")).decode()
+        (answer,) = feed([dataclasses.replace(chunk, data=data)])
+        self.assertIs(answer.failure(), CheckpointFailure.DIGEST_MISMATCH)
+
+    def test_chunk_that_disagrees(self):
+        """A chunk that contradicts the others of its id does not spoil them."""
+        chunks = list(split(make_document(1)))
+        for changed in ({"digest": "0"}, {"covers": 3}, {"count": 2}, {"writer": "x"}):
+            liar = dataclasses.replace(chunks[1], **changed)
+            with self.subTest(changed=changed):
+                answers = feed([chunks[0], liar, *chunks[1:]])
+                self.assertEqual(list_whole(answers), [make_document(1)])
+
+    def test_invalid_chunks(self):
+        """Impossible numbers are refused before anything is kept."""
+        (chunk,) = split("x")
+        for changed in (
+            {"index": 1},
+            {"count": 0},
+            {"count": MAX_CHUNKS + 1},
+            {"covers": 101},
+            {"data": "x" * 200_000},
+        ):
+            with self.subTest(changed=changed):
+                (answer,) = feed([dataclasses.replace(chunk, **changed)])
+                self.assertIs(answer.failure(), CheckpointFailure.INVALID_CHUNK)
+
+    @hypothesis.given(st.text(max_size=50))
+    def test_any_data(self, data):
+        """No text of a chunk raises."""
+        (chunk,) = split("x")
+        (answer,) = feed([dataclasses.replace(chunk, data=data)])
+        self.assertTrue(is_failure(answer) or answer.unwrap().document == "x")
+
+
+class ChooseTests(unittest.TestCase):
+    """choose_checkpoint."""
+
+    def test_newest_whose_records_are_kept(self):
+        """Of the checkpoints that can be continued the newest is taken."""
+        checkpoints = [complete(covers=covers) for covers in (10, 50, 30)]
+        chosen = choose_checkpoint(checkpoints, first_kept=20)
+        self.assertEqual(chosen.covers, 50)
+
+    def test_none_can_be_continued(self):
+        """A checkpoint before a gap is of no use."""
+        self.assertIsNone(choose_checkpoint([complete(covers=10)], first_kept=11))
+        self.assertIsNotNone(choose_checkpoint([complete(covers=10)], first_kept=10))
+
+
+class ScheduleTests(unittest.TestCase):
+    """CheckpointSchedule."""
+
+    def make(self, name="n", *, now=0.0):
+        """Return the schedule of a node."""
+        return CheckpointSchedule(incarnation=name, retention_s=RETENTION_S, now=now)
+
+    def test_due_well_before_the_retention_ends(self):
+        """A checkpoint is written anew between a quarter and half of the retention."""
+        for number in range(100):
+            schedule = self.make(str(number))
+            schedule.note_checkpoint(complete(), now=0.0)
+            self.assertFalse(schedule.is_due(now=RETENTION_S / 4 - 1))
+            self.assertTrue(schedule.is_due(now=RETENTION_S / 2))
+
+    def test_nodes_differ(self):
+        """Of 1,000 nodes few find a checkpoint due within the same seconds."""
+        due = []
+        for number in range(1000):
+            schedule = self.make(str(number))
+            schedule.note_checkpoint(complete(), now=0.0)
+            due.append(schedule.find_due_s())
+        due.sort()
+        early = [due_s for due_s in due if due_s < due[0] + 5.0]
+        self.assertLessEqual(len(early), 5)
+
+    def test_not_always_the_same_node(self):
+        """The order of the nodes changes from checkpoint to checkpoint."""
+        first = set()
+        for checkpoint_id in map(str, range(20)):
+            schedules = {}
+            for name in map(str, range(20)):
+                schedules[name] = self.make(name)
+                checkpoint = complete(checkpoint_id=checkpoint_id)
+                schedules[name].note_checkpoint(checkpoint, now=0.0)
+            first.add(min(schedules, key=lambda key: schedules[key].find_due_s()))
+        self.assertGreater(len(first), 5)
+
+    def test_checkpoint_of_unknown_age(self):
+        """A node that has just started does not trust the age of what it loaded."""
+        schedule = self.make()
+        schedule.note_loaded(complete(), now=0.0)
+        self.assertTrue(schedule.is_due(now=RETENTION_S / 8))
+
+    def test_another_writer_is_left_to_finish(self):
+        """While chunks of another node come in, this one waits."""
+        schedule = self.make()
+        schedule.note_chunk(now=RETENTION_S)
+        self.assertFalse(schedule.is_due(now=RETENTION_S + 29))
+        self.assertTrue(schedule.is_due(now=RETENTION_S + 31))
+
+    def test_older_checkpoint_changes_nothing(self):
+        """A late writer's older checkpoint does not put off the next."""
+        schedule = self.make()
+        schedule.note_checkpoint(complete(covers=20), now=0.0)
+        due_s = schedule.find_due_s()
+        schedule.note_checkpoint(complete(covers=10, checkpoint_id="d"), now=99.0)
+        self.assertEqual(schedule.find_due_s(), due_s)
+
+    def test_after_an_outage(self):
+        """When the log is back the nodes are spread over a minute."""
+        due = []
+        for number in range(100):
+            schedule = self.make(str(number))
+            schedule.note_return(now=RETENTION_S * 2)
+            due.append(schedule.find_due_s() - RETENTION_S * 2)
+        self.assertLess(max(due), 61)
+        self.assertGreater(max(due) - min(due), 30)
--- /dev/null
+++ b/tests/logservice/test_bootstrap.py
@@ -0,0 +1,202 @@
+"""Tests of papayatack.logservice.bootstrap."""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+from papayatack.core.checkpoint import split_document
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.logservice.bootstrap import BootstrapFailureKind, load_stream
+from papayatack.wire.records import encode_record
+from standins.logstore import InProcessLog, Outage
+from tests.logservice.helpers import LogFixture, VirtualTimeTestCase, make_payload
+
+
+class ExpiringLog(InProcessLog):
+    """A log that drops its oldest records after each read."""
+
+    def __init__(self, *, store, expiries):
+        super().__init__(store=store)
+        self._store_of_test = store
+        self._expiries = iter(expiries)
+
+    async def read(self, stream, offset, **kwargs):
+        """Read at most three records, then expire some."""
+        result = await super().read(stream, offset, **{**kwargs, "limit": 3})
+        self._store_of_test.expire(stream, next(self._expiries, 0))
+        return result
+
+
+def append_records(fixture, count, *, first=0):
+    """Append small records with their numbers as ids."""
+    for number in range(first, first + count):
+        fixture.store.append(OWNERSHIP_STREAM, make_payload(str(number)))
+
+
+def append_checkpoint(fixture, *, covers, state, keep=None, checkpoint_id="c"):
+    """Append a checkpoint of a few chunks."""
+    filler = random.Random(1).randbytes(300_000).hex()
+    document = json.dumps([state, filler])
+    chunks = split_document(
+        document, covers=covers, checkpoint_id=checkpoint_id, writer="w"
+    )
+    for chunk in chunks[:keep]:
+        fixture.store.append(OWNERSHIP_STREAM, encode_record(chunk))
+    return len(chunks)
+
+
+async def load(fixture, *, log=None, deadline_s=60.0):
+    """Load the ownership stream of a fixture."""
+    return await load_stream(
+        log=log or fixture.log,
+        stream=OWNERSHIP_STREAM,
+        create=list,
+        load=lambda document: json.loads(document)[0],
+        metrics=fixture.metrics,
+        random=random.Random(1),
+        deadline_s=asyncio.get_running_loop().time() + deadline_s,
+    )
+
+
+def list_offsets(loaded):
+    """Return the offsets of the records to be folded."""
+    return [logged.offset for logged in loaded.records]
+
+
+class LoadTests(VirtualTimeTestCase):
+    """load_stream."""
+
+    def test_empty_log(self):
+        """A log without records gives the empty state."""
+
+        async def check():
+            loaded = (await load(LogFixture())).unwrap()
+            self.assertEqual((loaded.state, loaded.next_offset), ([], 0))
+
+        self.run_virtually(check())
+
+    def test_whole_log(self):
+        """Without a checkpoint all records are folded, if the first is kept."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 1200)
+            loaded = (await load(fixture)).unwrap()
+            self.assertEqual(list_offsets(loaded), list(range(1200)))
+
+        self.run_virtually(check())
+
+    def test_garbage_keeps_its_place(self):
+        """A poisoned record is a place without a record."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 1)
+            fixture.store.append(OWNERSHIP_STREAM, b"\xff")
+            append_records(fixture, 1, first=1)
+            loaded = (await load(fixture)).unwrap()
+            kept = [logged.record is not None for logged in loaded.records]
+            self.assertEqual(kept, [True, False, True])
+
+        self.run_virtually(check())
+
+    def test_newest_whole_checkpoint(self):
+        """The records after the newest whole checkpoint's state are folded."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 5)
+            append_checkpoint(fixture, covers=3, state=["old"], checkpoint_id="old")
+            append_checkpoint(fixture, covers=5, state=["new"], checkpoint_id="new")
+            append_checkpoint(
+                fixture, covers=6, state=["half"], keep=-1, checkpoint_id="half"
+            )
+            append_records(fixture, 2, first=5)
+            fixture.store.expire(OWNERSHIP_STREAM, 4)
+            loaded = (await load(fixture)).unwrap()
+            self.assertEqual(loaded.state, ["new"])
+            self.assertEqual(list_offsets(loaded), list(range(5, loaded.next_offset)))
+
+        self.run_virtually(check())
+
+    def test_checkpoint_before_a_gap_is_not_used(self):
+        """A checkpoint whose successor records have expired is of no use."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 5)
+            append_checkpoint(fixture, covers=3, state=["old"])
+            fixture.store.expire(OWNERSHIP_STREAM, 4)
+            failure = (await load(fixture)).failure()
+            self.assertIs(failure.kind, BootstrapFailureKind.NO_CHECKPOINT)
+            self.assertIn(OWNERSHIP_STREAM, failure.detail)
+
+        self.run_virtually(check())
+
+    def test_chunk_that_expires_while_read(self):
+        """A checkpoint that loses a chunk under the reader is not used."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 2)
+            chunks = append_checkpoint(
+                fixture, covers=2, state=["old"], checkpoint_id="old"
+            )
+            append_records(fixture, 4, first=2)
+            covers = chunks + 6
+            append_checkpoint(fixture, covers=covers, state=["new"])
+            log = ExpiringLog(store=fixture.store, expiries=[4, 5, chunks + 3])
+            loaded = (await load(fixture, log=log)).unwrap()
+            self.assertEqual(loaded.state, ["new"])
+            self.assertEqual(list_offsets(loaded)[0], covers)
+
+        self.run_virtually(check())
+
+    def test_waits_for_a_node_that_holds_the_state(self):
+        """A checkpoint that is written while the newcomer waits is taken."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 5)
+            fixture.store.expire(OWNERSHIP_STREAM, 5)
+            task = asyncio.create_task(load(fixture))
+            await asyncio.sleep(30)
+            append_checkpoint(fixture, covers=5, state=["new"])
+            self.assertEqual((await task).unwrap().state, ["new"])
+
+        self.run_virtually(check())
+
+    def test_corrupted_checkpoint(self):
+        """With the newest checkpoint spoiled the one before is taken."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 5)
+            append_checkpoint(fixture, covers=5, state=["old"])
+            (chunk,) = split_document(
+                "no JSON", covers=6, checkpoint_id="bad", writer="w"
+            )
+            fixture.store.append(OWNERSHIP_STREAM, encode_record(chunk))
+            spoiled = dataclasses.replace(chunk, checkpoint_id="worse", data="AAAA")
+            fixture.store.append(OWNERSHIP_STREAM, encode_record(spoiled))
+            fixture.store.expire(OWNERSHIP_STREAM, 4)
+            loaded = (await load(fixture)).unwrap()
+            self.assertEqual(loaded.state, ["old"])
+
+        self.run_virtually(check())
+
+    def test_outage(self):
+        """An outage is waited out; one that lasts is told as such."""
+
+        async def check():
+            fixture = LogFixture()
+            fixture.store.faults.outage = Outage.REFUSE
+            failure = (await load(fixture, deadline_s=30)).failure()
+            self.assertIs(failure.kind, BootstrapFailureKind.LOG_UNAVAILABLE)
+            task = asyncio.create_task(load(fixture))
+            await asyncio.sleep(30)
+            fixture.store.faults.outage = Outage.NONE
+            self.assertEqual((await task).unwrap().state, [])
+
+        self.run_virtually(check())
--- /dev/null
+++ b/tests/logservice/test_checkpoints.py
@@ -0,0 +1,172 @@
+"""Tests of papayatack.logservice.checkpoints."""
+
+import asyncio
+import dataclasses
+import random
+
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.logservice import RecordDecoder
+from papayatack.logservice.checkpoints import CheckpointKeeper, Snapshot
+from standins.logstore import Outage
+from tests.logservice.helpers import LogFixture, VirtualTimeTestCase, make_payload
+
+RETENTION_S = 3600.0
+
+
+class FoldingNode:
+    """A node whose state is the list of the ids that it has folded."""
+
+    def __init__(self, fixture, name, *, position=0):
+        self.fixture = fixture
+        self.position = position
+        self.complete = True
+        self.ids = []
+        self.available = True
+        self.keeper = CheckpointKeeper(
+            stream=OWNERSHIP_STREAM,
+            incarnation=name,
+            retention_s=RETENTION_S,
+            appender=fixture.appender,
+            take_snapshot=self.take_snapshot,
+            is_available=lambda: self.available,
+            metrics=fixture.metrics,
+            now=asyncio.get_running_loop().time(),
+        )
+
+    def take_snapshot(self):
+        """Return the state, large enough for a few chunks."""
+        if not self.complete:
+            return None
+        filler = random.Random(1).randbytes(300_000).hex()
+        return Snapshot(position=self.position, document=f"{self.ids} {filler}")
+
+    def follow(self):
+        """Fold all records that are new."""
+        decoder = RecordDecoder(metrics=self.fixture.metrics)
+        result = self.fixture.store.read(OWNERSHIP_STREAM, self.position, limit=1000)
+        page = result.unwrap()
+        now = asyncio.get_running_loop().time()
+        for logged in decoder.decode_page(OWNERSHIP_STREAM, page.first, page.payloads):
+            self.keeper.observe(logged.record, offset=logged.offset, now=now)
+            self.position = logged.offset + 1
+            self.ids.append(logged.record and logged.record.record_id)
+
+
+class KeeperTests(VirtualTimeTestCase):
+    """CheckpointKeeper."""
+
+    def count(self, fixture, reason):
+        """Return a counter of checkpoints."""
+        return fixture.metrics.read_count("checkpoints", reason)
+
+    def test_equal_states_are_found_equal(self):
+        """A node that comes to the writer's position compares digests."""
+
+        async def check():
+            fixture = LogFixture()
+            writer, reader = FoldingNode(fixture, "a"), FoldingNode(fixture, "b")
+            fixture.store.append(OWNERSHIP_STREAM, make_payload("x"))
+            writer.follow()
+            self.assertTrue(await writer.keeper.write())
+            reader.follow()
+            self.assertEqual(self.count(fixture, "equal"), 1)
+            self.assertEqual(self.count(fixture, "read"), 1)
+            self.assertEqual(self.count(fixture, "mismatch"), 0)
+
+        self.run_virtually(check())
+
+    def test_mismatch_is_counted(self):
+        """A node whose state differs says so."""
+
+        async def check():
+            fixture = LogFixture()
+            writer, reader = FoldingNode(fixture, "a"), FoldingNode(fixture, "b")
+            reader.ids.append("phantom")
+            await writer.keeper.write()
+            reader.follow()
+            self.assertEqual(self.count(fixture, "mismatch"), 1)
+
+        self.run_virtually(check())
+
+    def test_one_node_writes_and_the_others_see_it(self):
+        """Of ten nodes that find a checkpoint due one writes it."""
+
+        async def check():
+            fixture = LogFixture()
+            nodes = [FoldingNode(fixture, str(number)) for number in range(10)]
+            tasks = [asyncio.create_task(node.keeper.run()) for node in nodes]
+            for _ in range(int(RETENTION_S / 8)):
+                await asyncio.sleep(1)
+                for node in nodes:
+                    node.follow()
+            for task in tasks:
+                task.cancel()
+            self.assertEqual(self.count(fixture, "written"), 1)
+
+        self.run_virtually(check())
+
+    def test_state_outlives_an_outage_longer_than_the_retention(self):
+        """When the log is back with nothing kept, the state is written again."""
+
+        async def check():
+            fixture = LogFixture(retention_s=RETENTION_S)
+            node = FoldingNode(fixture, "a")
+            fixture.store.append(OWNERSHIP_STREAM, make_payload("x"))
+            node.follow()
+            task = asyncio.create_task(node.keeper.run())
+            fixture.store.faults.outage = Outage.HANG
+            node.available = False
+            await asyncio.sleep(3 * RETENTION_S)
+            self.assertEqual(fixture.list_payloads(), [])
+            fixture.store.faults.outage = Outage.NONE
+            node.available = True
+            for _ in range(90):
+                await asyncio.sleep(1)
+                node.follow()
+            task.cancel()
+            self.assertEqual(self.count(fixture, "written"), 1)
+
+        self.run_virtually(check())
+
+    def test_node_with_a_gap_writes_nothing(self):
+        """A state that lacks records is never passed on."""
+
+        async def check():
+            fixture = LogFixture()
+            node = FoldingNode(fixture, "a")
+            node.complete = False
+            self.assertFalse(await node.keeper.write())
+            self.assertEqual(fixture.store.append_count, 0)
+
+        self.run_virtually(check())
+
+    def test_writer_that_is_overtaken_stops(self):
+        """A checkpoint that covers as much makes the rest of one's own needless."""
+
+        async def check():
+            fixture = LogFixture()
+            first, second = FoldingNode(fixture, "a"), FoldingNode(fixture, "b")
+            await first.keeper.write()
+            second.follow()
+            second.position = 0
+            self.assertFalse(await second.keeper.write())
+            self.assertEqual(self.count(fixture, "overtaken"), 1)
+
+        self.run_virtually(check())
+
+    def test_bad_chunk_is_counted(self):
+        """A corrupted checkpoint is told and does no harm."""
+
+        async def check():
+            fixture = LogFixture()
+            writer, reader = FoldingNode(fixture, "a"), FoldingNode(fixture, "b")
+            await writer.keeper.write()
+            decoder = RecordDecoder(metrics=fixture.metrics)
+            for offset, payload in enumerate(fixture.list_payloads()):
+                chunk = decoder.decode(OWNERSHIP_STREAM, offset, payload).record
+                spoiled = dataclasses.replace(chunk, data=chunk.data[::-1])
+                reader.keeper.observe(spoiled, offset=offset, now=0.0)
+            self.assertEqual(self.count(fixture, "unreadable"), 1)
+            self.assertEqual(self.count(fixture, "read"), 0)
+
+        self.run_virtually(check())
