Specify own ends, recorded ends and new successors; two counterexamples

Cause: the code's lease core ends leases by the holder's own word, lets witnesses learn ends from the log, and lets a holder of an old chain claim under a new one; none of this was in the specification.

--- a/spec/guards.py
+++ b/spec/guards.py
@@ -27,6 +27,12 @@
             the one before.
         claim_per_epoch: A claim is examined again after each move.
         activation_version: An activation is void if a newer move came before it.
+        own_floor: A holder of an old chain claims under a new one only once enough
+            of its witnesses know that it has applied the move.
+        word_floor: A holder that ends its own lease tells all that it ever told a
+            witness as its floor, not just what it knows to be kept.
+        mark_keeps_floor: A witness that learns of a lease's end from the log keeps
+            the floor that the holder told.
         drain_before_resign: A holder stops to serve before it has itself fenced.
         death_before_supersession: Only an ended process is superseded.
         lease_not_node: A node's older lease must end like any other's.
@@ -49,6 +55,9 @@
     predecessors: bool = True
     claim_per_epoch: bool = True
     activation_version: bool = True
+    own_floor: bool = True
+    word_floor: bool = True
+    mark_keeps_floor: bool = True
     drain_before_resign: bool = True
     death_before_supersession: bool = True
     lease_not_node: bool = True
