Move less after a loss, and plan faster

Cause: once any node was 8% above the mean, every node more than 3% above it gave shards. Now a node gives only from its own start threshold on, and each hot key no longer sums the load of the whole fleet.

--- a/src/papayatack/core/placement/balance.py
+++ b/src/papayatack/core/placement/balance.py
@@ -3,7 +3,7 @@
 import dataclasses
 import heapq
 
-from papayatack.core.identity import ShardId
+from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.placement.draft import Draft, is_hot
 from papayatack.core.placement.fleet import LOCALITY_RETURN, Fleet, Member
 
@@ -31,6 +31,8 @@
 
 def restore_locality(draft: Draft, fleet: Fleet, budget: MoveBudget) -> None:
     """Move shards back to the data centre that a rule prefers, if it has room."""
+    if not fleet.has_localities:
+        return
     for shard, chain in draft.chains.items():
         if budget.left <= 0:
             return
@@ -47,73 +49,94 @@
 
 
 def balance_load(draft: Draft, fleet: Fleet, budget: MoveBudget) -> None:
-    """Move shards from the most to the least used nodes, within the budget."""
-    if len(fleet.members) < 2 or not _is_unbalanced(draft, fleet):
+    """Move shards from overloaded nodes, and to idle ones, within the budget."""
+    if len(fleet.members) < 2:
         return
-    while budget.left > 0 and _run_pass(draft, fleet, budget):
+    balance = _Balance(draft=draft, fleet=fleet, budget=budget)
+    while budget.left > 0 and balance.run_pass():
         pass
 
 
-def _is_unbalanced(draft: Draft, fleet: Fleet) -> bool:
-    mean = fleet.load / fleet.capacity
-    start = draft.limits.start_imbalance
-    utilisations = [member.utilisation for member in fleet.members.values()]
-    # One node of many can lack load with no other much above the mean.
-    return max(utilisations) > mean * (1 + start) or (
-        min(utilisations) < mean * (1 - 2 * start)
-    )
-
-
-def _run_pass(draft: Draft, fleet: Fleet, budget: MoveBudget) -> bool:
-    """Relieve each overloaded node as far as moves help; return whether any did."""
-    mean = fleet.load / fleet.capacity
-    heap = [
-        (-member.utilisation, number, member)
-        for number, member in enumerate(fleet.members.values())
-        if member.utilisation > mean
-    ]
-    heapq.heapify(heap)
-    moved = False
-    while heap and budget.left > 0:
-        _, number, source = heapq.heappop(heap)
-        best = _find_best_move(draft, fleet, source, mean)
-        if best is None:
-            continue
-        _move(draft, fleet, best.shard, best.target, budget)
-        moved = True
-        if source.utilisation > mean:
-            heapq.heappush(heap, (-source.utilisation, number, source))
-    return moved
-
-
-def _find_best_move(
-    draft: Draft, fleet: Fleet, source: Member, mean: float
-) -> _Move | None:
-    target_anywhere = fleet.find_least_loaded(None)
-    if target_anywhere is None or not _is_worth(draft, source, target_anywhere, mean):
-        return None
-    best = None
-    for shard, load in source.shards.items():
-        if not draft.is_settled(shard):
-            continue
-        place = fleet.find_place(shard)
-        target = fleet.find_least_loaded(place) if place else target_anywhere
-        if target is None or target is source:
-            continue
-        gain = _measure_gain(source, target, load)
-        if gain < 2 * load * mean * draft.limits.min_gain:
-            continue
-        value = gain / (HOT_MOVE_COST if is_hot(shard) else 1.0)
-        if best is None or value > best.value:
-            best = _Move(shard=shard, target=target, value=value)
-    return best
-
-
-def _is_worth(draft: Draft, source: Member, target: Member, mean: float) -> bool:
-    stop = draft.limits.stop_imbalance
-    return source.utilisation > mean * (1 + stop) or (
-        target.utilisation < mean * (1 - 2 * stop)
-    )
+class _Balance:
+    """The search for moves in one service.
+
+    A node gives shards once it is above the start threshold, until it is below the
+    stop threshold. A node far below the mean takes them from any node above it, for
+    one node of many can be idle with no other much above the mean.
+    """
+
+    def __init__(self, *, draft: Draft, fleet: Fleet, budget: MoveBudget) -> None:
+        self.draft = draft
+        self.fleet = fleet
+        self.budget = budget
+        self.mean = fleet.load / fleet.capacity
+        limits = draft.limits
+        self.start_giving = self.mean * (1 + limits.start_imbalance)
+        self.stop_giving = self.mean * (1 + limits.stop_imbalance)
+        self.start_taking = self.mean * (1 - 2 * limits.start_imbalance)
+        self.stop_taking = self.mean * (1 - 2 * limits.stop_imbalance)
+        self.giving: set[IncarnationId] = set()
+        self.taking = {
+            incarnation
+            for incarnation, member in fleet.members.items()
+            if member.utilisation < self.start_taking
+        }
+
+    def run_pass(self) -> bool:
+        """Relieve nodes, the most used first; return whether any move helped."""
+        heap = self._list_sources()
+        moved = False
+        while heap and self.budget.left > 0:
+            _, number, source = heapq.heappop(heap)
+            best = self._find_best_move(source)
+            if best is None:
+                continue
+            _move(self.draft, self.fleet, best.shard, best.target, self.budget)
+            moved = True
+            if source.utilisation > self.mean:
+                heapq.heappush(heap, (-source.utilisation, number, source))
+        return moved
+
+    def _list_sources(self) -> list[tuple[float, int, Member]]:
+        members = self.fleet.members
+        for incarnation, member in members.items():
+            if member.utilisation > self.start_giving:
+                self.giving.add(incarnation)
+        heap = [
+            (-member.utilisation, number, member)
+            for number, (incarnation, member) in enumerate(members.items())
+            if incarnation in self.giving
+            or (self.taking and member.utilisation > self.mean)
+        ]
+        heapq.heapify(heap)
+        return heap
+
+    def _find_best_move(self, source: Member) -> _Move | None:
+        anywhere = self.fleet.find_least_loaded(None)
+        best = None
+        for shard, load in source.shards.items():
+            if not self.draft.is_settled(shard):
+                continue
+            place = self.fleet.find_place(shard)
+            target = self.fleet.find_least_loaded(place) if place else anywhere
+            if target is None or not self._is_worth(source, target):
+                continue
+            gain = _measure_gain(source, target, load)
+            if gain < 2 * load * self.mean * self.draft.limits.min_gain:
+                continue
+            value = gain / (HOT_MOVE_COST if is_hot(shard) else 1.0)
+            if best is None or value > best.value:
+                best = _Move(shard=shard, target=target, value=value)
+        return best
+
+    def _is_worth(self, source: Member, target: Member) -> bool:
+        if target is source:
+            return False
+        gives = source.lease.incarnation in self.giving
+        takes = target.lease.incarnation in self.taking
+        return (gives and source.utilisation > self.stop_giving) or (
+            takes and target.utilisation < self.stop_taking
+        )
 
 
 def _measure_gain(source: Member, target: Member, load: float) -> float:
--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -43,10 +43,9 @@
             if service.key_ranges
         }
         self.loads = self._weigh()
-        self.chains: dict[ShardId, tuple[LeaseId, ...]] = {}
-        for shard in self.shards:
-            self.chains[shard] = self.find_state(shard).chain
-            self.find_fleet(shard).put(shard, self.loads[shard], self.chains[shard])
+        self.chains = {shard: self.find_state(shard).chain for shard in self.shards}
+        for shard, chain in self.chains.items():
+            self.find_fleet(shard).put(shard, self.loads[shard], chain)
 
     def _weigh(self) -> dict[ShardId, float]:
         """Add to each shard's measured load its part of the idle load."""
--- a/src/papayatack/core/placement/fleet.py
+++ b/src/papayatack/core/placement/fleet.py
@@ -62,7 +62,7 @@
         self.by_place: dict[str, list[Member]] = defaultdict(list)
         self._places_of_region: dict[str, list[str]] = defaultdict(list)
         self._candidates: dict[tuple[str, frozenset[str]], Sequence[Member]] = {}
-        self._backups: dict[tuple[LeaseId, LeaseId], float] = defaultdict(float)
+        self._backups: dict[tuple[IncarnationId, IncarnationId], float] = {}
         self._preferred = {
             f"{rule.service}/{rule.key_range}": rule.place
             for rule in configuration.localities
@@ -89,6 +89,11 @@
         if node.data_centre not in self._places_of_region[node.region]:
             self._places_of_region[node.region].append(node.data_centre)
 
+    @property
+    def has_localities(self) -> bool:
+        """Whether a locality rule speaks of this service."""
+        return bool(self._preferred)
+
     @property
     def capacity(self) -> float:
         """Slots of all members."""
@@ -107,8 +112,7 @@
         if owner is not None:
             owner.load += load
             owner.shards[shard] = load
-        if len(chain) > 1:
-            self._backups[chain[0], chain[1]] += load
+        self._count_backup(chain, load)
 
     def take(self, shard: ShardId, load: float, chain: Sequence[LeaseId]) -> None:
         """Count a shard under its chain no more."""
@@ -117,8 +121,22 @@
         owner = self.members.get(chain[0].incarnation)
         if owner is not None and owner.shards.pop(shard, None) is not None:
             owner.load -= load
+        self._count_backup(chain, -load)
+
+    def _count_backup(self, chain: Sequence[LeaseId], load: float) -> None:
         if len(chain) > 1:
-            self._backups[chain[0], chain[1]] -= load
+            pair = chain[0].incarnation, chain[1].incarnation
+            self._backups[pair] = self._backups.get(pair, 0.0) + load
+
+    def find_holders(self, chain: Sequence[LeaseId]) -> list[Member] | None:
+        """Return the holders if all are usable under just these leases."""
+        holders = []
+        for lease in chain:
+            member = self.members.get(lease.incarnation)
+            if member is None or member.lease != lease:
+                return None
+            holders.append(member)
+        return holders
 
     def keep_usable(self, chain: Sequence[LeaseId]) -> list[Member]:
         """Return the usable holders of a chain, under the leases they have now."""
@@ -201,6 +219,7 @@
         spare: list[Member],
     ) -> Member | None:
         owner = chain[0]
+        lost = owner.lease.incarnation
         candidates = self._list_candidates(owner.region, places)
         if not candidates:
             if spare:
@@ -211,7 +230,7 @@
             sample,
             key=lambda member: (
                 (
-                    self._backups.get((owner.lease, member.lease), 0.0)
+                    self._backups.get((lost, member.lease.incarnation), 0.0)
                     + member.load
                     + load
                 )
--- a/src/papayatack/core/placement/hot_keys.py
+++ b/src/papayatack/core/placement/hot_keys.py
@@ -5,6 +5,7 @@
 See docs/design/placement.md for why both depend on the parent's epoch.
 """
 
+import math
 from collections import Counter
 
 from papayatack.core.identity import ShardId
@@ -17,11 +18,13 @@
 def split_hot_keys(draft: Draft) -> None:
     """Plan own shards for the hottest keys, up to the limit of each service."""
     counts = Counter(shard.partition("/")[0] for shard in draft.shards if is_hot(shard))
+    least = _measure_mean_loads(draft, share=draft.limits.hot_share)
     found = sorted(
         (-load.busy, load.shard)
         for report in draft.view.loads
         for load in report.hot_keys
-        if _is_split_worthy(draft, load.shard, load.busy)
+        if load.busy >= least.get(load.shard.partition("/")[0], math.inf)
+        and not draft.chains.get(load.shard)
     )
     for _, shard in found:
         service = shard.partition("/")[0]
@@ -35,8 +38,12 @@
 
 def return_cool_keys(draft: Draft) -> None:
     """Plan the return of keys that are hot no more."""
+    least = _measure_mean_loads(draft, share=draft.limits.cool_share)
     for shard in draft.shards:
-        if is_hot(shard) and _is_cool(draft, shard):
+        cool = is_hot(shard) and (
+            draft.measured[shard] < least[shard.partition("/")[0]]
+        )
+        if cool and _may_return(draft, shard):
             _return_key(draft, shard)
 
 
@@ -50,23 +57,17 @@
         draft.assign(shard, draft.chains[parent])
 
 
-def _is_split_worthy(draft: Draft, shard: ShardId, busy: float) -> bool:
-    if draft.chains.get(shard) or shard.partition("/")[0] not in draft.fleets:
-        return False
-    return busy >= draft.limits.hot_share * _measure_mean_load(draft, shard)
+def _may_return(draft: Draft, shard: ShardId) -> bool:
+    age_s = draft.find_state(shard).age_s
+    return _is_steady(draft, shard) and age_s >= draft.limits.keep_hot_s
 
 
-def _is_cool(draft: Draft, shard: ShardId) -> bool:
-    state = draft.find_state(shard)
-    if not _is_steady(draft, shard) or state.age_s < draft.limits.keep_hot_s:
-        return False
-    cool = draft.limits.cool_share * _measure_mean_load(draft, shard)
-    return draft.measured[shard] < cool
-
-
-def _measure_mean_load(draft: Draft, shard: ShardId) -> float:
-    fleet = draft.find_fleet(shard)
-    return fleet.load / max(1, len(fleet.members))
+def _measure_mean_loads(draft: Draft, *, share: float) -> dict[str, float]:
+    """Return a share of a mean node's load, for each service."""
+    return {
+        service: share * fleet.load / max(1, len(fleet.members))
+        for service, fleet in draft.fleets.items()
+    }
 
 
 def _is_steady(draft: Draft, shard: ShardId) -> bool:
--- a/src/papayatack/core/placement/loads.py
+++ b/src/papayatack/core/placement/loads.py
@@ -8,7 +8,7 @@
 
 __all__ = ["IDLE_UTILISATION", "estimate_loads"]
 
-IDLE_UTILISATION = 0.02
+IDLE_UTILISATION = 0.01
 """Share of all slots that counts as evenly spread load, beside what is measured, so
 that an idle fleet is balanced by the number of shards and not by noise."""
 
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -60,6 +60,9 @@
 def _find_fault(draft: Draft, shard: ShardId) -> _Urgency | None:
     chain = draft.chains[shard]
     fleet = draft.find_fleet(shard)
+    holders = fleet.find_holders(chain) if chain else None
+    if holders and fleet.is_spread(holders):
+        return None
     if not fleet.members:
         return None
     kept = fleet.keep_usable(chain)
@@ -67,12 +70,7 @@
         return _Urgency.NO_HOLDER
     if kept[0].lease != chain[0]:
         return _Urgency.OWNER_LOST
-    if draft.find_state(shard).moving:
-        return None
-    sound = len(kept) == len(chain) and all(
-        member.lease == lease for member, lease in zip(kept, chain, strict=True)
-    )
-    return None if sound and fleet.is_spread(kept) else _Urgency.SUCCESSORS
+    return None if draft.find_state(shard).moving else _Urgency.SUCCESSORS
 
 
 def _repair(draft: Draft, shard: ShardId) -> None:
