Hold plans against the fold of the ownership stream

A hot key of which its owner reports nothing counts as cool; with short reports it had got an even part and stayed.

--- a/src/papayatack/core/placement/balance.py
+++ b/src/papayatack/core/placement/balance.py
@@ -4,8 +4,9 @@
 import heapq
 
 from papayatack.core.identity import IncarnationId, ShardId
-from papayatack.core.placement.draft import Draft, is_hot
+from papayatack.core.placement.draft import Draft
 from papayatack.core.placement.fleet import LOCALITY_RETURN, Fleet, Member
+from papayatack.core.shards import is_hot
 
 __all__ = ["MoveBudget", "balance_load", "restore_locality"]
 
--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -9,18 +9,13 @@
 from papayatack.core.placement.loads import IDLE_UTILISATION, estimate_loads
 from papayatack.core.placement.view import PlacementShard, PlacementView
 from papayatack.core.records import Assignment
-from papayatack.core.shards import HOT_MARK, list_shards
+from papayatack.core.shards import is_hot, list_shards
 
-__all__ = ["Draft", "is_hot"]
+__all__ = ["Draft"]
 
 _UNASSIGNED = PlacementShard(epoch=0, chain=())
 
 
-def is_hot(shard: ShardId) -> bool:
-    """Return whether a shard holds a single hot key."""
-    return f"/{HOT_MARK}" in shard
-
-
 class Draft:
     """The chains as they would be after the changes planned so far."""
 
--- a/src/papayatack/core/placement/hot_keys.py
+++ b/src/papayatack/core/placement/hot_keys.py
@@ -9,8 +9,8 @@
 from collections import Counter
 
 from papayatack.core.identity import ShardId
-from papayatack.core.placement.draft import Draft, is_hot
-from papayatack.core.shards import find_parent
+from papayatack.core.placement.draft import Draft
+from papayatack.core.shards import find_parent, is_hot
 
 __all__ = ["return_cool_keys", "split_hot_keys"]
 
--- a/src/papayatack/core/placement/loads.py
+++ b/src/papayatack/core/placement/loads.py
@@ -5,6 +5,7 @@
 
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.placement.view import PlacementView
+from papayatack.core.shards import is_hot
 
 __all__ = ["IDLE_UTILISATION", "estimate_loads"]
 
@@ -20,7 +21,7 @@
 
     A shard's own owner is believed before another node, whose report may date from
     before a move. Load that a node does not attribute is spread over the shards that
-    it does not mention.
+    it does not mention; a hot key among these has cooled.
     """
     owners = {
         shard: state.chain[0].incarnation
@@ -30,7 +31,9 @@
     owned = _read_reports(view, owners)
     spread = _spread_remainders(view, owners, owned)
     return {
-        shard: owned[shard] if shard in owned else spread.get(owners.get(shard), 0.0)
+        shard: owned.get(shard, 0.0)
+        if shard in owned or is_hot(shard)
+        else spread.get(owners.get(shard), 0.0)
         for shard in shards
     }
 
@@ -60,7 +63,7 @@
     for shard, owner in owners.items():
         if shard in owned:
             attributed[owner] += owned[shard]
-        else:
+        elif not is_hot(shard):
             silent[owner] += 1
     return {
         report.incarnation: max(0.0, report.busy - attributed[report.incarnation])
--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -18,6 +18,7 @@
     "HOT_MARK",
     "find_parent",
     "format_hot_shard",
+    "is_hot",
     "list_shards",
     "locate_shard",
 ]
@@ -103,6 +104,11 @@
     return ShardId(f"{service}/{key_range}/{HOT_MARK}{key}")
 
 
+def is_hot(shard: ShardId) -> bool:
+    """Return whether a shard holds a single hot key."""
+    return f"/{HOT_MARK}" in shard
+
+
 def list_shards(
     configuration: Configuration, hot_shards: Iterable[ShardId] = ()
 ) -> tuple[ShardId, ...]:
--- /dev/null
+++ b/tests/core/placement/test_fold.py
@@ -0,0 +1,110 @@
+"""Plans against the fold of the ownership stream: what is planned takes effect."""
+
+import dataclasses
+import unittest
+
+from papayatack.core.placement import PlacementLimits, Plan, plan
+from papayatack.core.records import Assignment
+from papayatack.core.shards import find_parent, format_hot_shard
+from tests.core.placement.fleets import (
+    RANGE,
+    SERVICE,
+    apply_plan,
+    make_configuration,
+    make_view,
+    remove_node,
+    report_loads,
+)
+from tests.core.placement.folded import FoldedFleet
+
+HOT = format_hot_shard(SERVICE, RANGE, "a-key")
+
+
+class FoldedPlanTests(unittest.TestCase):
+    """The planner and the fold agree on every kind of entry."""
+
+    def setUp(self):
+        """Assign all shards of six nodes."""
+        self.fleet = FoldedFleet(make_view(nodes=6, shards=24))
+        self.assertEqual(self.fleet.assign(plan(self.fleet.read_view())), [])
+        self.fleet.activate()
+        self.parent = find_parent(self.fleet.view.configuration, HOT)
+
+    def plan_with(self, busy, *, moves=0):
+        """Plan with the hot key's load, and fold the plan."""
+        view = self.fleet.read_view()
+        loads = dict.fromkeys(view.shards, 0.2) | {HOT: busy}
+        hot = [(self.parent, HOT, busy)] if HOT not in view.shards else []
+        view = report_loads(view, loads, hot)
+        planned = plan(view, limits=PlacementLimits(moves=moves))
+        return planned, self.fleet.assign(planned)
+
+    def test_first_plan_agrees_with_the_naive_fold(self):
+        """Chains and epochs are those of the naive fold."""
+        fleet = FoldedFleet(make_view(nodes=6, shards=24))
+        planned = plan(fleet.read_view())
+        naive = apply_plan(fleet.read_view(), planned)
+        fleet.assign(planned)
+        fleet.activate()
+        self.assertEqual(fleet.read_view().shards, naive.shards)
+
+    def test_repair_takes_effect(self):
+        """After a loss every entry is effective, and nothing is left to plan."""
+        view = remove_node(self.fleet.read_view(), 0)
+        self.assertEqual(self.fleet.assign(plan(view)), [])
+        self.fleet.activate()
+        after = remove_node(self.fleet.read_view(), 0)
+        self.assertEqual(plan(after).assignments, ())
+
+    def test_split_move_and_return_take_effect(self):
+        """A hot key is split off, moved, moved back and returned."""
+        planned, voids = self.plan_with(4.0)
+        self.assertEqual((len(planned.assignments), voids), (1, []))
+        self.assertTrue(self.fleet.state.shards[HOT].active)
+        planned, voids = self.plan_with(4.0, moves=8)
+        self.assertTrue(planned.assignments)
+        self.assertEqual(voids, [])
+        self.fleet.activate()
+        for _ in range(4):
+            _, voids = self.plan_with(0.0)
+            self.assertEqual(voids, [])
+            self.fleet.activate()
+        self.assertFalse(HOT in self.fleet.state.shards)
+
+    def test_split_against_a_moved_parent_is_void(self):
+        """A planner that has not seen the parent's move splits nothing."""
+        stale = self.fleet.read_view()
+        loads = dict.fromkeys(stale.shards, 0.2)
+        stale = report_loads(stale, loads, [(self.parent, HOT, 4.0)])
+        split = plan(stale, limits=PlacementLimits(moves=0))
+        parent = stale.shards[self.parent]
+        move = Assignment(
+            shard=self.parent, base_epoch=parent.epoch, chain=parent.chain[1:]
+        )
+        moved = Plan(assignments=(move,))
+        self.assertEqual(self.fleet.assign(moved), [])
+        self.assertEqual(self.fleet.assign(split), ["epoch taken"])
+        self.assertFalse(HOT in self.fleet.state.shards)
+
+    def test_second_split_has_a_higher_epoch(self):
+        """Tokens of a hot key's shard grow over its return and a second split."""
+        self.plan_with(4.0)
+        first = self.fleet.state.shards[HOT].current.epoch
+        self.plan_with(0.0)
+        self.assertFalse(HOT in self.fleet.state.shards)
+        self.plan_with(4.0)
+        self.assertGreater(self.fleet.state.shards[HOT].current.epoch, first)
+
+    def test_retired_range_is_given_up_and_taken_back(self):
+        """Epochs go on from where they were when a range returns."""
+        before = self.fleet.state.shards[self.parent].current.epoch
+        retired = make_configuration(shards=24, retired=True)
+        view = dataclasses.replace(self.fleet.read_view(), configuration=retired)
+        self.assertEqual(self.fleet.assign(plan(view)), [])
+        self.assertEqual(self.fleet.state.shards[self.parent].current.leases, ())
+        view = dataclasses.replace(self.fleet.read_view(), configuration=retired)
+        self.assertEqual(plan(view).assignments, ())
+        self.assertEqual(self.fleet.assign(plan(self.fleet.read_view())), [])
+        after = self.fleet.state.shards[self.parent].current
+        self.assertTrue(after.leases)
+        self.assertGreater(after.epoch, before)
