--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -1,5 +1,6 @@
 """The state of a plan in the making."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from papayatack.core.identity import LeaseId, ShardId
@@ -8,18 +9,13 @@
 from papayatack.core.placement.loads import IDLE_UTILISATION, estimate_loads
 from papayatack.core.placement.view import PlacementShard, PlacementView
 from papayatack.core.records import Assignment
-from papayatack.core.shards import HOT_MARK, list_shards
+from papayatack.core.shards import is_hot, list_shards
 
-__all__ = ["Draft", "is_hot"]
+__all__ = ["Draft"]
 
 _UNASSIGNED = PlacementShard(epoch=0, chain=())
 
 
-def is_hot(shard: ShardId) -> bool:
-    """Return whether a shard holds a single hot key."""
-    return f"/{HOT_MARK}" in shard
-
-
 class Draft:
     """The chains as they would be after the changes planned so far."""
 
@@ -42,23 +38,21 @@
             if service.key_ranges
         }
         self.loads = self._weigh()
-        self.chains: dict[ShardId, tuple[LeaseId, ...]] = {}
-        for shard in self.shards:
-            self.chains[shard] = self.find_state(shard).chain
-            self.find_fleet(shard).put(shard, self.loads[shard], self.chains[shard])
+        self.chains = {shard: self.find_state(shard).chain for shard in self.shards}
+        for shard, chain in self.chains.items():
+            self.find_fleet(shard).put(shard, self.loads[shard], chain)
 
     def _weigh(self) -> dict[ShardId, float]:
-        """Add to each measured load its part of the idle load."""
-        counts: dict[str, int] = {}
-        for shard in self.shards:
-            service = _find_service(shard)
-            counts[service] = counts.get(service, 0) + 1
+        """Add to each shard's measured load its part of the idle load."""
+        counts = Counter(
+            _find_service(shard) for shard in self.shards if not is_hot(shard)
+        )
         idle = {
             service: IDLE_UTILISATION * (self.fleets[service].capacity or 1.0) / count
             for service, count in counts.items()
         }
         return {
-            shard: load + idle[_find_service(shard)]
+            shard: load + (0.0 if is_hot(shard) else idle[_find_service(shard)])
             for shard, load in self.measured.items()
         }
 
