Keep tokens growing, end every lease that is given up, follow the log by few nodes

Cause: the specification and random schedules gave four counterexamples. (1) An owner that stays under a new chain served the new epoch before its floor was confirmed, so that a stale successor of the old chain could serve an older epoch after it: it now goes on under the old epoch until then. (2) A shard handed from one lease of a node to the next kept its grant under the old one if the new one ran out first: that grant is revoked, and the hand-over waits for a firm lease. (3) A lease that no chain named was forgotten by its holder alone, and a later chain that named it was stuck: its end is now written to the log. (4) Release queries and requests for records answered one another without pause. Besides: in a fleet of more than 64 nodes two nodes of a data centre tail the log, the rest follow by lease traffic; checkpoints are kept and loaded; old and new owner tell each other of a move.

--- /dev/null
+++ b/src/papayatack/control/loading.py
@@ -0,0 +1,64 @@
+"""The state that a new node starts from, out of the log alone."""
+
+import random
+
+from returns.result import Failure, Result, Success
+
+from papayatack.core.config_fold import ConfigFold
+from papayatack.core.errors import InventoryError
+from papayatack.core.ownership import OwnershipState, fold, load_state
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
+from papayatack.logservice.interface import LogService
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["load_streams"]
+
+
+async def load_streams(
+    *, log: LogService, metrics: Metrics, random: random.Random, deadline_s: float
+) -> Result[tuple[OwnershipState, ConfigFold], BootstrapFailure]:
+    """Load both streams, from checkpoints where their first records are gone.
+
+    Args:
+        log: The log service.
+        metrics: Counters of the process.
+        random: Jitter of retries.
+        deadline_s: Event loop time at which to give up.
+    """
+    ownership = await load_stream(
+        log=log,
+        stream=OWNERSHIP_STREAM,
+        create=OwnershipState,
+        load=load_state,
+        metrics=metrics,
+        random=random,
+        deadline_s=deadline_s,
+    )
+    config = await load_stream(
+        log=log,
+        stream=CONFIG_STREAM,
+        create=ConfigFold,
+        load=_load_config,
+        metrics=metrics,
+        random=random,
+        deadline_s=deadline_s,
+    )
+    match ownership, config:
+        case Success(owned), Success(configured):
+            for logged in owned.records:
+                fold(owned.state, logged.offset, logged.record)
+            for logged in configured.records:
+                configured.state.apply(logged.offset, logged.record)
+            return Success((owned.state, configured.state))
+        case Failure(failure), _:
+            return Failure(failure)
+        case _, Failure(failure):
+            return Failure(failure)
+
+
+def _load_config(text: str) -> ConfigFold:
+    try:
+        return ConfigFold.load(text)
+    except InventoryError as error:
+        raise ValueError(str(error)) from error
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -19,8 +19,9 @@
     control.start_departure()             # planned stop
     resigned = await control.wait_finished()
 
-``state`` and ``config`` take what a checkpoint gave; without them the node folds both
-streams from their start. :meth:`ControlNode.wait_finished` returns ``False`` if the log
+``state`` and ``config`` take what :func:`papayatack.control.load_streams` gave; without
+them the node folds both streams from their start. :meth:`ControlNode.wait_finished`
+returns ``False`` if the log
 ended this incarnation (superseded or declared lost): the process must then start anew
 under a new incarnation id.
 """
@@ -53,6 +54,8 @@
     SendRecords,
 )
 from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.selection import is_tailer
+from papayatack.core.ownership.snapshot import dump_state
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementView, Plan
 from papayatack.core.records import (
@@ -62,6 +65,7 @@
     OwnershipRecord,
 )
 from papayatack.logservice.appender import Appender
+from papayatack.logservice.checkpoints import CheckpointKeeper, Snapshot
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import (
@@ -79,6 +83,8 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.05
+CHECK_TAIL_S = 0.5
+IDLE_CHECKS = 60
 MAX_INBOX = 10_000
 MAX_APPENDS = 32
 APPEND_DEADLINE_S = 5.0
@@ -102,6 +108,8 @@
         random: Jitter of retries.
         state: Ownership state to start from.
         config: Config state to start from.
+        retention_s: Seconds for which the log keeps records; the node sees that there
+            are checkpoints. ``None`` for a log that keeps all.
     """
 
     def __init__(
@@ -116,6 +124,7 @@
         random: random.Random,
         state: OwnershipState | None = None,
         config: ConfigFold | None = None,
+        retention_s: float | None = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self._metrics = metrics
@@ -155,6 +164,8 @@
             CONFIG_STREAM: self._config.next_offset,
             OWNERSHIP_STREAM: self.core.state.position,
         }
+        self._behind = dict.fromkeys(positions, 0)
+        self._is_tailer = True
         self._recent = {
             stream: RecentRecords(stream=stream, first=first)
             for stream, first in positions.items()
@@ -170,6 +181,38 @@
             )
             for stream, first in positions.items()
         }
+        self._keepers: dict[str, CheckpointKeeper] = {}
+        if retention_s is not None:
+            self._build_keepers(log, retention_s, random, now)
+
+    def _build_keepers(
+        self, log: LogService, retention_s: float, random: random.Random, now: float
+    ) -> None:
+        config_appender = Appender(
+            log=log, stream=CONFIG_STREAM, metrics=self._metrics, random=random
+        )
+        sources = {
+            CONFIG_STREAM: (config_appender, self._dump_config),
+            OWNERSHIP_STREAM: (self._appender, self._dump_ownership),
+        }
+        for stream, (appender, take_snapshot) in sources.items():
+            self._keepers[stream] = CheckpointKeeper(
+                stream=stream,
+                incarnation=self.core.me,
+                retention_s=retention_s,
+                appender=appender,
+                take_snapshot=take_snapshot,
+                is_available=functools.partial(_is_available, self._tailers[stream]),
+                metrics=self._metrics,
+                now=now,
+            )
+
+    def _dump_config(self) -> Snapshot:
+        return Snapshot(position=self._config.next_offset, document=self._config.dump())
+
+    def _dump_ownership(self) -> Snapshot:
+        state = self.core.state
+        return Snapshot(position=state.position, document=dump_state(state))
 
     @property
     def ownership(self) -> Ownership:
@@ -194,8 +237,10 @@
     async def run(self) -> None:
         """Run all tasks until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            for tailer in self._tailers.values():
-                tasks.create_task(tailer.run())
+            for stream in self._tailers:
+                tasks.create_task(self._follow(stream))
+            for keeper in self._keepers.values():
+                tasks.create_task(keeper.run())
             tasks.create_task(self._grants.run())
             tasks.create_task(self._append_records())
             tasks.create_task(self._planner.run())
@@ -203,6 +248,34 @@
             tasks.create_task(self._read_inbox())
             tasks.create_task(self._advance())
 
+    async def _follow(self, stream: str) -> None:
+        """Follow a stream, closely only where other nodes do not bring it."""
+        tailer = self._tailers[stream]
+        while True:
+            await tailer.read_once()
+            for _ in range(IDLE_CHECKS):
+                if self._must_read(stream):
+                    break
+                await asyncio.sleep(CHECK_TAIL_S)
+
+    def _must_read(self, stream: str) -> bool:
+        holder = self.core.context.find_newest_holder()
+        if not self.core.caught_up or holder is None:
+            return True
+        if not holder.is_live(self._read_clock()) or self._behind[stream] >= 2:
+            return True
+        return self._is_tailer
+
+    def _note_behind(self) -> None:
+        """Count for how many checks the node has lacked records that others have."""
+        self._is_tailer = (
+            is_tailer(self.core.state, self.core.me)
+            or self._planner.find_planner() == self.core.me
+        )
+        for stream, heard in self.core.heard_positions.items():
+            behind = heard > self._recent[stream].end
+            self._behind[stream] = self._behind[stream] + 1 if behind else 0
+
     def receive(
         self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
     ) -> None:
@@ -234,8 +307,12 @@
         return None
 
     async def _advance(self) -> None:
+        check_s = self._read_clock()
         while True:
             self._note_caught_up()
+            if self._read_clock() >= check_s:
+                check_s = self._read_clock() + CHECK_TAIL_S
+                self._note_behind()
             self._carry_out(self.core.advance(self._read_clock()))
             await asyncio.sleep(TICK_S)
 
@@ -266,6 +343,7 @@
     def _(self, item: RecordsExpired) -> None:
         if self._recent[item.stream].end < item.first:
             self._metrics.count("log_gaps", item.stream)
+            self._perform(FinishNode(resigned=False))
 
     @functools.singledispatchmethod
     def _take_message(self, message: ControlMessage, sender: IncarnationId) -> None:
@@ -290,6 +368,9 @@
                 continue
             recent.add(offset, payload)
             record = self._decoder.decode(stream, offset, payload).record
+            if stream in self._keepers:
+                now = self._read_clock()
+                self._keepers[stream].observe(record, offset=offset, now=now)
             if stream == CONFIG_STREAM:
                 self._config.apply(offset, record)
                 self.core.config_position = self._config.next_offset
@@ -405,3 +486,7 @@
             self._metrics.count("control_messages_dropped", "unknown-recipient")
             return
         self._sender.send(member.address, recipient, message)
+
+
+def _is_available(tailer: Tailer) -> bool:
+    return tailer.available
--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -131,8 +131,7 @@
             if holder is newest:
                 continue
             if lease not in self._context.state.references:
-                holder.end()
-                del self._context.holders[lease]
+                self._drop(holder, now)
                 continue
             self._give_up(holder, now)
             if self._context.state.is_live(lease):
@@ -146,6 +145,15 @@
         since_s = self._dead_since_s.setdefault(holder.lease, now)
         if now - since_s < GIVE_UP_S:
             return
+        self._end(holder, now)
+
+    def _drop(self, holder: Holder, now: float) -> None:
+        """End a lease that no chain names, so that none names it later."""
+        self._end(holder, now)
+        if not self._context.state.is_live(holder.lease):
+            del self._context.holders[holder.lease]
+
+    def _end(self, holder: Holder, now: float) -> None:
         holder.end()
         if not self._context.state.is_live(holder.lease):
             return
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -1,7 +1,7 @@
 """Acquiring, keeping and releasing shards."""
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
-from papayatack.core.messages import Release, ReleaseQuery
+from papayatack.core.messages import LogQuery, Release, ReleaseQuery
 from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import ShardEntry
@@ -11,10 +11,12 @@
     examine_claim,
     make_token,
 )
-from papayatack.core.ownership.timing import QUERY_INTERVAL_S
+from papayatack.core.ownership.timing import LEASE_DURATION_S, QUERY_INTERVAL_S
+from papayatack.core.records import OWNERSHIP_STREAM
 
 __all__ = ["Claims"]
 
+FIRM_VIEW_S = LEASE_DURATION_S / 2
 MAX_PENDING_QUERIES = 20_000
 MAX_SHARDS_PER_MESSAGE = 500
 
@@ -69,6 +71,7 @@
 
     def accept_release(self, message: Release) -> None:
         """Take in that an old holder released shards."""
+        self._learn(message.lease.incarnation, message.shards, message.epochs)
         for shard, epoch in zip(message.shards, message.epochs, strict=False):
             entry = self._context.state.shards.get(shard)
             if entry is None or not entry.earlier:
@@ -81,12 +84,27 @@
         """Remember that a new holder waits for shards of this node."""
         if message.lease not in self._context.holders:
             return
+        self._learn(sender, message.shards, message.epochs)
         for shard, epoch in zip(message.shards, message.epochs, strict=False):
             if len(self._queries) >= MAX_PENDING_QUERIES:
                 self._context.note("PEER_MESSAGE_REFUSED", "too many queries", sender)
                 return
             self._queries[message.lease, shard] = (epoch, sender)
 
+    def _learn(
+        self,
+        sender: IncarnationId,
+        shards: tuple[ShardId, ...],
+        epochs: tuple[int, ...],
+    ) -> None:
+        """Ask for the records of moves that another node knows and this one lacks."""
+        entries = (self._context.state.shards.get(shard) for shard in shards)
+        known = [entry.current.epoch if entry is not None else 0 for entry in entries]
+        if any(mine < epoch for mine, epoch in zip(known, epochs, strict=False)):
+            position = self._context.state.position
+            query = LogQuery(stream=OWNERSHIP_STREAM, offset=position)
+            self._context.send(sender, query)
+
     @property
     def has_queries(self) -> bool:
         """Tell whether another node waits for a release."""
@@ -114,7 +132,7 @@
         return min(min(self._due_s.values(), default=float("inf")), self._query_due_s)
 
     def _examine(self, shard: ShardId, now: float) -> None:
-        self._blocked.pop(shard, None)
+        before = self._blocked.pop(shard, None)
         self._due_s.pop(shard, None)
         entry = self._context.state.shards.get(shard)
         if entry is None:
@@ -125,10 +143,11 @@
         holder = self._find_own(entry)
         if holder is None or self.stopped:
             self._stop(shard, drains=True)
+            self._offer(shard, entry)
             return
         claim = examine_claim(shard, entry, holder.lease, self)
         if not claim.is_clear:
-            self._wait(shard, claim, now)
+            self._wait(shard, claim, before, now)
             return
         ready_s = claim.ready_s
         if claim.linger:
@@ -136,8 +155,21 @@
         if now < ready_s and shard not in self._context.rights.rights:
             self._due_s[shard] = ready_s
             return
+        if self._must_confirm(entry, holder):
+            self._blocked[shard] = claim
+            return
         self._acquire(shard, entry, holder)
 
+    def _must_confirm(self, entry: ShardEntry, holder: Holder) -> bool:
+        """Tell whether the floor must be confirmed before the new epoch is served.
+
+        A holder that stays goes on under the old epoch until no successor of an
+        earlier chain can fence it without learning of the new one: epochs and tokens
+        never go back.
+        """
+        stays = any(holder.lease in chain.leases for chain in entry.earlier)
+        return stays and holder.confirmed_floor < entry.current.since
+
     def _find_own(self, entry: ShardEntry) -> Holder | None:
         for lease in entry.current.leases:
             holder = self._context.holders.get(lease)
@@ -145,15 +177,42 @@
                 return holder
         return None
 
-    def _wait(self, shard: ShardId, claim: Claim, now: float) -> None:
+    def _wait(
+        self, shard: ShardId, claim: Claim, before: Claim | None, now: float
+    ) -> None:
         if not claim.predecessors or self._is_ahead(claim.predecessors):
             self._blocked[shard] = claim
         holders = self._context.holders
         own = all(lease in holders for lease, _ in claim.holders)
+        if own and not claim.predecessors and self._should_stay(shard, now):
+            return
         self._stop(shard, drains=bool(claim.predecessors) or not own)
-        if claim.holders and not claim.predecessors:
+        known = before is not None and before.holders == claim.holders
+        if claim.holders and not claim.predecessors and not known:
             self._query_due_s = min(self._query_due_s, now)
 
+    def _should_stay(self, shard: ShardId, now: float) -> bool:
+        """Tell whether to go on under an older lease until the newer one is firm."""
+        right = self._context.rights.rights.get(shard)
+        newest = self._find_own(self._context.state.shards[shard])
+        if right is None or newest is None or right.holder is newest:
+            return False
+        left_s = newest.view_end_s - now
+        return right.holder.is_live(now) and left_s < FIRM_VIEW_S
+
+    def _offer(self, shard: ShardId, entry: ShardEntry) -> None:
+        """Release a shard that was served here without waiting to be asked.
+
+        The new owner may hear of the move from this.
+        """
+        draining = self._context.rights.draining.get(shard)
+        if draining is None or draining.holder.ended or not entry.current.leases:
+            return
+        owner = entry.current.leases[0].incarnation
+        key = (draining.holder.lease, shard)
+        if owner != self._context.me and entry.current.epoch > 0:
+            self._queries.setdefault(key, (entry.current.epoch, owner))
+
     def _is_ahead(self, predecessors: tuple[LeaseId, ...]) -> bool:
         """Tell whether fenced predecessors had applied records that lack here."""
         ends = (self._context.fencing.find_end(lease) for lease in predecessors)
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -97,6 +97,7 @@
         self._stranded: set[LeaseId] = set()
         self.config_position = 0
         self.caught_up = False
+        self.heard_positions = {CONFIG_STREAM: 0, OWNERSHIP_STREAM: 0}
         for lease in state.leases:
             self._follow_lease(lease, now)
 
@@ -360,6 +361,9 @@
         self, peer: IncarnationId, config_offset: int, offset: int, now: float
     ) -> None:
         """Send a peer the records that it lacks and this node has."""
+        heard = self.heard_positions
+        heard[CONFIG_STREAM] = max(heard[CONFIG_STREAM], config_offset)
+        heard[OWNERSHIP_STREAM] = max(heard[OWNERSHIP_STREAM], offset)
         ours = {
             CONFIG_STREAM: (config_offset, self.config_position),
             OWNERSHIP_STREAM: (offset, self.context.state.position),
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -94,7 +94,6 @@
     def acquire(self, shard: ShardId, holder: Holder, epoch: int, token: int) -> None:
         """Hold a right; the upstream is to be asked for a grant unless it has it."""
         self.draining.pop(shard, None)
-        self._transferred.pop(shard, None)
         right = self.rights.get(shard)
         if right is None or right.holder is not holder:
             self.rights[shard] = Right(holder=holder, epoch=epoch, wanted_token=token)
@@ -115,9 +114,10 @@
         right = self.rights.pop(shard, None)
         if not drains:
             if right is not None:
-                self._transferred[shard] = right
+                right.asked = False
+                self._transferred.setdefault(shard, right)
             return right is not None
-        last = right or self._transferred.pop(shard, None)
+        last = self._transferred.pop(shard, None) or right
         if last is not None and shard not in self.draining:
             limit = self._find_limit(shard, last.epoch)
             self.draining[shard] = Draining(holder=last.holder, floor_limit=limit)
@@ -153,6 +153,7 @@
             return
         if right.wanted_token == token and done:
             right.token = token
+            self._transferred.pop(shard, None)
         elif right.wanted_token == token:
             right.asked = False
 
@@ -166,9 +167,17 @@
     def collect_revocable(self, now: float) -> dict[LeaseId, list[ShardId]]:
         """Return the shards whose requests have finished but whose grant stands.
 
-        The grants of an ended lease are extended no more and need no revocation.
+        The grants of an ended lease are extended no more and need no revocation. Nor
+        does the grant of an older lease of this node, which that of the newer one
+        replaces; unless the newer one has run out before.
         """
         found: dict[LeaseId, list[ShardId]] = {}
+        for shard, old in self._transferred.items():
+            right = self.rights.get(shard)
+            if old.asked or (right is not None and right.holder.is_live(now)):
+                continue
+            old.asked = True
+            found.setdefault(old.holder.lease, []).append(shard)
         for shard, draining in list(self.draining.items()):
             if draining.revoking or self.is_busy(shard, now):
                 continue
@@ -181,6 +190,12 @@
 
     def confirm_revoke(self, lease: LeaseId, shard: ShardId, *, done: bool) -> None:
         """Take in the upstream's answer to a revocation."""
+        old = self._transferred.get(shard)
+        if old is not None and old.holder.lease == lease:
+            if done:
+                del self._transferred[shard]
+            else:
+                old.asked = False
         draining = self.draining.get(shard)
         if draining is None or draining.holder.lease != lease:
             return
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -14,10 +14,32 @@
     "choose_successors",
     "choose_witnesses",
     "find_planner",
+    "is_tailer",
     "rank_member",
 ]
 
+ALL_TAIL_MEMBERS = 64
 CHAIN_LENGTH = 3
+TAILERS_PER_DATA_CENTRE = 2
+
+
+def is_tailer(state: OwnershipState, incarnation: IncarnationId) -> bool:
+    """Tell whether a node follows the log itself, and not through other nodes.
+
+    In a small fleet all do; in a large one a few of each data centre.
+    """
+    member = state.members.get(incarnation)
+    if member is None or len(state.members) <= ALL_TAIL_MEMBERS:
+        return True
+    own = rank_member("tail", incarnation)
+    better = sum(
+        1
+        for other in state.list_live_members()
+        if other.data_centre == member.data_centre
+        and rank_member("tail", other.incarnation) < own
+        and state.find_lease(other.incarnation) is not None
+    )
+    return better < TAILERS_PER_DATA_CENTRE
 
 
 def rank_member(subject: str, incarnation: IncarnationId) -> int:
--- a/src/papayatack/core/ownership/succession.py
+++ b/src/papayatack/core/ownership/succession.py
@@ -129,7 +129,7 @@
         end = evidence.find_end(lease)
         if end is None:
             return lease
+        ends.append(end)
         if end.confirmed_floor >= successor.since:
             return None
-        ends.append(end)
     return None
--- a/tests/core/ownership/test_guards.py
+++ b/tests/core/ownership/test_guards.py
@@ -198,6 +198,19 @@
     fleet.run(5)
 
 
+def owner_stays():
+    """The owner gets other successors; it is lost before its floor is known."""
+    fleet = make_fleet()
+    hide_log(fleet, fleet.spares[0])
+    fleet.isolate("a", others=list_witnesses(fleet, "a"))
+    move(fleet, "a", fleet.spares[2])
+    fleet.run(0.3)
+    fleet.kill("a")
+    fleet.run(1.2)
+    tell_lapse(fleet, fleet.spares[0])
+    fleet.run(5)
+
+
 def two_moves():
     """Two moves on top of each other, while the owner hears of neither."""
     fleet = make_fleet()
@@ -363,6 +376,12 @@
             _walk_first,
         )
 
+    def test_floor_before_a_new_epoch(self):
+        """An owner that stays takes its new epoch once its floor is confirmed."""
+        self.check_guard(
+            owner_stays, claims.Claims, "_must_confirm", lambda *arguments: False
+        )
+
     def test_stacked_chains(self):
         """Every chain that is not cleared is walked."""
         self.check_guard(two_moves, claims, "examine_claim", _examine_last)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -2,7 +2,8 @@
 
 After every event it checks that no two nodes may serve a shard, that no two upstreams
 hold a live grant for one, that no two that do not check grants run requests for one,
-and that nobody serves under a chain older than one that the log has activated.
+that nobody serves under a chain older than one that the log has activated, and that a
+shard's fencing tokens grow from owner to owner.
 """
 
 import collections
@@ -135,6 +136,7 @@
         self.truth = OwnershipState()
         self.activated = {}
         self.hot_keys = {}
+        self.last_tokens = {}
         self.has_requests = True
         self.tick_s = TICK_S
         self.find_service = self.services.get
@@ -500,6 +502,7 @@
 
     @_perform.register
     def _(self, effect: GrantShards, slot, core):
+        self._check_tokens(slot, effect.tokens)
         expiry = self.now + effect.remaining_s / slot.rate
         slot.upstream.grant(effect.lease, effect.tokens, expiry)
         now = slot.read_clock(self.now)
@@ -527,6 +530,14 @@
         slot.finished.append((self.now, effect.resigned))
         slot.core = None
 
+    def _check_tokens(self, slot, tokens):
+        """Raise if a shard's token does not grow from one owner to the next."""
+        for shard, token in tokens.items():
+            last, owner = self.last_tokens.get(shard, (0, slot))
+            if token < last or (token == last and owner is not slot):
+                raise AssertionError(f"{shard}: token {token} after {last}")
+            self.last_tokens[shard] = (token, slot)
+
     def _send(self, sender, recipient, message):
         self.messages += 1
         source, target = sender.split("#")[0], recipient.split("#")[0]
