Plan with a node's newest lease once the node itself uses it

Cause: after a graceful stop, nodes whose witness left are admitted again and take their shards to the new lease themselves. For two seconds the planner went on planning with the older lease, and a move made in that time gave a shard back to a lease that was about to end: the key was away until that lease lapsed and a successor took over (traced: epoch 42 under lease 2, epoch 43 under lease 1, served again 0.9 s later). Ruled out by traces: claims that wait for a floor, grants not confirmed, routing.

Change: a newest lease that stands in any chain is planned with at once. Test: a shard that its node took to the new lease does not go back.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -118,14 +118,19 @@
         )
 
     def _choose_lease(self, member: Member, now: float) -> LeaseId | None:
-        """Return the lease to plan with: a new one only after it can have come up."""
+        """Return the lease to plan with: a new one only after it can have come up.
+
+        A node that has put its newest lease into a chain is up under it, and its
+        older one is about to end.
+        """
         state = self._core.state
         newest = state.find_lease(member.incarnation)
         if newest is None:
             return None
         since_s = self._seen_s.setdefault(newest, now)
         older = LeaseId(member.incarnation, newest.term - 1)
-        if now - since_s < NEW_LEASE_S and state.is_live(older):
+        in_use = newest in state.references
+        if not in_use and now - since_s < NEW_LEASE_S and state.is_live(older):
             return older
         return newest
 
--- /dev/null
+++ b/tests/control/test_planning.py
@@ -0,0 +1,96 @@
+"""Tests of papayatack.control.planning."""
+
+import itertools
+import unittest
+
+from papayatack.control.planning import Planner
+from papayatack.core.identity import LeaseId
+from papayatack.core.inventory import Configuration
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.placement.view import Plan
+from papayatack.core.records import Admit, Announce, Assign, Assignment
+
+ME = "127.0.0.1:1#a"
+SHARD = "hiring/vacancies/0"
+
+
+def make_announcement(record_id="announce"):
+    """Return the announcement of the only node."""
+    return Announce(
+        record_id=record_id,
+        writer=ME,
+        incarnation=ME,
+        address="127.0.0.1:1",
+        operator_address="127.0.0.1:2",
+        data_centre="d",
+        region="r",
+        service="hiring",
+        upstream="127.0.0.1:3",
+        slots=1,
+        connections=1,
+    )
+
+
+class ChooseLeaseTests(unittest.TestCase):
+    """The lease of a node that was admitted again."""
+
+    def setUp(self):
+        self.core = NodeCore(
+            announcement=make_announcement(),
+            state=OwnershipState(),
+            now=0.0,
+            find_service=lambda name: None,
+        )
+        self.offsets = itertools.count()
+        self.planner = Planner(
+            core=self.core,
+            read_configuration=Configuration,
+            plan=lambda view: Plan(assignments=()),
+            append=self.fail,
+        )
+        self.apply(make_announcement())
+        self.admit(1)
+
+    def apply(self, record):
+        """Fold a record."""
+        self.core.apply_record(next(self.offsets), record, now=0.0)
+
+    def admit(self, term):
+        """Admit the node under its next lease."""
+        record = Admit(
+            record_id=f"admit-{term}",
+            writer=ME,
+            lease=LeaseId(ME, term),
+            witnesses=(),
+        )
+        self.apply(record)
+
+    def assign(self, term, base_epoch):
+        """Give the shard to a lease of the node."""
+        assignment = Assignment(
+            shard=SHARD, base_epoch=base_epoch, chain=(LeaseId(ME, term),)
+        )
+        record_id = f"assign-{base_epoch}"
+        record = Assign(record_id=record_id, writer=ME, assignments=(assignment,))
+        self.apply(record)
+
+    def read_term(self, now):
+        """Return the term of the lease that is planned with."""
+        return self.planner.build_view(now).nodes[0].lease.term
+
+    def test_new_lease_is_given_time(self):
+        """A lease that may not be up yet gets no shards for two seconds."""
+        self.assign(1, 0)
+        self.planner.build_view(0.0)
+        self.admit(2)
+        self.assertEqual(self.read_term(0.5), 1)
+        self.assertEqual(self.read_term(2.6), 2)
+
+    def test_lease_in_use_is_planned_with_at_once(self):
+        """A shard that its node took to the new lease does not go back to the old."""
+        self.assign(1, 0)
+        self.planner.build_view(0.0)
+        self.admit(2)
+        self.assign(2, 1)
+        self.assertEqual(self.read_term(0.5), 2)
