--- a/src/papayatack/observability/metrics.py
+++ b/src/papayatack/observability/metrics.py
@@ -65,7 +65,10 @@
 
     def record_latency(self, name: str, duration_s: float) -> None:
         """Add a duration, in seconds, to the histogram ``name``."""
-        self.latencies.setdefault(name, Latency()).record(duration_s)
+        latency = self.latencies.get(name)
+        if latency is None:
+            latency = self.latencies[name] = Latency()
+        latency.record(duration_s)
 
     def read_count(self, name: str, reason: str = "") -> float:
         """Return a counter's value, 0 if nothing was counted."""
