--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -116,6 +116,8 @@
         self.drop = 0.0
         self.duplicate = 0.0
         self.extra_delay_s = 0.0
+        self.slow = {}
+        self.withheld = set()
         self.cut = set()
         self.log_cut = set()
         self.latency_s = latency_s
@@ -132,6 +134,7 @@
         self.checks_grants = checks_grants
         self.truth = OwnershipState()
         self.activated = {}
+        self.hot_keys = {}
         self.has_requests = True
         self.tick_s = TICK_S
         self.find_service = self.services.get
@@ -141,6 +144,7 @@
         self.gaps = dict.fromkeys(self.shards, 0.0)
         self.violations = []
         self.planners_everywhere = False
+        self.plans = True
         self._queue = []
         self._order = itertools.count()
 
@@ -155,10 +159,10 @@
         )
         self.start(name)
 
-    def start(self, name, *, state=None):
-        """Start a new incarnation at a place."""
+    def start(self, name, *, state=None, reuse_incarnation=False):
+        """Start a new incarnation at a place; one that is not new breaks the rules."""
         slot = self.slots[name]
-        slot.starts += 1
+        slot.starts += 0 if reuse_incarnation else 1
         announcement = Announce(
             record_id="",
             writer=name,
@@ -182,6 +186,11 @@
         )
         slot.tail_due = False
         self._at(0.0, functools.partial(self._tick, slot, slot.core))
+        self.start_requests(name)
+
+    def start_requests(self, name):
+        """Let requests arrive at a place."""
+        slot = self.slots[name]
         self._at(0.0, functools.partial(self._request, slot, slot.core))
 
     def kill(self, name):
@@ -264,50 +273,74 @@
 
     def check(self):
         """Raise if a shard has two owners, or two upstreams hold it."""
-        for shard in self.shards:
-            owners = self.list_owners(shard)
-            granted = [
-                slot.name
-                for slot in self.slots.values()
-                if slot.upstream.grants.get(shard, (None, -1.0))[1] > self.now
-            ]
-            if (
-                len(owners) > 1
-                or len(granted) > 1
-                or (owners and granted and owners != granted)
-            ):
-                raise AssertionError(
-                    f"{shard} at {self.now:.3f}: owners {owners}, grants {granted}"
-                )
-            self._check_epoch(shard, owners)
-            if not self.checks_grants:
-                self._check_running(shard)
-            if any(not self.slots[name].frozen for name in owners):
+        owners = {}
+        holders = {}
+        for slot in self.slots.values():
+            for shard, (_, until_s) in slot.upstream.grants.items():
+                if until_s > self.now:
+                    self._take_place(holders, shard, slot, "granted")
+            if slot.core is not None:
+                for shard in self._list_rights(slot):
+                    self._take_place(owners, shard, slot, "owned")
+        for shard, slot in owners.items():
+            if holders.get(shard, slot) is not slot:
+                raise AssertionError(f"{shard} at {self.now:.3f}: granted elsewhere")
+            if not slot.frozen and shard in self.served_s:
                 gap = self.now - self.served_s[shard]
                 self.gaps[shard] = max(self.gaps[shard], gap)
                 self.served_s[shard] = self.now
+        if self.hot_keys:
+            self._check_hot_keys()
+        if not self.checks_grants:
+            self._check_running()
+
+    def _check_hot_keys(self):
+        """Raise if two nodes serve a key, one of them under its parent shard."""
+        for shard in self.hot_keys:
+            places = {}
+            for slot in self.slots.values():
+                if slot.core is None:
+                    continue
+                if self._locate(slot, shard) in set(self._list_rights(slot)):
+                    self._take_place(places, shard, slot, "key served")
+
+    def _locate(self, slot, shard):
+        """Return the shard of a hot key as a node sees it."""
+        if shard in slot.core.state.shards:
+            return shard
+        return self.hot_keys.get(shard, shard)
+
+    def _list_rights(self, slot):
+        now = slot.read_clock(self.now)
+        for shard, right in slot.core.context.rights.rights.items():
+            if right.token and right.holder.is_live(now):
+                if right.epoch < self.activated.get(shard, 0):
+                    raise AssertionError(f"{shard}: {slot.name}, epoch {right.epoch}")
+                yield shard
+
+    def _take_place(self, places, shard, slot, what):
+        other = places.setdefault(shard, slot)
+        if other is not slot:
+            raise AssertionError(
+                f"{shard} at {self.now:.3f}: {what} by {other.name} and {slot.name}"
+            )
 
-    def _check_epoch(self, shard, owners):
-        for name in owners:
-            epoch = self.slots[name].core.context.rights.rights[shard].epoch
-            if epoch < self.activated.get(shard, 0):
-                raise AssertionError(f"{shard} served by {name} under epoch {epoch}")
-
-    def _check_running(self, shard):
-        running = [
-            slot.name
-            for slot in self.slots.values()
-            if slot.upstream.running[shard] > 0
-        ]
-        if len(running) > 1:
-            raise AssertionError(f"{shard} at {self.now:.3f}: runs at {running}")
+    def _check_running(self):
+        running = {}
+        for slot in self.slots.values():
+            for shard, count in slot.upstream.running.items():
+                if count > 0:
+                    self._take_place(running, shard, slot, "run")
 
-    def check_agreement(self):
-        """Raise if a node that reads the log has not come to the log's own state."""
+    def has_agreement(self):
+        """Tell whether all nodes have folded the whole log, to the same state."""
         expected = dump_state(self.truth)
-        for slot in self.slots.values():
-            if slot.core is not None and dump_state(slot.core.state) != expected:
-                raise AssertionError(f"{slot.name} folded another state")
+        cores = [slot.core for slot in self.slots.values() if slot.core is not None]
+        return all(dump_state(core.state) == expected for core in cores)
+
+    def check_agreement(self):
+        """Raise if the nodes do not come to the log's own state soon."""
+        self.run_until(self.has_agreement, 5)
 
     def forget_gaps(self):
         """Measure unavailable time from now on."""
@@ -348,11 +381,12 @@
         if slot.frozen:
             slot.backlog.append(functools.partial(self._request, slot, core))
             return
-        shard = self.random.choice(self.shards)
+        key = self.random.choice([*self.shards, *self.hot_keys])
+        shard = self._locate(slot, key)
         if is_successful(core.authorize(shard, slot.read_clock(self.now))):
-            slot.upstream.running[shard] += 1
+            slot.upstream.running[key] += 1
             duration_s = self.random.random() * self.longest_s
-            self._at(duration_s, functools.partial(self._end, slot, shard))
+            self._at(duration_s, functools.partial(self._end, slot, key))
             self._at(duration_s, functools.partial(self._finish, slot, core, shard))
         self._at(REQUEST_EVERY_S, functools.partial(self._request, slot, core))
 
@@ -396,7 +430,7 @@
 
     def _plan(self, slot, core):
         planner = find_planner(core.state)
-        if core.me != planner and not self.planners_everywhere:
+        if not self.plans or (core.me != planner and not self.planners_everywhere):
             return
         if not self.log or core.me not in core.state.members:
             return
@@ -502,6 +536,7 @@
                 continue
             delay_s = self.latency_s * (0.5 + self.random.random())
             delay_s += self.extra_delay_s * self.random.random()
+            delay_s += self.slow.get(source, 0.0) + self.slow.get(target, 0.0)
             action = functools.partial(self._arrive, sender, recipient, message)
             self._at(delay_s, action)
 
@@ -517,7 +552,7 @@
             return
         core = slot.core
         if isinstance(message, LogBatch):
-            if message.first <= core.state.position:
+            if slot.name not in self.withheld and message.first <= core.state.position:
                 self._apply(slot, core, message.first, message.payloads)
             return
         now = slot.read_clock(self.now)
