Test that a gap while loading leaves no record out

Cause: a mutant that kept the records before the gap was not noticed. Change: a test whose checkpoint covers records right after the gap. Seen: 10 passed; with the mutant 1 of 10 fails.

--- a/tests/logservice/test_bootstrap.py
+++ b/tests/logservice/test_bootstrap.py
@@ -153,6 +153,20 @@
 
         self.run_virtually(check())
 
+    def test_records_that_expire_while_read(self):
+        """After a gap exactly the records that follow the checkpoint are folded."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 8)
+            append_checkpoint(fixture, covers=6, state=["new"])
+            log = ExpiringLog(store=fixture.store, expiries=[6])
+            loaded = (await load(fixture, log=log)).unwrap()
+            self.assertEqual(loaded.state, ["new"])
+            self.assertEqual(list_offsets(loaded), list(range(6, loaded.next_offset)))
+
+        self.run_virtually(check())
+
     def test_waits_for_a_node_that_holds_the_state(self):
         """A checkpoint that is written while the newcomer waits is taken."""
 
