--- a/bench/policy/figures.py
+++ b/bench/policy/figures.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping
 
 from papayatack.core.inventory import RequestClass
@@ -51,6 +50,9 @@
     errors: collections.Counter = dataclasses.field(default_factory=collections.Counter)
     attempts: int = 0
     refusal_waits: Latency = dataclasses.field(default_factory=Latency)
+    partner_latencies: dict[str, Latency] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(Latency)
+    )
     latencies: dict[RequestClass, Latency] = dataclasses.field(
         default_factory=lambda: {kind: Latency() for kind in RequestClass}
     )
@@ -59,6 +61,13 @@
         """Return whether a request came after the warm-up."""
         return request.arrival_s >= self.measure_from_s
 
+    def read_steady_p99_ms(self, partners: Iterable[str]) -> float:
+        """Return the 99th percentile of the answers to some partners, the worst one."""
+        return max(
+            self.partner_latencies[partner].read_quantiles()["p99_us"] / 1000
+            for partner in partners
+        )
+
     def record_offer(self, request) -> None:
         """Count a request that came."""
         if self.is_counted(request):
@@ -95,13 +104,16 @@
         if not self.is_counted(request):
             return
         self.good[request.partner, request.request_class] += 1
-        self.latencies[request.request_class].record(now - request.arrival_s)
+        self._record_latency(request, now - request.arrival_s)
 
     def record_end(self, now: float, request) -> None:
         """Count a request without an answer in time as one of its whole deadline."""
         if self.is_counted(request):
-            allowed_s = request.deadline_s - request.arrival_s
-            self.latencies[request.request_class].record(allowed_s)
+            self._record_latency(request, request.deadline_s - request.arrival_s)
+
+    def _record_latency(self, request, latency_s: float) -> None:
+        self.latencies[request.request_class].record(latency_s)
+        self.partner_latencies[request.partner].record(latency_s)
 
     def read_goodput(self) -> float:
         """Return the slot seconds of the answers in time."""
@@ -124,7 +136,7 @@
         """Return each partner's work against its max-min share of all work done."""
         shares = share_max_min(dict(self.offered_work), self.read_goodput())
         return {
-            partner: self.good_work[partner] / share if share else math.inf
+            partner: self.good_work[partner] / share if share else 0.0
             for partner, share in shares.items()
         }
 
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements and of the targets that they show."""
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -75,6 +75,17 @@
             queue.adjust(entry, 9.0 if entry.flow == "a" else 0.0)
         self.assertLessEqual(served.count("a"), 11)
 
+    def test_idle_flow_is_charged_afterwards(self):
+        """A partner that waits for nothing still pays for what it took."""
+        queue = FairQueue(weights={"a": 1.0, "d": 1.0})
+        queue.push(build_entry(1, "a"))
+        queue.adjust(queue.pop(), 9.0)
+        for number in range(10):
+            queue.push(build_entry(10 + number, "a"))
+            queue.push(build_entry(30 + number, "d"))
+        served = "".join(queue.pop().flow for _ in range(11))
+        self.assertLessEqual(served.count("a"), 1)
+
     def test_idle_flow_earns_no_credit(self):
         """A partner that comes back after a pause gets its share, not more."""
         queue = FairQueue(weights={"a": 1.0, "d": 1.0})
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -172,7 +172,7 @@
     def test_stale_report_admits_no_order(self):
         """Only a fresh healthy report lets an order be the probe."""
         tracker = build_tracker()
-        tracker.report(0.0, "a", healthy=True)
+        tracker.report(1.0, "a", healthy=True)
         fail(tracker, 9.0, "a")
         self.assertFalse(tracker.allows(10.0, "a", repeatable=False))
         tracker.report(10.0, "a", healthy=True)
