Estimate waits by the measured pace of each partner's queue

Cause: a heavy partner's wait was judged by the partners that wait at the moment, while light ones that never wait take their share as well; its requests then started so late that many ended after their deadlines.

--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -119,6 +119,7 @@
             deadline_s=deadline_s,
             charge=state.estimate_charge(cost),
             latest_start_s=deadline_s - state.estimate_service_time(cost),
+            offered_s=now,
         )
         self._place(now, state, entry)
         return entry
@@ -243,8 +244,7 @@
         """Return how long a new request of the flow would wait."""
         if state.seconds_per_cost is None:
             return 0.0
-        slots = self._count_usable_slots(now, state)
-        return state.queue.estimate_work_ahead(flow) / slots
+        return state.queue.estimate_wait(flow, self._count_usable_slots(now, state))
 
     def _bound_queue(self, now: float, state: ClassState) -> float:
         """Return how many requests of a class may wait.
@@ -286,6 +286,7 @@
 
     def _start(self, now: float, state: ClassState) -> None:
         entry = state.queue.pop()
+        state.queue.record_wait(entry, now - entry.offered_s)
         self._expiries.remove(entry)
         entry.state = EntryState.RUNNING
         entry.started_s = now
--- a/src/papayatack/core/admission/entry.py
+++ b/src/papayatack/core/admission/entry.py
@@ -29,6 +29,8 @@
         deadline_s: Time after which it is of no use.
         charge: Slot seconds that it is expected to take.
         latest_start_s: Time after which it can no longer finish in time.
+        offered_s: When it came.
+        ahead: Expected slot seconds of its flow that waited before it.
         state: Where it stands.
         started_s: When it got its slot.
     """
@@ -40,6 +42,8 @@
     deadline_s: float
     charge: float
     latest_start_s: float
+    offered_s: float = 0.0
+    ahead: float = 0.0
     state: EntryState = EntryState.QUEUED
     started_s: float = 0.0
 
--- a/src/papayatack/core/admission/queue.py
+++ b/src/papayatack/core/admission/queue.py
@@ -9,19 +9,26 @@
 
 __all__ = ["OTHERS", "FairQueue"]
 
+PACE_SMOOTHING = 0.2
+
 OTHERS = ""
 """The flow of all partners that the inventory does not name."""
 
 
 @dataclasses.dataclass(slots=True, eq=False, kw_only=True)
 class _Flow:
-    """A partner's waiting requests and its virtual time."""
+    """A partner's waiting requests and its virtual time.
+
+    ``pace`` is the measured wait for each slot second that waited before a request,
+    while the partner's queue has not been empty.
+    """
 
     name: str
     weight: float
     start: float = 0.0
     finish: float = 0.0
     backlog: float = 0.0
+    pace: float = 0.0
     entries: OrderedDict[int, Entry] = dataclasses.field(default_factory=OrderedDict)
 
 
@@ -83,6 +90,7 @@
             self._active_weight += flow.weight
             self._starts.put(flow.name, flow.start)
         flow.entries[entry.number] = entry
+        entry.ahead = flow.backlog
         flow.backlog += entry.charge
         self._backlog += entry.charge
         self._length += 1
@@ -132,6 +140,28 @@
         flow = self._flows.get(flow_name)
         return len(flow.entries) / flow.weight if flow else 0.0
 
+    def record_wait(self, entry: Entry, waited_s: float) -> None:
+        """Learn how fast a partner's queue moves from a request that was taken."""
+        flow = self._flows.get(entry.flow)
+        if flow is None or not flow.entries:
+            return
+        sample = waited_s / (entry.ahead + entry.charge)
+        if flow.pace:
+            sample = flow.pace + PACE_SMOOTHING * (sample - flow.pace)
+        flow.pace = sample
+
+    def estimate_wait(self, flow_name: str, slots: float) -> float:
+        """Return how long a new request of the flow would wait.
+
+        The greater of two estimates: the work that fairness puts before it, and the
+        measured pace of its flow, which also knows of partners that never wait.
+        """
+        flow = self._flows.get(flow_name)
+        if flow is None or not flow.entries:
+            return 0.0
+        paced_s = flow.backlog * flow.pace
+        return max(paced_s, self.estimate_work_ahead(flow_name) / slots)
+
     def estimate_work_ahead(self, flow_name: str) -> float:
         """Return the slot seconds served before a new request of the flow."""
         flow = self._flows.get(flow_name)
@@ -155,6 +185,7 @@
         self._longest.remove(flow.name)
         self._active_weight -= flow.weight
         flow.backlog = 0.0
+        flow.pace = 0.0
         if not self._length:
             self._backlog = 0.0
             self._active_weight = 0.0
