--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -203,7 +203,8 @@
             # the estimate.
             entry.latest_start_s = entry.deadline_s
         else:
-            wait_s = self._estimate_wait(now, entry.flow, state)
+            slots = self._count_usable_slots(now, state)
+            wait_s = _estimate_wait(state, entry.flow, slots)
             if now + wait_s > entry.latest_start_s:
                 self._refuse(
                     entry,
@@ -212,8 +213,10 @@
                     wait_s,
                 )
                 return
-            if len(state.queue) >= self._bound_queue(now, state):
-                self._drop_longest(now, state, entry, wait_s)
+            # The bound follows the slots that the class can use, so that a full queue
+            # means the same wait whether or not the other classes use theirs.
+            if len(state.queue) >= slots * self.limits.queue_per_slot:
+                self._drop_longest(state, entry, slots)
                 if entry.state is EntryState.ENDED:
                     return
         state.queue.push(entry)
@@ -227,9 +230,7 @@
             and state.in_use < self._bound_class(state, limit)
         )
 
-    def _drop_longest(
-        self, now: float, state: ClassState, entry: Entry, wait_s: float
-    ) -> None:
+    def _drop_longest(self, state: ClassState, entry: Entry, slots: float) -> None:
         """Refuse the newest request of the partner with the most waiting."""
         victim = state.queue.find_victim()
         own_length = state.queue.measure_length(entry.flow)
@@ -237,23 +238,9 @@
             victim = entry
         else:
             self._withdraw(victim)
-            wait_s = self._estimate_wait(now, victim.flow, state)
+        wait_s = _estimate_wait(state, victim.flow, slots)
         self._refuse(victim, ErrorKind.QUEUE_FULL, "queue is full", wait_s)
 
-    def _estimate_wait(self, now: float, flow: str, state: ClassState) -> float:
-        """Return how long a new request of the flow would wait."""
-        if state.seconds_per_cost is None:
-            return 0.0
-        return state.queue.estimate_wait(flow, self._count_usable_slots(now, state))
-
-    def _bound_queue(self, now: float, state: ClassState) -> float:
-        """Return how many requests of a class may wait.
-
-        The bound follows the slots that the class can use, so that a full queue
-        means the same wait whether or not the other classes use theirs.
-        """
-        return self._count_usable_slots(now, state) * self.limits.queue_per_slot
-
     def _count_usable_slots(self, now: float, state: ClassState) -> float:
         """Return the slots that a class gets while the others ask as they do now."""
         limit = self._concurrency.read_limit(now)
@@ -300,7 +287,8 @@
             entry = head[1]
             self._withdraw(entry)
             state = self._classes[entry.request_class]
-            wait_s = self._estimate_wait(now, entry.flow, state)
+            slots = self._count_usable_slots(now, state)
+            wait_s = _estimate_wait(state, entry.flow, slots)
             self._refuse(
                 entry, ErrorKind.DEADLINE_UNREACHABLE, "no slot in time", wait_s
             )
@@ -330,3 +318,10 @@
 
 def _read_weights(partners: Iterable[Partner]) -> dict[str, float]:
     return {partner.name: partner.weight for partner in partners}
+
+
+def _estimate_wait(state: ClassState, flow: str, slots: float) -> float:
+    """Return how long a new request of the flow would wait, 0 if not known."""
+    if state.seconds_per_cost is None:
+        return 0.0
+    return state.queue.estimate_wait(flow, slots)
--- /dev/null
+++ b/src/papayatack/core/idempotency/__init__.py
@@ -0,0 +1,38 @@
+"""Outcomes kept under the callers' idempotency keys.
+
+The owner of a shard remembers, for a window, what became of each keyed request. A
+repeat is joined to a running one or gets the kept answer; it is never run again. An
+outcome is not forgotten before its window ends: when memory runs short, kept answers
+shrink to the fact that there was one, and then new keys are refused.
+
+An owner that took a shard over after a loss does not know the keys that the lost
+owner saw. Until the window has passed it runs a key that it does not know only if
+the caller states, by the fencing token that the router gave it, that the first
+attempt was made under this owner.
+"""
+
+from papayatack.core.idempotency.outcomes import (
+    Decision,
+    Inheritance,
+    Join,
+    KeptAnswer,
+    Outcomes,
+    Refuse,
+    Replay,
+    Run,
+    StoredOutcome,
+)
+from papayatack.core.idempotency.store import IdempotencyStore
+
+__all__ = [
+    "Decision",
+    "IdempotencyStore",
+    "Inheritance",
+    "Join",
+    "KeptAnswer",
+    "Outcomes",
+    "Refuse",
+    "Replay",
+    "Run",
+    "StoredOutcome",
+]
--- a/src/papayatack/core/idempotency.py
+++ b/src/papayatack/core/idempotency/store.py
@@ -1,36 +1,26 @@
-"""Outcomes kept under the callers' idempotency keys.
-
-The owner of a shard remembers, for a window, what became of each keyed request. A
-repeat is joined to a running one or gets the kept answer; it is never run again. An
-outcome is not forgotten before its window ends: when memory runs short, kept answers
-shrink to the fact that there was one, and then new keys are refused.
-
-An owner that took a shard over after a loss does not know the keys that the lost
-owner saw. Until the window has passed it runs a key that it does not know only if
-the caller states, by the fencing token that the router gave it, that the first
-attempt was made under this owner.
-"""
+"""The store of one node: what it keeps, forgets, and hands over."""
 
 import dataclasses
-import enum
 from collections import OrderedDict
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal
 from papayatack.core.heap import KeyedHeap
+from papayatack.core.idempotency.outcomes import (
+    ENTRY_OVERHEAD_BYTES,
+    Decision,
+    Inheritance,
+    Join,
+    KeptAnswer,
+    Outcomes,
+    Refuse,
+    Replay,
+    Run,
+    StoredOutcome,
+    split_outcomes,
+)
 from papayatack.core.identity import ShardId
 
-__all__ = [
-    "Decision",
-    "IdempotencyStore",
-    "Inheritance",
-    "Join",
-    "KeptAnswer",
-    "Outcomes",
-    "Refuse",
-    "Replay",
-    "Run",
-    "StoredOutcome",
-]
+__all__ = ["IdempotencyStore"]
 
 WINDOW_S = 600.0
 MAX_ENTRIES = 50_000
@@ -38,127 +28,9 @@
 MAX_ANSWER_BYTES = 64 * 1024
 MAX_JOINED = 64
 MAX_KEY_BYTES = 256
-ENTRY_OVERHEAD_BYTES = 64
 HANDOVER_RETRY_S = 0.5
 
 
-class Inheritance(enum.Enum):
-    """What a new owner knows of the keys that earlier owners saw."""
-
-    NOTHING = enum.auto()
-    """There was no earlier owner, so all its own keys are all keys."""
-
-    EXPECTED = enum.auto()
-    """The former owner released the shard and hands its outcomes over."""
-
-    LOST = enum.auto()
-    """The former owner was lost with its outcomes."""
-
-    OWN = enum.auto()
-    """This node is the former owner itself, with no other owner in between."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class KeptAnswer:
-    """An upstream's whole answer.
-
-    Attributes:
-        status: HTTP status code.
-        headers: Header fields in their order.
-        body: The whole body.
-    """
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
-
-    @property
-    def size(self) -> int:
-        """Return the bytes that the answer takes."""
-        return len(self.body) + sum(
-            len(name) + len(text) for name, text in self.headers
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Run:
-    """Run the request, then call :meth:`IdempotencyStore.complete`."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Join:
-    """Wait for the running request; its completion names this number.
-
-    Attributes:
-        number: Identifies the waiting repeat.
-    """
-
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Replay:
-    """Answer with the kept answer."""
-
-    answer: KeptAnswer
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Refuse:
-    """Do not run the request.
-
-    Attributes:
-        refusal: What the caller is told.
-        token: Fencing token with which the caller can state that its next attempt
-            is the first one; ``None`` if that would not help.
-    """
-
-    refusal: Refusal
-    token: int | None = None
-
-
-Decision = Run | Join | Replay | Refuse
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StoredOutcome:
-    """One key's outcome on its way to a new owner.
-
-    Attributes:
-        key: The caller's key.
-        fingerprint: Digest of the request that used it first.
-        remaining_s: Seconds for which it must still be kept.
-        answer: The answer; ``None`` if it is not known or no longer kept.
-    """
-
-    key: str
-    fingerprint: bytes
-    remaining_s: float
-    answer: KeptAnswer | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Outcomes:
-    """A part of a shard's outcomes, for the next owner.
-
-    Attributes:
-        shard: The shard.
-        index: Number of this part, from 0.
-        last: Whether no part follows.
-        unknown_remaining_s: Seconds for which keys of an earlier, lost owner may
-            still be repeated; 0 if there are none.
-        unknown_before: First fencing token after that loss.
-        outcomes: The outcomes.
-    """
-
-    shard: ShardId
-    index: int
-    last: bool
-    unknown_remaining_s: float = 0.0
-    unknown_before: int = 0
-    outcomes: tuple[StoredOutcome, ...] = ()
-
-
 @dataclasses.dataclass(slots=True, eq=False, kw_only=True)
 class _Record:
     """A key's state: running while ``expires_s`` is ``None``."""
@@ -358,7 +230,7 @@
             return ()
         if state.awaited_part is not None:
             self.give_up_handover(now, shard)
-        parts = _split(
+        parts = split_outcomes(
             [self._export_record(now, record) for record in state.records.values()],
             max_bytes,
         )
@@ -511,19 +383,3 @@
         refusal=Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s),
         token=token,
     )
-
-
-def _split(outcomes: list[StoredOutcome], max_bytes: int) -> list[list[StoredOutcome]]:
-    """Group outcomes into parts below a size; there is at least one part."""
-    parts: list[list[StoredOutcome]] = [[]]
-    size = 0
-    for stored in outcomes:
-        answer_size = stored.answer.size if stored.answer is not None else 0
-        item_size = len(stored.key) + len(stored.fingerprint) + answer_size
-        item_size += ENTRY_OVERHEAD_BYTES
-        if parts[-1] and size + item_size > max_bytes:
-            parts.append([])
-            size = 0
-        parts[-1].append(stored)
-        size += item_size
-    return parts
