--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -141,6 +141,18 @@
         refused = list_refused(admission.poll(RAMPED_S + 2.0))
         self.assertEqual(refused, [(entry, ErrorKind.DEADLINE_UNREACHABLE)])
 
+    def test_varying_service_times_need_more_room(self):
+        """Where times vary, a request is given up earlier than its mean time."""
+        admission = build_admission(slots=1)
+        for number in range(200):
+            teach(admission, RAMPED_S, 0.5 if number % 2 else 1.5)
+        fill(admission, RAMPED_S)
+        offer(admission, RAMPED_S, within_s=5.0)
+        admission.poll(RAMPED_S)
+        given_up_s = admission.next_wakeup(RAMPED_S) - RAMPED_S
+        # A mean of 1 s and two deviations of 0.5 s.
+        self.assertAlmostEqual(given_up_s, 3.0, delta=0.2)
+
     def test_free_slot_is_given_on_pessimistic_estimate(self):
         """A long measured time does not keep an idle upstream idle."""
         admission = build_admission()
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -98,6 +98,22 @@
         served = [queue.pop().flow for _ in range(40)]
         self.assertAlmostEqual(served.count("d"), 20, delta=1)
 
+    def test_measured_pace_corrects_estimate(self):
+        """A flow that moves slower than fairness says is judged by its pace."""
+        queue = FairQueue(weights={"a": 1.0})
+        for number in range(10):
+            queue.push(build_entry(number, "a"))
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 5.0)
+        first = queue.pop()
+        queue.record_wait(first, 3.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 27.0)
+        queue.record_wait(queue.pop(), 6.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 24.0)
+        for _ in range(8):
+            queue.pop()
+        queue.push(build_entry(99, "a"))
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 0.5)
+
     def test_new_weights_keep_waiting_requests(self):
         """A flow that the inventory drops is served to its end, then forgotten."""
         queue = FairQueue(weights=WEIGHTS)
