Bound the measured pace by a partner's share

Cause: one long wait made a light partner's short queue look slow, and it was refused. Change: no flow counts as slower than its share among all partners.

--- a/src/papayatack/core/admission/queue.py
+++ b/src/papayatack/core/admission/queue.py
@@ -50,6 +50,7 @@
         self._length = 0
         self._backlog = 0.0
         self._active_weight = 0.0
+        self._total_weight = 0.0
         self.set_weights(weights)
 
     def __len__(self) -> int:
@@ -63,6 +64,7 @@
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Put new weights in force; waiting requests keep their place."""
         self._weights = {OTHERS: 1.0, **weights}
+        self._total_weight = sum(self._weights.values())
         for name, flow in list(self._flows.items()):
             if flow.entries:
                 self._active_weight -= flow.weight
@@ -154,12 +156,14 @@
         """Return how long a new request of the flow would wait.
 
         The greater of two estimates: the work that fairness puts before it, and the
-        measured pace of its flow, which also knows of partners that never wait.
+        measured pace of its flow, which also knows of partners that never wait. No
+        flow is slower than its share among all partners, whatever was measured.
         """
         flow = self._flows.get(flow_name)
         if flow is None or not flow.entries:
             return 0.0
-        paced_s = flow.backlog * flow.pace
+        slowest = self._total_weight / (flow.weight * slots)
+        paced_s = flow.backlog * min(flow.pace, slowest)
         return max(paced_s, self.estimate_work_ahead(flow_name) / slots)
 
     def estimate_work_ahead(self, flow_name: str) -> float:
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -100,7 +100,7 @@
 
     def test_measured_pace_corrects_estimate(self):
         """A flow that moves slower than fairness says is judged by its pace."""
-        queue = FairQueue(weights={"a": 1.0})
+        queue = FairQueue(weights=dict.fromkeys("abcdefgh", 1.0))
         for number in range(10):
             queue.push(build_entry(number, "a"))
         self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 5.0)
@@ -114,6 +114,14 @@
         queue.push(build_entry(99, "a"))
         self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 0.5)
 
+    def test_pace_is_no_worse_than_fair_share(self):
+        """One long wait does not make a partner's queue look slower than its share."""
+        queue = FairQueue(weights={"a": 1.0})
+        for number in range(3):
+            queue.push(build_entry(number, "a"))
+        queue.record_wait(queue.pop(), 100.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 2.0)
+
     def test_new_weights_keep_waiting_requests(self):
         """A flow that the inventory drops is served to its end, then forgotten."""
         queue = FairQueue(weights=WEIGHTS)
