--- a/tests/core/test_changes.py
+++ b/tests/core/test_changes.py
@@ -1,11 +1,15 @@
 """Tests of papayatack.core.changes."""
 
 import dataclasses
+import itertools
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
 from papayatack.core.changes import check_change, describe_difference
 from papayatack.core.configuration import parse_configuration
 from papayatack.core.inventory import KeyRange
+from papayatack.core.shards import locate_shard
 from tests.core.test_configuration import INVENTORY, read_example
 
 BASE = parse_configuration(INVENTORY, "", version=1)
@@ -105,3 +109,50 @@
         )
         new = dataclasses.replace(old, services=(swapped, *old.services[1:]))
         self.assertTrue(describe_difference(old, new))
+
+
+@st.composite
+def key_ranges(draw):
+    """Return disjoint ranges over keys of the letters a to f."""
+    bounds = sorted(draw(st.sets(st.sampled_from("abcdef"), min_size=2, max_size=5)))
+    ranges = []
+    for low, high in itertools.pairwise(bounds):
+        if draw(st.booleans()):
+            key_range = KeyRange(
+                name=draw(st.sampled_from(["one", "two", "three", low])),
+                low=low,
+                high=high,
+                shards=draw(st.integers(min_value=1, max_value=2)),
+                retired=draw(st.booleans()),
+            )
+            ranges.append(key_range)
+    names = [key_range.name for key_range in ranges]
+    return tuple(r for r in ranges if names.count(r.name) == 1)
+
+
+class KeyOwnershipTests(unittest.TestCase):
+    """What a permitted change means for each key."""
+
+    @settings(max_examples=600)
+    @given(key_ranges(), key_ranges())
+    def test_no_key_changes_its_shard(self, before, after):
+        """A permitted change leaves a key in its shard, or gives it up if retired.
+
+        Keys of a range that is retired already count too: a node that is behind may
+        still serve them.
+        """
+        old, new = with_ranges(*before), with_ranges(*after)
+        if check_change(old, new):
+            return
+        claimed = with_ranges(
+            *(dataclasses.replace(key_range, retired=False) for key_range in before)
+        )
+        retired = {r.name for r in (*before, *after) if r.retired}
+        for key in ("a", "b1", "c", "c2", "d9", "e", "f"):
+            shard = locate_shard(claimed, "orders", key).value_or(None)
+            if shard is None:
+                continue
+            now = locate_shard(new, "orders", key).value_or(None)
+            self.assertIn(now, (shard, None))
+            if now is None:
+                self.assertIn(shard.split("/")[1], retired)
