Throttle moves for load after half of all shards moved within an hour

The number of shards on the move at once bounds no churn an hour. Loads redrawn at random every ten seconds made 1,861 moves of 90 shards in an hour; the test allows 197 (half the shards, two a minute, and what is on the way).

--- a/src/papayatack/core/placement/limits.py
+++ b/src/papayatack/core/placement/limits.py
@@ -14,6 +14,9 @@
         repairs: Chains that one plan gives to shards without a sound owner.
         successor_changes: Chains of which one plan changes successors alone.
         moves: Shards that may be on the move at once to even out load.
+        hourly_share: Share of all shards that may have moved within the last hour
+            before moves for load are throttled.
+        throttled_moves: Moves for load within ``settle_s`` while they are throttled.
         hot_shards: Hot keys of a service that may be shards of their own.
         start_imbalance: Excess over the mean utilisation that starts moves.
         stop_imbalance: Excess at which they end.
@@ -28,6 +31,8 @@
     repairs: int = 1_000
     successor_changes: int = 128
     moves: int = 32
+    hourly_share: float = 0.5
+    throttled_moves: int = 2
     hot_shards: int = 64
     start_imbalance: float = 0.08
     stop_imbalance: float = 0.03
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -13,6 +13,8 @@
 
 __all__ = ["plan"]
 
+HOUR_S = 3_600.0
+
 _DEFAULT_LIMITS = PlacementLimits()
 
 
@@ -36,8 +38,22 @@
 
 
 def _spread_load(draft: Draft) -> None:
-    moving = sum(state.moving for state in draft.view.shards.values())
-    budget = MoveBudget(left=draft.limits.moves - moving)
+    budget = MoveBudget(left=_count_moves_left(draft))
     for fleet in draft.fleets.values():
         restore_locality(draft, fleet, budget)
         balance_load(draft, fleet, budget)
+
+
+def _count_moves_left(draft: Draft) -> int:
+    """Return how many moves for load are permitted now.
+
+    Loads that are reported wrongly, or swing faster than moves can follow, would keep
+    shards moving for ever; so much movement within an hour throttles it.
+    """
+    limits = draft.limits
+    states = draft.view.shards.values()
+    moved = sum(state.age_s < HOUR_S for state in states)
+    if moved < limits.hourly_share * len(draft.shards):
+        return limits.moves - sum(state.moving for state in states)
+    recent = sum(state.moving or state.age_s < limits.settle_s for state in states)
+    return limits.throttled_moves - recent
--- a/tests/core/placement/test_planner.py
+++ b/tests/core/placement/test_planner.py
@@ -286,6 +286,32 @@
         again = plan(on_the_move, limits=PlacementLimits(moves=2))
         self.assertEqual(again.assignments, ())
 
+    def test_swinging_loads_do_not_churn_for_ever(self):
+        """Loads that change at random every ten seconds move a bounded number.
+
+        In an hour that is half of the shards, two a minute, and what was on the way.
+        """
+        rng = random.Random(7)
+        limits = PlacementLimits()
+        view, _ = settle(make_view(nodes=9, shards=90))
+        last_moved = dict.fromkeys(view.shards, float("-inf"))
+        moved = 0
+        for now in range(0, 3_600, 10):
+            busy = {shard: rng.uniform(0.0, 1.5) for shard in view.shards}
+            shards = {
+                shard: dataclasses.replace(state, age_s=now - last_moved[shard])
+                for shard, state in view.shards.items()
+            }
+            view = report_loads(dataclasses.replace(view, shards=shards), busy)
+            after = apply_plan(view, plan(view))
+            for shard, state in after.shards.items():
+                if state.chain[0] != view.shards[shard].chain[0]:
+                    last_moved[shard] = now
+                    moved += 1
+            view = after
+        self.assertGreater(moved, 45)
+        self.assertLessEqual(moved, 0.5 * 90 + 2 * 60 + limits.moves)
+
     @settings(max_examples=60)
     @given(LOADS)
     def test_every_move_gains(self, loads):
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -3,6 +3,8 @@
 import pathlib
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
 from papayatack.core.configuration import list_warnings, parse_configuration
 from papayatack.core.errors import InventoryError
 from papayatack.core.inventory import KeySource, RequestClass
@@ -165,3 +167,28 @@
         with self.assertRaises(InventoryError) as caught:
             parse_configuration(text, "unknown = 1", version=1)
         self.assertEqual(len(caught.exception.faults), 2)
+
+    @settings(max_examples=300)
+    @given(
+        st.sampled_from(["barranquilla", "estonia"]),
+        st.lists(
+            st.tuples(
+                st.floats(min_value=0, max_value=1),
+                st.integers(min_value=0, max_value=12),
+                st.sampled_from(["", '"', "[", "=", "-1", "0x7fff", "\n", "\x00", "é"])
+                | st.text(max_size=4),
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+    )
+    def test_damaged_documents_raise_nothing_else(self, user, edits):
+        """Whatever is done to a document, it is valid or its faults are named."""
+        inventory, rules = read_example(user)
+        for place, length, text in edits:
+            start = int(place * len(inventory))
+            inventory = inventory[:start] + text + inventory[start + length :]
+        try:
+            parse_configuration(inventory, rules, version=1)
+        except InventoryError as error:
+            self.assertTrue(all(error.faults))
