--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -37,6 +37,9 @@
             for service in view.configuration.services
             if service.key_ranges
         }
+        self._fleet_of = {
+            shard: self.fleets[_find_service(shard)] for shard in self.shards
+        }
         self.loads = self._weigh()
         self.chains = {shard: self.find_state(shard).chain for shard in self.shards}
         for shard, chain in self.chains.items():
@@ -44,17 +47,16 @@
 
     def _weigh(self) -> dict[ShardId, float]:
         """Add to each shard's measured load its part of the idle load."""
-        counts = Counter(
-            _find_service(shard) for shard in self.shards if not is_hot(shard)
-        )
+        ordinary = [shard for shard in self.shards if not is_hot(shard)]
+        counts = Counter(self._fleet_of[shard].service.name for shard in ordinary)
         idle = {
-            service: IDLE_UTILISATION * (self.fleets[service].capacity or 1.0) / count
-            for service, count in counts.items()
-        }
-        return {
-            shard: load + (0.0 if is_hot(shard) else idle[_find_service(shard)])
-            for shard, load in self.measured.items()
+            name: IDLE_UTILISATION * (self.fleets[name].capacity or 1.0) / count
+            for name, count in counts.items()
         }
+        loads = dict(self.measured)
+        for shard in ordinary:
+            loads[shard] += idle[self._fleet_of[shard].service.name]
+        return loads
 
     def find_state(self, shard: ShardId) -> PlacementShard:
         """Return a shard's state before the plan."""
@@ -62,7 +64,7 @@
 
     def find_fleet(self, shard: ShardId) -> Fleet:
         """Return the nodes that may own a shard."""
-        return self.fleets[_find_service(shard)]
+        return self._fleet_of[shard]
 
     def is_settled(self, shard: ShardId) -> bool:
         """Return whether a shard may be moved for the sake of load."""
--- a/src/papayatack/core/placement/fleet.py
+++ b/src/papayatack/core/placement/fleet.py
@@ -128,15 +128,21 @@
             pair = chain[0].incarnation, chain[1].incarnation
             self._backups[pair] = self._backups.get(pair, 0.0) + load
 
-    def find_holders(self, chain: Sequence[LeaseId]) -> list[Member] | None:
-        """Return the holders if all are usable under just these leases."""
-        holders = []
+    def is_sound(self, chain: Sequence[LeaseId]) -> bool:
+        """Return whether a chain holds, and has all data centres that it could have.
+
+        All its holders are usable under just these leases.
+        """
+        members = self.members
+        places = set()
         for lease in chain:
-            member = self.members.get(lease.incarnation)
-            if member is None or member.lease != lease:
-                return None
-            holders.append(member)
-        return holders
+            member = members.get(lease.incarnation)
+            if member is None or member.lease.term != lease.term:
+                return False
+            places.add(member.data_centre)
+        most_places = min(self.chain_length, len(self.by_place))
+        most_holders = min(self.chain_length, len(members))
+        return len(places) >= most_places and len(chain) >= most_holders
 
     def keep_usable(self, chain: Sequence[LeaseId]) -> list[Member]:
         """Return the usable holders of a chain, under the leases they have now."""
@@ -203,13 +209,6 @@
             places.add(successor.data_centre)
         return tuple(member.lease for member in chain)
 
-    def is_spread(self, chain: Sequence[Member]) -> bool:
-        """Return whether a chain has all data centres that it could have."""
-        wanted = min(self.chain_length, len(self.by_place))
-        length = min(self.chain_length, len(self.members))
-        places = {member.data_centre for member in chain}
-        return len(places) >= wanted and len(chain) >= length
-
     def _find_successor(
         self,
         shard: ShardId,
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -60,10 +60,7 @@
 def _find_fault(draft: Draft, shard: ShardId) -> _Urgency | None:
     chain = draft.chains[shard]
     fleet = draft.find_fleet(shard)
-    holders = fleet.find_holders(chain) if chain else None
-    if holders and fleet.is_spread(holders):
-        return None
-    if not fleet.members:
+    if not fleet.members or (chain and fleet.is_sound(chain)):
         return None
     kept = fleet.keep_usable(chain)
     if not kept:
