--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -36,7 +36,7 @@
     lines = [
         f"conflict: made from version {base_version}, but version {version} is in"
         " force; nothing was published",
-        "what was changed meanwhile:",
+        "what the version in force has that your documents have not:",
         *(f"  {line}" for line in difference),
         "start again from the documents in force: papayatackctl config --out=DIRECTORY",
     ]
