--- a/tests/core/placement/test_fold.py
+++ b/tests/core/placement/test_fold.py
@@ -56,6 +56,14 @@
         after = remove_node(self.fleet.read_view(), 0)
         self.assertEqual(plan(after).assignments, ())
 
+    def test_second_of_two_planners_is_void(self):
+        """Of two plans from one view the first takes effect, the other not at all."""
+        view = remove_node(self.fleet.read_view(), 0)
+        first, second = plan(view), plan(view)
+        self.assertEqual(self.fleet.assign(first), [])
+        voids = self.fleet.assign(second)
+        self.assertEqual(voids, ["epoch taken"] * len(second.assignments))
+
     def test_split_move_and_return_take_effect(self):
         """A hot key is split off, moved, moved back and returned."""
         planned, voids = self.plan_with(4.0)
--- a/tests/core/placement/test_planner.py
+++ b/tests/core/placement/test_planner.py
@@ -199,6 +199,23 @@
         for state in back.shards.values():
             self.assertEqual(list_places(back, state.chain)[0], "dc1")
 
+    def test_added_data_centre_joins_the_chains(self):
+        """Once a third data centre is there, every chain has a holder in it."""
+        view = make_view(nodes=9, shards=30)
+        two = tuple(n for n in view.nodes if n.data_centre != "dc2")
+        settled, _ = settle(dataclasses.replace(view, nodes=two))
+        later, _ = settle(dataclasses.replace(settled, nodes=view.nodes))
+        for state in later.shards.values():
+            self.assertEqual(len(set(list_places(later, state.chain))), 3)
+
+    def test_place_taken_from_a_service_owns_nothing(self):
+        """Nodes in a data centre that the service has left are in no chain."""
+        view, _ = settle(make_view(nodes=9, shards=30))
+        fewer = make_configuration(shards=30, places=2)
+        settled, _ = settle(dataclasses.replace(view, configuration=fewer))
+        for state in settled.shards.values():
+            self.assertEqual(set(list_places(settled, state.chain)), {"dc0", "dc1"})
+
     def test_retired_range_is_released(self):
         """Nobody owns the shards of a retired range."""
         view, _ = settle(make_view())
