Say in words why a key has no shard, and read conflicts and lone leases clearly

Seen with a daemon on loopback: explain of an unknown key answered only the key, a conflict without a difference ended in a colon, and a lone node's lease had 9e12 seconds left.

--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -71,13 +71,15 @@
         cached = _remember_index(configuration)
     index = cached[1].get(service)
     if index is None:
-        return _refuse(ErrorKind.NO_SUCH_SERVICE, service)
+        return _refuse(
+            ErrorKind.NO_SUCH_SERVICE, f"no service with keys is named {service!r}"
+        )
     position = bisect.bisect_right(index.lows, key) - 1
     if position < 0:
-        return _refuse(ErrorKind.KEY_OUT_OF_RANGE, key)
+        return _refuse_key(service, key)
     found = index.ranges[position]
     if found.retired or (found.high is not None and key >= found.high):
-        return _refuse(ErrorKind.KEY_OUT_OF_RANGE, key)
+        return _refuse_key(service, key)
     if hot_shards:
         hot = ShardId(found.hot_prefix + key)
         if hot in hot_shards:
@@ -128,6 +130,12 @@
     return tuple(shards)
 
 
+def _refuse_key(service: str, key: str) -> Result[ShardId, Refusal]:
+    return _refuse(
+        ErrorKind.KEY_OUT_OF_RANGE, f"no range of {service} holds the key {key!r}"
+    )
+
+
 def _refuse(kind: ErrorKind, detail: str) -> Result[ShardId, Refusal]:
     return Failure(Refusal(kind=kind, detail=detail[:200]))
 
--- a/src/papayatack/ctl/commands.py
+++ b/src/papayatack/ctl/commands.py
@@ -22,7 +22,7 @@
 )
 from papayatack.ctl.documents import Documents, format_document, read_documents
 from papayatack.ctl.exits import CommandError, ExitStatus
-from papayatack.ctl.session import Session, decode_reply
+from papayatack.ctl.session import Session, decode_reply, read_detail
 from papayatack.ctl.watch import watch_version
 
 __all__ = ["COMMANDS", "Command", "Invocation", "Output"]
@@ -234,7 +234,7 @@
         raise CommandError(
             f"{address} refused to drain (status {reply.status})",
             status=ExitStatus.REFUSED,
-            details=(reply.body[:500].decode("utf-8", "replace"),),
+            details=(read_detail(reply),),
         )
     return Output(
         document={"result": "draining", "node": address},
--- a/src/papayatack/ctl/session.py
+++ b/src/papayatack/ctl/session.py
@@ -11,7 +11,7 @@
 from papayatack.ctl.exits import CommandError, ExitStatus
 from papayatack.ctl.http import CallFailureKind, Reply, call_node
 
-__all__ = ["Session", "decode_reply"]
+__all__ = ["Session", "decode_reply", "read_detail"]
 
 RETRY_DELAY_S = 0.5
 CALL_TIMEOUT_S = 12.0
@@ -120,6 +120,15 @@
         ) from error
 
 
+def read_detail(reply: Reply) -> str:
+    """Return the reason that an error answer gives, or its beginning."""
+    text = reply.body[:500].decode("utf-8", "replace")
+    try:
+        return str(json.loads(reply.body)["detail"])
+    except (ValueError, KeyError, TypeError):
+        return text
+
+
 def _is_unknown(reply: Reply) -> bool:
     if reply.status != 503:
         return False
@@ -136,5 +145,5 @@
     raise CommandError(
         f"{address} answered with status {reply.status}",
         status=status,
-        details=(reply.body[:500].decode("utf-8", "replace"),),
+        details=(read_detail(reply),),
     )
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -18,6 +18,8 @@
     "format_watch",
 ]
 
+UNLIMITED_MS = 1e9
+
 
 def _format_table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
     return tabulate(list(rows), headers=headers, tablefmt="plain", floatfmt="g")
@@ -33,11 +35,16 @@
 
 def format_conflict(base_version: int, version: int, difference: Sequence[str]) -> str:
     """Return what came in between, and what to do."""
+    differences = [
+        "what the version in force has that your documents have not:",
+        *(f"  {line}" for line in difference),
+    ]
+    if not difference:
+        differences = ["the version in force has what your documents have"]
     lines = [
         f"conflict: made from version {base_version}, but version {version} is in"
         " force; nothing was published",
-        "what the version in force has that your documents have not:",
-        *(f"  {line}" for line in difference),
+        *differences,
         "start again from the documents in force: papayatackctl config --out=DIRECTORY",
     ]
     return "\n".join(lines)
@@ -56,10 +63,10 @@
     lease = answer.lease
     lease_text = "none: it serves nothing"
     if lease is not None and lease.id:
-        lease_text = (
-            f"term {lease.term}, {lease.remaining_ms / 1000:.1f} s left,"
-            f" {len(lease.witnesses)} witnesses"
-        )
+        left = f"{lease.remaining_ms / 1000:.1f} s left"
+        if lease.remaining_ms > UNLIMITED_MS:
+            left = "without end, as a lone node needs no witness"
+        lease_text = f"term {lease.term}, {left}, {len(lease.witnesses)} witnesses"
     own = [
         ("incarnation", answer.incarnation),
         ("service", answer.service),
