Bound what a node's load report can claim

A report of NaN or of absurd loads by one node stopped all moves for load, as the mean became NaN or absurd. Loads now fit the slots of the reporting node.

--- a/src/papayatack/core/placement/loads.py
+++ b/src/papayatack/core/placement/loads.py
@@ -1,19 +1,71 @@
 """Estimates the load of each shard from what the nodes report."""
 
+import dataclasses
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 
 from papayatack.core.identity import IncarnationId, ShardId
+from papayatack.core.messages import LoadReport
 from papayatack.core.placement.view import PlacementView
 from papayatack.core.shards import is_hot
 
-__all__ = ["IDLE_UTILISATION", "estimate_loads"]
+__all__ = ["IDLE_UTILISATION", "estimate_loads", "keep_plausible"]
 
 IDLE_UTILISATION = 0.01
 """Share of all slots that counts as evenly spread load, beside what is measured, so
 that an idle fleet is balanced by the number of shards and not by noise."""
 
 
+def keep_plausible(view: PlacementView) -> PlacementView:
+    """Return the view with no node using more slots than it has, nor fewer than none.
+
+    One node that reports nonsense must not decide where all others' shards go.
+    """
+    slots = {node.lease.incarnation: node.slots for node in view.nodes}
+    most = max(slots.values(), default=0)
+    loads = tuple(
+        _bound_report(report, float(slots.get(report.incarnation, most)))
+        for report in view.loads
+    )
+    return dataclasses.replace(view, loads=loads)
+
+
+def _bound_report(report: LoadReport, slots: float) -> LoadReport:
+    """Bound each load, then lower those of the shards in proportion to fit."""
+    if _is_plausible(report, slots):
+        return report
+    shards = [_bound(load.busy, slots) for load in report.shards]
+    factor = min(1.0, slots / max(sum(shards), 1e-9))
+    return dataclasses.replace(
+        report,
+        busy=_bound(report.busy, slots),
+        shards=tuple(
+            dataclasses.replace(load, busy=busy * factor)
+            for load, busy in zip(report.shards, shards, strict=True)
+        ),
+        hot_keys=tuple(
+            dataclasses.replace(load, busy=_bound(load.busy, slots))
+            for load in report.hot_keys
+        ),
+    )
+
+
+def _is_plausible(report: LoadReport, slots: float) -> bool:
+    loads = [load.busy for load in report.shards]
+    hot = [load.busy for load in report.hot_keys]
+    # The least of several numbers tells nothing of a NaN among them; their sum does.
+    total = sum(loads)
+    lowest = min(*loads, *hot, report.busy, 0.0)
+    highest = max(*hot, report.busy, total, 0.0)
+    known = not math.isnan(total + sum(hot) + report.busy)
+    return known and lowest >= 0.0 and highest <= slots
+
+
+def _bound(busy: float, slots: float) -> float:
+    return 0.0 if math.isnan(busy) else min(max(busy, 0.0), slots)
+
+
 def estimate_loads(
     view: PlacementView, shards: Iterable[ShardId]
 ) -> dict[ShardId, float]:
