Plan as soon as a configuration is in force; share the operators' answers

Cause: the planner skipped planning while no ownership record came, also after a publication, so that new shards could wait 15 s for an owner. The answers of the operators' endpoint lay in the command's package, and the daemon imported them from there.

Change: the configuration's version counts as news for the planner; the answers move to papayatack.wire.answers.

Measured: the new test fails without the version (1 plan instead of 2) and passes with it.

--- a/bench/placement_client.py
+++ b/bench/placement_client.py
@@ -4,7 +4,7 @@
 import time
 
 from bench.placement_fleet import THOUSAND, make_view
-from papayatack.ctl.answers import NodeEntry, StatusAnswer, VersionAnswer
+from papayatack.wire.answers import NodeEntry, StatusAnswer, VersionAnswer
 
 REPEATS = 20
 
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -53,7 +53,7 @@
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
-        self._planned_at = -1
+        self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -75,7 +75,8 @@
         """Plan if it is this node's turn and something may have changed."""
         if self.find_planner() != self._core.me or not self._core.caught_up:
             return
-        position = self._core.state.position
+        version = self._read_configuration().version
+        position = (self._core.state.position, version)
         idle = position == self._planned_at
         if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
             return
--- a/src/papayatack/ctl/commands.py
+++ b/src/papayatack/ctl/commands.py
@@ -14,16 +14,16 @@
 from papayatack.core.errors import InventoryError
 from papayatack.core.inventory import Configuration
 from papayatack.ctl import tables
-from papayatack.ctl.answers import (
+from papayatack.ctl.documents import Documents, format_document, read_documents
+from papayatack.ctl.exits import CommandError, ExitStatus
+from papayatack.ctl.session import Session, decode_reply, read_detail
+from papayatack.ctl.watch import watch_version
+from papayatack.wire.answers import (
     ConfigAnswer,
     ExplainAnswer,
     PublishAnswer,
     StatusAnswer,
 )
-from papayatack.ctl.documents import Documents, format_document, read_documents
-from papayatack.ctl.exits import CommandError, ExitStatus
-from papayatack.ctl.session import Session, decode_reply, read_detail
-from papayatack.ctl.watch import watch_version
 
 __all__ = ["COMMANDS", "Command", "Invocation", "Output"]
 
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -5,8 +5,8 @@
 
 from tabulate import tabulate
 
-from papayatack.ctl.answers import ConfigAnswer, ExplainAnswer, StatusAnswer
 from papayatack.ctl.watch import WatchReport
+from papayatack.wire.answers import ConfigAnswer, ExplainAnswer, StatusAnswer
 
 __all__ = [
     "format_check",
--- a/src/papayatack/ctl/watch.py
+++ b/src/papayatack/ctl/watch.py
@@ -6,10 +6,10 @@
 
 from returns.result import Result, Success
 
-from papayatack.ctl.answers import StatusAnswer, VersionAnswer
 from papayatack.ctl.exits import CommandError
 from papayatack.ctl.http import CallFailure, Reply, call_node
 from papayatack.ctl.session import Session, decode_reply
+from papayatack.wire.answers import StatusAnswer, VersionAnswer
 
 __all__ = ["NodeVersion", "WatchReport", "watch_version"]
 
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -16,7 +16,6 @@
 from papayatack.control.node import ControlNode
 from papayatack.core.identity import IncarnationId
 from papayatack.core.records import Announce, DeclareLost
-from papayatack.ctl.answers import ConfigAnswer, ExplainAnswer, PublishAnswer
 from papayatack.daemon.publication import PublicationStatus, Publisher
 from papayatack.daemon.replies import read_json, reply_json, reply_text
 from papayatack.daemon.status import describe_key, describe_node
@@ -24,6 +23,7 @@
 from papayatack.logservice.interface import LogFailure, LogFailureKind
 from papayatack.network.exchanges import Request, Response
 from papayatack.observability.metrics import Metrics
+from papayatack.wire.answers import ConfigAnswer, ExplainAnswer, PublishAnswer
 
 __all__ = ["OperatorEndpoint", "ServingParts"]
 
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -8,7 +8,7 @@
 from papayatack.core.ownership.state import Chain, Member, OwnershipState
 from papayatack.core.records import Announce
 from papayatack.core.shards import locate_shard
-from papayatack.ctl.answers import (
+from papayatack.wire.answers import (
     ExplainAnswer,
     Holder,
     LeaseState,
--- a/src/papayatack/wire/__init__.py
+++ b/src/papayatack/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Encodings of peer messages (Thrift) and of log records (JSON)."""
+"""Encodings: peer messages (Thrift), log records and operators' answers (JSON)."""
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -32,8 +32,8 @@
     )
 
 
-class ChooseLeaseTests(unittest.TestCase):
-    """The lease of a node that was admitted again."""
+class PlannerCase(unittest.TestCase):
+    """A planner over a core whose node has its first lease."""
 
     def setUp(self):
         self.core = NodeCore(
@@ -43,15 +43,22 @@
             find_service=lambda name: None,
         )
         self.offsets = itertools.count()
+        self.configuration = Configuration()
+        self.plans = 0
         self.planner = Planner(
             core=self.core,
-            read_configuration=Configuration,
-            plan=lambda view: Plan(assignments=()),
+            read_configuration=lambda: self.configuration,
+            plan=self.plan,
             append=self.fail,
         )
         self.apply(make_announcement())
         self.admit(1)
 
+    def plan(self, view):
+        """Count a plan without assignments."""
+        self.plans += 1
+        return Plan(assignments=())
+
     def apply(self, record):
         """Fold a record."""
         self.core.apply_record(next(self.offsets), record, now=0.0)
@@ -75,6 +82,10 @@
         record = Assign(record_id=record_id, writer=ME, assignments=(assignment,))
         self.apply(record)
 
+
+class ChooseLeaseTests(PlannerCase):
+    """The lease of a node that was admitted again."""
+
     def read_term(self, now):
         """Return the term of the lease that is planned with."""
         return self.planner.build_view(now).nodes[0].lease.term
@@ -94,3 +105,23 @@
         self.admit(2)
         self.assign(2, 1)
         self.assertEqual(self.read_term(0.5), 2)
+
+
+class PlanOnceTests(PlannerCase):
+    """When it is time to plan."""
+
+    def setUp(self):
+        super().setUp()
+        self.core.caught_up = True
+        self.planner.plan_once(1.0)
+
+    def test_nothing_new_is_not_planned_again(self):
+        """A second later, with the same records and configuration, nothing is due."""
+        self.planner.plan_once(2.0)
+        self.assertEqual(self.plans, 1)
+
+    def test_new_configuration_is_planned_at_once(self):
+        """A publication does not wait for the next record or the idle interval."""
+        self.configuration = Configuration(version=1)
+        self.planner.plan_once(2.0)
+        self.assertEqual(self.plans, 2)
