Serve each Idempotency-Key at most once at the owner of its shard

Cause: the store of outcomes existed, but no request reached it; a repeat of an order was run again.

Change: KeyedServer stands before LocalServer. A tenure number tells whether another node may have owned the shard in between; a hot key and its parent are asked for records alike. A shard that was taken over, by release or by loss, is unknown for the window unless the caller states the token.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -8,12 +8,14 @@
 from papayatack.control.loads import LoadMeter
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.idempotency import KeyTenure
 from papayatack.core.identity import ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership.effects import Effect
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import Member
-from papayatack.core.shards import format_hot_shard, locate_shard
+from papayatack.core.ownership.tenures import find_key_tenure
+from papayatack.core.shards import find_parent, format_hot_shard, is_hot, locate_shard
 from papayatack.proxy.interface import Grant, Route
 
 __all__ = ["Directory"]
@@ -110,6 +112,22 @@
         self._loads.note_finish(shard, service_time_s)
         self._carry_out(self._core.finish(shard, now=now))
 
+    def find_tenure(self, service: str, key: str) -> KeyTenure | None:
+        """Return the tenures of a key, ``None`` if this node does not own it."""
+        configuration = self._config.configuration
+        shards = self._core.state.shards
+        rights = self._core.context.rights
+        shard = locate_shard(configuration, service, key, shards).value_or(None)
+        if shard is None:
+            return None
+        if is_hot(shard):
+            related = find_parent(configuration, shard)
+            if related is None:
+                return None
+        else:
+            related = format_hot_shard(service, shard.split("/", 2)[1], key)
+        return find_key_tenure(rights, shard, related)
+
 
 def _make_route(shard: ShardId, member: Member, *, local: bool) -> Route:
     return Route(
--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -150,11 +150,14 @@
         kind: Why the request failed.
         detail: What happened, for the log and the answer's body.
         retry_after_s: Seconds after which the caller may ask again, if it helps.
+        key_token: Token with which the caller can state that its next attempt under
+            an idempotency key is the first one; empty if that would not help.
     """
 
     kind: ErrorKind
     detail: str = ""
     retry_after_s: float | None = None
+    key_token: str = ""
 
 
 class PapayatackError(Exception):
--- a/src/papayatack/core/idempotency/__init__.py
+++ b/src/papayatack/core/idempotency/__init__.py
@@ -11,6 +11,7 @@
 attempt was made under this owner.
 """
 
+from papayatack.core.idempotency.memory import KeyMemory, format_token
 from papayatack.core.idempotency.outcomes import (
     Decision,
     Inheritance,
@@ -23,6 +24,7 @@
     StoredOutcome,
 )
 from papayatack.core.idempotency.store import IdempotencyStore
+from papayatack.core.idempotency.tenures import KeyTenure, Tenure
 
 __all__ = [
     "Decision",
@@ -30,9 +32,13 @@
     "Inheritance",
     "Join",
     "KeptAnswer",
+    "KeyMemory",
+    "KeyTenure",
     "Outcomes",
     "Refuse",
     "Replay",
     "Run",
     "StoredOutcome",
+    "Tenure",
+    "format_token",
 ]
--- /dev/null
+++ b/src/papayatack/core/idempotency/memory.py
@@ -0,0 +1,171 @@
+"""What one node remembers of a key, over the shards that held it."""
+
+import xxhash
+
+from papayatack.core.errors import ErrorKind, Outcome, Refusal
+from papayatack.core.idempotency.outcomes import (
+    Decision,
+    Inheritance,
+    KeptAnswer,
+    Refuse,
+)
+from papayatack.core.idempotency.store import IdempotencyStore
+from papayatack.core.idempotency.tenures import KeyTenure, Tenure
+from papayatack.core.identity import ShardId
+from papayatack.core.shards import is_hot
+
+__all__ = ["KeyMemory", "format_token"]
+
+MAX_SHARDS = 10_000
+
+
+class KeyMemory:
+    """Decides on keyed requests of shards that come, go, split and return.
+
+    A record stays under the shard that held the key when the request began. A hot
+    key's own shard and its parent are both asked.
+
+    Args:
+        store: Keeps the outcomes.
+    """
+
+    def __init__(self, *, store: IdempotencyStore) -> None:
+        self._store = store
+        self._tenures: dict[ShardId, Tenure] = {}
+
+    def begin(
+        self,
+        now: float,
+        owned: KeyTenure,
+        key: str,
+        fingerprint: bytes,
+        *,
+        stated: str = "",
+    ) -> tuple[ShardId, Decision]:
+        """Decide what becomes of a keyed request.
+
+        Args:
+            now: The current time.
+            owned: The tenures of the request's own key.
+            key: The caller's idempotency key, with all that sets callers apart.
+            fingerprint: Digest of all that must be equal in a repeat.
+            stated: Token under which the caller says it first sent the request.
+
+        Returns:
+            The shard under which the outcome is remembered, and the decision.
+        """
+        self._follow(now, owned)
+        shard = owned.current.shard
+        if not self._store.has_key(now, shard, key):
+            if self._store.has_key(now, owned.related, key):
+                shard = owned.related
+                return shard, self._store.begin(now, shard, key, fingerprint)
+            refused = self._check_related(now, owned, stated)
+            if refused is not None:
+                return shard, refused
+        since = _read_token(shard, stated)
+        return shard, self._store.begin(now, shard, key, fingerprint, since=since)
+
+    def complete(
+        self,
+        now: float,
+        shard: ShardId,
+        key: str,
+        *,
+        outcome: Outcome,
+        answer: KeptAnswer | None = None,
+    ) -> tuple[int, ...]:
+        """Record how a run has ended; return the repeats that joined it."""
+        return self._store.complete(now, shard, key, outcome=outcome, answer=answer)
+
+    def leave(self, shard: ShardId, key: str, number: int) -> None:
+        """Forget a joined repeat whose caller left."""
+        self._store.leave(shard, key, number)
+
+    def _check_related(
+        self, now: float, owned: KeyTenure, stated: str
+    ) -> Refuse | None:
+        """Refuse a new key if it may be an old one of the related shard.
+
+        A token of a hot key's own shard rules the parent out, since the shard began
+        after it. A token of the parent rules nothing out: the parent may have been
+        owned before, during and after the time of the hot key's own shard.
+        """
+        if not self._store.is_incomplete(now, owned.related):
+            return None
+        shard = owned.current.shard
+        token = None
+        if is_hot(shard):
+            token = self._tenures[shard].token
+            if (_read_token(shard, stated) or 0) >= token:
+                return None
+        refusal = Refusal(
+            kind=ErrorKind.IDEMPOTENCY_UNKNOWN,
+            detail="the key may have been used before the former owner was lost",
+        )
+        return Refuse(refusal=refusal, token=token)
+
+    def _follow(self, now: float, owned: KeyTenure) -> None:
+        """Open or go on with the shards of a key, the parent first."""
+        tenures = [owned.current]
+        if owned.earlier is not None:
+            tenures.append(owned.earlier)
+        tenures.sort(key=lambda tenure: is_hot(tenure.shard))
+        shards = {owned.current.shard, owned.related}
+        for tenure in tenures:
+            (parent,) = shards - {tenure.shard}
+            self._follow_tenure(now, tenure, parent)
+
+    def _follow_tenure(self, now: float, tenure: Tenure, parent: ShardId) -> None:
+        known = self._tenures.get(tenure.shard)
+        if known is not None and known.number == tenure.number:
+            return
+        if known is None:
+            self._forget_idle(now)
+        inheritance = self._find_inheritance(tenure, parent)
+        self._tenures[tenure.shard] = tenure
+        if known is None:
+            self._store.open_shard(
+                tenure.since_s,
+                tenure.shard,
+                token=tenure.token,
+                inheritance=inheritance,
+            )
+        elif inheritance is Inheritance.LOST and known.token != tenure.token:
+            self._store.note_loss(tenure.since_s, tenure.shard, token=tenure.token)
+
+    def _find_inheritance(self, tenure: Tenure, parent: ShardId) -> Inheritance:
+        """Return what this node knows of the keys of earlier tenures.
+
+        No other node can have owned a shard between two tenures with one token.
+        """
+        if tenure.is_first:
+            return Inheritance.NOTHING
+        origin = self._tenures.get(parent)
+        if origin is not None and tenure.parent_number == origin.number:
+            return Inheritance.NOTHING
+        return Inheritance.LOST
+
+    def _forget_idle(self, now: float) -> None:
+        if len(self._tenures) < MAX_SHARDS:
+            return
+        for shard in list(self._tenures):
+            if self._store.is_idle(now, shard):
+                self._store.close_shard(shard)
+                del self._tenures[shard]
+
+
+def format_token(shard: ShardId, token: int | None) -> str:
+    """Return a token for callers; tokens of two shards cannot be compared."""
+    if token is None:
+        return ""
+    return f"{xxhash.xxh3_64_hexdigest(shard.encode())}-{token}"
+
+
+def _read_token(shard: ShardId, stated: str) -> int | None:
+    """Return the stated token if it is one of this shard."""
+    _, _, number = stated.rpartition("-")
+    if not number.isascii() or not number.isdigit():
+        return None
+    token = int(number[:20])
+    return token if stated == format_token(shard, token) else None
--- a/src/papayatack/core/idempotency/store.py
+++ b/src/papayatack/core/idempotency/store.py
@@ -128,6 +128,38 @@
             state.unknown_until_s = now + self._window_s
             state.unknown_before = state.token
 
+    def note_loss(self, since_s: float, shard: ShardId, *, token: int) -> None:
+        """Note that another owner may have come in between.
+
+        What is remembered stays: it was run here.
+
+        Args:
+            since_s: When the new tenure began.
+            shard: The shard.
+            token: Fencing token of the new tenure.
+        """
+        state = self._shards[shard]
+        state.token = token
+        state.unknown_until_s = max(state.unknown_until_s, since_s + self._window_s)
+        state.unknown_before = token
+
+    def has_key(self, now: float, shard: ShardId, key: str) -> bool:
+        """Tell whether a key of a shard is remembered."""
+        self._expire(now)
+        state = self._shards.get(shard)
+        return state is not None and key in state.records
+
+    def is_incomplete(self, now: float, shard: ShardId) -> bool:
+        """Tell whether keys of a lost owner may still be repeated."""
+        state = self._shards.get(shard)
+        return state is not None and now < state.unknown_until_s
+
+    def is_idle(self, now: float, shard: ShardId) -> bool:
+        """Tell whether nothing that matters is remembered of a shard."""
+        self._expire(now)
+        state = self._shards.get(shard)
+        return state is None or (not state.records and now >= state.unknown_until_s)
+
     def close_shard(self, shard: ShardId) -> tuple[int, ...]:
         """Forget a shard; return the repeats that still wait for an outcome."""
         state = self._shards.pop(shard, None)
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -225,7 +225,9 @@
     def _acquire(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> None:
         position = entry.current.leases.index(holder.lease)
         token = make_token(entry.current.epoch, position)
-        self._context.rights.acquire(shard, holder, entry.current.epoch, token)
+        self._context.rights.acquire(
+            shard, holder, entry.current.epoch, token, now=self._now
+        )
 
     def _send_queries(self, now: float) -> None:
         self._query_due_s = float("inf")
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -127,12 +127,19 @@
         for shard, parent in change.mixed:
             deadline_s = self.context.find_deadline_s(find_service_name(shard))
             self.context.rights.mix(shard, parent, now + deadline_s)
+            if shard not in self.context.state.shards:
+                self.context.rights.note_return(shard, parent, now)
         if change.members:
             self.context.fencing.forget_dropped()
             self.context.witnessing.forget_dropped()
             self._check_ended()
         self.claims.touch_blocked()
-        return change, self._settle(now)
+        rights = self.context.rights
+        split = [pair for pair in change.mixed if pair[0] not in rights.rights]
+        effects = self._settle(now)
+        for shard, parent in split:
+            rights.note_split(shard, parent, now)
+        return change, effects
 
     def receive(
         self, sender: IncarnationId, message: ControlMessage, *, now: float
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -5,8 +5,12 @@
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import Chain, OwnershipState
+from papayatack.core.ownership.succession import make_token
 
-__all__ = ["Draining", "Right", "Rights"]
+__all__ = ["Draining", "Return", "Right", "Rights"]
+
+RETURN_MEMORY_S = 600.0
+FIRST_TOKEN = make_token(1, 0)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -19,6 +23,12 @@
         wanted_token: Token of the grant that the upstream is to have.
         token: Token of the newest grant that the upstream confirmed, 0 for none.
         asked: The upstream has been asked for the wanted grant.
+        tenure: Number, new on this node whenever another node may have owned the
+            shard in between.
+        since_s: When the tenure began.
+        is_first: No node had owned the shard before the tenure.
+        parent_tenure: For a hot key, the tenure here of the parent from which it
+            came; ``None`` if it came from elsewhere.
     """
 
     holder: Holder
@@ -26,6 +36,26 @@
     wanted_token: int
     token: int = 0
     asked: bool = False
+    tenure: int = 0
+    since_s: float = float("-inf")
+    is_first: bool = False
+    parent_tenure: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Return:
+    """A hot key's return to its parent.
+
+    Attributes:
+        at_s: When this node learned of it.
+        right: Right under which this node served the key until then, if it served
+            the parent as well; ``None`` otherwise.
+        tenure: Number that stands for what this node does not know of the key.
+    """
+
+    at_s: float
+    right: Right | None
+    tenure: int
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -52,6 +82,8 @@
         self.in_flight: dict[ShardId, int] = {}
         self.draining: dict[ShardId, Draining] = {}
         self._transferred: dict[ShardId, Right] = {}
+        self._returns: dict[ShardId, Return] = {}
+        self._last_tenure = 0
         self._mixed: dict[ShardId, dict[ShardId, float]] = {}
 
     def mix(self, shard: ShardId, other: ShardId, until_s: float) -> None:
@@ -91,18 +123,71 @@
         self.in_flight.pop(shard, None)
         return True
 
-    def acquire(self, shard: ShardId, holder: Holder, epoch: int, token: int) -> None:
+    def acquire(
+        self,
+        shard: ShardId,
+        holder: Holder,
+        epoch: int,
+        token: int,
+        *,
+        now: float,
+    ) -> None:
         """Hold a right; the upstream is to be asked for a grant unless it has it."""
         self.draining.pop(shard, None)
         right = self.rights.get(shard)
         if right is None or right.holder is not holder:
-            self.rights[shard] = Right(holder=holder, epoch=epoch, wanted_token=token)
+            self.rights[shard] = self._make_right(
+                right or self._transferred.get(shard),
+                Right(holder=holder, epoch=epoch, wanted_token=token, since_s=now),
+            )
             return
         right.epoch = epoch
         if right.wanted_token != token:
             right.wanted_token = token
             right.asked = False
 
+    def _make_right(self, last: Right | None, right: Right) -> Right:
+        """Go on with the tenure of the last right, unless that lease has ended."""
+        if last is not None and not last.holder.ended:
+            right.tenure = last.tenure
+            right.since_s = last.since_s
+            right.is_first = last.is_first
+            right.parent_tenure = last.parent_tenure
+        else:
+            self._last_tenure += 1
+            right.tenure = self._last_tenure
+            right.is_first = right.wanted_token == FIRST_TOKEN
+        return right
+
+    def note_split(self, shard: ShardId, parent: ShardId, now: float) -> None:
+        """Note from which tenure of the parent a new hot shard's key came.
+
+        A key that returned a short while ago may have come from elsewhere.
+        """
+        if shard not in self._state.shards:
+            return
+        returned = self._returns.pop(shard, None)
+        own, origin = self.rights.get(shard), self.rights.get(parent)
+        recent = returned is not None and now < returned.at_s + RETURN_MEMORY_S
+        if own is not None and origin is not None and not recent:
+            own.parent_tenure = origin.tenure
+
+    def note_return(self, shard: ShardId, parent: ShardId, now: float) -> None:
+        """Note under which right a hot key was served before it returns."""
+        for old in [
+            other
+            for other, note in self._returns.items()
+            if note.at_s + RETURN_MEMORY_S <= now
+        ]:
+            del self._returns[old]
+        right = self.rights.get(shard) if parent in self.rights else None
+        self._last_tenure += 1
+        self._returns[shard] = Return(at_s=now, right=right, tenure=self._last_tenure)
+
+    def find_return(self, shard: ShardId) -> Return | None:
+        """Return what is noted of a hot key's return."""
+        return self._returns.get(shard)
+
     def stop(self, shard: ShardId, *, drains: bool) -> bool:
         """Admit no more requests for a shard; return whether it was served.
 
--- a/src/papayatack/network/answers.py
+++ b/src/papayatack/network/answers.py
@@ -10,12 +10,14 @@
 
 __all__ = [
     "ERROR_HEADER",
+    "KEY_TOKEN_HEADER",
     "OUTCOME_HEADER",
     "build_error_response",
 ]
 
 OUTCOME_HEADER = b"papayatack-outcome"
 ERROR_HEADER = b"papayatack-error"
+KEY_TOKEN_HEADER = b"papayatack-key-token"
 RETRY_AFTER_STATUSES = (503,)
 DEFAULT_RETRY_AFTER_S = 1.0
 
@@ -36,6 +38,8 @@
         (OUTCOME_HEADER, answer.outcome.value.encode()),
         (ERROR_HEADER, refusal.kind.value.encode()),
     ]
+    if refusal.key_token:
+        headers.append((KEY_TOKEN_HEADER, refusal.key_token.encode("latin-1")))
     if answer.status in RETRY_AFTER_STATUSES:
         headers.append((b"retry-after", _format_retry_after(refusal)))
     return Response(
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -180,6 +180,7 @@
                 kind=kind,
                 detail=failure.detail or "",
                 retry_after_s=delay_us / US_PER_S if delay_us else None,
+                key_token=failure.key_token or "",
             )
         )
 
@@ -202,6 +203,7 @@
             kind=refusal.kind.value,
             detail=refusal.detail,
             retry_after_us=int(delay_s * US_PER_S) if delay_s else 0,
+            key_token=refusal.key_token,
         )
         self.queue_frame(schema.Frame(stream=self.stream_id, failure=failure))
 
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -37,6 +37,7 @@
 from papayatack.proxy.classification import Classifier
 from papayatack.proxy.headers import REQUEST_ID_HEADER
 from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
+from papayatack.proxy.keyed import KeyedServer
 from papayatack.proxy.local import LocalServer
 from papayatack.proxy.replay import ReplayBody
 from papayatack.proxy.settling import settle_response
@@ -79,6 +80,9 @@
         self._retry = retry
         self._handover = handover or HandoverWait(rng=random.Random())
         self._local = LocalServer(ownership=ownership, gate=gate, metrics=metrics)
+        self._keyed = KeyedServer(
+            local=self._local, ownership=ownership, metrics=metrics
+        )
         self._balance = NodeBalance()
         self._classifier = Classifier(configuration=Configuration())
 
@@ -234,7 +238,7 @@
             located = dataclasses.replace(
                 peer_request, shard=route.shard if peer_request.key else ShardId("")
             )
-            return await self._local.serve(located, deadline_s=deadline_s)
+            return await self._keyed.serve(located, deadline_s=deadline_s)
         remaining_s = deadline_s - self._now()
         margin_s = min(DEADLINE_MARGIN_S, remaining_s * DEADLINE_MARGIN_SHARE)
         if remaining_s <= 0:
--- a/src/papayatack/proxy/headers.py
+++ b/src/papayatack/proxy/headers.py
@@ -1,10 +1,13 @@
 """Header fields that end at this node, and those that it adds."""
 
+from papayatack.network.answers import KEY_TOKEN_HEADER
 from papayatack.network.exchanges import Headers, find_header
 
 __all__ = [
     "DEADLINE_HEADER",
+    "KEY_TOKEN_HEADER",
     "REFUSED_HEADER",
+    "REPLAYED_HEADER",
     "REQUEST_ID_HEADER",
     "SHARD_HEADER",
     "TOKEN_HEADER",
@@ -17,6 +20,7 @@
 SHARD_HEADER = b"papayatack-shard"
 TOKEN_HEADER = b"papayatack-token"
 REFUSED_HEADER = b"papayatack-refused"
+REPLAYED_HEADER = b"papayatack-replayed"
 _OWN_PREFIX = b"papayatack-"
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _HOP_BY_HOP = frozenset(
@@ -50,8 +54,11 @@
 
 
 def clean_request_headers(headers: Headers) -> Headers:
-    """Return the fields of a caller's request that may travel on."""
+    """Return the fields of a caller's request that may travel on to the owner."""
     kept = _clean(headers)
+    key_token = find_header(headers, KEY_TOKEN_HEADER)
+    if key_token is not None:
+        kept.append((KEY_TOKEN_HEADER, key_token))
     if find_header(headers, b"transfer-encoding") is not None:
         kept.append(_CHUNKED)
     return tuple(kept)
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -11,6 +11,7 @@
 from returns.result import Result
 
 from papayatack.core.errors import Refusal
+from papayatack.core.idempotency import KeyTenure
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration, RequestClass
 
@@ -79,6 +80,9 @@
     def finish(self, shard: ShardId, *, service_time_s: float) -> None:
         """Report that a request that was authorized has ended."""
 
+    def find_tenure(self, service: str, key: str) -> KeyTenure | None:
+        """Return the tenures of a key, ``None`` if this node does not own it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ticket:
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -19,6 +20,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.headers import (
     DEADLINE_HEADER,
+    KEY_TOKEN_HEADER,
     REFUSED_HEADER,
     REQUEST_ID_HEADER,
     SHARD_HEADER,
@@ -29,7 +31,7 @@
 from papayatack.proxy.replay import MeteredBody
 from papayatack.proxy.settling import settle_response
 
-__all__ = ["LocalServer"]
+__all__ = ["KeyedAttempt", "LocalServer"]
 
 MS_PER_S = 1000
 STATUS_CONFLICT = 409
@@ -60,6 +62,20 @@
             self.ownership.finish(self.shard, service_time_s=service_time_s)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class KeyedAttempt:
+    """One run of a request with an idempotency key.
+
+    Attributes:
+        is_current: Whether the shard is still in the tenure in which the run was
+            decided, and still holds the key.
+        sent: A byte of the request may have reached the upstream.
+    """
+
+    is_current: Callable[[], bool]
+    sent: bool = False
+
+
 class LocalServer:
     """Serves requests through the own upstream."""
 
@@ -77,9 +93,19 @@
         self._metrics = metrics
 
     async def serve(
-        self, peer_request: PeerRequest, *, deadline_s: float
+        self,
+        peer_request: PeerRequest,
+        *,
+        deadline_s: float,
+        attempt: KeyedAttempt | None = None,
     ) -> Result[Response, Refusal]:
-        """Wait for a slot, then forward the request under the grant of its shard."""
+        """Wait for a slot, then forward the request under the grant of its shard.
+
+        Args:
+            peer_request: The request.
+            deadline_s: Event loop time after which it is of no use.
+            attempt: Its run under an idempotency key, if it has one.
+        """
         if self.upstream is None:
             return _refuse(ErrorKind.UPSTREAM_UNREACHABLE, "no upstream is announced")
         ticket = Ticket(
@@ -99,7 +125,7 @@
             started_s=asyncio.get_running_loop().time(),
         )
         try:
-            result = await self._forward(peer_request, use, deadline_s)
+            result = await self._forward(peer_request, use, deadline_s, attempt)
         except BaseException:
             use.end(ErrorKind.CALLER_LEFT)
             raise
@@ -108,7 +134,11 @@
         return result
 
     async def _forward(
-        self, peer_request: PeerRequest, use: _Use, deadline_s: float
+        self,
+        peer_request: PeerRequest,
+        use: _Use,
+        deadline_s: float,
+        attempt: KeyedAttempt | None,
     ) -> Result[Response, Refusal]:
         """Authorize with a connection in hand, so that no wait follows."""
         upstream = self.upstream
@@ -119,7 +149,7 @@
             return Failure(reserved.failure())
         connection = reserved.unwrap()
         now = asyncio.get_running_loop().time()
-        granted = self._authorize(peer_request, use, deadline_s - now)
+        granted = self._authorize(peer_request, use, deadline_s - now, attempt)
         if not is_successful(granted):
             upstream.return_connection(connection)
             return Failure(granted.failure())
@@ -129,18 +159,26 @@
             headers=_build_headers(peer_request, granted.unwrap(), deadline_s - now),
             body=peer_request.request.body,
         )
+        if attempt is not None:
+            attempt.sent = True
         result = await connection.exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
             return Failure(result.failure())
         return await self._check_response(result.unwrap(), use)
 
     def _authorize(
-        self, peer_request: PeerRequest, use: _Use, remaining_s: float
+        self,
+        peer_request: PeerRequest,
+        use: _Use,
+        remaining_s: float,
+        attempt: KeyedAttempt | None,
     ) -> Result[Grant, Refusal]:
         if remaining_s <= 0:
             return _refuse(ErrorKind.DEADLINE_EXPIRED, "expired before the forward")
         if not peer_request.shard:
             return Success(_NO_GRANT)
+        if attempt is not None and not attempt.is_current():
+            return _refuse(ErrorKind.NOT_OWNER, "the shard was lost in between")
         shard = ShardId(peer_request.shard)
         granted = self._ownership.authorize(shard)
         if is_successful(granted):
@@ -182,4 +220,7 @@
     if peer_request.shard:
         added.append((SHARD_HEADER, peer_request.shard.encode()))
         added.append((TOKEN_HEADER, b"%d" % grant.token))
-    return (*peer_request.request.headers, *added)
+    kept = [
+        field for field in peer_request.request.headers if field[0] != KEY_TOKEN_HEADER
+    ]
+    return (*kept, *added)
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -50,7 +50,9 @@
 struct ResponseHead { 1: i32 status, 2: binary reason, 3: list<Header> headers }
 struct Body { 1: binary data, 2: bool final }
 struct Window { 1: i32 bytes }
-struct Failure { 1: string kind, 2: string detail, 3: i64 retry_after_us }
+struct Failure {
+  1: string kind, 2: string detail, 3: i64 retry_after_us, 4: string key_token
+}
 struct Cancel { 1: string reason }
 struct Hello { 1: string incarnation, 2: i32 protocol, 3: bool reply_wanted }
 struct Frame {
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -115,7 +115,11 @@
 
 
 class UpstreamStandin:
-    """One upstream; :attr:`runs` counts the runs of each request id."""
+    """One upstream.
+
+    :attr:`runs` counts the runs of each request id, :attr:`key_runs` those of each
+    Idempotency-Key.
+    """
 
     def __init__(
         self,
@@ -130,6 +134,7 @@
     ) -> None:
         self.behaviour = UpstreamBehaviour()
         self.runs: dict[str, int] = {}
+        self.key_runs: dict[str, int] = {}
         self.cancelled = 0
         self._service = service
         self._slots = slots
@@ -227,6 +232,11 @@
         request_id = find_header(request.headers, b"papayatack-request-id") or b""
         name = request_id.decode()
         self.runs[name] = self.runs.get(name, 0) + 1
+        key = (find_header(request.headers, b"idempotency-key") or b"").decode(
+            "latin-1"
+        )
+        if key:
+            self.key_runs[key] = self.key_runs.get(key, 0) + 1
         deadline = find_header(request.headers, b"papayatack-deadline-ms")
         limit_s = int(deadline) / MS_PER_S if deadline else None
         service_s = float(query.get("sleep_ms", 0)) / MS_PER_S * self._find_slowdown()
--- a/tests/core/ownership/test_schedules.py
+++ b/tests/core/ownership/test_schedules.py
@@ -6,6 +6,7 @@
 
 from papayatack.core.records import Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
+from tests.fakes.keyed import KeyedTraffic
 
 PLACES = {"a": "1", "b": "2", "c": "3", "d": "1", "e": "2"}
 HOT = "s/all/=hot"
@@ -223,3 +224,15 @@
             run.perform(fault)
             run.fleet.run(pause_s)
         run.finish()
+
+    @settings(max_examples=EXAMPLES, phases=[Phase.explicit, Phase.generate])
+    @given(schedule=_schedules, seed=st.integers(0, 99))
+    def test_key_runs_at_most_once(self, schedule, seed):
+        """No idempotency key runs twice, whoever owns the request's key when."""
+        run = Schedule(seed=seed, checks_grants=True)
+        fleet = run.fleet
+        fleet.keyed = KeyedTraffic(fleet=fleet, hot=HOT, parent=fleet.shards[0])
+        for fault, pause_s in schedule:
+            run.perform(fault)
+            fleet.run(pause_s)
+        run.finish()
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -136,6 +136,7 @@
         self.truth = OwnershipState()
         self.activated = {}
         self.hot_keys = {}
+        self.keyed = None
         self.last_tokens = {}
         self.has_requests = True
         self.tick_s = TICK_S
@@ -383,6 +384,8 @@
         if slot.frozen:
             slot.backlog.append(functools.partial(self._request, slot, core))
             return
+        if self.keyed is not None:
+            self.keyed.request(slot, core)
         key = self.random.choice([*self.shards, *self.hot_keys])
         shard = self._locate(slot, key)
         if is_successful(core.authorize(shard, slot.read_clock(self.now))):
--- /dev/null
+++ b/tests/fakes/keyed.py
@@ -0,0 +1,100 @@
+"""Keyed requests over a fleet of node cores, each key run at most once."""
+
+import collections
+import functools
+
+from returns.pipeline import is_successful
+
+from papayatack.core.errors import Outcome
+from papayatack.core.idempotency import (
+    IdempotencyStore,
+    KeyMemory,
+    Refuse,
+    Run,
+    format_token,
+)
+from papayatack.core.ownership.tenures import find_key_tenure
+
+LONGEST_QUEUE_S = 0.4
+REPEAT_SHARE = 0.6
+RECENT_KEYS = 12
+
+
+class KeyedTraffic:
+    """Callers that repeat their requests unchanged, stated token included.
+
+    A caller states the token that it was last told with a request that is new. So no
+    key may ever run twice.
+    """
+
+    def __init__(self, *, fleet, hot, parent):
+        self._fleet = fleet
+        self._related = {hot: parent, parent: hot}
+        self._hot = hot
+        self._memories = {}
+        self._recent = collections.deque(maxlen=RECENT_KEYS)
+        self._told = ""
+        self._keys = 0
+        self.runs = collections.Counter()
+        self.decisions = collections.Counter()
+
+    def request(self, slot, core):
+        """Send one request to a node, which may not own the key."""
+        random = self._fleet.random
+        if self._recent and random.random() < REPEAT_SHARE:
+            key, stated = random.choice(list(self._recent))
+        else:
+            self._keys += 1
+            key, stated = f"key-{self._keys}", self._told
+            self._recent.append((key, stated))
+        owned = self._find_tenure(slot, core)
+        if owned is None:
+            return
+        now = slot.read_clock(self._fleet.now)
+        memory = self._memories.get(core)
+        if memory is None:
+            memory = self._memories[core] = KeyMemory(store=IdempotencyStore())
+        home, decision = memory.begin(now, owned, key, b"f", stated=stated)
+        self.decisions[type(decision).__name__] += 1
+        if isinstance(decision, Refuse) and decision.token is not None:
+            self._told = format_token(home, decision.token)
+        if isinstance(decision, Run):
+            run = functools.partial(
+                self._run, slot, core, home, key, owned.current.number
+            )
+            self._fleet._at(random.random() * LONGEST_QUEUE_S, run)
+
+    def _find_tenure(self, slot, core):
+        shard = self._fleet._locate(slot, self._hot)
+        rights = core.context.rights
+        return find_key_tenure(rights, shard, self._related[shard])
+
+    def _run(self, slot, core, home, key, tenure):
+        """Leave the queue: authorize and run, if the tenure is the same."""
+        fleet = self._fleet
+        if slot.core is not core:
+            return
+        if slot.frozen:
+            again = functools.partial(self._run, slot, core, home, key, tenure)
+            slot.backlog.append(again)
+            return
+        now = slot.read_clock(fleet.now)
+        owned = self._find_tenure(slot, core)
+        same = owned is not None and owned.current.number == tenure
+        shard = fleet._locate(slot, self._hot)
+        if not same or not is_successful(core.authorize(shard, now)):
+            self._complete(slot, core, home, key, Outcome.NOT_RUN)
+            return
+        self.runs[key] += 1
+        if self.runs[key] > 1:
+            raise AssertionError(f"{key} ran twice, at {slot.name} at {fleet.now:.3f}")
+        outcome = fleet.random.choice([Outcome.ANSWERED, Outcome.UNKNOWN])
+        duration_s = fleet.random.random() * fleet.longest_s
+        finish = functools.partial(fleet._finish, slot, core, shard)
+        fleet._at(duration_s, finish)
+        complete = functools.partial(self._complete, slot, core, home, key, outcome)
+        fleet._at(duration_s, complete)
+
+    def _complete(self, slot, core, home, key, outcome):
+        now = slot.read_clock(self._fleet.now)
+        self._memories[core].complete(now, home, key, outcome=outcome)
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.idempotency import KeyTenure, Tenure
 from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress, ShardId
 from papayatack.core.inventory import (
     Configuration,
@@ -45,6 +46,7 @@
     version=1, services=(HIRING, RECORDS), partners=(Partner(name="caribe"),)
 )
 SHARD = ShardId("hiring/all/0")
+HOT_SHARD = ShardId("hiring/all/=k1")
 LEASE = LeaseId(IncarnationId("lease"), 1)
 
 
@@ -57,6 +59,10 @@
         self.nodes = nodes
         self.token = token
         self.refusal = None
+        self.tenure = Tenure(
+            shard=SHARD, number=1, token=token, since_s=0.0, is_first=True
+        )
+        self.earlier = None
         self.authorized = 0
         self.finished = 0
 
@@ -81,6 +87,13 @@
         """Count."""
         self.finished += 1
 
+    def find_tenure(self, service, key):
+        """Return the tenure that was set."""
+        if self.tenure is None:
+            return None
+        related = HOT_SHARD if self.tenure.shard == SHARD else SHARD
+        return KeyTenure(current=self.tenure, related=related, earlier=self.earlier)
+
 
 class FakePermit:
     """A slot that counts its releases."""
@@ -187,8 +200,12 @@
 
     async def grant(self, token=1):
         """Grant the shard to the upstream."""
+        return await self.grant_shard(SHARD, token)
+
+    async def grant_shard(self, shard, token=1):
+        """Grant any shard to the upstream."""
         client = GrantClient(pool=self.engine.upstream)
-        return await client.grant(LEASE, {SHARD: token}, 60_000_000)
+        return await client.grant(LEASE, {shard: token}, 60_000_000)
 
     async def stop(self):
         """Close everything."""
