--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -55,6 +55,28 @@
 
         self.run_fleet(scenario)
 
+    def test_takeover_begins_a_tenure(self):
+        """A new owner is not the first, and a kept shard stays in its tenure."""
+
+        async def scenario(fixture):
+            before = fixture.list_tenures(KEYS)
+            start_s = asyncio.get_running_loop().time()
+            await fixture.kill("a")
+            await fixture.wait_served(KEYS, 10)
+            after = fixture.list_tenures(KEYS)
+            self.assertTrue(any(tenure.is_first for _, tenure in before.values()))
+            moved = [key for key, (address, _) in before.items() if address == "a"]
+            self.assertTrue(moved)
+            for key in moved:
+                self.assertFalse(after[key][1].is_first)
+                self.assertGreaterEqual(after[key][1].since_s, start_s)
+            for key in set(KEYS) - set(moved):
+                address, tenure = after[key]
+                if address == before[key][0]:
+                    self.assertEqual(tenure.number, before[key][1].number)
+
+        self.run_fleet(scenario)
+
     def test_loss_is_taken_over_without_log(self):
         """The same holds while the log is down."""
 
--- a/tests/fakes/keyed.py
+++ b/tests/fakes/keyed.py
@@ -17,7 +17,7 @@
 
 LONGEST_QUEUE_S = 0.4
 REPEAT_SHARE = 0.6
-RECENT_KEYS = 12
+RECENT_KEYS = 400
 
 
 class KeyedTraffic:
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -186,6 +186,15 @@
                     found.append(address)
         return found
 
+    def list_tenures(self, keys):
+        """Return the only server of each key and the tenure of its shard."""
+        found = {}
+        for key in keys:
+            (address,) = self.list_servers(key)
+            owned = self.network.nodes[address].ownership.find_tenure("orders", key)
+            found[key] = address, owned.current
+        return found
+
     async def wait_served(self, keys, limit_s):
         """Wait until one node serves each key; return how long that took."""
         loop = asyncio.get_running_loop()
