Hand the outcomes of keyed requests over after a release

Cause: each planned move or drain counted as a loss, so that callers without tokens got 409 for 600 s.

Change: the new owner asks the node that released the shard, if it is proved that this one served it last; part by part, for 2 s at most. A node that leaves waits until its remembered shards were asked for, 2 s at most.

Conclusion: after a plain move no new key is refused; with the handover lost the shard is unknown as after a loss.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -36,12 +36,19 @@
 from papayatack.control.grants import GrantEffect, GrantTask
 from papayatack.control.interface import GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
+from papayatack.control.outcomes import OutcomeCourier
 from papayatack.control.planning import Planner
 from papayatack.control.recent import RecentRecords
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
-from papayatack.core.messages import ControlMessage, LoadReport, LogBatch
+from papayatack.core.messages import (
+    ControlMessage,
+    LoadReport,
+    LogBatch,
+    OutcomePart,
+    OutcomeQuery,
+)
 from papayatack.core.ownership.effects import (
     AppendRecord,
     Effect,
@@ -138,6 +145,7 @@
         )
         self.core.config_position = self._config.next_offset
         self._loads = LoadMeter(now=now)
+        self.outcomes = OutcomeCourier(rights=self.core.context.rights, send=self._send)
         self._directory = Directory(
             core=self.core,
             config=self._config,
@@ -314,6 +322,7 @@
                 check_s = self._read_clock() + CHECK_TAIL_S
                 self._note_behind()
             self._carry_out(self.core.advance(self._read_clock()))
+            self.outcomes.ask(self._read_clock())
             await asyncio.sleep(TICK_S)
 
     def _note_caught_up(self) -> None:
@@ -355,6 +364,11 @@
         if message.stream in self._recent:
             self._apply(message.stream, message.first, message.payloads)
 
+    @_take_message.register(OutcomeQuery)
+    @_take_message.register(OutcomePart)
+    def _(self, message: OutcomeQuery | OutcomePart, sender: IncarnationId) -> None:
+        self.outcomes.take(message, sender, self._read_clock())
+
     @_take_message.register
     def _(self, message: LoadReport, sender: IncarnationId) -> None:
         if message.incarnation == sender:
--- /dev/null
+++ b/src/papayatack/control/outcomes.py
@@ -0,0 +1,78 @@
+"""Hands the outcomes of keyed requests from node to node."""
+
+import functools
+from collections.abc import Callable
+
+from papayatack.core.idempotency import OutcomeExchange
+from papayatack.core.identity import IncarnationId
+from papayatack.core.messages import ControlMessage, OutcomePart, OutcomeQuery
+from papayatack.core.ownership.rights import Rights
+from papayatack.core.ownership.tenures import make_tenure
+
+__all__ = ["OutcomeCourier"]
+
+
+class OutcomeCourier:
+    """Carries queries and parts between the exchange and the other nodes.
+
+    Args:
+        rights: The node's rights.
+        send: Sends a control message.
+
+    Attributes:
+        exchange: Asks and answers, once the request path has been built.
+    """
+
+    def __init__(
+        self,
+        *,
+        rights: Rights,
+        send: Callable[[IncarnationId, ControlMessage], None],
+    ) -> None:
+        self._rights = rights
+        self._send = send
+        self.exchange: OutcomeExchange | None = None
+
+    def ask(self, now: float) -> None:
+        """Ask for what is awaited."""
+        if self.exchange is None:
+            return
+        tenures = [
+            make_tenure(shard, right)
+            for shard, right in self._rights.rights.items()
+            if right.origin is not None
+        ]
+        for recipient, query in self.exchange.list_queries(now, tenures):
+            self._send(recipient, query)
+
+    @functools.singledispatchmethod
+    def take(
+        self, message: OutcomeQuery | OutcomePart, sender: IncarnationId, now: float
+    ) -> None:
+        """Take in a message of another node."""
+        raise TypeError(message)
+
+    @take.register
+    def _(self, message: OutcomeQuery, sender: IncarnationId, now: float) -> None:
+        right = self._rights.find_released(message.shard, now)
+        if self.exchange is None or right is None:
+            return
+        tenure = make_tenure(message.shard, right)
+        part = self.exchange.answer(now, tenure, right.epoch, message)
+        if part is not None:
+            self._send(sender, part)
+
+    @take.register
+    def _(self, message: OutcomePart, sender: IncarnationId, now: float) -> None:
+        right = self._rights.rights.get(message.shard)
+        if self.exchange is None or right is None:
+            return
+        tenure = make_tenure(message.shard, right)
+        for recipient, query in self.exchange.take(now, sender, tenure, message):
+            self._send(recipient, query)
+
+    def has_left(self, now: float) -> bool:
+        """Tell whether released shards have keys that nobody has asked for yet."""
+        if self.exchange is None:
+            return False
+        return self.exchange.has_left(now, list(self._rights.stopped))
--- a/src/papayatack/core/idempotency/__init__.py
+++ b/src/papayatack/core/idempotency/__init__.py
@@ -11,6 +11,7 @@
 attempt was made under this owner.
 """
 
+from papayatack.core.idempotency.exchange import OutcomeExchange
 from papayatack.core.idempotency.memory import KeyMemory, format_token
 from papayatack.core.idempotency.outcomes import (
     Decision,
@@ -34,6 +35,7 @@
     "KeptAnswer",
     "KeyMemory",
     "KeyTenure",
+    "OutcomeExchange",
     "Outcomes",
     "Refuse",
     "Replay",
--- a/src/papayatack/core/idempotency/memory.py
+++ b/src/papayatack/core/idempotency/memory.py
@@ -7,6 +7,7 @@
     Decision,
     Inheritance,
     KeptAnswer,
+    Outcomes,
     Refuse,
 )
 from papayatack.core.idempotency.store import IdempotencyStore
@@ -17,6 +18,7 @@
 __all__ = ["KeyMemory", "format_token"]
 
 MAX_SHARDS = 10_000
+HANDOVER_LIMIT_S = 2.0
 
 
 class KeyMemory:
@@ -82,6 +84,25 @@
         """Forget a joined repeat whose caller left."""
         self._store.leave(shard, key, number)
 
+    def find_awaited_part(self, now: float, tenure: Tenure) -> int | None:
+        """Return the part that is awaited next in a tenure, if one is."""
+        self._follow_tenure(now, tenure, tenure.shard)
+        return self._store.find_awaited_part(tenure.shard)
+
+    def import_part(self, now: float, tenure: Tenure, part: Outcomes) -> bool:
+        """Take over a part in a tenure; return whether it was the awaited one."""
+        self._follow_tenure(now, tenure, tenure.shard)
+        return self._store.import_part(now, part)
+
+    def export_shard(self, now: float, tenure: Tenure) -> tuple[Outcomes, ...]:
+        """Return the outcomes of a shard that was released after a tenure."""
+        self._follow_tenure(now, tenure, tenure.shard)
+        return self._store.export_shard(now, tenure.shard)
+
+    def list_remembered(self, now: float) -> list[ShardId]:
+        """Return the shards with remembered keys."""
+        return [shard for shard in self._tenures if self._store.has_records(now, shard)]
+
     def _check_related(
         self, now: float, owned: KeyTenure, stated: str
     ) -> Refuse | None:
@@ -119,6 +140,8 @@
     def _follow_tenure(self, now: float, tenure: Tenure, parent: ShardId) -> None:
         known = self._tenures.get(tenure.shard)
         if known is not None and known.number == tenure.number:
+            if now >= tenure.since_s + HANDOVER_LIMIT_S:
+                self._store.give_up_handover(now, tenure.shard)
             return
         if known is None:
             self._forget_idle(now)
@@ -131,7 +154,11 @@
                 token=tenure.token,
                 inheritance=inheritance,
             )
-        elif inheritance is Inheritance.LOST and known.token != tenure.token:
+        elif known.token == tenure.token:
+            return
+        elif inheritance is Inheritance.EXPECTED:
+            self._store.expect_handover(tenure.shard, token=tenure.token)
+        elif inheritance is Inheritance.LOST:
             self._store.note_loss(tenure.since_s, tenure.shard, token=tenure.token)
 
     def _find_inheritance(self, tenure: Tenure, parent: ShardId) -> Inheritance:
@@ -144,6 +171,8 @@
         origin = self._tenures.get(parent)
         if origin is not None and tenure.parent_number == origin.number:
             return Inheritance.NOTHING
+        if tenure.predecessor is not None and not is_hot(tenure.shard):
+            return Inheritance.EXPECTED
         return Inheritance.LOST
 
     def _forget_idle(self, now: float) -> None:
--- a/src/papayatack/core/idempotency/store.py
+++ b/src/papayatack/core/idempotency/store.py
@@ -143,6 +143,23 @@
         state.unknown_until_s = max(state.unknown_until_s, since_s + self._window_s)
         state.unknown_before = token
 
+    def expect_handover(self, shard: ShardId, *, token: int) -> None:
+        """Await the outcomes of another owner, beside what is remembered here."""
+        state = self._shards[shard]
+        state.token = token
+        state.awaited_part = 0
+
+    def find_awaited_part(self, shard: ShardId) -> int | None:
+        """Return the part of a handover that is awaited next, if one is."""
+        state = self._shards.get(shard)
+        return None if state is None else state.awaited_part
+
+    def has_records(self, now: float, shard: ShardId) -> bool:
+        """Tell whether any key of a shard is remembered."""
+        self._expire(now)
+        state = self._shards.get(shard)
+        return state is not None and bool(state.records)
+
     def has_key(self, now: float, shard: ShardId, key: str) -> bool:
         """Tell whether a key of a shard is remembered."""
         self._expire(now)
@@ -152,13 +169,13 @@
     def is_incomplete(self, now: float, shard: ShardId) -> bool:
         """Tell whether keys of a lost owner may still be repeated."""
         state = self._shards.get(shard)
-        return state is not None and now < state.unknown_until_s
+        if state is None:
+            return False
+        return state.awaited_part is not None or now < state.unknown_until_s
 
     def is_idle(self, now: float, shard: ShardId) -> bool:
         """Tell whether nothing that matters is remembered of a shard."""
-        self._expire(now)
-        state = self._shards.get(shard)
-        return state is None or (not state.records and now >= state.unknown_until_s)
+        return not self.has_records(now, shard) and not self.is_incomplete(now, shard)
 
     def close_shard(self, shard: ShardId) -> tuple[int, ...]:
         """Forget a shard; return the repeats that still wait for an outcome."""
@@ -290,8 +307,9 @@
         for stored in part.outcomes:
             self._import_record(now, state, part.shard, stored)
         if part.unknown_remaining_s > 0:
-            state.unknown_until_s = now + part.unknown_remaining_s
-            state.unknown_before = part.unknown_before
+            until_s = now + part.unknown_remaining_s
+            state.unknown_until_s = max(state.unknown_until_s, until_s)
+            state.unknown_before = max(state.unknown_before, part.unknown_before)
         state.awaited_part = None if part.last else part.index + 1
         return True
 
--- a/src/papayatack/core/idempotency/tenures.py
+++ b/src/papayatack/core/idempotency/tenures.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from papayatack.core.identity import ShardId
+from papayatack.core.identity import IncarnationId, ShardId
 
 __all__ = ["KeyTenure", "Tenure"]
 
@@ -19,6 +19,9 @@
         is_first: No node had owned the keys before.
         parent_number: Tenure of the parent shard on this node from which a hot key
             came; ``None`` if it came from elsewhere.
+        predecessor: The node that alone served the shard until it released it to this
+            one; ``None`` if there was no such node.
+        predecessor_epoch: Epoch under which that node must have served it.
     """
 
     shard: ShardId
@@ -27,6 +30,8 @@
     since_s: float
     is_first: bool = False
     parent_number: int | None = None
+    predecessor: IncarnationId | None = None
+    predecessor_epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -10,14 +10,18 @@
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 
 __all__ = [
+    "AnswerField",
     "ControlMessage",
     "Fence",
     "FenceReply",
+    "KeyOutcome",
     "LeaseFenced",
     "LeaseLapsed",
     "LoadReport",
     "LogBatch",
     "LogQuery",
+    "OutcomePart",
+    "OutcomeQuery",
     "Release",
     "ReleaseQuery",
     "Renew",
@@ -194,6 +198,74 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OutcomeQuery:
+    """Asks the node that released a shard for the outcomes of its keyed requests.
+
+    Attributes:
+        shard: The shard.
+        epoch: Epoch under which the asked node must have served it last.
+        index: The part that is asked for, from 0.
+    """
+
+    shard: ShardId
+    epoch: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerField:
+    """A header field of a kept answer."""
+
+    name: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyOutcome:
+    """What became of one keyed request.
+
+    Attributes:
+        key: Digest of the key and of what sets callers apart.
+        fingerprint: Digest of the request.
+        remaining_us: Time for which it must still be kept.
+        status: Status of the kept answer, 0 if there is none.
+        headers: Its header fields.
+        body: Its body.
+    """
+
+    key: str
+    fingerprint: bytes
+    remaining_us: int
+    status: int = 0
+    headers: tuple[AnswerField, ...] = ()
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OutcomePart:
+    """Answers :class:`OutcomeQuery`.
+
+    Attributes:
+        shard: The shard.
+        epoch: Epoch under which the sender served it last.
+        index: Number of the part.
+        last: Whether no part follows.
+        unknown_remaining_us: Time for which keys of an owner that was lost before may
+            still be repeated.
+        unknown_before: First fencing token after that loss.
+        outcomes: The outcomes.
+    """
+
+    shard: ShardId
+    epoch: int
+    index: int
+    last: bool
+    unknown_remaining_us: int = 0
+    unknown_before: int = 0
+    outcomes: tuple[KeyOutcome, ...] = ()
+
+
 ControlMessage = (
     Renew
     | RenewReply
@@ -206,4 +278,6 @@
     | LeaseLapsed
     | LeaseFenced
     | LogQuery
+    | OutcomeQuery
+    | OutcomePart
 )
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -4,6 +4,7 @@
 from papayatack.core.messages import LogQuery, Release, ReleaseQuery
 from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.rights import Origin
 from papayatack.core.ownership.state import ShardEntry
 from papayatack.core.ownership.succession import (
     Claim,
@@ -226,9 +227,36 @@
         position = entry.current.leases.index(holder.lease)
         token = make_token(entry.current.epoch, position)
         self._context.rights.acquire(
-            shard, holder, entry.current.epoch, token, now=self._now
+            shard,
+            holder,
+            entry.current.epoch,
+            token,
+            now=self._now,
+            origin=self._find_origin(shard, entry, holder),
         )
 
+    def _find_origin(
+        self, shard: ShardId, entry: ShardEntry, holder: Holder
+    ) -> Origin | None:
+        """Return who alone can have served a shard last, and has released it.
+
+        Anyone before in the chain has ended without knowing of its replacement, so
+        that who released it came after.
+        """
+        if len(entry.earlier) != 1 or entry.current.leases[0] != holder.lease:
+            return None
+        (chain,) = entry.earlier
+        released = self._released.get(shard, {})
+        for lease in chain.leases:
+            if lease in self._context.holders:
+                return None
+            if released.get(lease, 0) >= entry.current.epoch:
+                return Origin(incarnation=lease.incarnation, epoch=chain.epoch)
+            end = self.find_end(lease)
+            if end is None or end.confirmed_floor >= entry.current.since:
+                return None
+        return None
+
     def _send_queries(self, now: float) -> None:
         self._query_due_s = float("inf")
         wanted: dict[tuple[LeaseId, LeaseId], list[tuple[ShardId, int]]] = {}
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -2,17 +2,31 @@
 
 import dataclasses
 
-from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import Chain, OwnershipState
 from papayatack.core.ownership.succession import make_token
+from papayatack.core.shards import is_hot
 
-__all__ = ["Draining", "Return", "Right", "Rights"]
+__all__ = ["Draining", "Origin", "Return", "Right", "Rights"]
 
 RETURN_MEMORY_S = 600.0
 FIRST_TOKEN = make_token(1, 0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Origin:
+    """The node that alone served a shard until it released it.
+
+    Attributes:
+        incarnation: The node.
+        epoch: Epoch under which it must have served.
+    """
+
+    incarnation: IncarnationId
+    epoch: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Right:
     """Permission to serve one shard while the lease is live.
@@ -29,6 +43,7 @@
         is_first: No node had owned the shard before the tenure.
         parent_tenure: For a hot key, the tenure here of the parent from which it
             came; ``None`` if it came from elsewhere.
+        origin: Who released the shard to this node, if it was served by one node.
     """
 
     holder: Holder
@@ -40,6 +55,7 @@
     since_s: float = float("-inf")
     is_first: bool = False
     parent_tenure: int | None = None
+    origin: Origin | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +99,7 @@
         self.draining: dict[ShardId, Draining] = {}
         self._transferred: dict[ShardId, Right] = {}
         self._returns: dict[ShardId, Return] = {}
+        self.stopped: dict[ShardId, Right] = {}
         self._last_tenure = 0
         self._mixed: dict[ShardId, dict[ShardId, float]] = {}
 
@@ -131,6 +148,7 @@
         token: int,
         *,
         now: float,
+        origin: Origin | None = None,
     ) -> None:
         """Hold a right; the upstream is to be asked for a grant unless it has it."""
         self.draining.pop(shard, None)
@@ -138,7 +156,13 @@
         if right is None or right.holder is not holder:
             self.rights[shard] = self._make_right(
                 right or self._transferred.get(shard),
-                Right(holder=holder, epoch=epoch, wanted_token=token, since_s=now),
+                Right(
+                    holder=holder,
+                    epoch=epoch,
+                    wanted_token=token,
+                    since_s=now,
+                    origin=origin,
+                ),
             )
             return
         right.epoch = epoch
@@ -153,6 +177,7 @@
             right.since_s = last.since_s
             right.is_first = last.is_first
             right.parent_tenure = last.parent_tenure
+            right.origin = last.origin
         else:
             self._last_tenure += 1
             right.tenure = self._last_tenure
@@ -184,6 +209,22 @@
         self._last_tenure += 1
         self._returns[shard] = Return(at_s=now, right=right, tenure=self._last_tenure)
 
+    def find_released(self, shard: ShardId, now: float) -> Right | None:
+        """Return the last right of a shard that is not served here any more.
+
+        ``None`` if a key of its range has returned from its own shard a short while
+        ago: outcomes of that key may be elsewhere.
+        """
+        busy = shard in self.rights or shard in self.in_flight
+        prefix, _, _ = shard.rpartition("/")
+        returned = any(
+            other.startswith(f"{prefix}/") and now < note.at_s + RETURN_MEMORY_S
+            for other, note in self._returns.items()
+        )
+        if busy or returned or shard in self.draining:
+            return None
+        return self.stopped.get(shard)
+
     def find_return(self, shard: ShardId) -> Return | None:
         """Return what is noted of a hot key's return."""
         return self._returns.get(shard)
@@ -203,6 +244,8 @@
                 self._transferred.setdefault(shard, right)
             return right is not None
         last = self._transferred.pop(shard, None) or right
+        if last is not None and not is_hot(shard):
+            self.stopped[shard] = right or last
         if last is not None and shard not in self.draining:
             limit = self._find_limit(shard, last.epoch)
             self.draining[shard] = Draining(holder=last.holder, floor_limit=limit)
--- a/src/papayatack/core/ownership/tenures.py
+++ b/src/papayatack/core/ownership/tenures.py
@@ -4,7 +4,7 @@
 from papayatack.core.identity import ShardId
 from papayatack.core.ownership.rights import Return, Right, Rights
 
-__all__ = ["find_key_tenure"]
+__all__ = ["find_key_tenure", "make_tenure"]
 
 
 def find_key_tenure(
@@ -23,15 +23,17 @@
         return None
     earlier = None
     if (other := rights.rights.get(related)) is not None:
-        earlier = _make_tenure(related, other)
+        earlier = make_tenure(related, other)
     elif (returned := rights.find_return(related)) is not None:
         earlier = _make_past_tenure(related, returned)
     return KeyTenure(
-        current=_make_tenure(shard, right), related=related, earlier=earlier
+        current=make_tenure(shard, right), related=related, earlier=earlier
     )
 
 
-def _make_tenure(shard: ShardId, right: Right) -> Tenure:
+def make_tenure(shard: ShardId, right: Right) -> Tenure:
+    """Return the tenure to which a right belongs."""
+    origin = right.origin
     return Tenure(
         shard=shard,
         number=right.tenure,
@@ -39,12 +41,14 @@
         since_s=right.since_s,
         is_first=right.is_first,
         parent_number=right.parent_tenure,
+        predecessor=origin.incarnation if origin is not None else None,
+        predecessor_epoch=origin.epoch if origin is not None else 0,
     )
 
 
 def _make_past_tenure(shard: ShardId, returned: Return) -> Tenure:
     """Return a hot key's last tenure here, or one that stands for what is unknown."""
     if returned.right is not None:
-        return _make_tenure(shard, returned.right)
+        return make_tenure(shard, returned.right)
     number = returned.tenure
     return Tenure(shard=shard, number=number, token=-number, since_s=returned.at_s)
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -36,6 +36,8 @@
 LOGGER = logging.getLogger(__name__)
 
 FOLLOW_CONFIG_INTERVAL_S = 0.25
+HANDOVER_CHECK_S = 0.02
+HANDOVER_CHECKS = 100
 ENDPOINT_STOP_TIMEOUT_S = 1.0
 
 
@@ -131,6 +133,7 @@
         gate = AdmissionGate(admission=admission, metrics=self._metrics)
         engine = self._build_engine(control, gate)
         engine.upstream = pool
+        control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
         self._endpoint.parts = self._build_parts(announcement, control, admission)
@@ -147,6 +150,7 @@
             timeout_s = self._settings.limits.drain_timeout_s
             await callers.stop(timeout_s=timeout_s)
             gate.close()
+            await _wait_handed_over(control)
         log_event(LOGGER, Event.DAEMON_STOPPED, reason=ending.value)
         return ending
 
@@ -306,6 +310,15 @@
     return None
 
 
+async def _wait_handed_over(control: ControlNode) -> None:
+    """Stay until the outcomes of keyed requests are asked for, but not for long."""
+    loop = asyncio.get_running_loop()
+    for _ in range(HANDOVER_CHECKS):
+        if not control.outcomes.has_left(loop.time()):
+            return
+        await asyncio.sleep(HANDOVER_CHECK_S)
+
+
 async def _cancel(task: asyncio.Future[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -27,6 +27,7 @@
     HandoverWait,
     WaitState,
 )
+from papayatack.core.idempotency import OutcomeExchange
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.network.answers import OUTCOME_HEADER, build_error_response
@@ -86,6 +87,11 @@
         self._balance = NodeBalance()
         self._classifier = Classifier(configuration=Configuration())
 
+    @property
+    def outcomes(self) -> OutcomeExchange:
+        """Hands the outcomes of keyed requests over with their shards."""
+        return self._keyed.exchange
+
     @property
     def upstream(self) -> UpstreamPool | None:
         """Connections to the own upstream, once it has announced itself."""
--- a/src/papayatack/proxy/keyed.py
+++ b/src/papayatack/proxy/keyed.py
@@ -15,6 +15,7 @@
     Join,
     KeptAnswer,
     KeyMemory,
+    OutcomeExchange,
     Refuse,
     Replay,
     Run,
@@ -64,6 +65,9 @@
         ownership: Says in which tenure a key is owned.
         metrics: Counts the decisions.
         store: Keeps the outcomes.
+
+    Attributes:
+        exchange: Hands the outcomes of released shards over.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self._ownership = ownership
         self._metrics = metrics
         self._memory = KeyMemory(store=store or IdempotencyStore())
+        self.exchange = OutcomeExchange(memory=self._memory)
         self._joined: dict[int, asyncio.Future[_Answer | None]] = {}
 
     async def serve(
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -29,6 +29,16 @@
   1: string incarnation, 2: double busy,
   3: list<ShardLoad> shards, 4: list<ShardLoad> hot_keys, 5: bool leaving
 }
+struct OutcomeQuery { 1: string shard, 2: i64 epoch, 3: i64 index }
+struct AnswerField { 1: binary name, 2: binary value }
+struct KeyOutcome {
+  1: string key, 2: binary fingerprint, 3: i64 remaining_us,
+  4: i64 status, 5: list<AnswerField> headers, 6: binary body
+}
+struct OutcomePart {
+  1: string shard, 2: i64 epoch, 3: i64 index, 4: bool last,
+  5: i64 unknown_remaining_us, 6: i64 unknown_before, 7: list<KeyOutcome> outcomes
+}
 struct Control {
   1: string sender, 2: string recipient,
   10: optional Renew renew, 11: optional RenewReply renew_reply,
@@ -36,7 +46,8 @@
   14: optional Release release, 15: optional ReleaseQuery release_query,
   16: optional LogBatch log_batch, 17: optional LoadReport load_report,
   18: optional LeaseLapsed lease_lapsed, 19: optional LeaseFenced lease_fenced,
-  20: optional LogQuery log_query
+  20: optional LogQuery log_query, 21: optional OutcomeQuery outcome_query,
+  22: optional OutcomePart outcome_part
 }
 
 /* Data: one request is one stream on the connection of a pair of nodes. */
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from papayatack.core.errors import ErrorKind
+from papayatack.core.idempotency import KeptAnswer, Replay, Run
 from standins.logstore import Outage
 from tests.fakes.nodes import NodeFixture
 
@@ -101,6 +102,34 @@
 
         self.run_fleet(scenario)
 
+    def test_departure_hands_outcomes_over(self):
+        """Repeats of requests to a node that left are answered by the new owners."""
+
+        async def scenario(fixture):
+            memories = fixture.remember()
+            before = fixture.list_tenures(KEYS)
+            keys = [key for key, (address, _) in before.items() if address == "c"]
+            self.assertTrue(keys)
+            for key in keys:
+                self.assertIsInstance(fixture.begin(memories, key), Run)
+                fixture.complete(memories, key, KeptAnswer(status=201, body=b"x"))
+            node = fixture.network.nodes["c"]
+            node.start_departure()
+            async with asyncio.timeout(20):
+                self.assertTrue(await node.wait_finished())
+            now = asyncio.get_running_loop().time
+            async with asyncio.timeout(TARGET_S):
+                while node.outcomes.has_left(now()):
+                    await asyncio.sleep(0.01)
+            await fixture.kill("c")
+            await fixture.wait_served(KEYS, TARGET_S)
+            for key in keys:
+                decision = fixture.begin(memories, key)
+                self.assertIsInstance(decision, Replay)
+                self.assertEqual(decision.answer.status, 201)
+
+        self.run_fleet(scenario)
+
     def test_refused_grants_are_not_served(self):
         """No request goes to an upstream that did not accept the grant."""
 
--- a/tests/core/ownership/test_schedules.py
+++ b/tests/core/ownership/test_schedules.py
@@ -36,6 +36,16 @@
     st.tuples(st.just("return_key")),
     st.tuples(st.just("move_hot"), st.permutations(sorted(PLACES))),
 )
+_moves = st.one_of(
+    st.tuples(st.just("move"), st.just(0), st.permutations(sorted(PLACES))),
+    st.tuples(st.just("split")),
+    st.tuples(st.just("return_key")),
+    st.tuples(st.just("move_hot"), st.permutations(sorted(PLACES))),
+    st.tuples(st.just("kill"), st.sampled_from(sorted(PLACES))),
+    st.tuples(st.just("start"), st.sampled_from(sorted(PLACES))),
+)
+_move_pauses = st.sampled_from([0.01, 0.3, 1.0, 2.5])
+_move_schedules = st.lists(st.tuples(_moves, _move_pauses), min_size=10, max_size=40)
 _schedules = st.lists(st.tuples(_faults, _pauses), min_size=4, max_size=40)
 
 
@@ -226,7 +236,10 @@
         run.finish()
 
     @settings(max_examples=EXAMPLES, phases=[Phase.explicit, Phase.generate])
-    @given(schedule=_schedules, seed=st.integers(0, 99))
+    @given(
+        schedule=st.one_of(_schedules, _move_schedules, _move_schedules),
+        seed=st.integers(0, 99),
+    )
     def test_key_runs_at_most_once(self, schedule, seed):
         """No idempotency key runs twice, whoever owns the request's key when."""
         run = Schedule(seed=seed, checks_grants=True)
--- a/tests/fakes/keyed.py
+++ b/tests/fakes/keyed.py
@@ -5,19 +5,24 @@
 
 from returns.pipeline import is_successful
 
+from papayatack.control.outcomes import OutcomeCourier
 from papayatack.core.errors import Outcome
 from papayatack.core.idempotency import (
     IdempotencyStore,
     KeyMemory,
+    OutcomeExchange,
     Refuse,
     Run,
     format_token,
 )
+from papayatack.core.messages import OutcomePart
 from papayatack.core.ownership.tenures import find_key_tenure
 
 LONGEST_QUEUE_S = 0.4
+LONGEST_DELAY_S = 0.1
+LOST_SHARE = 0.1
 REPEAT_SHARE = 0.6
-RECENT_KEYS = 400
+RECENT_KEYS = 800
 
 
 class KeyedTraffic:
@@ -32,17 +37,56 @@
         self._related = {hot: parent, parent: hot}
         self._hot = hot
         self._memories = {}
+        self._couriers = {}
+        self.handed = 0
+        self.unknown_new = 0
+        self.lost_share = LOST_SHARE
         self._recent = collections.deque(maxlen=RECENT_KEYS)
         self._told = ""
         self._keys = 0
         self.runs = collections.Counter()
         self.decisions = collections.Counter()
 
+    def _find_memory(self, slot, core):
+        """Return a node's memory; it dies with its process."""
+        if core not in self._memories:
+            memory = self._memories[core] = KeyMemory(store=IdempotencyStore())
+            courier = OutcomeCourier(
+                rights=core.context.rights, send=functools.partial(self._send, core)
+            )
+            courier.exchange = OutcomeExchange(memory=memory)
+            self._couriers[core] = courier
+        return self._memories[core]
+
+    def _send(self, core, recipient, message):
+        """Deliver an outcome message unless it is lost, maybe late or twice."""
+        fleet = self._fleet
+        if fleet.random.random() < self.lost_share:
+            return
+        for _ in range(fleet.random.choice([1, 1, 2])):
+            delay_s = fleet.random.random() * LONGEST_DELAY_S
+            fleet._at(
+                delay_s, functools.partial(self._deliver, core.me, recipient, message)
+            )
+
+    def _deliver(self, sender, recipient, message):
+        fleet = self._fleet
+        for slot in fleet.slots.values():
+            core = slot.core
+            if core is None or core.me != recipient or slot.frozen:
+                continue
+            self._find_memory(slot, core)
+            now = slot.read_clock(fleet.now)
+            self.handed += isinstance(message, OutcomePart) and message.last
+            self._couriers[core].take(message, sender, now)
+
     def request(self, slot, core):
         """Send one request to a node, which may not own the key."""
         random = self._fleet.random
+        self._find_memory(slot, core)
+        self._couriers[core].ask(slot.read_clock(self._fleet.now))
         if self._recent and random.random() < REPEAT_SHARE:
-            key, stated = random.choice(list(self._recent))
+            key, stated = random.choice(self._recent)
         else:
             self._keys += 1
             key, stated = f"key-{self._keys}", self._told
@@ -51,13 +95,12 @@
         if owned is None:
             return
         now = slot.read_clock(self._fleet.now)
-        memory = self._memories.get(core)
-        if memory is None:
-            memory = self._memories[core] = KeyMemory(store=IdempotencyStore())
+        memory = self._find_memory(slot, core)
         home, decision = memory.begin(now, owned, key, b"f", stated=stated)
         self.decisions[type(decision).__name__] += 1
         if isinstance(decision, Refuse) and decision.token is not None:
             self._told = format_token(home, decision.token)
+            self.unknown_new += 1
         if isinstance(decision, Run):
             run = functools.partial(
                 self._run, slot, core, home, key, owned.current.number
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -6,7 +6,12 @@
 from returns.result import Failure, Success
 
 from papayatack.control import ControlNode
-from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.errors import ErrorKind, Outcome, Refusal
+from papayatack.core.idempotency import (
+    IdempotencyStore,
+    KeyMemory,
+    OutcomeExchange,
+)
 from papayatack.core.placement import plan
 from papayatack.core.records import CONFIG_STREAM, Announce, Publish
 from papayatack.observability.metrics import Metrics
@@ -195,6 +200,33 @@
             found[key] = address, owned.current
         return found
 
+    def remember(self):
+        """Give each node a memory of keyed requests."""
+        memories = {}
+        for address, node in self.network.nodes.items():
+            memories[address] = KeyMemory(store=IdempotencyStore())
+            node.outcomes.exchange = OutcomeExchange(memory=memories[address])
+        return memories
+
+    def begin(self, memories, key):
+        """Send a keyed request to the only server of a key."""
+        (address,) = self.list_servers(key)
+        owned = self.network.nodes[address].ownership.find_tenure("orders", key)
+        now = asyncio.get_running_loop().time()
+        return memories[address].begin(now, owned, key, b"f")[1]
+
+    def complete(self, memories, key, answer):
+        """End the run of a key with an answer."""
+        (address,) = self.list_servers(key)
+        owned = self.network.nodes[address].ownership.find_tenure("orders", key)
+        memories[address].complete(
+            asyncio.get_running_loop().time(),
+            owned.current.shard,
+            key,
+            outcome=Outcome.ANSWERED,
+            answer=answer,
+        )
+
     async def wait_served(self, keys, limit_s):
         """Wait until one node serves each key; return how long that took."""
         loop = asyncio.get_running_loop()
