Let the large bodies of the peer bench come in chunks

Cause: the answering node built each body of 4 MiB at once, and the bench measured that stall instead of the link. An upstream's body comes in chunks.

--- a/bench/peerlink.py
+++ b/bench/peerlink.py
@@ -21,7 +21,6 @@
 from bench.load import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS, US_PER_S, Pipe
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.inventory import RequestClass
-from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.limits import PeerLimits
 from papayatack.network.pauses import shorten_collector_pauses
@@ -29,6 +28,7 @@
 from papayatack.observability.metrics import Metrics
 
 SMALL_BYTES = 200
+_CHUNK = b"x" * (16 * 1024)
 LARGE_BYTES = 4 * 1024 * 1024
 DEADLINE_S = 60.0
 IN_TURNS = PeerLimits()
@@ -65,9 +65,29 @@
     )
 
 
+class _ChunkBody:
+    """A body that comes in chunks, as from an upstream."""
+
+    ready = True
+
+    def __init__(self, *, size: int) -> None:
+        self._left = size
+
+    async def read(self) -> bytes:
+        """Return the next chunk, after a turn of the event loop."""
+        await asyncio.sleep(0)
+        size = min(self._left, len(_CHUNK))
+        self._left -= size
+        return _CHUNK[:size]
+
+    def close(self) -> None:
+        """Give up the rest."""
+        self._left = 0
+
+
 async def _answer(peer_request: PeerRequest):  # noqa: ANN202
     size = int(peer_request.request.target)
-    body = BytesBody(data=b"x" * size)
+    body = _ChunkBody(size=size)
     return Success(Response(status=200, body=body))
 
 
