--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -53,7 +53,7 @@
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
-        self._planned_at = -1
+        self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -75,7 +75,8 @@
         """Plan if it is this node's turn and something may have changed."""
         if self.find_planner() != self._core.me or not self._core.caught_up:
             return
-        position = self._core.state.position
+        version = self._read_configuration().version
+        position = (self._core.state.position, version)
         idle = position == self._planned_at
         if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
             return
@@ -118,14 +119,19 @@
         )
 
     def _choose_lease(self, member: Member, now: float) -> LeaseId | None:
-        """Return the lease to plan with: a new one only after it can have come up."""
+        """Return the lease to plan with: a new one only after it can have come up.
+
+        A node that has put its newest lease into a chain is up under it, and its
+        older one is about to end.
+        """
         state = self._core.state
         newest = state.find_lease(member.incarnation)
         if newest is None:
             return None
         since_s = self._seen_s.setdefault(newest, now)
         older = LeaseId(member.incarnation, newest.term - 1)
-        if now - since_s < NEW_LEASE_S and state.is_live(older):
+        in_use = newest in state.references
+        if not in_use and now - since_s < NEW_LEASE_S and state.is_live(older):
             return older
         return newest
 
--- a/src/papayatack/core/placement/fleet.py
+++ b/src/papayatack/core/placement/fleet.py
@@ -62,7 +62,7 @@
         self.by_place: dict[str, list[Member]] = defaultdict(list)
         self._places_of_region: dict[str, list[str]] = defaultdict(list)
         self._candidates: dict[tuple[str, frozenset[str]], Sequence[Member]] = {}
-        self._backups: dict[tuple[LeaseId, LeaseId], float] = defaultdict(float)
+        self._backups: dict[tuple[IncarnationId, IncarnationId], float] = {}
         self._preferred = {
             f"{rule.service}/{rule.key_range}": rule.place
             for rule in configuration.localities
@@ -89,6 +89,11 @@
         if node.data_centre not in self._places_of_region[node.region]:
             self._places_of_region[node.region].append(node.data_centre)
 
+    @property
+    def has_localities(self) -> bool:
+        """Whether a locality rule speaks of this service."""
+        return bool(self._preferred)
+
     @property
     def capacity(self) -> float:
         """Slots of all members."""
@@ -107,8 +112,7 @@
         if owner is not None:
             owner.load += load
             owner.shards[shard] = load
-        if len(chain) > 1:
-            self._backups[chain[0], chain[1]] += load
+        self._count_backup(chain, load)
 
     def take(self, shard: ShardId, load: float, chain: Sequence[LeaseId]) -> None:
         """Count a shard under its chain no more."""
@@ -117,8 +121,28 @@
         owner = self.members.get(chain[0].incarnation)
         if owner is not None and owner.shards.pop(shard, None) is not None:
             owner.load -= load
+        self._count_backup(chain, -load)
+
+    def _count_backup(self, chain: Sequence[LeaseId], load: float) -> None:
         if len(chain) > 1:
-            self._backups[chain[0], chain[1]] -= load
+            pair = chain[0].incarnation, chain[1].incarnation
+            self._backups[pair] = self._backups.get(pair, 0.0) + load
+
+    def is_sound(self, chain: Sequence[LeaseId]) -> bool:
+        """Return whether a chain holds, and has all data centres that it could have.
+
+        All its holders are usable under just these leases.
+        """
+        members = self.members
+        places = set()
+        for lease in chain:
+            member = members.get(lease.incarnation)
+            if member is None or member.lease.term != lease.term:
+                return False
+            places.add(member.data_centre)
+        most_places = min(self.chain_length, len(self.by_place))
+        most_holders = min(self.chain_length, len(members))
+        return len(places) >= most_places and len(chain) >= most_holders
 
     def keep_usable(self, chain: Sequence[LeaseId]) -> list[Member]:
         """Return the usable holders of a chain, under the leases they have now."""
@@ -185,13 +209,6 @@
             places.add(successor.data_centre)
         return tuple(member.lease for member in chain)
 
-    def is_spread(self, chain: Sequence[Member]) -> bool:
-        """Return whether a chain has all data centres that it could have."""
-        wanted = min(self.chain_length, len(self.by_place))
-        length = min(self.chain_length, len(self.members))
-        places = {member.data_centre for member in chain}
-        return len(places) >= wanted and len(chain) >= length
-
     def _find_successor(
         self,
         shard: ShardId,
@@ -201,6 +218,7 @@
         spare: list[Member],
     ) -> Member | None:
         owner = chain[0]
+        lost = owner.lease.incarnation
         candidates = self._list_candidates(owner.region, places)
         if not candidates:
             if spare:
@@ -211,7 +229,7 @@
             sample,
             key=lambda member: (
                 (
-                    self._backups.get((owner.lease, member.lease), 0.0)
+                    self._backups.get((lost, member.lease.incarnation), 0.0)
                     + member.load
                     + load
                 )
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -60,19 +60,14 @@
 def _find_fault(draft: Draft, shard: ShardId) -> _Urgency | None:
     chain = draft.chains[shard]
     fleet = draft.find_fleet(shard)
-    if not fleet.members:
+    if not fleet.members or (chain and fleet.is_sound(chain)):
         return None
     kept = fleet.keep_usable(chain)
     if not kept:
         return _Urgency.NO_HOLDER
     if kept[0].lease != chain[0]:
         return _Urgency.OWNER_LOST
-    if draft.find_state(shard).moving:
-        return None
-    sound = len(kept) == len(chain) and all(
-        member.lease == lease for member, lease in zip(kept, chain, strict=True)
-    )
-    return None if sound and fleet.is_spread(kept) else _Urgency.SUCCESSORS
+    return None if draft.find_state(shard).moving else _Urgency.SUCCESSORS
 
 
 def _repair(draft: Draft, shard: ShardId) -> None:
--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -18,6 +18,7 @@
     "HOT_MARK",
     "find_parent",
     "format_hot_shard",
+    "is_hot",
     "list_shards",
     "locate_shard",
 ]
@@ -70,13 +71,15 @@
         cached = _remember_index(configuration)
     index = cached[1].get(service)
     if index is None:
-        return _refuse(ErrorKind.NO_SUCH_SERVICE, service)
+        return _refuse(
+            ErrorKind.NO_SUCH_SERVICE, f"no service with keys is named {service!r}"
+        )
     position = bisect.bisect_right(index.lows, key) - 1
     if position < 0:
-        return _refuse(ErrorKind.KEY_OUT_OF_RANGE, key)
+        return _refuse_key(service, key)
     found = index.ranges[position]
     if found.retired or (found.high is not None and key >= found.high):
-        return _refuse(ErrorKind.KEY_OUT_OF_RANGE, key)
+        return _refuse_key(service, key)
     if hot_shards:
         hot = ShardId(found.hot_prefix + key)
         if hot in hot_shards:
@@ -103,6 +106,11 @@
     return ShardId(f"{service}/{key_range}/{HOT_MARK}{key}")
 
 
+def is_hot(shard: ShardId) -> bool:
+    """Return whether a shard holds a single hot key."""
+    return f"/{HOT_MARK}" in shard
+
+
 def list_shards(
     configuration: Configuration, hot_shards: Iterable[ShardId] = ()
 ) -> tuple[ShardId, ...]:
@@ -122,6 +130,12 @@
     return tuple(shards)
 
 
+def _refuse_key(service: str, key: str) -> Result[ShardId, Refusal]:
+    return _refuse(
+        ErrorKind.KEY_OUT_OF_RANGE, f"no range of {service} holds the key {key!r}"
+    )
+
+
 def _refuse(kind: ErrorKind, detail: str) -> Result[ShardId, Refusal]:
     return Failure(Refusal(kind=kind, detail=detail[:200]))
 
