--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -85,6 +85,7 @@
 TICK_S = 0.05
 CHECK_TAIL_S = 0.5
 IDLE_CHECKS = 60
+CHECKS_PER_ROLE = 10
 MAX_INBOX = 10_000
 MAX_APPENDS = 32
 APPEND_DEADLINE_S = 5.0
@@ -166,6 +167,7 @@
         }
         self._behind = dict.fromkeys(positions, 0)
         self._is_tailer = True
+        self._checks = 0
         self._recent = {
             stream: RecentRecords(stream=stream, first=first)
             for stream, first in positions.items()
@@ -268,10 +270,12 @@
 
     def _note_behind(self) -> None:
         """Count for how many checks the node has lacked records that others have."""
-        self._is_tailer = (
-            is_tailer(self.core.state, self.core.me)
-            or self._planner.find_planner() == self.core.me
-        )
+        self._checks += 1
+        if self._checks % CHECKS_PER_ROLE == 0:
+            self._is_tailer = (
+                is_tailer(self.core.state, self.core.me)
+                or self._planner.find_planner() == self.core.me
+            )
         for stream, heard in self.core.heard_positions.items():
             behind = heard > self._recent[stream].end
             self._behind[stream] = self._behind[stream] + 1 if behind else 0
--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -28,6 +28,7 @@
 __all__ = ["Admission"]
 
 CHECK_INTERVAL_S = 0.25
+IMPROVE_INTERVAL_S = 5.0
 MAX_ASSIGNMENTS = 128
 
 
@@ -75,6 +76,10 @@
             return
         holder = self._context.find_newest_holder()
         silent = self._list_silent(holder, now)
+        if self._is_sound(holder, silent) and not self._context.is_due(
+            "improve witnesses", now, IMPROVE_INTERVAL_S
+        ):
+            return
         chosen = choose_witnesses(self._context.state, member, avoid=silent)
         if holder is None and not member.term:
             settled = now - (self._announced_s or now) >= ADMISSION_SETTLE_S
@@ -92,6 +97,13 @@
             )
             self._context.append(record)
 
+    def _is_sound(self, holder: Holder | None, silent: set[IncarnationId]) -> bool:
+        """Tell whether the lease needs no other witnesses soon."""
+        if holder is None or holder.ended or silent or holder.fenced_by:
+            return False
+        members = (self._context.state.members.get(name) for name in holder.witnesses)
+        return all(member is not None and member.ended is None for member in members)
+
     def _list_silent(self, holder: Holder | None, now: float) -> set[IncarnationId]:
         if holder is None:
             return set()
--- a/src/papayatack/core/ownership/timing.py
+++ b/src/papayatack/core/ownership/timing.py
@@ -22,7 +22,7 @@
 ]
 
 LEASE_DURATION_S = 1.0
-RENEW_INTERVAL_S = 0.25
+RENEW_INTERVAL_S = 0.4
 CLOCK_RATE_BOUND = 0.02
 """Largest relative difference of the rates of two nodes' clocks."""
 
@@ -32,12 +32,12 @@
 
 QUERY_INTERVAL_S = 0.25
 LAPSE_REPEAT_S = (0.1, 0.2, 0.4, 0.8, 1.6, 5.0)
-SILENT_ROUNDS = 12
-SILENT_ROUNDS_URGENT = 4
+SILENT_ROUNDS = 8
+SILENT_ROUNDS_URGENT = 3
 """Unanswered renewals after which a witness is replaced, while the lease is live and
 after it has run out."""
 
-SILENT_ROUNDS_END = 5
+SILENT_ROUNDS_END = 3
 """Renewals unanswered by too many witnesses after which a holder, which can neither
 serve nor be fenced, ends its lease itself."""
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -147,6 +147,7 @@
         self.violations = []
         self.planners_everywhere = False
         self.plans = True
+        self.plan_limit = 50
         self._queue = []
         self._order = itertools.count()
 
@@ -436,8 +437,8 @@
             return
         if not self.log or core.me not in core.state.members:
             return
-        repairs = plan_repairs(core.state, limit=50)
-        first = plan_first_chains(core.state, self.shards, limit=50)
+        repairs = plan_repairs(core.state, limit=self.plan_limit)
+        first = plan_first_chains(core.state, self.shards, limit=self.plan_limit)
         if repairs or first:
             record = Assign(
                 record_id=core.context.make_record_id(),
