--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -128,7 +128,7 @@
         retention_s: float | None = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
-        self._metrics = metrics
+        self.metrics = metrics
         self._sender = sender
         self._config = config or ConfigFold()
         self.core = NodeCore(
@@ -191,7 +191,7 @@
         self, log: LogService, retention_s: float, random: random.Random, now: float
     ) -> None:
         config_appender = Appender(
-            log=log, stream=CONFIG_STREAM, metrics=self._metrics, random=random
+            log=log, stream=CONFIG_STREAM, metrics=self.metrics, random=random
         )
         sources = {
             CONFIG_STREAM: (config_appender, self._dump_config),
@@ -205,7 +205,7 @@
                 appender=appender,
                 take_snapshot=take_snapshot,
                 is_available=functools.partial(_is_available, self._tailers[stream]),
-                metrics=self._metrics,
+                metrics=self.metrics,
                 now=now,
             )
 
@@ -285,12 +285,12 @@
     ) -> None:
         """Queue a control message of another node; never blocks."""
         if recipient != self.core.me:
-            self._metrics.count("control_messages_dropped", "other-incarnation")
+            self.metrics.count("control_messages_dropped", "other-incarnation")
             return
         try:
             self._inbox.put_nowait((sender, message))
         except asyncio.QueueFull:
-            self._metrics.count("control_messages_dropped", "inbox-full")
+            self.metrics.count("control_messages_dropped", "inbox-full")
 
     def start_departure(self) -> None:
         """Begin a planned stop: hand the shards on, then end the leases."""
@@ -346,7 +346,7 @@
     @_take.register
     def _(self, item: RecordsExpired) -> None:
         if self._recent[item.stream].end < item.first:
-            self._metrics.count("log_gaps", item.stream)
+            self.metrics.count("log_gaps", item.stream)
             self._perform(FinishNode(resigned=False))
 
     @functools.singledispatchmethod
@@ -383,7 +383,7 @@
                     offset, record, now=self._read_clock()
                 )
                 if not change.effective:
-                    self._metrics.count("ownership_records_void", change.reason)
+                    self.metrics.count("ownership_records_void", change.reason)
                 self._carry_out(effects)
         self._tailers[stream].skip_to(recent.end)
         if stream == OWNERSHIP_STREAM:
@@ -394,7 +394,7 @@
         try:
             self._appends.put_nowait(record)
         except asyncio.QueueFull:
-            self._metrics.count("ownership_appends_dropped", type(record).__name__)
+            self.metrics.count("ownership_appends_dropped", type(record).__name__)
 
     async def _append_records(self) -> None:
         while True:
@@ -432,7 +432,7 @@
     @_confirm_effect.register
     def _(self, effect: GrantShards, done: bool, now: float) -> None:
         if not done:
-            self._metrics.count("grants_refused")
+            self.metrics.count("grants_refused")
         tokens = dict(effect.tokens)
         self._carry_out(
             self.core.confirm_grant(effect.lease, tokens, done=done, now=now)
@@ -476,7 +476,7 @@
     @_perform.register
     def _(self, effect: NoteEvent) -> None:
         event = Event[effect.name]
-        self._metrics.count(event.name.lower(), effect.reason)
+        self.metrics.count(event.name.lower(), effect.reason)
         log_event(LOGGER, event, reason=effect.reason, subject=effect.subject)
 
     @_perform.register
@@ -487,7 +487,7 @@
     def _send(self, recipient: IncarnationId, message: ControlMessage) -> None:
         member = self.core.state.members.get(recipient)
         if member is None:
-            self._metrics.count("control_messages_dropped", "unknown-recipient")
+            self.metrics.count("control_messages_dropped", "unknown-recipient")
             return
         self._sender.send(member.address, recipient, message)
 
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -1,18 +1,25 @@
 """Tests of papayatack.control.node."""
 
 import asyncio
+import random
 import unittest
+from unittest import mock
 
 import looptime
 from returns.result import Success
 
+from papayatack.control import load_streams
 from papayatack.core.errors import ErrorKind
-from standins.logstore import Outage
-from tests.fakes.nodes import NodeFixture
+from papayatack.core.ownership import dump_state, selection
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.observability.metrics import Metrics
+from standins.logstore import InProcessLog, Outage
+from tests.fakes.nodes import INVENTORY, NodeFixture
 
 KEYS = [f"key-{number}" for number in range(40)]
 PLACES = {"a": "east", "b": "west", "c": "south", "d": "east"}
 TARGET_S = 2.0
+CONFIG_TARGET_S = 4.0
 
 
 class ControlNodeTests(unittest.TestCase):
@@ -92,6 +99,64 @@
 
         self.run_fleet(scenario)
 
+    def test_few_nodes_tail(self):
+        """A change reaches a node that does not follow the log itself."""
+
+        async def scenario(fixture):
+            with (
+                mock.patch.object(selection, "ALL_TAIL_MEMBERS", 1),
+                mock.patch.object(selection, "TAILERS_PER_DATA_CENTRE", 0),
+            ):
+                await asyncio.sleep(40)
+                nodes = fixture.network.nodes.values()
+                tailing = [node for node in nodes if node._is_tailer]
+                self.assertEqual(len(tailing), 1)
+                changed = INVENTORY.replace("slots = 4", "slots = 5")
+                fixture.publish(changed, base_version=1, record_id="p2")
+                await asyncio.sleep(CONFIG_TARGET_S)
+                for node in nodes:
+                    self.assertEqual(node.config.version, 2)
+
+        self.run_fleet(scenario)
+
+    def test_garbage_in_the_log(self):
+        """Every node counts and skips the same payloads, and goes on."""
+
+        async def scenario(fixture):
+            good = fixture.store.get_stream(OWNERSHIP_STREAM).records[0][1]
+            for payload in (b"", b"\xff" * 10, good[:-5], b"{}", good):
+                fixture.store.append(OWNERSHIP_STREAM, payload)
+            await asyncio.sleep(1)
+            await fixture.kill("a")
+            await fixture.wait_served(KEYS, TARGET_S)
+            await asyncio.sleep(5)
+            nodes = fixture.network.nodes.values()
+            dumps = {dump_state(node.core.state) for node in nodes}
+            self.assertEqual(len(dumps), 1)
+            for node in nodes:
+                count = node.metrics.read_count("log_records_skipped", "malformed")
+                self.assertGreaterEqual(count, 3)
+
+        self.run_fleet(scenario)
+
+    def test_start_from_the_log(self):
+        """A newcomer loads the state that the others hold."""
+
+        async def scenario(fixture):
+            deadline_s = asyncio.get_running_loop().time() + 10
+            result = await load_streams(
+                log=InProcessLog(store=fixture.store),
+                metrics=Metrics(),
+                random=random.Random(1),
+                deadline_s=deadline_s,
+            )
+            state, config = result.unwrap()
+            node = fixture.network.nodes["a"]
+            self.assertEqual(dump_state(state), dump_state(node.core.state))
+            self.assertEqual(config.dump(), node.config.dump())
+
+        self.run_fleet(scenario)
+
     def test_unknown_service(self):
         """A service that is not published has no route."""
 
