--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -8,11 +8,14 @@
 from papayatack.core.placement.draft import Draft
 from papayatack.core.placement.hot_keys import return_cool_keys, split_hot_keys
 from papayatack.core.placement.limits import PlacementLimits
+from papayatack.core.placement.loads import keep_plausible
 from papayatack.core.placement.repair import release_retired, repair_chains
 from papayatack.core.placement.view import PlacementView, Plan
 
 __all__ = ["plan"]
 
+HOUR_S = 3_600.0
+
 _DEFAULT_LIMITS = PlacementLimits()
 
 
@@ -26,7 +29,7 @@
         view: The fleet as folded from the log, and the newest load reports.
         limits: What one plan may change; fewer ``moves`` bound the churn.
     """
-    draft = Draft(view=view, limits=limits)
+    draft = Draft(view=keep_plausible(view), limits=limits)
     repair_chains(draft)
     split_hot_keys(draft)
     return_cool_keys(draft)
@@ -36,8 +39,22 @@
 
 
 def _spread_load(draft: Draft) -> None:
-    moving = sum(state.moving for state in draft.view.shards.values())
-    budget = MoveBudget(left=draft.limits.moves - moving)
+    budget = MoveBudget(left=_count_moves_left(draft))
     for fleet in draft.fleets.values():
         restore_locality(draft, fleet, budget)
         balance_load(draft, fleet, budget)
+
+
+def _count_moves_left(draft: Draft) -> int:
+    """Return how many moves for load are permitted now.
+
+    Loads that are reported wrongly, or swing faster than moves can follow, would keep
+    shards moving for ever; so much movement within an hour throttles it.
+    """
+    limits = draft.limits
+    states = draft.view.shards.values()
+    moved = sum(state.age_s < HOUR_S for state in states)
+    if moved < limits.hourly_share * len(draft.shards):
+        return limits.moves - sum(state.moving for state in states)
+    recent = sum(state.moving or state.age_s < limits.settle_s for state in states)
+    return limits.throttled_moves - recent
