Start from the log's checkpoints, end when a task fails, test a whole node

Change: the daemon loads both streams by checkpoint, tries again while it cannot, keeps checkpoints, asks its upstream's health, exempts what it built at the start from garbage collection, and ends with status 1 and event 105 when one of its tasks ends.

--- a/src/papayatack/daemon/main.py
+++ b/src/papayatack/daemon/main.py
@@ -10,6 +10,7 @@
 from papayatack.daemon.logs import configure_logging
 from papayatack.daemon.node import Ending, Node
 from papayatack.daemon.settings import Settings, read_settings
+from papayatack.network.pauses import shorten_collector_pauses
 
 __all__ = ["main"]
 
@@ -22,6 +23,7 @@
 EXITS = {
     Ending.DRAINED: EXIT_OK,
     Ending.DRAIN_TIMEOUT: EXIT_FAILURE,
+    Ending.FAILED: EXIT_FAILURE,
     Ending.SUPERSEDED: EXIT_START_AGAIN,
     Ending.UPSTREAM_RESTARTED: EXIT_START_AGAIN,
 }
@@ -44,6 +46,7 @@
     except SettingsError as error:
         return _reject(str(error))
     configure_logging(settings.logging.level)
+    shorten_collector_pauses()
     return asyncio.run(_run_node(settings))
 
 
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -7,15 +7,21 @@
 import random
 import uuid
 
+from returns.result import Failure, Success
+
+from papayatack.control.loading import load_streams
 from papayatack.control.node import ControlNode
 from papayatack.core.admission import Admission, Limits
+from papayatack.core.config_fold import ConfigFold
 from papayatack.core.handover import HandoverWait
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.inventory import Configuration, Service
+from papayatack.core.ownership import OwnershipState
 from papayatack.core.placement import plan
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM, Announce
 from papayatack.core.retry import RetryPolicy
 from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
+from papayatack.daemon.health import follow_health
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
 from papayatack.daemon.publication import Publisher
 from papayatack.daemon.settings import LimitSettings, Settings
@@ -37,6 +43,8 @@
 
 FOLLOW_CONFIG_INTERVAL_S = 0.25
 ENDPOINT_STOP_TIMEOUT_S = 1.0
+LOAD_ATTEMPT_S = 30.0
+LOAD_PAUSE_S = 1.0
 
 
 class Ending(enum.Enum):
@@ -44,6 +52,7 @@
 
     DRAINED = "drained"
     DRAIN_TIMEOUT = "drain-timeout"
+    FAILED = "failed"
     SUPERSEDED = "superseded"
     UPSTREAM_RESTARTED = "upstream-restarted"
 
@@ -119,11 +128,37 @@
         )
         return await self._serve(upstream)
 
+    async def _load(self) -> tuple[OwnershipState, ConfigFold] | None:
+        """Load both streams' state; ``None`` if a drain is wanted before.
+
+        A node that cannot load them does not serve; it says why and tries again.
+        """
+        loop = asyncio.get_running_loop()
+        while not self._drain_wanted.is_set():
+            loaded = await load_streams(
+                log=self._log,
+                metrics=self._metrics,
+                random=self._random,
+                deadline_s=loop.time() + LOAD_ATTEMPT_S,
+            )
+            match loaded:
+                case Success(states):
+                    return states
+                case Failure(failure):
+                    self._metrics.count("bootstrap_failures", failure.kind.value)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOAD_PAUSE_S):
+                    await self._drain_wanted.wait()
+        return None
+
     async def _serve(self, upstream: AnnouncedUpstream) -> Ending:
         """Take part in ownership and serve callers until the end."""
+        states = await self._load()
+        if states is None:
+            return Ending.DRAINED
         announcement = self._build_announcement(upstream)
         pool = self._build_pool(upstream)
-        control = self._build_control(announcement, pool)
+        control = self._build_control(announcement, pool, *states)
         admission = Admission(
             now=asyncio.get_running_loop().time(),
             limits=Limits(slots=upstream.slots, connections=upstream.connections),
@@ -138,26 +173,41 @@
             self._settings.listen.callers, engine.handle, self._settings.limits
         )
         async with contextlib.AsyncExitStack() as stack:
-            for work in (control.run(), self._follow_config(control, gate, upstream)):
-                task = asyncio.ensure_future(work)
+            works = (
+                control.run(),
+                self._follow_config(control, gate, upstream),
+                follow_health(GrantClient(pool=pool), gate),
+            )
+            tasks = [asyncio.ensure_future(work) for work in works]
+            for task in tasks:
                 stack.push_async_callback(_cancel, task)
             await callers.start()
             self._note_started(callers.port)
-            ending = await self._wait_ending(control)
+            ending = await self._wait_ending(control, tasks)
             timeout_s = self._settings.limits.drain_timeout_s
             await callers.stop(timeout_s=timeout_s)
             gate.close()
         log_event(LOGGER, Event.DAEMON_STOPPED, reason=ending.value)
         return ending
 
-    async def _wait_ending(self, control: ControlNode) -> Ending:
-        """Wait for the reason to end, and hand the shards on if there is time."""
+    async def _wait_ending(
+        self, control: ControlNode, tasks: list[asyncio.Future[None]]
+    ) -> Ending:
+        """Wait for the reason to end, and hand the shards on if there is time.
+
+        The tasks run for ever; one that ended has failed, and a node without it must
+        not stay.
+        """
         finished = asyncio.ensure_future(control.wait_finished())
         draining = asyncio.ensure_future(self._drain_wanted.wait())
         restarted = asyncio.ensure_future(self._desk.wait_changed())
         waiting = (finished, draining, restarted)
         try:
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait((*waiting, *tasks), return_when=asyncio.FIRST_COMPLETED)
+            for task in tasks:
+                if task.done():
+                    self._note_failed(task)
+                    return Ending.FAILED
             if finished.done():
                 return Ending.SUPERSEDED
             ending = Ending.DRAINED if draining.done() else Ending.UPSTREAM_RESTARTED
@@ -206,8 +256,17 @@
             limits=UpstreamLimits(connections=upstream.connections),
         )
 
-    def _build_control(self, announcement: Announce, pool: UpstreamPool) -> ControlNode:
+    def _build_control(
+        self,
+        announcement: Announce,
+        pool: UpstreamPool,
+        state: OwnershipState,
+        config: ConfigFold,
+    ) -> ControlNode:
         return ControlNode(
+            state=state,
+            config=config,
+            retention_s=self._settings.log.retention_s,
             announcement=announcement,
             log=self._log,
             sender=self._peers,
@@ -261,6 +320,15 @@
             limits=_build_limits(limits) if limits else None,
         )
 
+    def _note_failed(self, task: asyncio.Future[None]) -> None:
+        log_event(
+            LOGGER,
+            Event.DAEMON_FAILED,
+            level=logging.ERROR,
+            error=repr(task.exception()),
+            exc_info=task.exception(),
+        )
+
     def _note_started(self, callers_port: int) -> None:
         host, _ = _split(self._settings.listen.callers)
         log_event(
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -56,14 +56,20 @@
     hypothesis.settings.load_profile("ci")
 
 
+def load_tests(loader, name):
+    """Return the tests of a package, module, class or method."""
+    folder = ROOT / name.replace(".", "/")
+    if folder.is_dir():
+        return loader.discover(str(folder), top_level_dir=str(ROOT))
+    return loader.loadTestsFromName(name)
+
+
 def run_tests(names):
     """Run the named tests, or all, and return the process's exit status."""
     configure_hypothesis()
     loader = unittest.TestLoader()
-    if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    suites = [load_tests(loader, name) for name in names or ["tests"]]
+    suite = unittest.TestSuite(suites)
     runner = unittest.TextTestRunner(resultclass=_TimingResult, verbosity=1)
     result = runner.run(suite)
     return report(result)
