Choose nodes of services without keys by latency and health

Cause: the request path counted only its own requests in flight, beside the core's balancer and health tracker that weigh latency, trouble and place. Routes now say whether their node is near. A request without key never carries a shard.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -79,7 +79,12 @@
         ]
         members.sort(key=lambda member: _rate_distance(member, own))
         return tuple(
-            _make_route(ShardId(""), member, local=member.incarnation == self._core.me)
+            _make_route(
+                ShardId(""),
+                member,
+                local=member.incarnation == self._core.me,
+                near=own is None or member.data_centre == own.data_centre,
+            )
             for member in members
         )
 
@@ -111,12 +116,15 @@
         self._carry_out(self._core.finish(shard, now=now))
 
 
-def _make_route(shard: ShardId, member: Member, *, local: bool) -> Route:
+def _make_route(
+    shard: ShardId, member: Member, *, local: bool, near: bool = True
+) -> Route:
     return Route(
         shard=shard,
         local=local,
         incarnation=member.incarnation,
         address=member.address,
+        near=near,
     )
 
 
--- a/src/papayatack/proxy/balance.py
+++ b/src/papayatack/proxy/balance.py
@@ -1,50 +1,131 @@
-"""Choice among the nodes of a service without keys."""
+"""Choice among the nodes of services without keys, by what this node measures."""
 
-import collections
+import dataclasses
+import random
+from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
+from papayatack.core.balance import Balancer
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.health import Attempt, HealthTracker
 from papayatack.core.identity import IncarnationId
+from papayatack.network.exchanges import PeerRequest
 from papayatack.proxy.interface import Route
 
-__all__ = ["NodeBalance"]
+__all__ = ["NodeBalance", "NodeUse"]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ServiceNodes:
+    """The nodes of one service and what was measured of them."""
+
+    balancer: Balancer[IncarnationId]
+    health: HealthTracker[IncarnationId]
+    routes: tuple[Route, ...] = ()
+
+    def follow(self, routes: tuple[Route, ...]) -> None:
+        """Take in a changed list of nodes."""
+        if routes == self.routes:
+            return
+        known = {route.incarnation for route in routes}
+        for route in self.routes:
+            if route.incarnation not in known:
+                self.balancer.forget(route.incarnation)
+        self.health.set_nodes(known)
+        self.routes = routes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class NodeUse:
+    """One attempt at a node, to be ended once."""
+
+    nodes: _ServiceNodes
+    incarnation: IncarnationId
+    attempt: Attempt
+    started_s: float
+    ended: bool = False
+
+    def end(self, now: float, error: ErrorKind | None) -> None:
+        """Note how the attempt ended; later calls change nothing."""
+        if self.ended:
+            return
+        self.ended = True
+        self.nodes.health.finish(now, self.incarnation, self.attempt, error=error)
+        latency_s = now - self.started_s
+        self.nodes.balancer.finish(
+            now, self.incarnation, latency_s=latency_s, error=error
+        )
 
 
 class NodeBalance:
-    """Counts this node's own requests in flight at each node."""
+    """Chooses nodes, service by service.
+
+    Args:
+        rng: Draws the nodes that are compared, and spreads probes.
+        count: Called with a counter's name and a reason.
+    """
 
-    def __init__(self) -> None:
-        self._in_flight: collections.Counter[IncarnationId] = collections.Counter()
+    def __init__(
+        self, *, rng: random.Random, count: Callable[[str, str], None] | None = None
+    ) -> None:
+        self._rng = rng
+        self._count = count
+        self._services: dict[str, _ServiceNodes] = {}
 
     def choose(
-        self, nodes: tuple[Route, ...], tried: set[IncarnationId]
+        self,
+        now: float,
+        peer_request: PeerRequest,
+        routes: tuple[Route, ...],
+        tried: frozenset[IncarnationId],
     ) -> Result[Route, Refusal]:
-        """Return the node with the fewest, the nearest first among equals.
+        """Return the node for a request.
 
         Args:
-            nodes: The service's nodes, nearest first.
-            tried: Nodes that failed the request, chosen only if all have.
+            now: The current time.
+            peer_request: The request.
+            routes: The service's nodes.
+            tried: Nodes at which the request failed, taken if there is no other.
         """
-        if not nodes:
-            detail = "the service has no node"
-            return Failure(Refusal(kind=ErrorKind.NO_OWNER, detail=detail))
-        return Success(
-            min(
-                nodes,
-                key=lambda node: (
-                    node.incarnation in tried,
-                    self._in_flight[node.incarnation],
-                ),
-            )
+        nodes = self._find(peer_request.service)
+        nodes.follow(routes)
+        nodes.health.check(now)
+        chosen = nodes.balancer.choose(
+            now,
+            near=[route.incarnation for route in routes if route.near],
+            far=[route.incarnation for route in routes if not route.near],
+            health=nodes.health,
+            repeatable=peer_request.repeatable,
+            avoid=tried,
         )
+        for route in routes:
+            if route.incarnation == chosen:
+                return Success(route)
+        return Failure(_refuse(routes))
+
+    def begin(self, now: float, service: str, incarnation: IncarnationId) -> NodeUse:
+        """Note a request on its way to a chosen node."""
+        nodes = self._find(service)
+        nodes.balancer.start(incarnation)
+        attempt = nodes.health.start(now, incarnation)
+        return NodeUse(
+            nodes=nodes, incarnation=incarnation, attempt=attempt, started_s=now
+        )
+
+    def _find(self, service: str) -> _ServiceNodes:
+        nodes = self._services.get(service)
+        if nodes is None:
+            nodes = _ServiceNodes(
+                balancer=Balancer(rng=self._rng, count=self._count),
+                health=HealthTracker(nodes=(), rng=self._rng, count=self._count),
+            )
+            self._services[service] = nodes
+        return nodes
 
-    def begin(self, incarnation: IncarnationId) -> None:
-        """Note a request on its way to a node."""
-        self._in_flight[incarnation] += 1
 
-    def end(self, incarnation: IncarnationId) -> None:
-        """Note that a request has ended."""
-        self._in_flight[incarnation] -= 1
-        if self._in_flight[incarnation] <= 0:
-            del self._in_flight[incarnation]
+def _refuse(routes: tuple[Route, ...]) -> Refusal:
+    if routes:
+        detail = "all nodes of the service are out of use"
+        return Refusal(kind=ErrorKind.UPSTREAM_EJECTED, detail=detail)
+    return Refusal(kind=ErrorKind.NO_OWNER, detail="the service has no node")
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -79,7 +79,7 @@
         self._retry = retry
         self._handover = handover or HandoverWait(rng=random.Random())
         self._local = LocalServer(ownership=ownership, gate=gate, metrics=metrics)
-        self._balance = NodeBalance()
+        self._balance = NodeBalance(rng=random.Random(), count=metrics.count)
         self._classifier = Classifier(configuration=Configuration())
 
     @property
@@ -209,14 +209,22 @@
             return Failure(routed.failure())
         route = routed.unwrap()
         tried.add(route.incarnation)
-        keyless = not peer_request.key
-        if keyless:
-            self._balance.begin(route.incarnation)
-        try:
+        if peer_request.key:
             return await self._forward(peer_request, route, deadline_s)
+        return await self._forward_measured(peer_request, route, deadline_s)
+
+    async def _forward_measured(
+        self, peer_request: PeerRequest, route: Route, deadline_s: float
+    ) -> Result[Response, Refusal]:
+        """Forward a request without key, and note how its node did."""
+        use = self._balance.begin(self._now(), peer_request.service, route.incarnation)
+        error: ErrorKind | None = ErrorKind.CALLER_LEFT
+        try:
+            result = await self._forward(peer_request, route, deadline_s)
+            error = None if is_successful(result) else result.failure().kind
         finally:
-            if keyless:
-                self._balance.end(route.incarnation)
+            use.end(self._now(), error)
+        return result
 
     def _find_route(
         self, peer_request: PeerRequest, tried: set[IncarnationId]
@@ -224,16 +232,15 @@
         if peer_request.key:
             return self._ownership.locate(peer_request.service, peer_request.key)
         nodes = self._ownership.list_nodes(peer_request.service)
-        return self._balance.choose(nodes, tried)
+        return self._balance.choose(self._now(), peer_request, nodes, frozenset(tried))
 
     async def _forward(
         self, peer_request: PeerRequest, route: Route, deadline_s: float
     ) -> Result[Response, Refusal]:
         """Serve here, or send to the node of the route."""
+        shard = route.shard if peer_request.key else ShardId("")
         if route.local:
-            located = dataclasses.replace(
-                peer_request, shard=route.shard if peer_request.key else ShardId("")
-            )
+            located = dataclasses.replace(peer_request, shard=shard)
             return await self._local.serve(located, deadline_s=deadline_s)
         remaining_s = deadline_s - self._now()
         margin_s = min(DEADLINE_MARGIN_S, remaining_s * DEADLINE_MARGIN_SHARE)
@@ -241,7 +248,7 @@
             return Failure(Refusal(kind=ErrorKind.DEADLINE_EXPIRED))
         sent = dataclasses.replace(
             peer_request,
-            shard=route.shard,
+            shard=shard,
             remaining_s=remaining_s - margin_s,
             recipient=route.incarnation,
             hops=peer_request.hops + 1,
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -34,12 +34,14 @@
         local: Whether this node serves it.
         incarnation: The serving node.
         address: Where that node listens for peers.
+        near: Whether it runs in this node's data centre.
     """
 
     shard: ShardId
     local: bool
     incarnation: IncarnationId
     address: PeerAddress
+    near: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -1,6 +1,7 @@
 """Tests of papayatack.proxy.engine on loopback."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from papayatack.core.errors import ErrorKind, Refusal
@@ -70,6 +71,36 @@
         self.assertIn(b"HTTP/1.1 200", answer)
 
 
+class KeylessTests(EngineTestCase):
+    """Services without keys."""
+
+    async def test_any_node_of_the_service_answers(self):
+        """The request goes to a node of the list, without shard or token."""
+        self.entry.ownership.nodes = (self.owner.build_route(local=False),)
+        answer = await self.request(self.entry, target="/records/doc")
+        self.assertIn(b"papayatack-outcome: answered", answer)
+        self.assertEqual(self.owner.ownership.authorized, 0)
+
+    async def test_failing_node_is_left_for_another(self):
+        """A request that was not run is attempted at a different node."""
+        gone = dataclasses.replace(
+            self.owner.build_route(local=False),
+            incarnation="127.0.0.1:1#gone",
+            address="127.0.0.1:1",
+        )
+        self.entry.ownership.nodes = (gone, self.owner.build_route(local=False))
+        for _ in range(6):
+            answer = await self.request(self.entry, "POST", "/records/doc")
+            self.assertIn(b"papayatack-outcome: answered", answer)
+        self.assertEqual(set(self.upstream.runs.values()), {1})
+
+    async def test_service_without_nodes_is_refused(self):
+        """There is nobody to ask."""
+        headers = ("Papayatack-Deadline-Ms: 50",)
+        answer = await self.request(self.entry, target="/records/x", headers=headers)
+        self.assertIn(b"papayatack-error: no-owner", answer)
+
+
 class RefusalTests(EngineTestCase):
     """Requests that are not answered by the upstream."""
 
