--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -7,7 +7,7 @@
 
 from papayatack.core.errors import ErrorKind, PapayatackError
 
-__all__ = ["Body", "BodyCutError", "BodyQueue", "BytesBody"]
+__all__ = ["Body", "BodyCutError", "BodyQueue", "BytesBody", "ContinuingBody"]
 
 
 class BodyCutError(PapayatackError):
@@ -141,3 +141,25 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+class ContinuingBody:
+    """A body whose sender waits for ``100 Continue`` until it is read."""
+
+    def __init__(self, *, body: Body, send: Callable[[], None]) -> None:
+        self._body = body
+        self._send = send
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return self._body.ready
+
+    async def read(self) -> bytes:
+        """Ask for the body, then return its next bytes."""
+        self._send()
+        return await self._body.read()
+
+    def close(self) -> None:
+        """Give up the rest."""
+        self._body.close()
--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -11,7 +11,7 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.answers import build_error_response
-from papayatack.network.bodies import BodyCutError, BodyQueue
+from papayatack.network.bodies import BodyCutError, BodyQueue, ContinuingBody
 from papayatack.network.exchanges import Request, Response, find_header
 from papayatack.network.limits import CallerLimits
 from papayatack.observability.events import Event, log_event
@@ -264,7 +264,7 @@
         """Answer one request, then go on to the next or close."""
         body = request.body
         if self._h11.they_are_waiting_for_100_continue and refusal is None:
-            request.body = _ContinuingBody(body=self._body, send=self._send_continue)
+            request.body = ContinuingBody(body=self._body, send=self._send_continue)
         try:
             if refusal is not None:
                 self._discarding = True
@@ -388,25 +388,3 @@
     def _set_deadline(self, delay_s: float, kind: ErrorKind | None) -> None:
         self._deadline_s = self._loop.time() + delay_s
         self._deadline_kind = kind
-
-
-class _ContinuingBody:
-    """A body whose sender waits for ``100 Continue`` until it is read."""
-
-    def __init__(self, *, body: BodyQueue, send: Callable[[], None]) -> None:
-        self._body = body
-        self._send = send
-
-    @property
-    def ready(self) -> bool:
-        """Whether :meth:`read` would return without waiting."""
-        return self._body.ready
-
-    async def read(self) -> bytes:
-        """Ask for the body, then return its next bytes."""
-        self._send()
-        return await self._body.read()
-
-    def close(self) -> None:
-        """Give up the rest."""
-        self._body.close()
--- /dev/null
+++ b/src/papayatack/network/heads.py
@@ -0,0 +1,58 @@
+"""Requests between nodes, as Thrift structs."""
+
+from typing import Any
+
+from papayatack.core.inventory import RequestClass
+from papayatack.network.bodies import Body
+from papayatack.network.exchanges import PeerRequest, Request
+from papayatack.network.streams import US_PER_S, decode_headers, encode_headers
+from papayatack.wire.schema import schema
+
+__all__ = ["build_head", "read_head"]
+
+
+def build_head(peer_request: PeerRequest) -> Any:
+    """Return the ``RequestHead`` struct of a request."""
+    request = peer_request.request
+    return schema.RequestHead(
+        service_name=peer_request.service,
+        shard=peer_request.shard,
+        key=peer_request.key,
+        method=request.method,
+        target=request.target,
+        headers=encode_headers(request.headers),
+        deadline_us=int(peer_request.remaining_s * US_PER_S),
+        partner=peer_request.partner,
+        request_class=peer_request.request_class.value,
+        cost=peer_request.cost,
+        repeatable=peer_request.repeatable,
+        request_id=peer_request.request_id,
+        idempotency_key=peer_request.idempotency_key,
+        hops=peer_request.hops,
+        recipient=peer_request.recipient,
+    )
+
+
+def read_head(body: Body, head: Any) -> PeerRequest:
+    """Return the request of a ``RequestHead`` struct and its body."""
+    request = Request(
+        method=head.method or b"",
+        target=head.target or b"",
+        headers=decode_headers(head.headers),
+        body=body,
+    )
+    return PeerRequest(
+        request=request,
+        service=head.service_name or "",
+        shard=head.shard or "",
+        key=head.key or "",
+        remaining_s=(head.deadline_us or 0) / US_PER_S,
+        partner=head.partner or "",
+        request_class=RequestClass(head.request_class),
+        cost=head.cost or 1.0,
+        repeatable=bool(head.repeatable),
+        request_id=head.request_id or "",
+        idempotency_key=head.idempotency_key or "",
+        hops=head.hops or 0,
+        recipient=head.recipient or "",
+    )
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -66,6 +66,7 @@
         self.streams: dict[int, PeerStream] = {}
         self.last_received_s = 0.0
         self.last_used_s = 0.0
+        self._asked_s = float("-inf")
         self._owner = owner
         self._reader = FrameReader()
         self._next_id = 1 if self.opener else 2
@@ -154,14 +155,14 @@
 
     def check_silence(self, now: float) -> None:
         """Ask a silent peer for a sign of life, and give it up after a while."""
-        if not self.streams:
+        if not self.streams or now - self.last_received_s < self.limits.silence_s:
             return
-        silent_s = now - self.last_received_s
-        if silent_s >= self.limits.lost_s:
+        if self._asked_s < self.last_received_s:
+            self._asked_s = now
+            self._send_hello(reply_wanted=True)
+        elif now - self._asked_s >= self.limits.lost_s - self.limits.silence_s:
             self._owner.metrics.count("peer_links_closed", "silent")
             self.abort("the peer is silent")
-        elif silent_s >= self.limits.silence_s:
-            self._send_hello(reply_wanted=True)
 
     def close(self) -> None:
         """Close after what is queued has been sent."""
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -28,13 +28,12 @@
 from papayatack.core.inventory import RequestClass
 from papayatack.core.messages import ControlMessage
 from papayatack.network.bodies import BodyCutError
-from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.exchanges import PeerRequest, Response
+from papayatack.network.heads import build_head, read_head
 from papayatack.network.limits import PeerLimits
 from papayatack.network.links import Link, read_address
 from papayatack.network.streams import (
-    US_PER_S,
     PeerStream,
-    decode_headers,
     encode_headers,
     read_body_error,
 )
@@ -188,7 +187,7 @@
         self, link: Link, peer_request: PeerRequest, deadline_s: float
     ) -> Result[Response, Refusal]:
         stream = link.open_stream()
-        frame = schema.Frame(stream=stream.stream_id, request=_build_head(peer_request))
+        frame = schema.Frame(stream=stream.stream_id, request=build_head(peer_request))
         loop = asyncio.get_running_loop()
         timer = loop.call_at(deadline_s, self._expire, stream)
         stream.task = loop.create_task(self._send_request(stream, frame, peer_request))
@@ -274,7 +273,7 @@
             self.metrics.count("peer_requests_refused", refusal.kind.value)
             stream.send_failure(refusal)
             return
-        result = await self.on_request(_read_head(stream, head))
+        result = await self.on_request(read_head(stream.inbound, head))
         if is_successful(result):
             await self._send_response(stream, result.unwrap())
         else:
@@ -399,48 +398,3 @@
         for address, backoff in list(self._backoffs.items()):
             if backoff.until_s < horizon_s:
                 del self._backoffs[address]
-
-
-def _build_head(peer_request: PeerRequest) -> Any:
-    request = peer_request.request
-    return schema.RequestHead(
-        service_name=peer_request.service,
-        shard=peer_request.shard,
-        key=peer_request.key,
-        method=request.method,
-        target=request.target,
-        headers=encode_headers(request.headers),
-        deadline_us=int(peer_request.remaining_s * US_PER_S),
-        partner=peer_request.partner,
-        request_class=peer_request.request_class.value,
-        cost=peer_request.cost,
-        repeatable=peer_request.repeatable,
-        request_id=peer_request.request_id,
-        idempotency_key=peer_request.idempotency_key,
-        hops=peer_request.hops,
-        recipient=peer_request.recipient,
-    )
-
-
-def _read_head(stream: PeerStream, head: Any) -> PeerRequest:
-    request = Request(
-        method=head.method or b"",
-        target=head.target or b"",
-        headers=decode_headers(head.headers),
-        body=stream.inbound,
-    )
-    return PeerRequest(
-        request=request,
-        service=head.service_name or "",
-        shard=head.shard or "",
-        key=head.key or "",
-        remaining_s=(head.deadline_us or 0) / US_PER_S,
-        partner=head.partner or "",
-        request_class=RequestClass(head.request_class),
-        cost=head.cost or 1.0,
-        repeatable=bool(head.repeatable),
-        request_id=head.request_id or "",
-        idempotency_key=head.idempotency_key or "",
-        hops=head.hops or 0,
-        recipient=head.recipient or "",
-    )
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -192,6 +192,32 @@
             await body.read()
         self.assertIs(caught.exception.kind, ErrorKind.PEER_LOST)
 
+    async def test_silent_peer_is_given_up_before_the_deadline(self):
+        """A frozen process keeps its connection open but answers nothing."""
+        frozen = await asyncio.start_server(lambda r, w: r.read(-1), "127.0.0.1", 0)
+        self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        result = await self.first.exchange(
+            address=PeerAddress("{}:{}".format(*frozen.sockets[0].getsockname())),
+            peer_request=build_peer_request(),
+            deadline_s=asyncio.get_running_loop().time() + 30.0,
+        )
+        self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
+        frozen.close()
+
+    async def test_idle_connection_is_not_taken_for_a_silent_peer(self):
+        """A peer is given up only if it stays silent after being asked."""
+        self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        (await self.exchange()).unwrap().body.close()
+        await asyncio.sleep(0.1)
+
+        async def answer_late(peer_request):
+            await asyncio.sleep(0.7)
+            return await self.answer(peer_request)
+
+        self.second.on_request = answer_late
+        result = await self.exchange()
+        self.assertEqual(result.unwrap().status, 200)
+
     async def test_failed_connects_back_off(self):
         """A node that cannot be reached is not tried on every request."""
         await self.second.abort()
