Declare nodes lost whose lease stays fenced

Cause: every VM that was lost and never declared so stayed in the state, as a candidate witness and a receiver of notices. Change: the planner declares those lost whose lease has been fenced for ten minutes.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -15,7 +15,7 @@
     PlacementView,
     Plan,
 )
-from papayatack.core.records import Assign
+from papayatack.core.records import Assign, DeclareLost
 
 __all__ = ["Planner"]
 
@@ -24,6 +24,8 @@
 NEW_LEASE_S = 2.0
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
+DECLARE_LOST_AFTER_S = 600.0
+RETRY_DECLARE_S = 60.0
 
 
 class Planner:
@@ -44,7 +46,7 @@
         core: NodeCore,
         read_configuration: Callable[[], Configuration],
         plan: Callable[[PlacementView], Plan],
-        append: Callable[[Assign], None],
+        append: Callable[[Assign | DeclareLost], None],
     ) -> None:
         self._core = core
         self._read_configuration = read_configuration
@@ -53,6 +55,7 @@
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
+        self._fenced_s: dict[IncarnationId, float] = {}
         self._planned_at = -1
         self._planned_s = float("-inf")
 
@@ -75,6 +78,7 @@
         """Plan if it is this node's turn and something may have changed."""
         if self.find_planner() != self._core.me or not self._core.caught_up:
             return
+        self._declare_lost(now)
         position = self._core.state.position
         idle = position == self._planned_at
         if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
@@ -90,6 +94,34 @@
             )
             self._append(record)
 
+    def _declare_lost(self, now: float) -> None:
+        """Declare nodes lost whose lease is fenced and that take no new one.
+
+        The fence stands already, so that this ends no node that serves; it keeps the
+        state from growing by every VM that was ever lost.
+        """
+        state = self._core.state
+        fenced = {
+            member.incarnation
+            for member in state.list_live_members()
+            if member.term and state.find_lease(member.incarnation) is None
+        }
+        self._fenced_s = {
+            name: self._fenced_s.get(name, now) for name in sorted(fenced)
+        }
+        lost = tuple(
+            name
+            for name, since_s in self._fenced_s.items()
+            if now - since_s >= DECLARE_LOST_AFTER_S
+        )
+        if lost and self._core.context.is_due("declare lost", now, RETRY_DECLARE_S):
+            record = DeclareLost(
+                record_id=self._core.context.make_record_id(),
+                writer=self._core.me,
+                incarnations=lost,
+            )
+            self._append(record)
+
     def build_view(self, now: float) -> PlacementView:
         """Return what the plan depends on."""
         self._forget_old(now)
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -8,9 +8,10 @@
 import looptime
 from returns.result import Success
 
-from papayatack.control import load_streams
+from papayatack.control import load_streams, planning
 from papayatack.core.errors import ErrorKind
 from papayatack.core.ownership import dump_state, selection
+from papayatack.core.ownership.state import EndKind
 from papayatack.core.records import OWNERSHIP_STREAM
 from papayatack.observability.metrics import Metrics
 from standins.logstore import InProcessLog, Outage
@@ -157,6 +158,21 @@
 
         self.run_fleet(scenario)
 
+    def test_lost_node_is_forgotten(self):
+        """A node that never comes back leaves the state after a while."""
+
+        async def scenario(fixture):
+            with mock.patch.object(planning, "DECLARE_LOST_AFTER_S", 20.0):
+                await fixture.kill("b")
+                await asyncio.sleep(15)
+                state = fixture.network.nodes["a"].core.state
+                self.assertIsNone(state.members["b#2"].ended)
+                await asyncio.sleep(15)
+                self.assertIs(state.members["b#2"].ended, EndKind.LOST)
+                await fixture.wait_served(KEYS, TARGET_S)
+
+        self.run_fleet(scenario)
+
     def test_unknown_service(self):
         """A service that is not published has no route."""
 
