Split notices and the passing on of records from the node's core

Besides: a stranded lease is not ended while the upstream may hold a grant under an older one; and the driver's check of acknowledged assignments counts activations alone.

--- /dev/null
+++ b/src/papayatack/core/ownership/exchange.py
@@ -0,0 +1,65 @@
+"""Passing log records on to nodes that do not follow the log themselves."""
+
+from collections.abc import Callable
+
+from papayatack.core.identity import IncarnationId
+from papayatack.core.messages import ControlMessage, LogQuery
+from papayatack.core.ownership.context import Context
+from papayatack.core.ownership.effects import SendRecords
+from papayatack.core.ownership.timing import QUERY_INTERVAL_S, RENEW_INTERVAL_S
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+
+__all__ = ["RecordExchange"]
+
+RESEND_S = 2 * RENEW_INTERVAL_S
+
+
+class RecordExchange:
+    """Compares positions with those of other nodes.
+
+    Args:
+        context: The node's state.
+        deliver: Sends a message, or takes it in if it is for this node.
+
+    Attributes:
+        config_position: All config records before it are applied.
+        heard_positions: Highest position of each stream that another node told of.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        deliver: Callable[[IncarnationId, ControlMessage, float], None],
+    ) -> None:
+        self._context = context
+        self._deliver = deliver
+        self.config_position = 0
+        self.heard_positions = {CONFIG_STREAM: 0, OWNERSHIP_STREAM: 0}
+
+    def compare(
+        self, peer: IncarnationId, config_offset: int, offset: int, now: float
+    ) -> None:
+        """Send a peer the records that it lacks and this node has."""
+        pairs = {
+            CONFIG_STREAM: (config_offset, self.config_position),
+            OWNERSHIP_STREAM: (offset, self._context.state.position),
+        }
+        for stream, (theirs, ours) in pairs.items():
+            self.heard_positions[stream] = max(self.heard_positions[stream], theirs)
+            key = f"{stream} for {peer} to {ours}"
+            if theirs < ours and self._context.is_due(key, now, RESEND_S):
+                effect = SendRecords(recipient=peer, stream=stream, offset=theirs)
+                self._context.effects.append(effect)
+
+    def query_missing(self, now: float) -> None:
+        """Ask for the records that a fenced holder had applied and this node lacks."""
+        position = self._context.state.position
+        for lease in self._context.fencing.list_ahead(position):
+            entry = self._context.state.leases.get(lease)
+            key = f"records of {lease}"
+            if entry is None or not self._context.is_due(key, now, QUERY_INTERVAL_S):
+                continue
+            query = LogQuery(stream=OWNERSHIP_STREAM, offset=position)
+            for witness in entry.witnesses:
+                self._deliver(witness, query, now)
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -7,7 +7,7 @@
 """
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns.result import Failure, Result, Success
 
@@ -38,18 +38,18 @@
     RevokeShards,
     SendRecords,
 )
+from papayatack.core.ownership.exchange import RecordExchange
 from papayatack.core.ownership.fencing import Fencing
 from papayatack.core.ownership.fold import Change, fold
 from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.notices import Notices
 from papayatack.core.ownership.reporting import Reporting
 from papayatack.core.ownership.rights import Right, Rights
 from papayatack.core.ownership.state import Member, OwnershipState
 from papayatack.core.ownership.succession import LeaseEnd
-from papayatack.core.ownership.timing import QUERY_INTERVAL_S, RENEW_INTERVAL_S
+from papayatack.core.ownership.timing import RENEW_INTERVAL_S
 from papayatack.core.ownership.witnessing import Witnessing
 from papayatack.core.records import (
-    CONFIG_STREAM,
-    OWNERSHIP_STREAM,
     Announce,
     OwnershipRecord,
 )
@@ -57,7 +57,6 @@
 __all__ = ["NodeCore"]
 
 RETRY_UNAVAILABLE_S = 1.0
-NOTICES_BEFORE_FENCE = 5
 EXTEND_STEP_S = 0.1
 
 
@@ -94,10 +93,9 @@
         self._admission = Admission(context=self.context, announcement=announcement)
         self._reporting = Reporting(context=self.context)
         self._finished = False
-        self._stranded: set[LeaseId] = set()
-        self.config_position = 0
+        self._notices = Notices(context=self.context, deliver=self._deliver)
+        self._exchange = RecordExchange(context=self.context, deliver=self._deliver)
         self.caught_up = False
-        self.heard_positions = {CONFIG_STREAM: 0, OWNERSHIP_STREAM: 0}
         for lease in state.leases:
             self._follow_lease(lease, now)
 
@@ -111,6 +109,20 @@
         """The folded ownership stream; to be read only."""
         return self.context.state
 
+    @property
+    def config_position(self) -> int:
+        """All config records before it are applied; set by whoever folds them."""
+        return self._exchange.config_position
+
+    @config_position.setter
+    def config_position(self, position: int) -> None:
+        self._exchange.config_position = position
+
+    @property
+    def heard_positions(self) -> Mapping[str, int]:
+        """Highest position of each stream that another node told of."""
+        return self._exchange.heard_positions
+
     @property
     def is_leaving(self) -> bool:
         """Tell whether a planned stop has begun."""
@@ -145,7 +157,8 @@
         """Do what has become due."""
         if not self._finished:
             self._renew_due(now)
-            self._end_stranded(now)
+            for holder in self._notices.end_stranded(now):
+                self._note_own_end(holder)
             if self.caught_up:
                 self._admission.advance(now)
             self._reporting.advance(now)
@@ -254,35 +267,6 @@
             if raised or now - holder.last_sent_s >= RENEW_INTERVAL_S:
                 self._renew(holder, floor, now)
 
-    def _end_stranded(self, now: float) -> None:
-        """End leases that others could not end, and tell those who come next.
-
-        The claimants are told again until the log knows, or the chains have changed.
-        """
-        for holder in self.context.holders.values():
-            if holder.is_stranded(now):
-                holder.end()
-                self._stranded.add(holder.lease)
-                self._note_own_end(holder)
-        for lease in list(self._stranded):
-            if not self.context.state.is_live(lease):
-                self._stranded.discard(lease)
-            elif self.context.is_due(f"stranded {lease}", now, QUERY_INTERVAL_S):
-                self._tell_end(lease)
-
-    def _tell_end(self, lease: LeaseId) -> None:
-        shards = self.context.state.references.get(lease, ())
-        busy = any(shard in self.context.rights.in_flight for shard in shards)
-        message = FenceReply(
-            lease=lease,
-            fenced=True,
-            floor=self.context.state.position,
-            remaining_us=0,
-            drained=not busy,
-        )
-        for claimant in sorted(self.context.list_claimants(lease)):
-            self.context.send(claimant, message)
-
     def _wants_floor(self) -> bool:
         """Tell whether another lease waits for a higher floor here."""
         return self.claims.has_queries or self.claims.is_blocked
@@ -299,9 +283,9 @@
 
     def _settle(self, now: float) -> list[Effect]:
         for lease in self.context.witnessing.list_lapsed(now):
-            self._tell_claimants(lease, now)
+            self._notices.tell_lapse(lease, now)
         self._send_fences(now)
-        self._query_missing(now)
+        self._exchange.query_missing(now)
         self.claims.settle(now)
         for lease, shards in self.context.rights.collect_revocable(now).items():
             self.context.effects.append(RevokeShards(lease=lease, shards=tuple(shards)))
@@ -335,48 +319,6 @@
             for witness in witnesses:
                 self._deliver(witness, Fence(lease=lease), now)
 
-    def _query_missing(self, now: float) -> None:
-        """Ask for the records that a fenced holder had applied and this node lacks."""
-        position = self.context.state.position
-        for lease in self.context.fencing.list_ahead(position):
-            entry = self.context.state.leases.get(lease)
-            key = f"records of {lease}"
-            if entry is None or not self.context.is_due(key, now, QUERY_INTERVAL_S):
-                continue
-            for witness in entry.witnesses:
-                message = LogQuery(stream=OWNERSHIP_STREAM, offset=position)
-                self._deliver(witness, message, now)
-
-    def _tell_claimants(self, lease: LeaseId, now: float) -> None:
-        """Tell those who would serve next, or else the witnesses, to fence a lease."""
-        claimants = self.context.list_claimants(lease)
-        if not claimants:
-            if self.context.witnessing.count_notices(lease) < NOTICES_BEFORE_FENCE:
-                return
-            claimants.update(self.context.state.leases[lease].witnesses)
-        for claimant in sorted(claimants):
-            self._deliver(claimant, LeaseLapsed(lease=lease), now)
-
-    def _exchange_records(
-        self, peer: IncarnationId, config_offset: int, offset: int, now: float
-    ) -> None:
-        """Send a peer the records that it lacks and this node has."""
-        heard = self.heard_positions
-        heard[CONFIG_STREAM] = max(heard[CONFIG_STREAM], config_offset)
-        heard[OWNERSHIP_STREAM] = max(heard[OWNERSHIP_STREAM], offset)
-        ours = {
-            CONFIG_STREAM: (config_offset, self.config_position),
-            OWNERSHIP_STREAM: (offset, self.context.state.position),
-        }
-        for stream, (theirs, position) in ours.items():
-            if theirs >= position:
-                continue
-            key = f"{stream} for {peer} to {position}"
-            if self.context.is_due(key, now, RENEW_INTERVAL_S * 2):
-                self.context.effects.append(
-                    SendRecords(recipient=peer, stream=stream, offset=theirs)
-                )
-
     @functools.singledispatchmethod
     def _receive(
         self, message: ControlMessage, sender: IncarnationId, now: float
@@ -398,7 +340,7 @@
             ownership_offset=self.context.state.position,
         )
         self._deliver(sender, reply, now)
-        self._exchange_records(
+        self._exchange.compare(
             sender, message.config_offset, message.ownership_offset, now
         )
 
@@ -408,7 +350,7 @@
         if holder is None or sender not in holder.witnesses:
             self._refuse_message(message, sender, "not a witness")
             return
-        self._exchange_records(
+        self._exchange.compare(
             sender, message.config_offset, message.ownership_offset, now
         )
         was_live = holder.is_live(now)
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -164,6 +164,11 @@
                 right.token = 0
                 right.asked = False
 
+    @property
+    def has_transfers(self) -> bool:
+        """Tell whether the upstream may hold a grant under an older lease here."""
+        return bool(self._transferred)
+
     def collect_revocable(self, now: float) -> dict[LeaseId, list[ShardId]]:
         """Return the shards whose requests have finished but whose grant stands.
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -31,7 +31,7 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import find_planner
 from papayatack.core.ownership.state import OwnershipState
-from papayatack.core.records import OWNERSHIP_STREAM, Announce, Assign
+from papayatack.core.records import OWNERSHIP_STREAM, Activate, Announce, Assign
 from tests.fakes.planner import plan_first_chains, plan_repairs
 
 TICK_S = 0.05
@@ -462,11 +462,11 @@
             self._wake_tails()
 
     def _fold_truth(self, record):
+        """Fold a record for the checks; an activation acknowledges an assignment."""
         change = fold(self.truth, len(self.log), record)
-        for shard in change.shards:
-            entry = self.truth.shards.get(shard)
-            if entry is not None and entry.active:
-                self.activated[shard] = entry.current.epoch
+        if type(record) is Activate:
+            for shard in change.shards:
+                self.activated[shard] = self.truth.shards[shard].current.epoch
 
     def _wake_tails(self):
         for slot in self.slots.values():
