--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -56,7 +56,7 @@
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
         self._fenced_s: dict[IncarnationId, float] = {}
-        self._planned_at = -1
+        self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -79,7 +79,8 @@
         if self.find_planner() != self._core.me or not self._core.caught_up:
             return
         self._declare_lost(now)
-        position = self._core.state.position
+        version = self._read_configuration().version
+        position = (self._core.state.position, version)
         idle = position == self._planned_at
         if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
             return
