--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -106,6 +106,21 @@
                 ]
                 self.assertLessEqual(p99_ms[1], 1.5 * p99_ms[0])
 
+    def test_downloads_beside_a_high_load_of_browsing(self):
+        """The same bound where browsing and orders ask for 80% of the slots."""
+        p99_ms = [
+            run_downloads(
+                Discipline.POLICY,
+                BARRANQUILLA,
+                downloads=downloads,
+                seed=1,
+                short=0.8,
+                duration_s=24.0,
+            ).read_p99_ms(RequestClass.BROWSE)
+            for downloads in (0.0, 1.0)
+        ]
+        self.assertLessEqual(p99_ms[1], 1.5 * p99_ms[0])
+
     def test_frozen_upstream_recovers(self):
         """A freeze costs few requests, and is over 3 s after its end."""
         logging.disable(logging.WARNING)
