--- /dev/null
+++ b/src/papayatack/control/checkpoints.py
@@ -0,0 +1,63 @@
+"""The keepers that see to it that both streams have checkpoints."""
+
+import functools
+from collections.abc import Mapping
+
+from papayatack.control.following import STREAMS, LogFollower
+from papayatack.core.config_fold import ConfigFold
+from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.snapshot import dump_state
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from papayatack.logservice.appender import Appender
+from papayatack.logservice.checkpoints import CheckpointKeeper, Snapshot
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["build_keepers"]
+
+
+def build_keepers(
+    *,
+    core: NodeCore,
+    config: ConfigFold,
+    follower: LogFollower,
+    appenders: Mapping[str, Appender],
+    retention_s: float,
+    metrics: Metrics,
+    now: float,
+) -> dict[str, CheckpointKeeper]:
+    """Return the keeper of each stream.
+
+    Args:
+        core: The node's ownership.
+        config: The folded config stream.
+        follower: Tells whether the log answers.
+        appenders: Appender of each stream.
+        retention_s: Seconds for which the log keeps records.
+        metrics: Counters of the process.
+        now: Time of the event loop.
+    """
+    sources = {
+        CONFIG_STREAM: functools.partial(_snapshot_config, config),
+        OWNERSHIP_STREAM: functools.partial(_snapshot_ownership, core),
+    }
+    return {
+        stream: CheckpointKeeper(
+            stream=stream,
+            incarnation=core.me,
+            retention_s=retention_s,
+            appender=appenders[stream],
+            take_snapshot=sources[stream],
+            is_available=functools.partial(follower.is_available, stream),
+            metrics=metrics,
+            now=now,
+        )
+        for stream in STREAMS
+    }
+
+
+def _snapshot_config(config: ConfigFold) -> Snapshot:
+    return Snapshot(position=config.next_offset, document=config.dump())
+
+
+def _snapshot_ownership(core: NodeCore) -> Snapshot:
+    return Snapshot(position=core.state.position, document=dump_state(core.state))
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -32,12 +32,13 @@
 import random
 from collections.abc import Callable
 
+from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
+from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.grants import GrantEffect, GrantTask
 from papayatack.control.interface import GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.planning import Planner
-from papayatack.control.recent import RecentRecords
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
@@ -54,8 +55,6 @@
     SendRecords,
 )
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.selection import is_tailer
-from papayatack.core.ownership.snapshot import dump_state
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementView, Plan
 from papayatack.core.records import (
@@ -65,13 +64,12 @@
     OwnershipRecord,
 )
 from papayatack.logservice.appender import Appender
-from papayatack.logservice.checkpoints import CheckpointKeeper, Snapshot
+from papayatack.logservice.checkpoints import CheckpointKeeper
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import (
     RecordsExpired,
     RecordsRead,
-    Tailer,
     TailMessage,
 )
 from papayatack.observability.events import Event, log_event
@@ -83,9 +81,6 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.05
-CHECK_TAIL_S = 0.5
-IDLE_CHECKS = 60
-CHECKS_PER_ROLE = 10
 MAX_INBOX = 10_000
 MAX_APPENDS = 32
 APPEND_DEADLINE_S = 5.0
@@ -161,61 +156,34 @@
             plan=plan,
             append=self._queue_append,
         )
-        positions = {
-            CONFIG_STREAM: self._config.next_offset,
-            OWNERSHIP_STREAM: self.core.state.position,
-        }
-        self._behind = dict.fromkeys(positions, 0)
-        self._is_tailer = True
-        self._checks = 0
-        self._recent = {
-            stream: RecentRecords(stream=stream, first=first)
-            for stream, first in positions.items()
-        }
-        self._tailers = {
-            stream: Tailer(
-                log=log,
-                stream=stream,
-                offset=first,
-                queue=self._inbox,
-                metrics=metrics,
-                random=random,
-            )
-            for stream, first in positions.items()
-        }
+        self._follower = LogFollower(
+            core=self.core,
+            log=log,
+            positions={
+                CONFIG_STREAM: self._config.next_offset,
+                OWNERSHIP_STREAM: self.core.state.position,
+            },
+            queue=self._inbox,
+            metrics=metrics,
+            random=random,
+        )
         self._keepers: dict[str, CheckpointKeeper] = {}
         if retention_s is not None:
-            self._build_keepers(log, retention_s, random, now)
-
-    def _build_keepers(
-        self, log: LogService, retention_s: float, random: random.Random, now: float
-    ) -> None:
-        config_appender = Appender(
-            log=log, stream=CONFIG_STREAM, metrics=self.metrics, random=random
-        )
-        sources = {
-            CONFIG_STREAM: (config_appender, self._dump_config),
-            OWNERSHIP_STREAM: (self._appender, self._dump_ownership),
-        }
-        for stream, (appender, take_snapshot) in sources.items():
-            self._keepers[stream] = CheckpointKeeper(
-                stream=stream,
-                incarnation=self.core.me,
+            self._keepers = build_keepers(
+                core=self.core,
+                config=self._config,
+                follower=self._follower,
+                appenders={
+                    CONFIG_STREAM: Appender(
+                        log=log, stream=CONFIG_STREAM, metrics=metrics, random=random
+                    ),
+                    OWNERSHIP_STREAM: self._appender,
+                },
                 retention_s=retention_s,
-                appender=appender,
-                take_snapshot=take_snapshot,
-                is_available=functools.partial(_is_available, self._tailers[stream]),
-                metrics=self.metrics,
+                metrics=metrics,
                 now=now,
             )
 
-    def _dump_config(self) -> Snapshot:
-        return Snapshot(position=self._config.next_offset, document=self._config.dump())
-
-    def _dump_ownership(self) -> Snapshot:
-        state = self.core.state
-        return Snapshot(position=state.position, document=dump_state(state))
-
     @property
     def ownership(self) -> Ownership:
         """Who serves a key, for the request path."""
@@ -229,7 +197,7 @@
     @property
     def log_reachable(self) -> bool:
         """Tell whether the log answered the last call of each stream's tailer."""
-        return all(tailer.available for tailer in self._tailers.values())
+        return all(map(self._follower.is_available, STREAMS))
 
     @property
     def is_leaving(self) -> bool:
@@ -239,8 +207,8 @@
     async def run(self) -> None:
         """Run all tasks until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            for stream in self._tailers:
-                tasks.create_task(self._follow(stream))
+            for stream in STREAMS:
+                tasks.create_task(self._follower.follow(stream))
             for keeper in self._keepers.values():
                 tasks.create_task(keeper.run())
             tasks.create_task(self._grants.run())
@@ -250,36 +218,6 @@
             tasks.create_task(self._read_inbox())
             tasks.create_task(self._advance())
 
-    async def _follow(self, stream: str) -> None:
-        """Follow a stream, closely only where other nodes do not bring it."""
-        tailer = self._tailers[stream]
-        while True:
-            await tailer.read_once()
-            for _ in range(IDLE_CHECKS):
-                if self._must_read(stream):
-                    break
-                await asyncio.sleep(CHECK_TAIL_S)
-
-    def _must_read(self, stream: str) -> bool:
-        holder = self.core.context.find_newest_holder()
-        if not self.core.caught_up or holder is None:
-            return True
-        if not holder.is_live(self._read_clock()) or self._behind[stream] >= 2:
-            return True
-        return self._is_tailer
-
-    def _note_behind(self) -> None:
-        """Count for how many checks the node has lacked records that others have."""
-        self._checks += 1
-        if self._checks % CHECKS_PER_ROLE == 0:
-            self._is_tailer = (
-                is_tailer(self.core.state, self.core.me)
-                or self._planner.find_planner() == self.core.me
-            )
-        for stream, heard in self.core.heard_positions.items():
-            behind = heard > self._recent[stream].end
-            self._behind[stream] = self._behind[stream] + 1 if behind else 0
-
     def receive(
         self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
     ) -> None:
@@ -311,21 +249,11 @@
         return None
 
     async def _advance(self) -> None:
-        check_s = self._read_clock()
         while True:
-            self._note_caught_up()
-            if self._read_clock() >= check_s:
-                check_s = self._read_clock() + CHECK_TAIL_S
-                self._note_behind()
+            self._follower.check(self._read_clock())
             self._carry_out(self.core.advance(self._read_clock()))
             await asyncio.sleep(TICK_S)
 
-    def _note_caught_up(self) -> None:
-        tailers = self._tailers.values()
-        if all(tailer.last_read_s is not None for tailer in tailers):
-            waiting = self._tailers[OWNERSHIP_STREAM].offset > self.core.state.position
-            self.core.caught_up = self.core.caught_up or not waiting
-
     async def _read_inbox(self) -> None:
         while True:
             self._take(await self._inbox.get())
@@ -345,7 +273,7 @@
 
     @_take.register
     def _(self, item: RecordsExpired) -> None:
-        if self._recent[item.stream].end < item.first:
+        if self._follower.recent[item.stream].end < item.first:
             self.metrics.count("log_gaps", item.stream)
             self._perform(FinishNode(resigned=False))
 
@@ -356,7 +284,7 @@
 
     @_take_message.register
     def _(self, message: LogBatch, sender: IncarnationId) -> None:
-        if message.stream in self._recent:
+        if message.stream in STREAMS:
             self._apply(message.stream, message.first, message.payloads)
 
     @_take_message.register
@@ -366,7 +294,7 @@
 
     def _apply(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
         """Fold the records that are next; others are left to the tailer."""
-        recent = self._recent[stream]
+        recent = self._follower.recent[stream]
         for offset, payload in enumerate(payloads, first):
             if offset != recent.end:
                 continue
@@ -385,7 +313,7 @@
                 if not change.effective:
                     self.metrics.count("ownership_records_void", change.reason)
                 self._carry_out(effects)
-        self._tailers[stream].skip_to(recent.end)
+        self._follower.skip_to(stream, recent.end)
         if stream == OWNERSHIP_STREAM:
             self._appender.observe(recent.end)
             self._carry_out(self.core.advance(self._read_clock()))
@@ -458,7 +386,7 @@
 
     @_perform.register
     def _(self, effect: SendRecords) -> None:
-        recent = self._recent.get(effect.stream)
+        recent = self._follower.recent.get(effect.stream)
         batch = recent.make_batch(effect.offset) if recent is not None else None
         if batch is not None:
             self._send(effect.recipient, batch)
@@ -490,7 +418,3 @@
             self.metrics.count("control_messages_dropped", "unknown-recipient")
             return
         self._sender.send(member.address, recipient, message)
-
-
-def _is_available(tailer: Tailer) -> bool:
-    return tailer.available
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -20,17 +20,18 @@
 KEYS = [f"key-{number}" for number in range(40)]
 PLACES = {"a": "east", "b": "west", "c": "south", "d": "east"}
 TARGET_S = 2.0
+RETENTION_S = 120.0
 CONFIG_TARGET_S = 4.0
 
 
 class ControlNodeTests(unittest.TestCase):
     """Nodes with a log in memory."""
 
-    def run_fleet(self, scenario):
+    def run_fleet(self, scenario, **options):
         """Run a scenario with four nodes that serve all keys."""
 
         async def run():
-            fixture = NodeFixture()
+            fixture = NodeFixture(**options)
             fixture.publish()
             for address, place in PLACES.items():
                 fixture.start(address, place)
@@ -110,7 +111,7 @@
             ):
                 await asyncio.sleep(40)
                 nodes = fixture.network.nodes.values()
-                tailing = [node for node in nodes if node._is_tailer]
+                tailing = [node for node in nodes if node._follower.is_tailer]
                 self.assertEqual(len(tailing), 1)
                 changed = INVENTORY.replace("slots = 4", "slots = 5")
                 fixture.publish(changed, base_version=1, record_id="p2")
@@ -173,6 +174,21 @@
 
         self.run_fleet(scenario)
 
+    def test_checkpoint_is_written(self):
+        """Some node writes a checkpoint of each stream before its records expire."""
+
+        async def scenario(fixture):
+            await asyncio.sleep(RETENTION_S)
+            nodes = fixture.network.nodes.values()
+            written = sum(
+                node.metrics.read_count("checkpoints", "written") for node in nodes
+            )
+            self.assertGreaterEqual(written, 2)
+            await fixture.kill("a")
+            await fixture.wait_served(KEYS, TARGET_S)
+
+        self.run_fleet(scenario, retention_s=RETENTION_S)
+
     def test_unknown_service(self):
         """A service that is not published has no route."""
 
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -112,7 +112,8 @@
 class NodeFixture:
     """Nodes, by address, with one log."""
 
-    def __init__(self):
+    def __init__(self, *, retention_s=None):
+        self.retention_s = retention_s
         self.store = LogStore()
         self.network = FakeNetwork()
         self.upstreams = {}
@@ -154,6 +155,7 @@
             plan=plan,
             metrics=Metrics(),
             random=random.Random(self.starts),
+            retention_s=self.retention_s,
         )
         self.network.nodes[address] = node
         self.tasks[address] = asyncio.create_task(node.run())
