--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 STOP_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
+LOG_TAIL_CHARACTERS = 2_000
 SETTINGS = """[node]
 data_centre = {place}
 region = {region}
@@ -63,6 +64,7 @@
         upstream: Port of the upstream.
         node: The node's process.
         server: The upstream's process.
+        ended: The node was told to end.
     """
 
     site: Site
@@ -73,6 +75,7 @@
     upstream: int
     node: asyncio.subprocess.Process | None = None
     server: asyncio.subprocess.Process | None = None
+    ended: bool = False
 
     @property
     def operator_address(self) -> str:
@@ -81,6 +84,7 @@
 
     def kill(self) -> None:
         """End node and upstream at once, as the loss of a VM does."""
+        self.ended = True
         for process in (self.node, self.server):
             _signal(process, signal.SIGKILL)
 
@@ -96,6 +100,7 @@
 
     def drain(self) -> None:
         """Begin the node's graceful shutdown."""
+        self.ended = True
         _signal(self.node, signal.SIGTERM)
 
 
@@ -122,6 +127,7 @@
         return self
 
     async def __aexit__(self, *exception: object) -> None:
+        self._report_ended()
         processes = [p for m in self.members for p in (m.node, m.server)]
         for process in (*processes, self.log):
             _signal(process, signal.SIGCONT)
@@ -131,6 +137,14 @@
                 await process.wait()
         self._folder.cleanup()
 
+    def _report_ended(self) -> None:
+        """Print the last lines of nodes that ended by themselves."""
+        for member in self.members:
+            node = member.node
+            if node is not None and node.returncode is not None and not member.ended:
+                print(f"node {member.peers} ended with status {node.returncode}:")
+                print(self.read_log(member)[-LOG_TAIL_CHARACTERS:])
+
     async def start_log(self) -> None:
         """Start the log stand-in."""
         self.log = await self._start("standins.logservice", f"--port={self.log_port}")
@@ -143,6 +157,7 @@
 
     async def start_node(self, member: Member) -> None:
         """Start a node alone."""
+        member.ended = False
         text = SETTINGS.format(
             place=member.site.place,
             region=member.site.region,
