--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from papayatack.control.loads import LoadMeter
@@ -53,7 +54,7 @@
         """Return where the key of the service is served."""
         shards = self._core.state.shards
         found = locate_shard(self._config.configuration, service, key, shards)
-        if isinstance(found, Failure):
+        if not is_successful(found):
             return found
         shard = found.unwrap()
         owner = self._core.find_owner(shard)
@@ -99,7 +100,7 @@
         """Return the grant under which a request may go to the upstream now."""
         now = asyncio.get_running_loop().time()
         result = self._core.authorize(shard, now)
-        if isinstance(result, Failure):
+        if not is_successful(result):
             return result
         right = result.unwrap()
         grant = Grant(
--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -4,7 +4,7 @@
 import functools
 from collections.abc import Callable
 
-from returns.result import Success
+from returns.pipeline import is_successful
 
 from papayatack.control.interface import GrantSink
 from papayatack.core.ownership.effects import ExtendLease, GrantShards, RevokeShards
@@ -70,7 +70,7 @@
         if remaining_us <= 0:
             return False
         result = await self._sink.grant(effect.lease, effect.tokens, remaining_us)
-        return isinstance(result, Success)
+        return is_successful(result)
 
     @_perform.register
     async def _(self, effect: ExtendLease, waited_s: float) -> bool:
@@ -83,7 +83,7 @@
     @_perform.register
     async def _(self, effect: RevokeShards, waited_s: float) -> bool:
         result = await self._sink.revoke(effect.lease, effect.shards)
-        return isinstance(result, Success)
+        return is_successful(result)
 
 
 def _shorten(remaining_s: float, waited_s: float) -> int:
