--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -19,8 +19,9 @@
     control.start_departure()             # planned stop
     resigned = await control.wait_finished()
 
-``state`` and ``config`` take what a checkpoint gave; without them the node folds both
-streams from their start. :meth:`ControlNode.wait_finished` returns ``False`` if the log
+``state`` and ``config`` take what :func:`papayatack.control.load_streams` gave; without
+them the node folds both streams from their start. :meth:`ControlNode.wait_finished`
+returns ``False`` if the log
 ended this incarnation (superseded or declared lost): the process must then start anew
 under a new incarnation id.
 """
@@ -31,12 +32,13 @@
 import random
 from collections.abc import Callable
 
+from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
+from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.grants import GrantEffect, GrantTask
 from papayatack.control.interface import GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.planning import Planner
-from papayatack.control.recent import RecentRecords
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
@@ -62,12 +64,12 @@
     OwnershipRecord,
 )
 from papayatack.logservice.appender import Appender
+from papayatack.logservice.checkpoints import CheckpointKeeper
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import (
     RecordsExpired,
     RecordsRead,
-    Tailer,
     TailMessage,
 )
 from papayatack.observability.events import Event, log_event
@@ -102,6 +104,8 @@
         random: Jitter of retries.
         state: Ownership state to start from.
         config: Config state to start from.
+        retention_s: Seconds for which the log keeps records; the node sees that there
+            are checkpoints. ``None`` for a log that keeps all.
     """
 
     def __init__(
@@ -116,9 +120,10 @@
         random: random.Random,
         state: OwnershipState | None = None,
         config: ConfigFold | None = None,
+        retention_s: float | None = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
-        self._metrics = metrics
+        self.metrics = metrics
         self._sender = sender
         self._config = config or ConfigFold()
         self.core = NodeCore(
@@ -151,25 +156,33 @@
             plan=plan,
             append=self._queue_append,
         )
-        positions = {
-            CONFIG_STREAM: self._config.next_offset,
-            OWNERSHIP_STREAM: self.core.state.position,
-        }
-        self._recent = {
-            stream: RecentRecords(stream=stream, first=first)
-            for stream, first in positions.items()
-        }
-        self._tailers = {
-            stream: Tailer(
-                log=log,
-                stream=stream,
-                offset=first,
-                queue=self._inbox,
+        self._follower = LogFollower(
+            core=self.core,
+            log=log,
+            positions={
+                CONFIG_STREAM: self._config.next_offset,
+                OWNERSHIP_STREAM: self.core.state.position,
+            },
+            queue=self._inbox,
+            metrics=metrics,
+            random=random,
+        )
+        self._keepers: dict[str, CheckpointKeeper] = {}
+        if retention_s is not None:
+            self._keepers = build_keepers(
+                core=self.core,
+                config=self._config,
+                follower=self._follower,
+                appenders={
+                    CONFIG_STREAM: Appender(
+                        log=log, stream=CONFIG_STREAM, metrics=metrics, random=random
+                    ),
+                    OWNERSHIP_STREAM: self._appender,
+                },
+                retention_s=retention_s,
                 metrics=metrics,
-                random=random,
+                now=now,
             )
-            for stream, first in positions.items()
-        }
 
     @property
     def ownership(self) -> Ownership:
@@ -184,7 +197,7 @@
     @property
     def log_reachable(self) -> bool:
         """Tell whether the log answered the last call of each stream's tailer."""
-        return all(tailer.available for tailer in self._tailers.values())
+        return all(map(self._follower.is_available, STREAMS))
 
     @property
     def is_leaving(self) -> bool:
@@ -194,8 +207,10 @@
     async def run(self) -> None:
         """Run all tasks until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            for tailer in self._tailers.values():
-                tasks.create_task(tailer.run())
+            for stream in STREAMS:
+                tasks.create_task(self._follower.follow(stream))
+            for keeper in self._keepers.values():
+                tasks.create_task(keeper.run())
             tasks.create_task(self._grants.run())
             tasks.create_task(self._append_records())
             tasks.create_task(self._planner.run())
@@ -208,12 +223,12 @@
     ) -> None:
         """Queue a control message of another node; never blocks."""
         if recipient != self.core.me:
-            self._metrics.count("control_messages_dropped", "other-incarnation")
+            self.metrics.count("control_messages_dropped", "other-incarnation")
             return
         try:
             self._inbox.put_nowait((sender, message))
         except asyncio.QueueFull:
-            self._metrics.count("control_messages_dropped", "inbox-full")
+            self.metrics.count("control_messages_dropped", "inbox-full")
 
     def start_departure(self) -> None:
         """Begin a planned stop: hand the shards on, then end the leases."""
@@ -235,16 +250,10 @@
 
     async def _advance(self) -> None:
         while True:
-            self._note_caught_up()
+            self._follower.check(self._read_clock())
             self._carry_out(self.core.advance(self._read_clock()))
             await asyncio.sleep(TICK_S)
 
-    def _note_caught_up(self) -> None:
-        tailers = self._tailers.values()
-        if all(tailer.last_read_s is not None for tailer in tailers):
-            waiting = self._tailers[OWNERSHIP_STREAM].offset > self.core.state.position
-            self.core.caught_up = self.core.caught_up or not waiting
-
     async def _read_inbox(self) -> None:
         while True:
             self._take(await self._inbox.get())
@@ -264,8 +273,9 @@
 
     @_take.register
     def _(self, item: RecordsExpired) -> None:
-        if self._recent[item.stream].end < item.first:
-            self._metrics.count("log_gaps", item.stream)
+        if self._follower.recent[item.stream].end < item.first:
+            self.metrics.count("log_gaps", item.stream)
+            self._perform(FinishNode(resigned=False))
 
     @functools.singledispatchmethod
     def _take_message(self, message: ControlMessage, sender: IncarnationId) -> None:
@@ -274,7 +284,7 @@
 
     @_take_message.register
     def _(self, message: LogBatch, sender: IncarnationId) -> None:
-        if message.stream in self._recent:
+        if message.stream in STREAMS:
             self._apply(message.stream, message.first, message.payloads)
 
     @_take_message.register
@@ -284,12 +294,15 @@
 
     def _apply(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
         """Fold the records that are next; others are left to the tailer."""
-        recent = self._recent[stream]
+        recent = self._follower.recent[stream]
         for offset, payload in enumerate(payloads, first):
             if offset != recent.end:
                 continue
             recent.add(offset, payload)
             record = self._decoder.decode(stream, offset, payload).record
+            if stream in self._keepers:
+                now = self._read_clock()
+                self._keepers[stream].observe(record, offset=offset, now=now)
             if stream == CONFIG_STREAM:
                 self._config.apply(offset, record)
                 self.core.config_position = self._config.next_offset
@@ -298,9 +311,9 @@
                     offset, record, now=self._read_clock()
                 )
                 if not change.effective:
-                    self._metrics.count("ownership_records_void", change.reason)
+                    self.metrics.count("ownership_records_void", change.reason)
                 self._carry_out(effects)
-        self._tailers[stream].skip_to(recent.end)
+        self._follower.skip_to(stream, recent.end)
         if stream == OWNERSHIP_STREAM:
             self._appender.observe(recent.end)
             self._carry_out(self.core.advance(self._read_clock()))
@@ -309,7 +322,7 @@
         try:
             self._appends.put_nowait(record)
         except asyncio.QueueFull:
-            self._metrics.count("ownership_appends_dropped", type(record).__name__)
+            self.metrics.count("ownership_appends_dropped", type(record).__name__)
 
     async def _append_records(self) -> None:
         while True:
@@ -347,7 +360,7 @@
     @_confirm_effect.register
     def _(self, effect: GrantShards, done: bool, now: float) -> None:
         if not done:
-            self._metrics.count("grants_refused")
+            self.metrics.count("grants_refused")
         tokens = dict(effect.tokens)
         self._carry_out(
             self.core.confirm_grant(effect.lease, tokens, done=done, now=now)
@@ -373,7 +386,7 @@
 
     @_perform.register
     def _(self, effect: SendRecords) -> None:
-        recent = self._recent.get(effect.stream)
+        recent = self._follower.recent.get(effect.stream)
         batch = recent.make_batch(effect.offset) if recent is not None else None
         if batch is not None:
             self._send(effect.recipient, batch)
@@ -391,7 +404,7 @@
     @_perform.register
     def _(self, effect: NoteEvent) -> None:
         event = Event[effect.name]
-        self._metrics.count(event.name.lower(), effect.reason)
+        self.metrics.count(event.name.lower(), effect.reason)
         log_event(LOGGER, event, reason=effect.reason, subject=effect.subject)
 
     @_perform.register
@@ -402,6 +415,6 @@
     def _send(self, recipient: IncarnationId, message: ControlMessage) -> None:
         member = self.core.state.members.get(recipient)
         if member is None:
-            self._metrics.count("control_messages_dropped", "unknown-recipient")
+            self.metrics.count("control_messages_dropped", "unknown-recipient")
             return
         self._sender.send(member.address, recipient, message)
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -15,7 +15,7 @@
     PlacementView,
     Plan,
 )
-from papayatack.core.records import Assign
+from papayatack.core.records import Assign, DeclareLost
 
 __all__ = ["Planner"]
 
@@ -24,6 +24,8 @@
 NEW_LEASE_S = 2.0
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
+DECLARE_LOST_AFTER_S = 600.0
+RETRY_DECLARE_S = 60.0
 
 
 class Planner:
@@ -44,7 +46,7 @@
         core: NodeCore,
         read_configuration: Callable[[], Configuration],
         plan: Callable[[PlacementView], Plan],
-        append: Callable[[Assign], None],
+        append: Callable[[Assign | DeclareLost], None],
     ) -> None:
         self._core = core
         self._read_configuration = read_configuration
@@ -53,7 +55,8 @@
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
-        self._planned_at = -1
+        self._fenced_s: dict[IncarnationId, float] = {}
+        self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -75,7 +78,9 @@
         """Plan if it is this node's turn and something may have changed."""
         if self.find_planner() != self._core.me or not self._core.caught_up:
             return
-        position = self._core.state.position
+        self._declare_lost(now)
+        version = self._read_configuration().version
+        position = (self._core.state.position, version)
         idle = position == self._planned_at
         if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
             return
@@ -90,6 +95,34 @@
             )
             self._append(record)
 
+    def _declare_lost(self, now: float) -> None:
+        """Declare nodes lost whose lease is fenced and that take no new one.
+
+        The fence stands already, so that this ends no node that serves; it keeps the
+        state from growing by every VM that was ever lost.
+        """
+        state = self._core.state
+        fenced = {
+            member.incarnation
+            for member in state.list_live_members()
+            if member.term and state.find_lease(member.incarnation) is None
+        }
+        self._fenced_s = {
+            name: self._fenced_s.get(name, now) for name in sorted(fenced)
+        }
+        lost = tuple(
+            name
+            for name, since_s in self._fenced_s.items()
+            if now - since_s >= DECLARE_LOST_AFTER_S
+        )
+        if lost and self._core.context.is_due("declare lost", now, RETRY_DECLARE_S):
+            record = DeclareLost(
+                record_id=self._core.context.make_record_id(),
+                writer=self._core.me,
+                incarnations=lost,
+            )
+            self._append(record)
+
     def build_view(self, now: float) -> PlacementView:
         """Return what the plan depends on."""
         self._forget_old(now)
@@ -118,14 +151,19 @@
         )
 
     def _choose_lease(self, member: Member, now: float) -> LeaseId | None:
-        """Return the lease to plan with: a new one only after it can have come up."""
+        """Return the lease to plan with: a new one only after it can have come up.
+
+        A node that has put its newest lease into a chain is up under it, and its
+        older one is about to end.
+        """
         state = self._core.state
         newest = state.find_lease(member.incarnation)
         if newest is None:
             return None
         since_s = self._seen_s.setdefault(newest, now)
         older = LeaseId(member.incarnation, newest.term - 1)
-        if now - since_s < NEW_LEASE_S and state.is_live(older):
+        in_use = newest in state.references
+        if not in_use and now - since_s < NEW_LEASE_S and state.is_live(older):
             return older
         return newest
 
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -75,6 +75,17 @@
             queue.adjust(entry, 9.0 if entry.flow == "a" else 0.0)
         self.assertLessEqual(served.count("a"), 11)
 
+    def test_idle_flow_is_charged_afterwards(self):
+        """A partner that waits for nothing still pays for what it took."""
+        queue = FairQueue(weights={"a": 1.0, "d": 1.0})
+        queue.push(build_entry(1, "a"))
+        queue.adjust(queue.pop(), 9.0)
+        for number in range(10):
+            queue.push(build_entry(10 + number, "a"))
+            queue.push(build_entry(30 + number, "d"))
+        served = "".join(queue.pop().flow for _ in range(11))
+        self.assertLessEqual(served.count("a"), 1)
+
     def test_idle_flow_earns_no_credit(self):
         """A partner that comes back after a pause gets its share, not more."""
         queue = FairQueue(weights={"a": 1.0, "d": 1.0})
@@ -87,6 +98,30 @@
         served = [queue.pop().flow for _ in range(40)]
         self.assertAlmostEqual(served.count("d"), 20, delta=1)
 
+    def test_measured_pace_corrects_estimate(self):
+        """A flow that moves slower than fairness says is judged by its pace."""
+        queue = FairQueue(weights=dict.fromkeys("abcdefgh", 1.0))
+        for number in range(10):
+            queue.push(build_entry(number, "a"))
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 5.0)
+        first = queue.pop()
+        queue.record_wait(first, 3.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 27.0)
+        queue.record_wait(queue.pop(), 6.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 24.0)
+        for _ in range(8):
+            queue.pop()
+        queue.push(build_entry(99, "a"))
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 0.5)
+
+    def test_pace_is_no_worse_than_fair_share(self):
+        """One long wait does not make a partner's queue look slower than its share."""
+        queue = FairQueue(weights={"a": 1.0})
+        for number in range(3):
+            queue.push(build_entry(number, "a"))
+        queue.record_wait(queue.pop(), 100.0)
+        self.assertAlmostEqual(queue.estimate_wait("a", 2.0), 2.0)
+
     def test_new_weights_keep_waiting_requests(self):
         """A flow that the inventory drops is served to its end, then forgotten."""
         queue = FairQueue(weights=WEIGHTS)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -2,7 +2,8 @@
 
 After every event it checks that no two nodes may serve a shard, that no two upstreams
 hold a live grant for one, that no two that do not check grants run requests for one,
-and that nobody serves under a chain older than one that the log has activated.
+that nobody serves under a chain older than one that the log has activated, and that a
+shard's fencing tokens grow from owner to owner.
 """
 
 import collections
@@ -30,7 +31,7 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import find_planner
 from papayatack.core.ownership.state import OwnershipState
-from papayatack.core.records import OWNERSHIP_STREAM, Announce, Assign
+from papayatack.core.records import OWNERSHIP_STREAM, Activate, Announce, Assign
 from tests.fakes.planner import plan_first_chains, plan_repairs
 
 TICK_S = 0.05
@@ -135,6 +136,7 @@
         self.truth = OwnershipState()
         self.activated = {}
         self.hot_keys = {}
+        self.last_tokens = {}
         self.has_requests = True
         self.tick_s = TICK_S
         self.find_service = self.services.get
@@ -145,6 +147,7 @@
         self.violations = []
         self.planners_everywhere = False
         self.plans = True
+        self.plan_limit = 50
         self._queue = []
         self._order = itertools.count()
 
@@ -434,8 +437,8 @@
             return
         if not self.log or core.me not in core.state.members:
             return
-        repairs = plan_repairs(core.state, limit=50)
-        first = plan_first_chains(core.state, self.shards, limit=50)
+        repairs = plan_repairs(core.state, limit=self.plan_limit)
+        first = plan_first_chains(core.state, self.shards, limit=self.plan_limit)
         if repairs or first:
             record = Assign(
                 record_id=core.context.make_record_id(),
@@ -459,11 +462,11 @@
             self._wake_tails()
 
     def _fold_truth(self, record):
+        """Fold a record for the checks; an activation acknowledges an assignment."""
         change = fold(self.truth, len(self.log), record)
-        for shard in change.shards:
-            entry = self.truth.shards.get(shard)
-            if entry is not None and entry.active:
-                self.activated[shard] = entry.current.epoch
+        if type(record) is Activate:
+            for shard in change.shards:
+                self.activated[shard] = self.truth.shards[shard].current.epoch
 
     def _wake_tails(self):
         for slot in self.slots.values():
@@ -500,6 +503,7 @@
 
     @_perform.register
     def _(self, effect: GrantShards, slot, core):
+        self._check_tokens(slot, effect.tokens)
         expiry = self.now + effect.remaining_s / slot.rate
         slot.upstream.grant(effect.lease, effect.tokens, expiry)
         now = slot.read_clock(self.now)
@@ -527,6 +531,14 @@
         slot.finished.append((self.now, effect.resigned))
         slot.core = None
 
+    def _check_tokens(self, slot, tokens):
+        """Raise if a shard's token does not grow from one owner to the next."""
+        for shard, token in tokens.items():
+            last, owner = self.last_tokens.get(shard, (0, slot))
+            if token < last or (token == last and owner is not slot):
+                raise AssertionError(f"{shard}: token {token} after {last}")
+            self.last_tokens[shard] = (token, slot)
+
     def _send(self, sender, recipient, message):
         self.messages += 1
         source, target = sender.split("#")[0], recipient.split("#")[0]
