Give the first node of a fleet its witnesses within seconds

Traced: the frozen node was the first that had started and still held its first lease, without witnesses, which nobody can fence. A lease without witnesses counted as sound, so that better ones were sought every 5 s, and admitted 5 s apart.

Change: a lease without witnesses is not sound and is replaced 2 s after its admission. Test: the first node is witnessed 3 s after the others' start.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -27,6 +27,7 @@
 REGION = "barranquilla"
 NODES = 9
 SHARDS = 256
+WITNESSES = 3
 KEYS_PER_VICTIM = 8
 MAX_KEY = 400
 WARM_UP_S = 1.0
@@ -227,13 +228,19 @@
         documents = [await _read_json(m.operators, "/status") for m in fleet.members]
         owned = [document.get("shards_owned", 0) for document in documents]
         states = [document.get("state", "away") for document in documents]
-        settled = set(states) == {"serving"} and sum(owned) >= SHARDS
+        witnessed = all(_count_witnesses(d) == WITNESSES for d in documents)
+        settled = set(states) == {"serving"} and sum(owned) >= SHARDS and witnessed
         steady = steady + 1 if settled else 0
         if loop.time() > deadline_s:
             raise TimeoutError(f"the fleet did not settle: {states} own {owned}")
         await asyncio.sleep(SETTLE_POLL_S)
 
 
+def _count_witnesses(status: dict) -> int:
+    """Return the number of witnesses; without any nobody can take over."""
+    return len((status.get("lease") or {}).get("witnesses", []))
+
+
 async def _measure(fault: str, log: str, runs: int) -> bool:
     """Print the distribution over ``runs`` runs; return whether all was well."""
     sites = tuple(
--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -87,7 +87,8 @@
             pause_s = RETRY_APPEND_S
         else:
             wanted = holder is None or self._is_better(chosen, holder, silent)
-            pause_s = READMIT_INTERVAL_S
+            is_alone = holder is not None and not holder.witnesses
+            pause_s = RETRY_APPEND_S if is_alone else READMIT_INTERVAL_S
         if wanted and self._context.is_due("admit", now, pause_s):
             record = Admit(
                 record_id=self._context.make_record_id(),
@@ -98,9 +99,14 @@
             self._context.append(record)
 
     def _is_sound(self, holder: Holder | None, silent: set[IncarnationId]) -> bool:
-        """Tell whether the lease needs no other witnesses soon."""
+        """Tell whether the lease needs no other witnesses soon.
+
+        One without any does: nobody can take over from its holder.
+        """
         if holder is None or holder.ended or silent or holder.fenced_by:
             return False
+        if not holder.witnesses:
+            return False
         members = (self._context.state.members.get(name) for name in holder.witnesses)
         return all(member is not None and member.ended is None for member in members)
 
--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -364,6 +364,20 @@
         fleet.append(DeclareLost(record_id="d", writer="op", incarnations=("a#1",)))
         fleet.run_until(fleet.all_served, 15)
 
+    def test_first_node_does_not_stay_alone(self):
+        """The first node is witnessed within seconds of the others' start.
+
+        Until then nobody can take over from it.
+        """
+        fleet = Fleet()
+        fleet.add("a", "1")
+        fleet.run(1.5)
+        for name, place in list(PLACES.items())[1:]:
+            fleet.add(name, place)
+        fleet.run(3.0)
+        holder = fleet.slots["a"].core.context.find_newest_holder()
+        self.assertEqual(len(holder.witnesses), 3)
+
     def test_fleet_that_grows(self):
         """Nodes that join give earlier ones more witnesses, without interruption."""
         fleet = make_fleet(places={"a": "1"})
