Report a failed task before ending, and move limits out of the node

Cause: the test of a failed control task, new, showed that its report itself failed: the field exc_info is the logging library's own. The process ended without a line that says why; a node that ended so was seen once. The module of the node also held the mapping of limits.

Change: the event carries the error and its traceback as fields; a failed task's exception does not hide the ending; daemon/limits.py takes the limits of callers and admission and follows the inventory.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -5,31 +5,37 @@
 import enum
 import logging
 import random
+import traceback
 import uuid
 
 from returns.result import Failure, Success
 
 from papayatack.control.loading import load_streams
 from papayatack.control.node import ControlNode
-from papayatack.core.admission import Admission, Limits
+from papayatack.core.admission import Admission
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.handover import HandoverWait
 from papayatack.core.identity import IncarnationId, PeerAddress
-from papayatack.core.inventory import Configuration, Service
 from papayatack.core.ownership import OwnershipState
 from papayatack.core.placement import plan
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM, Announce
 from papayatack.core.retry import RetryPolicy
 from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
 from papayatack.daemon.health import follow_health
+from papayatack.daemon.limits import (
+    build_caller_limits,
+    find_admission_limits,
+    follow_limits,
+)
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
 from papayatack.daemon.publication import Publisher
 from papayatack.daemon.settings import LimitSettings, Settings
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.http import HttpLogService
+from papayatack.network.caller_connection import Handler
 from papayatack.network.callers import CallerServer
 from papayatack.network.grants import GrantClient
-from papayatack.network.limits import CallerLimits, UpstreamLimits
+from papayatack.network.limits import UpstreamLimits
 from papayatack.network.peers import PeerNetwork
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
@@ -41,7 +47,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-FOLLOW_CONFIG_INTERVAL_S = 0.25
 HANDOVER_CHECK_S = 0.02
 HANDOVER_CHECKS = 100
 ENDPOINT_STOP_TIMEOUT_S = 1.0
@@ -73,9 +78,9 @@
         self._incarnation = IncarnationId(
             f"{settings.listen.peers}#{uuid.uuid4().hex[:12]}"
         )
-        log_host, log_port = _split(settings.log.address)
+        log_host, log_port = _split_address(settings.log.address)
         self._log = HttpLogService(host=log_host, port=log_port)
-        peers_host, peers_port = _split(settings.listen.peers)
+        peers_host, peers_port = _split_address(settings.listen.peers)
         self._peers = PeerNetwork(
             incarnation=self._incarnation,
             host=peers_host,
@@ -94,8 +99,6 @@
         self._endpoint_server = self._build_server(
             settings.listen.operators, self._endpoint.handle
         )
-        self._control: ControlNode | None = None
-        self._admission: Admission | None = None
 
     def start_drain(self) -> None:
         """Begin the graceful shutdown."""
@@ -163,7 +166,7 @@
         control = self._build_control(announcement, pool, *states)
         admission = Admission(
             now=asyncio.get_running_loop().time(),
-            limits=Limits(slots=upstream.slots, connections=upstream.connections),
+            limits=find_admission_limits(control.config.configuration, upstream),
         )
         gate = AdmissionGate(admission=admission, metrics=self._metrics)
         engine = self._build_engine(control, gate)
@@ -178,7 +181,7 @@
         async with contextlib.AsyncExitStack() as stack:
             works = (
                 control.run(),
-                self._follow_config(control, gate, upstream),
+                follow_limits(control, gate, upstream),
                 follow_health(GrantClient(pool=pool), gate),
             )
             tasks = [asyncio.ensure_future(work) for work in works]
@@ -223,19 +226,6 @@
             for task in waiting:
                 task.cancel()
 
-    async def _follow_config(
-        self, control: ControlNode, gate: AdmissionGate, upstream: AnnouncedUpstream
-    ) -> None:
-        """Put each changed inventory in force at the gate."""
-        seen: Configuration | None = None
-        while True:
-            configuration = control.config.configuration
-            if configuration is not seen:
-                seen = configuration
-                limits = _find_limits(configuration, upstream)
-                gate.configure(limits=limits, partners=configuration.partners)
-            await asyncio.sleep(FOLLOW_CONFIG_INTERVAL_S)
-
     def _build_announcement(self, upstream: AnnouncedUpstream) -> Announce:
         return Announce(
             record_id="",
@@ -252,7 +242,7 @@
         )
 
     def _build_pool(self, upstream: AnnouncedUpstream) -> UpstreamPool:
-        host, port = _split(upstream.address)
+        host, port = _split_address(upstream.address)
         return UpstreamPool(
             host=host,
             port=port,
@@ -313,28 +303,30 @@
         )
 
     def _build_server(
-        self, address: str, handler, limits: LimitSettings | None = None
+        self, address: str, handler: Handler, limits: LimitSettings | None = None
     ) -> CallerServer:
-        host, port = _split(address)
+        host, port = _split_address(address)
         return CallerServer(
             host=host,
             port=port,
             handler=handler,
             metrics=self._metrics,
-            limits=_build_limits(limits) if limits else None,
+            limits=build_caller_limits(limits) if limits else None,
         )
 
     def _note_failed(self, task: asyncio.Future[None]) -> None:
+        error = task.exception()
+        lines = traceback.format_exception(error) if error is not None else []
         log_event(
             LOGGER,
             Event.DAEMON_FAILED,
             level=logging.ERROR,
-            error=repr(task.exception()),
-            exc_info=task.exception(),
+            error=repr(error),
+            traceback="".join(lines),
         )
 
     def _note_started(self, callers_port: int) -> None:
-        host, _ = _split(self._settings.listen.callers)
+        host, _ = _split_address(self._settings.listen.callers)
         log_event(
             LOGGER,
             Event.DAEMON_STARTED,
@@ -345,39 +337,11 @@
         )
 
 
-def _split(address: str) -> tuple[str, int]:
+def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
 
 
-def _build_limits(limits: LimitSettings) -> CallerLimits:
-    return CallerLimits(
-        header_bytes=limits.header_bytes,
-        body_bytes=limits.body_bytes,
-        connections=limits.caller_connections,
-        header_timeout_s=limits.header_timeout_s,
-        idle_timeout_s=limits.idle_timeout_s,
-    )
-
-
-def _find_limits(configuration: Configuration, upstream: AnnouncedUpstream) -> Limits:
-    """Return the tighter of what the inventory and the upstream say."""
-    service = _find_service(configuration, upstream.service)
-    if service is None:
-        return Limits(slots=upstream.slots, connections=upstream.connections)
-    return Limits(
-        slots=min(service.slots, upstream.slots),
-        connections=min(service.connections, upstream.connections),
-    )
-
-
-def _find_service(configuration: Configuration, name: str) -> Service | None:
-    for service in configuration.services:
-        if service.name == name:
-            return service
-    return None
-
-
 async def _wait_handed_over(control: ControlNode) -> None:
     """Stay until the outcomes of keyed requests are asked for, but not for long."""
     loop = asyncio.get_running_loop()
@@ -388,6 +352,6 @@
 
 
 async def _cancel(task: asyncio.Future[None]) -> None:
+    """End a task; one that failed was reported already."""
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    await asyncio.gather(task, return_exceptions=True)
--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -165,6 +165,19 @@
         status, _ = await self.ask("operators", "/explain?service=none&key=k")
         self.assertEqual(status, 404)
 
+    async def test_failed_task_ends_the_node(self):
+        """A node whose control tasks fail does not stay on without them."""
+        await self.announce()
+        control = "papayatack.core.ownership.node.NodeCore.advance"
+        with (
+            unittest.mock.patch(control, side_effect=ValueError("broken")),
+            self.assertLogs("papayatack.daemon.node", "ERROR") as logs,
+        ):
+            async with asyncio.timeout(LIMIT_S):
+                ending = await self.running
+        self.assertIs(ending, Ending.FAILED)
+        self.assertIn("DAEMON_FAILED", logs.output[0])
+
     async def test_drain_before_the_upstream_announces(self):
         """A node that never served ends at once."""
         self.assertIs(await self.end(), Ending.DRAINED)
