Order tokens by the log, and let a node say which upstream runs beside it

Cause: an upstream may restart or go while its node lives, and keys may go back to a shard with older tokens; tokens by epoch then fell. Change: tokens come from the log's offset, the chain's position and the upstream's life; the record attach changes what a member announces.

--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -22,6 +22,7 @@
     Announce,
     Assign,
     Assignment,
+    Attach,
     Fenced,
 )
 
@@ -58,6 +59,42 @@
             self._announced_s = now
         self._keep_lease(member, now)
         self._replace_old_leases(member, now)
+        self._attach(member, now)
+
+    def set_upstream(
+        self, *, service: str, upstream: str, slots: int, connections: int
+    ) -> None:
+        """Announce this upstream from now on; an empty service for none."""
+        self._announcement = dataclasses.replace(
+            self._announcement,
+            service=service,
+            upstream=upstream,
+            slots=slots,
+            connections=connections,
+        )
+        self._context.due_s_by_key.pop("attach", None)
+
+    def _attach(self, member: Member, now: float) -> None:
+        """Tell the log of an upstream that differs from the one it knows."""
+        wanted = self._announcement
+        same = (
+            member.service == wanted.service
+            and member.upstream == wanted.upstream
+            and member.slots == wanted.slots
+            and member.connections == wanted.connections
+        )
+        if same or not self._context.is_due("attach", now, RETRY_APPEND_S):
+            return
+        record = Attach(
+            record_id=self._context.make_record_id(),
+            writer=self._context.me,
+            incarnation=self._context.me,
+            service=wanted.service,
+            upstream=wanted.upstream,
+            slots=wanted.slots,
+            connections=wanted.connections,
+        )
+        self._context.append(record)
 
     def _announce(self, now: float) -> None:
         if not self._context.is_due("announce", now, RETRY_APPEND_S):
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -225,14 +225,16 @@
 
     def _acquire(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> None:
         position = entry.current.leases.index(holder.lease)
-        token = make_token(entry.current.epoch, position)
+        current = entry.current
+        token = make_token(current.since, position, self._context.upstream_life)
         self._context.rights.acquire(
             shard,
             holder,
-            entry.current.epoch,
+            current.epoch,
             token,
             now=self._now,
             origin=self._find_origin(shard, entry, holder),
+            is_first=current.epoch == 1 and position == 0,
         )
 
     def _find_origin(
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -44,6 +44,7 @@
         find_service: Returns the service of a name, as far as it is known.
         effects: What the current input has led to so far.
         hints: Leases that others say are fenced; used for routing alone.
+        upstream_life: How often the own upstream was restarted under this process.
     """
 
     me: IncarnationId
@@ -55,6 +56,7 @@
     holders: dict[LeaseId, Holder] = dataclasses.field(default_factory=dict)
     effects: list[Effect] = dataclasses.field(default_factory=list)
     hints: set[LeaseId] = dataclasses.field(default_factory=set)
+    upstream_life: int = 0
     records_made: int = 0
     due_s_by_key: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -26,6 +26,7 @@
     Announce,
     Assign,
     Assignment,
+    Attach,
     CheckpointChunk,
     DeclareLost,
     Fenced,
@@ -134,6 +135,26 @@
     )
 
 
+@_apply.register
+def _attach(record: Attach, state: OwnershipState, offset: int) -> Change:
+    member = state.members.get(record.incarnation)
+    if member is None or member.ended is not None:
+        return _void("unknown incarnation")
+    if record.writer != record.incarnation:
+        return _void("not the writer")
+    attached = dataclasses.replace(
+        member,
+        service=record.service,
+        upstream=record.upstream,
+        slots=record.slots,
+        connections=record.connections,
+    )
+    if attached == member:
+        return _void("unchanged")
+    state.members[record.incarnation] = attached
+    return Change(effective=True, members=(record.incarnation,))
+
+
 @_apply.register
 def _admit(record: Admit, state: OwnershipState, offset: int) -> Change:
     holder = record.lease.incarnation
@@ -170,6 +191,8 @@
         if assignment.parent:
             _split_or_return(assignment, state, offset)
             mixed.append((assignment.shard, assignment.parent))
+            if not assignment.chain:
+                changed.append(assignment.parent)
         else:
             _move(assignment, state, offset)
         changed.append(assignment.shard)
@@ -229,11 +252,19 @@
     """
     if not assignment.chain:
         state.remove_shard(assignment.shard)
+        _renew_tokens(assignment.parent, state, offset)
         return
     chain = Chain(epoch=offset + 1, leases=assignment.chain, since=offset + 1)
     state.set_shard(assignment.shard, ShardEntry(current=chain, active=True))
 
 
+def _renew_tokens(shard: ShardId, state: OwnershipState, offset: int) -> None:
+    """Lift a shard's tokens above those of the keys that return to it."""
+    entry = state.shards[shard]
+    current = dataclasses.replace(entry.current, since=offset + 1)
+    state.set_shard(shard, dataclasses.replace(entry, current=current))
+
+
 def _move(assignment: Assignment, state: OwnershipState, offset: int) -> None:
     entry = state.shards.get(assignment.shard)
     chain = Chain(
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -177,6 +177,34 @@
         self.departure.start(now)
         return self.advance(now)
 
+    def attach_upstream(
+        self,
+        *,
+        service: str,
+        upstream: str,
+        slots: int,
+        connections: int,
+        now: float,
+    ) -> list[Effect]:
+        """Take in which upstream runs beside this node; an empty service for none."""
+        self._admission.set_upstream(
+            service=service, upstream=upstream, slots=slots, connections=connections
+        )
+        return self.advance(now)
+
+    def restart_upstream(self, now: float) -> list[Effect]:
+        """Ask an upstream that has lost its grants for all of them again.
+
+        They bear higher tokens than those of its earlier life.
+        """
+        self.context.upstream_life += 1
+        rights = self.context.rights
+        for right in rights.rights.values():
+            right.token = 0
+            right.asked = False
+        self.claims.touch(*rights.rights)
+        return self._settle(now)
+
     def authorize(self, shard: ShardId, now: float) -> Result[Right, Refusal]:
         """Return the right under which a request may go to the upstream now.
 
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -5,13 +5,11 @@
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import Chain, OwnershipState
-from papayatack.core.ownership.succession import make_token
 from papayatack.core.shards import is_hot
 
 __all__ = ["Draining", "Origin", "Return", "Right", "Rights"]
 
 RETURN_MEMORY_S = 600.0
-FIRST_TOKEN = make_token(1, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -149,6 +147,7 @@
         *,
         now: float,
         origin: Origin | None = None,
+        is_first: bool = False,
     ) -> None:
         """Hold a right; the upstream is to be asked for a grant unless it has it."""
         self.draining.pop(shard, None)
@@ -162,6 +161,7 @@
                     wanted_token=token,
                     since_s=now,
                     origin=origin,
+                    is_first=is_first,
                 ),
             )
             return
@@ -181,7 +181,6 @@
         else:
             self._last_tenure += 1
             right.tenure = self._last_tenure
-            right.is_first = right.wanted_token == FIRST_TOKEN
         return right
 
     def note_split(self, shard: ShardId, parent: ShardId, now: float) -> None:
--- a/src/papayatack/core/ownership/succession.py
+++ b/src/papayatack/core/ownership/succession.py
@@ -12,6 +12,7 @@
 from papayatack.core.ownership.state import Chain, ShardEntry
 
 __all__ = [
+    "TOKEN_LIFE_BITS",
     "TOKEN_POSITION_BITS",
     "Claim",
     "Evidence",
@@ -21,6 +22,7 @@
 ]
 
 TOKEN_POSITION_BITS = 8
+TOKEN_LIFE_BITS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,9 +76,20 @@
         return not self.holders and not self.predecessors
 
 
-def make_token(epoch: int, position: int) -> int:
-    """Return the fencing token of the holder at ``position`` of a chain."""
-    return (epoch << TOKEN_POSITION_BITS) | position
+def make_token(since: int, position: int, life: int = 0) -> int:
+    """Return the fencing token of the holder at ``position`` of a chain.
+
+    Tokens of a key rise in the order of the log, also where the key went from one
+    shard to another in between.
+
+    Args:
+        since: Where the chain stands in the log.
+        position: The holder's place in the chain.
+        life: How often the holder's upstream was restarted.
+    """
+    number = (since << TOKEN_POSITION_BITS) | position
+    highest = (1 << TOKEN_LIFE_BITS) - 1
+    return (number << TOKEN_LIFE_BITS) | min(life, highest)
 
 
 def examine_claim(
--- a/src/papayatack/core/records.py
+++ b/src/papayatack/core/records.py
@@ -18,6 +18,7 @@
     "Announce",
     "Assign",
     "Assignment",
+    "Attach",
     "CheckpointChunk",
     "ConfigRecord",
     "DeclareLost",
@@ -80,6 +81,27 @@
     supersedes: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attach:
+    """The upstream beside an incarnation started, changed or went.
+
+    Attributes:
+        incarnation: The node, which writes the record itself.
+        service: The service of its upstream, empty if there is none.
+        upstream: The upstream's address, ``<ip>:<port>``.
+        slots: Requests that the upstream runs at once.
+        connections: Connections that the upstream accepts.
+    """
+
+    record_id: str
+    writer: str
+    incarnation: IncarnationId
+    service: str
+    upstream: str = ""
+    slots: int = 0
+    connections: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Admit:
     """Gives an incarnation a lease with its witnesses.
@@ -213,6 +235,7 @@
 
 OwnershipRecord = (
     Announce
+    | Attach
     | Admit
     | Assign
     | Activate
--- a/src/papayatack/wire/records.py
+++ b/src/papayatack/wire/records.py
@@ -25,6 +25,7 @@
     Admit,
     Announce,
     Assign,
+    Attach,
     CheckpointChunk,
     ConfigRecord,
     DeclareLost,
@@ -58,6 +59,7 @@
     },
     OWNERSHIP_STREAM: {
         "announce": Announce,
+        "attach": Attach,
         "admit": Admit,
         "assign": Assign,
         "activate": Activate,
