Take routes by host and path, and the fields of a request from a dialect

Cause: the platform's callers and upstreams use header fields of their own, routes by host and longest prefix with exact weights, and answers without a length. Change: Dialect and RouteClassifier beside the product's own; slices of whole numbers as shards; a stray response on an upstream's connection is skipped.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -16,7 +16,7 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import Member
 from papayatack.core.ownership.tenures import find_key_tenure
-from papayatack.core.shards import find_parent, format_hot_shard, is_hot, locate_shard
+from papayatack.core.shards import find_hot_shard, find_parent, is_hot, locate_shard
 from papayatack.proxy.interface import Grant, Route
 
 __all__ = ["Directory"]
@@ -67,9 +67,9 @@
             return Failure(refusal)
         local = owner.incarnation == self._core.me
         if local:
-            key_range = shard.split("/", 2)[1]
-            key_shard = format_hot_shard(service, key_range, key)
-            self._loads.note_key(shard, key_shard)
+            self._loads.note_key(
+                shard, shard if is_hot(shard) else find_hot_shard(shard, key)
+            )
         return Success(_make_route(shard, owner, local=local))
 
     def list_nodes(self, service: str) -> tuple[Route, ...]:
@@ -131,7 +131,7 @@
             if related is None:
                 return None
         else:
-            related = format_hot_shard(service, shard.split("/", 2)[1], key)
+            related = find_hot_shard(shard, key)
         return find_key_tenure(rights, shard, related)
 
 
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -7,7 +7,9 @@
 import enum
 
 __all__ = [
+    "CallerBounds",
     "Configuration",
+    "HostRoute",
     "KeyRange",
     "KeySource",
     "LocalityRule",
@@ -16,6 +18,7 @@
     "RequestClass",
     "RequestRule",
     "Service",
+    "Target",
 ]
 
 
@@ -50,6 +53,8 @@
         low: Smallest key of the range; keys compare as strings.
         high: First key after the range, or ``None`` for no end.
         shards: Number of shards into which the keys of the range hash.
+        numbers: If positive, the keys are the whole numbers below this, and each
+            shard holds as many neighbouring ones. ``low`` and ``high`` do not count.
         retired: Its keys are given up and no longer served; only a retired range
             may be removed.
     """
@@ -59,6 +64,7 @@
     high: str | None = None
     shards: int = 16
     retired: bool = False
+    numbers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +101,7 @@
         deadline_s: Longest time for a request, in seconds.
         request_rules: Classification of requests, first match first.
         places: Names of the data centres where it runs.
+        warm_up_s: Seconds after its start in which an upstream gets a smaller share.
     """
 
     name: str
@@ -107,6 +114,64 @@
     deadline_s: float = 10.0
     request_rules: tuple[RequestRule, ...] = ()
     places: tuple[str, ...] = ()
+    warm_up_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """One service to which a route leads.
+
+    Attributes:
+        service: The service's name.
+        weight: Share of the route's requests, relative to its other targets.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostRoute:
+    """Requests of one host below one path.
+
+    Attributes:
+        name: Unique.
+        host: Host of the request, in lower case.
+        prefix: Beginning of its path; begins and ends with a slash.
+        targets: Where the requests go, by weight.
+        repeatable: Whether a request may run more than once.
+        request_class: The class in which it queues.
+        timeout_s: Longest time for a request, in seconds.
+        target_latency_s: Time within which an answer is worth most, in seconds.
+        max_attempts: Upstreams to which one request may be sent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    repeatable: bool
+    request_class: RequestClass
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerBounds:
+    """What callers may send, and how slowly.
+
+    Attributes:
+        header_bytes: Longest request header.
+        body_bytes: Longest request body.
+        header_timeout_s: Seconds within which a request's header must arrive.
+        idle_timeout_s: Seconds for which a quiet connection is kept.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -161,6 +226,8 @@
         partners: All partners; requests of others share the weight of one.
         partner_header: Header field that names the partner.
         localities: Locality rules.
+        routes: Routes by host and path; without any, services have prefixes.
+        bounds: Bounds on callers, where the publication sets them.
     """
 
     version: int = 0
@@ -169,3 +236,5 @@
     partners: tuple[Partner, ...] = ()
     partner_header: str = "X-Partner"
     localities: tuple[LocalityRule, ...] = ()
+    routes: tuple[HostRoute, ...] = ()
+    bounds: CallerBounds | None = None
--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -1,6 +1,8 @@
 """Which shard a key belongs to, and all shards of a configuration.
 
-The hash and its seed decide who owns a key, so that they never change.
+The hash and its seed decide who owns a key, so that they never change. Keys that are
+whole numbers do not hash: a shard is a slice of neighbouring ones, ``<first>-<last>``,
+and a hot slice within it ``=<first>-<last>``.
 """
 
 import bisect
@@ -16,7 +18,9 @@
 
 __all__ = [
     "HOT_MARK",
+    "find_hot_shard",
     "find_parent",
+    "find_slice",
     "format_hot_shard",
     "is_hot",
     "list_shards",
@@ -26,6 +30,9 @@
 HOT_MARK = "="
 """First character of the last part of a hot key's shard id."""
 
+HOT_SLICE = 16
+"""Neighbouring keys that become a shard of their own together."""
+
 MAX_INDEXES = 4
 
 _NO_HOT_SHARDS: frozenset[ShardId] = frozenset()
@@ -39,6 +46,7 @@
     answers: tuple[Result[ShardId, Refusal], ...]
     hot_prefix: str
     retired: bool
+    numbers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,6 +88,8 @@
     found = index.ranges[position]
     if found.retired or (found.high is not None and key >= found.high):
         return _refuse_key(service, key)
+    if found.numbers:
+        return _locate_number(found, service, key, hot_shards)
     if hot_shards:
         hot = ShardId(found.hot_prefix + key)
         if hot in hot_shards:
@@ -92,13 +102,54 @@
     return answers[digest % len(answers)]
 
 
+def _locate_number(
+    index: _RangeIndex, service: str, key: str, hot_shards: Container[ShardId]
+) -> Result[ShardId, Refusal]:
+    number = int(key) if key.isdecimal() and key.isascii() else index.numbers
+    if number >= index.numbers:
+        return _refuse_key(service, key)
+    if hot_shards:
+        hot = ShardId(index.hot_prefix + _format_slice(number, HOT_SLICE))
+        if hot in hot_shards:
+            return Success(hot)
+    return index.answers[number * len(index.answers) // index.numbers]
+
+
+def _format_slice(number: int, width: int) -> str:
+    first = number - number % width
+    return f"{first}-{first + width - 1}"
+
+
+def find_slice(shard: ShardId) -> tuple[str, int, int]:
+    """Return service, first and last key of a shard of whole numbers.
+
+    Raises:
+        ValueError: The keys of the shard are not whole numbers.
+    """
+    service, _, rest = shard.partition("/")
+    first, _, last = rest.rpartition("/")[2].removeprefix(HOT_MARK).partition("-")
+    return service, int(first), int(last)
+
+
 def find_parent(configuration: Configuration, shard: ShardId) -> ShardId | None:
     """Return the shard to which a hot key's shard returns, ``None`` for any other."""
     service, _, rest = shard.partition("/")
     _, _, slot = rest.partition("/")
     if not slot.startswith(HOT_MARK):
         return None
-    return locate_shard(configuration, service, slot[1:]).value_or(None)
+    key = slot[1:]
+    if _has_numbers(configuration, service):
+        key = key.partition("-")[0]
+    return locate_shard(configuration, service, key).value_or(None)
+
+
+def _has_numbers(configuration: Configuration, service: str) -> bool:
+    return any(
+        key_range.numbers
+        for known in configuration.services
+        if known.name == service
+        for key_range in known.key_ranges
+    )
 
 
 def format_hot_shard(service: str, key_range: str, key: str) -> ShardId:
@@ -106,6 +157,14 @@
     return ShardId(f"{service}/{key_range}/{HOT_MARK}{key}")
 
 
+def find_hot_shard(shard: ShardId, key: str) -> ShardId:
+    """Return the id that a key of a shard would have as a shard of its own."""
+    service, key_range, slot = shard.split("/", 2)
+    if "-" in slot and not slot.startswith(HOT_MARK):
+        key = _format_slice(int(key), HOT_SLICE)
+    return format_hot_shard(service, key_range, key)
+
+
 def is_hot(shard: ShardId) -> bool:
     """Return whether a shard holds a single hot key."""
     return f"/{HOT_MARK}" in shard
@@ -166,6 +225,7 @@
                 ),
                 hot_prefix=f"{service.name}/{key_range.name}/{HOT_MARK}",
                 retired=key_range.retired,
+                numbers=key_range.numbers,
             )
             for key_range in ranges
         ),
@@ -174,4 +234,8 @@
 
 def _format_shards(service: Service, key_range: KeyRange) -> tuple[ShardId, ...]:
     prefix = f"{service.name}/{key_range.name}"
+    if key_range.numbers:
+        width = key_range.numbers // key_range.shards
+        starts = range(0, key_range.numbers, width)
+        return tuple(ShardId(f"{prefix}/{_format_slice(n, width)}") for n in starts)
     return tuple(ShardId(f"{prefix}/{slot}") for slot in range(key_range.shards))
--- a/src/papayatack/network/answers.py
+++ b/src/papayatack/network/answers.py
@@ -22,8 +22,13 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 
 
-def build_error_response(refusal: Refusal) -> Response:
-    """Return the response that the table of answers gives for a refusal."""
+def build_error_response(refusal: Refusal, *, fractions: bool = False) -> Response:
+    """Return the response that the table of answers gives for a refusal.
+
+    Args:
+        refusal: Why no upstream answered.
+        fractions: Whether the callers understand fractions in ``Retry-After``.
+    """
     answer = find_answer(refusal.kind)
     document = {
         "error": refusal.kind.value,
@@ -41,7 +46,7 @@
     if refusal.key_token:
         headers.append((KEY_TOKEN_HEADER, refusal.key_token.encode("latin-1")))
     if answer.status in RETRY_AFTER_STATUSES:
-        headers.append((b"retry-after", _format_retry_after(refusal)))
+        headers.append((b"retry-after", _format_retry_after(refusal, fractions)))
     return Response(
         status=answer.status,
         reason=_find_reason(answer.status),
@@ -50,11 +55,13 @@
     )
 
 
-def _format_retry_after(refusal: Refusal) -> bytes:
-    """Return whole seconds, the only unit that the field has."""
+def _format_retry_after(refusal: Refusal, fractions: bool) -> bytes:
+    """Return seconds; whole ones, which every caller understands, unless told else."""
     delay_s = refusal.retry_after_s
     if delay_s is None:
         delay_s = DEFAULT_RETRY_AFTER_S
+    if fractions:
+        return b"%.3f" % max(delay_s, 0.001)
     return b"%d" % max(1, math.ceil(delay_s))
 
 
--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -7,7 +7,14 @@
 
 from papayatack.core.errors import ErrorKind, PapayatackError
 
-__all__ = ["Body", "BodyCutError", "BodyQueue", "BytesBody", "ContinuingBody"]
+__all__ = [
+    "Body",
+    "BodyCutError",
+    "BodyQueue",
+    "BytesBody",
+    "ContinuingBody",
+    "PrefixedBody",
+]
 
 
 class BodyCutError(PapayatackError):
@@ -143,6 +150,31 @@
             self._waiter.set_result(None)
 
 
+class PrefixedBody:
+    """A body of which the beginning was read already."""
+
+    def __init__(self, *, data: bytes, rest: Body) -> None:
+        self._data = data
+        self._rest = rest
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return bool(self._data) or self._rest.ready
+
+    async def read(self) -> bytes:
+        """Return the beginning, then the next bytes of the rest."""
+        if self._data:
+            data, self._data = self._data, b""
+            return data
+        return await self._rest.read()
+
+    def close(self) -> None:
+        """Give up the rest."""
+        self._data = b""
+        self._rest.close()
+
+
 class ContinuingBody:
     """A body whose sender waits for ``100 Continue`` until it is read."""
 
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -71,6 +71,7 @@
         idempotency_key: The caller's key, empty if none.
         hops: Nodes that it has passed.
         recipient: Incarnation for which it is meant.
+        max_attempts: Upstreams to which it may be sent; 0 leaves it to the policy.
     """
 
     request: Request
@@ -86,3 +87,4 @@
     idempotency_key: str = ""
     hops: int = 0
     recipient: str = ""
+    max_attempts: int = 0
--- a/src/papayatack/network/limits.py
+++ b/src/papayatack/network/limits.py
@@ -43,10 +43,13 @@
         idle_timeout_s: Longest time for which an unused connection is kept. Shorter
             than usual upstreams keep it, so that none closes under a request.
         buffer_bytes: Bytes of a body held before reading from the socket pauses.
+        accepts_unframed: Whether a response without a length that ends with an
+            orderly close of its connection counts as whole.
     """
 
     header_bytes: int = 16 * KIB
     connections: int = 130
+    accepts_unframed: bool = False
     connect_timeout_s: float = 1.0
     idle_timeout_s: float = 4.0
     buffer_bytes: int = 64 * KIB
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -1,6 +1,7 @@
 """One connection to the own upstream."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import h11
@@ -8,11 +9,14 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.bodies import Body, BodyCutError, BodyQueue
-from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.exchanges import Headers, Request, Response, find_header
 from papayatack.network.limits import UpstreamLimits
 from papayatack.network.streams import read_body_error
 
-__all__ = ["UpstreamConnection", "UpstreamOwner"]
+__all__ = ["AnswerCheck", "UpstreamConnection", "UpstreamOwner"]
+
+AnswerCheck = Callable[[Headers], bool]
+"""Tells from its fields whether a response answers the request in flight."""
 
 WRITE_HIGH_BYTES = 64 * 1024
 BODILESS_STATUSES = (204, 304)
@@ -53,6 +57,8 @@
         self._pump: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._method = b""
+        self._is_answer: AnswerCheck | None = None
+        self._is_stray = False
         self._read_paused = False
         self._write_paused = False
         self._write_waiter: asyncio.Future[None] | None = None
@@ -63,7 +69,11 @@
         )
 
     async def exchange(
-        self, request: Request, *, deadline_s: float
+        self,
+        request: Request,
+        *,
+        deadline_s: float,
+        is_answer: AnswerCheck | None = None,
     ) -> Result[Response, Refusal]:
         """Send a request and return the head of its response.
 
@@ -73,8 +83,12 @@
         Args:
             request: The request, with the headers that the upstream shall see.
             deadline_s: Event loop time after which the connection is closed.
+            is_answer: Tells a response to this request from one to an earlier one,
+                which is skipped.
         """
         self._busy = True
+        self._is_answer = is_answer
+        self._is_stray = False
         self.written = False
         self._method = request.method
         self._head = self._loop.create_future()
@@ -170,8 +184,13 @@
         self._parse(data)
 
     def eof_received(self) -> bool:
-        """Treat the end of the upstream's bytes as the end of the connection."""
+        """Treat the end of the upstream's bytes as the end of the connection.
+
+        It is also the end of a response without a length.
+        """
         self.closed = True
+        if self._busy:
+            self._parse(b"")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -206,7 +225,10 @@
         while self._busy:
             event = self._h11.next_event()
             kind = type(event)
-            if kind is h11.Data:
+            if self._is_stray and kind in (h11.Data, h11.EndOfMessage):
+                if kind is h11.EndOfMessage:
+                    self._skip_stray()
+            elif kind is h11.Data:
                 self._take_data(event)
             elif kind is h11.Response:
                 self._take_head(event)
@@ -219,7 +241,12 @@
 
     def _take_head(self, event: h11.Response) -> None:
         headers = tuple(event.headers)
-        if not self._is_framed(event.status_code, headers):
+        if self._is_answer is not None and not self._is_answer(headers):
+            self._is_stray = True
+            return
+        if not self._owner.limits.accepts_unframed and not self._is_framed(
+            event.status_code, headers
+        ):
             detail = "neither Content-Length nor chunked: its end cannot be proved"
             self._fail(Refusal(kind=ErrorKind.RESPONSE_TRUNCATED, detail=detail))
             return
@@ -234,6 +261,24 @@
         if not self._head.done():
             self._head.set_result(Success(response))
 
+    def _skip_stray(self) -> None:
+        """Wait on for the answer after a response that belongs to another request.
+
+        The new parser is told of the request that was sent already.
+        """
+        self._is_stray = False
+        rest, _ = self._h11.trailing_data
+        if self._h11.our_state is not h11.DONE or not self._h11.their_state is h11.DONE:
+            detail = "a response to another request ends the connection"
+            self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
+            return
+        self._h11 = self._build_state()
+        fields = [(b"host", b"sent-before")]
+        head = h11.Request(method=self._method, target=b"/", headers=fields)
+        self._h11.send(head)
+        self._h11.send(h11.EndOfMessage())
+        self._h11.receive_data(bytes(rest))
+
     def _is_framed(self, status: int, headers: Any) -> bool:
         """Whether the end of the response can be told from a lost connection."""
         return (
--- a/src/papayatack/proxy/classification.py
+++ b/src/papayatack/proxy/classification.py
@@ -4,6 +4,7 @@
 import re
 import secrets
 import urllib.parse
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -17,7 +18,7 @@
 from papayatack.network.exchanges import PeerRequest, Request, find_header
 from papayatack.proxy.headers import DEADLINE_HEADER, clean_request_headers
 
-__all__ = ["Classifier"]
+__all__ = ["Classifier", "RequestClassifier"]
 
 MS_PER_S = 1000
 REQUEST_ID_BYTES = 16
@@ -69,6 +70,13 @@
         self.refusal = Refusal(kind=kind, detail=detail)
 
 
+class RequestClassifier(Protocol):
+    """Says what a request is under one configuration."""
+
+    def classify(self, request: Request) -> Result[PeerRequest, Refusal]:
+        """Return the request with all that its way depends on."""
+
+
 class Classifier:
     """Classifies requests by one configuration.
 
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -15,6 +15,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from returns.pipeline import is_successful
@@ -30,13 +31,12 @@
 from papayatack.core.idempotency import OutcomeExchange
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
-from papayatack.network.answers import OUTCOME_HEADER, build_error_response
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.balance import NodeBalance
-from papayatack.proxy.classification import Classifier
-from papayatack.proxy.headers import REQUEST_ID_HEADER
+from papayatack.proxy.classification import Classifier, RequestClassifier
+from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
 from papayatack.proxy.keyed import KeyedServer
 from papayatack.proxy.local import LocalServer
@@ -73,6 +73,8 @@
         metrics: Metrics,
         retry: RetryPolicy,
         handover: HandoverWait | None = None,
+        dialect: Dialect | None = None,
+        build_classifier: Callable[[Configuration], RequestClassifier] = Classifier,
     ) -> None:
         self._incarnation = incarnation
         self._ownership = ownership
@@ -80,12 +82,17 @@
         self._metrics = metrics
         self._retry = retry
         self._handover = handover or HandoverWait(rng=random.Random())
-        self._local = LocalServer(ownership=ownership, gate=gate, metrics=metrics)
+        self._dialect = dialect or OwnDialect()
+        self._build_classifier = build_classifier
+        self._local = LocalServer(
+            ownership=ownership, gate=gate, metrics=metrics, dialect=self._dialect
+        )
         self._keyed = KeyedServer(
             local=self._local, ownership=ownership, metrics=metrics
         )
         self._balance = NodeBalance(rng=random.Random(), count=metrics.count)
-        self._classifier = Classifier(configuration=Configuration())
+        self._classified = Configuration()
+        self._classifier = build_classifier(configuration=self._classified)
 
     @property
     def outcomes(self) -> OutcomeExchange:
@@ -106,19 +113,16 @@
         started_s = self._now()
         classified = self._find_classifier().classify(request)
         if not is_successful(classified):
-            return self._answer_refusal(classified.failure())
+            return self._answer_refusal(classified.failure(), "")
         peer_request = classified.unwrap()
         result = await self._run(peer_request)
         self._metrics.record_latency("request", self._now() - started_s)
-        request_id = (REQUEST_ID_HEADER, peer_request.request_id.encode())
+        request_id = peer_request.request_id
         if not is_successful(result):
-            response = self._answer_refusal(result.failure())
-            response.headers = (*response.headers, request_id)
-            return response
+            return self._answer_refusal(result.failure(), request_id)
         response = result.unwrap()
         self._metrics.count("requests", Outcome.ANSWERED.value)
-        outcome = (OUTCOME_HEADER, Outcome.ANSWERED.value.encode())
-        response.headers = (*response.headers, outcome, request_id)
+        response.headers = self._dialect.label_answer(response.headers, request_id)
         return response
 
     async def serve_peer(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
@@ -209,6 +213,9 @@
         if not body.replayable:
             self._metrics.count("retries_refused", "body-too-large")
             return None
+        if 0 < peer_request.max_attempts <= attempt:
+            self._metrics.count("retries_refused", "attempts-spent")
+            return None
         return self._retry.allow_retry(self._now(), attempt, deadline_s)
 
     async def _attempt(
@@ -270,17 +277,18 @@
             return result
         return await settle_response(result.unwrap())
 
-    def _find_classifier(self) -> Classifier:
+    def _find_classifier(self) -> RequestClassifier:
         """Return the classifier of the configuration in force."""
         configuration = self._ownership.configuration
-        if self._classifier.configuration is not configuration:
-            self._classifier = Classifier(configuration=configuration)
+        if self._classified is not configuration:
+            self._classified = configuration
+            self._classifier = self._build_classifier(configuration=configuration)
         return self._classifier
 
-    def _answer_refusal(self, refusal: Refusal) -> Response:
+    def _answer_refusal(self, refusal: Refusal, request_id: str) -> Response:
         self._metrics.count("requests", find_answer(refusal.kind).outcome.value)
         self._metrics.count("requests_refused", refusal.kind.value)
-        return build_error_response(refusal)
+        return self._dialect.answer_refusal(refusal, request_id)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/papayatack/proxy/headers.py
+++ b/src/papayatack/proxy/headers.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "DEADLINE_HEADER",
+    "HOP_BY_HOP",
     "KEY_TOKEN_HEADER",
     "REFUSED_HEADER",
     "REPLAYED_HEADER",
@@ -13,6 +14,7 @@
     "TOKEN_HEADER",
     "clean_request_headers",
     "clean_response_headers",
+    "list_hop_by_hop",
 ]
 
 DEADLINE_HEADER = b"papayatack-deadline-ms"
@@ -23,7 +25,7 @@
 REPLAYED_HEADER = b"papayatack-replayed"
 _OWN_PREFIX = b"papayatack-"
 _CHUNKED = (b"transfer-encoding", b"chunked")
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     (
         b"connection",
         b"expect",
@@ -39,13 +41,18 @@
 )
 
 
+def list_hop_by_hop(headers: Headers) -> frozenset[bytes]:
+    """Return the fields that a message itself says concern one connection only."""
+    named = find_header(headers, b"connection")
+    if named is None:
+        return frozenset()
+    names = {part.strip().lower() for part in named.split(b",")}
+    return frozenset(names - {b"content-length"})
+
+
 def _clean(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Drop what concerns one connection only, and all fields of this product."""
-    named = find_header(headers, b"connection")
-    dropped = _HOP_BY_HOP
-    if named is not None:
-        dropped = dropped | {part.strip().lower() for part in named.split(b",")}
-        dropped = dropped - {b"content-length"}
+    dropped = HOP_BY_HOP | list_hop_by_hop(headers)
     return [
         field
         for field in headers
--- a/src/papayatack/proxy/keyed.py
+++ b/src/papayatack/proxy/keyed.py
@@ -28,7 +28,7 @@
 from papayatack.proxy.headers import KEY_TOKEN_HEADER, REPLAYED_HEADER
 from papayatack.proxy.interface import Ownership
 from papayatack.proxy.local import KeyedAttempt, LocalServer
-from papayatack.proxy.settling import settle_response
+from papayatack.proxy.settling import is_settled, settle_response
 
 __all__ = ["KeyedServer"]
 
@@ -272,8 +272,8 @@
     if not is_successful(settled):
         return Failure(settled.failure())
     whole = settled.unwrap()
-    if whole is response:
-        return Success((response, None))
+    if not is_settled(whole):
+        return Success((whole, None))
     data = await whole.body.read()
     whole.body = BytesBody(data=data)
     answer = KeptAnswer(status=whole.status, headers=whole.headers, body=data)
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from returns.pipeline import is_successful
@@ -9,38 +10,16 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import ShardId
-from papayatack.network.exchanges import (
-    Headers,
-    PeerRequest,
-    Request,
-    Response,
-    find_header,
-)
+from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
-from papayatack.proxy.headers import (
-    DEADLINE_HEADER,
-    KEY_TOKEN_HEADER,
-    REFUSED_HEADER,
-    REQUEST_ID_HEADER,
-    SHARD_HEADER,
-    TOKEN_HEADER,
-    clean_response_headers,
-)
+from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.interface import Gate, Grant, Ownership, Permit, Ticket
 from papayatack.proxy.replay import MeteredBody
-from papayatack.proxy.settling import settle_response
+from papayatack.proxy.settling import is_settled, settle_response
 
 __all__ = ["KeyedAttempt", "LocalServer"]
 
-MS_PER_S = 1000
-STATUS_CONFLICT = 409
-_REFUSALS = {
-    b"token": ErrorKind.GRANT_REFUSED,
-    b"grant": ErrorKind.GRANT_REFUSED,
-    b"draining": ErrorKind.UPSTREAM_DRAINING,
-    b"shed": ErrorKind.UPSTREAM_SHED,
-}
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
@@ -86,8 +65,10 @@
         gate: Gate,
         metrics: Metrics,
         upstream: UpstreamPool | None = None,
+        dialect: Dialect | None = None,
     ) -> None:
         self.upstream = upstream
+        self._dialect = dialect or OwnDialect()
         self._ownership = ownership
         self._gate = gate
         self._metrics = metrics
@@ -107,7 +88,7 @@
             attempt: Its run under an idempotency key, if it has one.
         """
         if self.upstream is None:
-            return _refuse(ErrorKind.UPSTREAM_UNREACHABLE, "no upstream is announced")
+            return _refuse(ErrorKind.UPSTREAM_DRAINING, "no upstream runs here")
         ticket = Ticket(
             partner=peer_request.partner,
             request_class=peer_request.request_class,
@@ -143,7 +124,7 @@
         """Authorize with a connection in hand, so that no wait follows."""
         upstream = self.upstream
         if upstream is None:
-            return _refuse(ErrorKind.UPSTREAM_UNREACHABLE, "the upstream has left")
+            return _refuse(ErrorKind.UPSTREAM_DRAINING, "the upstream has left")
         reserved = await upstream.reserve(deadline_s=deadline_s)
         if not is_successful(reserved):
             return Failure(reserved.failure())
@@ -156,12 +137,18 @@
         request = Request(
             method=peer_request.request.method,
             target=peer_request.request.target,
-            headers=_build_headers(peer_request, granted.unwrap(), deadline_s - now),
+            headers=self._dialect.build_upstream_headers(
+                peer_request, granted.unwrap(), deadline_s - now
+            ),
             body=peer_request.request.body,
         )
         if attempt is not None:
             attempt.sent = True
-        result = await connection.exchange(request, deadline_s=deadline_s)
+        result = await connection.exchange(
+            request,
+            deadline_s=deadline_s,
+            is_answer=functools.partial(self._dialect.is_answer, peer_request),
+        )
         if not is_successful(result):
             return Failure(result.failure())
         return await self._check_response(result.unwrap(), use)
@@ -188,17 +175,17 @@
     async def _check_response(
         self, response: Response, use: _Use
     ) -> Result[Response, Refusal]:
-        refused = find_header(response.headers, REFUSED_HEADER)
-        if response.status == STATUS_CONFLICT and refused in _REFUSALS:
-            response.body.close()
-            kind = _REFUSALS[refused]
-            self._metrics.count("upstream_refusals", refused.decode())
-            return _refuse(kind, "the upstream refused the request")
-        response.headers = clean_response_headers(response.headers)
         settled = await settle_response(response)
         if not is_successful(settled):
             return settled
-        if settled.unwrap() is not response:
+        response = settled.unwrap()
+        kind = self._dialect.find_refusal(response)
+        if kind is not None:
+            response.body.close()
+            self._metrics.count("upstream_refusals", kind.value)
+            return _refuse(kind, f"the upstream answered {response.status}")
+        response.headers = self._dialect.clean_response(response.headers)
+        if is_settled(response):
             use.end(None)
             return settled
         response.body = MeteredBody(body=response.body, on_end=use.end)
@@ -207,20 +194,3 @@
 
 def _refuse(kind: ErrorKind, detail: str) -> Result:
     return Failure(Refusal(kind=kind, detail=detail))
-
-
-def _build_headers(
-    peer_request: PeerRequest, grant: Grant, remaining_s: float
-) -> Headers:
-    """Return the request's fields with those that tell the upstream its terms."""
-    added = [
-        (REQUEST_ID_HEADER, peer_request.request_id.encode()),
-        (DEADLINE_HEADER, b"%d" % max(1, int(remaining_s * MS_PER_S))),
-    ]
-    if peer_request.shard:
-        added.append((SHARD_HEADER, peer_request.shard.encode()))
-        added.append((TOKEN_HEADER, b"%d" % grant.token))
-    kept = [
-        field for field in peer_request.request.headers if field[0] != KEY_TOKEN_HEADER
-    ]
-    return (*kept, *added)
--- /dev/null
+++ b/src/papayatack/proxy/routing.py
@@ -0,0 +1,171 @@
+"""What a request is, where routes are published by host and path."""
+
+import dataclasses
+import urllib.parse
+
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.inventory import Configuration, HostRoute, Service
+from papayatack.core.split import WeightedSplit
+from papayatack.network.exchanges import Headers, PeerRequest, Request, find_header
+from papayatack.proxy.headers import HOP_BY_HOP, list_hop_by_hop
+
+__all__ = ["RequestFields", "RouteClassifier"]
+
+MS_PER_S = 1000
+START_RETRY_S = 0.3
+MAX_DEADLINE_DIGITS = 9
+_CHUNKED = (b"transfer-encoding", b"chunked")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestFields:
+    """Names of the header fields that a deployment uses, in lower case.
+
+    Attributes:
+        request_id: The caller's own id of the request.
+        deadline: Milliseconds for which the caller waits.
+        key: The request's key.
+        caller: Service on whose VM the request began; set by this node.
+        own: Further fields that nobody else may set.
+    """
+
+    request_id: bytes
+    deadline: bytes
+    key: bytes
+    caller: bytes
+    own: frozenset[bytes] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Choice:
+    """A route with the state of its split."""
+
+    route: HostRoute
+    split: WeightedSplit
+
+
+class RouteClassifier:
+    """Classifies requests by one configuration with routes.
+
+    Args:
+        configuration: The configuration; version 0 knows no route yet.
+        fields: Names of the header fields.
+        caller_service: Service of the upstream beside this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        fields: RequestFields,
+        caller_service: str,
+    ) -> None:
+        self._started = configuration.version > 0
+        self._fields = fields
+        self._caller = (fields.caller, caller_service.encode())
+        self._dropped = fields.own | {fields.caller, fields.deadline}
+        self._services = {item.name: item for item in configuration.services}
+        self._hosts: dict[str, list[_Choice]] = {}
+        for route in configuration.routes:
+            choice = _Choice(route=route, split=WeightedSplit(targets=route.targets))
+            self._hosts.setdefault(route.host, []).append(choice)
+        for choices in self._hosts.values():
+            choices.sort(key=lambda choice: -len(choice.route.prefix))
+
+    def classify(self, request: Request) -> Result[PeerRequest, Refusal]:
+        """Return the request with all that its way depends on."""
+        if not self._started:
+            detail = "no configuration is known yet"
+            return _refuse(ErrorKind.CONFIG_STALE, detail, START_RETRY_S)
+        choice = self._find_choice(request)
+        if choice is None:
+            return _refuse(ErrorKind.NO_SUCH_SERVICE, "no route has this host and path")
+        service = self._services.get(choice.split.choose())
+        if service is None:
+            return _refuse(ErrorKind.NO_OWNER, "the route's service is not known")
+        remaining_s = self._read_deadline(request.headers, choice.route.timeout_s)
+        if remaining_s is None:
+            return _refuse(ErrorKind.MALFORMED_REQUEST, "the deadline is not a number")
+        key = self._read_key(request.headers, service)
+        if key is None:
+            return _refuse(ErrorKind.KEY_MISSING, "exactly one key is needed")
+        return Success(self._build(request, choice.route, service, key, remaining_s))
+
+    def _build(
+        self,
+        request: Request,
+        route: HostRoute,
+        service: Service,
+        key: str,
+        remaining_s: float,
+    ) -> PeerRequest:
+        request_id = find_header(request.headers, self._fields.request_id) or b""
+        return PeerRequest(
+            request=Request(
+                method=request.method,
+                target=request.target,
+                headers=self._clean(request.headers),
+                body=request.body,
+            ),
+            service=service.name,
+            shard="",
+            key=key,
+            remaining_s=remaining_s,
+            partner="",
+            request_class=route.request_class,
+            cost=1.0,
+            repeatable=route.repeatable,
+            request_id=request_id.decode("latin-1"),
+            max_attempts=route.max_attempts,
+        )
+
+    def _clean(self, headers: Headers) -> Headers:
+        """Drop what concerns one connection, or is for this node to say."""
+        dropped = HOP_BY_HOP | self._dropped | list_hop_by_hop(headers)
+        kept = [field for field in headers if field[0] not in dropped]
+        if find_header(headers, b"transfer-encoding") is not None:
+            kept.append(_CHUNKED)
+        kept.append(self._caller)
+        return tuple(kept)
+
+    def _find_choice(self, request: Request) -> _Choice | None:
+        host = find_header(request.headers, b"host") or b""
+        name, path = _split_target(request.target, host)
+        for choice in self._hosts.get(name, ()):
+            if path.startswith(choice.route.prefix):
+                return choice
+        return None
+
+    def _read_deadline(self, headers: Headers, longest_s: float) -> float | None:
+        value = find_header(headers, self._fields.deadline)
+        if value is None:
+            return longest_s
+        if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+            return None
+        return min(int(value) / MS_PER_S, longest_s)
+
+    def _read_key(self, headers: Headers, service: Service) -> str | None:
+        """Return the key, empty if the service has none; ``None`` for no single one."""
+        if not service.key_ranges:
+            return ""
+        values = [value for name, value in headers if name == self._fields.key]
+        if len(values) != 1 or not values[0]:
+            return None
+        return values[0].decode("latin-1")
+
+
+def _split_target(target: bytes, host: bytes) -> tuple[str, str]:
+    """Return host and path of an origin-form or absolute target."""
+    text = target.decode("latin-1").partition("?")[0]
+    name = host.decode("latin-1")
+    if not text.startswith("/"):
+        parts = urllib.parse.urlsplit(text)
+        name, text = parts.netloc or name, parts.path
+    return name.partition(":")[0].lower(), text
+
+
+def _refuse(kind: ErrorKind, detail: str, retry_after_s: float | None = None) -> Result:
+    refusal = Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s)
+    return Failure(refusal)
--- a/src/papayatack/proxy/settling.py
+++ b/src/papayatack/proxy/settling.py
@@ -3,10 +3,10 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import Refusal
-from papayatack.network.bodies import BodyCutError, BytesBody
+from papayatack.network.bodies import Body, BodyCutError, BytesBody, PrefixedBody
 from papayatack.network.exchanges import Response, find_header
 
-__all__ = ["SHORT_RESPONSE_BYTES", "settle_response"]
+__all__ = ["SHORT_RESPONSE_BYTES", "is_settled", "settle_response"]
 
 SHORT_RESPONSE_BYTES = 64 * 1024
 
@@ -15,24 +15,40 @@
     """Read the body of a short response, so that a cut one can still be refused.
 
     Returns:
-        A response whose body is in memory; the same response if it is long or of
-        unknown length; or the refusal if its body was cut.
+        A response whose body is in memory; one that goes on as a stream if it is
+        long; or the refusal if its body was cut.
     """
     length = find_header(response.headers, b"content-length")
-    if length is None or int(length) > SHORT_RESPONSE_BYTES:
+    if length is not None and int(length) > SHORT_RESPONSE_BYTES:
         return Success(response)
-    chunks = []
+    chunks: list[bytes] = []
+    size = 0
     try:
         while data := await response.body.read():
             chunks.append(data)
+            size += len(data)
+            if size > SHORT_RESPONSE_BYTES:
+                body = PrefixedBody(data=b"".join(chunks), rest=response.body)
+                return Success(_replace_body(response, body))
     except BodyCutError as error:
+        response.body.close()
         return Failure(Refusal(kind=error.kind, detail=error.detail))
-    finally:
+    except BaseException:
         response.body.close()
-    whole = Response(
+        raise
+    response.body.close()
+    return Success(_replace_body(response, BytesBody(data=b"".join(chunks))))
+
+
+def is_settled(response: Response) -> bool:
+    """Tell whether the whole body of a response is in memory."""
+    return isinstance(response.body, BytesBody)
+
+
+def _replace_body(response: Response, body: Body) -> Response:
+    return Response(
         status=response.status,
         reason=response.reason,
         headers=response.headers,
-        body=BytesBody(data=b"".join(chunks)),
+        body=body,
     )
-    return Success(whole)
--- a/tests/spec/lease_core.py
+++ b/tests/spec/lease_core.py
@@ -24,8 +24,8 @@
 )
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
-from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.ownership.succession import TOKEN_LIFE_BITS
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.records import (
     Activate,
     Activation,
