--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from papayatack.control.recent import RecentRecords
 from papayatack.core.ownership.node import NodeCore
@@ -31,6 +31,7 @@
         queue: Takes what the tailers read.
         metrics: Counters of the process.
         random: Jitter of retries.
+        newest_only: Streams of which only the newest record counts.
 
     Attributes:
         recent: Newest payloads of each stream, from the log or from other nodes.
@@ -46,6 +47,7 @@
         queue: asyncio.Queue,
         metrics: Metrics,
         random: random.Random,
+        newest_only: Collection[str] = (),
     ) -> None:
         self._core = core
         self._behind = dict.fromkeys(STREAMS, 0)
@@ -53,7 +55,9 @@
         self._check_s = float("-inf")
         self.is_tailer = True
         self.recent = {
-            stream: RecentRecords(stream=stream, first=first)
+            stream: RecentRecords(
+                stream=stream, first=first, newest_only=stream in newest_only
+            )
             for stream, first in positions.items()
         }
         self._tailers = {
--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -1,18 +1,21 @@
-"""The task that tells the own upstream what it may serve."""
+"""The tasks that tell the own upstream what it may serve."""
 
 import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns.pipeline import is_successful
+from returns.result import Success
 
 from papayatack.control.interface import GrantSink
+from papayatack.core.identity import ShardId
 from papayatack.core.ownership.effects import ExtendLease, GrantShards, RevokeShards
 
 __all__ = ["GrantEffect", "GrantTask"]
 
 MICROSECONDS = 1_000_000
 CALL_TIMEOUT_S = 0.5
+REVOKE_TIMEOUT_S = 2.5
 RETRY_S = 0.2
 TRANSIT_MARGIN_S = 0.02
 LONGEST_GRANT_S = 3600.0
@@ -20,70 +23,111 @@
 
 GrantEffect = GrantShards | ExtendLease | RevokeShards
 
+Confirm = Callable[[GrantEffect, bool, Mapping[ShardId, str]], None]
+
 
 class GrantTask:
-    """Carries out grant effects in their order and reports the answers.
+    """Carries out grant effects and reports the answers.
+
+    Grants and revocations go out in their order. Extensions go out beside them, so
+    that a slow revocation lets no other grant run out; of those that wait, only the
+    newest of each lease counts.
 
     The upstream counts a grant's time from its arrival; the margin covers the way
     there.
 
     Args:
         sink: The own upstream.
-        confirm: Called with each grant or revocation and whether it was accepted.
+        confirm: Called with each grant or revocation, whether it was accepted, and
+            what the upstream handed over.
     """
 
-    def __init__(
-        self, *, sink: GrantSink, confirm: Callable[[GrantEffect, bool], None]
-    ) -> None:
+    def __init__(self, *, sink: GrantSink, confirm: Confirm) -> None:
         self._sink = sink
         self._confirm = confirm
         self._queue: asyncio.Queue[tuple[float, GrantEffect]] = asyncio.Queue()
+        self._extensions: dict[str, tuple[float, ExtendLease]] = {}
+        self._extension_wanted = asyncio.Event()
 
     def put(self, effect: GrantEffect) -> None:
         """Queue an effect."""
-        self._queue.put_nowait((asyncio.get_running_loop().time(), effect))
+        queued = (asyncio.get_running_loop().time(), effect)
+        if isinstance(effect, ExtendLease):
+            self._extensions[str(effect.lease)] = queued
+            self._extension_wanted.set()
+        else:
+            self._queue.put_nowait(queued)
 
     async def run(self) -> None:
         """Carry out effects until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_queue())
+            tasks.create_task(self._run_extensions())
+
+    async def _run_queue(self) -> None:
         while True:
             made_s, effect = await self._queue.get()
             waited_s = asyncio.get_running_loop().time() - made_s
-            done = await self._call(effect, waited_s)
-            self._confirm(effect, done)
+            done, handovers = await self._call(effect, waited_s)
+            self._confirm(effect, done, handovers)
             if not done:
                 await asyncio.sleep(RETRY_S)
 
-    async def _call(self, effect: GrantEffect, waited_s: float) -> bool:
+    async def _run_extensions(self) -> None:
+        while True:
+            await self._extension_wanted.wait()
+            self._extension_wanted.clear()
+            while self._extensions:
+                made_s, effect = self._extensions.pop(next(iter(self._extensions)))
+                waited_s = asyncio.get_running_loop().time() - made_s
+                await self._call(effect, waited_s)
+
+    async def _call(
+        self, effect: GrantEffect, waited_s: float
+    ) -> tuple[bool, Mapping[ShardId, str]]:
+        is_revocation = isinstance(effect, RevokeShards)
+        timeout_s = REVOKE_TIMEOUT_S if is_revocation else CALL_TIMEOUT_S
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await self._perform(effect, waited_s)
         except TimeoutError:
-            return False
+            return False, {}
 
     @functools.singledispatchmethod
-    async def _perform(self, effect: GrantEffect, waited_s: float) -> bool:
+    async def _perform(
+        self, effect: GrantEffect, waited_s: float
+    ) -> tuple[bool, Mapping[ShardId, str]]:
         raise TypeError(effect)
 
     @_perform.register
-    async def _(self, effect: GrantShards, waited_s: float) -> bool:
+    async def _(
+        self, effect: GrantShards, waited_s: float
+    ) -> tuple[bool, Mapping[ShardId, str]]:
         remaining_us = _shorten(effect.remaining_s, waited_s)
         if remaining_us <= 0:
-            return False
-        result = await self._sink.grant(effect.lease, effect.tokens, remaining_us)
-        return is_successful(result)
+            return False, {}
+        result = await self._sink.grant(
+            effect.lease, effect.tokens, remaining_us, effect.handovers
+        )
+        return is_successful(result), {}
 
     @_perform.register
-    async def _(self, effect: ExtendLease, waited_s: float) -> bool:
+    async def _(
+        self, effect: ExtendLease, waited_s: float
+    ) -> tuple[bool, Mapping[ShardId, str]]:
         remaining_us = _shorten(effect.remaining_s, waited_s)
-        if remaining_us <= 0:
-            return True
-        await self._sink.extend(effect.lease, remaining_us)
-        return True
+        if remaining_us > 0:
+            await self._sink.extend(effect.lease, remaining_us)
+        return True, {}
 
     @_perform.register
-    async def _(self, effect: RevokeShards, waited_s: float) -> bool:
-        result = await self._sink.revoke(effect.lease, effect.shards)
-        return is_successful(result)
+    async def _(
+        self, effect: RevokeShards, waited_s: float
+    ) -> tuple[bool, Mapping[ShardId, str]]:
+        match await self._sink.revoke(effect.lease, effect.shards):
+            case Success(handovers):
+                return True, handovers
+        return False, {}
 
 
 def _shorten(remaining_s: float, waited_s: float) -> int:
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -30,18 +30,18 @@
 import functools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.grants import GrantEffect, GrantTask
-from papayatack.control.interface import GrantSink, PeerSender
+from papayatack.control.interface import ConfigState, GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeCourier
 from papayatack.control.planning import Planner
 from papayatack.core.config_fold import ConfigFold
-from papayatack.core.identity import IncarnationId
+from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.inventory import Service
 from papayatack.core.messages import (
     ControlMessage,
@@ -111,6 +111,7 @@
         random: Jitter of retries.
         state: Ownership state to start from.
         config: Config state to start from.
+        decoder: Decodes the records of both streams.
         retention_s: Seconds for which the log keeps records; the node sees that there
             are checkpoints. ``None`` for a log that keeps all.
     """
@@ -126,7 +127,8 @@
         metrics: Metrics,
         random: random.Random,
         state: OwnershipState | None = None,
-        config: ConfigFold | None = None,
+        config: ConfigState | None = None,
+        decoder: RecordDecoder | None = None,
         retention_s: float | None = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
@@ -153,7 +155,7 @@
         self._finished: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
-        self._decoder = RecordDecoder(metrics=metrics)
+        self._decoder = decoder or RecordDecoder(metrics=metrics)
         self._grants = GrantTask(sink=sink, confirm=self._confirm)
         self._appender = Appender(
             log=log, stream=OWNERSHIP_STREAM, metrics=metrics, random=random
@@ -174,6 +176,7 @@
             queue=self._inbox,
             metrics=metrics,
             random=random,
+            newest_only=() if self._config.is_gapless else (CONFIG_STREAM,),
         )
         self._keepers: dict[str, CheckpointKeeper] = {}
         if retention_s is not None:
@@ -198,7 +201,7 @@
         return self._directory
 
     @property
-    def config(self) -> ConfigFold:
+    def config(self) -> ConfigState:
         """The folded config stream; to be read only."""
         return self._config
 
@@ -238,6 +241,23 @@
         except asyncio.QueueFull:
             self.metrics.count("control_messages_dropped", "inbox-full")
 
+    def attach_upstream(
+        self, *, service: str, upstream: str = "", slots: int = 0, connections: int = 0
+    ) -> None:
+        """Tell the others which upstream runs here; an empty service for none."""
+        effects = self.core.attach_upstream(
+            service=service,
+            upstream=upstream,
+            slots=slots,
+            connections=connections,
+            now=self._read_clock(),
+        )
+        self._carry_out(effects)
+
+    def restart_upstream(self) -> None:
+        """Grant all shards anew to an upstream that has lost its grants."""
+        self._carry_out(self.core.restart_upstream(self._read_clock()))
+
     def start_departure(self) -> None:
         """Begin a planned stop: hand the shards on, then end the leases."""
         self._carry_out(self.core.start_departure(self._read_clock()))
@@ -310,7 +330,8 @@
         """Fold the records that are next; others are left to the tailer."""
         recent = self._follower.recent[stream]
         for offset, payload in enumerate(payloads, first):
-            if offset != recent.end:
+            gapless = stream != CONFIG_STREAM or self._config.is_gapless
+            if offset < recent.end or (gapless and offset > recent.end):
                 continue
             recent.add(offset, payload)
             record = self._decoder.decode(stream, offset, payload).record
@@ -364,15 +385,22 @@
         elif planner is not None:
             self._send(planner, report)
 
-    def _confirm(self, effect: GrantEffect, done: bool) -> None:
-        self._confirm_effect(effect, done, self._read_clock())
+    def _confirm(
+        self, effect: GrantEffect, done: bool, handovers: Mapping[ShardId, str]
+    ) -> None:
+        self._confirm_effect(effect, done, handovers)
 
     @functools.singledispatchmethod
-    def _confirm_effect(self, effect: GrantEffect, done: bool, now: float) -> None:
+    def _confirm_effect(
+        self, effect: GrantEffect, done: bool, handovers: Mapping[ShardId, str]
+    ) -> None:
         """Report the upstream's answer to the core."""
 
     @_confirm_effect.register
-    def _(self, effect: GrantShards, done: bool, now: float) -> None:
+    def _(
+        self, effect: GrantShards, done: bool, handovers: Mapping[ShardId, str]
+    ) -> None:
+        now = self._read_clock()
         if not done:
             self.metrics.count("grants_refused")
         tokens = dict(effect.tokens)
@@ -381,10 +409,17 @@
         )
 
     @_confirm_effect.register
-    def _(self, effect: RevokeShards, done: bool, now: float) -> None:
-        self._carry_out(
-            self.core.confirm_revoke(effect.lease, effect.shards, done=done, now=now)
+    def _(
+        self, effect: RevokeShards, done: bool, handovers: Mapping[ShardId, str]
+    ) -> None:
+        effects = self.core.confirm_revoke(
+            effect.lease,
+            effect.shards,
+            done=done,
+            now=self._read_clock(),
+            handovers=handovers,
         )
+        self._carry_out(effects)
 
     def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/src/papayatack/control/recent.py
+++ b/src/papayatack/control/recent.py
@@ -13,9 +13,18 @@
 
 
 class RecentRecords:
-    """A bounded number of consecutive payloads of one stream."""
+    """A bounded number of consecutive payloads of one stream.
 
-    def __init__(self, *, stream: str, first: int = 0) -> None:
+    Args:
+        stream: The stream's name.
+        first: Offset of the first payload to come.
+        newest_only: Whether a payload makes all before it needless.
+    """
+
+    def __init__(
+        self, *, stream: str, first: int = 0, newest_only: bool = False
+    ) -> None:
+        self._newest_only = newest_only
         self._stream = stream
         self._first = first
         self._payloads: deque[bytes] = deque()
@@ -34,6 +43,10 @@
             self._payloads.clear()
             self._bytes = 0
             self._first = offset
+        if self._newest_only:
+            self._payloads.clear()
+            self._bytes = 0
+            self._first = offset
         self._payloads.append(payload)
         self._bytes += len(payload)
         while self._bytes > MAX_KEPT_BYTES or len(self._payloads) > MAX_KEPT_RECORDS:
@@ -42,6 +55,8 @@
 
     def make_batch(self, offset: int) -> LogBatch | None:
         """Return the records from ``offset`` on, ``None`` if they are not at hand."""
+        if self._newest_only:
+            offset = max(offset, self.end - 1)
         if not self._first <= offset < self.end:
             return None
         chosen: list[bytes] = []
--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -48,7 +48,9 @@
     ) -> None:
         self.limits = limits
         self._rng = rng or random.Random()
-        self._concurrency = Concurrency(slots=limits.usable_slots, started_s=now)
+        self._concurrency = Concurrency(
+            slots=limits.usable_slots, started_s=now, ramp_s=limits.ramp_s
+        )
         self._headroom = Headroom(updated_s=now)
         self._expiries: KeyedHeap[Entry] = KeyedHeap()
         self._outbox: list[Verdict] = []
@@ -88,6 +90,7 @@
         """Put new limits and partners in force; waiting requests keep waiting."""
         self.limits = limits
         self._concurrency.resize(limits.usable_slots)
+        self._concurrency.ramp_s = limits.ramp_s
         weights = _read_weights(partners)
         for request_class, state in self._classes.items():
             state.share = limits.shares[request_class]
--- a/src/papayatack/core/admission/concurrency.py
+++ b/src/papayatack/core/admission/concurrency.py
@@ -4,7 +4,6 @@
 
 __all__ = ["Concurrency"]
 
-RAMP_S = 10.0
 RAMP_START_SHARE = 0.25
 SHED_FACTOR = 0.8
 SHED_INTERVAL_S = 0.1
@@ -27,7 +26,7 @@
 
     slots: int
     started_s: float
-    ramp_s: float = RAMP_S
+    ramp_s: float
     _limit: float = dataclasses.field(init=False)
     _last_shed_s: float | None = dataclasses.field(init=False, default=None)
 
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -15,6 +15,7 @@
 """Share of the slots that each class is guaranteed."""
 
 QUEUE_PER_SLOT = 8
+RAMP_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,6 +27,7 @@
         connections: Connections that it accepts.
         shares: Share of the slots guaranteed to each class.
         queue_per_slot: Requests that may wait for each slot that a class can use.
+        ramp_s: Seconds after a start in which the slots come into use.
     """
 
     slots: int = 14
@@ -34,6 +36,7 @@
         default_factory=lambda: CLASS_SHARES
     )
     queue_per_slot: int = QUEUE_PER_SLOT
+    ramp_s: float = RAMP_S
 
     @property
     def usable_slots(self) -> int:
--- a/src/papayatack/core/config_fold.py
+++ b/src/papayatack/core/config_fold.py
@@ -52,6 +52,8 @@
 class ConfigFold:
     """The configuration in force after a prefix of the config stream."""
 
+    is_gapless = True
+
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.inventory = ""
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -102,6 +102,7 @@
         request_rules: Classification of requests, first match first.
         places: Names of the data centres where it runs.
         warm_up_s: Seconds after its start in which an upstream gets a smaller share.
+        ramp_s: Seconds after its start in which its slots come into use.
     """
 
     name: str
@@ -115,6 +116,7 @@
     request_rules: tuple[RequestRule, ...] = ()
     places: tuple[str, ...] = ()
     warm_up_s: float = 60.0
+    ramp_s: float = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -132,11 +132,14 @@
         lease: The old holder's lease.
         shards: Shards released.
         epochs: The epoch of each move, in the order of ``shards``.
+        handovers: What the old holder's upstream gave for its successor to take a
+            shard over warm, in the order of ``shards``; empty for none.
     """
 
     lease: LeaseId
     shards: tuple[ShardId, ...]
     epochs: tuple[int, ...]
+    handovers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -34,6 +34,7 @@
         self._blocked: dict[ShardId, Claim] = {}
         self._due_s: dict[ShardId, float] = {}
         self._released: dict[ShardId, dict[LeaseId, int]] = {}
+        self._handovers: dict[ShardId, str] = {}
         self._queries: dict[tuple[LeaseId, ShardId], tuple[int, IncarnationId]] = {}
         self._query_due_s = float("inf")
         self._now = float("-inf")
@@ -80,6 +81,9 @@
             released = self._released.setdefault(shard, {})
             released[message.lease] = max(released.get(message.lease, 0), epoch)
             self._dirty.add(shard)
+        for shard, handover in zip(message.shards, message.handovers, strict=False):
+            if handover and shard in self._released:
+                self._handovers[shard] = handover
 
     def accept_query(self, sender: IncarnationId, message: ReleaseQuery) -> None:
         """Remember that a new holder waits for shards of this node."""
@@ -141,6 +145,7 @@
             return
         if not entry.earlier:
             self._released.pop(shard, None)
+            self._handovers.pop(shard, None)
         holder = self._find_own(entry)
         if holder is None or self.stopped:
             self._stop(shard, drains=True)
@@ -235,6 +240,7 @@
             now=self._now,
             origin=self._find_origin(shard, entry, holder),
             is_first=current.epoch == 1 and position == 0,
+            handover=self._handovers.get(shard, ""),
         )
 
     def _find_origin(
@@ -296,6 +302,10 @@
                 lease=lease,
                 shards=tuple(shard for shard, _ in entries),
                 epochs=tuple(epoch for _, epoch in entries),
+                handovers=tuple(
+                    self._context.rights.handovers.get(shard, "")
+                    for shard, _ in entries
+                ),
             )
             self._context.send(asker, message)
 
--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -51,6 +51,7 @@
     lease: LeaseId
     tokens: Mapping[ShardId, int]
     remaining_s: float
+    handovers: Mapping[ShardId, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -239,11 +239,20 @@
         return self._settle(now) if done else []
 
     def confirm_revoke(
-        self, lease: LeaseId, shards: tuple[ShardId, ...], *, done: bool, now: float
+        self,
+        lease: LeaseId,
+        shards: tuple[ShardId, ...],
+        *,
+        done: bool,
+        now: float,
+        handovers: Mapping[ShardId, str] | None = None,
     ) -> list[Effect]:
         """Take in the upstream's answer to :class:`RevokeShards`."""
+        handovers = handovers or {}
         for shard in shards:
-            self.context.rights.confirm_revoke(lease, shard, done=done)
+            self.context.rights.confirm_revoke(
+                lease, shard, done=done, handover=handovers.get(shard, "")
+            )
         return self._settle(now) if done else []
 
     def find_owner(self, shard: ShardId) -> Member | None:
@@ -336,8 +345,18 @@
     def _collect_grants(self, now: float) -> None:
         for lease, tokens in self.context.rights.collect_grants(now).items():
             remaining_s = self.context.holders[lease].view_end_s - now
+            rights = self.context.rights.rights
             self.context.effects.append(
-                GrantShards(lease=lease, tokens=tokens, remaining_s=remaining_s)
+                GrantShards(
+                    lease=lease,
+                    tokens=tokens,
+                    remaining_s=remaining_s,
+                    handovers={
+                        shard: rights[shard].handover
+                        for shard in tokens
+                        if rights[shard].handover
+                    },
+                )
             )
 
     def _deliver(
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -42,6 +42,7 @@
         parent_tenure: For a hot key, the tenure here of the parent from which it
             came; ``None`` if it came from elsewhere.
         origin: Who released the shard to this node, if it was served by one node.
+        handover: With what the upstream takes the shard over warm, empty for nothing.
     """
 
     holder: Holder
@@ -54,6 +55,7 @@
     is_first: bool = False
     parent_tenure: int | None = None
     origin: Origin | None = None
+    handover: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +97,7 @@
         self.rights: dict[ShardId, Right] = {}
         self.in_flight: dict[ShardId, int] = {}
         self.draining: dict[ShardId, Draining] = {}
+        self.handovers: dict[ShardId, str] = {}
         self._transferred: dict[ShardId, Right] = {}
         self._returns: dict[ShardId, Return] = {}
         self.stopped: dict[ShardId, Right] = {}
@@ -148,9 +151,11 @@
         now: float,
         origin: Origin | None = None,
         is_first: bool = False,
+        handover: str = "",
     ) -> None:
         """Hold a right; the upstream is to be asked for a grant unless it has it."""
         self.draining.pop(shard, None)
+        self.handovers.pop(shard, None)
         right = self.rights.get(shard)
         if right is None or right.holder is not holder:
             self.rights[shard] = self._make_right(
@@ -162,6 +167,7 @@
                     since_s=now,
                     origin=origin,
                     is_first=is_first,
+                    handover=handover,
                 ),
             )
             return
@@ -280,6 +286,7 @@
             return
         if right.wanted_token == token and done:
             right.token = token
+            right.handover = ""
             self._transferred.pop(shard, None)
         elif right.wanted_token == token:
             right.asked = False
@@ -320,8 +327,12 @@
             found.setdefault(draining.holder.lease, []).append(shard)
         return found
 
-    def confirm_revoke(self, lease: LeaseId, shard: ShardId, *, done: bool) -> None:
+    def confirm_revoke(
+        self, lease: LeaseId, shard: ShardId, *, done: bool, handover: str = ""
+    ) -> None:
         """Take in the upstream's answer to a revocation."""
+        if done and handover:
+            self.handovers[shard] = handover
         old = self._transferred.get(shard)
         if old is not None and old.holder.lease == lease:
             if done:
--- a/src/papayatack/core/placement/fleet.py
+++ b/src/papayatack/core/placement/fleet.py
@@ -13,7 +13,6 @@
 __all__ = ["Fleet", "Member"]
 
 COLD_CAPACITY = 0.25
-WARM_AFTER_S = 60.0
 MAX_CANDIDATES = 12
 LOCALITY_CEILING = 0.8
 LOCALITY_RETURN = 0.6
@@ -82,7 +81,7 @@
             lease=node.lease,
             data_centre=node.data_centre,
             region=node.region,
-            capacity=max(1, node.slots) * _warm(node.age_s),
+            capacity=max(1, node.slots) * _warm(node.age_s, self.service.warm_up_s),
         )
         self.members[node.lease.incarnation] = member
         self.by_place[node.data_centre].append(member)
@@ -250,9 +249,11 @@
         return cached
 
 
-def _warm(age_s: float) -> float:
+def _warm(age_s: float, warm_up_s: float) -> float:
     """Return the share of its capacity that a node of this age is counted with."""
-    return min(1.0, COLD_CAPACITY + (1.0 - COLD_CAPACITY) * age_s / WARM_AFTER_S)
+    if age_s >= warm_up_s:
+        return 1.0
+    return COLD_CAPACITY + (1.0 - COLD_CAPACITY) * age_s / warm_up_s
 
 
 def _sample(
--- a/src/papayatack/daemon/announcement.py
+++ b/src/papayatack/daemon/announcement.py
@@ -33,6 +33,7 @@
         slots: Requests that it runs at once.
         connections: Connections that it accepts.
         instance: Changes with each start of the upstream.
+        leaving: It stops soon and wants no new work.
     """
 
     service: str
@@ -40,6 +41,7 @@
     slots: int
     connections: int
     instance: str = ""
+    leaving: bool = False
 
 
 class _Announcement(pydantic.BaseModel):
@@ -62,7 +64,7 @@
     def __init__(self, *, metrics: Metrics) -> None:
         self._metrics = metrics
         self._latest: AnnouncedUpstream | None = None
-        self._changed: asyncio.Queue[AnnouncedUpstream] = asyncio.Queue()
+        self._changed: asyncio.Queue[AnnouncedUpstream | None] = asyncio.Queue()
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of the upstream."""
@@ -76,10 +78,14 @@
         self._take(AnnouncedUpstream(**announcement.model_dump()))
         return reply_json(200, {"result": "accepted"})
 
-    async def wait_changed(self) -> AnnouncedUpstream:
-        """Wait for an announcement that differs from the one before."""
+    async def wait_changed(self) -> AnnouncedUpstream | None:
+        """Wait for news that differ from those before; ``None`` if it has gone."""
         return await self._changed.get()
 
+    async def watch(self) -> None:
+        """Wait until cancelled: these upstreams send no heartbeats."""
+        await asyncio.get_running_loop().create_future()
+
     def _take(self, upstream: AnnouncedUpstream) -> None:
         if upstream == self._latest:
             self._metrics.count("announcements", "repeated")
--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -1,12 +1,15 @@
 """Limits of the daemon's parts, from its settings, the inventory and the upstream."""
 
 import asyncio
+import dataclasses
+from typing import Protocol
 
 from papayatack.control.node import ControlNode
 from papayatack.core.admission import Limits
 from papayatack.core.inventory import Configuration, Service
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.settings import LimitSettings
+from papayatack.network.callers import CallerServer
 from papayatack.network.limits import CallerLimits
 from papayatack.proxy.gate import AdmissionGate
 
@@ -15,15 +18,33 @@
 FOLLOW_INTERVAL_S = 0.25
 
 
-def build_caller_limits(settings: LimitSettings) -> CallerLimits:
-    """Return the limits towards callers that the settings name."""
-    return CallerLimits(
+class UpstreamHolder(Protocol):
+    """Knows the upstream in service."""
+
+    current: AnnouncedUpstream | None
+
+
+def build_caller_limits(
+    settings: LimitSettings, configuration: Configuration | None = None
+) -> CallerLimits:
+    """Return the limits towards callers; a configuration's bounds go first."""
+    limits = CallerLimits(
         header_bytes=settings.header_bytes,
         body_bytes=settings.body_bytes,
         connections=settings.caller_connections,
         header_timeout_s=settings.header_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
     )
+    bounds = configuration.bounds if configuration is not None else None
+    if bounds is None:
+        return limits
+    return dataclasses.replace(
+        limits,
+        header_bytes=bounds.header_bytes,
+        body_bytes=bounds.body_bytes,
+        header_timeout_s=bounds.header_timeout_s,
+        idle_timeout_s=bounds.idle_timeout_s,
+    )
 
 
 def find_admission_limits(
@@ -36,20 +57,28 @@
     return Limits(
         slots=min(service.slots, upstream.slots),
         connections=min(service.connections, upstream.connections),
+        ramp_s=service.ramp_s,
     )
 
 
 async def follow_limits(
-    control: ControlNode, gate: AdmissionGate, upstream: AnnouncedUpstream
+    control: ControlNode,
+    gate: AdmissionGate,
+    holder: UpstreamHolder,
+    callers: CallerServer,
+    settings: LimitSettings,
 ) -> None:
-    """Put each changed inventory in force at the gate, until cancelled."""
-    seen: Configuration | None = None
+    """Put each changed inventory or upstream in force, until cancelled."""
+    seen: tuple[Configuration, AnnouncedUpstream | None] | None = None
     while True:
         configuration = control.config.configuration
-        if configuration is not seen:
-            seen = configuration
-            limits = find_admission_limits(configuration, upstream)
-            gate.configure(limits=limits, partners=configuration.partners)
+        now = (configuration, holder.current)
+        if seen is None or now[0] is not seen[0] or now[1] != seen[1]:
+            seen = now
+            callers.limits = build_caller_limits(settings, configuration)
+            if holder.current is not None:
+                limits = find_admission_limits(configuration, holder.current)
+                gate.configure(limits=limits, partners=configuration.partners)
         await asyncio.sleep(FOLLOW_INTERVAL_S)
 
 
--- a/src/papayatack/daemon/logs.py
+++ b/src/papayatack/daemon/logs.py
@@ -1,7 +1,8 @@
-"""The daemon's own log: one JSON object a line on standard error."""
+"""The daemon's own log: one JSON object a line."""
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -10,8 +11,8 @@
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def configure_logging(level: str) -> None:
-    """Send all log events from ``level`` up to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(level: str, *, stream: TextIO | None = None) -> None:
+    """Send all log events from ``level`` up to a stream, standard error by default."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(FORMAT))
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/src/papayatack/daemon/main.py
+++ b/src/papayatack/daemon/main.py
@@ -25,7 +25,6 @@
     Ending.DRAIN_TIMEOUT: EXIT_FAILURE,
     Ending.FAILED: EXIT_FAILURE,
     Ending.SUPERSEDED: EXIT_START_AGAIN,
-    Ending.UPSTREAM_RESTARTED: EXIT_START_AGAIN,
 }
 
 SETTINGS_FLAG = flags.DEFINE_string("settings", None, "Path of the INI settings file.")
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -7,34 +7,35 @@
 import random
 import traceback
 import uuid
+from collections.abc import Awaitable
 
 from returns.result import Failure, Success
 
-from papayatack.control.loading import load_streams
+from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.node import ControlNode
-from papayatack.core.admission import Admission
-from papayatack.core.config_fold import ConfigFold
+from papayatack.core.admission import Admission, Limits
+from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.handover import HandoverWait
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.ownership import OwnershipState
 from papayatack.core.placement import plan
-from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM, Announce
+from papayatack.core.records import OWNERSHIP_STREAM, Announce
 from papayatack.core.retry import RetryPolicy
-from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
-from papayatack.daemon.health import follow_health
-from papayatack.daemon.limits import (
-    build_caller_limits,
-    find_admission_limits,
-    follow_limits,
-)
+from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.limits import build_caller_limits, follow_limits
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
-from papayatack.daemon.publication import Publisher
+from papayatack.daemon.readiness import ReadinessEndpoint
 from papayatack.daemon.settings import LimitSettings, Settings
+from papayatack.daemon.surroundings import (
+    OwnSurroundings,
+    Surroundings,
+    split_address,
+)
+from papayatack.daemon.upstreams import UpstreamKeeper
 from papayatack.logservice.appender import Appender
-from papayatack.logservice.http import HttpLogService
 from papayatack.network.caller_connection import Handler
 from papayatack.network.callers import CallerServer
-from papayatack.network.grants import GrantClient
+from papayatack.network.exchanges import Request, Response
 from papayatack.network.limits import UpstreamLimits
 from papayatack.network.peers import PeerNetwork
 from papayatack.network.upstreams import UpstreamPool
@@ -52,6 +53,7 @@
 ENDPOINT_STOP_TIMEOUT_S = 1.0
 LOAD_ATTEMPT_S = 30.0
 LOAD_PAUSE_S = 1.0
+START_RETRY_S = 0.3
 
 
 class Ending(enum.Enum):
@@ -61,7 +63,6 @@
     DRAIN_TIMEOUT = "drain-timeout"
     FAILED = "failed"
     SUPERSEDED = "superseded"
-    UPSTREAM_RESTARTED = "upstream-restarted"
 
 
 class Node:
@@ -69,18 +70,27 @@
 
     Args:
         settings: The validated settings.
+        surroundings: The deployment; the product's own interfaces by default.
+        metrics: Counters of the process.
     """
 
-    def __init__(self, *, settings: Settings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        surroundings: Surroundings | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
         self._settings = settings
-        self._metrics = Metrics()
+        self._metrics = metrics or Metrics()
+        self._surroundings = surroundings or OwnSurroundings(
+            settings=settings, metrics=self._metrics
+        )
         self._random = random.Random()
         self._incarnation = IncarnationId(
             f"{settings.listen.peers}#{uuid.uuid4().hex[:12]}"
         )
-        log_host, log_port = _split_address(settings.log.address)
-        self._log = HttpLogService(host=log_host, port=log_port)
-        peers_host, peers_port = _split_address(settings.listen.peers)
+        peers_host, peers_port = split_address(settings.listen.peers)
         self._peers = PeerNetwork(
             incarnation=self._incarnation,
             host=peers_host,
@@ -88,16 +98,26 @@
             metrics=self._metrics,
             rng=self._random,
         )
-        self._desk = AnnouncementDesk(metrics=self._metrics)
         self._drain_wanted = asyncio.Event()
+        self._control: ControlNode | None = None
         self._endpoint = OperatorEndpoint(
             metrics=self._metrics, start_drain=self._drain_wanted.set
         )
+        listen = settings.listen
         self._desk_server = self._build_server(
-            settings.listen.upstream, self._desk.handle
+            listen.upstream, self._surroundings.desk.handle
         )
         self._endpoint_server = self._build_server(
-            settings.listen.operators, self._endpoint.handle
+            listen.operators, self._endpoint.handle
+        )
+        self._readiness_server = None
+        if listen.readiness:
+            readiness = ReadinessEndpoint(is_ready=self._is_ready)
+            self._readiness_server = self._build_server(
+                listen.readiness, readiness.handle
+            )
+        self._callers = self._build_server(
+            listen.callers, self._refuse_starting, settings.limits
         )
 
     def start_drain(self) -> None:
@@ -105,46 +125,48 @@
         self._drain_wanted.set()
 
     async def run(self) -> Ending:
-        """Run until drained, superseded, or without the upstream's memory."""
+        """Run until drained or superseded."""
         await self._peers.start()
         await self._endpoint_server.start()
         await self._desk_server.start()
+        await self._callers.start()
+        if self._readiness_server is not None:
+            await self._readiness_server.start()
         try:
-            return await self._run_announced()
+            return await self._join()
         finally:
-            await self._desk_server.stop(timeout_s=ENDPOINT_STOP_TIMEOUT_S)
-            await self._endpoint_server.stop(timeout_s=ENDPOINT_STOP_TIMEOUT_S)
+            timeout_s = ENDPOINT_STOP_TIMEOUT_S
+            if self._readiness_server is not None:
+                await self._readiness_server.stop(timeout_s=0.0)
+            await self._callers.stop(timeout_s=0.0)
+            await self._desk_server.stop(timeout_s=timeout_s)
+            await self._endpoint_server.stop(timeout_s=timeout_s)
             await self._peers.stop()
 
-    async def _run_announced(self) -> Ending:
-        announced = asyncio.ensure_future(self._desk.wait_changed())
-        draining = asyncio.ensure_future(self._drain_wanted.wait())
-        await asyncio.wait((announced, draining), return_when=asyncio.FIRST_COMPLETED)
-        draining.cancel()
-        if not announced.done():
-            announced.cancel()
-            return Ending.DRAINED
-        upstream = announced.result()
-        log_event(
-            LOGGER,
-            Event.UPSTREAM_ANNOUNCED,
-            service=upstream.service,
-            address=upstream.address,
+    def _is_ready(self) -> bool:
+        """Whether callers should come here."""
+        if self._control is None or self._drain_wanted.is_set():
+            return False
+        return self._control.config.version > 0
+
+    async def _refuse_starting(self, request: Request) -> Response:
+        """Answer a caller before this node knows any configuration."""
+        refusal = Refusal(
+            kind=ErrorKind.CONFIG_STALE,
+            detail="the node is starting",
+            retry_after_s=START_RETRY_S,
         )
-        return await self._serve(upstream)
+        return self._surroundings.dialect.answer_refusal(refusal, "")
 
-    async def _load(self) -> tuple[OwnershipState, ConfigFold] | None:
+    async def _load(self) -> tuple[OwnershipState, ConfigState] | None:
         """Load both streams' state; ``None`` if a drain is wanted before.
 
         A node that cannot load them does not serve; it says why and tries again.
         """
         loop = asyncio.get_running_loop()
         while not self._drain_wanted.is_set():
-            loaded = await load_streams(
-                log=self._log,
-                metrics=self._metrics,
-                random=self._random,
-                deadline_s=loop.time() + LOAD_ATTEMPT_S,
+            loaded = await self._surroundings.load(
+                random=self._random, deadline_s=loop.time() + LOAD_ATTEMPT_S
             )
             match loaded:
                 case Success(states):
@@ -156,42 +178,55 @@
                     await self._drain_wanted.wait()
         return None
 
-    async def _serve(self, upstream: AnnouncedUpstream) -> Ending:
+    async def _join(self) -> Ending:
         """Take part in ownership and serve callers until the end."""
         states = await self._load()
         if states is None:
             return Ending.DRAINED
-        announcement = self._build_announcement(upstream)
-        pool = self._build_pool(upstream)
-        control = self._build_control(announcement, pool, *states)
-        admission = Admission(
-            now=asyncio.get_running_loop().time(),
-            limits=find_admission_limits(control.config.configuration, upstream),
-        )
+        announcement = self._build_announcement()
+        sink = self._surroundings.build_sink()
+        control = self._build_control(announcement, sink, *states)
+        admission = Admission(now=asyncio.get_running_loop().time(), limits=Limits())
         gate = AdmissionGate(admission=admission, metrics=self._metrics)
         engine = self._build_engine(control, gate)
-        engine.upstream = pool
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
+        keeper = UpstreamKeeper(
+            surroundings=self._surroundings,
+            control=control,
+            engine=engine,
+            gate=gate,
+            sink=sink,
+            build_pool=self._build_pool,
+            drain_s=self._settings.limits.upstream_drain_s,
+        )
         self._endpoint.parts = self._build_parts(announcement, control, admission)
-        callers = self._build_server(
-            self._settings.listen.callers, engine.handle, self._settings.limits
+        works = (
+            control.run(),
+            keeper.run(),
+            self._surroundings.desk.watch(),
+            follow_limits(control, gate, keeper, self._callers, self._settings.limits),
+            *self._surroundings.follow(control, gate),
         )
+        return await self._serve(control, gate, engine, works)
+
+    async def _serve(
+        self,
+        control: ControlNode,
+        gate: AdmissionGate,
+        engine: RequestEngine,
+        works: tuple[Awaitable[None], ...],
+    ) -> Ending:
         async with contextlib.AsyncExitStack() as stack:
-            works = (
-                control.run(),
-                follow_limits(control, gate, upstream),
-                follow_health(GrantClient(pool=pool), gate),
-            )
             tasks = [asyncio.ensure_future(work) for work in works]
             for task in tasks:
                 stack.push_async_callback(_cancel, task)
-            await callers.start()
-            self._note_started(callers.port)
+            self._callers.handler = engine.handle
+            self._control = control
+            self._note_started()
             ending = await self._wait_ending(control, tasks)
-            timeout_s = self._settings.limits.drain_timeout_s
-            await callers.stop(timeout_s=timeout_s)
+            await self._callers.stop(timeout_s=self._settings.limits.drain_timeout_s)
             gate.close()
             await _wait_handed_over(control)
         log_event(LOGGER, Event.DAEMON_STOPPED, reason=ending.value)
@@ -203,12 +238,12 @@
         """Wait for the reason to end, and hand the shards on if there is time.
 
         The tasks run for ever; one that ended has failed, and a node without it must
-        not stay.
+        not stay. Callers are served for a while after a drain has begun, until they
+        have learned to go elsewhere.
         """
         finished = asyncio.ensure_future(control.wait_finished())
         draining = asyncio.ensure_future(self._drain_wanted.wait())
-        restarted = asyncio.ensure_future(self._desk.wait_changed())
-        waiting = (finished, draining, restarted)
+        waiting = (finished, draining)
         try:
             await asyncio.wait((*waiting, *tasks), return_when=asyncio.FIRST_COMPLETED)
             for task in tasks:
@@ -217,16 +252,17 @@
                     return Ending.FAILED
             if finished.done():
                 return Ending.SUPERSEDED
-            ending = Ending.DRAINED if draining.done() else Ending.UPSTREAM_RESTARTED
             control.start_departure()
-            timeout_s = self._settings.limits.drain_timeout_s
-            await asyncio.wait((finished,), timeout=timeout_s)
-            return ending if finished.done() else Ending.DRAIN_TIMEOUT
+            limits = self._settings.limits
+            notice = asyncio.ensure_future(asyncio.sleep(limits.drain_notice_s))
+            await asyncio.wait((finished, notice), timeout=limits.drain_timeout_s)
+            await notice
+            return Ending.DRAINED if finished.done() else Ending.DRAIN_TIMEOUT
         finally:
             for task in waiting:
                 task.cancel()
 
-    def _build_announcement(self, upstream: AnnouncedUpstream) -> Announce:
+    def _build_announcement(self) -> Announce:
         return Announce(
             record_id="",
             writer=self._incarnation,
@@ -235,36 +271,36 @@
             operator_address=self._settings.listen.operators,
             data_centre=self._settings.node.data_centre,
             region=self._settings.node.region,
-            service=upstream.service,
-            upstream=upstream.address,
-            slots=upstream.slots,
-            connections=upstream.connections,
+            service="",
+            upstream="",
+            slots=0,
+            connections=0,
         )
 
     def _build_pool(self, upstream: AnnouncedUpstream) -> UpstreamPool:
-        host, port = _split_address(upstream.address)
-        return UpstreamPool(
-            host=host,
-            port=port,
-            metrics=self._metrics,
-            limits=UpstreamLimits(connections=upstream.connections),
+        host, port = split_address(upstream.address)
+        base = self._surroundings.upstream_limits
+        limits = UpstreamLimits(
+            connections=upstream.connections, accepts_unframed=base.accepts_unframed
         )
+        return UpstreamPool(host=host, port=port, metrics=self._metrics, limits=limits)
 
     def _build_control(
         self,
         announcement: Announce,
-        pool: UpstreamPool,
+        sink: GrantSink,
         state: OwnershipState,
-        config: ConfigFold,
+        config: ConfigState,
     ) -> ControlNode:
         return ControlNode(
             state=state,
             config=config,
-            retention_s=self._settings.log.retention_s,
+            decoder=self._surroundings.decoder,
+            retention_s=self._surroundings.retention_s,
             announcement=announcement,
-            log=self._log,
+            log=self._surroundings.log,
             sender=self._peers,
-            sink=GrantClient(pool=pool),
+            sink=sink,
             plan=plan,
             metrics=self._metrics,
             random=self._random,
@@ -279,33 +315,31 @@
             metrics=self._metrics,
             retry=RetryPolicy(count=self._metrics.count, rng=self._random),
             handover=HandoverWait(rng=self._random),
+            dialect=self._surroundings.dialect,
+            build_classifier=self._surroundings.build_classifier,
         )
 
     def _build_parts(
         self, announcement: Announce, control: ControlNode, admission: Admission
     ) -> ServingParts:
-        publisher = Publisher(
-            config=control.config,
-            appender=self._build_appender(CONFIG_STREAM),
-            writer=self._incarnation,
+        declarer = Appender(
+            log=self._surroundings.log,
+            stream=OWNERSHIP_STREAM,
+            metrics=self._metrics,
+            random=self._random,
         )
         return ServingParts(
             announcement=announcement,
             control=control,
-            publisher=publisher,
-            declarer=self._build_appender(OWNERSHIP_STREAM),
+            publisher=self._surroundings.build_publisher(control, self._incarnation),
+            declarer=declarer,
             read_load=lambda: (admission.in_use, admission.queued),
         )
 
-    def _build_appender(self, stream: str) -> Appender:
-        return Appender(
-            log=self._log, stream=stream, metrics=self._metrics, random=self._random
-        )
-
     def _build_server(
         self, address: str, handler: Handler, limits: LimitSettings | None = None
     ) -> CallerServer:
-        host, port = _split_address(address)
+        host, port = split_address(address)
         return CallerServer(
             host=host,
             port=port,
@@ -325,23 +359,18 @@
             traceback="".join(lines),
         )
 
-    def _note_started(self, callers_port: int) -> None:
-        host, _ = _split_address(self._settings.listen.callers)
+    def _note_started(self) -> None:
+        host, _ = split_address(self._settings.listen.callers)
         log_event(
             LOGGER,
             Event.DAEMON_STARTED,
             incarnation=self._incarnation,
-            callers=f"{host}:{callers_port}",
+            callers=f"{host}:{self._callers.port}",
             peers=self._settings.listen.peers,
             operators=self._settings.listen.operators,
         )
 
 
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 async def _wait_handed_over(control: ControlNode) -> None:
     """Stay until the outcomes of keyed requests are asked for, but not for long."""
     loop = asyncio.get_running_loop()
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.control.node import ControlNode
+from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.records import Announce, DeclareLost
 from papayatack.daemon.publication import PublicationStatus, Publisher
@@ -45,14 +46,14 @@
     Attributes:
         announcement: How the node announced itself.
         control: Its control side.
-        publisher: Appends publications.
+        publisher: Appends publications, ``None`` if they are made elsewhere.
         declarer: Appends to the ownership stream.
         read_load: Returns the requests in flight and those that wait.
     """
 
     announcement: Announce
     control: ControlNode
-    publisher: Publisher
+    publisher: Publisher | None
     declarer: Appender
     read_load: Callable[[], tuple[int, int]]
 
@@ -136,6 +137,8 @@
 
     async def _read_config(self, parts: ServingParts, request: Request) -> Response:
         config = parts.control.config
+        if not isinstance(config, ConfigFold):
+            return reply_json(200, {"version": config.version})
         answer = ConfigAnswer(
             version=config.version, inventory=config.inventory, rules=config.rules
         )
@@ -151,6 +154,9 @@
         return reply_json(404, {"detail": found})
 
     async def _publish(self, parts: ServingParts, request: Request) -> Response:
+        if parts.publisher is None:
+            detail = "publications go to the platform's store here"
+            return reply_json(404, {"result": "refused", "detail": detail})
         document = _PublishRequest.model_validate(await read_json(request))
         answer = await parts.publisher.publish(**document.model_dump())
         self._metrics.count("publications", answer.status.value)
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -4,7 +4,7 @@
 import difflib
 import ipaddress
 import pathlib
-from typing import Annotated
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -70,12 +70,14 @@
         peers: Other nodes. Reachable by nodes only.
         operators: The operators' endpoint. Reachable by operators only.
         upstream: Announcements of the upstream beside this node.
+        readiness: Questions whether callers should come here; empty for none.
     """
 
     callers: Address
     peers: Address
     operators: Address
     upstream: Address = "127.0.0.1:0"
+    readiness: Address | Literal[""] = ""
 
 
 class LogServiceSettings(_Section):
@@ -102,6 +104,8 @@
         idle_timeout_s: Seconds for which a quiet connection is kept.
         header_timeout_s: Seconds within which a request's header must arrive.
         drain_timeout_s: Seconds that a graceful shutdown may take.
+        drain_notice_s: Seconds at its beginning in which callers are served as ever.
+        upstream_drain_s: Seconds for which a leaving upstream still gets requests.
     """
 
     header_bytes: int = pydantic.Field(default=16_384, ge=1_024, le=1_048_576)
@@ -110,6 +114,8 @@
     idle_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     header_timeout_s: float = pydantic.Field(default=10.0, gt=0)
     drain_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    drain_notice_s: float = pydantic.Field(default=0.0, ge=0)
+    upstream_drain_s: float = pydantic.Field(default=2.0, ge=0)
 
 
 class LoggingSettings(_Section):
--- /dev/null
+++ b/src/papayatack/daemon/surroundings.py
@@ -0,0 +1,158 @@
+"""What differs between the deployments in which a node can run."""
+
+import random
+from collections.abc import Awaitable
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from papayatack.control.interface import ConfigState, GrantSink
+from papayatack.control.loading import load_streams
+from papayatack.control.node import ControlNode
+from papayatack.core.config_fold import ConfigFold
+from papayatack.core.identity import IncarnationId
+from papayatack.core.inventory import Configuration
+from papayatack.core.ownership import OwnershipState
+from papayatack.core.records import CONFIG_STREAM
+from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
+from papayatack.daemon.health import follow_health
+from papayatack.daemon.publication import Publisher
+from papayatack.daemon.settings import Settings
+from papayatack.logservice.appender import Appender
+from papayatack.logservice.bootstrap import BootstrapFailure
+from papayatack.logservice.decoding import RecordDecoder
+from papayatack.logservice.http import HttpLogService
+from papayatack.logservice.interface import LogService
+from papayatack.network.exchanges import Request, Response
+from papayatack.network.grants import GrantClient
+from papayatack.network.limits import UpstreamLimits
+from papayatack.observability.metrics import Metrics
+from papayatack.proxy.classification import Classifier, RequestClassifier
+from papayatack.proxy.dialect import Dialect, OwnDialect
+from papayatack.proxy.gate import AdmissionGate
+
+__all__ = ["OwnSurroundings", "Surroundings", "UpstreamDesk", "split_address"]
+
+
+class UpstreamDesk(Protocol):
+    """Takes what the upstream beside this node says of itself."""
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call of the upstream."""
+
+    async def wait_changed(self) -> AnnouncedUpstream | None:
+        """Wait for news that differ from those before; ``None`` if it has gone."""
+
+    async def watch(self) -> None:
+        """Notice an upstream that has stopped without a word, until cancelled."""
+
+
+class Surroundings(Protocol):
+    """The deployment round a node.
+
+    Attributes:
+        log: The platform's log service.
+        dialect: Header fields of requests and answers.
+        desk: Where the upstream reports.
+        decoder: Decodes the records of both streams.
+        upstream_limits: Limits towards the upstream.
+        retention_s: Seconds for which the log keeps records; ``None`` if for ever.
+    """
+
+    log: LogService
+    dialect: Dialect
+    desk: UpstreamDesk
+    decoder: RecordDecoder
+    upstream_limits: UpstreamLimits
+    retention_s: float | None
+
+    def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
+        """Return what classifies requests under a configuration."""
+
+    def build_sink(self) -> GrantSink:
+        """Return what tells the upstream its grants."""
+
+    def build_publisher(
+        self, control: ControlNode, writer: IncarnationId
+    ) -> Publisher | None:
+        """Return what publishes configurations, ``None`` if that is done elsewhere."""
+
+    async def load(
+        self, *, random: random.Random, deadline_s: float
+    ) -> Result[tuple[OwnershipState, ConfigState], BootstrapFailure]:
+        """Load the state of both streams from the log."""
+
+    def note_upstream(self, upstream: AnnouncedUpstream) -> None:
+        """Take in the upstream's present life."""
+
+    def follow(self, control: ControlNode, gate: AdmissionGate) -> list[Awaitable]:
+        """Return what else runs beside the node until it is cancelled."""
+
+
+class OwnSurroundings:
+    """The product's own interfaces, without the users' platform.
+
+    Args:
+        settings: The daemon's settings.
+        metrics: Counters of the process.
+    """
+
+    def __init__(self, *, settings: Settings, metrics: Metrics) -> None:
+        host, port = split_address(settings.log.address)
+        self._metrics = metrics
+        self.log: LogService = HttpLogService(host=host, port=port)
+        self.dialect: Dialect = OwnDialect()
+        self.desk = AnnouncementDesk(metrics=metrics)
+        self.decoder = RecordDecoder(metrics=metrics)
+        self.upstream_limits = UpstreamLimits()
+        self.retention_s: float | None = settings.log.retention_s
+        self._sink = GrantClient()
+
+    def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
+        """Return what classifies requests under a configuration."""
+        return Classifier(configuration=configuration)
+
+    def build_sink(self) -> GrantSink:
+        """Return what tells the upstream its grants."""
+        return self._sink
+
+    def build_publisher(
+        self, control: ControlNode, writer: IncarnationId
+    ) -> Publisher | None:
+        """Return what publishes configurations."""
+        config = control.config
+        if not isinstance(config, ConfigFold):
+            return None
+        appender = Appender(
+            log=self.log,
+            stream=CONFIG_STREAM,
+            metrics=self._metrics,
+            random=random.Random(),
+        )
+        return Publisher(config=config, appender=appender, writer=writer)
+
+    async def load(
+        self, *, random: random.Random, deadline_s: float
+    ) -> Result[tuple[OwnershipState, ConfigState], BootstrapFailure]:
+        """Load the state of both streams from the log."""
+        loaded = await load_streams(
+            log=self.log, metrics=self._metrics, random=random, deadline_s=deadline_s
+        )
+        match loaded:
+            case Success((state, config)):
+                return Success((state, config))
+            case Failure(failure):
+                return Failure(failure)
+
+    def note_upstream(self, upstream: AnnouncedUpstream) -> None:
+        """Take in the upstream's present life, which nothing here depends on."""
+
+    def follow(self, control: ControlNode, gate: AdmissionGate) -> list[Awaitable]:
+        """Return what else runs beside the node until it is cancelled."""
+        return [follow_health(self._sink, gate)]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``<ip>:<port>``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/src/papayatack/daemon/upstreams.py
@@ -0,0 +1,134 @@
+"""The task that follows the upstream beside a node through its lives."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from papayatack.control.interface import GrantSink
+from papayatack.control.node import ControlNode
+from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.surroundings import Surroundings
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.events import Event, log_event
+from papayatack.proxy.engine import RequestEngine
+from papayatack.proxy.gate import AdmissionGate
+
+__all__ = ["UpstreamKeeper"]
+
+LOGGER = logging.getLogger(__name__)
+
+
+class UpstreamKeeper:
+    """Puts each life of the upstream into service, and takes it out in time.
+
+    A leaving upstream is given no new work, but serves on until its keys have moved or
+    ``drain_s`` has passed.
+
+    Args:
+        surroundings: The deployment.
+        control: The node's control side.
+        engine: Forwards requests to the upstream.
+        gate: Admission before it.
+        sink: Tells it its grants.
+        build_pool: Returns connections to an upstream.
+        drain_s: Seconds for which a leaving upstream still gets requests.
+
+    Attributes:
+        current: The upstream in service, ``None`` while there is none.
+    """
+
+    def __init__(
+        self,
+        *,
+        surroundings: Surroundings,
+        control: ControlNode,
+        engine: RequestEngine,
+        gate: AdmissionGate,
+        sink: GrantSink,
+        build_pool: Callable[[AnnouncedUpstream], UpstreamPool],
+        drain_s: float,
+    ) -> None:
+        self.current: AnnouncedUpstream | None = None
+        self._surroundings = surroundings
+        self._control = control
+        self._engine = engine
+        self._gate = gate
+        self._sink = sink
+        self._build_pool = build_pool
+        self._drain_s = drain_s
+        self._cut: asyncio.TimerHandle | None = None
+
+    async def run(self) -> None:
+        """Follow the upstream until cancelled."""
+        while True:
+            news = await self._surroundings.desk.wait_changed()
+            if self._cut is not None:
+                self._cut.cancel()
+                self._cut = None
+            if news is None:
+                self._take_out()
+            elif news.leaving:
+                self._start_leaving(news)
+            else:
+                self._put_in(news)
+
+    def _put_in(self, upstream: AnnouncedUpstream) -> None:
+        """Serve through an upstream that has started, or that has changed."""
+        current = self.current
+        restarted = (
+            current is None
+            or current.instance != upstream.instance
+            or current.address != upstream.address
+        )
+        self.current = upstream
+        if restarted:
+            self._connect(upstream, was_used=current is not None)
+        self._control.attach_upstream(
+            service=upstream.service,
+            upstream=upstream.address,
+            slots=upstream.slots,
+            connections=upstream.connections,
+        )
+        log_event(
+            LOGGER,
+            Event.UPSTREAM_ANNOUNCED,
+            service=upstream.service,
+            address=upstream.address,
+            upstream=upstream.instance,
+            slots=upstream.slots,
+        )
+
+    def _connect(self, upstream: AnnouncedUpstream, *, was_used: bool) -> None:
+        self._close_pool()
+        if was_used:
+            self._sink.forget()
+        pool = self._build_pool(upstream)
+        self._surroundings.note_upstream(upstream)
+        self._sink.pool = pool
+        self._engine.upstream = pool
+        self._gate.restart()
+        self._control.restart_upstream()
+
+    def _start_leaving(self, upstream: AnnouncedUpstream) -> None:
+        self._control.attach_upstream(service="")
+        loop = asyncio.get_running_loop()
+        self._cut = loop.call_later(self._drain_s, self._stop_sending)
+        log_event(
+            LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason="draining"
+        )
+
+    def _stop_sending(self) -> None:
+        """Send no more requests; its grants are still released."""
+        self._engine.upstream = None
+
+    def _take_out(self) -> None:
+        """Forget an upstream that has gone."""
+        self.current = None
+        self._control.attach_upstream(service="")
+        self._close_pool()
+
+    def _close_pool(self) -> None:
+        self._engine.upstream = None
+        pool, self._sink.pool = self._sink.pool, None
+        if pool is not None:
+            pool.close()
--- a/src/papayatack/logservice/decoding.py
+++ b/src/papayatack/logservice/decoding.py
@@ -48,18 +48,22 @@
             case Success(record):
                 return LoggedRecord(offset=offset, record=record)
             case Failure(failure):
-                self._metrics.count("log_records_skipped", failure.kind.value)
-                log_event(
-                    LOGGER,
-                    Event.LOG_RECORD_SKIPPED,
-                    level=logging.WARNING,
-                    stream=stream,
-                    offset=offset,
-                    reason=failure.kind.value,
-                    detail=failure.detail,
-                )
+                self.note_skipped(stream, offset, failure.kind.value, failure.detail)
         return LoggedRecord(offset=offset, record=None)
 
+    def note_skipped(self, stream: str, offset: int, reason: str, detail: str) -> None:
+        """Count and log a payload that every node skips."""
+        self._metrics.count("log_records_skipped", reason)
+        log_event(
+            LOGGER,
+            Event.LOG_RECORD_SKIPPED,
+            level=logging.WARNING,
+            stream=stream,
+            offset=offset,
+            reason=reason,
+            detail=detail,
+        )
+
     def decode_page(
         self, stream: str, first: int, payloads: Sequence[bytes]
     ) -> Iterator[LoggedRecord]:
--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -49,13 +49,24 @@
 
 
 class GrantClient:
-    """Tells the own upstream what it may serve."""
+    """Tells the own upstream what it may serve.
 
-    def __init__(self, *, pool: UpstreamPool) -> None:
-        self._pool = pool
+    Attributes:
+        pool: Connections to the upstream, ``None`` while there is none.
+    """
+
+    def __init__(self, *, pool: UpstreamPool | None = None) -> None:
+        self.pool = pool
+
+    def forget(self) -> None:
+        """Forget an upstream that has ended; it keeps its grants itself."""
 
     async def grant(
-        self, lease: LeaseId, tokens: Mapping[ShardId, int], remaining_us: int
+        self,
+        lease: LeaseId,
+        tokens: Mapping[ShardId, int],
+        remaining_us: int,
+        handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before the first request."""
         document = {
@@ -72,10 +83,11 @@
 
     async def revoke(
         self, lease: LeaseId, shards: tuple[ShardId, ...]
-    ) -> Result[None, Refusal]:
-        """End the grants of shards."""
+    ) -> Result[Mapping[ShardId, str], Refusal]:
+        """End the grants of shards; this product's upstreams hand nothing over."""
         document = {"lease": format_lease(lease), "shards": list(shards)}
-        return await self._send(b"POST", GRANTS_TARGET + b"/revoke", document)
+        result = await self._send(b"POST", GRANTS_TARGET + b"/revoke", document)
+        return result.map(lambda _: {})
 
     async def read_health(self) -> Result[UpstreamHealth, Refusal]:
         """Return the upstream's own report of its health."""
@@ -106,18 +118,22 @@
     async def _call(
         self, method: bytes, target: bytes, data: bytes
     ) -> Result[bytes, Refusal]:
+        pool = self.pool
+        if pool is None:
+            detail = "no upstream runs here"
+            return Failure(Refusal(kind=ErrorKind.UPSTREAM_UNREACHABLE, detail=detail))
         request = Request(
             method=method,
             target=target,
             headers=(
-                (b"host", self._pool.address.encode()),
+                (b"host", pool.address.encode()),
                 (b"content-type", b"application/json"),
                 (b"content-length", b"%d" % len(data)),
             ),
             body=BytesBody(data=data),
         )
         deadline_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-        result = await self._pool.exchange(request, deadline_s=deadline_s)
+        result = await pool.exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
             return Failure(result.failure())
         return await _read_answer(result.unwrap())
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -268,7 +268,7 @@
         """
         self._is_stray = False
         rest, _ = self._h11.trailing_data
-        if self._h11.our_state is not h11.DONE or not self._h11.their_state is h11.DONE:
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             detail = "a response to another request ends the connection"
             self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
             return
--- /dev/null
+++ b/src/papayatack/platform/grants.py
@@ -0,0 +1,288 @@
+"""Grants of contiguous key ranges to the own upstream.
+
+Implements :class:`papayatack.control.interface.GrantSink`. The upstream counts a
+grant's time from its arrival, and may take in one that had no answer seconds later: a
+key counts as held until the latest time at which any of its grants can run out.
+"""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.shards import find_slice, is_hot
+from papayatack.network.bodies import BytesBody
+from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.platform.fields import HANDOVER
+from papayatack.platform.times import format_ms
+from papayatack.proxy.settling import settle_response
+
+__all__ = ["RangeGrants"]
+
+MICROSECONDS = 1_000_000
+CLOCK_RATE_BOUND = 0.02
+ARRIVAL_S = 0.3
+"""Longest time that a grant takes to arrive at the upstream of the same machine."""
+
+RELEASE_TIMEOUT_S = 2.0
+OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class _KeyRange:
+    """Neighbouring keys under one token; ``last`` is included."""
+
+    first: int
+    last: int
+    token: int
+    handover: str = ""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Held:
+    """A shard that the upstream holds or may hold.
+
+    Attributes:
+        lease: The lease under which it is granted.
+        token: The token of its newest grant.
+        until_s: When the last of its answered grants runs out.
+    """
+
+    lease: LeaseId
+    token: int
+    until_s: float
+
+
+class RangeGrants:
+    """Tells the own upstream which keys it may serve.
+
+    Args:
+        list_hot: Returns the hot slices that are shards of their own.
+
+    Attributes:
+        pool: Connections to the upstream, ``None`` while there is none.
+    """
+
+    def __init__(self, *, list_hot: Callable[[], Collection[ShardId]]) -> None:
+        self.pool: UpstreamPool | None = None
+        self._list_hot = list_hot
+        self._held: dict[ShardId, _Held] = {}
+        self._late_s: dict[ShardId, float] = {}
+        self._releasing: set[ShardId] = set()
+        self._calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
+
+    def forget(self) -> None:
+        """Forget what an upstream held that has ended for sure."""
+        self._held.clear()
+        self._late_s.clear()
+        self._releasing.clear()
+
+    async def grant(
+        self,
+        lease: LeaseId,
+        tokens: Mapping[ShardId, int],
+        remaining_us: int,
+        handovers: Mapping[ShardId, str] | None = None,
+    ) -> Result[None, Refusal]:
+        """Grant shards with their fencing tokens, before the first request."""
+        if self.pool is None:
+            return _refuse("no upstream runs here")
+        self._releasing.difference_update(tokens)
+        return await self._send_grants(lease, tokens, remaining_us, handovers or {})
+
+    async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
+        """Extend all grants of a lease."""
+        tokens = {
+            shard: held.token
+            for shard, held in self._held.items()
+            if held.lease == lease and shard not in self._releasing
+        }
+        if self.pool is None or not tokens:
+            return Success(None)
+        return await self._send_grants(lease, tokens, remaining_us, {})
+
+    async def revoke(
+        self, lease: LeaseId, shards: tuple[ShardId, ...]
+    ) -> Result[Mapping[ShardId, str], Refusal]:
+        """End the grants of shards; return what lets another take them over warm.
+
+        Grants under way are waited for, since one that comes after the release would
+        stand.
+        """
+        wanted = frozenset(shards)
+        self._releasing |= wanted
+        pending = [call for call, known in self._calls.items() if known & wanted]
+        if pending:
+            await asyncio.wait(pending)
+        found = {s: self._held[s] for s in shards if s in self._held}
+        answers = await asyncio.gather(
+            *(self._release(shard, entry) for shard, entry in found.items())
+        )
+        await self._wait_late(wanted)
+        for shard in shards:
+            self._held.pop(shard, None)
+        self._releasing -= wanted
+        handovers = dict(zip(found, answers, strict=True))
+        return Success({shard: text for shard, text in handovers.items() if text})
+
+    async def _send_grants(
+        self,
+        lease: LeaseId,
+        tokens: Mapping[ShardId, int],
+        remaining_us: int,
+        handovers: Mapping[ShardId, str],
+    ) -> Result[None, Refusal]:
+        hold_s = remaining_us / MICROSECONDS * (1 - CLOCK_RATE_BOUND)
+        call = asyncio.ensure_future(
+            self._grant_ranges(lease, tokens, hold_s, handovers)
+        )
+        self._calls[call] = frozenset(tokens)
+        call.add_done_callback(self._calls.pop)
+        done = await asyncio.shield(call)
+        return Success(None) if done else _refuse("a grant was not confirmed")
+
+    async def _grant_ranges(
+        self,
+        lease: LeaseId,
+        tokens: Mapping[ShardId, int],
+        hold_s: float,
+        handovers: Mapping[ShardId, str],
+    ) -> bool:
+        """Send the grants; note which the upstream has and which it may have."""
+        now = asyncio.get_running_loop().time()
+        until_s = now + hold_s * (1 + CLOCK_RATE_BOUND)
+        answers = await asyncio.gather(
+            *(
+                self._call(b"/grant", _describe(key_range, hold_s), hold_s)
+                for key_range in self._merge(tokens, handovers)
+            )
+        )
+        unanswered = any(answer is None for answer in answers)
+        done = all(answer is not None and answer.status == OK for answer in answers)
+        for shard, token in tokens.items():
+            if unanswered:
+                self._late_s[shard] = until_s + ARRIVAL_S
+            known = self._held.get(shard)
+            if done and (known is None or known.token <= token):
+                self._held[shard] = _Held(lease=lease, token=token, until_s=until_s)
+        return done
+
+    def _merge(
+        self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
+    ) -> list[_KeyRange]:
+        """Return the fewest ranges that cover just these shards."""
+        ranges: list[_KeyRange] = []
+        for part in sorted(self._cut(tokens, handovers)):
+            last = ranges[-1] if ranges else None
+            joins = (
+                last is not None
+                and last.last + 1 == part.first
+                and (last.token, last.handover) == (part.token, part.handover)
+                and not part.handover
+            )
+            if joins and last is not None:
+                ranges[-1] = dataclasses.replace(last, last=part.last)
+            else:
+                ranges.append(part)
+        return ranges
+
+    def _cut(
+        self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
+    ) -> Iterable[_KeyRange]:
+        """Yield each shard's keys without the hot slices within it."""
+        hot = sorted(find_slice(shard)[1:] for shard in self._list_hot())
+        for shard, token in tokens.items():
+            _, first, last = find_slice(shard)
+            handover = handovers.get(shard, "")
+            if not is_hot(shard):
+                for start, end in hot:
+                    if first <= start and end <= last:
+                        if first < start:
+                            yield _KeyRange(
+                                first=first,
+                                last=start - 1,
+                                token=token,
+                                handover=handover,
+                            )
+                        first = end + 1
+            if first <= last:
+                yield _KeyRange(first=first, last=last, token=token, handover=handover)
+
+    async def _release(self, shard: ShardId, held: _Held) -> str:
+        """Return the upstream's handover, empty if it gave none.
+
+        One that does not answer holds the shard until its grants have run out.
+        """
+        answers = await asyncio.gather(
+            *(
+                self._call(b"/release", _describe(part), RELEASE_TIMEOUT_S)
+                for part in self._merge({shard: held.token}, {})
+            )
+        )
+        if all(answer is not None and answer.status == OK for answer in answers):
+            if len(answers) != 1:
+                return ""
+            value = find_header(answers[0].headers, HANDOVER) or b""
+            return value.decode("latin-1")
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, held.until_s - now))
+        return ""
+
+    async def _wait_late(self, shards: frozenset[ShardId]) -> None:
+        """Wait until grants without an answer can no longer be taken in."""
+        late_s = [self._late_s.get(shard, 0.0) for shard in shards]
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, max(late_s, default=0.0) - now))
+        for shard in shards:
+            self._late_s.pop(shard, None)
+
+    async def _call(
+        self, target: bytes, document: Mapping[str, object], timeout_s: float
+    ) -> Response | None:
+        """Return the upstream's answer, ``None`` if it may or may not have acted."""
+        pool = self.pool
+        if pool is None:
+            return None
+        data = json.dumps(document).encode()
+        request = Request(
+            method=b"POST",
+            target=target,
+            headers=(
+                (b"host", pool.address.encode()),
+                (b"content-type", b"application/json"),
+                (b"content-length", b"%d" % len(data)),
+            ),
+            body=BytesBody(data=data),
+        )
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        result = await pool.exchange(request, deadline_s=deadline_s)
+        if not is_successful(result):
+            return None
+        settled = await settle_response(result.unwrap())
+        return settled.unwrap() if is_successful(settled) else None
+
+
+def _describe(
+    key_range: _KeyRange, hold_s: float | None = None
+) -> Mapping[str, object]:
+    """Return a grant, or without a time a release, as the upstream reads it."""
+    document: dict[str, object] = {
+        "From": key_range.first,
+        "To": key_range.last,
+        "fence": key_range.token,
+    }
+    if hold_s is not None:
+        document["Hold"] = format_ms(hold_s)
+    if key_range.handover:
+        document["Handover"] = key_range.handover
+    return document
+
+
+def _refuse(detail: str) -> Failure[Refusal]:
+    return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED, detail=detail))
--- /dev/null
+++ b/src/papayatack/platform/heartbeats.py
@@ -0,0 +1,164 @@
+"""How the upstream beside a node reports that it lives, drains and leaves."""
+
+import asyncio
+import dataclasses
+import http
+import logging
+import re
+from typing import Annotated, Literal
+
+import pydantic
+from pydantic.alias_generators import to_pascal
+
+from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.replies import read_json, reply_json
+from papayatack.network.exchanges import Request, Response
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.times import Duration
+
+__all__ = ["HeartbeatDesk"]
+
+LOGGER = logging.getLogger(__name__)
+
+MAX_SLOTS = 100_000
+ANY_CONNECTIONS = 1_000_000
+"""A heartbeat does not tell how many connections the upstream accepts."""
+
+MISSED_BEATS = 3.0
+PROBE_TIMEOUT_S = 0.4
+CHECK_INTERVAL_S = 0.25
+_TARGET = re.compile(rb"/instances/([^/?]{1,200})/(heartbeat|deregister)")
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(alias_generator=to_pascal, frozen=True)
+
+
+class _Info(_Model):
+    service: Annotated[str, pydantic.StringConstraints(min_length=1, max_length=200)]
+    capacity_slots: Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS)]
+
+
+class _Status(_Model):
+    state: Literal["ready", "draining"]
+    seq: int
+    cold_remaining: Duration = 0.0
+
+
+class _Heartbeat(_Model):
+    address: str
+    info: _Info
+    status: _Status
+
+
+class HeartbeatDesk:
+    """Takes the heartbeats of the upstream beside this node.
+
+    Args:
+        metrics: Counts ``heartbeats`` by result.
+        interval_s: Usual time between two heartbeats.
+    """
+
+    def __init__(self, *, metrics: Metrics, interval_s: float) -> None:
+        self._metrics = metrics
+        self._patience_s = interval_s * MISSED_BEATS
+        self._changed: asyncio.Queue[AnnouncedUpstream | None] = asyncio.Queue()
+        self._latest: AnnouncedUpstream | None = None
+        self._sequences: dict[str, int] = {}
+        self._gone: set[str] = set()
+        self._heard_s = 0.0
+
+    async def wait_changed(self) -> AnnouncedUpstream | None:
+        """Wait for news that differ from those before; ``None`` if it has gone."""
+        return await self._changed.get()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call of the upstream."""
+        found = _TARGET.fullmatch(request.target.partition(b"?")[0])
+        if request.method != b"POST" or found is None:
+            return reply_json(http.HTTPStatus.NOT_FOUND, {"Error": "no such call"})
+        instance = found[1].decode("latin-1")
+        if found[2] == b"deregister":
+            return self._take_leave(instance)
+        try:
+            heartbeat = _Heartbeat.model_validate(await read_json(request))
+        except ValueError as error:
+            self._metrics.count("heartbeats", "invalid")
+            log_event(
+                LOGGER,
+                Event.HEARTBEAT_REFUSED,
+                level=logging.WARNING,
+                upstream=instance,
+                detail=str(error)[:300],
+            )
+            return reply_json(http.HTTPStatus.BAD_REQUEST, {"Error": str(error)[:300]})
+        self._take(instance, heartbeat)
+        return reply_json(http.HTTPStatus.OK, {})
+
+    async def watch(self) -> None:
+        """Notice an upstream that has stopped without a word, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            latest = self._latest
+            now = asyncio.get_running_loop().time()
+            if latest is None or now - self._heard_s < self._patience_s:
+                continue
+            if await _is_listening(latest.address):
+                self._heard_s = now
+            elif self._latest is latest:
+                self._forget(latest, "silent")
+
+    def _take(self, instance: str, heartbeat: _Heartbeat) -> None:
+        """Take in a heartbeat that is not late."""
+        status = heartbeat.status
+        known = self._sequences.get(instance)
+        late = known is not None and status.seq <= known
+        if late or instance in self._gone:
+            self._metrics.count("heartbeats", "late")
+            return
+        self._metrics.count("heartbeats", "taken")
+        self._sequences = {instance: status.seq}
+        self._heard_s = asyncio.get_running_loop().time()
+        upstream = AnnouncedUpstream(
+            service=heartbeat.info.service,
+            address=heartbeat.address,
+            slots=heartbeat.info.capacity_slots,
+            connections=ANY_CONNECTIONS,
+            instance=instance,
+            leaving=status.state == "draining",
+        )
+        if upstream != self._latest:
+            if self._latest is not None and self._latest.instance != instance:
+                self._gone.add(self._latest.instance)
+            self._latest = upstream
+            self._changed.put_nowait(upstream)
+
+    def _take_leave(self, instance: str) -> Response:
+        """Take in that an upstream leaves; it still serves for a while."""
+        self._metrics.count("heartbeats", "leave")
+        latest = self._latest
+        self._gone.add(instance)
+        if latest is not None and latest.instance == instance and not latest.leaving:
+            self._latest = dataclasses.replace(latest, leaving=True)
+            self._changed.put_nowait(self._latest)
+        return reply_json(http.HTTPStatus.OK, {})
+
+    def _forget(self, upstream: AnnouncedUpstream, reason: str) -> None:
+        self._latest = None
+        log_event(
+            LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason=reason
+        )
+        self._changed.put_nowait(None)
+
+
+async def _is_listening(address: str) -> bool:
+    """Tell whether an address still accepts connections."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, ValueError):
+        return False
+    writer.close()
+    return True
--- /dev/null
+++ b/src/papayatack/platform/main.py
@@ -0,0 +1,90 @@
+"""The program on the platform: a node for as long as the process lives."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+import sys
+
+from papayatack.core.errors import SettingsError
+from papayatack.daemon.logs import configure_logging
+from papayatack.daemon.node import Ending, Node
+from papayatack.network.pauses import shorten_collector_pauses
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.settings import PlatformSettings, read_platform_settings
+from papayatack.platform.surroundings import PlatformSurroundings
+
+__all__ = ["main"]
+
+LOGGER = logging.getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_FAILURE = 1
+EXIT_BAD_SETTINGS = 2
+SETTINGS_VARIABLE = "PAPAYATACK_BOOT"
+
+
+def main() -> None:
+    """Run the program; it exits with the process's status."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = read_platform_settings(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    configure_logging("INFO", stream=sys.stdout)
+    shorten_collector_pauses()
+    sys.exit(asyncio.run(_run(path, settings)))
+
+
+async def _run(path: str, settings: PlatformSettings) -> int:
+    """Run one incarnation after the other until the process is to stop."""
+    metrics = Metrics()
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _check_settings, path, settings)
+    while True:
+        node = Node(
+            settings=settings.build_settings(),
+            surroundings=PlatformSurroundings(settings=settings, metrics=metrics),
+            metrics=metrics,
+        )
+        ending = await _run_node(node, stopping)
+        if stopping.is_set():
+            return EXIT_OK
+        if ending is Ending.FAILED:
+            return EXIT_FAILURE
+
+
+async def _run_node(node: Node, stopping: asyncio.Event) -> Ending:
+    async def drain() -> None:
+        await stopping.wait()
+        node.start_drain()
+
+    waiting = asyncio.ensure_future(drain())
+    try:
+        return await node.run()
+    finally:
+        waiting.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await waiting
+
+
+def _check_settings(path: str, settings: PlatformSettings) -> None:
+    """Say what a changed settings file means; addresses change with a restart alone."""
+    try:
+        changed = read_platform_settings(path)
+    except SettingsError as error:
+        log_event(
+            LOGGER, Event.SETTINGS_REJECTED, level=logging.ERROR, detail=str(error)
+        )
+        return
+    log_event(LOGGER, Event.SETTINGS_RELOADED, changed=changed != settings)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/papayatack/platform/manifest.py
@@ -0,0 +1,205 @@
+"""The operators' manifest, decoded into the product's configuration."""
+
+import logging
+
+import pydantic
+from pydantic.alias_generators import to_pascal
+
+from papayatack.core.inventory import (
+    CallerBounds,
+    Configuration,
+    HostRoute,
+    KeyRange,
+    Place,
+    RequestClass,
+    Service,
+    Target,
+)
+from papayatack.core.records import CONFIG_STREAM
+from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
+from papayatack.observability.events import Event, log_event
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.times import Duration
+
+__all__ = ["ManifestDecoder", "ManifestFold", "parse_manifest"]
+
+LOGGER = logging.getLogger(__name__)
+
+KEY_COUNT = 65_536
+SLICES = 256
+KEY_RANGE = "keys"
+ANY_SLOTS = 1_000_000
+"""Each upstream tells its own slots; the manifest does not."""
+
+VERSION_BASE = 16
+HIGHEST_RANK = 1
+"""Routes up to this ``Priority`` come before the others of their service."""
+
+
+class _Model(pydantic.BaseModel):
+    """A part of the manifest; fields that it does not know are ignored."""
+
+    model_config = pydantic.ConfigDict(alias_generator=to_pascal, frozen=True)
+
+
+class _Part(_Model):
+    service: str
+    weight: float = pydantic.Field(default=1.0, ge=0)
+
+
+class _Route(_Model):
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout: Duration
+    target_latency: Duration
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    traffic_split: tuple[_Part, ...] = ()
+
+
+class _Service(_Model):
+    max_connections: int = 100
+    sharded: bool = False
+    warmup: Duration = 3.0
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_timeout: Duration = 3.0
+    idle_timeout: Duration = 15.0
+
+
+class _Manifest(_Model):
+    version: str
+    routes: dict[str, _Route] = {}
+    services: dict[str, _Service] = {}
+    limits: _Limits = _Limits()
+
+
+def parse_manifest(payload: bytes, places: tuple[Place, ...]) -> Configuration:
+    """Return the configuration that a manifest describes.
+
+    Args:
+        payload: The manifest as it lies in the store.
+        places: All data centres, which the manifest does not name.
+
+    Raises:
+        ValueError: It is not a manifest.
+    """
+    manifest = _Manifest.model_validate_json(payload)
+    limits = manifest.limits
+    return Configuration(
+        version=int(manifest.version, VERSION_BASE),
+        services=tuple(
+            _build_service(name, service, places)
+            for name, service in manifest.services.items()
+        ),
+        places=places,
+        routes=tuple(
+            _build_route(name, route) for name, route in manifest.routes.items()
+        ),
+        bounds=CallerBounds(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout,
+            idle_timeout_s=limits.idle_timeout,
+        ),
+    )
+
+
+def _build_service(name: str, service: _Service, places: tuple[Place, ...]) -> Service:
+    ranges = KeyRange(name=KEY_RANGE, shards=SLICES, numbers=KEY_COUNT)
+    return Service(
+        name=name,
+        prefix="",
+        key_ranges=(ranges,) if service.sharded else (),
+        slots=ANY_SLOTS,
+        connections=service.max_connections,
+        ramp_s=0.0,
+        places=tuple(place.name for place in places),
+        warm_up_s=service.warmup,
+    )
+
+
+def _build_route(name: str, route: _Route) -> HostRoute:
+    parts = route.traffic_split or (_Part(Service=route.service),)
+    return HostRoute(
+        name=name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        targets=tuple(
+            Target(service=part.service, weight=part.weight) for part in parts
+        ),
+        repeatable=route.route_kind in ("idempotent", "download"),
+        request_class=_find_class(route),
+        timeout_s=route.timeout,
+        target_latency_s=route.target_latency,
+        max_attempts=route.max_attempts,
+    )
+
+
+def _find_class(route: _Route) -> RequestClass:
+    if route.route_kind == "download":
+        return RequestClass.DOWNLOAD
+    urgent = route.priority <= HIGHEST_RANK or route.route_kind == "non_idempotent"
+    return RequestClass.ORDER if urgent else RequestClass.BROWSE
+
+
+class ManifestFold:
+    """The manifest in force; each newer one replaces it whole.
+
+    Args:
+        places: All data centres.
+    """
+
+    is_gapless = False
+
+    def __init__(self, *, places: tuple[Place, ...]) -> None:
+        self.configuration = Configuration(places=places)
+        self.next_offset = 0
+
+    @property
+    def version(self) -> int:
+        """The version in force; it never goes down."""
+        return self.configuration.version
+
+    def apply(self, offset: int, record: Configuration | None) -> None:
+        """Take in the record at ``offset``; one that is not newer changes nothing."""
+        self.next_offset = max(self.next_offset, offset + 1)
+        if record is None or record.version <= self.version:
+            return
+        self.configuration = record
+        log_event(
+            LOGGER,
+            Event.CONFIGURATION_IN_FORCE,
+            version=record.version,
+            offset=offset,
+            routes=len(record.routes),
+        )
+
+
+class ManifestDecoder(RecordDecoder):
+    """Decodes manifests of the config stream, and the product's own records.
+
+    Args:
+        places: All data centres.
+        metrics: Counts ``log_records_skipped`` by reason.
+    """
+
+    def __init__(self, *, places: tuple[Place, ...], metrics: Metrics) -> None:
+        super().__init__(metrics=metrics)
+        self._places = places
+
+    def decode(self, stream: str, offset: int, payload: bytes) -> LoggedRecord:
+        """Return the record at an offset."""
+        if stream != CONFIG_STREAM:
+            return super().decode(stream, offset, payload)
+        try:
+            record = parse_manifest(payload, self._places)
+        except ValueError as error:
+            self.note_skipped(stream, offset, "manifest", str(error))
+            record = None
+        return LoggedRecord(offset=offset, record=record)
--- /dev/null
+++ b/src/papayatack/platform/settings.py
@@ -0,0 +1,154 @@
+"""Settings of a node on the platform: the INI file that it fills in from a template."""
+
+import configparser
+import pathlib
+
+import pydantic
+
+from papayatack.core.errors import SettingsError
+from papayatack.core.inventory import Place
+from papayatack.daemon.settings import (
+    Address,
+    LimitSettings,
+    ListenSettings,
+    LoggingSettings,
+    LogServiceSettings,
+    NodeSettings,
+    Settings,
+)
+from papayatack.platform.times import Duration
+
+__all__ = ["PlatformSettings", "parse_platform_settings", "read_platform_settings"]
+
+STOP_MARGIN_S = 0.8
+"""Left of the time for a graceful shutdown when the last callers are cut."""
+
+NOTICE_S = 2.3
+"""Two questions for readiness, a second apart, and some time for their answers."""
+
+UPSTREAM_MARGIN_S = 0.4
+CALLER_CONNECTIONS = 3_000
+
+
+class _Section(pydantic.BaseModel):
+    """A section of the file; keys that it does not know are ignored."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+
+class _Node(_Section):
+    name: str
+    data_centre: str
+    region: str
+
+
+class _Listen(_Section):
+    callers: Address
+    upstream: Address
+    readiness: Address
+    peers: Address
+    operators: Address
+
+
+class _Upstream(_Section):
+    service: str = ""
+    address: str = ""
+    heartbeat: Duration = 1.0
+
+
+class _Store(_Section):
+    address: Address
+    keep: Duration = 20.0
+
+
+class _Bounds(_Section):
+    drain: Duration = 2.0
+    grace: Duration = 6.0
+    retry_share: float = 0.2
+    retry_window: Duration = 10.0
+    retry_reserve: float = 50.0
+    longest_hold: Duration = 10.0
+
+
+class PlatformSettings(_Section):
+    """All sections of the file."""
+
+    node: _Node
+    listen: _Listen
+    upstream: _Upstream = _Upstream()
+    store: _Store
+    bounds: _Bounds = _Bounds()
+    places: dict[str, str]
+
+    @property
+    def all_places(self) -> tuple[Place, ...]:
+        """All data centres."""
+        return tuple(
+            Place(name=name, region=region) for name, region in self.places.items()
+        )
+
+    def build_settings(self) -> Settings:
+        """Return the product's own settings."""
+        bounds = self.bounds
+        longest_s = max(bounds.grace - STOP_MARGIN_S, 1.0)
+        return Settings(
+            node=NodeSettings(
+                data_centre=self.node.data_centre, region=self.node.region
+            ),
+            listen=ListenSettings(
+                callers=self.listen.callers,
+                peers=self.listen.peers,
+                operators=self.listen.operators,
+                upstream=self.listen.upstream,
+                readiness=self.listen.readiness,
+            ),
+            log=LogServiceSettings(address=self.store.address),
+            limits=LimitSettings(
+                caller_connections=CALLER_CONNECTIONS,
+                drain_timeout_s=max(longest_s - NOTICE_S, 0.5),
+                drain_notice_s=NOTICE_S,
+                upstream_drain_s=max(bounds.drain - UPSTREAM_MARGIN_S, 0.1),
+            ),
+            logging=LoggingSettings(),
+        )
+
+
+def read_platform_settings(path: str) -> PlatformSettings:
+    """Read and validate the settings file.
+
+    Raises:
+        SettingsError: If the file is missing or has faults; it names them all.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        message = f"{path}: cannot be read ({error}); check the path"
+        raise SettingsError(message) from error
+    return parse_platform_settings(text, source=path)
+
+
+def parse_platform_settings(text: str, *, source: str) -> PlatformSettings:
+    """Validate the text of a settings file.
+
+    Raises:
+        SettingsError: If it has faults; the message names them all.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source=source)
+    except configparser.Error as error:
+        message = f"{source}: not an INI file: {error}"
+        raise SettingsError(message) from error
+    document = {
+        name: {key: value for key, value in parser[name].items() if value}
+        for name in parser.sections()
+    }
+    try:
+        return PlatformSettings.model_validate(document)
+    except pydantic.ValidationError as error:
+        faults = [
+            f"{source}: [{'] '.join(map(str, fault['loc']))}: {fault['msg']}"
+            for fault in error.errors()
+        ]
+        raise SettingsError("\n".join(faults)) from None
--- /dev/null
+++ b/src/papayatack/platform/store.py
@@ -0,0 +1,241 @@
+"""The platform's store as the product's log service.
+
+The ownership stream is a topic that keeps the newest record of each key for ever; each
+record has a key of its own, so that the whole stream lasts. The config stream is the
+operators' topic, of which only the newest manifest counts.
+"""
+
+import base64
+import dataclasses
+import http
+import struct
+import urllib.parse
+import uuid
+
+import h11
+import pydantic
+from pydantic.alias_generators import to_pascal
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from papayatack.logservice.calls import AnswerError, HttpCall, HttpCaller
+from papayatack.logservice.interface import LogFailure, LogFailureKind, LogPage
+
+__all__ = ["PlatformStore"]
+
+TOPICS = {CONFIG_STREAM: "keyed.op", OWNERSHIP_STREAM: "keyed.ownership"}
+MANIFEST_KEY = b"config"
+PARTITION = 0
+MAX_READ_KB = 1024
+_LENGTH = struct.Struct(">I")
+_POSITIONS = struct.Struct(">QQ")
+_CALL_ERRORS = (OSError, h11.ProtocolError, AnswerError, ValueError)
+
+
+class _Answer(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(alias_generator=to_pascal)
+
+
+class _AppendAnswer(_Answer):
+    offset: pydantic.NonNegativeInt
+
+
+class _NewestItem(_Answer):
+    key: str
+    value: str
+    offset: pydantic.NonNegativeInt
+
+
+class _NewestAnswer(_Answer):
+    items: list[_NewestItem] = pydantic.Field(alias="items")
+    has_more: bool = False
+    end_offset: pydantic.NonNegativeInt
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Record:
+    offset: int
+    key: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Records:
+    """Records of a topic in their order, and where it ends."""
+
+    records: tuple[_Record, ...]
+    end: int
+
+
+class PlatformStore:
+    """Calls the store; implements :class:`papayatack.logservice.LogService`.
+
+    Args:
+        host: IP address of the store.
+        port: Its port.
+    """
+
+    def __init__(self, *, host: str, port: int) -> None:
+        self._caller = HttpCaller(host=host, port=port)
+        self._scanned = dict.fromkeys(TOPICS, 0)
+
+    async def append(
+        self, stream: str, payload: bytes, *, timeout_s: float
+    ) -> Result[int, LogFailure]:
+        """Append one record and return its offset."""
+        key = uuid.uuid4().hex.encode()
+        content = bytes([len(key)]) + key + payload
+        query = urllib.parse.urlencode({"Topic": TOPICS[stream], "part": PARTITION})
+        call = HttpCall(
+            method="POST",
+            target=f"/log-append?{query}",
+            body=_LENGTH.pack(len(content)) + content,
+        )
+        try:
+            status, answer = await self._caller.call(call, timeout_s=timeout_s)
+        except _CALL_ERRORS as error:
+            kind = LogFailureKind.UNKNOWN if call.sent else LogFailureKind.REFUSED
+            return _fail(kind, _describe(error))
+        if status != http.HTTPStatus.OK:
+            known = status < 500 or status == http.HTTPStatus.SERVICE_UNAVAILABLE
+            kind = LogFailureKind.REFUSED if known else LogFailureKind.UNKNOWN
+            return _fail(kind, f"status {status}")
+        try:
+            return Success(_AppendAnswer.model_validate_json(answer).offset)
+        except ValueError:
+            return _fail(LogFailureKind.UNKNOWN, "the answer is not usable")
+
+    async def read(
+        self, stream: str, offset: int, *, limit: int, wait_s: float, timeout_s: float
+    ) -> Result[LogPage, LogFailure]:
+        """Return records from ``offset`` on, waiting up to ``wait_s`` for the first."""
+        start = max(offset, self._scanned[stream])
+        found = await self._read_topic(TOPICS[stream], start, wait_s, timeout_s)
+        if not is_successful(found):
+            return Failure(found.failure())
+        if stream == CONFIG_STREAM:
+            return Success(self._choose_manifest(found.unwrap()))
+        return _build_page(found.unwrap(), offset, limit)
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._caller.close()
+
+    def _choose_manifest(self, found: _Records) -> LogPage:
+        """Return the newest manifest; the operators' other records are passed over."""
+        if found.records:
+            self._scanned[CONFIG_STREAM] = found.records[-1].offset + 1
+        manifests = [item for item in found.records if item.key == MANIFEST_KEY]
+        if not manifests:
+            return LogPage(first=found.end, payloads=(), end=found.end)
+        newest = manifests[-1]
+        return LogPage(first=newest.offset, payloads=(newest.value,), end=found.end)
+
+    async def _read_topic(
+        self, topic: str, offset: int, wait_s: float, timeout_s: float
+    ) -> Result[_Records, LogFailure]:
+        query = urllib.parse.urlencode(
+            {
+                "Topic": topic,
+                "part": PARTITION,
+                "From": offset,
+                "MaxKb": MAX_READ_KB,
+                "WaitMs": int(wait_s * 1000),
+            }
+        )
+        call = HttpCall(method="GET", target=f"/log-read?{query}")
+        try:
+            status, content = await self._caller.call(call, timeout_s=timeout_s)
+            if status == http.HTTPStatus.GONE:
+                return Success(await self._read_newest(topic, offset, timeout_s))
+            if status != http.HTTPStatus.OK:
+                return _fail(LogFailureKind.REFUSED, f"status {status}")
+            return Success(_split_records(content, offset))
+        except _CALL_ERRORS as error:
+            return _fail(LogFailureKind.REFUSED, _describe(error))
+
+    async def _read_newest(self, topic: str, offset: int, timeout_s: float) -> _Records:
+        """Return the newest record of each key from ``offset`` on."""
+        records: list[_Record] = []
+        after = ""
+        while True:
+            fields = {"Topic": topic, "part": PARTITION}
+            if after:
+                fields["after"] = after
+            call = HttpCall(
+                method="GET", target=f"/log-newest?{urllib.parse.urlencode(fields)}"
+            )
+            status, content = await self._caller.call(call, timeout_s=timeout_s)
+            if status != http.HTTPStatus.OK:
+                raise AnswerError(f"status {status}")
+            answer = _NewestAnswer.model_validate_json(content)
+            records.extend(map(_read_item, answer.items))
+            if not answer.has_more or not answer.items:
+                break
+            after = answer.items[-1].key
+        records.sort(key=lambda record: record.offset)
+        kept = tuple(record for record in records if record.offset >= offset)
+        end = max([answer.end_offset, *(record.offset + 1 for record in kept)])
+        return _Records(records=kept, end=end)
+
+
+def _read_item(item: _NewestItem) -> _Record:
+    value = base64.b64decode(item.value)
+    return _Record(offset=item.offset, key=item.key.encode(), value=value)
+
+
+def _split_records(content: bytes, offset: int) -> _Records:
+    """Return the records of a read: end, first kept offset, then the records.
+
+    Raises:
+        ValueError: The content is cut or malformed.
+    """
+    try:
+        end, _ = _POSITIONS.unpack_from(content)
+        records = []
+        at = _POSITIONS.size
+        while at < len(content):
+            (length,) = _LENGTH.unpack_from(content, at)
+            at += _LENGTH.size
+            record = content[at : at + length]
+            if len(record) < length:
+                raise ValueError("a record is cut")
+            at += length
+            records.append(_split_record(offset + len(records), record))
+    except struct.error as error:
+        raise ValueError(f"not a page of records: {error}") from error
+    return _Records(records=tuple(records), end=end)
+
+
+def _split_record(offset: int, content: bytes) -> _Record:
+    key_length = content[0] if content else 0
+    return _Record(
+        offset=offset,
+        key=content[1 : 1 + key_length],
+        value=content[1 + key_length :],
+    )
+
+
+def _build_page(
+    found: _Records, offset: int, limit: int
+) -> Result[LogPage, LogFailure]:
+    """Return the records that follow ``offset`` without a gap."""
+    records = found.records[:limit]
+    if records and records[0].offset != offset:
+        first = records[0].offset
+        return Failure(LogFailure(kind=LogFailureKind.EXPIRED, first=first))
+    payloads = []
+    for position, record in enumerate(records, offset):
+        if record.offset != position:
+            break
+        payloads.append(record.value)
+    return Success(LogPage(first=offset, payloads=tuple(payloads), end=found.end))
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
+
+
+def _fail(kind: LogFailureKind, detail: str) -> Failure[LogFailure]:
+    return Failure(LogFailure(kind=kind, detail=detail))
--- /dev/null
+++ b/src/papayatack/platform/surroundings.py
@@ -0,0 +1,108 @@
+"""The platform round a node."""
+
+import functools
+import random
+from collections.abc import Awaitable, Collection
+
+from returns.result import Failure, Result, Success
+
+from papayatack.control.interface import ConfigState, GrantSink
+from papayatack.control.node import ControlNode
+from papayatack.core.identity import IncarnationId, ShardId
+from papayatack.core.ownership import OwnershipState, fold, load_state
+from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.core.shards import is_hot
+from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.publication import Publisher
+from papayatack.daemon.surroundings import split_address
+from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
+from papayatack.logservice.interface import LogService
+from papayatack.network.limits import UpstreamLimits
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.fields import FIELDS, PlatformDialect
+from papayatack.platform.grants import RangeGrants
+from papayatack.platform.heartbeats import HeartbeatDesk
+from papayatack.platform.manifest import ManifestDecoder, ManifestFold
+from papayatack.platform.settings import PlatformSettings
+from papayatack.platform.store import PlatformStore
+from papayatack.proxy.gate import AdmissionGate
+from papayatack.proxy.routing import RouteClassifier
+
+__all__ = ["PlatformSurroundings"]
+
+
+class PlatformSurroundings:
+    """Implements :class:`papayatack.daemon.surroundings.Surroundings`.
+
+    Args:
+        settings: The node's settings on the platform.
+        metrics: Counters of the process.
+    """
+
+    def __init__(self, *, settings: PlatformSettings, metrics: Metrics) -> None:
+        host, port = split_address(settings.store.address)
+        self._settings = settings
+        self._metrics = metrics
+        self._hot: tuple[int, Collection[ShardId]] = (-1, ())
+        self._state: OwnershipState | None = None
+        self.log: LogService = PlatformStore(host=host, port=port)
+        self.dialect = PlatformDialect()
+        self.desk = HeartbeatDesk(
+            metrics=metrics, interval_s=settings.upstream.heartbeat
+        )
+        self.decoder = ManifestDecoder(places=settings.all_places, metrics=metrics)
+        self.upstream_limits = UpstreamLimits(accepts_unframed=True)
+        self.retention_s: float | None = None
+        self.build_classifier = functools.partial(
+            RouteClassifier, fields=FIELDS, caller_service=settings.upstream.service
+        )
+
+    def build_sink(self) -> GrantSink:
+        """Return what tells the upstream its grants."""
+        return RangeGrants(list_hot=self._list_hot)
+
+    def build_publisher(
+        self, control: ControlNode, writer: IncarnationId
+    ) -> Publisher | None:
+        """Return nothing: operators publish in the store itself."""
+        return None
+
+    async def load(
+        self, *, random: random.Random, deadline_s: float
+    ) -> Result[tuple[OwnershipState, ConfigState], BootstrapFailure]:
+        """Load the ownership from the store; the manifest is read by its tailer."""
+        loaded = await load_stream(
+            log=self.log,
+            stream=OWNERSHIP_STREAM,
+            create=OwnershipState,
+            load=load_state,
+            metrics=self._metrics,
+            random=random,
+            deadline_s=deadline_s,
+        )
+        match loaded:
+            case Failure(failure):
+                return Failure(failure)
+        owned = loaded.unwrap()
+        for logged in owned.records:
+            fold(owned.state, logged.offset, logged.record)
+        self._state = owned.state
+        return Success((owned.state, ManifestFold(places=self._settings.all_places)))
+
+    def note_upstream(self, upstream: AnnouncedUpstream) -> None:
+        """Take in the upstream's present life."""
+        self.dialect.upstream_id = upstream.instance
+
+    def follow(self, control: ControlNode, gate: AdmissionGate) -> list[Awaitable]:
+        """Return nothing: heartbeats tell what is to be known."""
+        return []
+
+    def _list_hot(self) -> Collection[ShardId]:
+        """Return the hot slices that are shards of their own."""
+        state = self._state
+        if state is None:
+            return ()
+        if self._hot[0] != state.position:
+            hot = tuple(shard for shard in state.shards if is_hot(shard))
+            self._hot = (state.position, hot)
+        return self._hot[1]
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -19,7 +19,9 @@
 struct LeaseLapsed { 1: LeaseId lease }
 struct LeaseFenced { 1: LeaseId lease }
 struct LogQuery { 1: string stream, 2: i64 offset }
-struct Release { 1: LeaseId lease, 2: list<string> shards, 3: list<i64> epochs }
+struct Release {
+  1: LeaseId lease, 2: list<string> shards, 3: list<i64> epochs, 4: list<string> handovers
+}
 struct ReleaseQuery {
   1: LeaseId asker, 2: LeaseId lease, 3: list<string> shards, 4: list<i64> epochs
 }
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -56,7 +56,7 @@
         self.tokens = {}
         self.expires_s = {}
 
-    async def grant(self, lease, tokens, remaining_us):
+    async def grant(self, lease, tokens, remaining_us, handovers=None):
         """Accept grants with tokens that do not go back."""
         if not self.accepting:
             return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED))
@@ -80,7 +80,7 @@
         for shard in shards:
             if self.expires_s.get(shard, (None, 0))[0] == lease:
                 del self.expires_s[shard]
-        return Success(None)
+        return Success({})
 
 
 class FakeNetwork:
