--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -67,7 +67,7 @@
             return Failure(refusal)
         local = owner.incarnation == self._core.me
         if local:
-            self._loads.note_key(
+            self._loads.note_arrival(
                 shard, shard if is_hot(shard) else find_hot_shard(shard, key)
             )
         return Success(_make_route(shard, owner, local=local))
--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -6,7 +6,11 @@
 
 from papayatack.control.recent import RecentRecords
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.selection import find_planner, is_tailer
+from papayatack.core.ownership.selection import (
+    TailPolicy,
+    find_planner,
+    is_tailer,
+)
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import Tailer
@@ -32,6 +36,7 @@
         metrics: Counters of the process.
         random: Jitter of retries.
         newest_only: Streams of which only the newest record counts.
+        policy: Which nodes follow the log themselves.
 
     Attributes:
         recent: Newest payloads of each stream, from the log or from other nodes.
@@ -48,7 +53,9 @@
         metrics: Metrics,
         random: random.Random,
         newest_only: Collection[str] = (),
+        policy: TailPolicy | None = None,
     ) -> None:
+        self._policy = policy or TailPolicy()
         self._core = core
         self._behind = dict.fromkeys(STREAMS, 0)
         self._checks = 0
@@ -98,7 +105,9 @@
         self._checks += 1
         if self._checks % CHECKS_PER_ROLE == 0:
             state, me = self._core.state, self._core.me
-            self.is_tailer = is_tailer(state, me) or find_planner(state) == me
+            self.is_tailer = (
+                is_tailer(state, me, self._policy) or find_planner(state) == me
+            )
         for stream, heard in self._core.heard_positions.items():
             behind = heard > self.recent[stream].end
             self._behind[stream] = self._behind[stream] + 1 if behind else 0
--- a/src/papayatack/control/loads.py
+++ b/src/papayatack/control/loads.py
@@ -1,102 +1,121 @@
 """What this node measures of its own shards, for the planner."""
 
-from collections import defaultdict
+import dataclasses
+import math
 
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.messages import LoadReport, ShardLoad
 
 __all__ = ["LoadMeter"]
 
-KEY_SAMPLE = 8
-MAX_KEYS_COUNTED = 512
-MAX_HOT_KEYS = 32
+MEMORY_S = 2.5
+"""Time constant over which requests are remembered, so that a shard with a few
+requests a second is not taken for a busy one or an idle one by chance."""
+
+NEGLIGIBLE = 0.05
+MAX_KEYS_COUNTED = 1024
+MAX_HOT_KEYS = 48
 SHORT_REPORT = 4
 REPORT_BUDGET = 4000
 """Shards that the reports of one round may name in all, so that the planner's share
 of control bytes does not grow with the fleet."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Faded:
+    """A sum that fades, and what came since it was last faded."""
+
+    value: float = 0.0
+    fresh: float = 0.0
+
+    def fade(self, factor: float) -> float:
+        """Let the past fade, add what is fresh, and return the sum."""
+        self.value = self.value * factor + self.fresh
+        self.fresh = 0.0
+        return self.value
+
+
 class LoadMeter:
-    """Counts requests and their time, per shard and per key, between two reports."""
+    """Measures what is asked of each shard, and how long the upstream takes.
+
+    A shard's load is what its requests would take if all were served: a node that
+    refuses some is no less loaded for that.
+    """
 
     def __init__(self, *, now: float) -> None:
         self._since_s = now
-        self._requests: dict[ShardId, int] = defaultdict(int)
-        self._busy_s: dict[ShardId, float] = defaultdict(float)
-        self._keys: dict[ShardId, int] = {}
+        self._weight_s = 0.0
+        self._arrivals: dict[ShardId, _Faded] = {}
+        self._keys: dict[ShardId, _Faded] = {}
         self._key_parent: dict[ShardId, ShardId] = {}
-        self._until_sample = KEY_SAMPLE
+        self._served = _Faded()
+        self._service_s = _Faded()
 
     def note_finish(self, shard: ShardId, service_time_s: float) -> None:
         """Count a request that has ended."""
-        self._requests[shard] += 1
-        self._busy_s[shard] += service_time_s
+        self._served.fresh += 1
+        self._service_s.fresh += service_time_s
 
-    def note_key(self, shard: ShardId, key_shard: ShardId) -> None:
-        """Count a request for a key, named by the shard that it would be.
-
-        One request in :data:`KEY_SAMPLE` is counted. Of many keys, the rarer half is
-        forgotten now and then, so that a key that comes often stays.
-        """
-        self._until_sample -= 1
-        if self._until_sample:
+    def note_arrival(self, shard: ShardId, key_shard: ShardId) -> None:
+        """Count a request that wants a key, named by the shard that it would be."""
+        _count(self._arrivals, shard)
+        if shard == key_shard:
             return
-        self._until_sample = KEY_SAMPLE
-        self._keys[key_shard] = self._keys.get(key_shard, 0) + KEY_SAMPLE
+        _count(self._keys, key_shard)
         self._key_parent[key_shard] = shard
         if len(self._keys) > MAX_KEYS_COUNTED:
             self._forget_rare_keys()
 
-    def _forget_rare_keys(self) -> None:
-        ordered = sorted(self._keys, key=self._keys.__getitem__, reverse=True)
-        for key_shard in ordered[MAX_KEYS_COUNTED // 2 :]:
-            del self._keys[key_shard]
-            del self._key_parent[key_shard]
-
     def make_report(
         self, incarnation: IncarnationId, *, members: int, leaving: bool, now: float
     ) -> LoadReport:
-        """Return the report since the last one, and start anew."""
-        elapsed_s = max(now - self._since_s, 1e-3)
+        """Return the report as of now."""
+        factor = math.exp(-max(now - self._since_s, 0.0) / MEMORY_S)
+        self._since_s = now
+        self._weight_s = self._weight_s * factor + MEMORY_S * (1 - factor)
+        served = self._served.fade(factor)
+        spent_s = self._service_s.fade(factor)
+        service_s = spent_s / served if served > NEGLIGIBLE else 0.0
         limit = max(SHORT_REPORT, REPORT_BUDGET // max(members, 1))
-        shards = [
-            ShardLoad(
-                shard=shard,
-                rate=self._requests[shard] / elapsed_s,
-                busy=busy_s / elapsed_s,
-            )
-            for shard, busy_s in self._busy_s.items()
-        ]
-        shards.sort(key=lambda load: (-load.busy, load.shard))
-        report = LoadReport(
+        shards = self._list_loads(self._arrivals, factor, service_s)
+        keys = self._list_loads(self._keys, factor, service_s)
+        self._key_parent = {key: self._key_parent[key] for key in self._keys}
+        return LoadReport(
             incarnation=incarnation,
             busy=sum(load.busy for load in shards),
             shards=tuple(shards[:limit]),
-            hot_keys=self._list_hot_keys(elapsed_s, limit),
+            hot_keys=tuple(keys[: min(limit, MAX_HOT_KEYS)]),
             leaving=leaving,
+            service_s=service_s,
         )
-        self._requests.clear()
-        self._busy_s.clear()
-        self._keys.clear()
-        self._key_parent.clear()
-        self._since_s = now
-        return report
 
-    def _list_hot_keys(self, elapsed_s: float, limit: int) -> tuple[ShardLoad, ...]:
-        """Estimate the busiest keys' load by their share of their shard's requests."""
+    def _list_loads(
+        self, counts: dict[ShardId, _Faded], factor: float, service_s: float
+    ) -> list[ShardLoad]:
+        """Return the loads, the greatest first, and forget what has faded."""
         found = []
-        for key_shard, count in self._keys.items():
-            parent = self._key_parent[key_shard]
-            requests = self._requests.get(parent, 0)
-            if not requests:
+        for shard, count in list(counts.items()):
+            requests = count.fade(factor)
+            if requests < NEGLIGIBLE:
+                del counts[shard]
                 continue
-            share = min(count / requests, 1.0)
-            found.append(
-                ShardLoad(
-                    shard=key_shard,
-                    rate=count / elapsed_s,
-                    busy=self._busy_s[parent] * share / elapsed_s,
-                )
-            )
-        found.sort(key=lambda load: (-load.busy, load.shard))
-        return tuple(found[: min(limit, MAX_HOT_KEYS)])
+            rate = requests / max(self._weight_s, 1e-3)
+            found.append(ShardLoad(shard=shard, rate=rate, busy=rate * service_s))
+        found.sort(key=lambda load: (-load.rate, load.shard))
+        return found
+
+    def _forget_rare_keys(self) -> None:
+        ordered = sorted(
+            self._keys,
+            key=lambda key: -(self._keys[key].value + self._keys[key].fresh),
+        )
+        for key_shard in ordered[MAX_KEYS_COUNTED // 2 :]:
+            del self._keys[key_shard]
+            del self._key_parent[key_shard]
+
+
+def _count(counts: dict[ShardId, _Faded], shard: ShardId) -> None:
+    count = counts.get(shard)
+    if count is None:
+        count = counts[shard] = _Faded()
+    count.fresh += 1
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -39,7 +39,7 @@
 from papayatack.control.interface import ConfigState, GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeCourier
-from papayatack.control.planning import Planner
+from papayatack.control.planning import Planner, PlanPace
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.inventory import Service
@@ -62,6 +62,7 @@
     SendRecords,
 )
 from papayatack.core.ownership.node import NodeCore
+from papayatack.core.ownership.selection import TailPolicy, list_followers
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementView, Plan
 from papayatack.core.records import (
@@ -91,7 +92,6 @@
 MAX_INBOX = 10_000
 MAX_APPENDS = 32
 APPEND_DEADLINE_S = 5.0
-MIN_REPORT_INTERVAL_S = 5.0
 REPORT_INTERVAL_PER_MEMBER_S = 0.05
 
 _Input = tuple[IncarnationId, ControlMessage] | TailMessage
@@ -114,6 +114,8 @@
         decoder: Decodes the records of both streams.
         retention_s: Seconds for which the log keeps records; the node sees that there
             are checkpoints. ``None`` for a log that keeps all.
+        pace: How soon placement follows changes.
+        tailing: Which nodes follow the log themselves.
     """
 
     def __init__(
@@ -130,10 +132,13 @@
         config: ConfigState | None = None,
         decoder: RecordDecoder | None = None,
         retention_s: float | None = None,
+        pace: PlanPace | None = None,
+        tailing: TailPolicy | None = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.metrics = metrics
         self._sender = sender
+        self._pace = pace or PlanPace()
         self._config = config or ConfigFold()
         self.core = NodeCore(
             announcement=announcement,
@@ -165,6 +170,7 @@
             read_configuration=lambda: self._config.configuration,
             plan=plan,
             append=self._queue_append,
+            pace=self._pace,
         )
         self._follower = LogFollower(
             core=self.core,
@@ -177,7 +183,9 @@
             metrics=metrics,
             random=random,
             newest_only=() if self._config.is_gapless else (CONFIG_STREAM,),
+            policy=tailing,
         )
+        self._pushes = tailing is not None
         self._keepers: dict[str, CheckpointKeeper] = {}
         if retention_s is not None:
             self._keepers = build_keepers(
@@ -299,6 +307,8 @@
     @_take.register
     def _(self, item: RecordsRead) -> None:
         self._apply(item.stream, item.first, item.payloads)
+        if self._pushes and item.payloads:
+            self._push(item.stream, item.first, item.payloads)
 
     @_take.register
     def _(self, item: RecordsExpired) -> None:
@@ -353,6 +363,12 @@
             self._appender.observe(recent.end)
             self._carry_out(self.core.advance(self._read_clock()))
 
+    def _push(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
+        """Pass what this node read on to those of its data centre that do not read."""
+        batch = LogBatch(stream=stream, first=first, payloads=payloads)
+        for recipient in list_followers(self.core.state, self.core.me):
+            self._send(recipient, batch)
+
     def _queue_append(self, record: OwnershipRecord) -> None:
         try:
             self._appends.put_nowait(record)
@@ -369,7 +385,7 @@
         while True:
             members = len(self.core.state.members)
             interval_s = REPORT_INTERVAL_PER_MEMBER_S * members
-            await asyncio.sleep(max(interval_s, MIN_REPORT_INTERVAL_S))
+            await asyncio.sleep(max(interval_s, self._pace.report_interval_s))
             self._send_report()
 
     def _send_report(self) -> None:
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -1,6 +1,7 @@
 """The task that plans placement while this node is the one to do so."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
@@ -17,17 +18,31 @@
 )
 from papayatack.core.records import Assign, DeclareLost
 
-__all__ = ["Planner"]
+__all__ = ["PlanPace", "Planner"]
 
-PLAN_INTERVAL_S = 1.0
-IDLE_PLAN_INTERVAL_S = 15.0
 NEW_LEASE_S = 2.0
+GATHER_S = 0.8
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
 DECLARE_LOST_AFTER_S = 600.0
 RETRY_DECLARE_S = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlanPace:
+    """How soon the planner follows what changes.
+
+    Attributes:
+        interval_s: Seconds between two looks at the fleet.
+        idle_interval_s: Seconds between two plans while only loads change.
+        report_interval_s: Least seconds between two load reports of a node.
+    """
+
+    interval_s: float = 1.0
+    idle_interval_s: float = 15.0
+    report_interval_s: float = 5.0
+
+
 class Planner:
     """Plans at intervals, if this node is the planner by :func:`find_planner`.
 
@@ -38,6 +53,7 @@
         read_configuration: Returns the configuration in force.
         plan: The planner's pure function.
         append: Appends an ownership record.
+        pace: How soon it follows changes.
     """
 
     def __init__(
@@ -47,7 +63,9 @@
         read_configuration: Callable[[], Configuration],
         plan: Callable[[PlacementView], Plan],
         append: Callable[[Assign | DeclareLost], None],
+        pace: PlanPace | None = None,
     ) -> None:
+        self._pace = pace or PlanPace()
         self._core = core
         self._read_configuration = read_configuration
         self._plan = plan
@@ -56,6 +74,7 @@
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
         self._fenced_s: dict[IncarnationId, float] = {}
+        self._gathered = (0, float("-inf"))
         self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
@@ -71,7 +90,7 @@
     async def run(self) -> None:
         """Plan until cancelled."""
         while True:
-            await asyncio.sleep(PLAN_INTERVAL_S)
+            await asyncio.sleep(self._pace.interval_s)
             self.plan_once(asyncio.get_running_loop().time())
 
     def plan_once(self, now: float) -> None:
@@ -82,7 +101,9 @@
         version = self._read_configuration().version
         position = (self._core.state.position, version)
         idle = position == self._planned_at
-        if idle and now - self._planned_s < IDLE_PLAN_INTERVAL_S:
+        if idle and now - self._planned_s < self._pace.idle_interval_s:
+            return
+        if not self._core.state.shards and self._is_gathering(now):
             return
         self._planned_at = position
         self._planned_s = now
@@ -95,6 +116,13 @@
             )
             self._append(record)
 
+    def _is_gathering(self, now: float) -> bool:
+        """Tell whether nodes of a new fleet still join; the first plan waits."""
+        serving = sum(1 for m in self._core.state.list_live_members() if m.service)
+        if serving != self._gathered[0]:
+            self._gathered = (serving, now)
+        return now - self._gathered[1] < GATHER_S
+
     def _declare_lost(self, now: float) -> None:
         """Declare nodes lost whose lease is fenced and that take no new one.
 
--- a/src/papayatack/core/identity.py
+++ b/src/papayatack/core/identity.py
@@ -8,6 +8,7 @@
     "LeaseId",
     "PeerAddress",
     "ShardId",
+    "read_address",
 ]
 
 IncarnationId = NewType("IncarnationId", str)
@@ -32,3 +33,8 @@
 
     incarnation: IncarnationId
     term: int
+
+
+def read_address(incarnation: IncarnationId) -> PeerAddress:
+    """Return where an incarnation listens for peers."""
+    return PeerAddress(incarnation.partition("#")[0])
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -192,6 +192,7 @@
         busy: Mean number of its slots in use.
         hot_keys: Single keys with notable load, as shards of their own.
         leaving: The node hands its shards on and wants no others.
+        service_s: Mean time that its upstream takes for a request; 0 if not known.
     """
 
     incarnation: IncarnationId
@@ -199,6 +200,7 @@
     shards: tuple[ShardLoad, ...] = ()
     hot_keys: tuple[ShardLoad, ...] = ()
     leaving: bool = False
+    service_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -1,6 +1,7 @@
 """Stable choices that every node makes alike: witnesses, successors, the planner."""
 
 import collections
+import dataclasses
 from collections.abc import Callable, Collection, Iterable
 
 import xxhash
@@ -11,35 +12,67 @@
 
 __all__ = [
     "CHAIN_LENGTH",
+    "TailPolicy",
     "choose_successors",
     "choose_witnesses",
     "find_planner",
     "is_tailer",
+    "list_followers",
     "rank_member",
 ]
 
-ALL_TAIL_MEMBERS = 64
 CHAIN_LENGTH = 3
-TAILERS_PER_DATA_CENTRE = 2
 
 
-def is_tailer(state: OwnershipState, incarnation: IncarnationId) -> bool:
-    """Tell whether a node follows the log itself, and not through other nodes.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TailPolicy:
+    """Which nodes follow the log themselves, and not through other nodes.
 
-    In a small fleet all do; in a large one a few of each data centre.
+    Attributes:
+        all_members: Size of a fleet up to which all do.
+        per_data_centre: Nodes of each data centre that do in a larger one.
     """
+
+    all_members: int = 64
+    per_data_centre: int = 2
+
+
+def is_tailer(
+    state: OwnershipState,
+    incarnation: IncarnationId,
+    policy: TailPolicy = TailPolicy(),  # noqa: B008
+) -> bool:
+    """Tell whether a node follows the log itself, and not through other nodes."""
     member = state.members.get(incarnation)
-    if member is None or len(state.members) <= ALL_TAIL_MEMBERS:
+    if member is None or len(state.members) <= policy.all_members:
         return True
-    own = rank_member("tail", incarnation)
-    better = sum(
+    return _count_before(state, member) < policy.per_data_centre
+
+
+def list_followers(
+    state: OwnershipState, incarnation: IncarnationId
+) -> list[IncarnationId]:
+    """Return the other nodes of a data centre, if this is the first to tail there."""
+    member = state.members.get(incarnation)
+    if member is None or _count_before(state, member):
+        return []
+    return [
+        other.incarnation
+        for other in state.list_live_members()
+        if other.data_centre == member.data_centre and other is not member
+    ]
+
+
+def _count_before(state: OwnershipState, member: Member) -> int:
+    """Return how many nodes of the data centre come before this one as tailers."""
+    own = rank_member("tail", member.incarnation)
+    return sum(
         1
         for other in state.list_live_members()
         if other.data_centre == member.data_centre
         and rank_member("tail", other.incarnation) < own
         and state.find_lease(other.incarnation) is not None
     )
-    return better < TAILERS_PER_DATA_CENTRE
 
 
 def rank_member(subject: str, incarnation: IncarnationId) -> int:
--- a/src/papayatack/core/placement/draft.py
+++ b/src/papayatack/core/placement/draft.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.inventory import Configuration
 from papayatack.core.placement.fleet import Fleet
 from papayatack.core.placement.limits import PlacementLimits
 from papayatack.core.placement.loads import IDLE_UTILISATION, estimate_loads
@@ -42,6 +43,7 @@
         }
         self.loads = self._weigh()
         self.chains = {shard: self.find_state(shard).chain for shard in self.shards}
+        self.before = _find_neighbours(view.configuration, self.shards)
         for shard, chain in self.chains.items():
             self.find_fleet(shard).put(shard, self.loads[shard], chain)
 
@@ -106,5 +108,22 @@
         )
 
 
+def _find_neighbours(
+    configuration: Configuration, shards: Iterable[ShardId]
+) -> dict[ShardId, ShardId]:
+    """Return the slice of keys before each slice but the first."""
+    numbered = {
+        service.name
+        for service in configuration.services
+        if any(key_range.numbers for key_range in service.key_ranges)
+    }
+    slices = [s for s in shards if _find_service(s) in numbered and not is_hot(s)]
+    return {
+        shard: before
+        for before, shard in zip(slices, slices[1:], strict=False)
+        if _find_service(before) == _find_service(shard)
+    }
+
+
 def _find_service(shard: ShardId) -> str:
     return shard.partition("/")[0]
--- a/src/papayatack/core/placement/fleet.py
+++ b/src/papayatack/core/placement/fleet.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId, read_address
 from papayatack.core.inventory import Configuration, Service
 from papayatack.core.placement.view import PlacementNode
 
@@ -59,6 +59,7 @@
         self.chain_length = chain_length
         self.members: dict[IncarnationId, Member] = {}
         self.by_place: dict[str, list[Member]] = defaultdict(list)
+        self._by_address: dict[str, Member] = {}
         self._places_of_region: dict[str, list[str]] = defaultdict(list)
         self._candidates: dict[tuple[str, frozenset[str]], Sequence[Member]] = {}
         self._backups: dict[tuple[IncarnationId, IncarnationId], float] = {}
@@ -81,9 +82,12 @@
             lease=node.lease,
             data_centre=node.data_centre,
             region=node.region,
-            capacity=max(1, node.slots) * _warm(node.age_s, self.service.warm_up_s),
+            capacity=max(1, node.slots)
+            * node.speed
+            * _warm(node.age_s, self.service.warm_up_s),
         )
         self.members[node.lease.incarnation] = member
+        self._by_address[read_address(node.lease.incarnation)] = member
         self.by_place[node.data_centre].append(member)
         if node.data_centre not in self._places_of_region[node.region]:
             self._places_of_region[node.region].append(node.data_centre)
@@ -144,10 +148,16 @@
         return len(places) >= most_places and len(chain) >= most_holders
 
     def keep_usable(self, chain: Sequence[LeaseId]) -> list[Member]:
-        """Return the usable holders of a chain, under the leases they have now."""
+        """Return the usable holders of a chain, under the leases they have now.
+
+        A process that was started again stands in for its earlier incarnation: the
+        upstream beside it is warm.
+        """
         found = []
         for lease in chain:
             member = self.members.get(lease.incarnation)
+            if member is None:
+                member = self._by_address.get(read_address(lease.incarnation))
             if member is not None and member not in found:
                 found.append(member)
         return found
@@ -171,6 +181,17 @@
         members = self.by_place[place]
         return sum(m.load for m in members) / sum(m.capacity for m in members)
 
+    def find_neighbour(self, before: Sequence[LeaseId], load: float) -> Member | None:
+        """Return the owner of the shard before, unless it has its fair share already.
+
+        Neighbouring keys of one owner are granted together.
+        """
+        owner = self.members.get(before[0].incarnation) if before else None
+        if owner is None:
+            return None
+        fair = self.load / self.capacity + load / owner.capacity
+        return owner if (owner.load + load) / owner.capacity <= fair else None
+
     def find_least_loaded(self, place: str | None, load: float = 0.0) -> Member | None:
         """Return the node that would be used least with ``load`` added."""
         members = self.by_place[place] if place else self.members.values()
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -10,6 +10,7 @@
 from papayatack.core.placement.limits import PlacementLimits
 from papayatack.core.placement.loads import keep_plausible
 from papayatack.core.placement.repair import release_retired, repair_chains
+from papayatack.core.placement.speeds import level_speeds
 from papayatack.core.placement.view import PlacementView, Plan
 
 __all__ = ["plan"]
@@ -29,7 +30,7 @@
         view: The fleet as folded from the log, and the newest load reports.
         limits: What one plan may change; fewer ``moves`` bound the churn.
     """
-    draft = Draft(view=keep_plausible(view), limits=limits)
+    draft = Draft(view=keep_plausible(level_speeds(view)), limits=limits)
     repair_chains(draft)
     split_hot_keys(draft)
     return_cool_keys(draft)
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -4,7 +4,7 @@
 
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.placement.draft import Draft
-from papayatack.core.placement.fleet import Fleet
+from papayatack.core.placement.fleet import Fleet, Member
 
 __all__ = ["release_retired", "repair_chains"]
 
@@ -80,10 +80,21 @@
     draft: Draft, fleet: Fleet, shard: ShardId
 ) -> tuple[LeaseId, ...] | None:
     """Keep the owner, else the successor that takes over anyway, else choose anew."""
-    load = draft.loads[shard]
     kept = fleet.keep_usable(draft.chains[shard])
     place = fleet.find_place(shard)
-    owner = kept[0] if kept else fleet.find_least_loaded(place, load)
+    owner = kept[0] if kept else _find_owner(draft, fleet, shard, place)
     if owner is None:
         return None
-    return fleet.build_chain(shard, load, owner, kept)
+    return fleet.build_chain(shard, draft.loads[shard], owner, kept)
+
+
+def _find_owner(
+    draft: Draft, fleet: Fleet, shard: ShardId, place: str | None
+) -> Member | None:
+    """Return a new owner; for a slice of keys that of its neighbour if it has room."""
+    load = draft.loads[shard]
+    if place is None and shard in draft.before:
+        neighbour = fleet.find_neighbour(draft.chains[draft.before[shard]], load)
+        if neighbour is not None:
+            return neighbour
+    return fleet.find_least_loaded(place, load)
--- /dev/null
+++ b/src/papayatack/core/placement/speeds.py
@@ -0,0 +1,67 @@
+"""Upstreams of unequal speed, made comparable."""
+
+import dataclasses
+from collections import defaultdict
+
+from papayatack.core.identity import IncarnationId
+from papayatack.core.messages import LoadReport, ShardLoad
+from papayatack.core.placement.view import PlacementView
+
+__all__ = ["level_speeds"]
+
+SLOWEST = 0.25
+FASTEST = 2.5
+
+
+def level_speeds(view: PlacementView) -> PlacementView:
+    """Return the view with each load in the time of a mean upstream.
+
+    A slow upstream reports more time for the same requests and has fewer slots' worth
+    to give; else each move to a faster one would seem to make work vanish.
+    """
+    reports = {report.incarnation: report for report in view.loads}
+    means = _find_means(view, reports)
+    speeds: dict[IncarnationId, float] = {}
+    for node in view.nodes:
+        report = reports.get(node.lease.incarnation)
+        mean_s = means.get(node.service, 0.0)
+        if report is not None and report.service_s > 0 and mean_s > 0:
+            speed = mean_s / report.service_s
+            speeds[node.lease.incarnation] = min(max(speed, SLOWEST), FASTEST)
+    return dataclasses.replace(
+        view,
+        nodes=tuple(
+            dataclasses.replace(
+                node, speed=speeds.get(node.lease.incarnation, node.speed)
+            )
+            for node in view.nodes
+        ),
+        loads=tuple(
+            _scale(report, speeds.get(report.incarnation, 1.0)) for report in view.loads
+        ),
+    )
+
+
+def _find_means(
+    view: PlacementView, reports: dict[IncarnationId, LoadReport]
+) -> dict[str, float]:
+    """Return the mean time of a request, by service, each upstream counting alike."""
+    times: dict[str, list[float]] = defaultdict(list)
+    for node in view.nodes:
+        report = reports.get(node.lease.incarnation)
+        if report is not None and report.service_s > 0:
+            times[node.service].append(report.service_s)
+    return {service: sum(found) / len(found) for service, found in times.items()}
+
+
+def _scale(report: LoadReport, speed: float) -> LoadReport:
+    return dataclasses.replace(
+        report,
+        busy=report.busy * speed,
+        shards=tuple(_scale_load(load, speed) for load in report.shards),
+        hot_keys=tuple(_scale_load(load, speed) for load in report.hot_keys),
+    )
+
+
+def _scale_load(load: ShardLoad, speed: float) -> ShardLoad:
+    return dataclasses.replace(load, busy=load.busy * speed)
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -24,6 +24,7 @@
         slots: Requests that its upstream runs at once.
         leaving: It drains, or is suspected of being lost; it gets no new shards.
         age_s: Seconds since it was admitted.
+        speed: How fast its upstream is, relative to the mean.
     """
 
     lease: LeaseId
@@ -33,6 +34,7 @@
     slots: int
     leaving: bool = False
     age_s: float = 0.0
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -30,7 +30,7 @@
 HOT_MARK = "="
 """First character of the last part of a hot key's shard id."""
 
-HOT_SLICE = 16
+HOT_SLICE = 8
 """Neighbouring keys that become a shard of their own together."""
 
 MAX_INDEXES = 4
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import functools
 import logging
 import random
 import traceback
@@ -301,7 +302,9 @@
             log=self._surroundings.log,
             sender=self._peers,
             sink=sink,
-            plan=plan,
+            plan=functools.partial(plan, limits=self._surroundings.placement),
+            pace=self._surroundings.pace,
+            tailing=self._surroundings.tailing,
             metrics=self._metrics,
             random=self._random,
         )
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -9,10 +9,13 @@
 from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.loading import load_streams
 from papayatack.control.node import ControlNode
+from papayatack.control.planning import PlanPace
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership import OwnershipState
+from papayatack.core.ownership.selection import TailPolicy
+from papayatack.core.placement import PlacementLimits
 from papayatack.core.records import CONFIG_STREAM
 from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
 from papayatack.daemon.health import follow_health
@@ -57,6 +60,9 @@
         decoder: Decodes the records of both streams.
         upstream_limits: Limits towards the upstream.
         retention_s: Seconds for which the log keeps records; ``None`` if for ever.
+        pace: How soon placement follows changes.
+        placement: What one plan may change.
+        tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
     """
 
     log: LogService
@@ -65,6 +71,9 @@
     decoder: RecordDecoder
     upstream_limits: UpstreamLimits
     retention_s: float | None
+    pace: PlanPace
+    placement: PlacementLimits
+    tailing: TailPolicy | None
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
         """Return what classifies requests under a configuration."""
@@ -106,6 +115,9 @@
         self.decoder = RecordDecoder(metrics=metrics)
         self.upstream_limits = UpstreamLimits()
         self.retention_s: float | None = settings.log.retention_s
+        self.pace = PlanPace()
+        self.placement = PlacementLimits()
+        self.tailing: TailPolicy | None = None
         self._sink = GrantClient()
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -22,8 +22,8 @@
 LOGGER = logging.getLogger(__name__)
 
 PAGE_RECORDS = 500
-WAIT_S = 5.0
-TIMEOUT_S = 8.0
+WAIT_S = 2.0
+TIMEOUT_S = 3.0
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 2.0
 
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -57,6 +57,10 @@
             (EXPECTED_UPSTREAM, self.upstream_id.encode()),
         )
 
+    def read_request_id(self, headers: Headers) -> str:
+        """Return the caller's own id of a request, empty if it has none."""
+        return (find_header(headers, REQUEST_ID) or b"").decode("latin-1")
+
     def is_answer(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these fields answers the request.
 
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -196,40 +196,39 @@
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
     ) -> Iterable[_KeyRange]:
         """Yield each shard's keys without the hot slices within it."""
-        hot = sorted(find_slice(shard)[1:] for shard in self._list_hot())
+        hot = sorted(find_slice(shard) for shard in self._list_hot())
         for shard, token in tokens.items():
-            _, first, last = find_slice(shard)
-            handover = handovers.get(shard, "")
-            if not is_hot(shard):
-                for start, end in hot:
-                    if first <= start and end <= last:
-                        if first < start:
-                            yield _KeyRange(
-                                first=first,
-                                last=start - 1,
-                                token=token,
-                                handover=handover,
-                            )
-                        first = end + 1
-            if first <= last:
-                yield _KeyRange(first=first, last=last, token=token, handover=handover)
+            service, first, last = find_slice(shard)
+            known = _split_handovers(handovers.get(shard, ""))
+            holes = [
+                (start, end)
+                for other, start, end in hot
+                if other == service and first <= start <= last and not is_hot(shard)
+            ]
+            for start, end in (*holes, (last + 1, last + 1)):
+                if first < start:
+                    yield _KeyRange(
+                        first=first,
+                        last=start - 1,
+                        token=token,
+                        handover=known.get(f"{first}-{start - 1}", ""),
+                    )
+                first = end + 1
 
     async def _release(self, shard: ShardId, held: _Held) -> str:
         """Return the upstream's handover, empty if it gave none.
 
         One that does not answer holds the shard until its grants have run out.
         """
+        parts = self._merge({shard: held.token}, {})
         answers = await asyncio.gather(
             *(
                 self._call(b"/release", _describe(part), RELEASE_TIMEOUT_S)
-                for part in self._merge({shard: held.token}, {})
+                for part in parts
             )
         )
         if all(answer is not None and answer.status == OK for answer in answers):
-            if len(answers) != 1:
-                return ""
-            value = find_header(answers[0].headers, HANDOVER) or b""
-            return value.decode("latin-1")
+            return _join_handovers(parts, answers)
         now = asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, held.until_s - now))
         return ""
@@ -268,6 +267,22 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
+def _join_handovers(parts: list[_KeyRange], answers: list[Response | None]) -> str:
+    """Return the upstream's handovers with the keys that each is for."""
+    found = []
+    for part, answer in zip(parts, answers, strict=True):
+        value = find_header(answer.headers, HANDOVER) if answer is not None else None
+        if value:
+            found.append(f"{part.first}-{part.last}:{value.decode('latin-1')}")
+    return ";".join(found)
+
+
+def _split_handovers(text: str) -> dict[str, str]:
+    """Return the handovers by their keys."""
+    pairs = (item.partition(":") for item in text.split(";") if item)
+    return {keys: value for keys, _, value in pairs}
+
+
 def _describe(
     key_range: _KeyRange, hold_s: float | None = None
 ) -> Mapping[str, object]:
--- a/src/papayatack/platform/main.py
+++ b/src/papayatack/platform/main.py
@@ -7,11 +7,13 @@
 import signal
 import sys
 
+import uvloop
+
 from papayatack.core.errors import SettingsError
-from papayatack.daemon.logs import configure_logging
 from papayatack.daemon.node import Ending, Node
 from papayatack.network.pauses import shorten_collector_pauses
 from papayatack.observability.events import Event, log_event
+from papayatack.observability.lines import LineHandler
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.settings import PlatformSettings, read_platform_settings
 from papayatack.platform.surroundings import PlatformSurroundings
@@ -34,9 +36,14 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    configure_logging("INFO", stream=sys.stdout)
+    _configure_lines()
     shorten_collector_pauses()
-    sys.exit(asyncio.run(_run(path, settings)))
+    sys.exit(uvloop.run(_run(path, settings)))
+
+
+def _configure_lines() -> None:
+    handler = LineHandler(descriptor=sys.stdout.fileno())
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
 
 
 async def _run(path: str, settings: PlatformSettings) -> int:
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -8,8 +8,11 @@
 
 from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.node import ControlNode
+from papayatack.control.planning import PlanPace
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.ownership import OwnershipState, fold, load_state
+from papayatack.core.ownership.selection import TailPolicy
+from papayatack.core.placement import PlacementLimits
 from papayatack.core.records import OWNERSHIP_STREAM
 from papayatack.core.shards import is_hot
 from papayatack.daemon.announcement import AnnouncedUpstream
@@ -30,6 +33,20 @@
 
 __all__ = ["PlatformSurroundings"]
 
+PACE = PlanPace(interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6)
+PLACEMENT = PlacementLimits(
+    moves=48,
+    hourly_share=float("inf"),
+    hot_shards=256,
+    start_imbalance=0.25,
+    stop_imbalance=0.1,
+    min_gain=0.02,
+    hot_share=0.08,
+    cool_share=0.02,
+    settle_s=2.5,
+    keep_hot_s=10.0,
+)
+
 
 class PlatformSurroundings:
     """Implements :class:`papayatack.daemon.surroundings.Surroundings`.
@@ -53,6 +70,9 @@
         self.decoder = ManifestDecoder(places=settings.all_places, metrics=metrics)
         self.upstream_limits = UpstreamLimits(accepts_unframed=True)
         self.retention_s: float | None = None
+        self.pace = PACE
+        self.placement = PLACEMENT
+        self.tailing: TailPolicy | None = TailPolicy(all_members=2, per_data_centre=1)
         self.build_classifier = functools.partial(
             RouteClassifier, fields=FIELDS, caller_service=settings.upstream.service
         )
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -41,6 +41,9 @@
     ) -> Headers:
         """Return the request's fields with those that tell the upstream its terms."""
 
+    def read_request_id(self, headers: Headers) -> str:
+        """Return the caller's own id of a request, empty if it has none."""
+
     def is_answer(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these fields answers the request."""
 
@@ -75,6 +78,10 @@
         kept = [field for field in headers if field[0] != KEY_TOKEN_HEADER]
         return (*kept, *added)
 
+    def read_request_id(self, headers: Headers) -> str:
+        """Return nothing: this product makes the ids itself."""
+        return ""
+
     def is_answer(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these fields answers the request."""
         return True
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -36,6 +36,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.balance import NodeBalance
 from papayatack.proxy.classification import Classifier, RequestClassifier
+from papayatack.proxy.decisions import DecisionLog
 from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
 from papayatack.proxy.keyed import KeyedServer
@@ -91,6 +92,7 @@
             local=self._local, ownership=ownership, metrics=metrics
         )
         self._balance = NodeBalance(rng=random.Random(), count=metrics.count)
+        self._decisions = DecisionLog()
         self._classified = Configuration()
         self._classifier = build_classifier(configuration=self._classified)
 
@@ -113,14 +115,30 @@
         started_s = self._now()
         classified = self._find_classifier().classify(request)
         if not is_successful(classified):
-            return self._answer_refusal(classified.failure(), "")
+            refusal = classified.failure()
+            self._decisions.note_refusal(
+                None,
+                refusal,
+                held_s=0.0,
+                version=self._classified.version,
+                request_id=self._dialect.read_request_id(request.headers),
+            )
+            return self._answer_refusal(refusal, "")
         peer_request = classified.unwrap()
         result = await self._run(peer_request)
         self._metrics.record_latency("request", self._now() - started_s)
         request_id = peer_request.request_id
+        held_s = self._now() - started_s
+        version = self._classified.version
         if not is_successful(result):
+            self._decisions.note_refusal(
+                peer_request, result.failure(), held_s=held_s, version=version
+            )
             return self._answer_refusal(result.failure(), request_id)
         response = result.unwrap()
+        self._decisions.note_answer(
+            peer_request, status=response.status, held_s=held_s, version=version
+        )
         self._metrics.count("requests", Outcome.ANSWERED.value)
         response.headers = self._dialect.label_answer(response.headers, request_id)
         return response
@@ -182,6 +200,11 @@
             if delay_s is None:
                 return Failure(unknown or refusal)
             self._metrics.count("retry_causes", refusal.kind.value)
+            if refusal.kind not in HANDOVER_KINDS:
+                node = next(iter(tried), "")
+                self._decisions.note_attempt(
+                    peer_request, refusal, attempt=attempt - 1, node=node
+                )
             await asyncio.sleep(delay_s)
             body.rewind()
 
