Let a move after a split wait for the requests of before alone

Cause: a slice that was moved after a hot part of it was split waited up to 10 s, as long as requests for the hot part never ceased; its callers got 437 refusals in 8 s (not-owner, keys 3328 to 3583 alone; seen in the decision lines). Ruled out: a grant without answer (no refusal by the upstream), a lost release.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -104,19 +104,20 @@
         result = self._core.authorize(shard, now)
         if not is_successful(result):
             return result
-        right = result.unwrap()
+        right, generation = result.unwrap()
         grant = Grant(
             shard=shard,
             token=right.token,
+            generation=generation,
             remaining_s=right.holder.view_end_s - now,
         )
         return Success(grant)
 
-    def finish(self, shard: ShardId, *, service_time_s: float) -> None:
+    def finish(self, grant: Grant, *, service_time_s: float) -> None:
         """Report that a request that was authorized has ended."""
         now = asyncio.get_running_loop().time()
-        self._loads.note_finish(shard, service_time_s)
-        self._carry_out(self._core.finish(shard, now=now))
+        self._loads.note_finish(grant.shard, service_time_s)
+        self._carry_out(self._core.finish(grant.shard, grant.generation, now=now))
 
     def find_tenure(self, service: str, key: str) -> KeyTenure | None:
         """Return the tenures of a key, ``None`` if this node does not own it."""
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -205,9 +205,12 @@
         self.claims.touch(*rights.rights)
         return self._settle(now)
 
-    def authorize(self, shard: ShardId, now: float) -> Result[Right, Refusal]:
+    def authorize(
+        self, shard: ShardId, now: float
+    ) -> Result[tuple[Right, int], Refusal]:
         """Return the right under which a request may go to the upstream now.
 
+        The number that comes with it tells :meth:`finish` which request has ended.
         Every success must be paired with one call of :meth:`finish`.
         """
         right = self.context.rights.rights.get(shard)
@@ -218,15 +221,15 @@
             return self._refuse(ErrorKind.LEASE_EXPIRED)
         if not right.token:
             return self._refuse(ErrorKind.NO_OWNER)
-        self.context.rights.begin(shard)
-        return Success(right)
+        return Success((right, self.context.rights.begin(shard)))
 
-    def _refuse(self, kind: ErrorKind) -> Result[Right, Refusal]:
+    def _refuse(self, kind: ErrorKind) -> Result[tuple[Right, int], Refusal]:
         return Failure(Refusal(kind=kind, retry_after_s=RETRY_UNAVAILABLE_S))
 
-    def finish(self, shard: ShardId, *, now: float) -> list[Effect]:
+    def finish(self, shard: ShardId, generation: int, *, now: float) -> list[Effect]:
         """Take in that a request that was authorized has ended."""
-        if self.context.rights.finish(shard) and shard in self.context.rights.draining:
+        rights = self.context.rights
+        if rights.finish(shard, generation) and rights.draining:
             return self._settle(now)
         return []
 
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -102,18 +102,26 @@
         self._returns: dict[ShardId, Return] = {}
         self.stopped: dict[ShardId, Right] = {}
         self._last_tenure = 0
-        self._mixed: dict[ShardId, dict[ShardId, float]] = {}
+        self._mixed: dict[ShardId, dict[ShardId, tuple[float, int]]] = {}
+        self._generations: dict[ShardId, int] = {}
+        self._by_generation: dict[tuple[ShardId, int], int] = {}
 
     def mix(self, shard: ShardId, other: ShardId, until_s: float) -> None:
         """Note that requests for keys of one shard may be in flight as the other's.
 
+        Only those that have begun by now can be: what begins later bears the right
+        name.
+
         Args:
             shard: One shard.
             other: The other.
             until_s: Time by which the requests that had begun before have ended.
         """
-        self._mixed.setdefault(shard, {})[other] = until_s
-        self._mixed.setdefault(other, {})[shard] = until_s
+        for one, two in ((shard, other), (other, shard)):
+            generation = self._generations.get(two, 0)
+            self._mixed.setdefault(one, {})[two] = (until_s, generation)
+        for one in (shard, other):
+            self._generations[one] = self._generations.get(one, 0) + 1
 
     def is_busy(self, shard: ShardId, now: float) -> bool:
         """Tell whether requests for keys of a shard may be in flight."""
@@ -122,18 +130,36 @@
         others = self._mixed.get(shard)
         if others is None:
             return False
-        for other in [other for other, until in others.items() if until <= now]:
-            del others[other]
+        for other, (until_s, generation) in list(others.items()):
+            if until_s <= now or not self._has_begun(other, generation):
+                del others[other]
         if not others:
             del self._mixed[shard]
-        return any(other in self.in_flight for other in others)
+        return bool(others)
+
+    def _has_begun(self, shard: ShardId, generation: int) -> bool:
+        """Tell whether a request of this generation or before is in flight."""
+        return any(
+            known == shard and number <= generation
+            for known, number in self._by_generation
+        )
 
-    def begin(self, shard: ShardId) -> None:
-        """Count a request in."""
+    def begin(self, shard: ShardId) -> int:
+        """Count a request in; return its generation, for :meth:`finish`."""
+        generation = self._generations.get(shard, 0)
         self.in_flight[shard] = self.in_flight.get(shard, 0) + 1
+        entry = (shard, generation)
+        self._by_generation[entry] = self._by_generation.get(entry, 0) + 1
+        return generation
 
-    def finish(self, shard: ShardId) -> bool:
+    def finish(self, shard: ShardId, generation: int) -> bool:
         """Count a request out; return whether the shard has none left."""
+        entry = (shard, generation)
+        same = self._by_generation.get(entry, 0) - 1
+        if same > 0:
+            self._by_generation[entry] = same
+        else:
+            self._by_generation.pop(entry, None)
         left = self.in_flight.get(shard, 0) - 1
         if left > 0:
             self.in_flight[shard] = left
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -31,6 +31,7 @@
 ANY_SLOTS = 1_000_000
 """Each upstream tells its own slots; the manifest does not."""
 
+LONGEST_REQUEST_S = 10.0
 VERSION_BASE = 16
 HIGHEST_RANK = 1
 """Routes up to this ``Priority`` come before the others of their service."""
@@ -94,7 +95,7 @@
     return Configuration(
         version=int(manifest.version, VERSION_BASE),
         services=tuple(
-            _build_service(name, service, places)
+            _build_service(name, service, places, _find_deadline(manifest, name))
             for name, service in manifest.services.items()
         ),
         places=places,
@@ -110,7 +111,9 @@
     )
 
 
-def _build_service(name: str, service: _Service, places: tuple[Place, ...]) -> Service:
+def _build_service(
+    name: str, service: _Service, places: tuple[Place, ...], deadline_s: float
+) -> Service:
     ranges = KeyRange(name=KEY_RANGE, shards=SLICES, numbers=KEY_COUNT)
     return Service(
         name=name,
@@ -121,9 +124,21 @@
         ramp_s=0.0,
         places=tuple(place.name for place in places),
         warm_up_s=service.warmup,
+        deadline_s=deadline_s,
     )
 
 
+def _find_deadline(manifest: _Manifest, service: str) -> float:
+    """Return the longest time-out of the routes that lead to a service."""
+    found = [
+        route.timeout
+        for route in manifest.routes.values()
+        if service == route.service
+        or any(part.service == service for part in route.traffic_split)
+    ]
+    return max(found, default=LONGEST_REQUEST_S)
+
+
 def _build_route(name: str, route: _Route) -> HostRoute:
     parts = route.traffic_split or (_Part(Service=route.service),)
     return HostRoute(
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -53,11 +53,14 @@
         shard: The shard.
         token: Fencing token; it only grows for a shard.
         remaining_s: Seconds for which the permission still holds.
+        generation: Tells the requests of a shard apart that began before and after
+            keys went over from or to another shard.
     """
 
     shard: ShardId
     token: int
     remaining_s: float
+    generation: int = 0
 
 
 class Ownership(Protocol):
@@ -79,7 +82,7 @@
         Every success must be paired with one call of :meth:`finish`.
         """
 
-    def finish(self, shard: ShardId, *, service_time_s: float) -> None:
+    def finish(self, grant: Grant, *, service_time_s: float) -> None:
         """Report that a request that was authorized has ended."""
 
     def find_tenure(self, service: str, key: str) -> KeyTenure | None:
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -29,7 +29,7 @@
 
     ownership: Ownership
     permit: Permit
-    shard: ShardId
+    grant: Grant
     started_s: float
 
     def end(self, kind: ErrorKind | None) -> None:
@@ -37,8 +37,8 @@
         service_time_s = asyncio.get_running_loop().time() - self.started_s
         error = None if kind is None else kind.value
         self.permit.release(service_time_s=service_time_s, error=error)
-        if self.shard:
-            self.ownership.finish(self.shard, service_time_s=service_time_s)
+        if self.grant.shard:
+            self.ownership.finish(self.grant, service_time_s=service_time_s)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -102,7 +102,7 @@
         use = _Use(
             ownership=self._ownership,
             permit=admitted.unwrap(),
-            shard=ShardId(""),
+            grant=_NO_GRANT,
             started_s=asyncio.get_running_loop().time(),
         )
         try:
@@ -169,7 +169,7 @@
         shard = ShardId(peer_request.shard)
         granted = self._ownership.authorize(shard)
         if is_successful(granted):
-            use.shard = shard
+            use.grant = granted.unwrap()
         return granted
 
     async def _check_response(
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -389,23 +389,27 @@
             self.keyed.request(slot, core)
         key = self.random.choice([*self.shards, *self.hot_keys])
         shard = self._locate(slot, key)
-        if is_successful(core.authorize(shard, slot.read_clock(self.now))):
+        granted = core.authorize(shard, slot.read_clock(self.now))
+        if is_successful(granted):
+            _, generation = granted.unwrap()
             slot.upstream.running[key] += 1
             duration_s = self.random.random() * self.longest_s
             self._at(duration_s, functools.partial(self._end, slot, key))
-            self._at(duration_s, functools.partial(self._finish, slot, core, shard))
+            finish = functools.partial(self._finish, slot, core, shard, generation)
+            self._at(duration_s, finish)
         self._at(REQUEST_EVERY_S, functools.partial(self._request, slot, core))
 
     def _end(self, slot, shard):
         slot.upstream.running[shard] -= 1
 
-    def _finish(self, slot, core, shard):
+    def _finish(self, slot, core, shard, generation):
         if slot.core is not core:
             return
         if slot.frozen:
-            slot.backlog.append(functools.partial(self._finish, slot, core, shard))
+            again = functools.partial(self._finish, slot, core, shard, generation)
+            slot.backlog.append(again)
             return
-        effects = core.finish(shard, now=slot.read_clock(self.now))
+        effects = core.finish(shard, generation, now=slot.read_clock(self.now))
         self._carry_out(slot, core, effects)
 
     def _log_delay(self):
--- a/tests/fakes/keyed.py
+++ b/tests/fakes/keyed.py
@@ -125,15 +125,17 @@
         owned = self._find_tenure(slot, core)
         same = owned is not None and owned.current.number == tenure
         shard = fleet._locate(slot, self._hot)
-        if not same or not is_successful(core.authorize(shard, now)):
+        granted = core.authorize(shard, now) if same else None
+        if granted is None or not is_successful(granted):
             self._complete(slot, core, home, key, Outcome.NOT_RUN)
             return
+        _, generation = granted.unwrap()
         self.runs[key] += 1
         if self.runs[key] > 1:
             raise AssertionError(f"{key} ran twice, at {slot.name} at {fleet.now:.3f}")
         outcome = fleet.random.choice([Outcome.ANSWERED, Outcome.UNKNOWN])
         duration_s = fleet.random.random() * fleet.longest_s
-        finish = functools.partial(fleet._finish, slot, core, shard)
+        finish = functools.partial(fleet._finish, slot, core, shard, generation)
         fleet._at(duration_s, finish)
         complete = functools.partial(self._complete, slot, core, home, key, outcome)
         fleet._at(duration_s, complete)
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -189,7 +189,7 @@
                     continue
             match node.ownership.authorize(shard):
                 case Success(grant):
-                    node.ownership.finish(grant.shard, service_time_s=0.0)
+                    node.ownership.finish(grant, service_time_s=0.0)
                     found.append(address)
         return found
 
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -83,7 +83,7 @@
         self.authorized += 1
         return Success(Grant(shard=shard, token=self.token, remaining_s=1.0))
 
-    def finish(self, shard, *, service_time_s):
+    def finish(self, grant, *, service_time_s):
         """Count."""
         self.finished += 1
 
