--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -21,7 +21,6 @@
 __all__ = ["PlanPace", "Planner"]
 
 NEW_LEASE_S = 2.0
-GATHER_S = 0.8
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
 DECLARE_LOST_AFTER_S = 600.0
@@ -36,11 +35,13 @@
         interval_s: Seconds between two looks at the fleet.
         idle_interval_s: Seconds between two plans while only loads change.
         report_interval_s: Least seconds between two load reports of a node.
+        gather_s: Seconds without a further node after which a new fleet is planned.
     """
 
     interval_s: float = 1.0
     idle_interval_s: float = 15.0
     report_interval_s: float = 5.0
+    gather_s: float = 0.0
 
 
 class Planner:
@@ -121,7 +122,7 @@
         serving = sum(1 for m in self._core.state.list_live_members() if m.service)
         if serving != self._gathered[0]:
             self._gathered = (serving, now)
-        return now - self._gathered[1] < GATHER_S
+        return now - self._gathered[1] < self._pace.gather_s
 
     def _declare_lost(self, now: float) -> None:
         """Declare nodes lost whose lease is fenced and that take no new one.
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -48,7 +48,7 @@
         operator_address=announcement.operator_address,
         data_centre=announcement.data_centre,
         region=announcement.region,
-        service=announcement.service,
+        service=me.service if me is not None else announcement.service,
         state=_name_state(control, me, holder, now),
         config_version=control.config.version,
         config_offset=control.config.next_offset,
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -33,7 +33,9 @@
 
 __all__ = ["PlatformSurroundings"]
 
-PACE = PlanPace(interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6)
+PACE = PlanPace(
+    interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6, gather_s=0.8
+)
 PLACEMENT = PlacementLimits(
     moves=48,
     hourly_share=float("inf"),
