Relay records of nodes that do not reach the store, let planners stand in, test the adapter

Cause: a node cut from the store could neither announce an upstream nor plan; the planner's successor waited for its lease to end, which witnesses keep alive. Change: RelayRecord; the next in rank plans once keys lack an owner for 0.7 s a rank; a running upstream is asked who it is at a node's start; tests and a stand-in of the store.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -32,6 +32,8 @@
 import random
 from collections.abc import Callable, Mapping
 
+from returns.pipeline import is_successful
+
 from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
 from papayatack.control.following import STREAMS, LogFollower
@@ -49,6 +51,7 @@
     LogBatch,
     OutcomePart,
     OutcomeQuery,
+    RelayRecord,
 )
 from papayatack.core.ownership.effects import (
     AppendRecord,
@@ -62,7 +65,11 @@
     SendRecords,
 )
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.selection import TailPolicy, list_followers
+from papayatack.core.ownership.selection import (
+    TailPolicy,
+    list_followers,
+    rank_planners,
+)
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementView, Plan
 from papayatack.core.records import (
@@ -83,6 +90,7 @@
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.interface import Ownership
+from papayatack.wire.records import encode_record
 
 __all__ = ["ControlNode"]
 
@@ -91,7 +99,8 @@
 TICK_S = 0.05
 MAX_INBOX = 10_000
 MAX_APPENDS = 32
-APPEND_DEADLINE_S = 5.0
+APPEND_DEADLINE_S = 1.6
+MAX_RELAYS = 2
 REPORT_INTERVAL_PER_MEMBER_S = 0.05
 
 _Input = tuple[IncarnationId, ControlMessage] | TailMessage
@@ -138,6 +147,7 @@
         now = asyncio.get_running_loop().time()
         self.metrics = metrics
         self._sender = sender
+        self._random = random
         self._pace = pace or PlanPace()
         self._config = config or ConfigFold()
         self.core = NodeCore(
@@ -326,6 +336,12 @@
         if message.stream in STREAMS:
             self._apply(message.stream, message.first, message.payloads)
 
+    @_take_message.register
+    def _(self, message: RelayRecord, sender: IncarnationId) -> None:
+        record = self._decoder.decode(OWNERSHIP_STREAM, 0, message.payload).record
+        if record is not None and record.writer == sender:
+            self._queue_append(record)
+
     @_take_message.register(OutcomeQuery)
     @_take_message.register(OutcomePart)
     def _(self, message: OutcomeQuery | OutcomePart, sender: IncarnationId) -> None:
@@ -379,7 +395,20 @@
         while True:
             record = await self._appends.get()
             deadline_s = self._read_clock() + APPEND_DEADLINE_S
-            await self._appender.append(record, deadline_s=deadline_s)
+            result = await self._appender.append(record, deadline_s=deadline_s)
+            if not is_successful(result) and record.writer == self.core.me:
+                self._relay(record)
+
+    def _relay(self, record: OwnershipRecord) -> None:
+        """Ask other nodes to append what this one could not."""
+        self.metrics.count("records_relayed", type(record).__name__)
+        others = [
+            name for name in rank_planners(self.core.state) if name != self.core.me
+        ]
+        self._random.shuffle(others)
+        message = RelayRecord(payload=encode_record(record))
+        for recipient in others[:MAX_RELAYS]:
+            self._send(recipient, message)
 
     async def _report_loads(self) -> None:
         while True:
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -8,7 +8,7 @@
 from papayatack.core.inventory import Configuration
 from papayatack.core.messages import LoadReport
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.selection import find_planner
+from papayatack.core.ownership.selection import find_planner, rank_planners
 from papayatack.core.ownership.state import Member
 from papayatack.core.placement.view import (
     PlacementNode,
@@ -21,6 +21,7 @@
 __all__ = ["PlanPace", "Planner"]
 
 NEW_LEASE_S = 2.0
+STAND_IN_S = 0.7
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
 DECLARE_LOST_AFTER_S = 600.0
@@ -75,6 +76,7 @@
         self._seen_s: dict[LeaseId, float] = {}
         self._moved_s: dict[ShardId, tuple[int, float]] = {}
         self._fenced_s: dict[IncarnationId, float] = {}
+        self._orphans_s: float | None = None
         self._gathered = (0, float("-inf"))
         self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
@@ -96,7 +98,7 @@
 
     def plan_once(self, now: float) -> None:
         """Plan if it is this node's turn and something may have changed."""
-        if self.find_planner() != self._core.me or not self._core.caught_up:
+        if not self._core.caught_up or not self._is_turn(now):
             return
         self._declare_lost(now)
         version = self._read_configuration().version
@@ -117,6 +119,41 @@
             )
             self._append(record)
 
+    def _is_turn(self, now: float) -> bool:
+        """Tell whether this node is to plan.
+
+        The first in rank does. One that cannot reach the log plans in vain: if keys
+        lack an owner for long, the next in rank does, and so on.
+        """
+        planners = rank_planners(self._core.state)
+        if self._core.me not in planners:
+            return False
+        rank = planners.index(self._core.me)
+        if rank == 0:
+            return True
+        if not self._has_orphans():
+            self._orphans_s = None
+            return False
+        if self._orphans_s is None:
+            self._orphans_s = now
+        return now - self._orphans_s >= STAND_IN_S * rank
+
+    def _has_orphans(self) -> bool:
+        """Tell whether keys lack an owner that can serve them."""
+        state = self._core.state
+        if not state.shards:
+            services = self._read_configuration().services
+            return any(service.key_ranges for service in services)
+        for shard, entry in state.shards.items():
+            leases = entry.current.leases
+            if not leases:
+                continue
+            owner = state.members.get(leases[0].incarnation)
+            service = shard.partition("/")[0]
+            if owner is None or owner.ended or owner.service != service:
+                return True
+        return False
+
     def _is_gathering(self, now: float) -> bool:
         """Tell whether nodes of a new fleet still join; the first plan waits."""
         serving = sum(1 for m in self._core.state.list_live_members() if m.service)
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -103,6 +103,7 @@
         places: Names of the data centres where it runs.
         warm_up_s: Seconds after its start in which an upstream gets a smaller share.
         ramp_s: Seconds after its start in which its slots come into use.
+        health_path: Where an upstream says how it is, empty if nowhere.
     """
 
     name: str
@@ -117,6 +118,7 @@
     places: tuple[str, ...] = ()
     warm_up_s: float = 60.0
     ramp_s: float = 10.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -22,6 +22,7 @@
     "LogQuery",
     "OutcomePart",
     "OutcomeQuery",
+    "RelayRecord",
     "Release",
     "ReleaseQuery",
     "Renew",
@@ -124,6 +125,17 @@
     offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RelayRecord:
+    """Asks a node to append a record of the sender, which does not reach the log.
+
+    Attributes:
+        payload: The record, as it is to stand in the log; a repetition is void there.
+    """
+
+    payload: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Release:
     """The old holder has stopped serving shards as of the given epochs.
@@ -285,4 +297,5 @@
     | LogQuery
     | OutcomeQuery
     | OutcomePart
+    | RelayRecord
 )
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -18,6 +18,7 @@
     "find_planner",
     "is_tailer",
     "list_followers",
+    "rank_planners",
     "rank_member",
 ]
 
@@ -172,11 +173,19 @@
     state: OwnershipState, *, avoid: Collection[IncarnationId] = ()
 ) -> IncarnationId | None:
     """Return the node that plans: the first announced one with a live lease."""
+    planners = rank_planners(state, avoid=avoid)
+    return planners[0] if planners else None
+
+
+def rank_planners(
+    state: OwnershipState, *, avoid: Collection[IncarnationId] = ()
+) -> list[IncarnationId]:
+    """Return the nodes that may plan; each stands in for those before it."""
     candidates = (
         member
         for member in state.list_live_members()
         if member.incarnation not in avoid
         and state.find_lease(member.incarnation) is not None
     )
-    first = min(candidates, key=lambda member: member.announced_at, default=None)
-    return first.incarnation if first is not None else None
+    ranked = sorted(candidates, key=lambda member: member.announced_at)
+    return [member.incarnation for member in ranked]
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -98,6 +98,7 @@
             port=peers_port,
             metrics=self._metrics,
             rng=self._random,
+            limits=self._surroundings.peer_limits,
         )
         self._drain_wanted = asyncio.Event()
         self._control: ControlNode | None = None
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -28,7 +28,7 @@
 from papayatack.logservice.interface import LogService
 from papayatack.network.exchanges import Request, Response
 from papayatack.network.grants import GrantClient
-from papayatack.network.limits import UpstreamLimits
+from papayatack.network.limits import PeerLimits, UpstreamLimits
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.classification import Classifier, RequestClassifier
 from papayatack.proxy.dialect import Dialect, OwnDialect
@@ -59,6 +59,7 @@
         desk: Where the upstream reports.
         decoder: Decodes the records of both streams.
         upstream_limits: Limits towards the upstream.
+        peer_limits: Limits between nodes.
         retention_s: Seconds for which the log keeps records; ``None`` if for ever.
         pace: How soon placement follows changes.
         placement: What one plan may change.
@@ -70,6 +71,7 @@
     desk: UpstreamDesk
     decoder: RecordDecoder
     upstream_limits: UpstreamLimits
+    peer_limits: PeerLimits
     retention_s: float | None
     pace: PlanPace
     placement: PlacementLimits
@@ -114,6 +116,7 @@
         self.desk = AnnouncementDesk(metrics=metrics)
         self.decoder = RecordDecoder(metrics=metrics)
         self.upstream_limits = UpstreamLimits()
+        self.peer_limits = PeerLimits()
         self.retention_s: float | None = settings.log.retention_s
         self.pace = PlanPace()
         self.placement = PlacementLimits()
--- a/src/papayatack/logservice/calls.py
+++ b/src/papayatack/logservice/calls.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from papayatack.network.exchanges import Headers
+
 __all__ = ["AnswerError", "HttpCall", "HttpCaller"]
 
 READ_BYTES = 64 * 1024
@@ -81,6 +83,19 @@
     async def call(self, call: HttpCall, *, timeout_s: float) -> tuple[int, bytes]:
         """Return status and content of the answer to one call.
 
+        Raises:
+            OSError: No answer came, or not in time.
+            h11.ProtocolError: The answer is not HTTP.
+            AnswerError: The answer cannot be used.
+        """
+        status, content, _ = await self.ask(call, timeout_s=timeout_s)
+        return status, content
+
+    async def ask(
+        self, call: HttpCall, *, timeout_s: float
+    ) -> tuple[int, bytes, Headers]:
+        """Return status, content and header fields of the answer to one call.
+
         Raises:
             OSError: No answer came, or not in time.
             h11.ProtocolError: The answer is not HTTP.
@@ -121,7 +136,7 @@
 
 async def _exchange(
     connection: _Connection, call: HttpCall, *, host: str, content_type: str
-) -> tuple[int, bytes]:
+) -> tuple[int, bytes, Headers]:
     protocol = connection.protocol
     request = h11.Request(
         method=call.method,
@@ -141,8 +156,9 @@
     return await _receive_answer(connection)
 
 
-async def _receive_answer(connection: _Connection) -> tuple[int, bytes]:
+async def _receive_answer(connection: _Connection) -> tuple[int, bytes, Headers]:
     status = 0
+    headers: Headers = ()
     content = bytearray()
     while True:
         event = connection.protocol.next_event()
@@ -151,11 +167,12 @@
             connection.protocol.receive_data(data)
         elif type(event) is h11.Response:
             status = event.status_code
+            headers = tuple(event.headers)
         elif type(event) is h11.Data:
             content += event.data
             if len(content) > MAX_ANSWER_BYTES:
                 raise AnswerError("the answer is too large")
         elif type(event) is h11.EndOfMessage:
-            return status, bytes(content)
+            return status, bytes(content), headers
         elif type(event) is h11.ConnectionClosed:
             raise AnswerError("the connection was closed")
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -14,7 +14,7 @@
 from papayatack.proxy.interface import Grant
 from papayatack.proxy.routing import RequestFields
 
-__all__ = ["FIELDS", "HANDOVER", "PlatformDialect"]
+__all__ = ["FIELDS", "HANDOVER", "INSTANCE", "LOAD", "PlatformDialect"]
 
 MS_PER_S = 1000
 REQUEST_ID = b"papayatack-request-id"
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -5,16 +5,20 @@
 import http
 import logging
 import re
+from collections.abc import Callable
 from typing import Annotated, Literal
 
+import h11
 import pydantic
 from pydantic.alias_generators import to_pascal
 
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.replies import read_json, reply_json
-from papayatack.network.exchanges import Request, Response
+from papayatack.logservice.calls import AnswerError, HttpCall, HttpCaller
+from papayatack.network.exchanges import Request, Response, find_header
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.fields import INSTANCE, LOAD
 from papayatack.platform.times import Duration
 
 __all__ = ["HeartbeatDesk"]
@@ -27,6 +31,8 @@
 
 MISSED_BEATS = 3.0
 PROBE_TIMEOUT_S = 0.4
+PATH_CHECK_S = 0.02
+PATH_CHECKS = 40
 CHECK_INTERVAL_S = 0.25
 _TARGET = re.compile(rb"/instances/([^/?]{1,200})/(heartbeat|deregister)")
 
@@ -58,10 +64,24 @@
     Args:
         metrics: Counts ``heartbeats`` by result.
         interval_s: Usual time between two heartbeats.
+        service: Service of the upstream beside this node.
+        address: Its address.
+        find_health_path: Returns where it says how it is, empty while not known.
     """
 
-    def __init__(self, *, metrics: Metrics, interval_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        metrics: Metrics,
+        interval_s: float,
+        service: str,
+        address: str,
+        find_health_path: Callable[[], str],
+    ) -> None:
+        self._find_health_path = find_health_path
         self._metrics = metrics
+        self._service = service
+        self._address = address
         self._patience_s = interval_s * MISSED_BEATS
         self._changed: asyncio.Queue[AnnouncedUpstream | None] = asyncio.Queue()
         self._latest: AnnouncedUpstream | None = None
@@ -97,7 +117,12 @@
         return reply_json(http.HTTPStatus.OK, {})
 
     async def watch(self) -> None:
-        """Notice an upstream that has stopped without a word, until cancelled."""
+        """Notice an upstream that has stopped without a word, until cancelled.
+
+        One that runs already when this node starts is asked who it is, so that it need
+        not wait for its next heartbeat.
+        """
+        await self._find_running()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             latest = self._latest
@@ -109,6 +134,43 @@
             elif self._latest is latest:
                 self._forget(latest, "silent")
 
+    async def _find_running(self) -> None:
+        path = await self._wait_health_path()
+        if not path or not self._address or self._latest is not None:
+            return
+        host, _, port = self._address.rpartition(":")
+        caller = HttpCaller(host=host, port=int(port))
+        call = HttpCall(method="GET", target=path)
+        try:
+            status, _, headers = await caller.ask(call, timeout_s=PROBE_TIMEOUT_S)
+        except (OSError, h11.ProtocolError, AnswerError):
+            return
+        finally:
+            await caller.close()
+        instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
+        slots = (find_header(headers, LOAD) or b"").split(b",")[-1]
+        known = self._latest is not None or instance in self._gone
+        if status != http.HTTPStatus.OK or not instance or not slots.isdigit() or known:
+            return
+        self._heard_s = asyncio.get_running_loop().time()
+        self._latest = AnnouncedUpstream(
+            service=self._service,
+            address=self._address,
+            slots=int(slots),
+            connections=ANY_CONNECTIONS,
+            instance=instance,
+        )
+        self._changed.put_nowait(self._latest)
+
+    async def _wait_health_path(self) -> str:
+        """Return where the upstream says how it is, once the manifest is known."""
+        for _ in range(PATH_CHECKS):
+            path = self._find_health_path()
+            if path:
+                return path
+            await asyncio.sleep(PATH_CHECK_S)
+        return ""
+
     def _take(self, instance: str, heartbeat: _Heartbeat) -> None:
         """Take in a heartbeat that is not late."""
         status = heartbeat.status
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -63,6 +63,7 @@
 class _Service(_Model):
     max_connections: int = 100
     sharded: bool = False
+    health_path: str = ""
     warmup: Duration = 3.0
 
 
@@ -125,6 +126,7 @@
         places=tuple(place.name for place in places),
         warm_up_s=service.warmup,
         deadline_s=deadline_s,
+        health_path=service.health_path,
     )
 
 
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -20,7 +20,7 @@
 from papayatack.daemon.surroundings import split_address
 from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
 from papayatack.logservice.interface import LogService
-from papayatack.network.limits import UpstreamLimits
+from papayatack.network.limits import PeerLimits, UpstreamLimits
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.fields import FIELDS, PlatformDialect
 from papayatack.platform.grants import RangeGrants
@@ -64,13 +64,19 @@
         self._metrics = metrics
         self._hot: tuple[int, Collection[ShardId]] = (-1, ())
         self._state: OwnershipState | None = None
+        self._fold: ManifestFold | None = None
         self.log: LogService = PlatformStore(host=host, port=port)
         self.dialect = PlatformDialect()
         self.desk = HeartbeatDesk(
-            metrics=metrics, interval_s=settings.upstream.heartbeat
+            metrics=metrics,
+            interval_s=settings.upstream.heartbeat,
+            service=settings.upstream.service,
+            address=settings.upstream.address,
+            find_health_path=self._find_health_path,
         )
         self.decoder = ManifestDecoder(places=settings.all_places, metrics=metrics)
         self.upstream_limits = UpstreamLimits(accepts_unframed=True)
+        self.peer_limits = PeerLimits(connect_timeout_s=0.5, silence_s=0.4, lost_s=1.0)
         self.retention_s: float | None = None
         self.pace = PACE
         self.placement = PLACEMENT
@@ -109,7 +115,8 @@
         for logged in owned.records:
             fold(owned.state, logged.offset, logged.record)
         self._state = owned.state
-        return Success((owned.state, ManifestFold(places=self._settings.all_places)))
+        self._fold = ManifestFold(places=self._settings.all_places)
+        return Success((owned.state, self._fold))
 
     def note_upstream(self, upstream: AnnouncedUpstream) -> None:
         """Take in the upstream's present life."""
@@ -119,6 +126,12 @@
         """Return nothing: heartbeats tell what is to be known."""
         return []
 
+    def _find_health_path(self) -> str:
+        """Return where the upstream says how it is, empty while not known."""
+        services = self._fold.configuration.services if self._fold is not None else ()
+        name = self._settings.upstream.service
+        return next((s.health_path for s in services if s.name == name), "")
+
     def _list_hot(self) -> Collection[ShardId]:
         """Return the hot slices that are shards of their own."""
         state = self._state
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -25,6 +25,7 @@
 struct ReleaseQuery {
   1: LeaseId asker, 2: LeaseId lease, 3: list<string> shards, 4: list<i64> epochs
 }
+struct RelayRecord { 1: binary payload }
 struct LogBatch { 1: string stream, 2: i64 first, 3: list<binary> payloads }
 struct ShardLoad { 1: string shard, 2: double rate, 3: double busy }
 struct LoadReport {
@@ -50,7 +51,7 @@
   16: optional LogBatch log_batch, 17: optional LoadReport load_report,
   18: optional LeaseLapsed lease_lapsed, 19: optional LeaseFenced lease_fenced,
   20: optional LogQuery log_query, 21: optional OutcomeQuery outcome_query,
-  22: optional OutcomePart outcome_part
+  22: optional OutcomePart outcome_part, 23: optional RelayRecord relay_record
 }
 
 /* Data: one request is one stream on the connection of a pair of nodes. */
--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,171 @@
+"""A stand-in of the platform's store: topics that keep the newest record of a key.
+
+Its faults are attributes: refusals, lost answers, garbled ones and dropped history.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from papayatack.network.bodies import BytesBody
+from papayatack.network.callers import CallerServer
+from papayatack.network.exchanges import Request, Response
+from papayatack.observability.metrics import Metrics
+
+__all__ = ["KeyedStore", "StoreServer"]
+
+PAGE_ITEMS = 500
+WAIT_STEP_S = 0.01
+LENGTH = struct.Struct(">I")
+POSITIONS = struct.Struct(">QQ")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Topic:
+    """Records in their order.
+
+    Attributes:
+        records: Key and value by offset.
+        first: Offset from which the history is kept.
+    """
+
+    records: list[tuple[bytes, bytes]] = dataclasses.field(default_factory=list)
+    first: int = 0
+
+
+class KeyedStore:
+    """Topics with one partition each."""
+
+    def __init__(self) -> None:
+        self._topics: dict[str, Topic] = {}
+
+    def append(self, topic: str, key: bytes, value: bytes) -> int:
+        """Append a record and return its offset."""
+        records = self.find(topic).records
+        records.append((key, value))
+        return len(records) - 1
+
+    def find(self, topic: str) -> Topic:
+        """Return a topic, made on its first use."""
+        return self._topics.setdefault(topic, Topic())
+
+    def drop_history(self) -> None:
+        """Forget all but the newest record of each key."""
+        for topic in self._topics.values():
+            topic.first = len(topic.records)
+
+    def list_newest(self, topic: str) -> list[tuple[bytes, bytes, int]]:
+        """Return the newest record of each key that has a value, by key."""
+        newest = {}
+        for offset, (key, value) in enumerate(self.find(topic).records):
+            newest[key] = (key, value, offset)
+        return sorted(item for item in newest.values() if item[1])
+
+
+class StoreServer:
+    """Serves a store over HTTP.
+
+    Attributes:
+        refuse_with: Status with which every call is refused, ``None`` for none.
+        lose_answers: Whether appends are done and not answered.
+        garble: Whether reads are answered with other bytes.
+    """
+
+    def __init__(self, *, store: KeyedStore | None = None, port: int = 0) -> None:
+        self.store = store or KeyedStore()
+        self.refuse_with: int | None = None
+        self.lose_answers = False
+        self.garble = False
+        self._server = CallerServer(
+            host="127.0.0.1", port=port, handler=self._handle, metrics=Metrics()
+        )
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        return self._server.port
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self._server.stop(timeout_s=0.0)
+
+    async def _handle(self, request: Request) -> Response:
+        if self.refuse_with is not None:
+            return _reply(self.refuse_with, b"{}")
+        parts = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        body = b""
+        while data := await request.body.read():
+            body += data
+        match parts.path:
+            case "/log-append":
+                return await self._append(query, body)
+            case "/log-read":
+                return await self._read(query)
+            case "/log-newest":
+                return self._read_newest(query)
+        return _reply(404, b"{}")
+
+    async def _append(self, query: dict[str, str], body: bytes) -> Response:
+        offset, at = None, 0
+        while at < len(body):
+            (length,) = LENGTH.unpack_from(body, at)
+            record = body[at + LENGTH.size : at + LENGTH.size + length]
+            at += LENGTH.size + length
+            key_end = 1 + record[0]
+            added = self.store.append(
+                query["Topic"], record[1:key_end], record[key_end:]
+            )
+            offset = added if offset is None else offset
+        if self.lose_answers:
+            await asyncio.get_running_loop().create_future()
+        end = len(self.store.find(query["Topic"]).records)
+        return _reply(200, json.dumps({"Offset": offset, "EndOffset": end}).encode())
+
+    async def _read(self, query: dict[str, str]) -> Response:
+        topic, start = self.store.find(query["Topic"]), int(query["From"])
+        if self.garble:
+            return _reply(200, b"\x00\x01nonsense")
+        deadline_s = asyncio.get_running_loop().time() + int(query["WaitMs"]) / 1000
+        while (
+            start >= len(topic.records)
+            and asyncio.get_running_loop().time() < deadline_s
+        ):
+            await asyncio.sleep(WAIT_STEP_S)
+        if start < topic.first:
+            return _reply(410, json.dumps({"FirstOffset": topic.first}).encode())
+        content = [POSITIONS.pack(len(topic.records), topic.first)]
+        for key, value in topic.records[start:]:
+            record = bytes([len(key)]) + key + value
+            content.append(LENGTH.pack(len(record)) + record)
+        return _reply(200, b"".join(content))
+
+    def _read_newest(self, query: dict[str, str]) -> Response:
+        newest = self.store.list_newest(query["Topic"])
+        after = query.get("after", "").encode()
+        left = [item for item in newest if item[0] > after]
+        document = {
+            "items": [
+                {
+                    "Key": key.decode(),
+                    "Value": base64.b64encode(value).decode(),
+                    "Offset": offset,
+                }
+                for key, value, offset in left[:PAGE_ITEMS]
+            ],
+            "HasMore": len(left) > PAGE_ITEMS,
+            "EndOffset": len(self.store.find(query["Topic"]).records),
+        }
+        return _reply(200, json.dumps(document).encode())
+
+
+def _reply(status: int, data: bytes) -> Response:
+    headers = ((b"content-length", b"%d" % len(data)),)
+    return Response(status=status, headers=headers, body=BytesBody(data=data))
--- /dev/null
+++ b/tests/platform/documents.py
@@ -0,0 +1,71 @@
+"""A manifest and heartbeats in the platform's words, for tests."""
+
+import json
+
+from papayatack.core.inventory import Place
+
+__all__ = ["PLACES", "build_heartbeat", "build_manifest"]
+
+PLACES = (Place(name="east", region="r"), Place(name="west", region="r"))
+
+
+def build_manifest(*, version="0000000c", **changes):
+    """Return a manifest's bytes; ``changes`` replace top-level fields."""
+    document = {
+        "Version": version,
+        "Routes": {
+            "orders": {
+                "Host": "Shop.example",
+                "PathPrefix": "/orders/",
+                "RouteKind": "non_idempotent",
+                "Timeout": "1000ms",
+                "TargetLatency": "400ms",
+                "Priority": 1,
+                "Service": "desk",
+                "MaxAttempts": 2,
+            },
+            "pages": {
+                "Host": "shop.example",
+                "PathPrefix": "/",
+                "RouteKind": "idempotent",
+                "Timeout": "1.5s",
+                "TargetLatency": "300ms",
+                "Priority": 2,
+                "TrafficSplit": [
+                    {"Service": "desk", "Weight": 90},
+                    {"Service": "papers", "Weight": 10},
+                ],
+                "MaxAttempts": 3,
+            },
+        },
+        "Services": {
+            "desk": {
+                "HealthPath": "/health",
+                "MaxConnections": 130,
+                "Sharded": True,
+                "Warmup": "3s",
+            },
+            "papers": {"HealthPath": "/healthy", "MaxConnections": 20},
+        },
+        "Limits": {
+            "MaxHeaderBytes": 8192,
+            "MaxBodyBytes": 1000,
+            "HeaderTimeout": "3000ms",
+            "IdleTimeout": "15000ms",
+        },
+    }
+    return json.dumps({**document, **changes}).encode()
+
+
+def build_heartbeat(*, state="ready", seq=1, address="127.0.0.1:8080", slots=13):
+    """Return a heartbeat as a document."""
+    return {
+        "Address": address,
+        "Info": {
+            "Service": "desk",
+            "Version": "v1",
+            "Zone": "east",
+            "CapacitySlots": slots,
+        },
+        "Status": {"State": state, "Seq": seq, "ColdRemaining": "0ms"},
+    }
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,105 @@
+"""Tests of papayatack.platform.heartbeats."""
+
+import asyncio
+import json
+import unittest
+
+import looptime
+
+from papayatack.network.bodies import BytesBody
+from papayatack.network.exchanges import Request
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.heartbeats import HeartbeatDesk
+from tests.platform.documents import build_heartbeat
+
+
+class HeartbeatTests(unittest.TestCase):
+    """What the upstream says, and what the node makes of it."""
+
+    def run_desk(self, scenario):
+        """Run a scenario with a desk on a paused clock."""
+
+        async def run():
+            desk = HeartbeatDesk(
+                metrics=Metrics(),
+                interval_s=0.87,
+                service="desk",
+                address="127.0.0.1:9",
+                find_health_path=lambda: "",
+            )
+            await scenario(desk)
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(run())
+
+    async def send(self, desk, instance, document, call="heartbeat"):
+        """Send a call; return the status."""
+        data = document if isinstance(document, bytes) else json.dumps(document)
+        request = Request(
+            method=b"POST",
+            target=f"/instances/{instance}/{call}".encode(),
+            body=BytesBody(data=data if isinstance(data, bytes) else data.encode()),
+        )
+        return (await desk.handle(request)).status
+
+    def test_ready_draining_and_gone(self):
+        """Each change is news once; a repeated heartbeat is none."""
+
+        async def scenario(desk):
+            self.assertEqual(await self.send(desk, "i-1", build_heartbeat()), 200)
+            await self.send(desk, "i-1", build_heartbeat(seq=2))
+            first = await desk.wait_changed()
+            self.assertEqual((first.instance, first.slots), ("i-1", 13))
+            await self.send(desk, "i-1", build_heartbeat(state="draining", seq=3))
+            self.assertTrue((await desk.wait_changed()).leaving)
+            self.assertEqual(await self.send(desk, "i-1", b"", "deregister"), 200)
+            watching = asyncio.ensure_future(desk.watch())
+            self.assertIsNone(await desk.wait_changed())
+            watching.cancel()
+
+        self.run_desk(scenario)
+
+    def test_late_heartbeats_change_nothing(self):
+        """Neither an older one of the same life nor one of a life before."""
+
+        async def scenario(desk):
+            await self.send(desk, "i-1", build_heartbeat(seq=5))
+            await self.send(desk, "i-1", build_heartbeat(state="draining", seq=4))
+            await self.send(desk, "i-2", build_heartbeat(seq=1))
+            await self.send(desk, "i-1", build_heartbeat(seq=6))
+            self.assertEqual((await desk.wait_changed()).instance, "i-1")
+            news = await desk.wait_changed()
+            self.assertEqual((news.instance, news.leaving), ("i-2", False))
+            self.assertTrue(desk._changed.empty())
+
+        self.run_desk(scenario)
+
+    def test_leaving_without_a_word_before(self):
+        """A deregistration counts as the wish to drain."""
+
+        async def scenario(desk):
+            await self.send(desk, "i-1", build_heartbeat())
+            await desk.wait_changed()
+            await self.send(desk, "i-1", b"", "deregister")
+            self.assertTrue((await desk.wait_changed()).leaving)
+
+        self.run_desk(scenario)
+
+    def test_bad_input_gets_clear_errors(self):
+        """It is refused, and names no upstream."""
+
+        async def scenario(desk):
+            for document in (
+                b"",
+                b"[]",
+                b"\xff",
+                build_heartbeat(slots=0),
+                build_heartbeat(state="asleep"),
+                {**build_heartbeat(), "Info": None},
+            ):
+                with self.subTest(document=document):
+                    self.assertEqual(await self.send(desk, "i-1", document), 400)
+            self.assertEqual(await self.send(desk, "i-1", b"", "dance"), 404)
+            self.assertTrue(desk._changed.empty())
+
+        self.run_desk(scenario)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,90 @@
+"""Tests of papayatack.platform.store against a stand-in of the store."""
+
+import unittest
+
+from returns.result import Failure, Success
+
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from papayatack.logservice.interface import LogFailureKind
+from papayatack.platform.store import PlatformStore
+from standins.platformstore import StoreServer
+
+TIMEOUT_S = 1.0
+
+
+class PlatformStoreTests(unittest.IsolatedAsyncioTestCase):
+    """Appends and reads, with the store's faults."""
+
+    async def asyncSetUp(self):
+        self.server = StoreServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.store = PlatformStore(host="127.0.0.1", port=self.server.port)
+        self.addAsyncCleanup(self.store.close)
+
+    async def append(self, payload):
+        """Append to the ownership stream."""
+        return await self.store.append(OWNERSHIP_STREAM, payload, timeout_s=TIMEOUT_S)
+
+    async def read(self, stream, offset, wait_s=0.0):
+        """Read a stream."""
+        return await self.store.read(
+            stream, offset, limit=500, wait_s=wait_s, timeout_s=TIMEOUT_S
+        )
+
+    async def test_appended_records_are_read_in_their_order(self):
+        """Each has the offset that its append gave."""
+        for number in range(3):
+            self.assertEqual(await self.append(b"%d" % number), Success(number))
+        page = (await self.read(OWNERSHIP_STREAM, 1)).unwrap()
+        self.assertEqual((page.first, page.payloads, page.end), (1, (b"1", b"2"), 3))
+
+    async def test_records_outlast_the_history(self):
+        """A stream is read whole from the newest records once its history is gone."""
+        for number in range(1200):
+            self.server.store.append("keyed.ownership", b"k%d" % number, b"%d" % number)
+        self.server.store.drop_history()
+        page = (
+            await self.store.read(
+                OWNERSHIP_STREAM, 0, limit=5000, wait_s=0.0, timeout_s=TIMEOUT_S
+            )
+        ).unwrap()
+        self.assertEqual(page.payloads[-1], b"1199")
+        self.assertEqual(len(page.payloads), 1200)
+
+    async def test_manifests_among_other_records(self):
+        """Only the newest manifest is given; the operators' other keys are not."""
+        store = self.server.store
+        store.append("keyed.op", b"config", b"one")
+        store.append("keyed.op", b"other", b"x")
+        store.append("keyed.op", b"config", b"two")
+        store.append("keyed.op", b"other", b"y")
+        page = (await self.read(CONFIG_STREAM, 0)).unwrap()
+        self.assertEqual((page.first, page.payloads), (2, (b"two",)))
+        page = (await self.read(CONFIG_STREAM, 3)).unwrap()
+        self.assertEqual(page.payloads, ())
+        store.append("keyed.op", b"config", b"three")
+        store.drop_history()
+        page = (await self.read(CONFIG_STREAM, 3)).unwrap()
+        self.assertEqual((page.first, page.payloads), (4, (b"three",)))
+
+    async def test_refusals_had_no_effect(self):
+        """429 and 503 say so; an answer that is lost does not."""
+        for status in (429, 503):
+            self.server.refuse_with = status
+            result = await self.append(b"x")
+            self.assertIs(result.failure().kind, LogFailureKind.REFUSED)
+            self.assertIsInstance(await self.read(OWNERSHIP_STREAM, 0), Failure)
+        self.server.refuse_with = None
+        self.server.lose_answers = True
+        result = await self.append(b"y")
+        self.assertIs(result.failure().kind, LogFailureKind.UNKNOWN)
+        self.server.lose_answers = False
+        page = (await self.read(OWNERSHIP_STREAM, 0)).unwrap()
+        self.assertEqual(page.payloads, (b"y",))
+
+    async def test_an_unusable_answer_is_no_page(self):
+        """Cut and foreign bytes are refused."""
+        self.server.garble = True
+        await self.append(b"x")
+        self.assertIsInstance(await self.read(OWNERSHIP_STREAM, 0), Failure)
