--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -14,6 +15,8 @@
 
 __all__ = ["Fleet", "Member", "Site", "call", "pick_ports"]
 
+PORT_RANGE = (20_000, 32_000)
+_given_ports: set[int] = set()
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 20.0
@@ -206,15 +209,28 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return free ports on loopback, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((LOOPBACK, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return free ports on loopback, each given out once by this process.
+
+    They lie below those that the system gives to outgoing connections, so that none
+    of these takes one before it is used.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in _given_ports or not _is_free(port):
+            continue
+        _given_ports.add(port)
+        found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as one:
+        try:
+            one.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 async def call(
--- /dev/null
+++ b/standins/platformupstream.py
@@ -0,0 +1,167 @@
+"""A stand-in of an upstream on the platform: it checks grants and sends heartbeats."""
+
+import asyncio
+import dataclasses
+import json
+
+from papayatack.network.bodies import BytesBody
+from papayatack.network.callers import CallerServer
+from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.observability.metrics import Metrics
+from standins.fleet import call
+
+__all__ = ["Grant", "PlatformUpstream"]
+
+MS_PER_S = 1000
+HEARTBEAT_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """Keys that the upstream holds, ``last`` included."""
+
+    first: int
+    last: int
+    token: int
+    until_s: float
+
+
+class PlatformUpstream:
+    """One life of an upstream.
+
+    Attributes:
+        runs: Ids of the requests that it ran, in order.
+        grants: What it holds, by first and last key.
+        refuse_grants: Whether grants are answered with 409.
+    """
+
+    def __init__(self, *, instance: str, service: str, place: str) -> None:
+        self.instance = instance
+        self.service = service
+        self.runs: list[str] = []
+        self.grants: dict[tuple[int, int], Grant] = {}
+        self.callers: set[bytes] = set()
+        self.refuse_grants = False
+        self._place = place
+        self._sequence = 0
+        self._server = CallerServer(
+            host="127.0.0.1", port=0, handler=self._handle, metrics=Metrics()
+        )
+
+    @property
+    def address(self) -> str:
+        """Where it takes requests."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self._server.stop(timeout_s=0.0)
+
+    async def report(self, control_port: int) -> None:
+        """Send heartbeats to a node until cancelled."""
+        while True:
+            await self.send_heartbeat(control_port, "ready")
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def send_heartbeat(self, control_port: int, state: str) -> int:
+        """Send one heartbeat; return the status."""
+        self._sequence += 1
+        document = {
+            "Address": self.address,
+            "Info": {
+                "Service": self.service,
+                "Version": "v1",
+                "Zone": self._place,
+                "CapacitySlots": 8,
+            },
+            "Status": {"State": state, "Seq": self._sequence, "ColdRemaining": "0ms"},
+        }
+        status, _ = await call(
+            control_port,
+            f"/instances/{self.instance}/heartbeat",
+            method="POST",
+            body=json.dumps(document).encode(),
+            timeout_s=1.0,
+        )
+        return status
+
+    def holds(self, key: int) -> bool:
+        """Tell whether it may serve a key now."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            grant.first <= key <= grant.last and now < grant.until_s
+            for grant in self.grants.values()
+        )
+
+    async def _handle(self, request: Request) -> Response:
+        body = b""
+        while data := await request.body.read():
+            body += data
+        match request.target:
+            case b"/health":
+                fields = ((b"papayatack-instance-id", self.instance.encode()),)
+                return _reply(
+                    200, fields=(*fields, (b"papayatack-server-load", b"0,0,8"))
+                )
+            case b"/grant":
+                return self._grant(json.loads(body))
+            case b"/release":
+                return self._release(json.loads(body))
+        return self._run(request)
+
+    def _grant(self, document: dict) -> Response:
+        if self.refuse_grants:
+            return _reply(409)
+        first, last = document["From"], document["To"]
+        hold_s = int(document["Hold"].removesuffix("ms")) / MS_PER_S
+        for held in self.grants.values():
+            overlaps = held.first <= last and first <= held.last
+            if overlaps and held.token > document["fence"]:
+                return _reply(409)
+        self.grants[first, last] = Grant(
+            first=first,
+            last=last,
+            token=document["fence"],
+            until_s=asyncio.get_running_loop().time() + hold_s,
+        )
+        return _reply(200)
+
+    def _release(self, document: dict) -> Response:
+        first, last = document["From"], document["To"]
+        for held in list(self.grants.values()):
+            if held.first <= last and first <= held.last:
+                del self.grants[held.first, held.last]
+                for start, end in ((held.first, first - 1), (last + 1, held.last)):
+                    if start <= end:
+                        rest = dataclasses.replace(held, first=start, last=end)
+                        self.grants[start, end] = rest
+        return _reply(200, fields=((b"papayatack-handover", b"%d-%d" % (first, last)),))
+
+    def _run(self, request: Request) -> Response:
+        expected = find_header(request.headers, b"papayatack-expected-instance")
+        key = find_header(request.headers, b"papayatack-shard-key")
+        if expected != self.instance.encode():
+            return _reply(421)
+        if key is not None and not self.holds(int(key)):
+            return _reply(421, fields=((b"papayatack-not-executed", b"1"),))
+        request_id = find_header(request.headers, b"papayatack-request-id") or b""
+        self.callers.add(
+            find_header(request.headers, b"papayatack-caller-service") or b""
+        )
+        self.runs.append(request_id.decode())
+        fields = (
+            (b"papayatack-request-id", request_id),
+            (b"papayatack-response-signature", b"signed-" + request_id),
+        )
+        return _reply(200, data=self.instance.encode(), fields=fields)
+
+
+def _reply(
+    status: int, *, data: bytes = b"{}", fields: tuple[tuple[bytes, bytes], ...] = ()
+) -> Response:
+    headers = (*fields, (b"content-length", b"%d" % len(data)))
+    return Response(status=status, headers=headers, body=BytesBody(data=data))
--- /dev/null
+++ b/tests/platform/test_grants.py
@@ -0,0 +1,99 @@
+"""Tests of papayatack.platform.grants against an upstream that checks grants."""
+
+import asyncio
+import unittest
+
+from returns.result import Failure, Success
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.grants import RangeGrants
+from standins.platformupstream import PlatformUpstream
+
+LEASE = LeaseId(IncarnationId("127.0.0.1:1#a"), 1)
+LONG_US = 10_000_000
+SHORT_US = 300_000
+
+
+def name(first, last, *, hot=False):
+    """Return the id of a slice."""
+    return ShardId(f"desk/keys/{'=' if hot else ''}{first}-{last}")
+
+
+class RangeGrantsTests(unittest.IsolatedAsyncioTestCase):
+    """What the upstream holds after grants, renewals and releases."""
+
+    async def asyncSetUp(self):
+        self.upstream = PlatformUpstream(instance="i-1", service="desk", place="east")
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        self.hot = []
+        self.grants = RangeGrants(list_hot=lambda: self.hot)
+        host, _, port = self.upstream.address.partition(":")
+        self.pool = UpstreamPool(host=host, port=int(port), metrics=Metrics())
+        self.addCleanup(self.pool.close)
+        self.grants.pool = self.pool
+
+    async def test_neighbours_with_one_token_are_one_grant(self):
+        """Others are not."""
+        tokens = {name(0, 255): 7, name(256, 511): 7, name(512, 767): 9}
+        result = await self.grants.grant(LEASE, tokens, LONG_US)
+        self.assertEqual(result, Success(None))
+        self.assertEqual(set(self.upstream.grants), {(0, 511), (512, 767)})
+
+    async def test_hot_slices_are_left_to_their_own_shard(self):
+        """The parent's grant covers the keys round them."""
+        self.hot = [name(16, 23, hot=True), name(0, 7, hot=True)]
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        self.assertEqual(set(self.upstream.grants), {(8, 15), (24, 255)})
+
+    async def test_release_hands_over_by_keys(self):
+        """What one upstream gave for keys is given with the grant of just these."""
+        self.hot = [name(16, 23, hot=True)]
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        result = await self.grants.revoke(LEASE, (name(0, 255),))
+        handovers = result.unwrap()
+        self.assertEqual(handovers[name(0, 255)], "0-15:0-15;24-255:24-255")
+        self.assertEqual(self.upstream.grants, {})
+
+    async def test_released_keys_are_not_renewed(self):
+        """Neither while the release is under way nor after."""
+        shards = (name(0, 255), name(256, 511))
+        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), LONG_US)
+        releasing = asyncio.ensure_future(self.grants.revoke(LEASE, shards[:1]))
+        await asyncio.sleep(0)
+        await self.grants.extend(LEASE, LONG_US)
+        await releasing
+        await self.grants.extend(LEASE, LONG_US)
+        self.assertFalse(self.upstream.holds(0))
+        self.assertTrue(self.upstream.holds(256))
+
+    async def test_silent_upstream_holds_until_its_grants_run_out(self):
+        """Only then may another have the keys."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await self.grants.grant(LEASE, {name(0, 255): 7}, SHORT_US)
+        self.grants.pool = None
+        result = await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertIsInstance(result, Success)
+        self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6)
+
+    async def test_refused_grant_counts_as_none(self):
+        """A higher token was seen."""
+        self.upstream.refuse_grants = True
+        result = await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        self.assertIsInstance(result, Failure)
+
+    async def test_grant_without_answer_may_stand(self):
+        """A release that follows waits until it has run out for sure."""
+        loop = asyncio.get_running_loop()
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.upstream.stop()
+        self.pool.close()
+        started_s = loop.time()
+        result = await self.grants.grant(LEASE, {name(0, 255): 9}, SHORT_US)
+        self.assertIsInstance(result, Failure)
+        self.grants._held.clear()
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6)
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,224 @@
+"""Real processes on the platform's interfaces: store, upstreams, callers."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import unittest
+
+from standins.fleet import call, pick_ports
+from standins.platformstore import StoreServer
+from standins.platformupstream import PlatformUpstream
+from tests.platform.documents import build_manifest
+
+LIMIT_S = 40.0
+POLL_S = 0.05
+REQUEST_S = 2.0
+GRACE_S = 6.0
+SETTINGS = """
+[node]
+name = {name}
+data_centre = {place}
+region = r
+[listen]
+callers = 127.0.0.1:{callers}
+upstream = 127.0.0.1:{desk}
+readiness = 127.0.0.1:{readiness}
+peers = 127.0.0.1:{peers}
+operators = 127.0.0.1:{operators}
+[upstream]
+service = {service}
+address = {upstream}
+heartbeat = 300ms
+[store]
+address = 127.0.0.1:{store}
+keep = 20s
+[bounds]
+drain = 2000ms
+grace = 6s
+[places]
+east = r
+west = r
+south = r
+"""
+PORT_NAMES = ("callers", "desk", "readiness", "peers", "operators")
+
+
+class Machine:
+    """A node as a process, with its upstream."""
+
+    def __init__(self, *, folder, place, service, store_port, number):
+        self.ports = dict(zip(PORT_NAMES, pick_ports(len(PORT_NAMES)), strict=True))
+        self.upstream = PlatformUpstream(
+            instance=f"i-{number}", service=service, place=place
+        )
+        self._path = pathlib.Path(folder) / f"{number}.ini"
+        self._place = place
+        self._store_port = store_port
+        self.process = None
+        self._beats = None
+
+    async def start(self):
+        """Start upstream and node."""
+        await self.upstream.start()
+        text = SETTINGS.format(
+            name=self.upstream.instance,
+            place=self._place,
+            service=self.upstream.service,
+            upstream=self.upstream.address,
+            store=self._store_port,
+            **self.ports,
+        )
+        self._path.write_text(text, "utf-8")
+        await self.start_node()
+        self._beats = asyncio.ensure_future(self._report())
+
+    async def start_node(self):
+        """Start the node alone."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "papayatack.platform.main",
+            env={**os.environ, "PAPAYATACK_BOOT": str(self._path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def _report(self):
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                await self.upstream.report(self.ports["desk"])
+            await asyncio.sleep(POLL_S)
+
+    async def stop(self):
+        """End both."""
+        self._beats.cancel()
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.upstream.stop()
+
+    async def ask(self, path, *, key=None, request_id="r", host="shop.example"):
+        """Send a request; return status, head and body."""
+        fields = [
+            f"Host: {host}",
+            f"Papayatack-Request-Id: {request_id}",
+            "Papayatack-Deadline-Ms: 1500",
+        ]
+        if key is not None:
+            fields.append(f"Papayatack-Shard-Key: {key}")
+        lines = "\r\n".join((f"GET {path} HTTP/1.1", *fields, "Connection: close"))
+        async with asyncio.timeout(REQUEST_S):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ports["callers"]
+            )
+            writer.write(lines.encode() + b"\r\n\r\n")
+            answer = await reader.read()
+        writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), head.decode().lower(), body.decode()
+
+
+class ProcessTests(unittest.IsolatedAsyncioTestCase):
+    """Three nodes of a service with keys, one of a service without."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.store = StoreServer()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.machines = []
+        for number, (place, service) in enumerate(
+            (("east", "desk"), ("west", "desk"), ("south", "desk"), ("east", "papers"))
+        ):
+            machine = Machine(
+                folder=folder.name,
+                place=place,
+                service=service,
+                store_port=self.store.port,
+                number=number,
+            )
+            self.machines.append(machine)
+            await machine.start()
+            self.addAsyncCleanup(machine.stop)
+
+    async def wait_for(self, condition):
+        """Wait until an awaited condition holds; return its value."""
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                with contextlib.suppress(OSError, TimeoutError, IndexError):
+                    found = await condition()
+                    if found:
+                        return found
+                await asyncio.sleep(POLL_S)
+
+    async def is_served(self, *, keys=(0, 30_000, 65_535)):
+        """Tell whether each machine gets each key served."""
+        for machine in self.machines:
+            if machine.process.returncode is not None:
+                continue
+            for key in keys:
+                status, _, _ = await machine.ask("/orders/1", key=key)
+                if status != 200:
+                    return False
+        return True
+
+    async def test_the_whole_path(self):
+        """Before a manifest 503, then answers, one owner a key, and a clean stop."""
+        first, *_, papers = self.machines
+        status, head, _ = await self.wait_for(lambda: first.ask("/orders/1", key=1))
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after:", head)
+        self.store.store.append("keyed.op", b"config", build_manifest())
+        await self.wait_for(self.is_served)
+        await self.check_answers(first)
+        await self.check_owners()
+        await self.check_stop(papers)
+
+    async def check_answers(self, machine):
+        """The upstream's answer comes whole and signed; foreign routes are 404."""
+        status, head, body = await machine.ask("/orders/1", key=7, request_id="own-id")
+        self.assertEqual(status, 200)
+        self.assertIn("papayatack-response-signature: signed-own-id", head)
+        self.assertTrue(body.startswith("i-"))
+        status, _, _ = await machine.ask("/orders/1", key=7, host="other.example")
+        self.assertEqual(status, 404)
+        status, _, _ = await machine.ask("/orders/1", key=70_000)
+        self.assertEqual(status, 404)
+        status, _ = await call(machine.ports["readiness"], "/readiness")
+        self.assertEqual(status, 200)
+
+    async def check_owners(self):
+        """Each key is held by one upstream, whichever node was asked."""
+        holders = [machine.upstream for machine in self.machines[:3]]
+        for key in range(0, 65_536, 1_021):
+            held = [upstream.instance for upstream in holders if upstream.holds(key)]
+            self.assertEqual(len(held), 1, f"key {key}: {held}")
+        callers = set().union(*(upstream.callers for upstream in holders))
+        self.assertEqual(callers, {b"desk", b"papers"})
+
+    async def check_stop(self, machine):
+        """A signal ends the node in time, with its callers served meanwhile."""
+        machine.process.send_signal(signal.SIGTERM)
+        status, _, _ = await machine.ask("/orders/1", key=7)
+        self.assertEqual(status, 200)
+        status, _ = await call(machine.ports["readiness"], "/readiness")
+        self.assertEqual(status, 503)
+        async with asyncio.timeout(GRACE_S):
+            self.assertEqual(await machine.process.wait(), 0)
+
+    async def test_a_killed_node_gives_its_keys_up_and_gets_some_back(self):
+        """Its keys are served by others soon, and it serves again after a start."""
+        self.store.store.append("keyed.op", b"config", build_manifest())
+        await self.wait_for(self.is_served)
+        victim = self.machines[0]
+        victim.process.kill()
+        await victim.process.wait()
+        await self.wait_for(self.is_served)
+        await victim.start_node()
+        await self.wait_for(self.is_served)
+        tokens = [grant.token for grant in victim.upstream.grants.values()]
+        self.assertTrue(tokens)
