--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,82 @@
+"""Tests of papayatack.platform.settings and of the template that it reads."""
+
+import pathlib
+import unittest
+
+from papayatack.core.errors import SettingsError
+from papayatack.platform import settings as module
+from papayatack.platform.settings import parse_platform_settings
+
+TEXT = """
+[node]
+name = n-1
+data_centre = east
+region = r
+[listen]
+callers = 127.0.0.1:1
+upstream = 127.0.0.1:2
+readiness = 127.0.0.1:3
+peers = 127.0.0.1:4
+operators = 127.0.0.1:5
+[upstream]
+service =
+address =
+heartbeat = 870ms
+[store]
+address = 127.0.0.1:6
+keep = 20s
+[bounds]
+drain = 2000ms
+grace = 6s
+longest_hold = 10000ms
+[places]
+east = r
+West = r
+"""
+
+
+class SettingsTests(unittest.TestCase):
+    """What a filled-in template says."""
+
+    def test_times_have_units(self):
+        """Both units are understood."""
+        settings = parse_platform_settings(TEXT, source="s")
+        self.assertEqual(settings.upstream.heartbeat, 0.87)
+        self.assertEqual(settings.bounds.grace, 6.0)
+        names = [place.name for place in settings.all_places]
+        self.assertEqual(names, ["east", "West"])
+
+    def test_stop_fits_the_grace(self):
+        """Notice and the cutting of callers end before the process is killed."""
+        settings = parse_platform_settings(TEXT, source="s")
+        limits = settings.build_settings().limits
+        longest_s = limits.drain_notice_s + limits.drain_timeout_s
+        self.assertLess(longest_s, settings.bounds.grace)
+        self.assertLess(limits.upstream_drain_s, settings.bounds.drain)
+
+    def test_faults_are_all_named(self):
+        """The message says where each one is."""
+        broken = TEXT.replace("870ms", "soon").replace("127.0.0.1:6", "store:6")
+        with self.assertRaises(SettingsError) as caught:
+            parse_platform_settings(broken, source="s")
+        self.assertIn("heartbeat", str(caught.exception))
+        self.assertIn("store", str(caught.exception))
+
+    def test_foreign_bytes(self):
+        """A file that is no INI file is refused with its name."""
+        with self.assertRaisesRegex(SettingsError, "name.ini: not an INI file"):
+            parse_platform_settings("no section", source="name.ini")
+
+    def test_template_has_all_sections(self):
+        """Each key of the template is one that the settings know."""
+        path = pathlib.Path(module.__file__).with_name("settings.ini")
+        section, keys = "", []
+        for line in path.read_text("utf-8").splitlines():
+            if line.startswith("["):
+                section = line.strip("[]")
+            elif " = " in line and not line.startswith("{{"):
+                keys.append((section, line.partition(" = ")[0]))
+        fields = module.PlatformSettings.model_fields
+        for section, key in keys:
+            with self.subTest(section=section, key=key):
+                self.assertIn(key, fields[section].annotation.model_fields)
--- /dev/null
+++ b/tests/proxy/test_routing.py
@@ -0,0 +1,142 @@
+"""Tests of papayatack.proxy.routing and papayatack.core.split."""
+
+import collections
+import unittest
+
+from hypothesis import given, strategies as st
+
+from papayatack.core.errors import ErrorKind
+from papayatack.core.inventory import (
+    Configuration,
+    HostRoute,
+    KeyRange,
+    RequestClass,
+    Service,
+    Target,
+)
+from papayatack.core.split import WeightedSplit
+from papayatack.network.exchanges import Request, find_header
+from papayatack.proxy.routing import RequestFields, RouteClassifier
+
+FIELDS = RequestFields(
+    request_id=b"x-id", deadline=b"x-ms", key=b"x-key", caller=b"x-caller"
+)
+
+
+def make_route(name, host, prefix, *services, **fields):
+    """Return a route with equal weights."""
+    values = {
+        "repeatable": True,
+        "request_class": RequestClass.BROWSE,
+        "timeout_s": 2.0,
+        "target_latency_s": 0.3,
+        "max_attempts": 2,
+    }
+    targets = tuple(Target(service=service) for service in services)
+    return HostRoute(
+        name=name, host=host, prefix=prefix, targets=targets, **{**values, **fields}
+    )
+
+
+CONFIGURATION = Configuration(
+    version=1,
+    services=(
+        Service(name="plain", prefix=""),
+        Service(
+            name="keyed",
+            prefix="",
+            key_ranges=(KeyRange(name="keys", shards=4, numbers=100),),
+        ),
+    ),
+    routes=(
+        make_route("all", "h.example", "/", "plain"),
+        make_route("some", "h.example", "/some/", "keyed"),
+        make_route("deep", "h.example", "/some/deep/", "plain"),
+        make_route("lost", "lost.example", "/", "nowhere"),
+    ),
+)
+
+
+class RouteTests(unittest.TestCase):
+    """Which service a request goes to, and with what."""
+
+    def classify(self, path, *headers, host=b"h.example", configuration=CONFIGURATION):
+        """Return what a request is."""
+        classifier = RouteClassifier(
+            configuration=configuration, fields=FIELDS, caller_service="mine"
+        )
+        request = Request(
+            method=b"GET", target=path, headers=((b"host", host), *headers)
+        )
+        return classifier.classify(request)
+
+    def test_longest_prefix_of_the_host(self):
+        """The deepest route decides; the host's case and port do not count."""
+        key = (b"x-key", b"7")
+        for path, service in (
+            (b"/", "plain"),
+            (b"/somewhere", "plain"),
+            (b"/some/x?q=1", "keyed"),
+            (b"/some/deep/x", "plain"),
+            (b"http://h.example/some/x", "keyed"),
+        ):
+            with self.subTest(path=path):
+                found = self.classify(path, key, host=b"H.Example:80").unwrap()
+                self.assertEqual(found.service, service)
+
+    def test_refusals(self):
+        """Each with its kind; nothing is 404 before a configuration."""
+        for result, kind in (
+            (self.classify(b"/", host=b"other"), ErrorKind.NO_SUCH_SERVICE),
+            (self.classify(b"/", host=b"lost.example"), ErrorKind.NO_OWNER),
+            (self.classify(b"/some/x"), ErrorKind.KEY_MISSING),
+            (self.classify(b"/", (b"x-ms", b"soon")), ErrorKind.MALFORMED_REQUEST),
+            (
+                self.classify(b"/", configuration=Configuration()),
+                ErrorKind.CONFIG_STALE,
+            ),
+        ):
+            with self.subTest(kind=kind):
+                self.assertIs(result.failure().kind, kind)
+
+    def test_time_left_is_the_shorter(self):
+        """Of the caller's patience and the route's time-out."""
+        self.assertEqual(
+            self.classify(b"/", (b"x-ms", b"500")).unwrap().remaining_s, 0.5
+        )
+        self.assertEqual(
+            self.classify(b"/", (b"x-ms", b"50000")).unwrap().remaining_s, 2.0
+        )
+
+    def test_fields_that_travel_on(self):
+        """All but what concerns one connection or is this node's to say."""
+        found = self.classify(
+            b"/",
+            (b"x-id", b"id-1"),
+            (b"x-caller", b"forged"),
+            (b"x-ms", b"500"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-other", b"2"),
+        ).unwrap()
+        headers = found.request.headers
+        self.assertEqual(found.request_id, "id-1")
+        self.assertEqual(find_header(headers, b"x-caller"), b"mine")
+        self.assertEqual(find_header(headers, b"x-id"), b"id-1")
+        self.assertEqual(find_header(headers, b"x-other"), b"2")
+        for name in (b"x-ms", b"x-hop", b"connection"):
+            self.assertIsNone(find_header(headers, name))
+
+
+class SplitTests(unittest.TestCase):
+    """Shares of a split route."""
+
+    @given(st.lists(st.integers(1, 100), min_size=1, max_size=5), st.integers(1, 400))
+    def test_no_target_is_off_by_a_request(self, weights, count):
+        """After any number of requests, whatever the weights."""
+        targets = [Target(service=str(i), weight=w) for i, w in enumerate(weights)]
+        split = WeightedSplit(targets=targets)
+        chosen = collections.Counter(split.choose() for _ in range(count))
+        for target in targets:
+            due = count * target.weight / sum(weights)
+            self.assertLessEqual(abs(chosen[target.service] - due), len(weights))
