Ask again after an upstream's own failure, and renew a grant that it does not know

Failures of repeatable requests were passed on though the budget allowed a further attempt. Change: a 421 makes the node grant the shard anew; a repeatable request whose upstream failed is attempted again, and its failure is the answer if that does no better; nodes before their first lease count as those that read the log.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -119,6 +119,11 @@
         self._loads.note_finish(grant.shard, service_time_s)
         self._carry_out(self._core.finish(grant.shard, grant.generation, now=now))
 
+    def renew_grant(self, grant: Grant) -> None:
+        """Ask the upstream again for a grant that it does not know."""
+        now = asyncio.get_running_loop().time()
+        self._carry_out(self._core.renew_grant(grant.shard, grant.token, now=now))
+
     def find_tenure(self, service: str, key: str) -> KeyTenure | None:
         """Return the tenures of a key, ``None`` if this node does not own it."""
         configuration = self._config.configuration
--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -60,6 +60,7 @@
     PEER_LOST = "peer-lost"
     UPSTREAM_LOST = "upstream-lost"
     UPSTREAM_TIMEOUT = "upstream-timeout"
+    UPSTREAM_FAILED = "upstream-failed"
     RESPONSE_TRUNCATED = "response-truncated"
     RETRY_BUDGET_SPENT = "retry-budget-spent"
     CALLER_LEFT = "caller-left"
@@ -117,7 +118,7 @@
     ErrorKind.DEADLINE_UNREACHABLE: _not_run(503, _REPEAT),
     ErrorKind.DEADLINE_EXPIRED: _not_run(504, "Allow the request more time."),
     ErrorKind.NODE_DRAINING: _not_run(503, _REPEAT, retryable=True),
-    ErrorKind.UPSTREAM_SHED: _not_run(503, _REPEAT),
+    ErrorKind.UPSTREAM_SHED: _not_run(503, _REPEAT, retryable=True),
     ErrorKind.UPSTREAM_DRAINING: _not_run(503, _REPEAT, retryable=True),
     ErrorKind.UPSTREAM_UNREACHABLE: _not_run(503, _REPEAT, retryable=True),
     ErrorKind.UPSTREAM_EJECTED: _not_run(503, _REPEAT, retryable=True),
@@ -126,6 +127,7 @@
     ErrorKind.PEER_LOST: _unknown(502, _CHECK),
     ErrorKind.UPSTREAM_LOST: _unknown(502, _CHECK),
     ErrorKind.UPSTREAM_TIMEOUT: _unknown(504, _CHECK, retryable=False),
+    ErrorKind.UPSTREAM_FAILED: _unknown(502, _CHECK),
     ErrorKind.RESPONSE_TRUNCATED: _unknown(502, _CHECK),
     ErrorKind.RETRY_BUDGET_SPENT: _not_run(503, _REPEAT),
     ErrorKind.CALLER_LEFT: _unknown(499, _CHECK, retryable=False),
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -233,6 +233,15 @@
             return self._settle(now)
         return []
 
+    def renew_grant(self, shard: ShardId, token: int, *, now: float) -> list[Effect]:
+        """Ask the upstream again for a grant that it does not know."""
+        right = self.context.rights.rights.get(shard)
+        if right is None or right.token != token:
+            return []
+        right.token = 0
+        right.asked = False
+        return self._settle(now)
+
     def confirm_grant(
         self, lease: LeaseId, tokens: dict[ShardId, int], *, done: bool, now: float
     ) -> list[Effect]:
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -65,14 +65,17 @@
 
 
 def _count_before(state: OwnershipState, member: Member) -> int:
-    """Return how many nodes of the data centre come before this one as tailers."""
+    """Return how many nodes of the data centre come before this one as tailers.
+
+    A new node counts before it has its first lease: it follows the log for that.
+    """
     own = rank_member("tail", member.incarnation)
     return sum(
         1
         for other in state.list_live_members()
         if other.data_centre == member.data_centre
         and rank_member("tail", other.incarnation) < own
-        and state.find_lease(other.incarnation) is not None
+        and (not other.term or state.find_lease(other.incarnation) is not None)
     )
 
 
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -98,6 +98,7 @@
 
     async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
         """Extend all grants of a lease."""
+        self._forget_returned()
         tokens = {
             shard: held.token
             for shard, held in self._held.items()
@@ -131,6 +132,12 @@
         handovers = dict(zip(found, answers, strict=True))
         return Success({shard: text for shard, text in handovers.items() if text})
 
+    def _forget_returned(self) -> None:
+        """Forget hot slices that belong to their parent again, under its token."""
+        hot = set(self._list_hot())
+        for shard in [s for s in self._held if is_hot(s) and s not in hot]:
+            del self._held[shard]
+
     async def _send_grants(
         self,
         lease: LeaseId,
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import dataclasses
+import http
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -42,7 +43,7 @@
 from papayatack.proxy.keyed import KeyedServer
 from papayatack.proxy.local import LocalServer
 from papayatack.proxy.replay import ReplayBody
-from papayatack.proxy.settling import settle_response
+from papayatack.proxy.settling import is_settled, settle_response
 
 __all__ = ["PeerClient", "RequestEngine"]
 
@@ -50,6 +51,7 @@
 REPLAY_BYTES = 128 * 1024
 DEADLINE_MARGIN_S = 0.02
 DEADLINE_MARGIN_SHARE = 0.1
+_FAILED = Refusal(kind=ErrorKind.UPSTREAM_FAILED, detail="the upstream's own failure")
 
 
 class PeerClient(Protocol):
@@ -173,7 +175,8 @@
     ) -> Result[Response, Refusal]:
         """Attempt a request until it is answered or must not be attempted again.
 
-        Once an attempt may have run, no later refusal may claim that it did not.
+        Once an attempt may have run, no later refusal may claim that it did not. An
+        upstream's own failure is the answer unless a further attempt does better.
         """
         now = self._now()
         deadline_s = now + peer_request.remaining_s
@@ -181,13 +184,18 @@
         body = ReplayBody(body=peer_request.request.body, limit_bytes=REPLAY_BYTES)
         peer_request.request.body = body
         unknown: Refusal | None = None
+        failed: Result[Response, Refusal] | None = None
         tried: set[IncarnationId] = set()
         attempt = 1
         while True:
             result = await self._attempt(peer_request, deadline_s, tried)
             if is_successful(result):
-                return result
-            refusal = result.failure()
+                if not _has_failed(result.unwrap(), peer_request):
+                    return result
+                failed = result
+                refusal = _FAILED
+            else:
+                refusal = result.failure()
             if _is_unknown(refusal):
                 unknown = unknown or refusal
             if refusal.kind in HANDOVER_KINDS:
@@ -198,7 +206,7 @@
                 )
                 attempt += 1
             if delay_s is None:
-                return Failure(unknown or refusal)
+                return failed or Failure(unknown or refusal)
             self._metrics.count("retry_causes", refusal.kind.value)
             if refusal.kind not in HANDOVER_KINDS:
                 node = next(iter(tried), "")
@@ -230,6 +238,9 @@
         """Return the delay before a further attempt, or ``None`` for no attempt."""
         if not find_answer(refusal.kind).retryable:
             return None
+        if refusal.kind is ErrorKind.UPSTREAM_SHED and peer_request.key:
+            self._metrics.count("retries_refused", "only-owner")
+            return None
         if _is_unknown(refusal) and not peer_request.repeatable:
             self._metrics.count("retries_refused", "not-repeatable")
             return None
@@ -317,6 +328,12 @@
         return asyncio.get_running_loop().time()
 
 
+def _has_failed(response: Response, peer_request: PeerRequest) -> bool:
+    """Whether an upstream's answer is a failure that a repetition may mend."""
+    failed = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+    return failed and peer_request.repeatable and is_settled(response)
+
+
 def _is_unknown(refusal: Refusal) -> bool:
     """Whether the request may have run."""
     return find_answer(refusal.kind).outcome is Outcome.UNKNOWN
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -85,6 +85,9 @@
     def finish(self, grant: Grant, *, service_time_s: float) -> None:
         """Report that a request that was authorized has ended."""
 
+    def renew_grant(self, grant: Grant) -> None:
+        """Ask the upstream again for a grant that it does not know."""
+
     def find_tenure(self, service: str, key: str) -> KeyTenure | None:
         """Return the tenures of a key, ``None`` if this node does not own it."""
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import logging
 from collections.abc import Callable
 
 from returns.pipeline import is_successful
@@ -12,6 +13,7 @@
 from papayatack.core.identity import ShardId
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.interface import Gate, Grant, Ownership, Permit, Ticket
@@ -20,6 +22,9 @@
 
 __all__ = ["KeyedAttempt", "LocalServer"]
 
+LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
@@ -151,7 +156,7 @@
         )
         if not is_successful(result):
             return Failure(result.failure())
-        return await self._check_response(result.unwrap(), use)
+        return await self._check_response(peer_request, result.unwrap(), use)
 
     def _authorize(
         self,
@@ -173,7 +178,7 @@
         return granted
 
     async def _check_response(
-        self, response: Response, use: _Use
+        self, peer_request: PeerRequest, response: Response, use: _Use
     ) -> Result[Response, Refusal]:
         settled = await settle_response(response)
         if not is_successful(settled):
@@ -183,6 +188,19 @@
         if kind is not None:
             response.body.close()
             self._metrics.count("upstream_refusals", kind.value)
+            log_event(
+                LOGGER,
+                Event.UPSTREAM_REFUSED,
+                level=logging.WARNING,
+                request=peer_request.request_id,
+                shard=peer_request.shard,
+                token=use.grant.token,
+                lease_left_ms=int(use.grant.remaining_s * MS_PER_S),
+                status=response.status,
+                reason=kind.value,
+            )
+            if kind is ErrorKind.GRANT_REFUSED and use.grant.shard:
+                self._ownership.renew_grant(use.grant)
             return _refuse(kind, f"the upstream answered {response.status}")
         response.headers = self._dialect.clean_response(response.headers)
         if is_settled(response):
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -87,6 +87,10 @@
         """Count."""
         self.finished += 1
 
+    def renew_grant(self, grant):
+        """Note the wish."""
+        self.renewed = getattr(self, "renewed", 0) + 1
+
     def find_tenure(self, service, key):
         """Return the tenure that was set."""
         if self.tenure is None:
