Notice an upstream that has gone within a heartbeat, and let it answer what it runs

Cause: a crashed upstream was given up after three missed heartbeats (2.6 s); until then its keys were refused. A connection that cannot be opened now makes the node look at once; one that is closed for certain frees its keys, a silent one keeps its grants until they run out.

--- a/src/papayatack/daemon/announcement.py
+++ b/src/papayatack/daemon/announcement.py
@@ -16,7 +16,7 @@
 from papayatack.network.exchanges import Request, Response
 from papayatack.observability.metrics import Metrics
 
-__all__ = ["AnnouncedUpstream", "AnnouncementDesk"]
+__all__ = ["AnnouncedUpstream", "AnnouncementDesk", "UpstreamGone"]
 
 MAX_SLOTS = 100_000
 MAX_CONNECTIONS = 1_000_000
@@ -44,6 +44,18 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamGone:
+    """There is no upstream beside this node any more.
+
+    Attributes:
+        is_certain: It has ended; otherwise it may only be out of reach, and hold its
+            grants until they run out.
+    """
+
+    is_certain: bool
+
+
 class _Announcement(pydantic.BaseModel):
     """The body of an announcement; unknown fields are ignored."""
 
@@ -64,7 +76,7 @@
     def __init__(self, *, metrics: Metrics) -> None:
         self._metrics = metrics
         self._latest: AnnouncedUpstream | None = None
-        self._changed: asyncio.Queue[AnnouncedUpstream | None] = asyncio.Queue()
+        self._changed: asyncio.Queue[AnnouncedUpstream | UpstreamGone] = asyncio.Queue()
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of the upstream."""
@@ -78,10 +90,13 @@
         self._take(AnnouncedUpstream(**announcement.model_dump()))
         return reply_json(200, {"result": "accepted"})
 
-    async def wait_changed(self) -> AnnouncedUpstream | None:
-        """Wait for news that differ from those before; ``None`` if it has gone."""
+    async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
+        """Wait for news that differ from those before."""
         return await self._changed.get()
 
+    def suspect(self) -> None:
+        """Take no notice: the gate finds out what an upstream does."""
+
     async def watch(self) -> None:
         """Wait until cancelled: these upstreams send no heartbeats."""
         await asyncio.get_running_loop().create_future()
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -17,7 +17,11 @@
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.placement import PlacementLimits
 from papayatack.core.records import CONFIG_STREAM
-from papayatack.daemon.announcement import AnnouncedUpstream, AnnouncementDesk
+from papayatack.daemon.announcement import (
+    AnnouncedUpstream,
+    AnnouncementDesk,
+    UpstreamGone,
+)
 from papayatack.daemon.health import follow_health
 from papayatack.daemon.publication import Publisher
 from papayatack.daemon.settings import Settings
@@ -43,8 +47,11 @@
     async def handle(self, request: Request) -> Response:
         """Answer one call of the upstream."""
 
-    async def wait_changed(self) -> AnnouncedUpstream | None:
-        """Wait for news that differ from those before; ``None`` if it has gone."""
+    async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
+        """Wait for news that differ from those before."""
+
+    def suspect(self) -> None:
+        """Take in that the upstream accepts no connections."""
 
     async def watch(self) -> None:
         """Notice an upstream that has stopped without a word, until cancelled."""
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -6,7 +6,7 @@
 
 from papayatack.control.interface import GrantSink
 from papayatack.control.node import ControlNode
-from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
 from papayatack.daemon.surroundings import Surroundings
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
@@ -65,8 +65,8 @@
             if self._cut is not None:
                 self._cut.cancel()
                 self._cut = None
-            if news is None:
-                self._take_out()
+            if isinstance(news, UpstreamGone):
+                self._take_out(news)
             elif news.leaving:
                 self._start_leaving(news)
             else:
@@ -99,10 +99,11 @@
         )
 
     def _connect(self, upstream: AnnouncedUpstream, *, was_used: bool) -> None:
-        self._close_pool()
+        self._retire_pool()
         if was_used:
             self._sink.forget()
         pool = self._build_pool(upstream)
+        pool.on_unreachable = self._surroundings.desk.suspect
         self._surroundings.note_upstream(upstream)
         self._sink.pool = pool
         self._engine.upstream = pool
@@ -121,14 +122,17 @@
         """Send no more requests; its grants are still released."""
         self._engine.upstream = None
 
-    def _take_out(self) -> None:
+    def _take_out(self, news: UpstreamGone) -> None:
         """Forget an upstream that has gone."""
         self.current = None
+        if news.is_certain:
+            self._sink.forget()
         self._control.attach_upstream(service="")
-        self._close_pool()
+        self._retire_pool()
 
-    def _close_pool(self) -> None:
+    def _retire_pool(self) -> None:
+        """Send nothing more; answers that are still to come are waited for."""
         self._engine.upstream = None
         pool, self._sink.pool = self._sink.pool, None
         if pool is not None:
-            pool.close()
+            pool.retire()
--- a/src/papayatack/network/upstreams.py
+++ b/src/papayatack/network/upstreams.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -26,6 +27,10 @@
 
     A refusal tells exactly what may have happened: its outcome is *not run* only if
     no byte of the request was written.
+
+    Attributes:
+        limits: Limits towards the upstream.
+        on_unreachable: Called when a connection could not be opened.
     """
 
     def __init__(
@@ -37,12 +42,14 @@
         limits: UpstreamLimits | None = None,
     ) -> None:
         self.limits = limits or UpstreamLimits()
+        self.on_unreachable: Callable[[], None] | None = None
         self._host = host
         self._port = port
         self._metrics = metrics
         self._idle: list[UpstreamConnection] = []
         self._open: set[UpstreamConnection] = set()
         self._opening = 0
+        self._retired = False
         self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
 
     @property
@@ -86,6 +93,8 @@
         if connection is not None:
             return Success(connection)
         self._metrics.count("upstream_connects_failed")
+        if self.on_unreachable is not None:
+            self.on_unreachable()
         return Failure(
             Refusal(
                 kind=ErrorKind.UPSTREAM_UNREACHABLE,
@@ -98,8 +107,17 @@
         for connection in list(self._open):
             connection.abort()
 
+    def retire(self) -> None:
+        """Close each connection once its exchange has ended."""
+        self._retired = True
+        for connection in list(self._idle):
+            connection.abort()
+
     def return_connection(self, connection: UpstreamConnection) -> None:
         """Take back a connection that can carry a further request."""
+        if self._retired:
+            connection.abort()
+            return
         connection.idle_since_s = asyncio.get_running_loop().time()
         self._idle.append(connection)
         self._wake_waiter()
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -1,7 +1,9 @@
 """How the upstream beside a node reports that it lives, drains and leaves."""
 
 import asyncio
+import contextlib
 import dataclasses
+import enum
 import http
 import logging
 import re
@@ -12,7 +14,7 @@
 import pydantic
 from pydantic.alias_generators import to_pascal
 
-from papayatack.daemon.announcement import AnnouncedUpstream
+from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
 from papayatack.daemon.replies import read_json, reply_json
 from papayatack.logservice.calls import AnswerError, HttpCall, HttpCaller
 from papayatack.network.exchanges import Request, Response, find_header
@@ -29,8 +31,10 @@
 ANY_CONNECTIONS = 1_000_000
 """A heartbeat does not tell how many connections the upstream accepts."""
 
-MISSED_BEATS = 3.0
-PROBE_TIMEOUT_S = 0.4
+MISSED_BEATS = 1.7
+PROBE_TIMEOUT_S = 0.3
+PROBES = 2
+PROBE_PAUSE_S = 0.05
 PATH_CHECK_S = 0.02
 PATH_CHECKS = 40
 CHECK_INTERVAL_S = 0.25
@@ -83,16 +87,21 @@
         self._service = service
         self._address = address
         self._patience_s = interval_s * MISSED_BEATS
-        self._changed: asyncio.Queue[AnnouncedUpstream | None] = asyncio.Queue()
+        self._changed: asyncio.Queue[AnnouncedUpstream | UpstreamGone] = asyncio.Queue()
+        self._suspected = asyncio.Event()
         self._latest: AnnouncedUpstream | None = None
         self._sequences: dict[str, int] = {}
         self._gone: set[str] = set()
         self._heard_s = 0.0
 
-    async def wait_changed(self) -> AnnouncedUpstream | None:
-        """Wait for news that differ from those before; ``None`` if it has gone."""
+    async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
+        """Wait for news that differ from those before."""
         return await self._changed.get()
 
+    def suspect(self) -> None:
+        """Take in that the upstream accepts no connections."""
+        self._suspected.set()
+
     async def handle(self, request: Request) -> Response:
         """Answer one call of the upstream."""
         found = _TARGET.fullmatch(request.target.partition(b"?")[0])
@@ -124,15 +133,20 @@
         """
         await self._find_running()
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._suspected.wait()
             latest = self._latest
             now = asyncio.get_running_loop().time()
-            if latest is None or now - self._heard_s < self._patience_s:
+            is_late = now - self._heard_s >= self._patience_s
+            if latest is None or not (is_late or self._suspected.is_set()):
                 continue
-            if await _is_listening(latest.address):
+            presence = await _find_presence(latest.address)
+            self._suspected.clear()
+            if presence is _Presence.LISTENING:
                 self._heard_s = now
             elif self._latest is latest:
-                self._forget(latest, "silent")
+                self._forget(latest, presence)
 
     async def _find_running(self) -> None:
         path = await self._wait_health_path()
@@ -206,21 +220,43 @@
             self._changed.put_nowait(self._latest)
         return reply_json(http.HTTPStatus.OK, {})
 
-    def _forget(self, upstream: AnnouncedUpstream, reason: str) -> None:
+    def _forget(self, upstream: AnnouncedUpstream, presence: "_Presence") -> None:
         self._latest = None
+        reason = presence.value
         log_event(
             LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason=reason
         )
-        self._changed.put_nowait(None)
+        is_certain = presence is _Presence.CLOSED
+        self._changed.put_nowait(UpstreamGone(is_certain=is_certain))
+
+
+class _Presence(enum.Enum):
+    """What a probe of the upstream's address found."""
+
+    LISTENING = "listening"
+    CLOSED = "closed"
+    SILENT = "silent"
+
+
+async def _find_presence(address: str) -> _Presence:
+    """Try the address; it is given up only after a second look."""
+    found = _Presence.SILENT
+    for _ in range(PROBES):
+        found = await _probe(address)
+        if found is _Presence.LISTENING:
+            break
+        await asyncio.sleep(PROBE_PAUSE_S)
+    return found
 
 
-async def _is_listening(address: str) -> bool:
-    """Tell whether an address still accepts connections."""
+async def _probe(address: str) -> _Presence:
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return _Presence.CLOSED
     except (OSError, ValueError):
-        return False
+        return _Presence.SILENT
     writer.close()
-    return True
+    return _Presence.LISTENING
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -6,6 +6,7 @@
 
 import looptime
 
+from papayatack.daemon.announcement import UpstreamGone
 from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import Request
 from papayatack.observability.metrics import Metrics
@@ -54,7 +55,8 @@
             self.assertTrue((await desk.wait_changed()).leaving)
             self.assertEqual(await self.send(desk, "i-1", b"", "deregister"), 200)
             watching = asyncio.ensure_future(desk.watch())
-            self.assertIsNone(await desk.wait_changed())
+            gone = await desk.wait_changed()
+            self.assertEqual(gone, UpstreamGone(is_certain=True))
             watching.cancel()
 
         self.run_desk(scenario)
