--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -21,7 +21,7 @@
 
 __all__ = ["Directory"]
 
-RETRY_AFTER_S = 1.0
+RETRY_AFTER_S = 0.3
 
 
 class Directory:
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -101,6 +101,7 @@
 MAX_APPENDS = 32
 APPEND_DEADLINE_S = 1.6
 MAX_RELAYS = 2
+MAX_SHARDS_LOGGED = 4
 REPORT_INTERVAL_PER_MEMBER_S = 0.05
 
 _Input = tuple[IncarnationId, ControlMessage] | TailMessage
@@ -448,6 +449,14 @@
         now = self._read_clock()
         if not done:
             self.metrics.count("grants_refused")
+            log_event(
+                LOGGER,
+                Event.GRANT_REFUSED,
+                level=logging.WARNING,
+                lease=str(effect.lease),
+                shards=list(effect.tokens)[:MAX_SHARDS_LOGGED],
+                count=len(effect.tokens),
+            )
         tokens = dict(effect.tokens)
         self._carry_out(
             self.core.confirm_grant(effect.lease, tokens, done=done, now=now)
--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -21,7 +21,7 @@
 
 __all__ = ["Admission"]
 
-MIN_RETRY_AFTER_S = 0.5
+MIN_RETRY_AFTER_S = 0.05
 MIN_COST = 0.001
 
 
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -56,7 +56,7 @@
 
 __all__ = ["NodeCore"]
 
-RETRY_UNAVAILABLE_S = 1.0
+RETRY_UNAVAILABLE_S = 0.3
 EXTEND_STEP_S = 0.35
 
 
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -33,6 +33,7 @@
         runs: Ids of the requests that it ran, in order.
         grants: What it holds, by first and last key.
         refuse_grants: Whether grants are answered with 409.
+        hangs: Whether requests are run and never answered.
     """
 
     def __init__(self, *, instance: str, service: str, place: str) -> None:
@@ -42,6 +43,7 @@
         self.grants: dict[tuple[int, int], Grant] = {}
         self.callers: set[bytes] = set()
         self.refuse_grants = False
+        self.hangs = False
         self._place = place
         self._sequence = 0
         self._server = CallerServer(
@@ -111,7 +113,10 @@
                 return self._grant(json.loads(body))
             case b"/release":
                 return self._release(json.loads(body))
-        return self._run(request)
+        response = self._run(request)
+        if self.hangs and response.status == 200:
+            await asyncio.get_running_loop().create_future()
+        return response
 
     def _grant(self, document: dict) -> Response:
         if self.refuse_grants:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import signal
@@ -56,6 +57,7 @@
             instance=f"i-{number}", service=service, place=place
         )
         self._path = pathlib.Path(folder) / f"{number}.ini"
+        self._lines = pathlib.Path(folder) / f"{number}.log"
         self._place = place
         self._store_port = store_port
         self.process = None
@@ -83,9 +85,14 @@
             "-m",
             "papayatack.platform.main",
             env={**os.environ, "PAPAYATACK_BOOT": str(self._path)},
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=self._lines.open("ab"),
         )
 
+    def read_lines(self):
+        """Return the lines that the node has logged."""
+        text = self._lines.read_text("utf-8")
+        return [json.loads(line) for line in text.splitlines()]
+
     async def _report(self):
         while True:
             with contextlib.suppress(OSError, TimeoutError):
@@ -121,7 +128,7 @@
         return int(head.split()[1]), head.decode().lower(), body.decode()
 
 
-class ProcessTests(unittest.IsolatedAsyncioTestCase):
+class ProcessTestCase(unittest.IsolatedAsyncioTestCase):
     """Three nodes of a service with keys, one of a service without."""
 
     async def asyncSetUp(self):
@@ -166,6 +173,10 @@
                     return False
         return True
 
+
+class ProcessTests(ProcessTestCase):
+    """The life of a small fleet."""
+
     async def test_the_whole_path(self):
         """Before a manifest 503, then answers, one owner a key, and a clean stop."""
         first, *_, papers = self.machines
