--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -3,25 +3,26 @@
 import itertools
 import unittest
 
-from papayatack.control.planning import Planner
+from papayatack.control.planning import STAND_IN_S, Planner
 from papayatack.core.identity import LeaseId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import Plan
-from papayatack.core.records import Admit, Announce, Assign, Assignment
+from papayatack.core.records import Admit, Announce, Assign, Assignment, Attach
 
 ME = "127.0.0.1:1#a"
+OTHER = "127.0.0.1:7#b"
 SHARD = "hiring/vacancies/0"
 
 
-def make_announcement(record_id="announce"):
-    """Return the announcement of the only node."""
+def make_announcement(record_id="announce", name=ME):
+    """Return the announcement of a node."""
     return Announce(
         record_id=record_id,
-        writer=ME,
-        incarnation=ME,
-        address="127.0.0.1:1",
+        writer=name,
+        incarnation=name,
+        address=name.partition("#")[0],
         operator_address="127.0.0.1:2",
         data_centre="d",
         region="r",
@@ -125,3 +126,44 @@
         self.configuration = Configuration(version=1)
         self.planner.plan_once(2.0)
         self.assertEqual(self.plans, 2)
+
+
+class StandInTests(PlannerCase):
+    """A node plans for the first in rank, which does not reach the log."""
+
+    def setUp(self):
+        super().setUp()
+        self.core.caught_up = True
+        self.apply(make_announcement("other", OTHER))
+        lease = LeaseId(OTHER, 1)
+        record = Admit(record_id="o", writer=OTHER, lease=lease, witnesses=())
+        self.apply(record)
+        self.planner._core = NodeCore(
+            announcement=make_announcement(name=OTHER),
+            state=self.core.state,
+            now=0.0,
+            find_service=lambda name: None,
+        )
+        self.planner._core.caught_up = True
+
+    def assign_to(self, lease):
+        """Give the shard to a lease."""
+        assignment = Assignment(shard=SHARD, base_epoch=0, chain=(lease,))
+        self.apply(Assign(record_id="m", writer=ME, assignments=(assignment,)))
+
+    def test_it_waits_while_all_keys_have_owners(self):
+        """Whatever the loads, the first in rank evens them out."""
+        self.assign_to(LeaseId(ME, 1))
+        for now in (1.0, 5.0, 50.0):
+            self.planner.plan_once(now)
+        self.assertEqual(self.plans, 0)
+
+    def test_it_plans_once_keys_lack_an_owner_for_long(self):
+        """Not at once, for the first in rank may be about to."""
+        self.assign_to(LeaseId(ME, 1))
+        self.apply(Attach(record_id="gone", writer=ME, incarnation=ME, service=""))
+        self.planner.plan_once(1.0)
+        self.planner.plan_once(1.0 + STAND_IN_S / 2)
+        self.assertEqual(self.plans, 0)
+        self.planner.plan_once(1.0 + STAND_IN_S)
+        self.assertEqual(self.plans, 1)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -80,13 +80,14 @@
 
     async def start_node(self):
         """Start the node alone."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "papayatack.platform.main",
-            env={**os.environ, "PAPAYATACK_BOOT": str(self._path)},
-            stdout=self._lines.open("ab"),
-        )
+        with self._lines.open("ab") as lines:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "papayatack.platform.main",
+                env={**os.environ, "PAPAYATACK_BOOT": str(self._path)},
+                stdout=lines,
+            )
 
     def read_lines(self):
         """Return the lines that the node has logged."""
