Set the gate's timer on uvloop too, and leave judging the upstream to its heartbeats

Cause: uvloop's handle of a timer that is due at once has no time; the gate read it, and each such fault lost a slot and a request's end, so that slots leaked and shards never drained. Besides, the gate took working upstreams out of use (upstream-ejected). Ruled out: a lost release (no GRANT_REFUSED line for these shards). Two tests failed first and pass now.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -189,7 +189,11 @@
         sink = self._surroundings.build_sink()
         control = self._build_control(announcement, sink, *states)
         admission = Admission(now=asyncio.get_running_loop().time(), limits=Limits())
-        gate = AdmissionGate(admission=admission, metrics=self._metrics)
+        gate = AdmissionGate(
+            admission=admission,
+            metrics=self._metrics,
+            judges_upstream=self._surroundings.judges_upstream,
+        )
         engine = self._build_engine(control, gate)
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -71,6 +71,7 @@
         pace: How soon placement follows changes.
         placement: What one plan may change.
         tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
+        judges_upstream: Whether the gate takes an upstream that fails out of use.
     """
 
     log: LogService
@@ -83,6 +84,7 @@
     pace: PlanPace
     placement: PlacementLimits
     tailing: TailPolicy | None
+    judges_upstream: bool
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
         """Return what classifies requests under a configuration."""
@@ -128,6 +130,7 @@
         self.pace = PlanPace()
         self.placement = PlacementLimits()
         self.tailing: TailPolicy | None = None
+        self.judges_upstream = True
         self._sink = GrantClient()
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -81,6 +81,7 @@
         self.pace = PACE
         self.placement = PLACEMENT
         self.tailing: TailPolicy | None = TailPolicy(all_members=2, per_data_centre=1)
+        self.judges_upstream = False
         self.build_classifier = functools.partial(
             RouteClassifier, fields=FIELDS, caller_service=settings.upstream.service
         )
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -61,6 +61,8 @@
         admission: Its state, which no one else changes.
         metrics: Counts admissions and refusals.
         rng: Spreads the probes.
+        judges_upstream: Whether an upstream that fails is taken out of use here;
+            otherwise that is left to whoever follows its heartbeats.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         admission: Admission,
         metrics: Metrics,
         rng: random.Random | None = None,
+        judges_upstream: bool = True,
     ) -> None:
+        self._judges_upstream = judges_upstream
         self._admission = admission
         self._metrics = metrics
         self._health: HealthTracker[str] = HealthTracker(
@@ -81,6 +85,7 @@
         self._state = HealthState.HEALTHY
         self._waiters: dict[Entry, asyncio.Future[Result[Permit, Refusal]]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_s = 0.0
 
     async def acquire(self, ticket: Ticket) -> Result[Permit, Refusal]:
         """Wait for a slot; the wait may be cancelled."""
@@ -165,16 +170,19 @@
 
     def _settle(self, now: float) -> None:
         """Hand out verdicts and set the timer for the next one."""
-        self._watch_health(now)
+        if self._judges_upstream:
+            self._watch_health(now)
         while verdicts := self._admission.poll(now):
             for verdict in verdicts:
                 self._announce(now, verdict)
-        times_s = (self._admission.next_wakeup(now), self._health.next_check())
+        check_s = self._health.next_check() if self._judges_upstream else None
+        times_s = (self._admission.next_wakeup(now), check_s)
         wakeup_s = min((at_s for at_s in times_s if at_s is not None), default=None)
         if wakeup_s is None or self._is_timer_set_by(wakeup_s):
             return
         if self._timer is not None:
             self._timer.cancel()
+        self._timer_s = wakeup_s
         self._timer = asyncio.get_running_loop().call_at(wakeup_s, self._wake)
 
     def _watch_health(self, now: float) -> None:
@@ -197,13 +205,15 @@
 
     def _is_open(self, now: float, ticket: Ticket) -> bool:
         """Return whether the upstream's health lets a request wait for a slot."""
+        if not self._judges_upstream:
+            return True
         if self._state is not HealthState.HEALTHY and self._admission.queued:
             return False
         return self._health.allows(now, OWN_UPSTREAM, repeatable=ticket.repeatable)
 
     def _is_timer_set_by(self, wakeup_s: float) -> bool:
         """Return whether the timer fires in time; an early one does no harm."""
-        return self._timer is not None and self._timer.when() <= wakeup_s
+        return self._timer is not None and self._timer_s <= wakeup_s
 
     def _wake(self) -> None:
         self._timer = None
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -41,9 +41,11 @@
         """Give back the slot and the shard."""
         service_time_s = asyncio.get_running_loop().time() - self.started_s
         error = None if kind is None else kind.value
-        self.permit.release(service_time_s=service_time_s, error=error)
-        if self.grant.shard:
-            self.ownership.finish(self.grant, service_time_s=service_time_s)
+        try:
+            self.permit.release(service_time_s=service_time_s, error=error)
+        finally:
+            if self.grant.shard:
+                self.ownership.finish(self.grant, service_time_s=service_time_s)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/proxy/test_gate.py
+++ b/tests/proxy/test_gate.py
@@ -3,8 +3,11 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
 import looptime
+import uvloop
+from returns.result import Success
 
 from papayatack.core.admission import Admission, Limits
 from papayatack.core.errors import ErrorKind
@@ -228,3 +231,56 @@
             await asyncio.gather(*tasks)
 
         run(scenario())
+
+
+class LoopTests(unittest.TestCase):
+    """The gate on the event loop of the platform's program."""
+
+    def test_wakeup_that_is_due_already(self):
+        """uvloop gives no time of a timer that was due when it was set."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            admission = Admission(now=loop.time(), limits=Limits(slots=1, ramp_s=0.0))
+            gate = AdmissionGate(admission=admission, metrics=Metrics())
+            past = unittest.mock.Mock(side_effect=lambda: loop.time() - 1.0)
+            with unittest.mock.patch.object(gate._health, "next_check", past):
+                for _ in range(3):
+                    ticket = Ticket(
+                        partner="",
+                        request_class=RequestClass.BROWSE,
+                        cost=1.0,
+                        deadline_s=loop.time() + 1.0,
+                    )
+                    permit = (await gate.acquire(ticket)).unwrap()
+                    permit.release(service_time_s=0.01)
+            gate.close()
+            return admission.in_use
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            self.assertEqual(runner.run(scenario()), 0)
+
+    def test_a_gate_may_leave_the_judgement_to_others(self):
+        """Whatever the upstream does, it is not taken out of use here."""
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            admission = Admission(now=loop.time(), limits=Limits(slots=1, ramp_s=0.0))
+            gate = AdmissionGate(
+                admission=admission, metrics=Metrics(), judges_upstream=False
+            )
+            for _ in range(40):
+                ticket = Ticket(
+                    partner="",
+                    request_class=RequestClass.BROWSE,
+                    cost=1.0,
+                    deadline_s=loop.time() + 1.0,
+                )
+                admitted = await gate.acquire(ticket)
+                self.assertIsInstance(admitted, Success)
+                permit = admitted.unwrap()
+                permit.release(service_time_s=0.01, error=ErrorKind.UPSTREAM_LOST)
+            gate.close()
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(scenario())
