Bound what sheds take away, split hot slices finer, and give keys up without the log

Change: sheds leave 0.8 of the slots; refused requests may be tried again within the budget; parts from 0.02 of a node's load are shards of their own; a node without an upstream moves its shards itself and, if the log takes no records for 0.6 s, has its lease fenced, so that the successors take over.

--- a/src/papayatack/control/loads.py
+++ b/src/papayatack/control/loads.py
@@ -14,7 +14,7 @@
 
 NEGLIGIBLE = 0.05
 MAX_KEYS_COUNTED = 1024
-MAX_HOT_KEYS = 48
+MAX_HOT_KEYS = 64
 SHORT_REPORT = 4
 REPORT_BUDGET = 4000
 """Shards that the reports of one round may name in all, so that the planner's share
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -273,6 +273,10 @@
         )
         self._carry_out(effects)
 
+    def give_up_shards(self) -> None:
+        """Hand all shards on, for there is no upstream to serve them."""
+        self._carry_out(self.core.give_up_shards(self._read_clock()))
+
     def restart_upstream(self) -> None:
         """Grant all shards anew to an upstream that has lost its grants."""
         self._carry_out(self.core.restart_upstream(self._read_clock()))
--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -52,7 +52,10 @@
         self.limits = limits
         self._rng = rng or random.Random()
         self._concurrency = Concurrency(
-            slots=limits.usable_slots, started_s=now, ramp_s=limits.ramp_s
+            slots=limits.usable_slots,
+            started_s=now,
+            ramp_s=limits.ramp_s,
+            least_share=limits.least_share,
         )
         self._headroom = Headroom(updated_s=now)
         self._expiries: KeyedHeap[Entry] = KeyedHeap()
@@ -94,6 +97,7 @@
         self.limits = limits
         self._concurrency.resize(limits.usable_slots)
         self._concurrency.ramp_s = limits.ramp_s
+        self._concurrency.least_share = limits.least_share
         weights = _read_weights(partners)
         for request_class, state in self._classes.items():
             state.share = limits.shares[request_class]
--- a/src/papayatack/core/admission/concurrency.py
+++ b/src/papayatack/core/admission/concurrency.py
@@ -22,11 +22,14 @@
         slots: Requests that the upstream says it runs at once.
         started_s: When the upstream started, cold.
         ramp_s: Time to reach all slots.
+        least_share: Share of the slots that sheds leave in use. An upstream that sheds
+            while it has free slots does not do so for too much work.
     """
 
     slots: int
     started_s: float
     ramp_s: float
+    least_share: float = 0.0
     _limit: float = dataclasses.field(init=False)
     _last_shed_s: float | None = dataclasses.field(init=False, default=None)
 
@@ -59,7 +62,8 @@
         if last_s is not None and now - last_s < SHED_INTERVAL_S:
             return
         self._last_shed_s = now
-        self._limit = max(1.0, min(self._limit, float(in_use)) * SHED_FACTOR)
+        least = max(1.0, self.least_share * self.slots)
+        self._limit = max(least, min(self._limit, float(in_use)) * SHED_FACTOR)
 
     def record_answer(self) -> None:
         """Raise the limit by one slot for each round of answers."""
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -28,6 +28,7 @@
         shares: Share of the slots guaranteed to each class.
         queue_per_slot: Requests that may wait for each slot that a class can use.
         ramp_s: Seconds after a start in which the slots come into use.
+        least_share: Share of the slots that stay in use however much is shed.
     """
 
     slots: int = 14
@@ -37,6 +38,7 @@
     )
     queue_per_slot: int = QUEUE_PER_SLOT
     ramp_s: float = RAMP_S
+    least_share: float = 0.0
 
     @property
     def usable_slots(self) -> int:
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -105,6 +105,7 @@
         warm_up_s: Seconds after its start in which an upstream gets a smaller share.
         ramp_s: Seconds after its start in which its slots come into use.
         health_path: Where an upstream says how it is, empty if nowhere.
+        least_share: Share of an upstream's slots that stay in use whatever it sheds.
         shares: Share of an upstream's slots that each class is guaranteed; empty for
             the usual ones.
     """
@@ -122,6 +123,7 @@
     warm_up_s: float = 60.0
     ramp_s: float = 10.0
     health_path: str = ""
+    least_share: float = 0.0
     shares: Mapping[RequestClass, float] = dataclasses.field(default_factory=dict)
 
 
--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -19,6 +19,7 @@
 __all__ = ["Departure", "Stage"]
 
 BATCH_SHARDS = 16
+STAY_PATIENCE_S = 0.6
 
 
 class Stage(enum.Enum):
@@ -46,13 +47,28 @@
         self._progress_s = 0.0
         self._left = 0
         self._stage_since_s = 0.0
+        self._stays = False
         self.stage = Stage.SERVING
 
-    def start(self, now: float) -> None:
-        """Begin to leave."""
+    def start(self, now: float, *, stays: bool = False) -> None:
+        """Begin to hand the shards on.
+
+        Args:
+            now: Time of the event loop.
+            stays: The node goes on without shards and without an upstream; otherwise
+                it ends.
+        """
         if self.stage is Stage.SERVING:
+            self._stays = stays
             self._progress_s = now
             self._enter(Stage.MOVING, now)
+        elif not stays:
+            self._stays = False
+
+    @property
+    def is_ending(self) -> bool:
+        """Tell whether the node leaves for good."""
+        return self.stage is not Stage.SERVING and not self._stays
 
     def _enter(self, stage: Stage, now: float) -> None:
         self.stage = stage
@@ -77,12 +93,21 @@
             self._left = left
             self._progress_s = now
             self._context.due_s_by_key.pop("drain", None)
-        stalled = now - self._progress_s > DRAIN_PATIENCE_S and not rights.draining
-        if not rights.rights and (not rights.draining or stalled) or stalled:
+        patience_s = STAY_PATIENCE_S if self._stays else DRAIN_PATIENCE_S
+        stalled = now - self._progress_s > patience_s and not rights.draining
+        done = not rights.rights and not rights.draining
+        if done and self._stays:
+            self._resume(now)
+        elif done or stalled:
             self._enter(Stage.DRAINING, now)
         elif not rights.draining:
             self._append_moves(now)
 
+    def _resume(self, now: float) -> None:
+        """Take part again, with no shard and perhaps without a lease."""
+        self._claims.stopped = False
+        self._enter(Stage.SERVING, now)
+
     def _append_moves(self, now: float) -> None:
         if not self._context.is_due("drain", now, RETRY_APPEND_S):
             return
@@ -135,7 +160,10 @@
                 holder.end()
         late = now - self._stage_since_s > DRAIN_PATIENCE_S
         if not left or late or not any(holder.witnesses for holder in left):
-            self._enter(Stage.RETIRING, now)
+            if self._stays:
+                self._resume(now)
+            else:
+                self._enter(Stage.RETIRING, now)
         elif self._context.is_due("resign", now, QUERY_INTERVAL_S):
             for holder in left:
                 for witness in holder.witnesses:
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -126,7 +126,7 @@
     @property
     def is_leaving(self) -> bool:
         """Tell whether a planned stop has begun."""
-        return self.departure.stage is not Stage.SERVING
+        return self.departure.is_ending
 
     def apply_record(
         self, offset: int, record: OwnershipRecord | None, *, now: float
@@ -192,6 +192,11 @@
         )
         return self.advance(now)
 
+    def give_up_shards(self, now: float) -> list[Effect]:
+        """Hand all shards on, for there is no upstream to serve them."""
+        self.departure.start(now, stays=True)
+        return self.advance(now)
+
     def restart_upstream(self, now: float) -> list[Effect]:
         """Ask an upstream that has lost its grants for all of them again.
 
--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -58,6 +58,7 @@
         slots=min(service.slots, upstream.slots),
         connections=min(service.connections, upstream.connections),
         ramp_s=service.ramp_s,
+        least_share=service.least_share,
         shares=service.shares or CLASS_SHARES,
     )
 
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -112,6 +112,7 @@
 
     def _start_leaving(self, upstream: AnnouncedUpstream) -> None:
         self._control.attach_upstream(service="")
+        self._control.give_up_shards()
         loop = asyncio.get_running_loop()
         self._cut = loop.call_later(self._drain_s, self._stop_sending)
         log_event(
@@ -128,6 +129,7 @@
         if news.is_certain:
             self._sink.forget()
         self._control.attach_upstream(service="")
+        self._control.give_up_shards()
         self._retire_pool()
 
     def _retire_pool(self) -> None:
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -33,6 +33,7 @@
     RequestClass.BROWSE: 0.45,
     RequestClass.DOWNLOAD: 0.2,
 }
+LEAST_SHARE = 0.8
 ANY_SLOTS = 1_000_000
 """Each upstream tells its own slots; the manifest does not."""
 
@@ -133,6 +134,7 @@
         deadline_s=deadline_s,
         health_path=service.health_path,
         shares=SHARES,
+        least_share=LEAST_SHARE,
     )
 
 
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -39,12 +39,12 @@
 PLACEMENT = PlacementLimits(
     moves=48,
     hourly_share=float("inf"),
-    hot_shards=256,
+    hot_shards=320,
     start_imbalance=0.25,
     stop_imbalance=0.1,
     min_gain=0.02,
-    hot_share=0.08,
-    cool_share=0.02,
+    hot_share=0.02,
+    cool_share=0.004,
     settle_s=2.5,
     keep_hot_s=10.0,
 )
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -238,9 +238,6 @@
         """Return the delay before a further attempt, or ``None`` for no attempt."""
         if not find_answer(refusal.kind).retryable:
             return None
-        if refusal.kind is ErrorKind.UPSTREAM_SHED and peer_request.key:
-            self._metrics.count("retries_refused", "only-owner")
-            return None
         if _is_unknown(refusal) and not peer_request.repeatable:
             self._metrics.count("retries_refused", "not-repeatable")
             return None
