--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -153,6 +153,38 @@
 
         self.run_fleet(scenario)
 
+    def give_up(self, outage, limit_s):
+        """Let one node lose its upstream; return what it serves afterwards."""
+        kept = []
+
+        async def scenario(fixture):
+            fixture.store.faults.outage = outage
+            node = fixture.network.nodes["a"]
+            node.attach_upstream(service="")
+            node.give_up_shards()
+            async with asyncio.timeout(limit_s):
+                while node.core.context.rights.rights:
+                    await asyncio.sleep(0.01)
+                await fixture.wait_served(KEYS, limit_s)
+            kept.append(len(node.core.context.rights.rights))
+            fixture.store.faults.outage = Outage.NONE
+            await asyncio.sleep(8)
+            await fixture.wait_served(KEYS, limit_s)
+            kept.append(len(node.core.context.rights.rights))
+            self.assertIsNotNone(node.core.state.find_lease(node.core.me))
+            self.assertFalse(node.is_leaving)
+
+        self.run_fleet(scenario)
+        return kept
+
+    def test_node_without_upstream_gives_its_shards_up(self):
+        """The others serve all keys; the node stays and holds a lease again."""
+        self.assertEqual(self.give_up(Outage.NONE, TARGET_S), [0, 0])
+
+    def test_shards_are_given_up_while_the_log_is_down(self):
+        """The successors agreed beforehand take over."""
+        self.assertEqual(self.give_up(Outage.REFUSE, TARGET_S), [0, 0])
+
     def test_few_nodes_tail(self):
         """A change reaches a node that does not follow the log itself."""
 
