--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -18,7 +18,9 @@
     "NodeSettings",
     "Settings",
     "parse_settings",
+    "read_file",
     "read_settings",
+    "split_sections",
 ]
 
 HIGHEST_PORT = 65535
@@ -144,26 +146,44 @@
     Raises:
         SettingsError: If the file is missing or has faults; it names them all.
     """
+    return parse_settings(read_file(path), source=path)
+
+
+def read_file(path: str) -> str:
+    """Return the text of a settings file.
+
+    Raises:
+        SettingsError: If it cannot be read.
+    """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         detail = f"{path}: cannot be read ({error}); check the path"
         raise SettingsError(detail) from error
-    return parse_settings(text, source=path)
 
 
-def parse_settings(text: str, *, source: str = "settings") -> Settings:
-    """Validate the text of a settings file.
+def split_sections(text: str, *, source: str) -> dict[str, dict[str, str]]:
+    """Return the sections of an INI file with their keys, whose case counts.
 
     Raises:
-        SettingsError: If it has faults; the message names them all.
+        SettingsError: If the text is no INI file.
     """
     parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
     try:
         parser.read_string(text, source=source)
     except configparser.Error as error:
         raise SettingsError(f"{source}: not an INI file: {error}") from error
-    document = {name: dict(parser[name]) for name in parser.sections()}
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def parse_settings(text: str, *, source: str = "settings") -> Settings:
+    """Validate the text of a settings file.
+
+    Raises:
+        SettingsError: If it has faults; the message names them all.
+    """
+    document = split_sections(text, source=source)
     try:
         return Settings.model_validate(document)
     except pydantic.ValidationError as error:
--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -19,7 +19,13 @@
 from papayatack.network.exchanges import Request, Response
 from papayatack.network.upstreams import UpstreamPool
 
-__all__ = ["GrantClient", "UpstreamHealth", "UpstreamLoad", "format_lease"]
+__all__ = [
+    "GrantClient",
+    "UpstreamHealth",
+    "UpstreamLoad",
+    "build_json_request",
+    "format_lease",
+]
 
 CALL_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 64 * 1024
@@ -122,16 +128,7 @@
         if pool is None:
             detail = "no upstream runs here"
             return Failure(Refusal(kind=ErrorKind.UPSTREAM_UNREACHABLE, detail=detail))
-        request = Request(
-            method=method,
-            target=target,
-            headers=(
-                (b"host", pool.address.encode()),
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % len(data)),
-            ),
-            body=BytesBody(data=data),
-        )
+        request = build_json_request(pool.address, method, target, data)
         deadline_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
         result = await pool.exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
@@ -139,6 +136,22 @@
         return await _read_answer(result.unwrap())
 
 
+def build_json_request(
+    address: str, method: bytes, target: bytes, data: bytes
+) -> Request:
+    """Return a request of the node's own to the upstream at an address."""
+    return Request(
+        method=method,
+        target=target,
+        headers=(
+            (b"host", address.encode()),
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(data)),
+        ),
+        body=BytesBody(data=data),
+    )
+
+
 async def _read_answer(response: Response) -> Result[bytes, Refusal]:
     """Return the whole body of a positive answer."""
     data = b""
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -16,8 +16,8 @@
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.shards import find_slice, is_hot
-from papayatack.network.bodies import BytesBody
-from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.exchanges import Response, find_header
+from papayatack.network.grants import build_json_request
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.platform.fields import HANDOVER
 from papayatack.platform.times import format_ms
@@ -256,16 +256,7 @@
         if pool is None:
             return None
         data = json.dumps(document).encode()
-        request = Request(
-            method=b"POST",
-            target=target,
-            headers=(
-                (b"host", pool.address.encode()),
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % len(data)),
-            ),
-            body=BytesBody(data=data),
-        )
+        request = build_json_request(pool.address, b"POST", target, data)
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         result = await pool.exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -1,8 +1,5 @@
 """Settings of a node on the platform: the INI file that it fills in from a template."""
 
-import configparser
-import pathlib
-
 import pydantic
 
 from papayatack.core.errors import SettingsError
@@ -15,6 +12,8 @@
     LogServiceSettings,
     NodeSettings,
     Settings,
+    read_file,
+    split_sections,
 )
 from papayatack.platform.times import Duration
 
@@ -119,12 +118,7 @@
     Raises:
         SettingsError: If the file is missing or has faults; it names them all.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        message = f"{path}: cannot be read ({error}); check the path"
-        raise SettingsError(message) from error
-    return parse_platform_settings(text, source=path)
+    return parse_platform_settings(read_file(path), source=path)
 
 
 def parse_platform_settings(text: str, *, source: str) -> PlatformSettings:
@@ -133,16 +127,9 @@
     Raises:
         SettingsError: If it has faults; the message names them all.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    parser.optionxform = str
-    try:
-        parser.read_string(text, source=source)
-    except configparser.Error as error:
-        message = f"{source}: not an INI file: {error}"
-        raise SettingsError(message) from error
     document = {
-        name: {key: value for key, value in parser[name].items() if value}
-        for name in parser.sections()
+        name: {key: value for key, value in section.items() if value}
+        for name, section in split_sections(text, source=source).items()
     }
     try:
         return PlatformSettings.model_validate(document)
