--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -29,9 +29,9 @@
 class GrantTask:
     """Carries out grant effects and reports the answers.
 
-    Grants and revocations go out in their order. Extensions go out beside them, so
-    that a slow revocation lets no other grant run out; of those that wait, only the
-    newest of each lease counts.
+    Grants and revocations of one shard go out in their order, those of others beside
+    them: a revocation waits for the work under it, and must hold up nothing else. Of
+    the extensions that wait, only the newest of each lease counts.
 
     The upstream counts a grant's time from its arrival; the margin covers the way
     there.
@@ -46,6 +46,7 @@
         self._sink = sink
         self._confirm = confirm
         self._queue: asyncio.Queue[tuple[float, GrantEffect]] = asyncio.Queue()
+        self._under_way: dict[asyncio.Task[None], frozenset[ShardId]] = {}
         self._extensions: dict[str, tuple[float, ExtendLease]] = {}
         self._extension_wanted = asyncio.Event()
 
@@ -61,17 +62,29 @@
     async def run(self) -> None:
         """Carry out effects until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._run_queue())
+            tasks.create_task(self._run_queue(tasks))
             tasks.create_task(self._run_extensions())
 
-    async def _run_queue(self) -> None:
+    async def _run_queue(self, tasks: asyncio.TaskGroup) -> None:
         while True:
             made_s, effect = await self._queue.get()
-            waited_s = asyncio.get_running_loop().time() - made_s
-            done, handovers = await self._call(effect, waited_s)
-            self._confirm(effect, done, handovers)
-            if not done:
-                await asyncio.sleep(RETRY_S)
+            shards = _list_shards(effect)
+            before = [task for task, held in self._under_way.items() if held & shards]
+            task = tasks.create_task(self._carry_out(made_s, effect, before))
+            self._under_way[task] = shards
+            task.add_done_callback(self._under_way.pop)
+
+    async def _carry_out(
+        self, made_s: float, effect: GrantEffect, before: list[asyncio.Task[None]]
+    ) -> None:
+        """Carry out an effect after those before it; one that failed is told late."""
+        if before:
+            await asyncio.wait(before)
+        waited_s = asyncio.get_running_loop().time() - made_s
+        done, handovers = await self._call(effect, waited_s)
+        if not done:
+            await asyncio.sleep(RETRY_S)
+        self._confirm(effect, done, handovers)
 
     async def _run_extensions(self) -> None:
         while True:
@@ -130,6 +143,21 @@
         return False, {}
 
 
+@functools.singledispatch
+def _list_shards(effect: GrantEffect) -> frozenset[ShardId]:
+    raise TypeError(effect)
+
+
+@_list_shards.register
+def _(effect: GrantShards) -> frozenset[ShardId]:
+    return frozenset(effect.tokens)
+
+
+@_list_shards.register
+def _(effect: RevokeShards) -> frozenset[ShardId]:
+    return frozenset(effect.shards)
+
+
 def _shorten(remaining_s: float, waited_s: float) -> int:
     """Return the microseconds that are left when the upstream takes the grant in."""
     if remaining_s == float("inf"):
