Let a stopping node finish its peers' requests and refuse further ones

Change: a move without progress for 1 s counts as impossible, and the lease is fenced; the connection to peers refuses new requests as not run once it stops. The test failed first.

--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -20,6 +20,8 @@
 
 BATCH_SHARDS = 16
 STAY_PATIENCE_S = 0.6
+MOVE_PATIENCE_S = 1.0
+"""Without progress; then the log counts as away, and the witnesses decide."""
 
 
 class Stage(enum.Enum):
@@ -93,7 +95,7 @@
             self._left = left
             self._progress_s = now
             self._context.due_s_by_key.pop("drain", None)
-        patience_s = STAY_PATIENCE_S if self._stays else DRAIN_PATIENCE_S
+        patience_s = STAY_PATIENCE_S if self._stays else MOVE_PATIENCE_S
         stalled = now - self._progress_s > patience_s and not rights.draining
         done = not rights.rights and not rights.draining
         if done and self._stays:
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -55,7 +55,7 @@
 
 
 async def _refuse_request(request: PeerRequest) -> Result[Response, Refusal]:
-    return Failure(Refusal(kind=ErrorKind.NODE_DRAINING, detail="not serving yet"))
+    return Failure(Refusal(kind=ErrorKind.NODE_DRAINING, detail="not serving"))
 
 
 def _drop_control(
@@ -120,10 +120,11 @@
         self._sweeper = loop.create_task(self._sweep())
 
     async def stop(self) -> None:
-        """Finish requests that peers sent, then close all connections."""
+        """Finish requests that peers sent, refuse further ones, then close."""
+        self.on_request = _refuse_request
         if self._server is not None:
             self._server.close()
-        if self._serving:
+        while self._serving:
             await asyncio.wait(self._serving)
         await self.abort()
 
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -109,6 +109,26 @@
         result = await self.exchange(recipient="gone")
         self.assertIs(result.failure().kind, ErrorKind.NOT_OWNER)
 
+    async def test_stopping_node_takes_no_request_and_finishes_what_it_has(self):
+        """What it runs is answered; what comes now is refused as not run."""
+        released = asyncio.Event()
+        answer = self.second.on_request
+
+        async def wait(request):
+            await released.wait()
+            return await answer(request)
+
+        self.second.on_request = wait
+        running = asyncio.ensure_future(self.exchange())
+        await wait_until(lambda: self.second._serving)
+        stopping = asyncio.ensure_future(self.second.stop())
+        await asyncio.sleep(0.01)
+        refused = await self.exchange()
+        self.assertIs(refused.failure().kind, ErrorKind.NODE_DRAINING)
+        released.set()
+        self.assertEqual((await running).unwrap().status, 200)
+        await stopping
+
     async def test_both_sides_opening_leaves_one_connection_each(self):
         """Connections opened at once are reduced to the preferred one."""
         for _ in range(3):
