--- a/tests/core/test_key_memory.py
+++ b/tests/core/test_key_memory.py
@@ -151,10 +151,10 @@
     def test_served_or_draining_shard_is_not_released(self):
         """Outcomes may still come in until the requests have ended."""
         self.assertFalse(self.find())
-        self.rights.begin(SHARD)
+        generation = self.rights.begin(SHARD)
         self.rights.stop(SHARD, drains=True)
         self.assertFalse(self.find())
-        self.rights.finish(SHARD)
+        self.rights.finish(SHARD, generation)
         self.assertFalse(self.find())
         del self.rights.draining[SHARD]
         self.assertTrue(self.find())
