--- a/src/papayatack/core/retry.py
+++ b/src/papayatack/core/retry.py
@@ -8,7 +8,7 @@
 
 from papayatack.core.errors import ErrorKind, Outcome, find_answer
 
-__all__ = ["RetryBudget", "RetryDecision", "RetryPolicy", "RetryReason"]
+__all__ = ["BUDGET_SHARE", "RetryBudget", "RetryDecision", "RetryPolicy", "RetryReason"]
 
 BUDGET_SHARE = 0.08
 BUDGET_WINDOW_S = 10.0
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -321,7 +321,11 @@
             gate=gate,
             peers=self._peers,
             metrics=self._metrics,
-            retry=RetryPolicy(count=self._metrics.count, rng=self._random),
+            retry=RetryPolicy(
+                count=self._metrics.count,
+                rng=self._random,
+                share=self._surroundings.retry_share,
+            ),
             handover=HandoverWait(rng=self._random),
             dialect=self._surroundings.dialect,
             build_classifier=self._surroundings.build_classifier,
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -17,6 +17,7 @@
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.placement import PlacementLimits
 from papayatack.core.records import CONFIG_STREAM
+from papayatack.core.retry import BUDGET_SHARE
 from papayatack.daemon.announcement import (
     AnnouncedUpstream,
     AnnouncementDesk,
@@ -72,6 +73,7 @@
         placement: What one plan may change.
         tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
         judges_upstream: Whether the gate takes an upstream that fails out of use.
+        retry_share: Further attempts allowed for each request.
     """
 
     log: LogService
@@ -85,6 +87,7 @@
     placement: PlacementLimits
     tailing: TailPolicy | None
     judges_upstream: bool
+    retry_share: float
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
         """Return what classifies requests under a configuration."""
@@ -131,6 +134,7 @@
         self.placement = PlacementLimits()
         self.tailing: TailPolicy | None = None
         self.judges_upstream = True
+        self.retry_share = BUDGET_SHARE
         self._sink = GrantClient()
 
     def build_classifier(self, *, configuration: Configuration) -> RequestClassifier:
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -33,6 +33,10 @@
 
 __all__ = ["PlatformSurroundings"]
 
+OWN_RETRY_SHARE = 0.15
+"""Part of the users' retry budget for a node's further attempts: the calls that a
+repeated run makes count as repeats too, each at the service that it calls."""
+
 PACE = PlanPace(
     interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6, gather_s=0.8
 )
@@ -82,6 +86,7 @@
         self.placement = PLACEMENT
         self.tailing: TailPolicy | None = TailPolicy(all_members=2, per_data_centre=1)
         self.judges_upstream = False
+        self.retry_share = settings.bounds.retry_share * OWN_RETRY_SHARE
         self.build_classifier = functools.partial(
             RouteClassifier, fields=FIELDS, caller_service=settings.upstream.service
         )
