Time a grant when it is sent, and let no renewal wait for releases

Cause: a grant's time was worked out before it waited for one of eight calls, and each release holds a call for as long as the work under it lasts. On a busy node a renewal went out seconds late and still named the whole time, so that the upstream held keys beyond the lease: two upstreams with one key. Renewals that waited also let keys run out. Ruled out: the margin for the way (0.02 s) is far shorter than the wait.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -32,7 +32,10 @@
 
 RELEASE_TIMEOUT_S = 2.0
 MAX_CALLS = 8
-"""Calls at once; each takes one of the connections that the upstream accepts."""
+"""Grants at once; each takes one of the connections that the upstream accepts."""
+
+MAX_RELEASES = 24
+"""Releases at once; each lasts as long as the work under it."""
 
 FRESH_S = 0.3
 OK = 200
@@ -79,7 +82,8 @@
         self._held: dict[ShardId, _Held] = {}
         self._late_s: dict[ShardId, float] = {}
         self._releasing: set[ShardId] = set()
-        self._slots = asyncio.Semaphore(MAX_CALLS)
+        self._grant_slots = asyncio.Semaphore(MAX_CALLS)
+        self._release_slots = asyncio.Semaphore(MAX_RELEASES)
         self._calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
 
     def forget(self) -> None:
@@ -162,9 +166,9 @@
         remaining_us: int,
         handovers: Mapping[ShardId, str],
     ) -> Result[None, Refusal]:
-        hold_s = remaining_us / MICROSECONDS * (1 - CLOCK_RATE_BOUND)
+        end_s = asyncio.get_running_loop().time() + remaining_us / MICROSECONDS
         call = asyncio.ensure_future(
-            self._grant_ranges(lease, tokens, hold_s, handovers)
+            self._grant_ranges(lease, tokens, end_s, handovers)
         )
         self._calls[call] = frozenset(tokens)
         call.add_done_callback(self._calls.pop)
@@ -175,18 +179,13 @@
         self,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
-        hold_s: float,
+        end_s: float,
         handovers: Mapping[ShardId, str],
     ) -> bool:
         """Send the grants; note which the upstream has and which it may have."""
-        now = asyncio.get_running_loop().time()
-        until_s = now + hold_s * (1 + CLOCK_RATE_BOUND)
         ranges = self._merge(tokens, handovers)
         answers = await asyncio.gather(
-            *(
-                self._call(b"/grant", _describe(key_range, hold_s), hold_s)
-                for key_range in ranges
-            )
+            *(self._call_grant(key_range, end_s) for key_range in ranges)
         )
         failed = [
             (part, answer)
@@ -201,10 +200,10 @@
                 if part.first <= last and first <= part.last
             ]
             if any(answer is None for answer in missing):
-                self._late_s[shard] = until_s + ARRIVAL_S
+                self._late_s[shard] = end_s + ARRIVAL_S
             known = self._held.get(shard)
             if not missing and (known is None or known.token <= token):
-                self._held[shard] = _Held(lease=lease, token=token, until_s=until_s)
+                self._held[shard] = _Held(lease=lease, token=token, until_s=end_s)
         return not failed
 
     def _merge(
@@ -255,12 +254,7 @@
         One that does not answer holds the shard until its grants have run out.
         """
         parts = self._merge({shard: held.token}, {})
-        answers = await asyncio.gather(
-            *(
-                self._call(b"/release", _describe(part), RELEASE_TIMEOUT_S)
-                for part in parts
-            )
-        )
+        answers = await asyncio.gather(*(self._call_release(part) for part in parts))
         if all(answer is not None and answer.status == OK for answer in answers):
             return _join_handovers(parts, answers)
         now = asyncio.get_running_loop().time()
@@ -275,18 +269,54 @@
         for shard in shards:
             self._late_s.pop(shard, None)
 
+    async def _call_grant(self, key_range: _KeyRange, end_s: float) -> Response | None:
+        """Grant until ``end_s``, whatever time passes before the grant is sent.
+
+        The upstream counts from the arrival: only what is left when a connection is at
+        hand may be named.
+        """
+
+        def describe() -> Mapping[str, object] | None:
+            left_s = end_s - asyncio.get_running_loop().time()
+            hold_s = left_s * (1 - CLOCK_RATE_BOUND)
+            return _describe(key_range, hold_s) if hold_s > 0 else None
+
+        async with self._grant_slots:
+            return await self._call(b"/grant", describe, end_s)
+
+    async def _call_release(self, key_range: _KeyRange) -> Response | None:
+        end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
+        async with self._release_slots:
+            return await self._call(b"/release", lambda: _describe(key_range), end_s)
+
     async def _call(
-        self, target: bytes, document: Mapping[str, object], timeout_s: float
+        self,
+        target: bytes,
+        describe: Callable[[], Mapping[str, object] | None],
+        deadline_s: float,
     ) -> Response | None:
-        """Return the upstream's answer, ``None`` if it may or may not have acted."""
+        """Return the upstream's answer, ``None`` if it may or may not have acted.
+
+        Args:
+            target: The path to call.
+            describe: Returns the document once a connection is at hand, ``None`` if
+                nothing may be sent any more.
+            deadline_s: Event loop time by which the answer must be here.
+        """
         pool = self.pool
         if pool is None:
             return None
+        reserved = await pool.reserve(deadline_s=deadline_s)
+        if not is_successful(reserved):
+            return None
+        connection = reserved.unwrap()
+        document = describe()
+        if document is None:
+            pool.return_connection(connection)
+            return None
         data = json.dumps(document).encode()
         request = build_json_request(pool.address, b"POST", target, data)
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
-        async with self._slots:
-            result = await pool.exchange(request, deadline_s=deadline_s)
+        result = await connection.exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
             return None
         settled = await settle_response(result.unwrap())
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -33,6 +33,8 @@
         runs: Ids of the requests that it ran, in order.
         grants: What it holds, by first and last key.
         refuse_grants: Whether grants are answered with 409.
+        grant_delay_s: Time for which the answer to a grant is held back.
+        release_delay_s: How long the work under each release takes to end.
         hangs: Whether requests are run and never answered.
     """
 
@@ -43,6 +45,8 @@
         self.grants: dict[tuple[int, int], Grant] = {}
         self.callers: set[bytes] = set()
         self.refuse_grants = False
+        self.grant_delay_s = 0.0
+        self.release_delay_s = 0.0
         self.hangs = False
         self._place = place
         self._sequence = 0
@@ -110,9 +114,13 @@
                     200, fields=(*fields, (b"papayatack-server-load", b"0,0,8"))
                 )
             case b"/grant":
-                return self._grant(json.loads(body))
+                response = self._grant(json.loads(body))
+                await asyncio.sleep(self.grant_delay_s)
+                return response
             case b"/release":
-                return self._release(json.loads(body))
+                response = self._release(json.loads(body))
+                await asyncio.sleep(self.release_delay_s)
+                return response
         response = self._run(request)
         if self.hangs and response.status == 200:
             await asyncio.get_running_loop().create_future()
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -79,6 +79,29 @@
         self.assertIsInstance(result, Success)
         self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6)
 
+    async def test_grant_that_waited_ends_with_its_lease(self):
+        """However long it waits for a connection, the upstream's time is no longer."""
+        loop = asyncio.get_running_loop()
+        self.upstream.grant_delay_s = 0.05
+        shards = {name(16 * n, 16 * n + 7): 7 for n in range(4 * MAX_CALLS)}
+        end_s = loop.time() + SHORT_US / 1e6
+        await self.grants.grant(LEASE, shards, SHORT_US)
+        await asyncio.sleep(max(0.0, end_s - loop.time()))
+        until_s = max(held.until_s for held in self.upstream.grants.values())
+        self.assertLessEqual(until_s, end_s + 0.02)
+
+    async def test_renewals_do_not_wait_for_releases(self):
+        """These last as long as the work under them; what stays must not run out."""
+        shards = [name(16 * n, 16 * n + 7) for n in range(3 * MAX_CALLS)]
+        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), SHORT_US)
+        self.upstream.release_delay_s = 0.6
+        revoked = tuple(shards[: 2 * MAX_CALLS])
+        releasing = asyncio.ensure_future(self.grants.revoke(LEASE, revoked))
+        await asyncio.sleep(0.1)
+        await asyncio.wait_for(self.grants.extend(LEASE, LONG_US), timeout=0.2)
+        await releasing
+        self.assertTrue(self.upstream.holds(16 * (3 * MAX_CALLS - 1)))
+
     async def test_refused_grant_counts_as_none(self):
         """A higher token was seen."""
         self.upstream.refuse_grants = True
