--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -512,7 +512,13 @@
     def _(self, effect: NoteEvent) -> None:
         event = Event[effect.name]
         self.metrics.count(event.name.lower(), effect.reason)
-        log_event(LOGGER, event, reason=effect.reason, subject=effect.subject)
+        log_event(
+            LOGGER,
+            event,
+            reason=effect.reason,
+            subject=effect.subject,
+            **effect.fields,
+        )
 
     @_perform.register
     def _(self, effect: FinishNode) -> None:
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -225,13 +225,23 @@
         return any(end is not None for end in ends)
 
     def _stop(self, shard: ShardId, *, drains: bool) -> None:
-        if self._context.rights.stop(shard, drains=drains):
-            self._context.note("SHARD_STOPPED", subject=shard)
+        right = self._context.rights.rights.get(shard)
+        if right is not None and self._context.rights.stop(shard, drains=drains):
+            self._context.note(
+                "SHARD_STOPPED",
+                subject=shard,
+                token=right.wanted_token,
+                position=self._context.state.position,
+                drains=drains,
+            )
 
     def _acquire(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> None:
         position = entry.current.leases.index(holder.lease)
         current = entry.current
         token = make_token(current.since, position, self._context.upstream_life)
+        right = self._context.rights.rights.get(shard)
+        if right is None or right.wanted_token != token:
+            self._note_taken(shard, entry, holder, token)
         self._context.rights.acquire(
             shard,
             holder,
@@ -243,6 +253,41 @@
             handover=self._handovers.get(shard, ""),
         )
 
+    def _note_taken(
+        self, shard: ShardId, entry: ShardEntry, holder: Holder, token: int
+    ) -> None:
+        """Note what allows this node to serve a shard under a token."""
+        before = [
+            (chain, lease)
+            for chain in entry.list_chains()
+            for lease in chain.leases
+            if lease not in self._context.holders
+        ]
+        proofs = [
+            f"{chain.epoch} {lease.incarnation}/{lease.term}: "
+            + self._describe_proof(shard, lease)
+            for chain, lease in before
+        ]
+        self._context.note(
+            "SHARD_TAKEN",
+            subject=shard,
+            epoch=entry.current.epoch,
+            since=entry.current.since,
+            token=token,
+            term=holder.lease.term,
+            position=self._context.state.position,
+            others=proofs,
+        )
+
+    def _describe_proof(self, shard: ShardId, lease: LeaseId) -> str:
+        released = self._released.get(shard, {}).get(lease)
+        if released is not None:
+            return f"released to {released}"
+        end = self.find_end(lease)
+        if end is None:
+            return "no end known"
+        return f"ended at {end.floor}, confirmed {end.confirmed_floor}"
+
     def _find_origin(
         self, shard: ShardId, entry: ShardEntry, holder: Holder
     ) -> Origin | None:
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -80,9 +80,13 @@
         """Ask for a record to be appended."""
         self.effects.append(AppendRecord(record=record))
 
-    def note(self, name: str, reason: str = "", subject: object = "") -> None:
+    def note(
+        self, name: str, reason: str = "", subject: object = "", **fields: object
+    ) -> None:
         """Ask for an event to be logged and counted."""
-        self.effects.append(NoteEvent(name=name, reason=reason, subject=str(subject)))
+        self.effects.append(
+            NoteEvent(name=name, reason=reason, subject=str(subject), fields=fields)
+        )
 
     def make_record_id(self) -> str:
         """Return an id that no other record has."""
--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -78,11 +78,13 @@
         name: Name in :class:`papayatack.observability.events.Event`.
         reason: Counted reason, empty if there is none.
         subject: The lease, incarnation or shards concerned.
+        fields: What the decision rests on.
     """
 
     name: str
     reason: str = ""
     subject: str = ""
+    fields: Mapping[str, object] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
