--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -226,7 +226,8 @@
 
     def _stop(self, shard: ShardId, *, drains: bool) -> None:
         right = self._context.rights.rights.get(shard)
-        if right is not None and self._context.rights.stop(shard, drains=drains):
+        stopped = self._context.rights.stop(shard, drains=drains)
+        if stopped and right is not None:
             self._context.note(
                 "SHARD_STOPPED",
                 subject=shard,
