--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -71,9 +71,9 @@
         """Examine again all shards that wait for something."""
         self._dirty.update(self._blocked)
 
-    def accept_release(self, message: Release) -> None:
+    def accept_release(self, message: Release, now: float) -> None:
         """Take in that an old holder released shards."""
-        self._learn(message.lease.incarnation, message.shards, message.epochs)
+        self._learn(message.lease.incarnation, message.shards, message.epochs, now)
         for shard, epoch in zip(message.shards, message.epochs, strict=False):
             entry = self._context.state.shards.get(shard)
             if entry is None or not entry.earlier:
@@ -85,11 +85,13 @@
             if handover and shard in self._released:
                 self._handovers[shard] = handover
 
-    def accept_query(self, sender: IncarnationId, message: ReleaseQuery) -> None:
+    def accept_query(
+        self, sender: IncarnationId, message: ReleaseQuery, now: float
+    ) -> None:
         """Remember that a new holder waits for shards of this node."""
         if message.lease not in self._context.holders:
             return
-        self._learn(sender, message.shards, message.epochs)
+        self._learn(sender, message.shards, message.epochs, now)
         for shard, epoch in zip(message.shards, message.epochs, strict=False):
             if len(self._queries) >= MAX_PENDING_QUERIES:
                 self._context.note("PEER_MESSAGE_REFUSED", "too many queries", sender)
@@ -101,12 +103,18 @@
         sender: IncarnationId,
         shards: tuple[ShardId, ...],
         epochs: tuple[int, ...],
+        now: float,
     ) -> None:
-        """Ask for the records of moves that another node knows and this one lacks."""
+        """Ask for the records of moves that another node knows and this one lacks.
+
+        The answer is large: it is asked for once while it is on its way.
+        """
         entries = (self._context.state.shards.get(shard) for shard in shards)
         known = [entry.current.epoch if entry is not None else 0 for entry in entries]
-        if any(mine < epoch for mine, epoch in zip(known, epochs, strict=False)):
-            position = self._context.state.position
+        lacks = any(mine < epoch for mine, epoch in zip(known, epochs, strict=False))
+        position = self._context.state.position
+        key = f"records from {position}"
+        if lacks and self._context.is_due(key, now, QUERY_INTERVAL_S):
             query = LogQuery(stream=OWNERSHIP_STREAM, offset=position)
             self._context.send(sender, query)
 
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -491,14 +491,14 @@
         if sender != message.lease.incarnation:
             self._refuse_message(message, sender, "not the holder")
             return
-        self.claims.accept_release(message)
+        self.claims.accept_release(message, now)
 
     @_receive.register
     def _(self, message: ReleaseQuery, sender: IncarnationId, now: float) -> None:
         if sender != message.asker.incarnation:
             self._refuse_message(message, sender, "not the asker")
             return
-        self.claims.accept_query(sender, message)
+        self.claims.accept_query(sender, message, now)
 
     @_receive.register
     def _(self, message: LogQuery, sender: IncarnationId, now: float) -> None:
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import json
+import logging
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from returns.pipeline import is_successful
@@ -19,13 +20,17 @@
 from papayatack.network.exchanges import Response, find_header
 from papayatack.network.grants import build_json_request
 from papayatack.network.upstreams import UpstreamPool
+from papayatack.observability.events import Event, log_event
 from papayatack.platform.fields import HANDOVER
 from papayatack.platform.times import format_ms
 from papayatack.proxy.settling import settle_response
 
 __all__ = ["RangeGrants"]
 
+LOGGER = logging.getLogger(__name__)
+
 MICROSECONDS = 1_000_000
+MS_PER_S = 1000
 CLOCK_RATE_BOUND = 0.02
 ARRIVAL_S = 0.3
 """Longest time that a grant takes to arrive at the upstream of the same machine."""
@@ -40,6 +45,7 @@
 MAX_RELEASES = 24
 """Releases at once; each lasts as long as the work under it."""
 
+MAX_RANGES_LOGGED = 4
 FRESH_S = 0.3
 OK = 200
 
@@ -195,6 +201,8 @@
             for part, answer in zip(ranges, answers, strict=True)
             if answer is None or answer.status != OK
         ]
+        if failed:
+            _note_failures(failed, left_s=end_s - asyncio.get_running_loop().time())
         for shard, token in tokens.items():
             _, first, last = find_slice(shard)
             missing = [
@@ -326,6 +334,27 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
+def _note_failures(
+    failed: list[tuple[_KeyRange, Response | None]], left_s: float
+) -> None:
+    """Log which ranges the upstream did not take, and its answers."""
+    log_event(
+        LOGGER,
+        Event.GRANT_FAILED,
+        level=logging.WARNING,
+        count=len(failed),
+        left_ms=int(left_s * MS_PER_S),
+        ranges=[
+            {
+                "keys": f"{part.first}-{part.last}",
+                "token": part.token,
+                "status": answer.status if answer is not None else None,
+            }
+            for part, answer in failed[:MAX_RANGES_LOGGED]
+        ],
+    )
+
+
 def _join_handovers(parts: list[_KeyRange], answers: list[Response | None]) -> str:
     """Return the upstream's handovers with the keys that each is for."""
     found = []
