Plan a fleet that was lost as a whole only once its nodes have joined

Ruled out: refusals by the upstream (no range was answered at all). Before: a plan with the first node that is back; after: one once no further node has joined for 0.8 s, 2.4 s at most (tests that failed first). Away time is not lost, as the grants of the ended nodes are waited out for longer.

A key that has been without its owner for longer than a change of owner lasts is waited for no more: its requests are asked once and refused at once. Before, each of them asked some twenty times, which took a node's whole processor.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -22,6 +22,9 @@
 
 NEW_LEASE_S = 2.0
 STAND_IN_S = 0.7
+GATHERINGS = 3
+"""Longest time for which a plan waits for nodes, in units of ``gather_s``."""
+
 MAX_ASSIGNMENTS = 256
 REPORT_VALID_S = 300.0
 DECLARE_LOST_AFTER_S = 600.0
@@ -36,7 +39,8 @@
         interval_s: Seconds between two looks at the fleet.
         idle_interval_s: Seconds between two plans while only loads change.
         report_interval_s: Least seconds between two load reports of a node.
-        gather_s: Seconds without a further node after which a new fleet is planned.
+        gather_s: Seconds without a further node after which a fleet is planned that is
+            new, or was lost as a whole.
     """
 
     interval_s: float = 1.0
@@ -78,6 +82,7 @@
         self._fenced_s: dict[IncarnationId, float] = {}
         self._orphans_s: float | None = None
         self._gathered = (0, float("-inf"))
+        self._gathering_s: float | None = None
         self._planned_at = (-1, -1)
         self._planned_s = float("-inf")
 
@@ -106,7 +111,7 @@
         idle = position == self._planned_at
         if idle and now - self._planned_s < self._pace.idle_interval_s:
             return
-        if not self._core.state.shards and self._is_gathering(now):
+        if self._is_gathering(now):
             return
         self._planned_at = position
         self._planned_s = now
@@ -140,26 +145,42 @@
 
     def _has_orphans(self) -> bool:
         """Tell whether keys lack an owner that can serve them."""
-        state = self._core.state
-        if not state.shards:
+        if not self._core.state.shards:
             services = self._read_configuration().services
             return any(service.key_ranges for service in services)
-        for shard, entry in state.shards.items():
-            leases = entry.current.leases
-            if not leases:
-                continue
-            owner = state.members.get(leases[0].incarnation)
-            service = shard.partition("/")[0]
-            if owner is None or owner.ended or owner.service != service:
-                return True
-        return False
+        return any(self._is_orphan(shard) for shard in self._core.state.shards)
+
+    def _is_orphan(self, shard: ShardId) -> bool:
+        """Tell whether a shard is to have an owner and lacks one that can serve it."""
+        state = self._core.state
+        leases = state.shards[shard].current.leases
+        if not leases:
+            return False
+        owner = state.members.get(leases[0].incarnation)
+        service = shard.partition("/")[0]
+        return owner is None or owner.ended is not None or owner.service != service
 
     def _is_gathering(self, now: float) -> bool:
-        """Tell whether nodes of a new fleet still join; the first plan waits."""
+        """Tell whether nodes still join of a fleet that is new or was lost as a whole.
+
+        The first ones would get all shards, and those that join a moment later none.
+        """
         serving = sum(1 for m in self._core.state.list_live_members() if m.service)
         if serving != self._gathered[0]:
             self._gathered = (serving, now)
-        return now - self._gathered[1] < self._pace.gather_s
+        if not self._has_lost_most():
+            self._gathering_s = None
+            return False
+        if self._gathering_s is None:
+            self._gathering_s = now
+        late = now - self._gathering_s >= GATHERINGS * self._pace.gather_s
+        return not late and now - self._gathered[1] < self._pace.gather_s
+
+    def _has_lost_most(self) -> bool:
+        """Tell whether most shards lack an owner that can serve them."""
+        shards = self._core.state.shards
+        orphans = sum(self._is_orphan(shard) for shard in shards)
+        return not shards or orphans > len(shards) / 2
 
     def _declare_lost(self, now: float) -> None:
         """Declare nodes lost whose lease is fenced and that take no new one.
--- a/src/papayatack/core/handover.py
+++ b/src/papayatack/core/handover.py
@@ -4,6 +4,10 @@
 request that meets this was not run and cost no upstream anything, so that asking
 again needs no share of the retry budget; it needs bounds of its own instead: on the
 time, on the pauses between attempts, and on the number of requests that wait.
+
+The time counts from when the shard was first found without its owner, not from when
+the request came: a shard that has been away for longer than a change of owner lasts
+may stay away, and requests for it are asked once and refused at once.
 """
 
 import dataclasses
@@ -12,7 +16,13 @@
 
 from papayatack.core.errors import ErrorKind
 
-__all__ = ["HANDOVER_KINDS", "HandoverReason", "HandoverWait", "WaitState"]
+__all__ = [
+    "HANDOVER_KINDS",
+    "MAX_ABSENCES",
+    "HandoverReason",
+    "HandoverWait",
+    "WaitState",
+]
 
 HANDOVER_KINDS = frozenset(
     {
@@ -33,6 +43,10 @@
 of that news to this node."""
 
 MAX_WAITING = 256
+MAX_ABSENCES = 4096
+FORGET_S = 2.0
+"""Time without a further refusal after which a shard counts as served again."""
+
 FIRST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.2
 PAUSE_FACTOR = 2.0
@@ -53,20 +67,30 @@
     """One request's waits.
 
     Attributes:
-        started_s: When the first refusal came; ``None`` before it.
+        subject: What has no owner: a shard, or a service without keys.
+        waits: It counts among those that wait.
         pauses: Pauses so far.
     """
 
-    started_s: float | None = None
+    subject: str = ""
+    waits: bool = False
     pauses: int = 0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Absence:
+    """Time in which requests for one subject were refused."""
+
+    since_s: float
+    last_s: float
+
+
 class HandoverWait:
     """Decides on the next attempt of requests that met a change of ownership.
 
     Args:
         rng: Source of the jitter.
-        patience_s: Longest wait of one request, in seconds.
+        patience_s: Longest wait from the first refusal for a subject, in seconds.
         max_waiting: Requests of this node that may wait at once.
     """
 
@@ -81,6 +105,7 @@
         self._patience_s = patience_s
         self._max_waiting = max_waiting
         self._waiting = 0
+        self._absences: dict[str, _Absence] = {}
 
     @property
     def waiting(self) -> int:
@@ -97,23 +122,49 @@
             state: The request's waits; :meth:`end` gives them back.
             deadline_s: When the answer must be there.
         """
-        if state.started_s is None:
-            if self._waiting >= self._max_waiting:
-                return HandoverReason.TOO_MANY_WAITING, 0.0
-            state.started_s = now
-            self._waiting += 1
+        since_s = self._note_absence(now, state.subject)
         pause_s = self._draw_pause(state.pauses)
-        if now + pause_s > state.started_s + self._patience_s:
+        if now + pause_s > since_s + self._patience_s:
             return HandoverReason.PATIENCE_OVER, 0.0
         if now + pause_s >= deadline_s:
             return HandoverReason.DEADLINE_TOO_NEAR, 0.0
+        if not state.waits:
+            if self._waiting >= self._max_waiting:
+                return HandoverReason.TOO_MANY_WAITING, 0.0
+            state.waits = True
+            self._waiting += 1
         state.pauses += 1
         return HandoverReason.WAITING, pause_s
 
+    def note_served(self, subject: str) -> None:
+        """Note that a subject has an owner."""
+        if self._absences:
+            self._absences.pop(subject, None)
+
+    def _note_absence(self, now: float, subject: str) -> float:
+        """Note a refusal; return since when the subject has had no owner."""
+        absence = self._absences.get(subject)
+        if absence is not None and now - absence.last_s <= FORGET_S:
+            absence.last_s = now
+            return absence.since_s
+        if len(self._absences) >= MAX_ABSENCES:
+            self._forget_absences(now)
+        self._absences[subject] = _Absence(since_s=now, last_s=now)
+        return now
+
+    def _forget_absences(self, now: float) -> None:
+        """Keep those of which something was heard of late, if they are not too many."""
+        kept = {
+            subject: absence
+            for subject, absence in self._absences.items()
+            if now - absence.last_s <= FORGET_S
+        }
+        self._absences = kept if len(kept) < MAX_ABSENCES else {}
+
     def end(self, state: WaitState) -> None:
         """Note that a request has its final answer."""
-        if state.started_s is not None:
-            state.started_s = None
+        if state.waits:
+            state.waits = False
             self._waiting -= 1
 
     def _draw_pause(self, pauses: int) -> float:
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -188,8 +188,9 @@
         tried: set[IncarnationId] = set()
         attempt = 1
         while True:
-            result = await self._attempt(peer_request, deadline_s, tried)
+            result = await self._attempt(peer_request, deadline_s, tried, state)
             if is_successful(result):
+                self._handover.note_served(state.subject)
                 if not _has_failed(result.unwrap(), peer_request):
                     return result
                 failed = result
@@ -199,7 +200,8 @@
             if _is_unknown(refusal):
                 unknown = unknown or refusal
             if refusal.kind in HANDOVER_KINDS:
-                delay_s = self._find_pause(body, state, deadline_s)
+                wait_until_s = _find_wait_end(peer_request, now, deadline_s)
+                delay_s = self._find_pause(body, state, wait_until_s)
             else:
                 delay_s = self._find_retry_delay(
                     refusal, peer_request, body, attempt, deadline_s
@@ -250,9 +252,14 @@
         return self._retry.allow_retry(self._now(), attempt, deadline_s)
 
     async def _attempt(
-        self, peer_request: PeerRequest, deadline_s: float, tried: set[IncarnationId]
+        self,
+        peer_request: PeerRequest,
+        deadline_s: float,
+        tried: set[IncarnationId],
+        state: WaitState,
     ) -> Result[Response, Refusal]:
         routed = self._find_route(peer_request, tried)
+        state.subject = _find_subject(peer_request, routed)
         if not is_successful(routed):
             return Failure(routed.failure())
         route = routed.unwrap()
@@ -325,6 +332,26 @@
         return asyncio.get_running_loop().time()
 
 
+def _find_subject(peer_request: PeerRequest, routed: Result[Route, Refusal]) -> str:
+    """Return what has no owner if the request meets none."""
+    if not peer_request.key:
+        return peer_request.service
+    return routed.unwrap().shard if is_successful(routed) else routed.failure().detail
+
+
+def _find_wait_end(
+    peer_request: PeerRequest, started_s: float, deadline_s: float
+) -> float:
+    """Return until when a request may wait for an owner.
+
+    Its caller is better off with a refusal, and a word when to come back, than with an
+    answer that is sure to be late.
+    """
+    if peer_request.target_s is None or peer_request.target_s <= 0:
+        return deadline_s
+    return min(deadline_s, started_s + peer_request.target_s)
+
+
 def _has_failed(response: Response, peer_request: PeerRequest) -> bool:
     """Whether an upstream's answer is a failure that a repetition may mend."""
     failed = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -3,13 +3,13 @@
 import itertools
 import unittest
 
-from papayatack.control.planning import STAND_IN_S, Planner
+from papayatack.control.planning import STAND_IN_S, Planner, PlanPace
 from papayatack.core.identity import LeaseId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import Plan
-from papayatack.core.records import Admit, Announce, Assign, Assignment, Attach
+from papayatack.core.records import Admit, Announce, Assign, Assignment, Attach, Retire
 
 ME = "127.0.0.1:1#a"
 OTHER = "127.0.0.1:7#b"
@@ -128,6 +128,53 @@
         self.assertEqual(self.plans, 2)
 
 
+class GatherTests(PlannerCase):
+    """A fleet whose nodes were all lost, and come back one after the other."""
+
+    def setUp(self):
+        super().setUp()
+        self.core.caught_up = True
+        self.planner._pace = PlanPace(gather_s=0.8)
+        self.apply(make_announcement("other", OTHER))
+        lease = LeaseId(OTHER, 1)
+        record = Admit(record_id="o", writer=OTHER, lease=lease, witnesses=())
+        self.apply(record)
+        assignment = Assignment(shard=SHARD, base_epoch=0, chain=(lease,))
+        self.apply(Assign(record_id="m", writer=ME, assignments=(assignment,)))
+
+    def lose_owner(self):
+        """End the owner of all shards."""
+        self.apply(Retire(record_id="r", writer=OTHER, incarnation=OTHER))
+
+    def join(self, name):
+        """Let a node join."""
+        self.apply(make_announcement(name, name))
+
+    def test_plan_waits_until_no_further_node_joins(self):
+        """The first to be back must not get all."""
+        self.lose_owner()
+        self.planner.plan_once(1.0)
+        self.join("127.0.0.1:8#c")
+        self.planner.plan_once(1.6)
+        self.planner.plan_once(2.2)
+        self.assertEqual(self.plans, 0)
+        self.planner.plan_once(2.5)
+        self.assertEqual(self.plans, 1)
+
+    def test_plan_waits_no_longer_than_allowed(self):
+        """However many nodes join."""
+        self.lose_owner()
+        for number in range(13):
+            self.join(f"127.0.0.1:{number + 20}#x")
+            self.planner.plan_once(1.0 + number * 0.2)
+        self.assertEqual(self.plans, 1)
+
+    def test_plan_waits_not_while_most_keys_have_owners(self):
+        """A loss of few is mended at once."""
+        self.planner.plan_once(1.0)
+        self.assertEqual(self.plans, 1)
+
+
 class StandInTests(PlannerCase):
     """A node plans for the first in rank, which does not reach the log."""
 
--- a/tests/core/test_handover.py
+++ b/tests/core/test_handover.py
@@ -6,6 +6,7 @@
 from papayatack.core.errors import Outcome, find_answer
 from papayatack.core.handover import (
     HANDOVER_KINDS,
+    MAX_ABSENCES,
     HandoverReason,
     HandoverWait,
     WaitState,
@@ -54,6 +55,34 @@
         self.wait_out(state)
         self.assertLess(state.pauses, 30)
 
+    def test_shard_that_stays_away_is_not_waited_for(self):
+        """Whoever comes after a change of owner should be over is refused at once."""
+        _, now = self.wait_out(WaitState(subject="s/1"))
+        late = WaitState(subject="s/1")
+        reason, _ = self.wait.decide(now + 0.5, late, FAR_S)
+        self.assertIs(reason, HandoverReason.PATIENCE_OVER)
+        reason, _ = self.wait.decide(now + 0.5, WaitState(subject="s/2"), FAR_S)
+        self.assertIs(reason, HandoverReason.WAITING)
+
+    def test_shard_that_came_back_is_waited_for_again(self):
+        """Each change of owner has its own time."""
+        _, now = self.wait_out(WaitState(subject="s/1"))
+        self.wait.note_served("s/1")
+        reason, _ = self.wait.decide(now + 0.5, WaitState(subject="s/1"), FAR_S)
+        self.assertIs(reason, HandoverReason.WAITING)
+
+    def test_shard_of_which_nothing_is_heard_starts_anew(self):
+        """Nobody may have asked for it while it was served."""
+        _, now = self.wait_out(WaitState(subject="s/1"))
+        reason, _ = self.wait.decide(now + 3.0, WaitState(subject="s/1"), FAR_S)
+        self.assertIs(reason, HandoverReason.WAITING)
+
+    def test_absences_are_bounded(self):
+        """However many shards there are."""
+        for number in range(MAX_ABSENCES + 10):
+            self.wait.decide(0.0, WaitState(subject=str(number)), 0.0)
+        self.assertLessEqual(len(self.wait._absences), MAX_ABSENCES)
+
     def test_waiting_requests_are_bounded(self):
         """A third request is answered at once, until another one has ended."""
         first, second, third = WaitState(), WaitState(), WaitState()
