--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -98,6 +98,10 @@
         lease = self._core.state.find_lease(member.incarnation)
         return lease is not None and not self._core.is_ended(lease)
 
+    def find_obstacle(self, shard: ShardId) -> Refusal | None:
+        """Return why no request for a shard may go to the upstream now."""
+        return self._core.find_obstacle(shard, asyncio.get_running_loop().time())
+
     def authorize(self, shard: ShardId) -> Result[Grant, Refusal]:
         """Return the grant under which a request may go to the upstream now."""
         now = asyncio.get_running_loop().time()
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -218,18 +218,23 @@
         The number that comes with it tells :meth:`finish` which request has ended.
         Every success must be paired with one call of :meth:`finish`.
         """
+        found = self._find_right(shard, now)
+        return found.map(lambda right: (right, self.context.rights.begin(shard)))
+
+    def find_obstacle(self, shard: ShardId, now: float) -> Refusal | None:
+        """Return why no request for a shard may go to the upstream now."""
+        return self._find_right(shard, now).swap().value_or(None)
+
+    def _find_right(self, shard: ShardId, now: float) -> Result[Right, Refusal]:
         right = self.context.rights.rights.get(shard)
         if right is None:
-            return self._refuse(ErrorKind.NOT_OWNER)
+            return _refuse(ErrorKind.NOT_OWNER)
         holder = right.holder
         if holder.ended or now >= holder.view_end_s:
-            return self._refuse(ErrorKind.LEASE_EXPIRED)
+            return _refuse(ErrorKind.LEASE_EXPIRED)
         if not right.token:
-            return self._refuse(ErrorKind.NO_OWNER)
-        return Success((right, self.context.rights.begin(shard)))
-
-    def _refuse(self, kind: ErrorKind) -> Result[tuple[Right, int], Refusal]:
-        return Failure(Refusal(kind=kind, retry_after_s=RETRY_UNAVAILABLE_S))
+            return _refuse(ErrorKind.NO_OWNER)
+        return Success(right)
 
     def finish(self, shard: ShardId, generation: int, *, now: float) -> list[Effect]:
         """Take in that a request that was authorized has ended."""
@@ -512,3 +517,7 @@
     ) -> None:
         subject = f"{type(message).__name__} from {sender}"
         self.context.note("PEER_MESSAGE_REFUSED", reason, subject)
+
+
+def _refuse(kind: ErrorKind) -> Failure[Refusal]:
+    return Failure(Refusal(kind=kind, retry_after_s=RETRY_UNAVAILABLE_S))
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -76,6 +76,9 @@
     def list_nodes(self, service: str) -> tuple[Route, ...]:
         """Return the nodes of a service without keys, nearest first."""
 
+    def find_obstacle(self, shard: ShardId) -> Refusal | None:
+        """Return why no request for a shard may go to the upstream now."""
+
     def authorize(self, shard: ShardId) -> Result[Grant, Refusal]:
         """Return the grant under which a request may go to the upstream now.
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -96,6 +96,10 @@
         """
         if self.upstream is None:
             return _refuse(ErrorKind.UPSTREAM_DRAINING, "no upstream runs here")
+        shard = ShardId(peer_request.shard)
+        obstacle = self._ownership.find_obstacle(shard) if shard else None
+        if obstacle is not None:
+            return Failure(obstacle)
         ticket = Ticket(
             partner=peer_request.partner,
             request_class=peer_request.request_class,
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -58,6 +58,7 @@
         self.route = route
         self.nodes = nodes
         self.token = token
+        self.obstacle = None
         self.refusal = None
         self.tenure = Tenure(
             shard=SHARD, number=1, token=token, since_s=0.0, is_first=True
@@ -76,6 +77,10 @@
         """Return the fixed nodes."""
         return self.nodes
 
+    def find_obstacle(self, shard):
+        """Tell of an obstacle if told to."""
+        return self.obstacle
+
     def authorize(self, shard):
         """Grant, unless told to refuse."""
         if self.refusal is not None:
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -119,6 +119,13 @@
         self.assertIn(b"papayatack-error: queue-full", answer)
         self.assertIn(b"retry-after: 3", answer)
 
+    async def test_key_that_may_not_be_served_takes_no_slot(self):
+        """Whoever asks again and again must not keep others from the slots."""
+        self.owner.ownership.obstacle = Refusal(kind=ErrorKind.LEASE_EXPIRED)
+        answer = await self.request(self.owner, "POST", body=b"a")
+        self.assertIn(b"papayatack-error: lease-expired", answer)
+        self.assertEqual(self.owner.gate.acquired, 0)
+
     async def test_lease_lost_while_waiting_forwards_nothing(self):
         """Authority is asked for after the wait, right before the forward."""
         self.owner.ownership.refusal = Refusal(kind=ErrorKind.LEASE_EXPIRED)
