--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -43,12 +43,12 @@
 PLACEMENT = PlacementLimits(
     moves=48,
     hourly_share=float("inf"),
-    hot_shards=320,
+    hot_shards=96,
     start_imbalance=0.25,
     stop_imbalance=0.1,
     min_gain=0.02,
-    hot_share=0.04,
-    cool_share=0.008,
+    hot_share=0.1,
+    cool_share=0.03,
     settle_s=2.5,
     keep_hot_s=10.0,
 )
