Mend an endless loop after an upstream has gone

Ruled out: queued messages between nodes, which are bounded. Before: the task asked without a pause (test that failed first); after: it waits.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -136,10 +136,12 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_INTERVAL_S):
                     await self._suspected.wait()
+            is_suspected = self._suspected.is_set()
+            self._suspected.clear()
             latest = self._latest
             now = asyncio.get_running_loop().time()
             is_late = now - self._heard_s >= self._patience_s
-            if latest is None or not (is_late or self._suspected.is_set()):
+            if latest is None or not (is_late or is_suspected):
                 continue
             presence = await _find_presence(latest.address)
             self._suspected.clear()
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -14,6 +14,19 @@
 from tests.platform.documents import build_heartbeat
 
 
+class CountedEvent(asyncio.Event):
+    """An event that is asked without end only by a task that never pauses."""
+
+    asked = 0
+
+    async def wait(self):
+        """Count."""
+        self.asked += 1
+        if self.asked > 100:
+            raise AssertionError("asked without a pause")
+        return await super().wait()
+
+
 class HeartbeatTests(unittest.TestCase):
     """What the upstream says, and what the node makes of it."""
 
@@ -76,6 +89,20 @@
 
         self.run_desk(scenario)
 
+    def test_suspicion_after_the_upstream_has_gone(self):
+        """Connections that were under way still fail; the node goes on."""
+
+        async def scenario(desk):
+            desk._suspected = CountedEvent()
+            watching = asyncio.ensure_future(desk.watch())
+            await asyncio.sleep(3.0)
+            desk.suspect()
+            await asyncio.sleep(1.0)
+            self.assertFalse(watching.done())
+            watching.cancel()
+
+        self.run_desk(scenario)
+
     def test_leaving_without_a_word_before(self):
         """A deregistration counts as the wish to drain."""
 
