Let the first lease wait for witnesses that joined as late as its node

Before: two of seven nodes without a live lease a second after all were back (test that failed first); after: none. A node that restarts alone waits 0.4 s at most, less than the grants of its earlier process are waited out for.

--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -29,6 +29,11 @@
 __all__ = ["Admission"]
 
 CHECK_INTERVAL_S = 0.25
+JOIN_WAIT_S = 0.4
+"""Time for which the first lease waits for witnesses that joined as late as this node:
+nodes that were lost together are back within less."""
+
+FIRST_RETRY_S = 1.2
 IMPROVE_INTERVAL_S = 5.0
 MAX_ASSIGNMENTS = 128
 
@@ -45,6 +50,7 @@
         self._context = context
         self._announcement = announcement
         self._announced_s: float | None = None
+        self._joined_at: int | None = None
         self._dead_since_s: dict[LeaseId, float] = {}
 
     def advance(self, now: float) -> None:
@@ -97,6 +103,8 @@
         self._context.append(record)
 
     def _announce(self, now: float) -> None:
+        if self._joined_at is None:
+            self._joined_at = self._context.state.position
         if not self._context.is_due("announce", now, RETRY_APPEND_S):
             return
         address = self._announcement.address
@@ -117,11 +125,12 @@
             "improve witnesses", now, IMPROVE_INTERVAL_S
         ):
             return
-        chosen = choose_witnesses(self._context.state, member, avoid=silent)
-        if holder is None and not member.term:
-            settled = now - (self._announced_s or now) >= ADMISSION_SETTLE_S
-            wanted = len(chosen) >= WITNESSES_WANTED or settled
-            pause_s = RETRY_APPEND_S
+        is_first = holder is None and not member.term
+        avoid = silent | self._list_older(member) if is_first else silent
+        chosen = choose_witnesses(self._context.state, member, avoid=avoid)
+        if is_first:
+            wanted = self._is_settled(chosen, avoid, now)
+            pause_s = FIRST_RETRY_S
         else:
             wanted = holder is None or self._is_better(chosen, holder, silent)
             is_alone = holder is not None and not holder.witnesses
@@ -135,6 +144,31 @@
             )
             self._context.append(record)
 
+    def _list_older(self, member: Member) -> set[IncarnationId]:
+        """Return the members that joined before this process had read the log.
+
+        If all nodes were lost, they have ended and nobody has said so yet; those that
+        joined since then run for sure.
+        """
+        joined_at = self._joined_at if self._joined_at is not None else 0
+        return {
+            other.incarnation
+            for other in self._context.state.list_live_members()
+            if other.announced_at < min(joined_at, member.announced_at)
+        }
+
+    def _is_settled(
+        self,
+        chosen: tuple[IncarnationId, ...],
+        avoid: set[IncarnationId],
+        now: float,
+    ) -> bool:
+        """Tell whether to wait no longer for better witnesses of the first lease."""
+        waited_s = now - (self._announced_s if self._announced_s is not None else now)
+        if len(chosen) < WITNESSES_WANTED:
+            return waited_s >= ADMISSION_SETTLE_S
+        return not avoid.intersection(chosen) or waited_s >= JOIN_WAIT_S
+
     def _is_sound(self, holder: Holder | None, silent: set[IncarnationId]) -> bool:
         """Tell whether the lease needs no other witnesses soon.
 
--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -77,6 +77,25 @@
                     fleet.run(10)
                     self.assertLess(fleet.read_longest_gap(), TARGET_S)
 
+    def test_all_lost_and_back(self):
+        """Each node's first lease is witnessed by nodes that are back as well."""
+        fleet = make_fleet()
+        for name in PLACES:
+            fleet.kill(name)
+        fleet.run(2)
+        for name in PLACES:
+            fleet.start(name)
+            fleet.run(0.03)
+        fleet.run(1.0)
+        for name in PLACES:
+            with self.subTest(name=name):
+                core = fleet.slots[name].core
+                holder = core.context.find_newest_holder()
+                self.assertIsNotNone(holder)
+                self.assertEqual(holder.lease.term, 1)
+                now = fleet.slots[name].read_clock(fleet.now)
+                self.assertTrue(holder.is_live(now))
+
     def test_data_centre_lost(self):
         """All nodes of one data centre may be lost at once."""
         for data_centre in "123":
