Admit or refuse together what comes together

Under twice the load that can be served half of the calls were, but only a third of the pairs: the rest of the work was for nothing. Ruled out: the length of the queue (same shares with other bounds). A class that refuses begins again only when the wait has sunk to 0.7 of what a request allows, and requests that come within a millisecond go to one node.

--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -24,6 +24,11 @@
 
 MIN_RETRY_AFTER_S = 0.05
 MIN_COST = 0.001
+RESUME_SHARE = 0.7
+"""Part of the wait that a request allows at which a class that refuses begins to take
+requests again. Those that come together so fare alike: the calls of one parent are
+of use only if all are served."""
+
 SHORT_WAIT_S = 0.03
 """Longest wait of a request whose answer comes late in any case."""
 
@@ -224,7 +229,9 @@
         else:
             slots = self._count_usable_slots(now, state)
             wait_s = _estimate_wait(state, entry.flow, slots)
-            if now + wait_s > entry.latest_start_s:
+            allowed_s = entry.latest_start_s - now
+            state.refuses = wait_s > allowed_s * (RESUME_SHARE if state.refuses else 1)
+            if state.refuses:
                 self._refuse(
                     entry,
                     ErrorKind.DEADLINE_UNREACHABLE,
--- a/src/papayatack/core/admission/classes.py
+++ b/src/papayatack/core/admission/classes.py
@@ -19,6 +19,7 @@
         share: Share of the slots that the class is guaranteed.
         queue: Its waiting requests.
         in_use: Slots that it holds.
+        refuses: It refused the last request that found no free slot.
         seconds_per_cost: Mean service time of a request of cost 1, once measured.
         deviation: Mean absolute deviation of the service time for a cost of 1.
     """
@@ -26,6 +27,7 @@
     share: float
     queue: FairQueue
     in_use: int = 0
+    refuses: bool = False
     seconds_per_cost: float | None = None
     deviation: float = 0.0
 
--- a/src/papayatack/proxy/balance.py
+++ b/src/papayatack/proxy/balance.py
@@ -15,6 +15,8 @@
 
 __all__ = ["NodeBalance", "NodeUse"]
 
+TOGETHER_S = 0.001
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _ServiceNodes:
@@ -23,6 +25,19 @@
     balancer: Balancer[IncarnationId]
     health: HealthTracker[IncarnationId]
     routes: tuple[Route, ...] = ()
+    last: tuple[float, Route] | None = None
+
+    def find_last(self, now: float, *, repeatable: bool) -> Route | None:
+        """Return the node of the last request if that came at the same moment.
+
+        The calls of one parent come together and are of use only if all are served: at
+        one node they are admitted or refused together.
+        """
+        if self.last is None or now - self.last[0] > TOGETHER_S:
+            return None
+        route = self.last[1]
+        allows = self.health.allows(now, route.incarnation, repeatable=repeatable)
+        return route if route in self.routes and allows else None
 
     def follow(self, routes: tuple[Route, ...]) -> None:
         """Take in a changed list of nodes."""
@@ -91,6 +106,9 @@
         nodes = self._find(peer_request.service)
         nodes.follow(routes)
         nodes.health.check(now)
+        last = nodes.find_last(now, repeatable=peer_request.repeatable)
+        if last is not None and not tried:
+            return Success(last)
         chosen = nodes.balancer.choose(
             now,
             near=[route.incarnation for route in routes if route.near],
@@ -101,6 +119,7 @@
         )
         for route in routes:
             if route.incarnation == chosen:
+                nodes.last = (now, route)
                 return Success(route)
         return Failure(_refuse(routes))
 
--- /dev/null
+++ b/tests/core/admission/test_pairs.py
@@ -0,0 +1,106 @@
+"""Played loads: calls that come in pairs, each pair of use only if both are served."""
+
+import heapq
+import itertools
+import random
+import unittest
+from unittest import mock
+
+from papayatack.core.admission import Admission, Admitted, Limits, admission
+from papayatack.core.inventory import RequestClass
+
+SLOTS = 13
+SERVICE_S = 0.025
+TARGET_S = 0.1
+DEADLINE_S = 0.3
+SPAN_S = 30.0
+
+
+class PairLoad:
+    """One upstream under a load of pairs, on a clock of its own."""
+
+    def __init__(self, *, load, seed):
+        self.rng = random.Random(seed)
+        self.admission = Admission(
+            now=0.0,
+            limits=Limits(slots=SLOTS, ramp_s=0.0),
+            rng=random.Random(seed),
+        )
+        self.numbers = itertools.count()
+        self.events = []
+        self.pairs = {}
+        self.served = []
+        now = 0.0
+        while now < SPAN_S:
+            now += self.rng.expovariate(load * SLOTS / SERVICE_S / 2)
+            self.add(now, self.arrive)
+
+    def add(self, now, step, *about):
+        """Let something happen at a time."""
+        heapq.heappush(self.events, (now, next(self.numbers), step, about))
+
+    def play(self):
+        """Return the shares of calls, and of pairs, that were served."""
+        while self.events:
+            now, _, step, about = heapq.heappop(self.events)
+            step(now, *about)
+        count = len(self.served)
+        calls = sum(map(sum, self.served)) / (2 * count)
+        pairs = sum(sum(pair) == 2 for pair in self.served) / count
+        return calls, pairs
+
+    def arrive(self, now):
+        """Offer both calls of a parent."""
+        pair = []
+        self.served.append(pair)
+        for _ in range(2):
+            entry = self.admission.offer(
+                now,
+                partner="",
+                request_class=RequestClass.ORDER,
+                cost=1.0,
+                deadline_s=now + DEADLINE_S,
+                target_s=now + TARGET_S,
+            )
+            self.pairs[entry.number] = pair
+        self.poll(now)
+
+    def end(self, now, entry, service_s):
+        """Take a slot back."""
+        self.admission.release(now, entry, service_time_s=service_s)
+        self.pairs.pop(entry.number).append(True)
+        self.poll(now)
+
+    def poll(self, now):
+        """Carry out the verdicts."""
+        for verdict in self.admission.poll(now):
+            if isinstance(verdict, Admitted):
+                service_s = self.rng.lognormvariate(0.0, 0.5) * SERVICE_S / 1.13
+                self.add(now + service_s, self.end, verdict.entry, service_s)
+            else:
+                self.pairs.pop(verdict.entry.number).append(False)
+
+
+class PairTests(unittest.TestCase):
+    """What parents get, against refusing each call for itself."""
+
+    def play_both(self, load):
+        """Return what is served with the rule, and without it."""
+        found = PairLoad(load=load, seed=3).play()
+        with mock.patch.object(admission, "RESUME_SHARE", 1.0):
+            baseline = PairLoad(load=load, seed=3).play()
+        return found, baseline
+
+    def test_most_of_what_is_served_is_of_use(self):
+        """At twice the load that can be served, nine tenths of the calls have both."""
+        (calls, pairs), (_, before) = self.play_both(2.0)
+        self.assertGreater(pairs, 0.9 * calls)
+        self.assertGreater(pairs, 1.1 * before)
+
+    def test_no_fewer_calls_are_served(self):
+        """At any load."""
+        for load in (0.8, 1.0, 1.2, 1.5, 2.0):
+            with self.subTest(load=load):
+                (calls, pairs), (calls_before, pairs_before) = self.play_both(load)
+                self.assertGreater(calls, 0.98 * calls_before)
+                self.assertGreater(pairs, 0.99 * pairs_before)
