Take an upstream back that was started again under its id

Its heartbeats count from one again and were taken for late ones for ever. Before: no news of it (test that failed first); after: the one at the address is asked who it is.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -93,6 +93,7 @@
         self._sequences: dict[str, int] = {}
         self._gone: set[str] = set()
         self._heard_s = 0.0
+        self._may_be_back = False
 
     async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
         """Wait for news that differ from those before."""
@@ -138,6 +139,9 @@
                     await self._suspected.wait()
             is_suspected = self._suspected.is_set()
             self._suspected.clear()
+            if self._may_be_back:
+                self._may_be_back = False
+                await self._find_running()
             latest = self._latest
             now = asyncio.get_running_loop().time()
             is_late = now - self._heard_s >= self._patience_s
@@ -154,6 +158,7 @@
         path = await self._wait_health_path()
         if not path or not self._address or self._latest is not None:
             return
+        gone_before = frozenset(self._gone)
         host, _, port = self._address.rpartition(":")
         caller = HttpCaller(host=host, port=int(port))
         call = HttpCall(method="GET", target=path)
@@ -165,10 +170,12 @@
             await caller.close()
         instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
         slots = (find_header(headers, LOAD) or b"").split(b",")[-1]
-        known = self._latest is not None or instance in self._gone
+        known = self._latest is not None or instance in self._gone - gone_before
         if status != http.HTTPStatus.OK or not instance or not slots.isdigit() or known:
             return
         self._heard_s = asyncio.get_running_loop().time()
+        self._gone.discard(instance)
+        self._sequences.clear()
         self._latest = AnnouncedUpstream(
             service=self._service,
             address=self._address,
@@ -188,12 +195,19 @@
         return ""
 
     def _take(self, instance: str, heartbeat: _Heartbeat) -> None:
-        """Take in a heartbeat that is not late."""
+        """Take in a heartbeat that is not late.
+
+        One that seems late may come from an upstream that was started again under its
+        id: if none is known to run, the one at the address is asked who it is.
+        """
         status = heartbeat.status
         known = self._sequences.get(instance)
         late = known is not None and status.seq <= known
         if late or instance in self._gone:
             self._metrics.count("heartbeats", "late")
+            if self._latest is None:
+                self._may_be_back = True
+                self._suspected.set()
             return
         self._metrics.count("heartbeats", "taken")
         self._sequences = {instance: status.seq}
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -11,6 +11,7 @@
 from papayatack.network.exchanges import Request
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.heartbeats import HeartbeatDesk
+from standins.platformupstream import PlatformUpstream
 from tests.platform.documents import build_heartbeat
 
 
@@ -132,3 +133,54 @@
             self.assertTrue(desk._changed.empty())
 
         self.run_desk(scenario)
+
+
+class RebornTests(unittest.IsolatedAsyncioTestCase):
+    """An upstream that is started again under its id."""
+
+    async def asyncSetUp(self):
+        self.path = "/health"
+        self.desk = HeartbeatDesk(
+            metrics=Metrics(),
+            interval_s=0.87,
+            service="desk",
+            address="127.0.0.1:9",
+            find_health_path=lambda: self.path,
+        )
+        watching = asyncio.ensure_future(self.desk.watch())
+        self.addCleanup(watching.cancel)
+
+    async def send(self, seq):
+        """Send a heartbeat."""
+        request = Request(
+            method=b"POST",
+            target=b"/instances/i-1/heartbeat",
+            body=BytesBody(data=json.dumps(build_heartbeat(seq=seq)).encode()),
+        )
+        await self.desk.handle(request)
+
+    async def lose(self):
+        """Have an upstream that sent many heartbeats end without a word."""
+        await self.send(57)
+        await self.desk.wait_changed()
+        self.desk.suspect()
+        gone = await asyncio.wait_for(self.desk.wait_changed(), timeout=5.0)
+        self.assertEqual(gone, UpstreamGone(is_certain=True))
+
+    async def test_it_is_taken_back(self):
+        """Its heartbeats count from one again; it says itself who it is."""
+        await self.lose()
+        upstream = PlatformUpstream(instance="i-1", service="desk", place="east")
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        self.desk._address = upstream.address
+        await self.send(1)
+        found = await asyncio.wait_for(self.desk.wait_changed(), timeout=5.0)
+        self.assertEqual((found.instance, found.leaving), ("i-1", False))
+
+    async def test_late_heartbeat_of_the_life_before(self):
+        """Nothing runs at the address: the heartbeat was under way for long."""
+        await self.lose()
+        await self.send(56)
+        await asyncio.sleep(1.0)
+        self.assertTrue(self.desk._changed.empty())
