--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -32,8 +32,6 @@
 import random
 from collections.abc import Callable, Mapping
 
-from returns.pipeline import is_successful
-
 from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
 from papayatack.control.following import STREAMS, LogFollower
@@ -42,6 +40,7 @@
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeCourier
 from papayatack.control.planning import Planner, PlanPace
+from papayatack.control.writing import RecordWriter
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.inventory import Service
@@ -68,7 +67,6 @@
 from papayatack.core.ownership.selection import (
     TailPolicy,
     list_followers,
-    rank_planners,
 )
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementView, Plan
@@ -76,7 +74,6 @@
     CONFIG_STREAM,
     OWNERSHIP_STREAM,
     Announce,
-    OwnershipRecord,
 )
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.checkpoints import CheckpointKeeper
@@ -90,7 +87,6 @@
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.interface import Ownership
-from papayatack.wire.records import encode_record
 
 __all__ = ["ControlNode"]
 
@@ -98,9 +94,6 @@
 
 TICK_S = 0.05
 MAX_INBOX = 10_000
-MAX_APPENDS = 32
-APPEND_DEADLINE_S = 1.6
-MAX_RELAYS = 2
 MAX_SHARDS_LOGGED = 4
 REPORT_INTERVAL_PER_MEMBER_S = 0.05
 
@@ -167,7 +160,6 @@
             carry_out=self._carry_out,
         )
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue(maxsize=MAX_INBOX)
-        self._appends: asyncio.Queue[OwnershipRecord] = asyncio.Queue(MAX_APPENDS)
         self._finished: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -176,11 +168,19 @@
         self._appender = Appender(
             log=log, stream=OWNERSHIP_STREAM, metrics=metrics, random=random
         )
+        self._writer = RecordWriter(
+            core=self.core,
+            appender=self._appender,
+            decoder=self._decoder,
+            send=self._send,
+            metrics=metrics,
+            random=random,
+        )
         self._planner = Planner(
             core=self.core,
             read_configuration=lambda: self._config.configuration,
             plan=plan,
-            append=self._queue_append,
+            append=self._writer.put,
             pace=self._pace,
         )
         self._follower = LogFollower(
@@ -242,7 +242,7 @@
             for keeper in self._keepers.values():
                 tasks.create_task(keeper.run())
             tasks.create_task(self._grants.run())
-            tasks.create_task(self._append_records())
+            tasks.create_task(self._writer.run())
             tasks.create_task(self._planner.run())
             tasks.create_task(self._report_loads())
             tasks.create_task(self._read_inbox())
@@ -343,9 +343,7 @@
 
     @_take_message.register
     def _(self, message: RelayRecord, sender: IncarnationId) -> None:
-        record = self._decoder.decode(OWNERSHIP_STREAM, 0, message.payload).record
-        if record is not None and record.writer == sender:
-            self._queue_append(record)
+        self._writer.take(message, sender)
 
     @_take_message.register(OutcomeQuery)
     @_take_message.register(OutcomePart)
@@ -390,31 +388,6 @@
         for recipient in list_followers(self.core.state, self.core.me):
             self._send(recipient, batch)
 
-    def _queue_append(self, record: OwnershipRecord) -> None:
-        try:
-            self._appends.put_nowait(record)
-        except asyncio.QueueFull:
-            self.metrics.count("ownership_appends_dropped", type(record).__name__)
-
-    async def _append_records(self) -> None:
-        while True:
-            record = await self._appends.get()
-            deadline_s = self._read_clock() + APPEND_DEADLINE_S
-            result = await self._appender.append(record, deadline_s=deadline_s)
-            if not is_successful(result) and record.writer == self.core.me:
-                self._relay(record)
-
-    def _relay(self, record: OwnershipRecord) -> None:
-        """Ask other nodes to append what this one could not."""
-        self.metrics.count("records_relayed", type(record).__name__)
-        others = [
-            name for name in rank_planners(self.core.state) if name != self.core.me
-        ]
-        self._random.shuffle(others)
-        message = RelayRecord(payload=encode_record(record))
-        for recipient in others[:MAX_RELAYS]:
-            self._send(recipient, message)
-
     async def _report_loads(self) -> None:
         while True:
             members = len(self.core.state.members)
@@ -500,7 +473,7 @@
 
     @_perform.register
     def _(self, effect: AppendRecord) -> None:
-        self._queue_append(effect.record)
+        self._writer.put(effect.record)
 
     @_perform.register(GrantShards)
     @_perform.register(ExtendLease)
