Keep the rule for what comes together when requests allow different waits

Cause: one flag for the class; a profile view, which allows a longer wait, was taken and cleared it, so that the next call was judged for itself.

--- a/src/papayatack/core/admission/admission.py
+++ b/src/papayatack/core/admission/admission.py
@@ -24,11 +24,6 @@
 
 MIN_RETRY_AFTER_S = 0.05
 MIN_COST = 0.001
-RESUME_SHARE = 0.7
-"""Part of the wait that a request allows at which a class that refuses begins to take
-requests again. Those that come together so fare alike: the calls of one parent are
-of use only if all are served."""
-
 SHORT_WAIT_S = 0.03
 """Longest wait of a request whose answer comes late in any case."""
 
@@ -229,9 +224,7 @@
         else:
             slots = self._count_usable_slots(now, state)
             wait_s = _estimate_wait(state, entry.flow, slots)
-            allowed_s = entry.latest_start_s - now
-            state.refuses = wait_s > allowed_s * (RESUME_SHARE if state.refuses else 1)
-            if state.refuses:
+            if not state.accepts(wait_s, entry.latest_start_s - now):
                 self._refuse(
                     entry,
                     ErrorKind.DEADLINE_UNREACHABLE,
--- a/src/papayatack/core/admission/classes.py
+++ b/src/papayatack/core/admission/classes.py
@@ -9,6 +9,7 @@
 SMOOTHING = 0.05
 DEVIATIONS = 2.0
 PRIOR_SECONDS_PER_COST = 0.02
+RESUME_SHARE = 0.7
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -19,7 +20,8 @@
         share: Share of the slots that the class is guaranteed.
         queue: Its waiting requests.
         in_use: Slots that it holds.
-        refuses: It refused the last request that found no free slot.
+        refused_wait_s: Longest wait that a request allowed and was refused with, since
+            such requests were last taken.
         seconds_per_cost: Mean service time of a request of cost 1, once measured.
         deviation: Mean absolute deviation of the service time for a cost of 1.
     """
@@ -27,7 +29,7 @@
     share: float
     queue: FairQueue
     in_use: int = 0
-    refuses: bool = False
+    refused_wait_s: float = 0.0
     seconds_per_cost: float | None = None
     deviation: float = 0.0
 
@@ -36,6 +38,20 @@
         """Return the slots that the class holds or waits for."""
         return self.in_use + len(self.queue)
 
+    def accepts(self, wait_s: float, allowed_s: float) -> bool:
+        """Tell whether to take a request that allows to wait for ``allowed_s``.
+
+        A class that refuses takes requests again only once the wait has sunk well below
+        what they allow: those that come together then fare alike.
+        """
+        refuses = allowed_s <= self.refused_wait_s
+        if wait_s > allowed_s * (RESUME_SHARE if refuses else 1.0):
+            self.refused_wait_s = max(self.refused_wait_s, allowed_s)
+            return False
+        if refuses:
+            self.refused_wait_s = 0.0
+        return True
+
     def estimate_charge(self, cost: float) -> float:
         """Return the slot seconds that a request is expected to take."""
         return cost * (self.seconds_per_cost or PRIOR_SECONDS_PER_COST)
