--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -35,6 +35,7 @@
         refuse_grants: Whether grants are answered with 409.
         grant_delay_s: Time for which the answer to a grant is held back.
         release_delay_s: How long the work under each release takes to end.
+        healthy: Whether it says that it may be used.
         hangs: Whether requests are run and never answered.
     """
 
@@ -47,6 +48,7 @@
         self.refuse_grants = False
         self.grant_delay_s = 0.0
         self.release_delay_s = 0.0
+        self.healthy = True
         self.hangs = False
         self._place = place
         self._sequence = 0
@@ -109,10 +111,11 @@
             body += data
         match request.target:
             case b"/health":
-                fields = ((b"papayatack-instance-id", self.instance.encode()),)
-                return _reply(
-                    200, fields=(*fields, (b"papayatack-server-load", b"0,0,8"))
+                fields = (
+                    (b"papayatack-instance-id", self.instance.encode()),
+                    (b"papayatack-server-load", b"0,0,8"),
                 )
+                return _reply(200 if self.healthy else 503, fields=fields)
             case b"/grant":
                 response = self._grant(json.loads(body))
                 await asyncio.sleep(self.grant_delay_s)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -184,3 +184,36 @@
         await self.send(56)
         await asyncio.sleep(1.0)
         self.assertTrue(self.desk._changed.empty())
+
+
+class RunningTests(unittest.IsolatedAsyncioTestCase):
+    """An upstream that ran before this node was started."""
+
+    async def start(self, *, draining=False):
+        """Return a desk beside a running upstream, and what it hears."""
+        upstream = PlatformUpstream(instance="i-7", service="desk", place="east")
+        upstream.healthy = not draining
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        desk = HeartbeatDesk(
+            metrics=Metrics(),
+            interval_s=0.87,
+            service="desk",
+            address=upstream.address,
+            find_health_path=lambda: "/health",
+        )
+        watching = asyncio.ensure_future(desk.watch())
+        self.addCleanup(watching.cancel)
+        return desk
+
+    async def test_it_is_asked_who_it_is(self):
+        """It need not wait for the next heartbeat."""
+        desk = await self.start()
+        found = await asyncio.wait_for(desk.wait_changed(), timeout=0.5)
+        self.assertEqual((found.instance, found.slots), ("i-7", 8))
+
+    async def test_one_that_leaves_is_not_taken(self):
+        """It answers that it is not to be used."""
+        desk = await self.start(draining=True)
+        await asyncio.sleep(0.3)
+        self.assertTrue(desk._changed.empty())
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -66,6 +66,7 @@
         self.earlier = None
         self.authorized = 0
         self.finished = 0
+        self.renewed = 0
 
     def locate(self, service, key):
         """Return the fixed route."""
@@ -94,7 +95,7 @@
 
     def renew_grant(self, grant):
         """Note the wish."""
-        self.renewed = getattr(self, "renewed", 0) + 1
+        self.renewed += 1
 
     def find_tenure(self, service, key):
         """Return the tenure that was set."""
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -3,8 +3,11 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.bodies import BytesBody
+from papayatack.network.exchanges import Response
 from standins.upstream import UpstreamStandin
 from tests.proxy.fakes import Node, build_request, fetch, wait_until
 
@@ -101,6 +104,52 @@
         self.assertIn(b"papayatack-error: no-owner", answer)
 
 
+class UpstreamFailureTests(EngineTestCase):
+    """Answers of the upstream that say that it failed."""
+
+    def answer_first(self, *statuses):
+        """Let the first answers have these statuses."""
+        answers = [
+            Response(status=status, body=BytesBody(data=b"failed"))
+            for status in statuses
+        ]
+        real = self.upstream._build_answer
+
+        def build(query):
+            return answers.pop(0) if answers else real(query)
+
+        patched = mock.patch.object(self.upstream, "_build_answer", build)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def test_repeatable_request_is_run_again(self):
+        """The caller gets the answer of the further run."""
+        self.answer_first(500)
+        answer = await self.request(self.entry)
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [2])
+
+    async def test_failure_is_passed_on_if_no_run_does_better(self):
+        """It is the upstream's own answer, not one of the router."""
+        self.answer_first(503, 500, 500, 500, 500)
+        answer = await self.request(self.entry)
+        self.assertIn(b"failed", answer)
+        self.assertIn(b"papayatack-outcome: answered", answer)
+
+    async def test_unrepeatable_request_is_run_once(self):
+        """Whatever the upstream answers."""
+        self.answer_first(500)
+        answer = await self.request(self.entry, "POST", body=b"a")
+        self.assertIn(b"HTTP/1.1 500", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
+    async def test_unknown_token_is_granted_again(self):
+        """An upstream that lost its grants gets them without waiting for a renewal."""
+        await self.owner.grant(token=2)
+        await self.request(self.owner, "POST", body=b"a")
+        self.assertGreaterEqual(self.owner.ownership.renewed, 1)
+
+
 class RefusalTests(EngineTestCase):
     """Requests that are not answered by the upstream."""
 
