--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -97,6 +97,19 @@
             teach(admission, RAMPED_S, 0.01)
         self.assertEqual(admission.read_limit(RAMPED_S), 10)
 
+    def test_sheds_of_a_free_upstream_leave_most_slots(self):
+        """Whatever makes it shed, it is not too much work."""
+        limits = Limits(slots=10, least_share=0.8)
+        admission = Admission(now=0.0, limits=limits, rng=random.Random(1))
+        for number in range(200):
+            now = RAMPED_S + number
+            entry = offer(admission, now)
+            admission.poll(now)
+            admission.release(
+                now, entry, service_time_s=0.0, error=ErrorKind.UPSTREAM_SHED
+            )
+        self.assertGreaterEqual(admission.read_limit(now), 6)
+
     def test_double_release_has_no_effect(self):
         """A slot is given back once."""
         admission = build_admission()
