Model the step in which a readmitted node goes on under its older lease

The code went on under the old lease until the new one is firm; the specification had it stop at once, so that the differential of the model readmission was red. Now the specification has the step: the node keeps its claim to the old chain while its newer lease is in the chain and nobody but its own older leases stands in the way, may end it at any moment, and has not released the shard meanwhile, whatever floor its witnesses know. A guard more, stay_unreleased, with a counterexample when taken away.

--- a/spec/guards.py
+++ b/spec/guards.py
@@ -36,6 +36,8 @@
         drain_before_resign: A holder stops to serve before it has itself fenced.
         death_before_supersession: Only an ended process is superseded.
         lease_not_node: A node's older lease must end like any other's.
+        stay_unreleased: A node that goes on under an older lease of its own has not
+            released the shard, whatever its witnesses know.
         floor_maximum: A witness keeps the highest floor, not the last.
         view_from_sending: A view counts from when the renewal was sent.
         clock_margin: A view is shortened by the bound of the clocks' rates.
@@ -61,6 +63,7 @@
     drain_before_resign: bool = True
     death_before_supersession: bool = True
     lease_not_node: bool = True
+    stay_unreleased: bool = True
     floor_maximum: bool = True
     view_from_sending: bool = True
     clock_margin: bool = True
--- a/spec/mutants.py
+++ b/spec/mutants.py
@@ -35,6 +35,7 @@
     "drain_before_resign": "resignation",
     "death_before_supersession": "supersession",
     "lease_not_node": "readmission",
+    "stay_unreleased": "readmission",
     "floor_maximum": "messages",
     "view_from_sending": "messages",
     "clock_margin": "messages",
--- a/spec/protocol.py
+++ b/spec/protocol.py
@@ -275,6 +275,8 @@
     node = setting.nodes[lease]
     if setting.untold and state.dead[node]:
         return False
+    if setting.guards.stay_unreleased and _serves_below(setting, state, node, since):
+        return False
     witnesses = state.leases[lease].witnesses
     if not witnesses or not setting.guards.floor_before_release:
         return state.applied[node] >= since
@@ -282,16 +284,39 @@
     return sum(witness.floor >= since for witness in witnesses) >= needed
 
 
+def _serves_below(setting: Setting, state: State, node: int, since: int) -> bool:
+    """Tell whether a node has a claim to a chain older than the one at ``since``."""
+    if state.dead[node] or not setting.guards.claim_per_epoch:
+        return False
+    epochs = (
+        entry.cleared
+        for lease, entry in enumerate(state.leases)
+        if setting.nodes[lease] == node and entry.cleared and not entry.resigned
+    )
+    return any(_find_since(state, epoch) < since for epoch in epochs)
+
+
+def _find_since(state: State, epoch: int) -> int:
+    """Return the position right after the record of a move."""
+    return state.log.index(Record("move", epoch)) + 1
+
+
 # Claims.
 
 
 def can_claim(
-    setting: Setting, state: State, lease: int, *, own_floor: bool = True
+    setting: Setting,
+    state: State,
+    lease: int,
+    *,
+    own_floor: bool = True,
+    own_leases: bool = False,
 ) -> bool:
     """Tell whether nobody stands between a holder and the shard.
 
     With ``own_floor`` false, whether nobody *else* does: enough of its own witnesses
-    may still have to learn that it has applied the move.
+    may still have to learn that it has applied the move. With ``own_leases``, older
+    leases of its node may still stand in the way.
     """
     known = fold_applied(setting, state, setting.nodes[lease])
     current = known.chains[-1]
@@ -302,7 +327,7 @@
         pairs = pairs[-1:]
     for chain, successor in pairs:
         if not _is_walked(
-            setting, state, known, chain, successor.since, lease, own_floor
+            setting, state, known, chain, successor.since, lease, own_floor, own_leases
         ):
             return False
     place = current.leases.index(lease)
@@ -321,6 +346,7 @@
     since: int,
     claimant: int,
     own_floor: bool,
+    own_leases: bool,
 ) -> bool:
     """Tell whether nobody serves, or ever will, under an old chain."""
     for holder in chain.leases:
@@ -330,7 +356,7 @@
             return True
         ends = _list_applied_ends(setting, state, known, holder, claimant)
         if not ends:
-            return False
+            return own_leases and setting.nodes[holder] == setting.nodes[claimant]
         if any(end.confirmed >= since for end in ends):
             return True
         if not setting.guards.whole_chain:
@@ -362,11 +388,26 @@
     return [end for end in ends if applied >= end.floor or not setting.guards.floor]
 
 
+def may_stay(setting: Setting, state: State, lease: int) -> bool:
+    """Tell whether a holder goes on under an old chain for its node's newer lease.
+
+    That one is in the chain, and nobody but older leases of the node stands in its way:
+    the keys are not taken from the node, only its lease is renewed.
+    """
+    node = setting.nodes[lease]
+    current = fold_applied(setting, state, node).chains[-1]
+    newer = [other for other in current.leases if setting.nodes[other] == node]
+    return bool(newer) and can_claim(
+        setting, state, newer[0], own_floor=False, own_leases=True
+    )
+
+
 def find_token(setting: Setting, state: State, lease: int) -> int | None:
     """Return the fencing token under which a holder serves now, if it does.
 
     After a move that leaves it the shard, it serves under the old token until its
-    claim to the new chain is clear.
+    claim to the new chain is clear; so does a node whose newer lease has taken the
+    place of this one.
     """
     entry = state.leases[lease]
     if not entry.cleared or not is_live(setting, state, lease):
@@ -376,18 +417,23 @@
     node = setting.nodes[lease]
     known = fold_applied(setting, state, node)
     current = known.chains[-1]
-    if lease not in current.leases:
+    if lease not in current.leases and not may_stay(setting, state, lease):
         return None
     if entry.cleared == current.epoch or not setting.guards.claim_per_epoch:
         return make_token(current.epoch, current.leases.index(lease))
     for chain in known.chains:
-        if chain.epoch == entry.cleared and can_claim(
-            setting, state, lease, own_floor=False
-        ):
+        if chain.epoch == entry.cleared and _goes_on(setting, state, current, lease):
             return make_token(chain.epoch, chain.leases.index(lease))
     return None
 
 
+def _goes_on(setting: Setting, state: State, current: Chain, lease: int) -> bool:
+    """Tell whether a holder keeps its claim to an old chain for a while."""
+    if lease in current.leases:
+        return can_claim(setting, state, lease, own_floor=False)
+    return may_stay(setting, state, lease)
+
+
 def is_serving(setting: Setting, state: State, lease: int) -> bool:
     """Tell whether a holder serves the shard now."""
     return find_token(setting, state, lease) is not None
@@ -465,7 +511,8 @@
 def _stop_taken(setting: Setting, state: State, node: int) -> State:
     """Return the state after a node has stopped to serve what was taken away.
 
-    While only its own floor is missing for the new chain, it goes on as before.
+    While only its own floor is missing for the new chain, or the chain names a newer
+    lease of the node, it goes on as before.
     """
     current = fold_applied(setting, state, node).chains[-1]
     leases = list(state.leases)
@@ -474,9 +521,7 @@
             continue
         if entry.cleared == current.epoch or not setting.guards.claim_per_epoch:
             continue
-        if lease in current.leases and can_claim(
-            setting, state, lease, own_floor=False
-        ):
+        if _goes_on(setting, state, current, lease):
             continue
         leases[lease] = entry._replace(cleared=0)
     return state._replace(leases=tuple(leases))
@@ -490,6 +535,8 @@
         yield f"resign {lease}", resign(setting, state, lease)
     if entry.resigned:
         return
+    if entry.cleared and not _is_current(setting, state, lease):
+        yield f"yield {lease}", _set(state, lease, entry._replace(cleared=0))
     current = fold_applied(setting, state, setting.nodes[lease]).chains[-1]
     if (
         entry.cleared != current.epoch
@@ -508,6 +555,12 @@
         yield f"activate {lease}", _append(state, record)
 
 
+def _is_current(setting: Setting, state: State, lease: int) -> bool:
+    """Tell whether a holder stands in the newest chain that its node knows."""
+    node = setting.nodes[lease]
+    return lease in fold_applied(setting, state, node).chains[-1].leases
+
+
 def resign(setting: Setting, state: State, lease: int) -> State:
     """Return the state after a holder has stopped for good and told so."""
     entry = state.leases[lease]
--- a/tests/spec/test_differential.py
+++ b/tests/spec/test_differential.py
@@ -33,7 +33,7 @@
         labels = [
             label
             for label, _ in protocol.list_steps(self.setting, self.state)
-            if not label.startswith("claim") and not self.is_void(label)
+            if not label.startswith(("claim", "yield")) and not self.is_void(label)
         ]
         living = [node for node, dead in enumerate(self.state.dead) if not dead]
         return labels + [f"tell {node}" for node in living]
