Release a hot slice also while it is still held with its parent

Cause: a slice split from its parent is held under the parent's grant until its own grant is confirmed. If it moved before, no release was sent; and a renewal of the parent that was under way when the slice was split came after the release. Ruled out: the order of claims (no token goes back in the lines of SHARD_TAKEN). Before: the upstream holds the keys after the release in both cases (tests that failed first); after: in neither.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -144,14 +144,19 @@
         """End the grants of shards; return what lets another take them over warm.
 
         Grants under way are waited for, since one that comes after the release would
-        stand.
+        stand; also those of a slice from which a hot one was split meanwhile.
         """
         wanted = frozenset(shards)
         self._releasing |= wanted
-        pending = [call for call, known in self._calls.items() if known & wanted]
+        pending = [
+            call
+            for call, known in self._calls.items()
+            if any(_list_overlapping(shard, known) for shard in wanted)
+        ]
         if pending:
             await asyncio.wait(pending)
-        found = {s: self._held[s] for s in shards if s in self._held}
+        found = {shard: self._find_held(shard) for shard in shards}
+        found = {shard: held for shard, held in found.items() if held is not None}
         answers = await asyncio.gather(
             *(self._release(shard, entry) for shard, entry in found.items())
         )
@@ -162,6 +167,14 @@
         handovers = dict(zip(found, answers, strict=True))
         return Success({shard: text for shard, text in handovers.items() if text})
 
+    def _find_held(self, shard: ShardId) -> "_Held | None":
+        """Return how a shard is held; a hot one perhaps still with its parent."""
+        held = self._held.get(shard)
+        if held is not None or not is_hot(shard):
+            return held
+        parents = _list_overlapping(shard, self._held)
+        return self._held[parents[0]] if parents else None
+
     def _forget_returned(self) -> None:
         """Forget hot slices that belong to their parent again, under its token."""
         hot = set(self._list_hot())
@@ -274,7 +287,11 @@
 
     async def _wait_late(self, shards: frozenset[ShardId]) -> None:
         """Wait until grants without an answer can no longer be taken in."""
-        late_s = [self._late_s.get(shard, 0.0) for shard in shards]
+        late_s = [
+            self._late_s[other]
+            for shard in shards
+            for other in _list_overlapping(shard, self._late_s)
+        ]
         now = asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, max(late_s, default=0.0) - now))
         for shard in shards:
@@ -334,6 +351,17 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
+def _list_overlapping(shard: ShardId, others: Iterable[ShardId]) -> list[ShardId]:
+    """Return which shards have keys in common with this one."""
+    service, first, last = find_slice(shard)
+    found = ((other, *find_slice(other)) for other in others)
+    return [
+        other
+        for other, name, start, end in found
+        if name == service and start <= last and first <= end
+    ]
+
+
 def _note_failures(
     failed: list[tuple[_KeyRange, Response | None]], left_s: float
 ) -> None:
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -108,6 +108,29 @@
         await releasing
         self.assertTrue(self.upstream.holds(16 * (3 * MAX_CALLS - 1)))
 
+    async def test_hot_slice_that_moves_before_its_own_grant(self):
+        """It is still held with its parent, and must be released."""
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        self.hot = [name(16, 23, hot=True)]
+        await self.grants.revoke(LEASE, (name(16, 23, hot=True),))
+        self.assertFalse(self.upstream.holds(16))
+        self.assertTrue(self.upstream.holds(15))
+
+    async def test_grant_of_the_parent_that_is_under_way(self):
+        """It covers the hot slice; the release comes after it."""
+        shards = {name(512 * n, 512 * n + 511): 7 + n for n in range(MAX_CALLS + 1)}
+        await self.grants.grant(LEASE, shards, LONG_US)
+        self.upstream.grant_delay_s = 0.2
+        extending = asyncio.ensure_future(self.grants.extend(LEASE, LONG_US))
+        await asyncio.sleep(0.05)
+        first = 512 * MAX_CALLS
+        hot = name(first, first + 7, hot=True)
+        self.hot = [hot]
+        await self.grants.revoke(LEASE, (hot,))
+        await extending
+        self.assertFalse(self.upstream.holds(first))
+        self.assertTrue(self.upstream.holds(first + 8))
+
     async def test_refused_grant_counts_as_none(self):
         """A higher token was seen."""
         self.upstream.refuse_grants = True
