Revoke a shard under each lease of the node whose grant may stand

Cause: a shard that had gone to the node's newer lease, and moved away before the grant under that lease was confirmed, was revoked under the older lease alone; and not at all if that one had ended. Before: nothing is revoked in that case (two tests that failed first); after: both.

--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -274,14 +274,28 @@
                 right.asked = False
                 self._transferred.setdefault(shard, right)
             return right is not None
-        last = self._transferred.pop(shard, None) or right
-        if last is not None and not is_hot(shard):
-            self.stopped[shard] = right or last
-        if last is not None and shard not in self.draining:
-            limit = self._find_limit(shard, last.epoch)
-            self.draining[shard] = Draining(holder=last.holder, floor_limit=limit)
+        first = self._transferred.get(shard) or right
+        if first is not None and not is_hot(shard):
+            self.stopped[shard] = right or first
+        if first is not None and shard not in self.draining:
+            holder = self._choose_holder(shard, right, first)
+            limit = self._find_limit(shard, first.epoch)
+            self.draining[shard] = Draining(holder=holder, floor_limit=limit)
         return right is not None
 
+    def _choose_holder(
+        self, shard: ShardId, right: Right | None, first: Right
+    ) -> Holder:
+        """Return the lease under which a taken shard is to be revoked.
+
+        The newest one, whose grant may stand though it was never confirmed; an older
+        one that lives as well is revoked beside it.
+        """
+        newest = right if right is not None and not right.holder.ended else first
+        if newest is first or first.holder.ended:
+            self._transferred.pop(shard, None)
+        return newest.holder
+
     def _find_limit(self, shard: ShardId, epoch: int) -> int:
         """Return the offset of the record that replaced the chain of ``epoch``."""
         entry = self._state.shards.get(shard)
@@ -337,8 +351,11 @@
         replaces; unless the newer one has run out before.
         """
         found: dict[LeaseId, list[ShardId]] = {}
-        for shard, old in self._transferred.items():
+        for shard, old in list(self._transferred.items()):
             right = self.rights.get(shard)
+            if right is None and old.holder.ended:
+                del self._transferred[shard]
+                continue
             if old.asked or (right is not None and right.holder.is_live(now)):
                 continue
             old.asked = True
@@ -398,7 +415,10 @@
         right = self.rights.get(shard)
         if right is not None and right.epoch < epoch:
             return False
-        if right is None and not to_self and self.is_busy(shard, now):
+        old = self._transferred.get(shard)
+        still_granted = old is not None and not old.holder.ended
+        busy = still_granted or self.is_busy(shard, now)
+        if right is None and not to_self and busy:
             return False
         since = min(
             chain.since for chain in entry.list_chains() if chain.epoch >= epoch
--- /dev/null
+++ b/tests/core/ownership/test_rights.py
@@ -0,0 +1,56 @@
+"""Tests of papayatack.core.ownership.rights."""
+
+import unittest
+
+from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.rights import Rights
+from papayatack.core.ownership.state import OwnershipState
+
+ME = IncarnationId("127.0.0.1:1#a")
+SHARD = ShardId("s/all/0")
+
+
+class TransferTests(unittest.TestCase):
+    """A shard that goes from one lease of a node to the next, and then away."""
+
+    def setUp(self):
+        self.rights = Rights(state=OwnershipState())
+        self.old = self.make_holder(1)
+        self.new = self.make_holder(2)
+        self.rights.acquire(SHARD, self.old, 1, 10, now=0.0)
+        self.rights.collect_grants(0.0)
+        self.rights.confirm_grant(self.old.lease, SHARD, 10, done=True)
+        self.rights.stop(SHARD, drains=False)
+        self.rights.acquire(SHARD, self.new, 2, 20, now=0.0)
+        self.rights.collect_grants(0.0)
+
+    def make_holder(self, term):
+        """Return a lease that never lapses."""
+        return Holder(lease=LeaseId(ME, term), witnesses=(), now=0.0)
+
+    def test_unconfirmed_grant_is_revoked_though_the_old_lease_has_ended(self):
+        """The upstream may have it: its answer may be late."""
+        self.old.end()
+        self.rights.stop(SHARD, drains=True)
+        found = self.rights.collect_revocable(0.0)
+        self.assertEqual(found, {self.new.lease: [SHARD]})
+        self.assertIn(SHARD, self.rights.draining)
+
+    def test_both_grants_are_revoked_while_both_leases_live(self):
+        """Either may be the one that stands."""
+        self.rights.stop(SHARD, drains=True)
+        found = self.rights.collect_revocable(0.0)
+        self.assertEqual(found, {self.old.lease: [SHARD], self.new.lease: [SHARD]})
+        self.rights.confirm_revoke(self.new.lease, SHARD, done=True)
+        self.assertTrue(self.rights.has_transfers)
+        self.rights.confirm_revoke(self.old.lease, SHARD, done=True)
+        self.assertFalse(self.rights.has_transfers)
+        self.assertNotIn(SHARD, self.rights.draining)
+
+    def test_confirmed_grant_leaves_nothing_of_the_old_lease(self):
+        """The newer grant has taken its place."""
+        self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
+        self.rights.stop(SHARD, drains=True)
+        found = self.rights.collect_revocable(0.0)
+        self.assertEqual(found, {self.new.lease: [SHARD]})
