Let orders to upstreams take time in the fleet of the tests: a release is confused with the next

The fleet of the tests carried out grants and releases at once, so that no schedule could show an order under way while the log went on. Orders now may take time and grants may be lost; those for one shard keep their order, as GrantTask keeps it. The random schedules draw both.

New, and failing: a hot slice returns to its parent, is split again while its release is under way, and moves.

--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from papayatack.core.records import DeclareLost
+from papayatack.core.records import Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
 
 TARGET_S = 2.0
@@ -407,3 +407,57 @@
         for slot in fleet.slots.values():
             holder = slot.core.context.find_newest_holder()
             self.assertEqual(len(holder.witnesses), 3)
+
+
+class SlowOrderTests(unittest.TestCase):
+    """Grants and releases that the upstream answers late."""
+
+    hot = "s/all/=hot"
+
+    def setUp(self):
+        self.fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, shards=3)
+        self.fleet.plans = False
+        self.parent = self.fleet.list_owned("a")[0]
+        self.fleet.hot_keys[self.hot] = self.parent
+
+    def assign(self, shard, chain, *, parent=""):
+        """Append a move, or with a parent a split or a return."""
+        shards = self.fleet.truth.shards
+        base_epoch = shards[shard].current.epoch if shard in shards else 0
+        assignment = Assignment(
+            shard=shard,
+            base_epoch=base_epoch,
+            chain=chain,
+            parent=parent,
+            parent_epoch=shards[parent].current.epoch if parent else 0,
+        )
+        record_id = f"operator/{len(self.fleet.log)}"
+        self.fleet.append(
+            Assign(record_id=record_id, writer="operator", assignments=(assignment,))
+        )
+
+    def split(self):
+        """Give the hot key a shard of its own."""
+        chain = self.fleet.truth.shards[self.parent].current.leases
+        self.assign(self.hot, chain, parent=self.parent)
+
+    def find_leases(self, *names):
+        """Return the leases of the places."""
+        return tuple(
+            self.fleet.truth.find_lease(self.fleet.slots[name].core.me)
+            for name in names
+        )
+
+    def test_answer_to_an_earlier_release_counts_for_a_later_one(self):
+        """A shard comes back and goes again while its first release is under way."""
+        self.split()
+        self.fleet.run(1.0)
+        self.fleet.order_delays = {"a": 0.4}
+        revoking = self.fleet.slots["a"].revoking
+        self.assign(self.hot, (), parent=self.parent)
+        self.fleet.run_until(lambda: revoking[self.hot], 2)
+        self.split()
+        self.fleet.run(0.05)
+        self.assign(self.hot, self.find_leases("b", "c"))
+        self.fleet.run(3)
+        self.assertEqual(self.fleet.list_owners(self.hot), ["b"])
--- a/tests/core/ownership/test_schedules.py
+++ b/tests/core/ownership/test_schedules.py
@@ -29,6 +29,8 @@
     st.tuples(st.just("drop"), st.sampled_from([0.0, 0.1, 0.4])),
     st.tuples(st.just("duplicate"), st.sampled_from([0.0, 0.3])),
     st.tuples(st.just("delay"), st.sampled_from([0.0, 0.1, 1.5])),
+    st.tuples(st.just("orders"), st.sampled_from([0.0, 0.1, 0.6])),
+    st.tuples(st.just("lose_orders"), st.sampled_from([0.0, 0.5])),
     st.tuples(st.just("planners"), st.booleans()),
     st.tuples(st.just("repeat"), st.integers(0, 200)),
     st.tuples(st.just("move"), st.integers(0, 2), st.permutations(sorted(PLACES))),
@@ -133,6 +135,14 @@
         """Delay and reorder messages."""
         self.fleet.extra_delay_s = longest_s
 
+    def orders(self, longest_s):
+        """Delay the orders to the upstreams."""
+        self.fleet.order_delay_s = longest_s
+
+    def lose_orders(self, share):
+        """Lose a share of the grants."""
+        self.fleet.order_loss = share
+
     def planners(self, everywhere):
         """Let all nodes plan."""
         self.fleet.planners_everywhere = everywhere
@@ -183,6 +193,7 @@
         fleet.log_up = True
         fleet.log_delay_s = 0.004
         fleet.drop = fleet.duplicate = fleet.extra_delay_s = 0.0
+        fleet.order_delay_s = fleet.order_loss = 0.0
         fleet.planners_everywhere = False
         for name in PLACES:
             fleet.thaw(name)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -57,17 +57,16 @@
                 self.tokens[shard] = token
                 self.grants[shard] = (lease, expiry)
 
-    def extend(self, lease, expiry, now):
-        """Extend the live grants of a lease."""
+    def extend(self, lease, expiry, now, without):
+        """Extend the live grants of a lease, but for some shards."""
         for shard, (held, until) in list(self.grants.items()):
-            if held == lease and until > now:
+            if held == lease and until > now and not without[shard]:
                 self.grants[shard] = (lease, max(expiry, until))
 
-    def revoke(self, lease, shards):
-        """End grants of a lease."""
+    def revoke(self, shards):
+        """End grants, whatever lease they are under."""
         for shard in shards:
-            if self.grants.get(shard, (None, 0))[0] == lease:
-                del self.grants[shard]
+            self.grants.pop(shard, None)
 
 
 @dataclasses.dataclass
@@ -88,6 +87,10 @@
     backlog: list = dataclasses.field(default_factory=list)
     notes: list = dataclasses.field(default_factory=list)
     finished: list = dataclasses.field(default_factory=list)
+    free_s: dict = dataclasses.field(default_factory=dict)
+    revoking: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def read_clock(self, now):
         """Return this place's own clock."""
@@ -118,6 +121,9 @@
         self.duplicate = 0.0
         self.extra_delay_s = 0.0
         self.slow = {}
+        self.order_delay_s = 0.0
+        self.order_loss = 0.0
+        self.order_delays = {}
         self.withheld = set()
         self.cut = set()
         self.log_cut = set()
@@ -150,7 +156,7 @@
         self.plans = True
         self.plan_limit = 50
         self._queue = []
-        self._order = itertools.count()
+        self._numbers = itertools.count()
 
     def add(self, name, data_centre, *, region="r", rate=1.0, service=None):
         """Add a place and start a process there."""
@@ -182,6 +188,8 @@
         )
         slot.frozen = False
         slot.backlog.clear()
+        slot.free_s.clear()
+        slot.revoking.clear()
         slot.core = NodeCore(
             announcement=announcement,
             state=state or OwnershipState(),
@@ -360,7 +368,7 @@
         return max(*self.gaps.values(), *open_gaps)
 
     def _at(self, delay_s, action):
-        heapq.heappush(self._queue, (self.now + delay_s, next(self._order), action))
+        heapq.heappush(self._queue, (self.now + delay_s, next(self._numbers), action))
 
     def _tick(self, slot, core):
         if slot.core is not core:
@@ -510,21 +518,49 @@
 
     @_perform.register
     def _(self, effect: GrantShards, slot, core):
-        self._check_tokens(slot, effect.tokens)
         expiry = self.now + effect.remaining_s / slot.rate
-        slot.upstream.grant(effect.lease, effect.tokens, expiry)
-        now = slot.read_clock(self.now)
-        done = core.confirm_grant(effect.lease, effect.tokens, done=True, now=now)
-        self._carry_out(slot, core, done)
+        self._order(slot, effect.tokens, self._grant, core, effect, expiry)
 
     @_perform.register
     def _(self, effect: ExtendLease, slot, core):
         expiry = self.now + effect.remaining_s / slot.rate
-        slot.upstream.extend(effect.lease, expiry, self.now)
+        slot.upstream.extend(effect.lease, expiry, self.now, slot.revoking)
 
     @_perform.register
     def _(self, effect: RevokeShards, slot, core):
-        slot.upstream.revoke(effect.lease, effect.shards)
+        slot.revoking.update(effect.shards)
+        self._order(slot, effect.shards, self._revoke, core, effect)
+
+    def _order(self, slot, shards, action, *arguments):
+        """Carry out an order to the upstream, after those before it for its shards."""
+        delay_s = self.order_delays.get(slot.name, 0.0)
+        if self.order_delay_s:
+            delay_s += self.order_delay_s * self.random.random()
+        if not delay_s and not slot.free_s:
+            action(slot, *arguments)
+            return
+        start_s = max([self.now, *(slot.free_s.get(shard, 0.0) for shard in shards)])
+        end_s = start_s + delay_s
+        slot.free_s.update(dict.fromkeys(shards, end_s))
+        self._at(end_s - self.now, functools.partial(action, slot, *arguments))
+
+    def _grant(self, slot, core, effect, expiry):
+        if slot.core is not core:
+            return
+        is_lost = self.order_loss > 0 and self.random.random() < self.order_loss
+        done = self.now < expiry and not is_lost
+        if done:
+            self._check_tokens(slot, effect.tokens)
+            slot.upstream.grant(effect.lease, effect.tokens, expiry)
+        now = slot.read_clock(self.now)
+        confirmed = core.confirm_grant(effect.lease, effect.tokens, done=done, now=now)
+        self._carry_out(slot, core, confirmed)
+
+    def _revoke(self, slot, core, effect):
+        slot.revoking.subtract(effect.shards)
+        if slot.core is not core:
+            return
+        slot.upstream.revoke(effect.shards)
         now = slot.read_clock(self.now)
         done = core.confirm_revoke(effect.lease, effect.shards, done=True, now=now)
         self._carry_out(slot, core, done)
