Tell the answer to a revocation from the answers to earlier ones

What callers saw: two upstreams held one key (OWNER); an older token was granted after a newer one.

Cause: Rights knew a revocation by lease and shard alone. A shard that came back to its node while its revocation was under way, and went again, had a second drain; the answer to the first revocation ended that one. The shard was released to the next owner while the grant in between still waited to go out, with the older token.

The class of fault: an answer that is matched by its subject instead of by the order that it answers.

Each revocation bears a number, and its answer ends only what waits for that number. So a drain ends only after all that was granted before it has been released. A handover is kept only from an answer that counts, and only while the shard is not served here again.

Ruled out for this path: slices that do not return to a parent, since a holder that stays goes on only once its floor is confirmed, which a drain holds back.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -444,7 +444,7 @@
         self, effect: RevokeShards, done: bool, handovers: Mapping[ShardId, str]
     ) -> None:
         effects = self.core.confirm_revoke(
-            effect.lease,
+            effect.number,
             effect.shards,
             done=done,
             now=self._read_clock(),
--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -64,8 +64,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RevokeShards:
-    """End grants at the own upstream, then confirm with ``confirm_revoke``."""
+    """End grants at the own upstream, then confirm with ``confirm_revoke``.
 
+    Attributes:
+        number: Tells this revocation from others of the same shards.
+        lease: The lease under which they were granted.
+        shards: The shards.
+    """
+
+    number: int
     lease: LeaseId
     shards: tuple[ShardId, ...]
 
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -35,7 +35,6 @@
     ExtendLease,
     FinishNode,
     GrantShards,
-    RevokeShards,
     SendRecords,
 )
 from papayatack.core.ownership.exchange import RecordExchange
@@ -262,18 +261,18 @@
 
     def confirm_revoke(
         self,
-        lease: LeaseId,
+        number: int,
         shards: tuple[ShardId, ...],
         *,
         done: bool,
         now: float,
         handovers: Mapping[ShardId, str] | None = None,
     ) -> list[Effect]:
-        """Take in the upstream's answer to :class:`RevokeShards`."""
+        """Take in the upstream's answer to the revocation of a number."""
         handovers = handovers or {}
         for shard in shards:
             self.context.rights.confirm_revoke(
-                lease, shard, done=done, handover=handovers.get(shard, "")
+                number, shard, done=done, handover=handovers.get(shard, "")
             )
         return self._settle(now) if done else []
 
@@ -353,8 +352,7 @@
         self._send_fences(now)
         self._exchange.query_missing(now)
         self.claims.settle(now)
-        for lease, shards in self.context.rights.collect_revocable(now).items():
-            self.context.effects.append(RevokeShards(lease=lease, shards=tuple(shards)))
+        self.context.effects.extend(self.context.rights.collect_revocable(now))
         if not self._finished and self._wants_floor():
             self._renew_due(now)
             self.claims.touch_blocked()
--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.effects import RevokeShards
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.state import Chain, OwnershipState
 from papayatack.core.shards import is_hot
@@ -35,6 +36,8 @@
         wanted_token: Token of the grant that the upstream is to have.
         token: Token of the newest grant that the upstream confirmed, 0 for none.
         asked: The upstream has been asked for the wanted grant.
+        revocation: Number of the revocation under way of a grant that a newer lease of
+            this node is to replace, 0 for none.
         tenure: Number, new on this node whenever another node may have owned the
             shard in between.
         since_s: When the tenure began.
@@ -50,6 +53,7 @@
     wanted_token: int
     token: int = 0
     asked: bool = False
+    revocation: int = 0
     tenure: int = 0
     since_s: float = float("-inf")
     is_first: bool = False
@@ -81,12 +85,12 @@
     Attributes:
         holder: The lease under which it was served.
         floor_limit: The floor stays at most here until the shard is drained.
-        revoking: The upstream has been asked to end the grant.
+        revocation: Number of the revocation under way, 0 for none.
     """
 
     holder: Holder
     floor_limit: int
-    revoking: bool = False
+    revocation: int = 0
 
 
 class Rights:
@@ -102,6 +106,7 @@
         self._returns: dict[ShardId, Return] = {}
         self.stopped: dict[ShardId, Right] = {}
         self._last_tenure = 0
+        self._last_revocation = 0
         self._mixed: dict[ShardId, dict[ShardId, tuple[float, int]]] = {}
         self._generations: dict[ShardId, int] = {}
         self._by_generation: dict[tuple[ShardId, int], int] = {}
@@ -271,7 +276,6 @@
         right = self.rights.pop(shard, None)
         if not drains:
             if right is not None:
-                right.asked = False
                 self._transferred.setdefault(shard, right)
             return right is not None
         first = self._transferred.get(shard) or right
@@ -343,52 +347,61 @@
         """Tell whether the upstream may hold a grant under an older lease here."""
         return bool(self._transferred)
 
-    def collect_revocable(self, now: float) -> dict[LeaseId, list[ShardId]]:
-        """Return the shards whose requests have finished but whose grant stands.
+    def collect_revocable(self, now: float) -> list[RevokeShards]:
+        """Revoke the shards whose requests have finished but whose grant stands.
 
         The grants of an ended lease are extended no more and need no revocation. Nor
         does the grant of an older lease of this node, which that of the newer one
         replaces; unless the newer one has run out before.
         """
-        found: dict[LeaseId, list[ShardId]] = {}
+        found: dict[LeaseId, list[tuple[ShardId, Right | Draining]]] = {}
         for shard, old in list(self._transferred.items()):
             right = self.rights.get(shard)
             if right is None and old.holder.ended:
                 del self._transferred[shard]
                 continue
-            if old.asked or (right is not None and right.holder.is_live(now)):
+            if old.revocation or (right is not None and right.holder.is_live(now)):
                 continue
-            old.asked = True
-            found.setdefault(old.holder.lease, []).append(shard)
+            found.setdefault(old.holder.lease, []).append((shard, old))
         for shard, draining in list(self.draining.items()):
-            if draining.revoking or self.is_busy(shard, now):
+            if draining.revocation or self.is_busy(shard, now):
                 continue
             if draining.holder.ended:
                 del self.draining[shard]
                 continue
-            draining.revoking = True
-            found.setdefault(draining.holder.lease, []).append(shard)
-        return found
+            found.setdefault(draining.holder.lease, []).append((shard, draining))
+        return [self._revoke(lease, entries) for lease, entries in found.items()]
+
+    def _revoke(
+        self, lease: LeaseId, entries: list[tuple[ShardId, Right | Draining]]
+    ) -> RevokeShards:
+        """Return a new revocation, whose answer counts for these entries alone."""
+        self._last_revocation += 1
+        for _, entry in entries:
+            entry.revocation = self._last_revocation
+        shards = tuple(dict.fromkeys(shard for shard, _ in entries))
+        return RevokeShards(number=self._last_revocation, lease=lease, shards=shards)
 
     def confirm_revoke(
-        self, lease: LeaseId, shard: ShardId, *, done: bool, handover: str = ""
+        self, number: int, shard: ShardId, *, done: bool, handover: str = ""
     ) -> None:
-        """Take in the upstream's answer to a revocation."""
-        if done and handover:
-            self.handovers[shard] = handover
-        old = self._transferred.get(shard)
-        if old is not None and old.holder.lease == lease:
-            if done:
-                del self._transferred[shard]
-            else:
-                old.asked = False
-        draining = self.draining.get(shard)
-        if draining is None or draining.holder.lease != lease:
+        """Take in the upstream's answer to the revocation of a number.
+
+        The shard may have been granted again and revoked again meanwhile; the answer
+        says nothing of that.
+        """
+        waiting: list[dict[ShardId, Right] | dict[ShardId, Draining]] = []
+        for entries in (self._transferred, self.draining):
+            entry = entries.get(shard)
+            if entry is not None and entry.revocation == number:
+                entry.revocation = 0
+                waiting.append(entries)
+        if not done:
             return
-        if done:
-            del self.draining[shard]
-        else:
-            draining.revoking = False
+        for entries in waiting:
+            del entries[shard]
+        if waiting and handover and shard not in self.rights:
+            self.handovers[shard] = handover
 
     def can_release(
         self,
--- a/tests/core/ownership/test_rights.py
+++ b/tests/core/ownership/test_rights.py
@@ -3,6 +3,7 @@
 import unittest
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.ownership.effects import RevokeShards
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.rights import Rights
 from papayatack.core.ownership.state import OwnershipState
@@ -29,22 +30,30 @@
         """Return a lease that never lapses."""
         return Holder(lease=LeaseId(ME, term), witnesses=(), now=0.0)
 
+    def make_revocation(self, number, holder):
+        """Return the revocation of the shard under a lease."""
+        return RevokeShards(number=number, lease=holder.lease, shards=(SHARD,))
+
     def test_unconfirmed_grant_is_revoked_though_the_old_lease_has_ended(self):
         """The upstream may have it: its answer may be late."""
         self.old.end()
         self.rights.stop(SHARD, drains=True)
         found = self.rights.collect_revocable(0.0)
-        self.assertEqual(found, {self.new.lease: [SHARD]})
+        self.assertEqual(found, [self.make_revocation(1, self.new)])
         self.assertIn(SHARD, self.rights.draining)
 
     def test_both_grants_are_revoked_while_both_leases_live(self):
         """Either may be the one that stands."""
         self.rights.stop(SHARD, drains=True)
         found = self.rights.collect_revocable(0.0)
-        self.assertEqual(found, {self.old.lease: [SHARD], self.new.lease: [SHARD]})
-        self.rights.confirm_revoke(self.new.lease, SHARD, done=True)
+        expected = [
+            self.make_revocation(1, self.old),
+            self.make_revocation(2, self.new),
+        ]
+        self.assertEqual(found, expected)
+        self.rights.confirm_revoke(2, SHARD, done=True)
         self.assertTrue(self.rights.has_transfers)
-        self.rights.confirm_revoke(self.old.lease, SHARD, done=True)
+        self.rights.confirm_revoke(1, SHARD, done=True)
         self.assertFalse(self.rights.has_transfers)
         self.assertNotIn(SHARD, self.rights.draining)
 
@@ -53,4 +62,4 @@
         self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
         self.rights.stop(SHARD, drains=True)
         found = self.rights.collect_revocable(0.0)
-        self.assertEqual(found, {self.new.lease: [SHARD]})
+        self.assertEqual(found, [self.make_revocation(1, self.new)])
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -562,7 +562,7 @@
             return
         slot.upstream.revoke(effect.shards)
         now = slot.read_clock(self.now)
-        done = core.confirm_revoke(effect.lease, effect.shards, done=True, now=now)
+        done = core.confirm_revoke(effect.number, effect.shards, done=True, now=now)
         self._carry_out(slot, core, done)
 
     @_perform.register
--- a/tests/spec/lease_core.py
+++ b/tests/spec/lease_core.py
@@ -285,7 +285,7 @@
         for effect in effects:
             if type(effect) is RevokeShards:
                 more = core.confirm_revoke(
-                    effect.lease, tuple(effect.shards), done=True, now=self.now
+                    effect.number, tuple(effect.shards), done=True, now=self.now
                 )
                 self._perform(core, more)
             elif type(effect) is GrantShards:
