Release an older lease to another node only once its grant has been replaced

Cause, as the code allows it: a node that was admitted again serves a shard under its newer lease, whose grant the upstream has not confirmed yet; the grant under the older lease stands, and is renewed, until then. Asked for a release of the older lease, the node gave it as soon as the shard had a right under the newer one. If the newer lease then ended, the next of the chain served the shard beside that grant.

Evidence: tests.core.ownership.test_rights.TransferTests. test_older_lease_is_not_released_while_its_grant_stands failed ("True is not false") before the change. An ended lease needs no release: its grants are waited out.

Look-alikes: the shard without a right was guarded already; leases of this node (`to_self`) go on under one another.

--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -428,11 +428,12 @@
         right = self.rights.get(shard)
         if right is not None and right.epoch < epoch:
             return False
-        old = self._transferred.get(shard)
-        still_granted = old is not None and not old.holder.ended
-        busy = still_granted or self.is_busy(shard, now)
-        if right is None and not to_self and busy:
-            return False
+        if not to_self:
+            old = self._transferred.get(shard)
+            if old is not None and not old.holder.ended:
+                return False
+            if right is None and self.is_busy(shard, now):
+                return False
         since = min(
             chain.since for chain in entry.list_chains() if chain.epoch >= epoch
         )
--- a/tests/core/ownership/test_rights.py
+++ b/tests/core/ownership/test_rights.py
@@ -6,7 +6,7 @@
 from papayatack.core.ownership.effects import RevokeShards
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.rights import Rights
-from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.state import Chain, OwnershipState, ShardEntry
 
 ME = IncarnationId("127.0.0.1:1#a")
 SHARD = ShardId("s/all/0")
@@ -57,6 +57,23 @@
         self.assertFalse(self.rights.has_transfers)
         self.assertNotIn(SHARD, self.rights.draining)
 
+    def test_older_lease_is_not_released_while_its_grant_stands(self):
+        """The newer lease may end before its own grant has replaced that one."""
+        state = OwnershipState(position=9)
+        self.rights._state = state
+        before = Chain(epoch=1, leases=(self.old.lease,), since=3)
+        current = Chain(epoch=2, leases=(self.new.lease,), since=6)
+        state.set_shard(SHARD, ShardEntry(current=current, earlier=(before,)))
+        self.old.confirmed_floor = 9
+        self.assertTrue(self.can_release(to_self=True))
+        self.assertFalse(self.can_release(to_self=False))
+        self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
+        self.assertTrue(self.can_release(to_self=False))
+
+    def can_release(self, *, to_self):
+        """Tell whether the old lease has released the shard to the second chain."""
+        return self.rights.can_release(self.old, SHARD, 2, now=0.0, to_self=to_self)
+
     def test_confirmed_grant_leaves_nothing_of_the_old_lease(self):
         """The newer grant has taken its place."""
         self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
