Forget the witnesses' promises when the VM was suspended

What callers would see: a node that was suspended for longer than its lease serves on, and grants keys, for up to the rest of that lease, beside the node that took over (OWNER).

Cause: the event loop's clock stands still while a VM is suspended.

The node compares the clock that runs on with the steady one, before each request that it authorizes, each message of a peer and each tick. After a suspension no promise of before counts, nor an answer to a renewal of before; the lease is live again once the witnesses promise anew.

Evidence: tests.control.test_node.ControlNodeTests. test_suspended_node_serves_under_promises_of_before failed ("unexpectedly None") before. Left: a grant that waits for a connection at that very moment goes out at once.

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -32,6 +32,7 @@
         config: The folded config stream.
         loads: Counts requests by shard and key.
         carry_out: Carries out effects of the core.
+        check_clock: Takes a suspension of the VM into account.
     """
 
     def __init__(
@@ -41,11 +42,13 @@
         config: ConfigFold,
         loads: LoadMeter,
         carry_out: Callable[[list[Effect]], None],
+        check_clock: Callable[[], None],
     ) -> None:
         self._core = core
         self._config = config
         self._loads = loads
         self._carry_out = carry_out
+        self._check_clock = check_clock
 
     @property
     def configuration(self) -> Configuration:
@@ -100,10 +103,12 @@
 
     def find_obstacle(self, shard: ShardId) -> Refusal | None:
         """Return why no request for a shard may go to the upstream now."""
+        self._check_clock()
         return self._core.find_obstacle(shard, asyncio.get_running_loop().time())
 
     def authorize(self, shard: ShardId) -> Result[Grant, Refusal]:
         """Return the grant under which a request may go to the upstream now."""
+        self._check_clock()
         now = asyncio.get_running_loop().time()
         result = self._core.authorize(shard, now)
         if not is_successful(result):
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -40,6 +40,7 @@
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeCourier
 from papayatack.control.planning import Planner, PlanPace
+from papayatack.control.suspension import SuspensionWatch
 from papayatack.control.writing import RecordWriter
 from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId, ShardId
@@ -152,12 +153,14 @@
         )
         self.core.config_position = self._config.next_offset
         self._loads = LoadMeter(now=now)
+        self._suspension = SuspensionWatch()
         self.outcomes = OutcomeCourier(rights=self.core.context.rights, send=self._send)
         self._directory = Directory(
             core=self.core,
             config=self._config,
             loads=self._loads,
             carry_out=self._carry_out,
+            check_clock=self._check_clock,
         )
         self._inbox: asyncio.Queue[_Input] = asyncio.Queue(maxsize=MAX_INBOX)
         self._finished: asyncio.Future[bool] = (
@@ -293,6 +296,10 @@
     def _read_clock(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def _check_clock(self) -> None:
+        if self._suspension.notice():
+            self._carry_out(self.core.resume(self._read_clock()))
+
     def _find_service(self, name: str) -> Service | None:
         for service in self._config.configuration.services:
             if service.name == name:
@@ -301,6 +308,7 @@
 
     async def _advance(self) -> None:
         while True:
+            self._check_clock()
             self._follower.check(self._read_clock())
             self._carry_out(self.core.advance(self._read_clock()))
             self.outcomes.ask(self._read_clock())
@@ -333,6 +341,7 @@
 
     @functools.singledispatchmethod
     def _take_message(self, message: ControlMessage, sender: IncarnationId) -> None:
+        self._check_clock()
         effects = self.core.receive(sender, message, now=self._read_clock())
         self._carry_out(effects)
 
--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -76,6 +76,15 @@
         self.ended = True
         self.view_end_s = float("-inf")
 
+    def forget_promises(self) -> None:
+        """Stop serving until the witnesses promise anew, for time passed uncounted."""
+        if self.ended or not self.witnesses:
+            return
+        self._rounds.clear()
+        self._promised_s.clear()
+        self.view_end_s = float("-inf")
+        self.last_sent_s = float("-inf")
+
     def renew(
         self, *, now: float, floor: int, config_offset: int, ownership_offset: int
     ) -> Renew:
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -171,6 +171,13 @@
             self.departure.advance(now)
         return self._settle(now)
 
+    def resume(self, now: float) -> list[Effect]:
+        """Take in that the VM was suspended: no promise of before counts any more."""
+        for holder in self.context.holders.values():
+            holder.forget_promises()
+        self.context.note("PROMISES_FORGOTTEN", "suspended")
+        return self.advance(now)
+
     def start_departure(self, now: float) -> list[Effect]:
         """Begin a planned stop; it ends with :class:`FinishNode`."""
         self.departure.start(now)
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 from unittest import mock
 
@@ -66,6 +67,26 @@
 
         self.run_fleet(scenario)
 
+    def test_suspended_node_serves_under_promises_of_before(self):
+        """The clock of the event loop does not count the suspension."""
+        read_clock = time.clock_gettime
+
+        def read_suspended(clock):
+            return read_clock(clock) + 5.0 * (clock == time.CLOCK_BOOTTIME)
+
+        async def scenario(fixture):
+            (server,) = fixture.list_servers(KEYS[0])
+            ownership = fixture.network.nodes[server].ownership
+            shard = ownership.locate("orders", KEYS[0]).unwrap().shard
+            self.assertIsNone(ownership.find_obstacle(shard))
+            with mock.patch("time.clock_gettime", read_suspended):
+                obstacle = ownership.find_obstacle(shard)
+                self.assertIsNotNone(obstacle)
+                self.assertIs(obstacle.kind, ErrorKind.LEASE_EXPIRED)
+                await fixture.wait_served(KEYS, TARGET_S)
+
+        self.run_fleet(scenario)
+
     def test_takeover_begins_a_tenure(self):
         """A new owner is not the first, and a kept shard stays in its tenure."""
 
