Log confirmed grants, answered revocations and releases to other nodes

Three events, one line for each order or message, with four shards at most by name: GRANTS_CONFIRMED, SHARDS_REVOKED (with its number) and SHARDS_RELEASED. A test holds that the lines of a move come in the order in which the shard went over.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -443,6 +443,15 @@
                 shards=list(effect.tokens)[:MAX_SHARDS_LOGGED],
                 count=len(effect.tokens),
             )
+        else:
+            log_event(
+                LOGGER,
+                Event.GRANTS_CONFIRMED,
+                lease=str(effect.lease),
+                shards=list(effect.tokens)[:MAX_SHARDS_LOGGED],
+                tokens=list(effect.tokens.values())[:MAX_SHARDS_LOGGED],
+                count=len(effect.tokens),
+            )
         tokens = dict(effect.tokens)
         self._carry_out(
             self.core.confirm_grant(effect.lease, tokens, done=done, now=now)
@@ -452,6 +461,15 @@
     def _(
         self, effect: RevokeShards, done: bool, handovers: Mapping[ShardId, str]
     ) -> None:
+        log_event(
+            LOGGER,
+            Event.SHARDS_REVOKED,
+            number=effect.number,
+            lease=str(effect.lease),
+            shards=list(effect.shards)[:MAX_SHARDS_LOGGED],
+            count=len(effect.shards),
+            done=done,
+        )
         effects = self.core.confirm_revoke(
             effect.number,
             effect.shards,
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -20,6 +20,7 @@
 FIRM_VIEW_S = LEASE_DURATION_S / 2
 MAX_PENDING_QUERIES = 20_000
 MAX_SHARDS_PER_MESSAGE = 500
+MAX_SHARDS_NOTED = 4
 
 
 class Claims:
@@ -362,6 +363,19 @@
                 ),
             )
             self._context.send(asker, message)
+            self._note_released(message, asker)
+
+    def _note_released(self, message: Release, recipient: IncarnationId) -> None:
+        holder = self._context.holders[message.lease]
+        self._context.note(
+            "SHARDS_RELEASED",
+            subject=message.lease,
+            recipient=recipient,
+            shards=message.shards[:MAX_SHARDS_NOTED],
+            epochs=message.epochs[:MAX_SHARDS_NOTED],
+            count=len(message.shards),
+            floor=holder.confirmed_floor,
+        )
 
 
 def _describe_own_end(holder: Holder) -> LeaseEnd:
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -16,6 +16,7 @@
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.ownership.state import EndKind
 from papayatack.core.records import OWNERSHIP_STREAM
+from papayatack.observability.events import Event
 from papayatack.observability.metrics import Metrics
 from standins.logstore import InProcessLog, Outage
 from tests.fakes.nodes import INVENTORY, NodeFixture
@@ -133,6 +134,36 @@
 
         self.run_fleet(scenario)
 
+    def test_lines_tell_the_order_of_a_move(self):
+        """What one upstream gave up before another had it."""
+
+        async def scenario(fixture):
+            node = fixture.network.nodes["c"]
+            with self.assertLogs("papayatack", "INFO") as lines:
+                node.start_departure()
+                async with asyncio.timeout(20):
+                    await node.wait_finished()
+                await fixture.kill("c")
+                await fixture.wait_served(KEYS, TARGET_S)
+            records = [record for record in lines.records if hasattr(record, "shards")]
+            released = next(
+                record
+                for record in records
+                if record.getMessage() == Event.SHARDS_RELEASED.name
+            )
+            shard = released.shards[0]
+            names = [
+                record.getMessage() for record in records if shard in record.shards
+            ]
+            expected = [
+                Event.SHARDS_REVOKED.name,
+                Event.SHARDS_RELEASED.name,
+                Event.GRANTS_CONFIRMED.name,
+            ]
+            self.assertEqual(names[:3], expected)
+
+        self.run_fleet(scenario)
+
     def test_departure_hands_outcomes_over(self):
         """Repeats of requests to a node that left are answered by the new owners."""
 
