--- /dev/null
+++ b/tests/platform/test_ownership_schedules.py
@@ -0,0 +1,350 @@
+"""Random schedules of faults on real nodes beside upstreams that hold ranges.
+
+Thousands of them by hand, from a seed on, with the history of the first that fails::
+
+    PYTHONHASHSEED=0 python -m tests.platform.test_ownership_schedules 1 1000
+"""
+
+import asyncio
+import logging
+import random
+import sys
+import unittest
+
+from papayatack.core.identity import LeaseId
+from papayatack.core.records import Admit, Assign, Assignment
+from papayatack.core.shards import format_hot_shard, is_hot
+from standins.logstore import Outage
+from tests.fakes.clocks import FreezableLoop
+from tests.fakes.platformfleet import KEYS, LOG_DELAY_S, SERVICE, PlatformFleet
+from tests.fakes.ranges import UNIT
+
+PLACES = {"a": "east", "b": "west", "c": "south", "d": "east", "e": "west"}
+SETTLE_S = 4.0
+STEPS = 30
+SEEDS = range(24)
+
+
+class Schedule:
+    """Carries out one random schedule on a fleet."""
+
+    def __init__(self, *, seed):
+        self.random = random.Random(f"schedule {seed}")
+        self.fleet = PlatformFleet(seed=seed)
+        self._ending = []
+
+    async def run(self):
+        """Play the schedule; return what broke the rules."""
+        fleet = self.fleet
+        for name, place in PLACES.items():
+            fleet.add(name, place)
+        watching = asyncio.create_task(fleet.watch())
+        await asyncio.sleep(SETTLE_S)
+        kinds = self.random.sample(ACTIONS, k=self.random.randint(4, len(ACTIONS)))
+        for _ in range(STEPS):
+            action = self.random.choice(kinds)
+            action(self)
+            await asyncio.sleep(self.random.choice([0.01, 0.1, 0.3, 0.6, 1.0]))
+        await asyncio.sleep(2.0)
+        watching.cancel()
+        await fleet.stop()
+        return fleet.judge.violations
+
+    def _later(self, action, *args, longest_s=3.0):
+        delay_s = self.random.random() * longest_s
+        asyncio.get_running_loop().call_later(delay_s, action, *args)
+
+    def _choose_slot(self):
+        return self.fleet.slots[self.random.choice(sorted(PLACES))]
+
+    def _list_leases(self, state):
+        leases = [
+            lease
+            for name in sorted(PLACES)
+            if (lease := state.find_lease(f"{name}#{self.fleet.slots[name].starts}"))
+        ]
+        self.random.shuffle(leases)
+        return leases
+
+    def _assign(self, *assignments):
+        self._append(Assign, assignments=assignments)
+
+    def _append(self, kind, **fields):
+        if self.fleet.store.faults.outage is Outage.NONE:
+            self.fleet.append(kind, **fields)
+
+    def move(self):
+        """Move some shards to any nodes."""
+        state = self.fleet.read_state()
+        shards = sorted(state.shards)
+        if not shards:
+            return
+        chosen = self.random.sample(shards, k=min(len(shards), self.random.randint(1, 4)))
+        leases = self._list_leases(state)[:3]
+        self._assign(
+            *(
+                Assignment(
+                    shard=shard,
+                    base_epoch=state.shards[shard].current.epoch,
+                    chain=tuple(leases),
+                )
+                for shard in chosen
+            )
+        )
+
+    def split(self):
+        """Give a hot slice a shard of its own, which perhaps moves at once."""
+        state = self.fleet.read_state()
+        first = self.random.randrange(KEYS // UNIT) * UNIT
+        hot = format_hot_shard(SERVICE, "keys", f"{first}-{first + UNIT - 1}")
+        parent = find_parent_of(state, first)
+        if hot in state.shards or parent is None:
+            return
+        self.fleet.hot_keys = (first, first + 1)
+        current = state.shards[parent].current
+        self._assign(
+            Assignment(
+                shard=hot,
+                base_epoch=0,
+                chain=current.leases,
+                parent=parent,
+                parent_epoch=current.epoch,
+            )
+        )
+
+    def return_hot(self):
+        """Return a hot slice, or move it to where its parent is."""
+        state = self.fleet.read_state()
+        hot = [shard for shard in sorted(state.shards) if is_hot(shard)]
+        if not hot:
+            return
+        shard = self.random.choice(hot)
+        first = int(shard.rpartition("=")[2].partition("-")[0])
+        parent = find_parent_of(state, first)
+        current, target = state.shards[shard].current, state.shards[parent].current
+        if current.leases != target.leases:
+            self._assign(
+                Assignment(
+                    shard=shard, base_epoch=current.epoch, chain=target.leases
+                )
+            )
+            return
+        self._assign(
+            Assignment(
+                shard=shard,
+                base_epoch=current.epoch,
+                chain=(),
+                parent=parent,
+                parent_epoch=target.epoch,
+            )
+        )
+
+    def readmit(self):
+        """Admit a node under a new lease."""
+        state = self.fleet.read_state()
+        slot = self._choose_slot()
+        member = state.members.get(f"{slot.name}#{slot.starts}")
+        others = [
+            other.incarnation
+            for other in state.list_live_members()
+            if other is not member
+        ]
+        if member is None or member.ended is not None or len(others) < 3:
+            return
+        self._append(
+            Admit,
+            lease=LeaseId(member.incarnation, member.term + 1),
+            witnesses=tuple(self.random.sample(others, k=3)),
+        )
+
+    def restart(self):
+        """End a node at once and start it again."""
+        slot = self._choose_slot()
+        if slot.control is not None and not slot.is_frozen:
+            self.fleet.kill(slot.name)
+            self._later(self._start, slot.name, longest_s=2.0)
+
+    def _start(self, name):
+        slot = self.fleet.slots[name]
+        if slot.control is None:
+            self.fleet.start(name)
+
+    def depart(self):
+        """Let a node end in order and start it again."""
+        slot = self._choose_slot()
+        if slot.control is not None and not slot.is_frozen:
+            self.fleet.judge.note(f"{slot.name} departs")
+            slot.control.start_departure()
+            self._later(self._restart, slot.name, slot.starts)
+
+    def _restart(self, name, starts):
+        slot = self.fleet.slots[name]
+        if slot.starts == starts and not slot.is_frozen:
+            self.fleet.kill(name)
+            self.fleet.start(name)
+
+    def freeze(self):
+        """Freeze a node for a while."""
+        slot = self._choose_slot()
+        if slot.control is not None and not slot.is_frozen:
+            self.fleet.freeze(slot.name)
+            self._later(self.fleet.thaw, slot.name)
+
+    def freeze_upstream(self):
+        """Freeze an upstream for a while."""
+        slot = self._choose_slot()
+        if slot.life is not None:
+            self.fleet.freeze(slot.life.name)
+            self._later(self.fleet.thaw, slot.life.name)
+
+    def crash_upstream(self):
+        """End an upstream; its node hears of it, or of the next life at once."""
+        slot = self._choose_slot()
+        if slot.life is None:
+            return
+        self.fleet.end_upstream(slot.name)
+        if self.random.random() < 0.5:
+            self._later(self.fleet.tell_upstream_gone, slot.name, longest_s=0.5)
+        self._later(self._start_upstream, slot.name, longest_s=2.0)
+
+    def _start_upstream(self, name):
+        if self.fleet.slots[name].life is None:
+            self.fleet.start_upstream(name)
+
+    def drain_upstream(self):
+        """Let an upstream leave, and start the next."""
+        slot = self._choose_slot()
+        if slot.life is not None:
+            self.fleet.judge.note(f"{slot.life.name} leaves")
+            self.fleet.tell_upstream_leaves(slot.name)
+            self._later(self._exchange_upstream, slot.life, slot.name)
+
+    def _exchange_upstream(self, life, name):
+        if self.fleet.slots[name].life is life:
+            self.fleet.end_upstream(name)
+            self.fleet.start_upstream(name)
+
+    def cut(self):
+        """Cut a node off from others, perhaps in one direction alone."""
+        slot = self._choose_slot()
+        others = [name for name in sorted(PLACES) if name != slot.name]
+        others = self.random.sample(others, k=self.random.randint(1, len(others)))
+        one_way = self.random.random() < 0.3
+        pairs = {(slot.name, other) for other in others}
+        if not one_way:
+            pairs |= {(other, slot.name) for other in others}
+        self.fleet.judge.note(f"{slot.name} is cut from {' '.join(others)}")
+        self.fleet.cut |= pairs
+        self._later(self.fleet.cut.difference_update, pairs)
+
+    def cut_log(self):
+        """Cut a node off from the log."""
+        slot = self._choose_slot()
+        slot.is_log_cut = True
+        self.fleet.judge.note(f"{slot.name} is cut from the log")
+        self._later(setattr, slot, "is_log_cut", False)
+
+    def end_log(self):
+        """Let the log be away for a while, or slow."""
+        faults = self.fleet.store.faults
+        if self.random.random() < 0.5:
+            faults.outage = self.random.choice([Outage.HANG, Outage.REFUSE])
+        else:
+            faults.delay_s = self.random.choice([0.1, 0.4])
+        self.fleet.judge.note(f"log {faults.outage.value} {faults.delay_s}")
+        self._later(self._heal_log)
+
+    def _heal_log(self):
+        self.fleet.store.faults.outage = Outage.NONE
+        self.fleet.store.faults.delay_s = LOG_DELAY_S
+
+    def lose(self):
+        """Lose messages between nodes, or delay them."""
+        self.fleet.drop = self.random.choice([0.0, 0.2, 0.5])
+        self.fleet.delay_s = self.random.choice([0.0, 0.1, 0.5])
+        self._later(setattr, self.fleet, "drop", 0.0)
+        self._later(setattr, self.fleet, "delay_s", 0.0)
+
+    def spoil_grants(self):
+        """Lose answers of the upstreams, let them take grants late, or be slow."""
+        self.fleet.lose = self.random.choice([0.0, 0.1, 0.4])
+        self.fleet.stall = self.random.choice([0.0, 0.1, 0.4])
+        self.fleet.upstream_way_s = self.random.choice([0.004, 0.05, 0.15])
+        self.fleet.spread_faults()
+
+    def heal_grants(self):
+        """Let upstreams answer soon and always."""
+        self.fleet.lose = self.fleet.stall = 0.0
+        self.fleet.upstream_way_s = 0.004
+        self.fleet.spread_faults()
+
+
+ACTIONS = [
+    Schedule.move,
+    Schedule.split,
+    Schedule.return_hot,
+    Schedule.readmit,
+    Schedule.restart,
+    Schedule.depart,
+    Schedule.freeze,
+    Schedule.freeze_upstream,
+    Schedule.crash_upstream,
+    Schedule.drain_upstream,
+    Schedule.cut,
+    Schedule.cut_log,
+    Schedule.end_log,
+    Schedule.lose,
+    Schedule.spoil_grants,
+    Schedule.heal_grants,
+]
+
+
+def find_parent_of(state, key):
+    """Return the slice that a key belongs to, hot ones aside."""
+    for shard in state.shards:
+        first, _, last = shard.rpartition("/")[2].partition("-")
+        if not is_hot(shard) and int(first) <= key <= int(last):
+            return shard
+    return None
+
+
+def play(seed):
+    """Play one schedule; return it when it is over."""
+    schedule = None
+
+    async def run():
+        nonlocal schedule
+        schedule = Schedule(seed=seed)
+        await schedule.run()
+
+    with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+        runner.run(run())
+    return schedule
+
+
+class OwnershipScheduleTests(unittest.TestCase):
+    """Any schedule of faults."""
+
+    def test_one_holder_of_each_key(self):
+        """Tokens rise, and no two upstreams hold or run the same keys."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed).fleet.judge.violations, [])
+
+
+def main(first, count):
+    """Play many schedules; print what broke the rules."""
+    logging.disable()
+    for seed in range(first, first + count):
+        fleet = play(seed).fleet
+        judge = fleet.judge
+        for time_s, rule, text in judge.violations:
+            print(f"seed {seed} at {time_s:.3f}: {rule}: {text}", flush=True)
+        if judge.violations and count == 1:
+            for time_s, text in judge.history:
+                print(f"{time_s:9.3f} {text}")
+    print(f"served {fleet.served}, grants {sum('grant' in t for _, t in judge.history)}")
+
+
+if __name__ == "__main__":
+    main(*map(int, sys.argv[1:3]))
