--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -172,13 +172,18 @@
         self.is_apart = False
         self.cut_s = asyncio.get_running_loop().time()
 
-    async def call(self, target, document):
-        """Take a call in; return status and headers, or never."""
+    def draw_way_s(self):
+        """Return how long a call takes on its way."""
+        return self.way_s * (0.5 + self._random.random())
+
+    async def call(self, target, document, sent_s, way_s):
+        """Take a call in; return the response, ``None`` for none.
+
+        The time of a grant counts from its arrival, also if this process is frozen.
+        """
         loop = asyncio.get_running_loop()
-        sent_s = loop.time()
-        way_s = self.way_s * (0.5 + self._random.random())
         arrived_s = sent_s + way_s
-        await asyncio.sleep(way_s)
+        await asyncio.sleep(max(0.0, arrived_s - loop.time()))
         while self.is_apart:
             await asyncio.sleep(0.01)
             arrived_s = loop.time()
@@ -199,7 +204,7 @@
             status, headers = 200, await self._release(units, document)
         if self._random.random() < self.lose:
             return None
-        await asyncio.sleep(self.way_s * (0.5 + self._random.random()))
+        await asyncio.sleep(self.draw_way_s())
         return Response(
             status=status,
             headers=(*headers, (b"content-length", b"0")),
@@ -276,7 +281,7 @@
         return await asyncio.shield(task)
 
     async def _run(self, key, duration_s):
-        await asyncio.sleep(self.way_s * (0.5 + self._random.random()))
+        await asyncio.sleep(self.draw_way_s())
         loop = asyncio.get_running_loop()
         unit = key // UNIT
         hold = self.holds.get(unit)
@@ -332,7 +337,8 @@
         loop = asyncio.get_running_loop()
         document = json.loads(await request.body.read())
         answered = loop.create_future()
-        call = self._call(request.target, document, answered)
+        way_s = self._life.draw_way_s()
+        call = self._call(request.target, document, loop.time(), way_s, answered)
         context = self._life.context
         task = context.run(loop.create_task, call, context=context)
         self._life.calls.add(task)
@@ -346,7 +352,7 @@
             return Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST))
         return Success(response)
 
-    async def _call(self, target, document, answered):
-        response = await self._life.call(target, document)
+    async def _call(self, target, document, sent_s, way_s, answered):
+        response = await self._life.call(target, document, sent_s, way_s)
         if not answered.done():
             answered.set_result(response)
