Failing tests: an old token goes to an upstream after others had the keys

Causes, each with a test of its own: - RangeGrants.forget clears what it holds and what is being released, but grants that are under way go on: they note what the earlier life answered, and those that wait for a connection take the pool of the next life. A revocation under way no longer keeps the renewal from sending the keys again. - NodeCore.restart_upstream leaves the old token wanted where the newest chain may not be served under yet, and GrantTask still has effects of the old life. - Rights.can_release tells others a release while the grant of an older lease stands, if a newer lease of the node has a right. - Departure fences the leases while such a grant stands. - RangeGrants keeps what is held by shard: the release of a parent forgets the hot keys within that were granted with it.

--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -32,6 +32,7 @@
     Attributes:
         runs: Ids of the requests that it ran, in order.
         grants: What it holds, by first and last key.
+        calls: Target and document of every grant and release.
         refuse_grants: Whether grants are answered with 409.
         grant_delay_s: Time for which the answer to a grant is held back.
         release_delay_s: How long the work under each release takes to end.
@@ -44,6 +45,7 @@
         self.service = service
         self.runs: list[str] = []
         self.grants: dict[tuple[int, int], Grant] = {}
+        self.calls: list[tuple[bytes, dict]] = []
         self.callers: set[bytes] = set()
         self.refuse_grants = False
         self.grant_delay_s = 0.0
@@ -109,6 +111,8 @@
         body = b""
         while data := await request.body.read():
             body += data
+        if request.target in (b"/grant", b"/release"):
+            self.calls.append((request.target, json.loads(body)))
         match request.target:
             case b"/health":
                 fields = (
--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -6,7 +6,13 @@
 
 import unittest
 
-from papayatack.core.records import DeclareLost
+from papayatack.core.identity import LeaseId
+from papayatack.core.ownership.departure import Stage
+from papayatack.core.ownership.effects import GrantShards
+from papayatack.core.ownership.holder import Holder
+from papayatack.core.ownership.rights import Right
+from papayatack.core.ownership.succession import TOKEN_LIFE_BITS
+from papayatack.core.records import Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
 
 TARGET_S = 2.0
@@ -344,6 +350,24 @@
                 fleet.run(10)
                 self.assertTrue(fleet.all_served())
 
+    def test_departure_waits_for_the_grant_of_an_older_lease(self):
+        """The successors take over as soon as the leases are fenced."""
+        fleet = make_fleet()
+        fleet.log_up = False
+        core = fleet.slots["a"].core
+        older = Holder(lease=LeaseId(core.me, 0), witnesses=(), now=0.0)
+        right = Right(holder=older, epoch=1, wanted_token=1, asked=True)
+        core.context.rights._transferred["s/all/9"] = right
+        fleet.leave("a")
+        fleet.run(3)
+        self.assertIs(fleet.slots["a"].core, core)
+        self.assertTrue(fleet.list_owners(fleet.shards[0]))
+        self.assertIn(
+            core.departure.stage, (Stage.SERVING, Stage.MOVING, Stage.DRAINING)
+        )
+        core.confirm_revoke(older.lease, ("s/all/9",), done=True, now=fleet.now)
+        fleet.run_until(lambda: fleet.slots["a"].core is None, 10)
+
     def test_declared_process_is_told(self):
         """A process that the log ended while it ran stops and says so."""
         fleet = make_fleet()
@@ -407,3 +431,33 @@
         for slot in fleet.slots.values():
             holder = slot.core.context.find_newest_holder()
             self.assertEqual(len(holder.witnesses), 3)
+
+
+class UpstreamTests(unittest.TestCase):
+    """The upstream beside a node is started again."""
+
+    def test_restarted_upstream_is_given_no_token_of_its_earlier_life(self):
+        """Also for shards whose newest chain the node may not serve under yet."""
+        fleet = make_fleet()
+        slot = fleet.slots["a"]
+        shard = fleet.list_owned("a")[0]
+        current = fleet.truth.shards[shard].current
+        fleet.plans = False
+        fleet.isolate("a")
+        fleet.run(0.01)
+        assignment = Assignment(
+            shard=shard, base_epoch=current.epoch, chain=current.leases[:1]
+        )
+        fleet.append(Assign(record_id="op/1", writer="op", assignments=(assignment,)))
+        fleet.run(0.1)
+        self.assertLess(slot.core.context.rights.rights[shard].epoch, current.epoch + 1)
+        effects = slot.core.restart_upstream(slot.read_clock(fleet.now))
+        tokens = {
+            token
+            for effect in effects
+            if type(effect) is GrantShards
+            for token in effect.tokens.values()
+        }
+        life = slot.core.context.upstream_life
+        self.assertTrue(tokens)
+        self.assertEqual({token % (1 << TOKEN_LIFE_BITS) for token in tokens}, {life})
--- a/tests/core/ownership/test_rights.py
+++ b/tests/core/ownership/test_rights.py
@@ -5,7 +5,7 @@
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.rights import Rights
-from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.state import Chain, OwnershipState, ShardEntry
 
 ME = IncarnationId("127.0.0.1:1#a")
 SHARD = ShardId("s/all/0")
@@ -15,7 +15,8 @@
     """A shard that goes from one lease of a node to the next, and then away."""
 
     def setUp(self):
-        self.rights = Rights(state=OwnershipState())
+        self.state = OwnershipState()
+        self.rights = Rights(state=self.state)
         self.old = self.make_holder(1)
         self.new = self.make_holder(2)
         self.rights.acquire(SHARD, self.old, 1, 10, now=0.0)
@@ -54,3 +55,16 @@
         self.rights.stop(SHARD, drains=True)
         found = self.rights.collect_revocable(0.0)
         self.assertEqual(found, {self.new.lease: [SHARD]})
+
+    def test_old_lease_is_not_released_to_others_while_its_grant_may_stand(self):
+        """The newer lease may end without its grant having reached the upstream."""
+        chain = Chain(epoch=2, leases=(self.new.lease,), since=2)
+        before = Chain(epoch=1, leases=(self.old.lease,), since=1)
+        self.state.set_shard(SHARD, ShardEntry(current=chain, earlier=(before,)))
+        self.old.confirmed_floor = 2
+        self.assertFalse(self.rights.can_release(self.old, SHARD, 2, now=0.0))
+        self.assertTrue(
+            self.rights.can_release(self.old, SHARD, 2, now=0.0, to_self=True)
+        )
+        self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
+        self.assertTrue(self.rights.can_release(self.old, SHARD, 2, now=0.0))
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextvars
-import functools
 import random
 import types
 
@@ -20,7 +19,7 @@
 from papayatack.core.inventory import Configuration, KeyRange, Place, Service
 from papayatack.core.ownership import OwnershipState, fold
 from papayatack.core.ownership.selection import TailPolicy
-from papayatack.core.placement import PlacementLimits, plan
+from papayatack.core.placement import PlacementLimits, Plan, plan
 from papayatack.core.records import OWNERSHIP_STREAM, Announce
 from papayatack.core.shards import is_hot
 from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
@@ -42,7 +41,7 @@
 LOG_DELAY_S = 0.004
 REQUEST_EVERY_S = 0.04
 CHECK_EVERY_S = 0.02
-DEADLINE_S = 1.5
+DEADLINE_S = 3.0
 DRAIN_S = 2.0
 PACE = PlanPace(
     interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6, gather_s=0.8
@@ -145,6 +144,7 @@
 
     Attributes:
         cut: Pairs of machines, from and to, whose messages are lost.
+        plans: Whether the nodes' planner changes anything.
         drop: Part of the messages that are lost.
         delay_s: Longest further time that a message takes.
     """
@@ -163,11 +163,12 @@
         self.upstream_way_s = 0.004
         self.hot_keys = (0,)
         self.served = 0
+        self.plans = True
         self.records = 0
 
     def add(self, name, data_centre):
         """Add a machine and start both of its processes."""
-        slot = self.slots[name] = Slot(name=name, data_centre=data_centre)
+        self.slots[name] = Slot(name=name, data_centre=data_centre)
         self.start_upstream(name)
         self.start(name)
 
@@ -211,7 +212,7 @@
             log=_Log(store=self.store, slot=slot),
             sender=_Sender(fleet=self, slot=slot, incarnation=incarnation),
             sink=slot.sink,
-            plan=functools.partial(plan, limits=PLACEMENT),
+            plan=self._plan,
             metrics=Metrics(),
             random=random.Random(self.random.random()),
             state=state,
@@ -246,6 +247,11 @@
                 loop.call_later(0.1, self.start, slot.name)
             raise asyncio.CancelledError
 
+    def _plan(self, view):
+        if not self.plans:
+            return Plan(assignments=())
+        return plan(view, limits=PLACEMENT)
+
     def _announce(self, slot, *, leaving=False):
         return AnnouncedUpstream(
             service=SERVICE,
@@ -346,9 +352,9 @@
     def deliver(self, sender, source, address, recipient, message):
         """Hand a message over to its recipient."""
         slot = self.slots.get(address)
-        if slot is not None and slot.control is not None:
-            if (source, address) not in self.cut:
-                slot.control.receive(sender, recipient, message)
+        if (source, address) in self.cut or slot is None or slot.control is None:
+            return
+        slot.control.receive(sender, recipient, message)
 
     async def watch(self):
         """Look for units with two holders until cancelled."""
@@ -387,7 +393,7 @@
         if not is_successful(granted) or life is None:
             return
         grant = granted.unwrap()
-        longest_s = 1.4 if self.random.random() < 0.05 else 0.2
+        longest_s = DEADLINE_S if self.random.random() < 0.1 else 0.2
         duration_s = self.random.random() * longest_s
         begun = await life.run(key, duration_s)
         control.ownership.finish(grant, service_time_s=duration_s)
--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -78,7 +78,9 @@
                 continue
             hold = other.holds.get(unit)
             if hold is not None and hold.token >= token and not renews:
-                self._blame("token", unit, life, token, other, hold)
+                same = other.sender is life.sender
+                rule = "token of an earlier life" if same else "token"
+                self._blame(rule, unit, life, token, other, hold)
             at_work = other.is_up and other.work.get(unit, 0)
             if hold is not None and at_work and now < hold.would_end_s:
                 self._blame("at work", unit, life, token, other, hold)
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -131,6 +131,80 @@
         self.assertFalse(self.upstream.holds(first))
         self.assertTrue(self.upstream.holds(first + 8))
 
+    async def replace_upstream(self):
+        """Put a new life of the upstream into service; return it."""
+        self.grants.pool = None
+        self.grants.forget()
+        upstream = PlatformUpstream(instance="i-2", service="desk", place="east")
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        host, _, port = upstream.address.partition(":")
+        pool = UpstreamPool(host=host, port=int(port), metrics=Metrics())
+        self.addCleanup(pool.close)
+        self.grants.pool = pool
+        return upstream
+
+    async def test_grant_that_was_under_way_to_an_earlier_life_is_not_renewed(self):
+        """Neither what was answered there nor what waited goes to the next life."""
+        self.upstream.grant_delay_s = 0.1
+        shards = {name(16 * n, 16 * n + 7): 7 for n in range(2 * MAX_CALLS)}
+        granting = asyncio.ensure_future(self.grants.grant(LEASE, shards, LONG_US))
+        await asyncio.sleep(0.05)
+        upstream = await self.replace_upstream()
+        await granting
+        await self.grants.extend(LEASE, LONG_US)
+        self.assertEqual(upstream.grants, {})
+
+    async def test_token_of_an_earlier_life_is_not_sent(self):
+        """A grant that was asked for before comes after; only a higher one goes out."""
+        first = name(0, 255)
+        await self.grants.grant(LEASE, {first: 7}, LONG_US)
+        upstream = await self.replace_upstream()
+        refused = await self.grants.grant(LEASE, {first: 7}, LONG_US)
+        self.assertIsInstance(refused, Failure)
+        self.assertEqual(upstream.grants, {})
+        self.assertEqual(
+            await self.grants.grant(LEASE, {first: 8}, LONG_US), Success(None)
+        )
+
+    async def test_token_that_returns_after_a_higher_one_is_not_sent(self):
+        """Also for some of the keys alone."""
+        hot = name(16, 23, hot=True)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        self.hot = [hot]
+        await self.grants.grant(LEASE, {hot: 9}, LONG_US)
+        await self.grants.revoke(LEASE, (hot,))
+        self.hot = []
+        sent = len(self.upstream.calls)
+        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        tokens = {
+            document["fence"]
+            for target, document in self.upstream.calls[sent:]
+            if target == b"/grant" and document["From"] <= 16 <= document["To"]
+        }
+        self.assertEqual(tokens, set())
+
+    async def test_hot_slice_whose_parent_is_released_before_its_own_grant(self):
+        """The upstream still has it from the parent's grant."""
+        hot = name(16, 23, hot=True)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        self.hot = [hot]
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        await self.grants.revoke(LEASE, (hot,))
+        self.assertFalse(self.upstream.holds(16))
+
+    async def test_returned_hot_slice_whose_parent_is_released(self):
+        """The parent's new grant was never made."""
+        hot = name(16, 23, hot=True)
+        self.hot = [hot]
+        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, LONG_US)
+        self.hot = []
+        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertFalse(self.upstream.holds(16))
+        self.assertFalse(self.upstream.holds(0))
+
     async def test_refused_grant_counts_as_none(self):
         """A higher token was seen."""
         self.upstream.refuse_grants = True
--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -79,7 +79,9 @@
         shards = sorted(state.shards)
         if not shards:
             return
-        chosen = self.random.sample(shards, k=min(len(shards), self.random.randint(1, 4)))
+        chosen = self.random.sample(
+            shards, k=min(len(shards), self.random.randint(1, 4))
+        )
         leases = self._list_leases(state)[:3]
         self._assign(
             *(
@@ -124,9 +126,7 @@
         current, target = state.shards[shard].current, state.shards[parent].current
         if current.leases != target.leases:
             self._assign(
-                Assignment(
-                    shard=shard, base_epoch=current.epoch, chain=target.leases
-                )
+                Assignment(shard=shard, base_epoch=current.epoch, chain=target.leases)
             )
             return
         self._assign(
@@ -269,7 +269,7 @@
         """Lose answers of the upstreams, let them take grants late, or be slow."""
         self.fleet.lose = self.random.choice([0.0, 0.1, 0.4])
         self.fleet.stall = self.random.choice([0.0, 0.1, 0.4])
-        self.fleet.upstream_way_s = self.random.choice([0.004, 0.05, 0.15])
+        self.fleet.upstream_way_s = self.random.choice([0.004, 0.05, 0.15, 0.4])
         self.fleet.spread_faults()
 
     def heal_grants(self):
@@ -327,9 +327,10 @@
 
     def test_one_holder_of_each_key(self):
         """Tokens rise, and no two upstreams hold or run the same keys."""
-        for seed in SEEDS:
-            with self.subTest(seed=seed):
-                self.assertEqual(play(seed).fleet.judge.violations, [])
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        broken = {seed: play(seed).fleet.judge.violations for seed in SEEDS}
+        self.assertEqual({seed: seen for seed, seen in broken.items() if seen}, {})
 
 
 def main(first, count):
@@ -343,7 +344,9 @@
         if judge.violations and count == 1:
             for time_s, text in judge.history:
                 print(f"{time_s:9.3f} {text}")
-    print(f"served {fleet.served}, grants {sum('grant' in t for _, t in judge.history)}")
+    print(
+        f"served {fleet.served}, grants {sum('grant' in t for _, t in judge.history)}"
+    )
 
 
 if __name__ == "__main__":
