Release keys to others only when no older lease's grant of them stands

What callers see: a key with two holders after a node was readmitted.

Cause: a node that goes from an older lease to a newer one keeps the older one's grant until the newer one's is confirmed. Asked by the successor, which has seen the newer lease fenced, it released the older one as soon as it had a right under the newer one: but that lease has ended, its grant may never have reached the upstream, and the older one's is still renewed. The upstream then has the keys with the older token while the successor has taken them.

The release now waits until the older grant is revoked or replaced.

--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -416,9 +416,9 @@
         if right is not None and right.epoch < epoch:
             return False
         old = self._transferred.get(shard)
-        still_granted = old is not None and not old.holder.ended
-        busy = still_granted or self.is_busy(shard, now)
-        if right is None and not to_self and busy:
+        if old is not None and not old.holder.ended and not to_self:
+            return False
+        if right is None and not to_self and self.is_busy(shard, now):
             return False
         since = min(
             chain.since for chain in entry.list_chains() if chain.epoch >= epoch
