Fence no lease in a planned stop while an older lease's grant stands

A successor takes over as soon as the leases are fenced; the upstream could hold keys for up to a second more by the grant of an older lease whose revocation was under way. The stage waits for it, as it does for requests and for shards that drain. The test failed before; its line on the owner of another shard is gone, as a node that drains serves none.

--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -152,7 +152,8 @@
             self._claims.stopped = True
             self._claims.touch(*self._context.rights.rights)
             return
-        if not self._context.rights.in_flight and not self._context.rights.draining:
+        rights = self._context.rights
+        if not rights.in_flight and not rights.draining and not rights.has_transfers:
             self._enter(Stage.FENCING, now)
 
     def _fence(self, now: float) -> None:
