Raise the tokens of all rights when the upstream is started again

A right whose newest chain may not be served under yet kept the token of the upstream's earlier life: that token was granted to the next life, though a key moves to another life with a higher one alone.

--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -46,7 +46,7 @@
 from papayatack.core.ownership.reporting import Reporting
 from papayatack.core.ownership.rights import Right, Rights
 from papayatack.core.ownership.state import Member, OwnershipState
-from papayatack.core.ownership.succession import LeaseEnd
+from papayatack.core.ownership.succession import LeaseEnd, renew_token
 from papayatack.core.ownership.timing import RENEW_INTERVAL_S
 from papayatack.core.ownership.witnessing import Witnessing
 from papayatack.core.records import (
@@ -205,6 +205,9 @@
         self.context.upstream_life += 1
         rights = self.context.rights
         for right in rights.rights.values():
+            right.wanted_token = renew_token(
+                right.wanted_token, self.context.upstream_life
+            )
             right.token = 0
             right.asked = False
         self.claims.touch(*rights.rights)
--- a/src/papayatack/core/ownership/succession.py
+++ b/src/papayatack/core/ownership/succession.py
@@ -19,6 +19,7 @@
     "LeaseEnd",
     "examine_claim",
     "make_token",
+    "renew_token",
 ]
 
 TOKEN_POSITION_BITS = 8
@@ -92,6 +93,13 @@
     return (number << TOKEN_LIFE_BITS) | min(life, highest)
 
 
+def renew_token(token: int, life: int) -> int:
+    """Return the token of the same holder for another life of its upstream."""
+    number = token >> TOKEN_LIFE_BITS
+    since, position = number >> TOKEN_POSITION_BITS, number % (1 << TOKEN_POSITION_BITS)
+    return make_token(since, position, life)
+
+
 def examine_claim(
     shard: ShardId, entry: ShardEntry, claimant: LeaseId, evidence: Evidence
 ) -> Claim:
