Harness: an upstream that is slow takes calls in late; they arrive at once

The way to the upstream of the same machine was stretched to 0.6 s, beyond what RangeGrants allows for it (0.3 s); the platform's upstreams take a call in late, while its time counts from the arrival.

--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -160,7 +160,7 @@
         self.delay_s = 0.0
         self.lose = 0.0
         self.stall = 0.0
-        self.upstream_way_s = 0.004
+        self.slow_s = 0.0
         self.hot_keys = (0,)
         self.served = 0
         self.plans = True
@@ -339,7 +339,7 @@
             if slot.life is not None:
                 slot.life.lose = self.lose
                 slot.life.stall = self.stall
-                slot.life.way_s = self.upstream_way_s
+                slot.life.slow_s = self.slow_s
 
     def read_state(self):
         """Return the folded state of the whole log."""
--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -135,6 +135,7 @@
         work: Requests that run, by unit.
         sender: The process that calls it; its freezes excuse grants.
         lose: Part of the answers that are lost.
+        slow_s: Longest time after its arrival in which a call waits.
         stall: Part of the grants that are taken in late, without an answer.
         is_apart: The link from the sender is cut.
     """
@@ -148,7 +149,7 @@
         self.work = {}
         self.lose = 0.0
         self.stall = 0.0
-        self.way_s = WAY_S
+        self.slow_s = 0.0
         self.is_apart = False
         self.cut_s = float("-inf")
         self.calls = set()
@@ -176,7 +177,7 @@
 
     def draw_way_s(self):
         """Return how long a call takes on its way."""
-        return self.way_s * (0.5 + self._random.random())
+        return WAY_S * (0.5 + self._random.random())
 
     async def call(self, target, document, sent_s, way_s):
         """Take a call in; return the response, ``None`` for none.
@@ -189,6 +190,7 @@
         while self.is_apart:
             await asyncio.sleep(0.01)
             arrived_s = loop.time()
+        await asyncio.sleep(self.slow_s * self._random.random())
         units = range(document["From"] // UNIT, document["To"] // UNIT + 1)
         if not self.is_up:
             return None
--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -269,13 +269,13 @@
         """Lose answers of the upstreams, let them take grants late, or be slow."""
         self.fleet.lose = self.random.choice([0.0, 0.1, 0.4])
         self.fleet.stall = self.random.choice([0.0, 0.1, 0.4])
-        self.fleet.upstream_way_s = self.random.choice([0.004, 0.05, 0.15, 0.4])
+        self.fleet.slow_s = self.random.choice([0.0, 0.1, 0.3, 0.8])
         self.fleet.spread_faults()
 
     def heal_grants(self):
         """Let upstreams answer soon and always."""
         self.fleet.lose = self.fleet.stall = 0.0
-        self.fleet.upstream_way_s = 0.004
+        self.fleet.slow_s = 0.0
         self.fleet.spread_faults()
 
 
