Keep what an upstream holds in one map of keys, through all its lives

What callers see: a key with two holders (OWNER). The users' record: key 27136 went to one upstream with since 291, position 0, life 1 after another had had it with since 345, position 1.

RangeGrants.forget clears what is held and what is being released, but the calls go on: those that wait for a connection take c.2's pool, and their answers are noted as held by c.2 under c.1's tokens. A revocation under way has lost its mark, so that a renewal sends the keys again after their release (64-79 with 77/0/1, 0.09 s after it). No core knows of them any more, so nobody revokes them, and they are renewed as long as the lease lives: c.2 took them with 77/0/1 after d.1 had had 94/0/1. The record fits that: the old token is renewed long after the move, its life is that of the first upstream of the node's process; it is not proved to be the same.

Design: core/ownership/holdings.py maps key ranges to the highest token sent and the latest end of any grant, whatever shard or lease it was sent for; noted when sent. Upon it stand grant (a token below one that was sent, or not above those of earlier lives, is never sent; the other keys of the range are), release (told to others only when no key stands in the map; a hot slice is found under its parent's grant although the parent has been released, a returned one stays with it) and forget. Each call belongs to one life of the upstream and never reaches another. An upstream that is replaced by one at another address may still run: its grants are waited out (at most a lease) before the keys are granted or released.

The shards to be renewed are still kept by shard and lease; they decide only what is sent, not what is safe.

--- a/src/papayatack/control/interface.py
+++ b/src/papayatack/control/interface.py
@@ -58,8 +58,12 @@
 
     pool: UpstreamPool | None
 
-    def forget(self) -> None:
-        """Forget what an upstream held that has ended for sure."""
+    def forget(self, *, is_certain: bool = True) -> None:
+        """Forget what the upstream held: the next one holds nothing.
+
+        Args:
+            is_certain: It has ended; otherwise its grants are waited out.
+        """
 
     async def grant(
         self,
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -50,6 +50,7 @@
         drain_s: float,
     ) -> None:
         self.current: AnnouncedUpstream | None = None
+        self._granted: AnnouncedUpstream | None = None
         self._surroundings = surroundings
         self._control = control
         self._engine = engine
@@ -89,7 +90,7 @@
         )
         self.current = upstream
         if restarted:
-            self._connect(upstream, was_used=current is not None)
+            self._connect(upstream)
         self._control.attach_upstream(
             service=upstream.service,
             upstream=upstream.address,
@@ -105,10 +106,11 @@
             slots=upstream.slots,
         )
 
-    def _connect(self, upstream: AnnouncedUpstream, *, was_used: bool) -> None:
+    def _connect(self, upstream: AnnouncedUpstream) -> None:
         self._retire_pool()
-        if was_used:
-            self._sink.forget()
+        last, self._granted = self._granted, upstream
+        if last is not None and last.instance != upstream.instance:
+            self._sink.forget(is_certain=last.address == upstream.address)
         pool = self._build_pool(upstream)
         pool.on_unreachable = self._surroundings.desk.suspect
         self._surroundings.note_upstream(upstream)
@@ -133,7 +135,8 @@
     def _take_out(self, news: UpstreamGone) -> None:
         """Forget an upstream that has gone."""
         self.current = None
-        if news.is_certain:
+        if news.is_certain and self._granted is not None:
+            self._granted = None
             self._sink.forget()
         self._control.attach_upstream(service="")
         self._control.give_up_shards()
--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -64,7 +64,7 @@
     def __init__(self, *, pool: UpstreamPool | None = None) -> None:
         self.pool = pool
 
-    def forget(self) -> None:
+    def forget(self, *, is_certain: bool = True) -> None:
         """Forget an upstream that has ended; it keeps its grants itself."""
 
     async def grant(
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import logging
@@ -16,6 +17,7 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.ownership.holdings import Holdings
 from papayatack.core.shards import find_slice, is_hot
 from papayatack.network.exchanges import Response, find_header
 from papayatack.network.grants import build_json_request
@@ -48,6 +50,8 @@
 MAX_RANGES_LOGGED = 4
 FRESH_S = 0.3
 OK = 200
+NOT_SENT = Response(status=0)
+"""Stands for the answer to a call that the upstream has not got."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
@@ -60,14 +64,14 @@
     handover: str = ""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Held:
-    """A shard that the upstream holds or may hold.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Granted:
+    """A shard whose newest grant the upstream has confirmed.
 
     Attributes:
         lease: The lease under which it is granted.
-        token: The token of its newest grant.
-        until_s: When the last of its answered grants runs out.
+        token: Its token.
+        until_s: When it runs out.
     """
 
     lease: LeaseId
@@ -75,31 +79,62 @@
     until_s: float
 
 
+class _Life:
+    """One life of the upstream, and what is under way to it.
+
+    Attributes:
+        pool: Connections to it, ``None`` while there is none.
+        granted: Shards to be renewed.
+        asked: Token of the newest grant that was asked for, by shard.
+        releasing: Shards that are not to be renewed.
+        calls: Grants under way, with their shards.
+        ended: Set when the next life has begun.
+    """
+
+    def __init__(self) -> None:
+        self.pool: UpstreamPool | None = None
+        self.granted: dict[ShardId, _Granted] = {}
+        self.asked: dict[ShardId, int] = {}
+        self.releasing: set[ShardId] = set()
+        self.calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
+        self.ended = asyncio.Event()
+
+
 class RangeGrants:
     """Tells the own upstream which keys it may serve.
 
+    What it may hold is kept by key in :class:`Holdings`, whatever shard or lease a
+    grant was sent for: that decides what may be sent, and when a release is over.
+
     Args:
         list_hot: Returns the hot slices that are shards of their own.
-
-    Attributes:
-        pool: Connections to the upstream, ``None`` while there is none.
     """
 
     def __init__(self, *, list_hot: Callable[[], Collection[ShardId]]) -> None:
-        self.pool: UpstreamPool | None = None
         self._list_hot = list_hot
-        self._held: dict[ShardId, _Held] = {}
-        self._late_s: dict[ShardId, float] = {}
-        self._releasing: set[ShardId] = set()
+        self._holdings = Holdings()
+        self._life = _Life()
         self._grant_slots = asyncio.Semaphore(MAX_CALLS)
         self._release_slots = asyncio.Semaphore(MAX_RELEASES)
-        self._calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
 
-    def forget(self) -> None:
-        """Forget what an upstream held that has ended for sure."""
-        self._held.clear()
-        self._late_s.clear()
-        self._releasing.clear()
+    @property
+    def pool(self) -> UpstreamPool | None:
+        """Connections to the upstream, ``None`` while there is none."""
+        return self._life.pool
+
+    @pool.setter
+    def pool(self, pool: UpstreamPool | None) -> None:
+        self._life.pool = pool
+
+    def forget(self, *, is_certain: bool = True) -> None:
+        """Begin a new life of the upstream; what is under way to the old one ends.
+
+        Args:
+            is_certain: The old one has ended; otherwise its grants are waited out.
+        """
+        self._holdings.start_life(is_certain=is_certain, slack_s=ARRIVAL_S)
+        self._life.ended.set()
+        self._life = _Life()
 
     async def grant(
         self,
@@ -109,9 +144,11 @@
         handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before the first request."""
-        if self.pool is None:
+        life = self._life
+        if life.pool is None:
             return _refuse("no upstream runs here")
-        self._releasing.difference_update(tokens)
+        life.releasing.difference_update(tokens)
+        life.asked.update(tokens)
         left = {
             shard: token
             for shard, token in tokens.items()
@@ -121,18 +158,17 @@
 
     def _has(self, lease: LeaseId, shard: ShardId, token: int) -> bool:
         """Tell whether the upstream holds a shard for a while yet."""
-        held = self._held.get(shard)
-        if held is None or (held.lease, held.token) != (lease, token):
+        granted = self._life.granted.get(shard)
+        if granted is None or (granted.lease, granted.token) != (lease, token):
             return False
-        return held.until_s > asyncio.get_running_loop().time() + FRESH_S
+        return granted.until_s > asyncio.get_running_loop().time() + FRESH_S
 
     async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
         """Extend all grants of a lease."""
-        self._forget_returned()
         tokens = {
-            shard: held.token
-            for shard, held in self._held.items()
-            if held.lease == lease and shard not in self._releasing
+            shard: granted.token
+            for shard, granted in self._life.granted.items()
+            if granted.lease == lease
         }
         if self.pool is None or not tokens:
             return Success(None)
@@ -146,40 +182,46 @@
         Grants under way are waited for, since one that comes after the release would
         stand; also those of a slice from which a hot one was split meanwhile.
         """
+        life = self._life
         wanted = frozenset(shards)
-        self._releasing |= wanted
+        life.releasing |= wanted
+        for shard in shards:
+            life.granted.pop(shard, None)
         pending = [
             call
-            for call, known in self._calls.items()
+            for call, known in life.calls.items()
             if any(_list_overlapping(shard, known) for shard in wanted)
         ]
         if pending:
             await asyncio.wait(pending)
-        found = {shard: self._find_held(shard) for shard in shards}
-        found = {shard: held for shard, held in found.items() if held is not None}
+        parts = {shard: self._list_standing(life, shard) for shard in shards}
         answers = await asyncio.gather(
-            *(self._release(shard, entry) for shard, entry in found.items())
+            *(self._release(life, parts[shard]) for shard in shards)
         )
-        await self._wait_late(wanted)
+        await self._wait_free([part for found in parts.values() for part in found])
+        life.releasing -= wanted
         for shard in shards:
-            self._held.pop(shard, None)
-        self._releasing -= wanted
-        handovers = dict(zip(found, answers, strict=True))
+            life.asked.pop(shard, None)
+        handovers = dict(zip(shards, answers, strict=True))
         return Success({shard: text for shard, text in handovers.items() if text})
 
-    def _find_held(self, shard: ShardId) -> "_Held | None":
-        """Return how a shard is held; a hot one perhaps still with its parent."""
-        held = self._held.get(shard)
-        if held is not None or not is_hot(shard):
-            return held
-        parents = _list_overlapping(shard, self._held)
-        return self._held[parents[0]] if parents else None
+    def _list_standing(self, life: _Life, shard: ShardId) -> list[_KeyRange]:
+        """Return the ranges of a shard that the upstream may hold.
 
-    def _forget_returned(self) -> None:
-        """Forget hot slices that belong to their parent again, under its token."""
-        hot = set(self._list_hot())
-        for shard in [s for s in self._held if is_hot(s) and s not in hot]:
-            del self._held[shard]
+        Keys of a hot slice that are granted with its parent again stay there.
+        """
+        now = asyncio.get_running_loop().time()
+        newest = life.asked.get(shard)
+        returned = is_hot(shard) and shard not in self._list_hot()
+        found = []
+        for first, last in self._cut(shard):
+            known = list(self._holdings.list_parts(first, last))
+            token = max(part.token for part in known)
+            if returned and newest is not None and token > newest:
+                continue
+            if max(part.may_stand_s for part in known) + ARRIVAL_S > now:
+                found.append(_KeyRange(first=first, last=last, token=token))
+        return found
 
     async def _send_grants(
         self,
@@ -188,137 +230,174 @@
         remaining_us: int,
         handovers: Mapping[ShardId, str],
     ) -> Result[None, Refusal]:
+        life = self._life
         end_s = asyncio.get_running_loop().time() + remaining_us / MICROSECONDS
         call = asyncio.ensure_future(
-            self._grant_ranges(lease, tokens, end_s, handovers)
+            self._grant_ranges(life, lease, tokens, end_s, handovers)
         )
-        self._calls[call] = frozenset(tokens)
-        call.add_done_callback(self._calls.pop)
+        life.calls[call] = frozenset(tokens)
+        call.add_done_callback(life.calls.pop)
         done = await asyncio.shield(call)
         return Success(None) if done else _refuse("a grant was not confirmed")
 
     async def _grant_ranges(
         self,
+        life: _Life,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
         end_s: float,
         handovers: Mapping[ShardId, str],
     ) -> bool:
         """Send the grants; note which the upstream has and which it may have."""
-        ranges = self._merge(tokens, handovers)
+        ranges, withheld = self._list_wanted(tokens, handovers)
         answers = await asyncio.gather(
-            *(self._call_grant(key_range, end_s) for key_range in ranges)
+            *(self._call_grant(life, key_range, end_s) for key_range in ranges)
         )
+        if life.ended.is_set():
+            return False
         failed = [
             (part, answer)
             for part, answer in zip(ranges, answers, strict=True)
             if answer is None or answer.status != OK
         ]
+        failed.extend((part, NOT_SENT) for part in withheld)
         if failed:
             _note_failures(failed, left_s=end_s - asyncio.get_running_loop().time())
+        for part, answer in failed:
+            if answer is None:
+                late_s = end_s + ARRIVAL_S
+                self._holdings.note_unanswered(part.first, part.last, late_s)
         for shard, token in tokens.items():
             _, first, last = find_slice(shard)
-            missing = [
-                answer
-                for part, answer in failed
-                if part.first <= last and first <= part.last
-            ]
-            if any(answer is None for answer in missing):
-                self._late_s[shard] = end_s + ARRIVAL_S
-            known = self._held.get(shard)
-            if not missing and (known is None or known.token <= token):
-                self._held[shard] = _Held(lease=lease, token=token, until_s=end_s)
+            missing = any(
+                part.first <= last and first <= part.last for part, _ in failed
+            )
+            known = life.granted.get(shard)
+            newer = known is None or known.token <= token
+            if not missing and newer and shard not in life.releasing:
+                life.granted[shard] = _Granted(lease=lease, token=token, until_s=end_s)
         return not failed
 
-    def _merge(
+    def _list_wanted(
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
-    ) -> list[_KeyRange]:
-        """Return the fewest ranges that cover just these shards."""
+    ) -> tuple[list[_KeyRange], list[_KeyRange]]:
+        """Return the fewest ranges that cover just these shards.
+
+        Those that may not be sent come apart: their keys have had a higher token, or
+        an earlier life of the upstream may hold them.
+        """
+        now = asyncio.get_running_loop().time()
         ranges: list[_KeyRange] = []
-        for part in sorted(self._cut(tokens, handovers)):
-            last = ranges[-1] if ranges else None
-            joins = (
-                last is not None
-                and last.last + 1 == part.first
-                and (last.token, last.handover) == (part.token, part.handover)
-                and not part.handover
-            )
-            if joins and last is not None:
-                ranges[-1] = dataclasses.replace(last, last=part.last)
-            else:
+        withheld: list[_KeyRange] = []
+        for part in sorted(self._divide(tokens, handovers)):
+            known = list(self._holdings.list_parts(part.first, part.last))
+            if all(holding.may_take(part.token, now) for holding in known):
                 ranges.append(part)
-        return ranges
-
-    def _cut(
+                continue
+            for holding in known:
+                piece = dataclasses.replace(
+                    part, first=holding.first, last=holding.last, handover=""
+                )
+                may_take = holding.may_take(part.token, now)
+                (ranges if may_take else withheld).append(piece)
+        return _merge(ranges), withheld
+
+    def _divide(
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
     ) -> Iterable[_KeyRange]:
-        """Yield each shard's keys without the hot slices within it."""
-        hot = sorted(find_slice(shard) for shard in self._list_hot())
+        """Yield each shard's ranges with their handovers."""
         for shard, token in tokens.items():
-            service, first, last = find_slice(shard)
             known = _split_handovers(handovers.get(shard, ""))
-            holes = [
-                (start, end)
-                for other, start, end in hot
-                if other == service and first <= start <= last and not is_hot(shard)
-            ]
-            for start, end in (*holes, (last + 1, last + 1)):
-                if first < start:
-                    yield _KeyRange(
-                        first=first,
-                        last=start - 1,
-                        token=token,
-                        handover=known.get(f"{first}-{start - 1}", ""),
-                    )
-                first = end + 1
-
-    async def _release(self, shard: ShardId, held: _Held) -> str:
-        """Return the upstream's handover, empty if it gave none.
-
-        One that does not answer holds the shard until its grants have run out.
-        """
-        parts = self._merge({shard: held.token}, {})
-        answers = await asyncio.gather(*(self._call_release(part) for part in parts))
+            for first, last in self._cut(shard):
+                yield _KeyRange(
+                    first=first,
+                    last=last,
+                    token=token,
+                    handover=known.get(f"{first}-{last}", ""),
+                )
+
+    def _cut(self, shard: ShardId) -> Iterable[tuple[int, int]]:
+        """Yield a shard's keys without the hot slices within it."""
+        service, first, last = find_slice(shard)
+        hot = [] if is_hot(shard) else sorted(map(find_slice, self._list_hot()))
+        holes = [
+            (start, end)
+            for other, start, end in hot
+            if other == service and first <= start <= last
+        ]
+        for start, end in (*holes, (last + 1, last + 1)):
+            if first < start:
+                yield first, start - 1
+            first = end + 1
+
+    async def _release(self, life: _Life, parts: list[_KeyRange]) -> str:
+        """Return the upstream's handover, empty if it gave none."""
+        answers = await asyncio.gather(
+            *(self._call_release(life, part) for part in parts)
+        )
+        if life.ended.is_set():
+            return ""
+        for part, answer in zip(parts, answers, strict=True):
+            if answer is not None and answer.status == OK:
+                self._holdings.note_released(part.first, part.last)
         if all(answer is not None and answer.status == OK for answer in answers):
             return _join_handovers(parts, answers)
-        now = asyncio.get_running_loop().time()
-        await asyncio.sleep(max(0.0, held.until_s - now))
         return ""
 
-    async def _wait_late(self, shards: frozenset[ShardId]) -> None:
-        """Wait until grants without an answer can no longer be taken in."""
-        late_s = [
-            self._late_s[other]
-            for shard in shards
-            for other in _list_overlapping(shard, self._late_s)
-        ]
-        now = asyncio.get_running_loop().time()
-        await asyncio.sleep(max(0.0, max(late_s, default=0.0) - now))
-        for shard in shards:
-            self._late_s.pop(shard, None)
+    async def _wait_free(self, parts: list[_KeyRange]) -> None:
+        """Wait until no life of the upstream can hold these keys any more.
 
-    async def _call_grant(self, key_range: _KeyRange, end_s: float) -> Response | None:
+        One that did not answer holds them until its grants have run out, and a grant
+        without an answer may be taken in late.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            life = self._life
+            stands_s = [
+                known.may_stand_s
+                for part in parts
+                for known in self._holdings.list_parts(part.first, part.last)
+            ]
+            left_s = max(stands_s, default=0.0) - loop.time()
+            if left_s <= 0:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await life.ended.wait()
+
+    async def _call_grant(
+        self, life: _Life, key_range: _KeyRange, end_s: float
+    ) -> Response | None:
         """Grant until ``end_s``, whatever time passes before the grant is sent.
 
         The upstream counts from the arrival: only what is left when a connection is at
-        hand may be named.
+        hand may be named. A token may have become too low while it waited.
         """
 
         def describe() -> Mapping[str, object] | None:
-            left_s = end_s - asyncio.get_running_loop().time()
-            hold_s = left_s * (1 - CLOCK_RATE_BOUND)
-            return _describe(key_range, hold_s) if hold_s >= LEAST_HOLD_S else None
+            now = asyncio.get_running_loop().time()
+            first, last, token = key_range.first, key_range.last, key_range.token
+            known = self._holdings.list_parts(first, last)
+            hold_s = (end_s - now) * (1 - CLOCK_RATE_BOUND)
+            may_take = all(part.may_take(token, now) for part in known)
+            if life.ended.is_set() or hold_s < LEAST_HOLD_S or not may_take:
+                return None
+            self._holdings.note_sent(first, last, token, end_s)
+            return _describe(key_range, hold_s)
 
         async with self._grant_slots:
-            return await self._call(b"/grant", describe, end_s)
+            return await self._call(life, b"/grant", describe, end_s)
 
-    async def _call_release(self, key_range: _KeyRange) -> Response | None:
+    async def _call_release(self, life: _Life, key_range: _KeyRange) -> Response | None:
         end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         async with self._release_slots:
-            return await self._call(b"/release", lambda: _describe(key_range), end_s)
+            return await self._call(
+                life, b"/release", lambda: _describe(key_range), end_s
+            )
 
     async def _call(
         self,
+        life: _Life,
         target: bytes,
         describe: Callable[[], Mapping[str, object] | None],
         deadline_s: float,
@@ -326,22 +405,23 @@
         """Return the upstream's answer, ``None`` if it may or may not have acted.
 
         Args:
+            life: The life of the upstream that is meant.
             target: The path to call.
             describe: Returns the document once a connection is at hand, ``None`` if
                 nothing may be sent any more.
             deadline_s: Event loop time by which the answer must be here.
         """
-        pool = self.pool
+        pool = life.pool
         if pool is None:
-            return None
+            return NOT_SENT
         reserved = await pool.reserve(deadline_s=deadline_s)
         if not is_successful(reserved):
-            return None
+            return NOT_SENT
         connection = reserved.unwrap()
         document = describe()
         if document is None:
             pool.return_connection(connection)
-            return None
+            return NOT_SENT
         data = json.dumps(document).encode()
         request = build_json_request(pool.address, b"POST", target, data)
         result = await connection.exchange(request, deadline_s=deadline_s)
@@ -351,6 +431,24 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
+def _merge(parts: Iterable[_KeyRange]) -> list[_KeyRange]:
+    """Return ranges in the order of their keys with neighbours made one."""
+    ranges: list[_KeyRange] = []
+    for part in parts:
+        last = ranges[-1] if ranges else None
+        joins = (
+            last is not None
+            and last.last + 1 == part.first
+            and (last.token, last.handover) == (part.token, part.handover)
+            and not part.handover
+        )
+        if joins and last is not None:
+            ranges[-1] = dataclasses.replace(last, last=part.last)
+        else:
+            ranges.append(part)
+    return ranges
+
+
 def _list_overlapping(shard: ShardId, others: Iterable[ShardId]) -> list[ShardId]:
     """Return which shards have keys in common with this one."""
     service, first, last = find_slice(shard)
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -8,7 +8,7 @@
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
-from papayatack.platform.grants import MAX_CALLS, RangeGrants
+from papayatack.platform.grants import ARRIVAL_S, MAX_CALLS, RangeGrants
 from standins.platformupstream import PlatformUpstream
 
 LEASE = LeaseId(IncarnationId("127.0.0.1:1#a"), 1)
@@ -215,14 +215,13 @@
         """A release that follows waits until it has run out for sure."""
         loop = asyncio.get_running_loop()
         await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
-        await self.upstream.stop()
-        self.pool.close()
+        self.upstream.grant_delay_s = 2.0
         started_s = loop.time()
         result = await self.grants.grant(LEASE, {name(0, 255): 9}, SHORT_US)
         self.assertIsInstance(result, Failure)
-        self.grants._held.clear()
         await self.grants.revoke(LEASE, (name(0, 255),))
-        self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6)
+        self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6 + ARRIVAL_S)
+        self.assertIn(b"/release", [target for target, _ in self.upstream.calls])
 
     async def test_many_ranges_take_few_connections(self):
         """A storm of them would be reset by the upstream, and nothing be granted."""
