Test of the incident's pattern: an old lease's grant after the next holder's

- a's upstream is frozen for 5 s, with a renewal on its way.
- a is readmitted: its shards go from lease 1 to lease 2 by a record at 35.
It revokes the grant of lease 1 before it asks for that of lease 2; the renewal is waited for (up to 1 s) and the release goes unanswered (2 s): GrantTask gives the revocation up after 2.5 s.
- GrantTask goes on with the grant of lease 2.
RangeGrants.grant takes the shards out of those being released, so that what it still keeps for lease 1 is renewed, with its token.
- Lease 2 is fenced; lease 1 lives.
Asked by b, a releases lease 1 (Rights.can_release looks at the right under lease 2 alone), and b takes over.
- The upstream goes on, takes in the renewals of lease 1, and holds b's keys.

--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -333,6 +333,60 @@
         self.assertEqual({seed: seen for seed, seen in broken.items() if seen}, {})
 
 
+class ChosenScheduleTests(unittest.TestCase):
+    """Schedules that once broke the rules."""
+
+    def test_readmitted_node_whose_release_took_too_long_gives_up_its_keys(self):
+        """The older lease lives on; its grant must not come back after the next one."""
+        fleet = None
+
+        async def run():
+            nonlocal fleet
+            fleet = PlatformFleet(seed=1)
+            for name, place in PLACES.items():
+                fleet.add(name, place)
+            await asyncio.sleep(3.0)
+            fleet.plans = False
+            await asyncio.sleep(2.0)
+            term = fleet.read_state().members["a#1"].term
+            old, new = LeaseId("a#1", term + 1), LeaseId("a#1", term + 2)
+            fleet.append(Admit, lease=old, witnesses=("b#1", "c#1", "d#1"))
+            await asyncio.sleep(1.5)
+            state = fleet.read_state()
+            chain = (old, state.find_lease("b#1"))
+            shard = find_parent_of(state, 0)
+            fleet.append(
+                Assign,
+                assignments=(
+                    Assignment(
+                        shard=shard,
+                        base_epoch=state.shards[shard].current.epoch,
+                        chain=chain,
+                    ),
+                ),
+            )
+            await asyncio.sleep(2.0)
+            upstream = fleet.slots["a"].life.name
+            fleet.freeze(upstream)
+            await asyncio.sleep(0.45)
+            fleet.append(Admit, lease=new, witnesses=("c#1", "d#1", "e#1"))
+            await asyncio.sleep(3.0)
+            fleet.cut |= {("a", "c"), ("c", "a"), ("a", "e"), ("e", "a")}
+            await asyncio.sleep(1.6)
+            fleet.thaw(upstream)
+            await asyncio.sleep(2.0)
+            await fleet.stop()
+
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            runner.run(run())
+        self.assertTrue(
+            any(text.startswith("b.1 gr") for _, text in fleet.judge.history)
+        )
+        self.assertEqual(fleet.judge.violations, [])
+
+
 def main(first, count):
     """Play many schedules; print what broke the rules."""
     logging.disable()
