Failing test: a readmitted node does not serve its keys for a while

A node gets a new lease whenever a witness is lost: a restart of one node makes several others go from lease to lease. On the platform keys that were released and come back without a handover are slow for Warmup besides.

--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -386,6 +386,45 @@
         )
         self.assertEqual(fleet.judge.violations, [])
 
+    def test_readmitted_node_serves_on(self):
+        """Its keys go from lease to lease without a release, which would cool them."""
+        fleet, longest_s = None, 0.0
+
+        async def run():
+            nonlocal fleet, longest_s
+            fleet = PlatformFleet(seed=1)
+            for name, place in PLACES.items():
+                fleet.add(name, place)
+            await asyncio.sleep(4.0)
+            fleet.plans = False
+            await asyncio.sleep(2.0)
+            term = fleet.read_state().members["a#1"].term
+            lease = LeaseId("a#1", term + 1)
+            fleet.judge.history.clear()
+            fleet.append(Admit, lease=lease, witnesses=("b#1", "c#1", "d#1"))
+            core = fleet.slots["a"].control.core
+            loop = asyncio.get_running_loop()
+            served_s = {}
+            for _ in range(600):
+                await asyncio.sleep(0.005)
+                for shard, entry in core.state.shards.items():
+                    if entry.current.leases[0].incarnation != "a#1":
+                        continue
+                    since_s = served_s.setdefault(shard, loop.time())
+                    longest_s = max(longest_s, loop.time() - since_s)
+                    if core.find_obstacle(shard, loop.time()) is None:
+                        served_s[shard] = loop.time()
+            self.assertIn(lease, core.state.references)
+            await fleet.stop()
+
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            runner.run(run())
+        notes = [text for _, text in fleet.judge.history]
+        self.assertEqual([text for text in notes if "a.1 release" in text], [])
+        self.assertLess(longest_s, 0.1)
+
 
 def main(first, count):
     """Play many schedules; print what broke the rules."""
