Let a readmitted node serve under its older lease until it can go over

Cause: a shard's right under the older lease was given up as soon as the newer one was firm, but the newer one may only take it once the witnesses of the older have confirmed the record (a round trip). In between the node had no right, and so it revoked the older grant (collect_revocable); the grant of the newer one waited for that release and for the work under it.

The node now stays under the older lease until the floor is confirmed as well, and goes over within one step: the newer grant replaces the older one at the upstream, which keeps its work and its warmth. Staying is as safe as it was while the newer lease was not firm: nobody else is told a release before (Rights.can_release), and the older lease must live.

Ran: tests.core.ownership, tests.control, tests.platform.test_ownership_schedules.

--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -198,21 +198,30 @@
             self._blocked[shard] = claim
         holders = self._context.holders
         own = all(lease in holders for lease, _ in claim.holders)
-        if own and not claim.predecessors and self._should_stay(shard, now):
-            return
+        if own and not claim.predecessors:
+            if self._should_stay(shard, now):
+                return
+            if shard in self._context.rights.rights:
+                self._dirty.add(shard)
         self._stop(shard, drains=bool(claim.predecessors) or not own)
         known = before is not None and before.holders == claim.holders
         if claim.holders and not claim.predecessors and not known:
             self._query_due_s = min(self._query_due_s, now)
 
     def _should_stay(self, shard: ShardId, now: float) -> bool:
-        """Tell whether to go on under an older lease until the newer one is firm."""
+        """Tell whether to go on under an older lease for now.
+
+        The newer one must be firm, and must be able to take the shard at once: what
+        the upstream holds then goes over to it without a release.
+        """
+        entry = self._context.state.shards[shard]
         right = self._context.rights.rights.get(shard)
-        newest = self._find_own(self._context.state.shards[shard])
+        newest = self._find_own(entry)
         if right is None or newest is None or right.holder is newest:
             return False
-        left_s = newest.view_end_s - now
-        return right.holder.is_live(now) and left_s < FIRM_VIEW_S
+        is_firm = newest.view_end_s - now >= FIRM_VIEW_S
+        is_known = right.holder.confirmed_floor >= entry.current.since
+        return right.holder.is_live(now) and not (is_firm and is_known)
 
     def _offer(self, shard: ShardId, entry: ShardEntry) -> None:
         """Release a shard that was served here without waiting to be asked.
