--- a/tests/core/ownership/test_rights.py
+++ b/tests/core/ownership/test_rights.py
@@ -16,7 +16,8 @@
     """A shard that goes from one lease of a node to the next, and then away."""
 
     def setUp(self):
-        self.rights = Rights(state=OwnershipState())
+        self.state = OwnershipState()
+        self.rights = Rights(state=self.state)
         self.old = self.make_holder(1)
         self.new = self.make_holder(2)
         self.rights.acquire(SHARD, self.old, 1, 10, now=0.0)
@@ -57,26 +58,22 @@
         self.assertFalse(self.rights.has_transfers)
         self.assertNotIn(SHARD, self.rights.draining)
 
-    def test_older_lease_is_not_released_while_its_grant_stands(self):
-        """The newer lease may end before its own grant has replaced that one."""
-        state = OwnershipState(position=9)
-        self.rights._state = state
-        before = Chain(epoch=1, leases=(self.old.lease,), since=3)
-        current = Chain(epoch=2, leases=(self.new.lease,), since=6)
-        state.set_shard(SHARD, ShardEntry(current=current, earlier=(before,)))
-        self.old.confirmed_floor = 9
-        self.assertTrue(self.can_release(to_self=True))
-        self.assertFalse(self.can_release(to_self=False))
-        self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
-        self.assertTrue(self.can_release(to_self=False))
-
-    def can_release(self, *, to_self):
-        """Tell whether the old lease has released the shard to the second chain."""
-        return self.rights.can_release(self.old, SHARD, 2, now=0.0, to_self=to_self)
-
     def test_confirmed_grant_leaves_nothing_of_the_old_lease(self):
         """The newer grant has taken its place."""
         self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
         self.rights.stop(SHARD, drains=True)
         found = self.rights.collect_revocable(0.0)
         self.assertEqual(found, [self.make_revocation(1, self.new)])
+
+    def test_old_lease_is_not_released_to_others_while_its_grant_may_stand(self):
+        """The newer lease may end without its grant having reached the upstream."""
+        chain = Chain(epoch=2, leases=(self.new.lease,), since=2)
+        before = Chain(epoch=1, leases=(self.old.lease,), since=1)
+        self.state.set_shard(SHARD, ShardEntry(current=chain, earlier=(before,)))
+        self.old.confirmed_floor = 2
+        self.assertFalse(self.rights.can_release(self.old, SHARD, 2, now=0.0))
+        self.assertTrue(
+            self.rights.can_release(self.old, SHARD, 2, now=0.0, to_self=True)
+        )
+        self.rights.confirm_grant(self.new.lease, SHARD, 20, done=True)
+        self.assertTrue(self.rights.can_release(self.old, SHARD, 2, now=0.0))
