--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -24,6 +24,7 @@
 TARGET_S = 2.0
 RETENTION_S = 120.0
 CONFIG_TARGET_S = 4.0
+RECORDS_PASSED = 10
 
 
 class ControlNodeTests(unittest.TestCase):
@@ -202,6 +203,41 @@
         policy = TailPolicy(all_members=1, per_data_centre=0)
         self.run_fleet(scenario, tailing=policy)
 
+    def count_batches(self, nodes):
+        """Return how often the busiest of so many nodes passes a record on."""
+        most = []
+
+        async def run():
+            fixture = NodeFixture(tailing=TailPolicy(all_members=2, per_data_centre=1))
+            fixture.publish()
+            places = sorted(set(PLACES.values()))
+            for number in range(nodes):
+                fixture.start(f"n{number}", places[number % len(places)])
+            await fixture.wait_served(KEYS, 15)
+            await asyncio.sleep(20)
+            fixture.network.sent.clear()
+            for version in range(1, RECORDS_PASSED + 1):
+                changed = INVENTORY.replace("slots = 4", f"slots = {4 + version}")
+                fixture.publish(changed, base_version=version, record_id=f"q{version}")
+                await asyncio.sleep(0.5)
+            await asyncio.sleep(CONFIG_TARGET_S)
+            for node in fixture.network.nodes.values():
+                self.assertEqual(node.config.version, 1 + RECORDS_PASSED)
+            most.extend(
+                count
+                for (_, kind), count in fixture.network.sent.items()
+                if kind == "LogBatch"
+            )
+            await fixture.stop()
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(run())
+        return max(most) / RECORDS_PASSED
+
+    def test_passing_records_on_costs_a_node_no_more_in_a_larger_fleet(self):
+        """The busiest of 90 nodes sends at most twice what that of 12 does."""
+        self.assertLessEqual(self.count_batches(90), 2 * self.count_batches(12))
+
     def test_garbage_in_the_log(self):
         """Every node counts and skips the same payloads, and goes on."""
 
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -1,6 +1,7 @@
 """Control nodes of one process: their network, upstreams and a log in memory."""
 
 import asyncio
+import collections
 import random
 
 from returns.result import Failure, Success
@@ -89,6 +90,7 @@
     def __init__(self):
         self.nodes = {}
         self.cut = set()
+        self.sent = collections.Counter()
 
     def make_sender(self, own):
         """Return the sender of the node at an address."""
@@ -109,6 +111,7 @@
 
     def send(self, address, recipient, message):
         """Queue a message."""
+        self._network.sent[self._own, type(message).__name__] += 1
         asyncio.get_running_loop().call_later(
             LATENCY_S, self._network.deliver, self._own, address, recipient, message
         )
