Pass records on along a tree

One node of each data centre sent every record of the log to all others of it.

The nodes of a data centre are now a tree: each passes records that are new to it on to four others. Every record still reaches every node once (test_selection); a node that misses one gets it at its next renewal, as before.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -321,9 +321,7 @@
 
     @_take.register
     def _(self, item: RecordsRead) -> None:
-        self._apply(item.stream, item.first, item.payloads)
-        if self._pushes and item.payloads:
-            self._push(item.stream, item.first, item.payloads)
+        self._take_records(item.stream, item.first, item.payloads)
 
     @_take.register
     def _(self, item: RecordsExpired) -> None:
@@ -339,7 +337,7 @@
     @_take_message.register
     def _(self, message: LogBatch, sender: IncarnationId) -> None:
         if message.stream in STREAMS:
-            self._apply(message.stream, message.first, message.payloads)
+            self._take_records(message.stream, message.first, message.payloads)
 
     @_take_message.register
     def _(self, message: RelayRecord, sender: IncarnationId) -> None:
@@ -355,6 +353,16 @@
         if message.incarnation == sender:
             self._planner.take_report(message, self._read_clock())
 
+    def _take_records(
+        self, stream: str, first: int, payloads: tuple[bytes, ...]
+    ) -> None:
+        """Fold the records that are new and pass them on."""
+        known = max(self._follower.recent[stream].end - first, 0)
+        self._apply(stream, first, payloads)
+        has_more = self._follower.recent[stream].end > first + known
+        if self._pushes and has_more:
+            self._push(stream, first + known, payloads[known:])
+
     def _apply(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
         """Fold the records that are next; others are left to the tailer."""
         recent = self._follower.recent[stream]
@@ -383,7 +391,7 @@
             self._carry_out(self.core.advance(self._read_clock()))
 
     def _push(self, stream: str, first: int, payloads: tuple[bytes, ...]) -> None:
-        """Pass what this node read on to those of its data centre that do not read."""
+        """Pass records on to other nodes of the data centre."""
         batch = LogBatch(stream=stream, first=first, payloads=payloads)
         for recipient in list_followers(self.core.state, self.core.me):
             self._send(recipient, batch)
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -23,6 +23,8 @@
 ]
 
 CHAIN_LENGTH = 3
+FAN_OUT = 4
+"""Nodes to which one passes a record on."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,15 +55,27 @@
 def list_followers(
     state: OwnershipState, incarnation: IncarnationId
 ) -> list[IncarnationId]:
-    """Return the other nodes of a data centre, if this is the first to tail there."""
+    """Return the nodes to which this one passes on the records that are new to it.
+
+    The nodes of a data centre are a tree with its first tailer as the root, so that
+    what a node sends does not grow with the fleet.
+    """
     member = state.members.get(incarnation)
-    if member is None or _count_before(state, member):
+    if member is None or member.ended is not None:
         return []
-    return [
-        other.incarnation
-        for other in state.list_live_members()
-        if other.data_centre == member.data_centre and other is not member
-    ]
+    ranked = sorted(
+        (
+            other
+            for other in state.list_live_members()
+            if other.data_centre == member.data_centre
+        ),
+        key=lambda other: (
+            _is_fenced(state, other),
+            rank_member("tail", other.incarnation),
+        ),
+    )
+    first = FAN_OUT * ranked.index(member) + 1
+    return [other.incarnation for other in ranked[first : first + FAN_OUT]]
 
 
 def _count_before(state: OwnershipState, member: Member) -> int:
@@ -75,7 +89,7 @@
         for other in state.list_live_members()
         if other.data_centre == member.data_centre
         and rank_member("tail", other.incarnation) < own
-        and (not other.term or state.find_lease(other.incarnation) is not None)
+        and not _is_fenced(state, other)
     )
 
 
