--- /dev/null
+++ b/tests/core/ownership/test_floors.py
@@ -0,0 +1,35 @@
+"""How often a node confirms the floor of its leases."""
+
+import unittest
+
+from papayatack.core.messages import Renew
+from papayatack.core.ownership.effects import SendMessage
+from papayatack.core.ownership.timing import MAX_UNHEARD_ROUNDS
+from tests.core.ownership.test_guards import make_fleet, move
+
+RECORDS = 20
+
+
+class FloorTests(unittest.TestCase):
+    """Renewals beside those at intervals."""
+
+    def test_witnesses_promise_on_while_records_come_that_nobody_waits_for(self):
+        """A node whose shard waits sends no renewal for each record of a batch."""
+        fleet = make_fleet()
+        successor = fleet.spares[0]
+        fleet.freeze("a")
+        move(fleet, successor, fleet.spares[1])
+        fleet.run(0.1)
+        slot = fleet.slots[successor]
+        self.assertTrue(slot.core.claims.is_blocked)
+        sent = 0
+        for offset in range(slot.core.state.position, len(fleet.log) + RECORDS):
+            record = fleet.log[offset] if offset < len(fleet.log) else None
+            now = slot.read_clock(fleet.now)
+            _, effects = slot.core.apply_record(offset, record, now=now)
+            sent += sum(
+                isinstance(effect, SendMessage) and isinstance(effect.message, Renew)
+                for effect in effects
+            )
+        (holder,) = slot.core.context.holders.values()
+        self.assertLessEqual(sent, MAX_UNHEARD_ROUNDS * len(holder.witnesses))
