Renew a lease early only for a floor that a shard waits for

A node renewed its leases at once whenever its floor rose while any of its shards waited for anything. The floor rises with every record, so that every record of a batch led to a renewal for each witness, and to an answer, whatever the record said. A witness gives no promise once three renewals are unheard and counts as silent after eight: bursts of records made leases lapse, and the takeovers made more records.

The shards that wait, and the queries of others, name the chains whose start must be confirmed. Only a floor that reaches one of them is renewed early; any other floor goes with the next renewal, as does one whose message is lost.

--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -119,14 +119,24 @@
             self._context.send(sender, query)
 
     @property
-    def has_queries(self) -> bool:
-        """Tell whether another node waits for a release."""
-        return bool(self._queries)
-
-    @property
-    def is_blocked(self) -> bool:
-        """Tell whether a shard waits for something."""
-        return bool(self._blocked)
+    def is_awaited(self) -> bool:
+        """Tell whether a shard waits for something, here or at another node."""
+        return bool(self._queries or self._blocked)
+
+    def list_floors(self) -> set[int]:
+        """Return the floors that a waiting shard may need confirmed here."""
+        waiting = [(shard, 0) for shard in self._blocked]
+        waiting.extend(
+            (shard, epoch) for (_, shard), (epoch, _) in self._queries.items()
+        )
+        shards = self._context.state.shards
+        return {
+            chain.since
+            for shard, epoch in waiting
+            if shard in shards
+            for chain in shards[shard].list_chains()
+            if chain.epoch >= epoch
+        }
 
     def settle(self, now: float) -> None:
         """Examine what has changed, until nothing changes any more."""
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -329,13 +329,15 @@
         for holder in self.context.holders.values():
             if holder.ended:
                 continue
-            raised = floor > holder.sent_floor and self._wants_floor()
-            if raised or now - holder.last_sent_s >= RENEW_INTERVAL_S:
+            is_late = now - holder.last_sent_s >= RENEW_INTERVAL_S
+            if is_late or self._is_awaited(holder.sent_floor, floor):
                 self._renew(holder, floor, now)
 
-    def _wants_floor(self) -> bool:
-        """Tell whether another lease waits for a higher floor here."""
-        return self.claims.has_queries or self.claims.is_blocked
+    def _is_awaited(self, sent: int, floor: int) -> bool:
+        """Tell whether a shard waits for a floor that has been reached since."""
+        return floor > sent and any(
+            sent < awaited <= floor for awaited in self.claims.list_floors()
+        )
 
     def _renew(self, holder: Holder, floor: int, now: float) -> None:
         message = holder.renew(
@@ -355,7 +357,7 @@
         self.claims.settle(now)
         for lease, shards in self.context.rights.collect_revocable(now).items():
             self.context.effects.append(RevokeShards(lease=lease, shards=tuple(shards)))
-        if not self._finished and self._wants_floor():
+        if not self._finished and self.claims.is_awaited:
             self._renew_due(now)
             self.claims.touch_blocked()
             self.claims.settle(now)
--- a/tests/core/ownership/test_floors.py
+++ b/tests/core/ownership/test_floors.py
@@ -21,7 +21,7 @@
         move(fleet, successor, fleet.spares[1])
         fleet.run(0.1)
         slot = fleet.slots[successor]
-        self.assertTrue(slot.core.claims.is_blocked)
+        self.assertTrue(slot.core.claims.is_awaited)
         sent = 0
         for offset in range(slot.core.state.position, len(fleet.log) + RECORDS):
             record = fleet.log[offset] if offset < len(fleet.log) else None
