--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -83,6 +83,7 @@
         self.faults = Faults()
         self.streams: dict[str, Stream] = {}
         self.append_count = 0
+        self.read_count = 0
 
     def get_stream(self, name: str) -> Stream:
         """Return a stream without the records that have expired."""
@@ -103,6 +104,7 @@
 
     def read(self, name: str, offset: int, *, limit: int) -> Result[LogPage, int]:
         """Return a page, or the oldest kept offset if ``offset`` has expired."""
+        self.read_count += 1
         stream = self.get_stream(name)
         if offset < stream.first:
             return Failure(stream.first)
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -25,6 +25,11 @@
 RETENTION_S = 120.0
 CONFIG_TARGET_S = 4.0
 RECORDS_PASSED = 10
+LARGE_FLEET = 90
+STARTED = 60
+FIRST_S = 20.0
+START_SPREAD_S = 1.0
+LOG_DELAY_S = 0.004
 
 
 class ControlNodeTests(unittest.TestCase):
@@ -236,7 +241,30 @@
 
     def test_passing_records_on_costs_a_node_no_more_in_a_larger_fleet(self):
         """The busiest of 90 nodes sends at most twice what that of 12 does."""
-        self.assertLessEqual(self.count_batches(90), 2 * self.count_batches(12))
+        self.assertLessEqual(
+            self.count_batches(LARGE_FLEET), 2 * self.count_batches(12)
+        )
+
+    def test_a_large_fleet_starts_with_few_calls_to_the_log(self):
+        """Over its first seconds a node makes less than one call a second."""
+        calls = []
+
+        async def run():
+            fixture = NodeFixture(tailing=TailPolicy(all_members=2, per_data_centre=1))
+            fixture.publish()
+            fixture.store.faults.delay_s = LOG_DELAY_S
+            places = sorted(set(PLACES.values()))
+            for number in range(STARTED):
+                fixture.start(f"n{number}", places[number % len(places)])
+                await asyncio.sleep(START_SPREAD_S / STARTED)
+            await fixture.wait_served(KEYS, 15)
+            await asyncio.sleep(FIRST_S - asyncio.get_running_loop().time())
+            calls.append(fixture.store.read_count + fixture.store.append_count)
+            await fixture.stop()
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(run())
+        self.assertLess(calls[0], FIRST_S * STARTED)
 
     def test_garbage_in_the_log(self):
         """Every node counts and skips the same payloads, and goes on."""
