Log an upstream's own failure with the grant under which it ran

In a bad second a caller got a 5xx that an upstream had made, and no line of the router said so unless the attempt was made again: passed-on answers are sampled.

--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import http
 import logging
 from collections.abc import Callable
 
@@ -37,9 +38,13 @@
     grant: Grant
     started_s: float
 
+    def read_age_s(self) -> float:
+        """Return for how long the slot has been held."""
+        return asyncio.get_running_loop().time() - self.started_s
+
     def end(self, kind: ErrorKind | None) -> None:
         """Give back the slot and the shard."""
-        service_time_s = asyncio.get_running_loop().time() - self.started_s
+        service_time_s = self.read_age_s()
         error = None if kind is None else kind.value
         try:
             self.permit.release(service_time_s=service_time_s, error=error)
@@ -209,6 +214,8 @@
             if kind is ErrorKind.GRANT_REFUSED and use.grant.shard:
                 self._ownership.renew_grant(use.grant)
             return _refuse(kind, f"the upstream answered {response.status}")
+        if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._note_error(peer_request, response.status, use)
         response.headers = self._dialect.clean_response(response.headers)
         if is_settled(response):
             use.end(None)
@@ -216,6 +223,24 @@
         response.body = MeteredBody(body=response.body, on_end=use.end)
         return Success(response)
 
+    def _note_error(self, peer_request: PeerRequest, status: int, use: _Use) -> None:
+        """Log an upstream's own failure, and whether its grant stood all the while."""
+        shard = ShardId(peer_request.shard)
+        obstacle = self._ownership.find_obstacle(shard) if shard else None
+        self._metrics.count("upstream_errors", str(status))
+        log_event(
+            LOGGER,
+            Event.UPSTREAM_ERRED,
+            level=logging.WARNING,
+            request=peer_request.request_id,
+            shard=peer_request.shard,
+            token=use.grant.token,
+            lease_left_ms=int(use.grant.remaining_s * MS_PER_S),
+            ran_ms=int(use.read_age_s() * MS_PER_S),
+            status=status,
+            obstacle=obstacle.kind.value if obstacle is not None else "",
+        )
+
 
 def _find_target(peer_request: PeerRequest) -> float | None:
     """Return when the answer stops being worth most, on this node's clock."""
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -143,6 +143,17 @@
         self.assertIn(b"HTTP/1.1 500", answer)
         self.assertEqual(list(self.upstream.runs.values()), [1])
 
+    async def test_failure_is_logged_with_the_grant_under_which_it_ran(self):
+        """Also that of a request that is not repeated."""
+        self.answer_first(500)
+        with self.assertLogs("papayatack.proxy.local", "WARNING") as logs:
+            await self.request(self.entry, "POST", body=b"a")
+        (record,) = logs.records
+        self.assertEqual(record.getMessage(), "UPSTREAM_ERRED")
+        self.assertEqual((record.status, record.obstacle), (500, ""))
+        self.assertEqual(record.token, 1)
+        self.assertGreater(record.lease_left_ms, record.ran_ms)
+
     async def test_unknown_token_is_granted_again(self):
         """An upstream that lost its grants gets them without waiting for a renewal."""
         await self.owner.grant(token=2)
