--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 
 from papayatack.network.bodies import BytesBody
 from papayatack.network.callers import CallerServer
@@ -37,6 +38,8 @@
         release_delay_s: How long the work under each release takes to end.
         healthy: Whether it says that it may be used.
         hangs: Whether requests are run and never answered.
+        work_s: How long a request runs. One that lasts longer than the grants that
+            stood when it began ends with 500, though they were renewed meanwhile.
     """
 
     def __init__(self, *, instance: str, service: str, place: str) -> None:
@@ -50,6 +53,7 @@
         self.release_delay_s = 0.0
         self.healthy = True
         self.hangs = False
+        self.work_s = 0.0
         self._place = place
         self._sequence = 0
         self._server = CallerServer(
@@ -99,10 +103,17 @@
 
     def holds(self, key: int) -> bool:
         """Tell whether it may serve a key now."""
-        now = asyncio.get_running_loop().time()
-        return any(
-            grant.first <= key <= grant.last and now < grant.until_s
-            for grant in self.grants.values()
+        return asyncio.get_running_loop().time() < self._find_end(key)
+
+    def _find_end(self, key: int) -> float:
+        """Return until when it may serve a key."""
+        return max(
+            (
+                grant.until_s
+                for grant in self.grants.values()
+                if grant.first <= key <= grant.last
+            ),
+            default=-math.inf,
         )
 
     async def _handle(self, request: Request) -> Response:
@@ -124,10 +135,7 @@
                 response = self._release(json.loads(body))
                 await asyncio.sleep(self.release_delay_s)
                 return response
-        response = self._run(request)
-        if self.hangs and response.status == 200:
-            await asyncio.get_running_loop().create_future()
-        return response
+        return await self._work(request)
 
     def _grant(self, document: dict) -> Response:
         if self.refuse_grants:
@@ -157,6 +165,21 @@
                         self.grants[start, end] = rest
         return _reply(200, fields=((b"papayatack-handover", b"%d-%d" % (first, last)),))
 
+    async def _work(self, request: Request) -> Response:
+        key = find_header(request.headers, b"papayatack-shard-key")
+        until_s = math.inf if key is None else self._find_end(int(key))
+        response = self._run(request)
+        if response.status != 200:
+            return response
+        if self.hangs:
+            await asyncio.get_running_loop().create_future()
+        left_s = until_s - asyncio.get_running_loop().time()
+        if self.work_s <= left_s:
+            await asyncio.sleep(self.work_s)
+            return response
+        await asyncio.sleep(left_s)
+        return _reply(500, fields=response.headers[:-1])
+
     def _run(self, request: Request) -> Response:
         expected = find_header(request.headers, b"papayatack-expected-instance")
         key = find_header(request.headers, b"papayatack-shard-key")
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -19,6 +19,10 @@
 POLL_S = 0.05
 REQUEST_S = 2.0
 GRACE_S = 6.0
+WORK_S = 1.9
+"""Work of a request, shorter than the target of its route."""
+
+APART_S = 0.07
 SETTINGS = """
 [node]
 name = {name}
@@ -108,17 +112,26 @@
             await self.process.wait()
         await self.upstream.stop()
 
-    async def ask(self, path, *, key=None, request_id="r", host="shop.example"):
+    async def ask(
+        self,
+        path,
+        *,
+        key=None,
+        request_id="r",
+        host="shop.example",
+        deadline_ms=1500,
+        limit_s=REQUEST_S,
+    ):
         """Send a request; return status, head and body."""
         fields = [
             f"Host: {host}",
             f"Papayatack-Request-Id: {request_id}",
-            "Papayatack-Deadline-Ms: 1500",
+            f"Papayatack-Deadline-Ms: {deadline_ms}",
         ]
         if key is not None:
             fields.append(f"Papayatack-Shard-Key: {key}")
         lines = "\r\n".join((f"GET {path} HTTP/1.1", *fields, "Connection: close"))
-        async with asyncio.timeout(REQUEST_S):
+        async with asyncio.timeout(limit_s):
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", self.ports["callers"]
             )
@@ -222,6 +235,28 @@
         async with asyncio.timeout(GRACE_S):
             self.assertEqual(await machine.process.wait(), 0)
 
+    async def test_work_that_ends_within_its_target_is_not_cut_by_its_grant(self):
+        """Whenever between two renewals it begins."""
+        routes = json.loads(build_manifest())["Routes"]
+        routes["orders"] |= {"Timeout": "4000ms", "TargetLatency": "2000ms"}
+        self.store.store.append("keyed.op", b"config", build_manifest(Routes=routes))
+        await self.wait_for(self.is_served)
+        for machine in self.machines:
+            machine.upstream.work_s = WORK_S
+
+        async def ask(number):
+            await asyncio.sleep(number * APART_S)
+            return await self.machines[0].ask(
+                "/orders/1",
+                key=number * 4_000,
+                request_id=f"long-{number}",
+                deadline_ms=4_000,
+                limit_s=LIMIT_S,
+            )
+
+        answers = await asyncio.gather(*(ask(number) for number in range(12)))
+        self.assertEqual([status for status, _, _ in answers], [200] * 12)
+
     async def test_a_killed_node_gives_its_keys_up_and_gets_some_back(self):
         """Its keys are served by others soon, and it serves again after a start."""
         self.store.store.append("keyed.op", b"config", build_manifest())
