Let a lease on the platform last as long as work at the upstream

Callers of services with keys got 500 from sound upstreams: an upstream ends work that outlasts the grant under which it began, and does not let a renewal count for it. A lease of 1 s that is renewed every 0.4 s leaves 0.55 to 0.95 s for work of half a second and more in the mean. The retries that followed, and the fences of leases of nodes that stood still for half a second, took what was left.

The length of a lease is now given to the core, 1 s unless the deployment says otherwise, 3 s on the platform (no more than the longest hold). It is the same at all nodes, since who meets a superseded process must know how long its grants run on. The price: a key whose node is lost is away for 3 s and more, not 1 s.

The guard of supersession is taken out by emptying WAITED_OUT, since the time is no constant any more; the scenario must still fail without it.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -69,6 +69,7 @@
     list_followers,
 )
 from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.placement.view import PlacementView, Plan
 from papayatack.core.records import (
     CONFIG_STREAM,
@@ -119,6 +120,7 @@
             are checkpoints. ``None`` for a log that keeps all.
         pace: How soon placement follows changes.
         tailing: Which nodes follow the log themselves.
+        lease_s: Length of a lease, the same at all nodes.
     """
 
     def __init__(
@@ -137,6 +139,7 @@
         retention_s: float | None = None,
         pace: PlanPace | None = None,
         tailing: TailPolicy | None = None,
+        lease_s: float = LEASE_DURATION_S,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.metrics = metrics
@@ -149,6 +152,7 @@
             state=state or OwnershipState(),
             now=now,
             find_service=self._find_service,
+            lease_s=lease_s,
         )
         self.core.config_position = self._config.next_offset
         self._loads = LoadMeter(now=now)
--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -12,12 +12,14 @@
     examine_claim,
     make_token,
 )
-from papayatack.core.ownership.timing import LEASE_DURATION_S, QUERY_INTERVAL_S
+from papayatack.core.ownership.timing import QUERY_INTERVAL_S
 from papayatack.core.records import OWNERSHIP_STREAM
 
 __all__ = ["Claims"]
 
-FIRM_VIEW_S = LEASE_DURATION_S / 2
+FIRM_SHARE = 0.5
+"""Part of a lease that must be left for it to count as firm."""
+
 MAX_PENDING_QUERIES = 20_000
 MAX_SHARDS_PER_MESSAGE = 500
 
@@ -212,7 +214,7 @@
         if right is None or newest is None or right.holder is newest:
             return False
         left_s = newest.view_end_s - now
-        return right.holder.is_live(now) and left_s < FIRM_VIEW_S
+        return right.holder.is_live(now) and left_s < FIRM_SHARE * newest.lease_s
 
     def _offer(self, shard: ShardId, entry: ShardEntry) -> None:
         """Release a shard that was served here without waiting to be asked.
--- a/src/papayatack/core/ownership/fencing.py
+++ b/src/papayatack/core/ownership/fencing.py
@@ -19,6 +19,8 @@
 
 LAPSE_VALID_S = 2.5
 MICROSECONDS = 1_000_000
+WAITED_OUT = frozenset({EndKind.SUPERSEDED, EndKind.LOST})
+"""Ends that do not prove that the grants under the lease have run out."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -28,9 +30,18 @@
 
 
 class Fencing:
-    """Fences that one node collects, and the proofs it holds, by lease."""
-
-    def __init__(self, *, state: OwnershipState) -> None:
+    """Fences that one node collects, and the proofs it holds, by lease.
+
+    Args:
+        state: The folded ownership stream.
+        lease_s: Longest time for which the grants of a lease run on after its holder
+            was last heard.
+    """
+
+    def __init__(
+        self, *, state: OwnershipState, lease_s: float = LEASE_DURATION_S
+    ) -> None:
+        self._lease_s = lease_s
         self._state = state
         self._lapses: dict[LeaseId, dict[IncarnationId, float]] = {}
         self._rounds: dict[LeaseId, _Round] = {}
@@ -64,8 +75,8 @@
         supersession, may come while grants to the upstream still run: they are
         waited out.
         """
-        waits = mark.kind in (EndKind.SUPERSEDED, EndKind.LOST)
-        wait_s = LEASE_DURATION_S * (1 + CLOCK_RATE_BOUND) if waits else 0.0
+        waits = mark.kind in WAITED_OUT
+        wait_s = self._lease_s * (1 + CLOCK_RATE_BOUND) if waits else 0.0
         end = LeaseEnd(
             floor=mark.floor,
             confirmed_floor=0,
--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -46,11 +46,18 @@
         last_sent_s: When the last renewal was made.
         sent_floor: Floor of the last renewal.
         extended_s: End of the view when the upstream's grants were last extended.
+        lease_s: Longest promise that counts.
     """
 
     def __init__(
-        self, *, lease: LeaseId, witnesses: tuple[IncarnationId, ...], now: float
+        self,
+        *,
+        lease: LeaseId,
+        witnesses: tuple[IncarnationId, ...],
+        now: float,
+        lease_s: float = LEASE_DURATION_S,
     ) -> None:
+        self.lease_s = lease_s
         self.lease = lease
         self.witnesses = witnesses
         self.view_end_s = now if witnesses else float("inf")
@@ -141,7 +148,7 @@
         self._update_floor()
         if not self._is_config_fresh(witness, reply.config_offset, config_offset, now):
             return False
-        promised_s = min(reply.promised_us / MICROSECONDS, LEASE_DURATION_S)
+        promised_s = min(reply.promised_us / MICROSECONDS, self.lease_s)
         until_s = sent.sent_s + promised_s * (1 - CLOCK_RATE_BOUND)
         self._promised_s[witness] = max(self._promised_s.get(witness, until_s), until_s)
         self._update_view()
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -47,7 +47,7 @@
 from papayatack.core.ownership.rights import Right, Rights
 from papayatack.core.ownership.state import Member, OwnershipState
 from papayatack.core.ownership.succession import LeaseEnd
-from papayatack.core.ownership.timing import RENEW_INTERVAL_S
+from papayatack.core.ownership.timing import LEASE_DURATION_S, RENEW_INTERVAL_S
 from papayatack.core.ownership.witnessing import Witnessing
 from papayatack.core.records import (
     Announce,
@@ -69,6 +69,7 @@
         state: The state to start from, folded from the log or loaded.
         now: Time of the event loop.
         find_service: Returns the service of a name, as far as it is known.
+        lease_s: Length of a lease, the same at all nodes.
     """
 
     def __init__(
@@ -78,14 +79,16 @@
         state: OwnershipState,
         now: float,
         find_service: Callable[[str], Service | None],
+        lease_s: float = LEASE_DURATION_S,
     ) -> None:
+        self._lease_s = lease_s
         me = announcement.incarnation
         self.context = Context(
             me=me,
             state=state,
             rights=Rights(state=state),
-            fencing=Fencing(state=state),
-            witnessing=Witnessing(me=me, state=state),
+            fencing=Fencing(state=state, lease_s=lease_s),
+            witnessing=Witnessing(me=me, state=state, lease_s=lease_s),
             find_service=find_service,
         )
         self.claims = Claims(context=self.context)
@@ -308,7 +311,12 @@
             return
         holder = self.context.holders.get(lease)
         if holder is None:
-            holder = Holder(lease=lease, witnesses=entry.witnesses, now=now)
+            holder = Holder(
+                lease=lease,
+                witnesses=entry.witnesses,
+                now=now,
+                lease_s=self._lease_s,
+            )
             self.context.holders[lease] = holder
         if entry.mark is not None:
             holder.end()
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -33,9 +33,21 @@
 
     Only leases whose admission the node has folded, and that name it, are promised:
     the fold remembers the end of those that are forgotten here.
+
+    Args:
+        me: This process.
+        state: The folded ownership stream.
+        lease_s: Length of a promise.
     """
 
-    def __init__(self, *, me: IncarnationId, state: OwnershipState) -> None:
+    def __init__(
+        self,
+        *,
+        me: IncarnationId,
+        state: OwnershipState,
+        lease_s: float = LEASE_DURATION_S,
+    ) -> None:
+        self._lease_s = lease_s
         self._me = me
         self._state = state
         self._promises: dict[LeaseId, Promise] = {}
@@ -54,7 +66,7 @@
             return
         promise = self._promises.get(lease)
         if promise is None:
-            promise = start_promise(now=now, duration_s=LEASE_DURATION_S)
+            promise = start_promise(now=now, duration_s=self._lease_s)
             self._notices[lease] = _Notice(due_s=promise.expires_s)
         if entry.mark is not None:
             promise = dataclasses.replace(
@@ -81,13 +93,13 @@
         if message.round - message.heard > MAX_UNHEARD_ROUNDS:
             return 0, promise.fenced
         promise = renew_promise(
-            promise, now=now, duration_s=LEASE_DURATION_S, floor=message.floor
+            promise, now=now, duration_s=self._lease_s, floor=message.floor
         )
         self._promises[message.lease] = promise
         if promise.fenced:
             return 0, True
         self._notices[message.lease] = _Notice(due_s=promise.expires_s)
-        return int(LEASE_DURATION_S * MICROSECONDS), False
+        return int(self._lease_s * MICROSECONDS), False
 
     def _has_been_dropped(self, lease: LeaseId) -> bool:
         member = self._state.members.get(lease.incarnation)
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -310,6 +310,7 @@
             plan=functools.partial(plan, limits=self._surroundings.placement),
             pace=self._surroundings.pace,
             tailing=self._surroundings.tailing,
+            lease_s=self._surroundings.lease_s,
             metrics=self._metrics,
             random=self._random,
         )
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -15,6 +15,7 @@
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership import OwnershipState
 from papayatack.core.ownership.selection import TailPolicy
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.placement import PlacementLimits
 from papayatack.core.records import CONFIG_STREAM
 from papayatack.core.retry import BUDGET_SHARE
@@ -72,6 +73,8 @@
         pace: How soon placement follows changes.
         placement: What one plan may change.
         tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
+        lease_s: Length of a node's lease. Where an upstream ends the work that
+            outlasts the grant under which it began, a lease lasts as long as work.
         judges_upstream: Whether the gate takes an upstream that fails out of use.
         retry_share: Further attempts allowed for each request.
     """
@@ -86,6 +89,7 @@
     pace: PlanPace
     placement: PlacementLimits
     tailing: TailPolicy | None
+    lease_s: float
     judges_upstream: bool
     retry_share: float
 
@@ -133,6 +137,7 @@
         self.pace = PlanPace()
         self.placement = PlacementLimits()
         self.tailing: TailPolicy | None = None
+        self.lease_s = LEASE_DURATION_S
         self.judges_upstream = True
         self.retry_share = BUDGET_SHARE
         self._sink = GrantClient()
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -37,6 +37,10 @@
 """Part of the users' retry budget for a node's further attempts: the calls that a
 repeated run makes count as repeats too, each at the service that it calls."""
 
+LEASE_S = 3.0
+"""Upstreams end work that outlasts the grant under which it began, renewed or not: of
+a lease just before its renewal, the time for a whole request must be left."""
+
 PACE = PlanPace(
     interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6, gather_s=0.8
 )
@@ -85,6 +89,7 @@
         self.pace = PACE
         self.placement = PLACEMENT
         self.tailing: TailPolicy | None = TailPolicy(all_members=2, per_data_centre=1)
+        self.lease_s = min(LEASE_S, settings.bounds.longest_hold)
         self.judges_upstream = False
         self.retry_share = settings.bounds.retry_share * OWN_RETRY_SHARE
         self.build_classifier = functools.partial(
--- a/tests/core/ownership/test_guards.py
+++ b/tests/core/ownership/test_guards.py
@@ -400,7 +400,7 @@
 
     def test_supersession_waits(self):
         """Grants of a superseded process run out before another serves."""
-        self.check_guard(restart_in_place, fencing, "LEASE_DURATION_S", 0.0)
+        self.check_guard(restart_in_place, fencing, "WAITED_OUT", frozenset())
 
     def test_split_waits(self):
         """A key's own shard waits for its requests under the parent."""
--- a/tests/core/ownership/test_holder.py
+++ b/tests/core/ownership/test_holder.py
@@ -52,6 +52,18 @@
         self.assertTrue(self.holder.is_live(10.4))
         self.assertAlmostEqual(self.holder.view_end_s, 10.0 + VIEW_S)
 
+    def test_promises_count_for_the_own_lease_at_most(self):
+        """A holder of short leases may have witnesses of longer ones."""
+        for lease_s, view_s in ((0.5, 0.5), (3.0, LEASE_DURATION_S)):
+            self.holder = Holder(
+                lease=LeaseId("a#1", 1), witnesses=WITNESSES, now=0.0, lease_s=lease_s
+            )
+            number = self.renew(10.0)
+            self.answer("b#1", number, 10.1)
+            self.answer("c#1", number, 10.1)
+            end_s = 10.0 + view_s * (1 - CLOCK_RATE_BOUND)
+            self.assertAlmostEqual(self.holder.view_end_s, end_s)
+
     def test_floor_at_a_majority(self):
         """A floor is confirmed once two witnesses keep it."""
         number = self.renew(1.0, floor=7)
--- a/tests/core/ownership/test_schedules.py
+++ b/tests/core/ownership/test_schedules.py
@@ -4,6 +4,7 @@
 
 from hypothesis import Phase, given, settings, strategies as st
 
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.records import Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
 from tests.fakes.keyed import KeyedTraffic
@@ -11,6 +12,7 @@
 PLACES = {"a": "1", "b": "2", "c": "3", "d": "1", "e": "2"}
 HOT = "s/all/=hot"
 EXAMPLES = 25
+LONG_LEASE_S = 3.0
 
 _names = st.sampled_from(sorted(PLACES))
 _pauses = st.sampled_from([0.01, 0.05, 0.2, 0.5, 1.0, 1.5, 3.0])
@@ -52,9 +54,13 @@
 class Schedule:
     """Carries out one schedule on a fleet."""
 
-    def __init__(self, *, seed, checks_grants):
+    def __init__(self, *, seed, checks_grants, lease_s=LEASE_DURATION_S):
         self.fleet = Fleet(
-            seed=seed, shards=3, checks_grants=checks_grants, longest_s=0.5
+            seed=seed,
+            shards=3,
+            checks_grants=checks_grants,
+            longest_s=0.5,
+            lease_s=lease_s,
         )
         for number, (name, place) in enumerate(PLACES.items()):
             rate = 1 + 0.0099 * (-1) ** number
@@ -235,6 +241,20 @@
             run.fleet.run(pause_s)
         run.finish()
 
+    @settings(max_examples=EXAMPLES, phases=[Phase.explicit, Phase.generate])
+    @given(
+        schedule=st.one_of(_schedules, _move_schedules),
+        seed=st.integers(0, 99),
+        checks_grants=st.booleans(),
+    )
+    def test_one_owner_under_long_leases(self, schedule, seed, checks_grants):
+        """The length of a lease changes nothing but the time of a takeover."""
+        run = Schedule(seed=seed, checks_grants=checks_grants, lease_s=LONG_LEASE_S)
+        for fault, pause_s in schedule:
+            run.perform(fault)
+            run.fleet.run(pause_s)
+        run.finish()
+
     @settings(max_examples=EXAMPLES, phases=[Phase.explicit, Phase.generate])
     @given(
         schedule=st.one_of(_schedules, _move_schedules, _move_schedules),
--- a/tests/core/ownership/test_witnessing.py
+++ b/tests/core/ownership/test_witnessing.py
@@ -53,6 +53,15 @@
         self.assertEqual((granted.fenced, granted.floor), (True, 3))
         self.assertEqual(self.witnessing.renew(make_renew(), 9.0), (0, True))
 
+    def test_long_lease_is_not_fenced_before_its_end(self):
+        """Neither after its admission nor after a renewal."""
+        witnessing = Witnessing(me="b#1", state=self.state, lease_s=3.0)
+        witnessing.update(LEASE, 0.0)
+        self.assertFalse(witnessing.fence(Fence(lease=LEASE), 2.9).fenced)
+        self.assertEqual(witnessing.renew(make_renew(), 5.0), (3_000_000, False))
+        self.assertFalse(witnessing.fence(Fence(lease=LEASE), 7.9).fenced)
+        self.assertTrue(witnessing.fence(Fence(lease=LEASE), 8.0).fenced)
+
     def test_resignation_needs_no_wait(self):
         """The holder's own fence is granted at once and marked as drained."""
         self.witnessing.renew(make_renew(), 5.0)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -31,6 +31,7 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import find_planner
 from papayatack.core.ownership.state import OwnershipState
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.records import OWNERSHIP_STREAM, Activate, Announce, Assign
 from tests.fakes.planner import plan_first_chains, plan_repairs
 
@@ -106,7 +107,9 @@
         service="s",
         checks_grants=True,
         longest_s=0.3,
+        lease_s=LEASE_DURATION_S,
     ):
+        self.lease_s = lease_s
         self.now = 0.0
         self.random = random.Random(seed)
         self.slots = {}
@@ -187,6 +190,7 @@
             state=state or OwnershipState(),
             now=slot.read_clock(self.now),
             find_service=self.find_service,
+            lease_s=self.lease_s,
         )
         slot.tail_due = False
         self._at(0.0, functools.partial(self._tick, slot, slot.core))
