--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -12,12 +12,14 @@
     examine_claim,
     make_token,
 )
-from papayatack.core.ownership.timing import LEASE_DURATION_S, QUERY_INTERVAL_S
+from papayatack.core.ownership.timing import QUERY_INTERVAL_S
 from papayatack.core.records import OWNERSHIP_STREAM
 
 __all__ = ["Claims"]
 
-FIRM_VIEW_S = LEASE_DURATION_S / 2
+FIRM_SHARE = 0.5
+"""Part of a lease that must be left for it to count as firm."""
+
 MAX_PENDING_QUERIES = 20_000
 MAX_SHARDS_PER_MESSAGE = 500
 MAX_SHARDS_NOTED = 4
@@ -230,7 +232,7 @@
         newest = self._find_own(entry)
         if right is None or newest is None or right.holder is newest:
             return False
-        is_firm = newest.view_end_s - now >= FIRM_VIEW_S
+        is_firm = newest.view_end_s - now >= FIRM_SHARE * newest.lease_s
         is_known = right.holder.confirmed_floor >= entry.current.since
         return right.holder.is_live(now) and not (is_firm and is_known)
 
