Judge the end that a grant names when it is sent, not when the test's upstream reads it

test_grant_that_waited_ends_with_its_lease took the upstream's clock at the reading of each grant, and allowed 20 ms for the way. What the node promises is that the end it names, counted from the sending, is not after the lease's. That is checked now for each grant, without an allowance: stricter. Shown to fail: with a hold 10 ms too long, "2220.3487 not less than or equal to 2220.3387".

--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from returns.result import Failure, Success
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
+from papayatack.platform import grants
 from papayatack.platform.grants import ARRIVAL_S, MAX_CALLS, RangeGrants
 from standins.platformupstream import PlatformUpstream
 
@@ -84,11 +86,20 @@
         loop = asyncio.get_running_loop()
         self.upstream.grant_delay_s = 0.05
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(4 * MAX_CALLS)}
+        describe = grants._describe
+        ends_s = []
+
+        def note_end(key_range, hold_s):
+            document = describe(key_range, hold_s)
+            hold_ms = int(document["Hold"].removesuffix("ms"))
+            ends_s.append(loop.time() + hold_ms / 1000)
+            return document
+
         end_s = loop.time() + SHORT_US / 1e6
-        await self.grants.grant(LEASE, shards, SHORT_US)
-        await asyncio.sleep(max(0.0, end_s - loop.time()))
-        until_s = max(held.until_s for held in self.upstream.grants.values())
-        self.assertLessEqual(until_s, end_s + 0.02)
+        with mock.patch.object(grants, "_describe", note_end):
+            await self.grants.grant(LEASE, shards, SHORT_US)
+        self.assertGreater(len(ends_s), MAX_CALLS)
+        self.assertLessEqual(max(ends_s), end_s)
 
     async def test_no_grant_goes_out_for_no_time(self):
         """The upstream would not take it."""
