Send a grant that gets no answer again long before the lease ends

What callers saw: where an upstream leaves orders unanswered, its keys lapse again and again; work under them ends with 500 and requests get 421.

Cause: the answer was waited for until the lease's end. One of the eight calls that may be under way was taken up for all that time, and with eight of them no renewal went out.

An attempt has 0.3 s for its answer, each further one twice as long; the same call renews the grant, so that a repetition is harmless. An attempt without an answer may still be taken in: a release waits until it has run out, as before.

Evidence: tests.platform.test_grants.RangeGrantsTests. test_grant_without_answer_is_sent_again_long_before_its_end failed with TimeoutError.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -40,6 +40,10 @@
 LEAST_HOLD_S = 0.02
 """A shorter grant would be over before its first request."""
 
+FIRST_ANSWER_S = 0.3
+"""Time that the first attempt of a grant has for its answer; each further one has twice
+as long. The same call again renews the grant."""
+
 RELEASE_TIMEOUT_S = 2.0
 MAX_CALLS = 8
 """Grants at once; each takes one of the connections that the upstream accepts."""
@@ -263,10 +267,6 @@
         failed.extend((part, NOT_SENT) for part in withheld)
         if failed:
             _note_failures(failed, left_s=end_s - asyncio.get_running_loop().time())
-        for part, answer in failed:
-            if answer is None:
-                late_s = end_s + ARRIVAL_S
-                self._holdings.note_unanswered(part.first, part.last, late_s)
         for shard, token in tokens.items():
             _, first, last = find_slice(shard)
             missing = any(
@@ -385,14 +385,32 @@
             self._holdings.note_sent(first, last, token, end_s)
             return _describe(key_range, hold_s)
 
-        async with self._grant_slots:
-            return await self._call(life, b"/grant", describe, end_s)
+        answer_s = FIRST_ANSWER_S
+        answer: Response | None = NOT_SENT
+        while True:
+            async with self._grant_slots:
+                last_answer = answer
+                answer = await self._call(life, b"/grant", describe, end_s, answer_s)
+            if answer is not None:
+                return last_answer if answer is NOT_SENT else answer
+            self._note_unanswered(life, key_range, end_s)
+            answer_s *= 2
+
+    def _note_unanswered(self, life: _Life, key_range: _KeyRange, end_s: float) -> None:
+        """Note that a grant may be taken in as late as its end."""
+        if not life.ended.is_set():
+            late_s = end_s + ARRIVAL_S
+            self._holdings.note_unanswered(key_range.first, key_range.last, late_s)
 
     async def _call_release(self, life: _Life, key_range: _KeyRange) -> Response | None:
         end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         async with self._release_slots:
             return await self._call(
-                life, b"/release", lambda: _describe(key_range), end_s
+                life,
+                b"/release",
+                lambda: _describe(key_range),
+                end_s,
+                RELEASE_TIMEOUT_S,
             )
 
     async def _call(
@@ -401,6 +419,7 @@
         target: bytes,
         describe: Callable[[], Mapping[str, object] | None],
         deadline_s: float,
+        answer_s: float,
     ) -> Response | None:
         """Return the upstream's answer, ``None`` if it may or may not have acted.
 
@@ -410,6 +429,7 @@
             describe: Returns the document once a connection is at hand, ``None`` if
                 nothing may be sent any more.
             deadline_s: Event loop time by which the answer must be here.
+            answer_s: Longest time to wait for it once the call is sent.
         """
         pool = life.pool
         if pool is None:
@@ -424,7 +444,10 @@
             return NOT_SENT
         data = json.dumps(document).encode()
         request = build_json_request(pool.address, b"POST", target, data)
-        result = await connection.exchange(request, deadline_s=deadline_s)
+        sent_s = asyncio.get_running_loop().time()
+        result = await connection.exchange(
+            request, deadline_s=min(deadline_s, sent_s + answer_s)
+        )
         if not is_successful(result):
             return None
         settled = await settle_response(result.unwrap())
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -35,6 +35,7 @@
         grants: What it holds, by first and last key.
         calls: Target and document of every grant and release.
         refuse_grants: Whether grants are answered with 409.
+        lost_grants: How many of the grants to come are not taken and get no answer.
         grant_delay_s: Time for which the answer to a grant is held back.
         release_delay_s: How long the work under each release takes to end.
         healthy: Whether it says that it may be used.
@@ -51,6 +52,7 @@
         self.calls: list[tuple[bytes, dict]] = []
         self.callers: set[bytes] = set()
         self.refuse_grants = False
+        self.lost_grants = 0
         self.grant_delay_s = 0.0
         self.release_delay_s = 0.0
         self.healthy = True
@@ -132,6 +134,7 @@
                 )
                 return _reply(200 if self.healthy else 503, fields=fields)
             case b"/grant":
+                await self._lose_grant()
                 response = self._grant(json.loads(body))
                 await asyncio.sleep(self.grant_delay_s)
                 return response
@@ -141,6 +144,12 @@
                 return response
         return await self._work(request)
 
+    async def _lose_grant(self) -> None:
+        """Never return if this grant is one to be lost."""
+        if self.lost_grants:
+            self.lost_grants -= 1
+            await asyncio.get_running_loop().create_future()
+
     def _grant(self, document: dict) -> Response:
         if self.refuse_grants:
             return _reply(409)
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -15,6 +15,7 @@
 
 LEASE = LeaseId(IncarnationId("127.0.0.1:1#a"), 1)
 LONG_US = 10_000_000
+MIDDLE_US = 600_000
 SHORT_US = 300_000
 
 
@@ -234,6 +235,23 @@
         self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6 + ARRIVAL_S)
         self.assertIn(b"/release", [target for target, _ in self.upstream.calls])
 
+    async def test_grant_without_answer_is_sent_again_long_before_its_end(self):
+        """Neither its keys nor the other grants wait for the rest of the lease."""
+        self.upstream.lost_grants = MAX_CALLS
+        shards = {name(16 * n, 16 * n + 7): 7 for n in range(2 * MAX_CALLS)}
+        async with asyncio.timeout(LONG_US / 1e6 / 5):
+            result = await self.grants.grant(LEASE, shards, LONG_US)
+        self.assertEqual(result, Success(None))
+
+    async def test_release_waits_for_a_grant_that_was_sent_again(self):
+        """The one without an answer may still be taken in."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 2 * MIDDLE_US / 1e6
+        self.upstream.lost_grants = 1
+        await self.grants.grant(LEASE, {name(0, 255): 7}, 2 * MIDDLE_US)
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertGreaterEqual(loop.time(), end_s)
+
     async def test_many_ranges_take_few_connections(self):
         """A storm of them would be reset by the upstream, and nothing be granted."""
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(300)}
