--- a/src/papayatack/core/ownership/holdings.py
+++ b/src/papayatack/core/ownership/holdings.py
@@ -87,10 +87,18 @@
             for part in self.list_parts(first, last)
         )
 
-    def note_released(self, first: int, last: int) -> None:
-        """Note that the upstream has ended all that it had taken in."""
+    def note_released(self, first: int, last: int, token: int) -> None:
+        """Note that the upstream has ended all that it had when a release was sent.
+
+        Args:
+            first: First key.
+            last: Last key, included.
+            token: Highest token that had been sent by then; a later one stands.
+        """
         self._replace(
             dataclasses.replace(part, until_s=float("-inf"))
+            if part.token <= token
+            else part
             for part in self.list_parts(first, last)
         )
 
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -339,7 +339,7 @@
             return ""
         for part, answer in zip(parts, answers, strict=True):
             if answer is not None and answer.status == OK:
-                self._holdings.note_released(part.first, part.last)
+                self._holdings.note_released(part.first, part.last, part.token)
         if all(answer is not None and answer.status == OK for answer in answers):
             return _join_handovers(parts, answers)
         return ""
@@ -348,7 +348,8 @@
         """Wait until no life of the upstream can hold these keys any more.
 
         One that did not answer holds them until its grants have run out, and a grant
-        without an answer may be taken in late.
+        without an answer may be taken in late. Keys that have been granted with a
+        higher token since then have gone to another shard of this node.
         """
         loop = asyncio.get_running_loop()
         while True:
@@ -357,6 +358,7 @@
                 known.may_stand_s
                 for part in parts
                 for known in self._holdings.list_parts(part.first, part.last)
+                if known.token <= part.token
             ]
             left_s = max(stands_s, default=0.0) - loop.time()
             if left_s <= 0:
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -194,6 +194,23 @@
         await self.grants.revoke(LEASE, (hot,))
         self.assertFalse(self.upstream.holds(16))
 
+    async def test_returned_hot_slice_whose_release_ends_after_the_parents_grant(self):
+        """The parent has the keys by then, and its own release must cover them."""
+        around = [name(8, 15, hot=True), name(24, 31, hot=True)]
+        hot = name(16, 23, hot=True)
+        self.hot = [*around, hot]
+        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, LONG_US)
+        self.hot = around
+        self.upstream.release_delay_s = 0.5
+        releasing = asyncio.ensure_future(self.grants.revoke(LEASE, (hot,)))
+        while not any(target == b"/release" for target, _ in self.upstream.calls):
+            await asyncio.sleep(0.01)
+        await self.grants.grant(LEASE, {name(0, 255): 11}, LONG_US)
+        await releasing
+        self.assertTrue(self.upstream.holds(16))
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertFalse(self.upstream.holds(16))
+
     async def test_returned_hot_slice_whose_parent_is_released(self):
         """The parent's new grant was never made."""
         hot = name(16, 23, hot=True)
