--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import bisect
 import contextlib
 import dataclasses
 import json
@@ -214,7 +215,7 @@
         newest = life.asked.get(shard)
         returned = is_hot(shard) and shard not in self._list_hot()
         found = []
-        for first, last in self._cut(shard):
+        for first, last in _cut(shard, self._find_hot()):
             known = list(self._holdings.list_parts(first, last))
             token = max(part.token for part in known)
             if returned and newest is not None and token > newest:
@@ -306,9 +307,10 @@
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
     ) -> Iterable[_KeyRange]:
         """Yield each shard's ranges with their handovers."""
+        hot = self._find_hot()
         for shard, token in tokens.items():
             known = _split_handovers(handovers.get(shard, ""))
-            for first, last in self._cut(shard):
+            for first, last in _cut(shard, hot):
                 yield _KeyRange(
                     first=first,
                     last=last,
@@ -316,19 +318,9 @@
                     handover=known.get(f"{first}-{last}", ""),
                 )
 
-    def _cut(self, shard: ShardId) -> Iterable[tuple[int, int]]:
-        """Yield a shard's keys without the hot slices within it."""
-        service, first, last = find_slice(shard)
-        hot = [] if is_hot(shard) else sorted(map(find_slice, self._list_hot()))
-        holes = [
-            (start, end)
-            for other, start, end in hot
-            if other == service and first <= start <= last
-        ]
-        for start, end in (*holes, (last + 1, last + 1)):
-            if first < start:
-                yield first, start - 1
-            first = end + 1
+    def _find_hot(self) -> list[tuple[str, int, int]]:
+        """Return the hot slices that are shards of their own, by their keys."""
+        return sorted(map(find_slice, self._list_hot()))
 
     async def _release(self, life: _Life, parts: list[_KeyRange]) -> str:
         """Return the upstream's handover, empty if it gave none."""
@@ -433,6 +425,19 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
+def _cut(shard: ShardId, hot: list[tuple[str, int, int]]) -> Iterable[tuple[int, int]]:
+    """Yield a shard's keys without the hot slices within it."""
+    service, first, last = find_slice(shard)
+    holes: list[tuple[str, int, int]] = []
+    if not is_hot(shard):
+        start = bisect.bisect_left(hot, (service, first, first))
+        holes = hot[start : bisect.bisect_right(hot, (service, last, last))]
+    for _, start, end in (*holes, (service, last + 1, last + 1)):
+        if first < start:
+            yield first, start - 1
+        first = end + 1
+
+
 def _merge(parts: Iterable[_KeyRange]) -> list[_KeyRange]:
     """Return ranges in the order of their keys with neighbours made one."""
     ranges: list[_KeyRange] = []
