Log when the event loop of a node has stood still

A peer that is silent for a second is either held up itself or at the end of a slow link, and no line told which. LOOP_STALLED (110) says how late the loop was and how much processor time the process itself used; loop_lag is its histogram.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -42,6 +42,7 @@
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
+from papayatack.observability.stalls import StallWatch
 from papayatack.proxy.engine import RequestEngine
 from papayatack.proxy.gate import AdmissionGate
 
@@ -212,6 +213,7 @@
             control.run(),
             keeper.run(),
             self._surroundings.desk.watch(),
+            StallWatch(metrics=self._metrics).run(),
             follow_limits(control, gate, keeper, self._callers, self._settings.limits),
             *self._surroundings.follow(control, gate),
         )
