--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -37,6 +37,8 @@
         release_delay_s: How long the work under each release takes to end.
         healthy: Whether it says that it may be used.
         hangs: Whether requests are run and never answered.
+        work_s: How long a request with a key runs; one that outlasts the grant under
+            which it began ends with 500.
     """
 
     def __init__(self, *, instance: str, service: str, place: str) -> None:
@@ -50,6 +52,7 @@
         self.release_delay_s = 0.0
         self.healthy = True
         self.hangs = False
+        self.work_s = 0.0
         self._place = place
         self._sequence = 0
         self._server = CallerServer(
@@ -99,11 +102,16 @@
 
     def holds(self, key: int) -> bool:
         """Tell whether it may serve a key now."""
-        now = asyncio.get_running_loop().time()
-        return any(
-            grant.first <= key <= grant.last and now < grant.until_s
+        return asyncio.get_running_loop().time() < self._find_end(key)
+
+    def _find_end(self, key: int) -> float:
+        """Return when the grant of a key runs out."""
+        ends = (
+            grant.until_s
             for grant in self.grants.values()
+            if grant.first <= key <= grant.last
         )
+        return max(ends, default=float("-inf"))
 
     async def _handle(self, request: Request) -> Response:
         body = b""
@@ -124,7 +132,7 @@
                 response = self._release(json.loads(body))
                 await asyncio.sleep(self.release_delay_s)
                 return response
-        response = self._run(request)
+        response = await self._run(request)
         if self.hangs and response.status == 200:
             await asyncio.get_running_loop().create_future()
         return response
@@ -157,7 +165,7 @@
                         self.grants[start, end] = rest
         return _reply(200, fields=((b"papayatack-handover", b"%d-%d" % (first, last)),))
 
-    def _run(self, request: Request) -> Response:
+    async def _run(self, request: Request) -> Response:
         expected = find_header(request.headers, b"papayatack-expected-instance")
         key = find_header(request.headers, b"papayatack-shard-key")
         if expected != self.instance.encode():
@@ -173,7 +181,15 @@
             (b"papayatack-request-id", request_id),
             (b"papayatack-response-signature", b"signed-" + request_id),
         )
-        return _reply(200, data=self.instance.encode(), fields=fields)
+        is_whole = key is None or await self._work(int(key))
+        status = 200 if is_whole else 500
+        return _reply(status, data=self.instance.encode(), fields=fields)
+
+    async def _work(self, key: int) -> bool:
+        """Work on a request; return whether its grant has lasted."""
+        left_s = self._find_end(key) - asyncio.get_running_loop().time()
+        await asyncio.sleep(min(self.work_s, left_s))
+        return self.work_s <= left_s
 
 
 def _reply(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -18,6 +18,7 @@
 LIMIT_S = 40.0
 POLL_S = 0.05
 REQUEST_S = 2.0
+LONG_WORK_S = 1.2
 GRACE_S = 6.0
 SETTINGS = """
 [node]
@@ -222,6 +223,18 @@
         async with asyncio.timeout(GRACE_S):
             self.assertEqual(await machine.process.wait(), 0)
 
+    async def test_work_of_a_second_outlasts_no_grant(self):
+        """A request within its time is answered, however long its work takes."""
+        routes = json.loads(build_manifest())["Routes"]
+        routes["orders"]["Timeout"] = "3000ms"
+        manifest = build_manifest(Routes=routes)
+        self.store.store.append("keyed.op", b"config", manifest)
+        await self.wait_for(self.is_served)
+        for machine in self.machines:
+            machine.upstream.work_s = LONG_WORK_S
+        status, _, _ = await self.machines[0].ask("/orders/1", key=7)
+        self.assertEqual(status, 200)
+
     async def test_a_killed_node_gives_its_keys_up_and_gets_some_back(self):
         """Its keys are served by others soon, and it serves again after a start."""
         self.store.store.append("keyed.op", b"config", build_manifest())
