Walk sets alike on every run of the tests

The random schedules draw from fixed seeds, but the core walks sets of names, whose order followed the interpreter's random hash seed: a schedule that breaks a rule could pass on the next run.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -16,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_PREFIX = "test: "
 SLOWEST_SHOWN = 10
+HASH_SEED = "PYTHONHASHSEED"
 
 
 class _TimingResult(unittest.TextTestResult):
@@ -94,6 +96,14 @@
     return 1 if unexpected or not result.testsRun else 0
 
 
+def fix_hash_seed():
+    """Start again with a fixed seed, so that sets are walked alike on every run."""
+    if os.environ.get(HASH_SEED) is None:
+        os.environ[HASH_SEED] = "0"
+        os.execv(sys.executable, [sys.executable, "-m", "tests", *sys.argv[1:]])
+
+
 if __name__ == "__main__":
+    fix_hash_seed()
     asyncio.set_event_loop_policy(None)
     sys.exit(run_tests(sys.argv[1:]))
