Begin a new life for every upstream that is put into service

An upstream that was out of reach and comes back under its name may have been started again: its grants are waited out and its tokens are spent, as for any other that follows. And the connections of one that has ended are retired before its life is given up; since the map of holdings they were forgotten open. Both tests failed before.

--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -109,8 +109,10 @@
     def _connect(self, upstream: AnnouncedUpstream) -> None:
         self._retire_pool()
         last, self._granted = self._granted, upstream
-        if last is not None and last.instance != upstream.instance:
-            self._sink.forget(is_certain=last.address == upstream.address)
+        if last is not None:
+            is_reborn = last.instance != upstream.instance
+            is_certain = is_reborn and last.address == upstream.address
+            self._sink.forget(is_certain=is_certain)
         pool = self._build_pool(upstream)
         pool.on_unreachable = self._surroundings.desk.suspect
         self._surroundings.note_upstream(upstream)
@@ -135,12 +137,12 @@
     def _take_out(self, news: UpstreamGone) -> None:
         """Forget an upstream that has gone."""
         self.current = None
+        self._retire_pool()
         if news.is_certain and self._granted is not None:
             self._granted = None
             self._sink.forget()
         self._control.attach_upstream(service="")
         self._control.give_up_shards()
-        self._retire_pool()
 
     def _retire_pool(self) -> None:
         """Send nothing more; answers that are still to come are waited for."""
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -8,6 +8,7 @@
 
 from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
 from papayatack.daemon.upstreams import UpstreamKeeper
+from papayatack.platform.grants import RangeGrants
 
 FIRST = AnnouncedUpstream(
     service="desk", address="127.0.0.1:1", slots=8, connections=8, instance="i-1"
@@ -24,8 +25,14 @@
         queue = asyncio.Queue()
         for item in news:
             queue.put_nowait(item)
-        sink = mock.Mock()
-        sink.pool = None
+        sink = RangeGrants(list_hot=list)
+        sink.forget = mock.Mock(wraps=sink.forget)
+        self.pools = []
+
+        def build_pool(upstream):
+            self.pools.append(mock.Mock())
+            return self.pools[-1]
+
         keeper = UpstreamKeeper(
             surroundings=types.SimpleNamespace(
                 desk=types.SimpleNamespace(wait_changed=queue.get, suspect=None),
@@ -35,7 +42,7 @@
             engine=mock.Mock(),
             gate=mock.Mock(),
             sink=sink,
-            build_pool=lambda upstream: mock.Mock(),
+            build_pool=build_pool,
             drain_s=1.0,
         )
         running = asyncio.ensure_future(keeper.run())
@@ -61,11 +68,14 @@
         self.assertEqual(forgotten, [{"is_certain": False}])
 
     async def test_upstream_that_was_out_of_reach_comes_back(self):
-        """It may still have its grants."""
+        """It may have its grants, or have been started again under its name."""
         gone = UpstreamGone(is_certain=False)
-        self.assertEqual(await self.list_forgotten(FIRST, gone, FIRST), [])
+        forgotten = await self.list_forgotten(FIRST, gone, FIRST)
+        self.assertEqual(forgotten, [{"is_certain": False}])
 
     async def test_another_upstream_follows_one_that_has_ended(self):
         """It is forgotten once."""
         gone = UpstreamGone(is_certain=True)
         self.assertEqual(await self.list_forgotten(FIRST, gone, SECOND), [{}])
+        self.pools[0].retire.assert_called_once_with()
+        self.pools[1].retire.assert_not_called()
