--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -165,11 +165,12 @@
         return granted.until_s > asyncio.get_running_loop().time() + FRESH_S
 
     async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
-        """Extend all grants of a lease."""
+        """Extend all grants of a lease, but those of slices that returned."""
+        hot = set(self._list_hot())
         tokens = {
             shard: granted.token
             for shard, granted in self._life.granted.items()
-            if granted.lease == lease
+            if granted.lease == lease and (not is_hot(shard) or shard in hot)
         }
         if self.pool is None or not tokens:
             return Success(None)
