Let two tests of grants tell order and ends without the machine's speed

test_grant_that_waited_ends_with_its_lease had 0.3 s for all its grants, and test_renewals_do_not_wait_for_releases 0.2 s for a renewal; each failed once in seven runs on a machine with twice as many busy processes as cores. The first one now sends all grants in a lease of 10 s and checks each end. The second holds every release for 1.5 s and checks that the renewal is through before any of them has ended, which is what it is named for.

--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -38,6 +38,7 @@
         lost_grants: How many of the grants to come are not taken and get no answer.
         grant_delay_s: Time for which the answer to a grant is held back.
         release_delay_s: How long the work under each release takes to end.
+        releases_ended: How many releases were answered.
         healthy: Whether it says that it may be used.
         hangs: Whether requests are run and never answered.
         work_s: How long a request runs. One that lasts longer than the grants that
@@ -55,6 +56,7 @@
         self.lost_grants = 0
         self.grant_delay_s = 0.0
         self.release_delay_s = 0.0
+        self.releases_ended = 0
         self.healthy = True
         self.hangs = False
         self.work_s = 0.0
@@ -141,6 +143,7 @@
             case b"/release":
                 response = self._release(json.loads(body))
                 await asyncio.sleep(self.release_delay_s)
+                self.releases_ended += 1
                 return response
         return await self._work(request)
 
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -96,10 +96,10 @@
             ends_s.append(loop.time() + hold_ms / 1000)
             return document
 
-        end_s = loop.time() + SHORT_US / 1e6
+        end_s = loop.time() + LONG_US / 1e6
         with mock.patch.object(grants, "_describe", note_end):
-            await self.grants.grant(LEASE, shards, SHORT_US)
-        self.assertGreater(len(ends_s), MAX_CALLS)
+            await self.grants.grant(LEASE, shards, LONG_US)
+        self.assertEqual(len(ends_s), len(shards))
         self.assertLessEqual(max(ends_s), end_s)
 
     async def test_no_grant_goes_out_for_no_time(self):
@@ -112,11 +112,19 @@
         """These last as long as the work under them; what stays must not run out."""
         shards = [name(16 * n, 16 * n + 7) for n in range(3 * MAX_CALLS)]
         await self.grants.grant(LEASE, dict.fromkeys(shards, 7), SHORT_US)
-        self.upstream.release_delay_s = 0.6
+        self.upstream.release_delay_s = 1.5
         revoked = tuple(shards[: 2 * MAX_CALLS])
         releasing = asyncio.ensure_future(self.grants.revoke(LEASE, revoked))
         await asyncio.sleep(0.1)
-        await asyncio.wait_for(self.grants.extend(LEASE, LONG_US), timeout=0.2)
+        await self.grants.extend(LEASE, LONG_US)
+        released = [
+            document
+            for target, document in self.upstream.calls
+            if target == b"/release"
+        ]
+        self.assertTrue(released)
+        self.assertFalse(releasing.done())
+        self.assertEqual(self.upstream.releases_ended, 0)
         await releasing
         self.assertTrue(self.upstream.holds(16 * (3 * MAX_CALLS - 1)))
 
