--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -41,8 +41,8 @@
             return "no-owner" in reasons and self.count("GRANT_REFUSED")
 
         await self.wait_for(is_refused_for_its_owner)
-        outcomes = {line["outcome"] for line in self.find_lines("lost-2")}
-        self.assertEqual(outcomes, {"not-run"})
+        lines = self.find_lines("lost-2")
+        self.assertEqual({line["outcome"] for line in lines}, {"not-run"}, lines)
 
     def count(self, message):
         """Return how many lines of all nodes have a name."""
