Count a hot key's shard as new when it is first seen

Cause: a shard that the planner had not seen before counted as infinitely old, so that the least time for which a hot key stays a shard of its own never held; its load is not reported yet, so that it looked cool at the next look.

Evidence: tests.control.test_planning.AgeTests failed with "inf != 0.0". Other shards keep their age, as a planner that starts must be able to move what it finds.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -17,6 +17,7 @@
     Plan,
 )
 from papayatack.core.records import Assign, DeclareLost
+from papayatack.core.shards import is_hot
 
 __all__ = ["PlanPace", "Planner"]
 
@@ -270,9 +271,11 @@
         )
 
     def _measure_age(self, shard: ShardId, epoch: int, now: float) -> float:
+        """Return the time since a move; a hot key is new when it is first seen."""
         known = self._moved_s.get(shard)
         if known is None:
-            self._moved_s[shard] = (epoch, float("-inf"))
+            seen_s = now if is_hot(shard) else float("-inf")
+            self._moved_s[shard] = (epoch, seen_s)
         elif known[0] != epoch:
             self._moved_s[shard] = (epoch, now)
         return now - self._moved_s[shard][1]
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -1,6 +1,7 @@
 """Tests of papayatack.control.planning."""
 
 import itertools
+import math
 import unittest
 
 from papayatack.control.planning import STAND_IN_S, Planner, PlanPace
@@ -9,11 +10,21 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import Plan
-from papayatack.core.records import Admit, Announce, Assign, Assignment, Attach, Retire
+from papayatack.core.records import (
+    Activate,
+    Activation,
+    Admit,
+    Announce,
+    Assign,
+    Assignment,
+    Attach,
+    Retire,
+)
 
 ME = "127.0.0.1:1#a"
 OTHER = "127.0.0.1:7#b"
 SHARD = "hiring/vacancies/0"
+HOT = "hiring/vacancies/=7"
 
 
 def make_announcement(record_id="announce", name=ME):
@@ -84,6 +95,35 @@
         self.apply(record)
 
 
+class AgeTests(PlannerCase):
+    """How long ago a shard moved, as the plan sees it."""
+
+    def read_age_s(self, shard, now):
+        """Return the age of a shard."""
+        return self.planner.build_view(now).shards[shard].age_s
+
+    def test_hot_key_that_was_just_split_counts_as_old(self):
+        """It would be returned before its load was reported, and split again."""
+        self.assign(1, 0)
+        record = Activate(
+            record_id="active",
+            writer=ME,
+            activations=(Activation(shard=SHARD, epoch=1, owner=LeaseId(ME, 1)),),
+        )
+        self.apply(record)
+        self.assertEqual(self.read_age_s(SHARD, 10.0), math.inf)
+        split = Assignment(
+            shard=HOT,
+            base_epoch=0,
+            chain=(LeaseId(ME, 1),),
+            parent=SHARD,
+            parent_epoch=1,
+        )
+        self.apply(Assign(record_id="split", writer=ME, assignments=(split,)))
+        self.assertEqual(self.read_age_s(HOT, 10.2), 0.0)
+        self.assertAlmostEqual(self.read_age_s(HOT, 12.2), 2.0)
+
+
 class ChooseLeaseTests(PlannerCase):
     """The lease of a node that was admitted again."""
 
