Failing tests: a successor takes a hot key with a token below that of a split it has not heard of

What callers would see: a key is taken with a fence number below one that another upstream had (OWNER).

Cause: a split makes a chain with a new token, and a return lifts the parent's. The owner grants under it as soon as it has folded the record, though its witnesses have not confirmed the floor (_must_confirm looks at earlier chains alone, and these have none).

The fleet of the tests compares tokens by hot key now, across the shard and its parent.

--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -488,6 +488,61 @@
         self.assertEqual(self.fleet.list_owners(self.hot), ["b"])
 
 
+class UnknownSplitTests(unittest.TestCase):
+    """A hot key's split or return is known to its owner alone, which is lost."""
+
+    hot = "s/all/=hot"
+
+    def setUp(self):
+        self.fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, shards=3)
+        self.fleet.plans = False
+        self.parent = self.fleet.list_owned("a")[0]
+        self.fleet.hot_keys[self.hot] = self.parent
+
+    def split(self):
+        """Give the hot key a shard of its own."""
+        self.assign(self.fleet.truth.shards[self.parent].current.leases)
+
+    def assign(self, chain):
+        """Append the split or the return of the hot key."""
+        shards = self.fleet.truth.shards
+        base_epoch = shards[self.hot].current.epoch if self.hot in shards else 0
+        assignment = Assignment(
+            shard=self.hot,
+            base_epoch=base_epoch,
+            chain=chain,
+            parent=self.parent,
+            parent_epoch=shards[self.parent].current.epoch,
+        )
+        record_id = f"operator/{len(self.fleet.log)}"
+        self.fleet.append(
+            Assign(record_id=record_id, writer="operator", assignments=(assignment,))
+        )
+
+    def lose_owner_once_granted(self, shard):
+        """Kill the owner as soon as its upstream has a new token for a shard."""
+        fleet, tokens = self.fleet, self.fleet.slots["a"].upstream.tokens
+        before = tokens.get(shard)
+        fleet.run_until(lambda: tokens.get(shard) != before, 1)
+        fleet.kill("a")
+        fleet.run(8)
+        self.assertEqual(len(fleet.list_owners(self.parent)), 1)
+
+    def test_successor_takes_a_key_with_a_token_below_that_of_its_unknown_split(self):
+        """Nobody else can read the log for longer than the lease lasts."""
+        self.fleet.log_cut |= {"b", "c"}
+        self.split()
+        self.lose_owner_once_granted(self.hot)
+
+    def test_successor_takes_a_key_with_a_token_below_that_of_its_unknown_return(self):
+        """Nobody else can read the log for longer than the lease lasts."""
+        self.split()
+        self.fleet.run(2)
+        self.fleet.log_cut |= {"b", "c"}
+        self.assign(())
+        self.lose_owner_once_granted(self.parent)
+
+
 class UpstreamTests(unittest.TestCase):
     """The upstream beside a node is started again."""
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -147,6 +147,7 @@
         self.hot_keys = {}
         self.keyed = None
         self.last_tokens = {}
+        self.key_tokens = {}
         self.has_requests = True
         self.tick_s = TICK_S
         self.find_service = self.services.get
@@ -585,6 +586,21 @@
             if token < last or (token == last and owner is not slot):
                 raise AssertionError(f"{shard}: token {token} after {last}")
             self.last_tokens[shard] = (token, slot)
+            self._check_key_tokens(slot, shard, token)
+
+    def _check_key_tokens(self, slot, shard, token):
+        """Raise if an upstream takes a hot key with a token not above all others'."""
+        for key in self.hot_keys:
+            if self._locate(slot, key) != shard:
+                continue
+            tokens = self.key_tokens.setdefault(key, {})
+            for name, known in tokens.items():
+                if name != slot.name and token <= known:
+                    raise AssertionError(
+                        f"{key} at {self.now:.3f}: {slot.name} takes it with {token}, "
+                        f"{name} had {known}"
+                    )
+            tokens[slot.name] = max(token, tokens.get(slot.name, 0))
 
     def _send(self, sender, recipient, message):
         self.messages += 1
