Failing test: a node serves under a lease that it has resigned

What callers would see: two upstreams hold a key (OWNER).

Cause: a node without an upstream that cannot move its shards fences its own leases (resigned: a successor may serve at once). If the witnesses' answers are lost, it takes part again after DRAIN_PATIENCE_S, 2 s, with the same leases. With leases of 1 s their view had run out by then; with the 3 s of the platform it has not, and the next record that touches a shard of the chain makes it serve and grant it beside the successor.

--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -543,6 +543,38 @@
         self.lose_owner_once_granted(self.parent)
 
 
+class ResignationTests(unittest.TestCase):
+    """A node without an upstream resigns its lease, and then takes part again."""
+
+    def test_node_serves_under_a_lease_that_it_has_resigned(self):
+        """The witnesses' answers are lost; a successor serves at once."""
+        fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, lease_s=3.0)
+        fleet.plans = False
+        slot, hot = fleet.slots["a"], "s/all/=hot"
+        core = slot.core
+        shard = fleet.list_owned("a")[0]
+        fleet.hot_keys[hot] = shard
+        fleet.log_up = False
+        effects = core.give_up_shards(slot.read_clock(fleet.now))
+        fleet._carry_out(slot, core, effects)
+        fleet.run_until(lambda: core.departure.stage is Stage.DRAINING, 5)
+        fleet.cut |= {("b", "a"), ("c", "a")}
+        fleet.run_until(lambda: core.departure.stage is Stage.SERVING, 5)
+        self.assertNotIn("a", fleet.list_owners(shard))
+        fleet.log_up = True
+        current = fleet.truth.shards[shard].current
+        split = Assignment(
+            shard=hot,
+            base_epoch=0,
+            chain=current.leases,
+            parent=shard,
+            parent_epoch=current.epoch,
+        )
+        fleet.append(Assign(record_id="op/1", writer="op", assignments=(split,)))
+        fleet.run(3)
+        self.assertEqual(fleet.list_owners(hot), fleet.list_owners(shard))
+
+
 class UpstreamTests(unittest.TestCase):
     """The upstream beside a node is started again."""
 
