End a resigned lease for good when a node takes part again

The class of fault: an order (resigned) to the witnesses outlives the stage that sent it, as they match it by its lease alone.

A lease for which fences were sent, answered or not, is ended before the node takes part again; a new lease follows. Leases without witnesses have none to fence them and stay. A node that leaves for good keeps its leases, so that it still answers queries.

--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -7,6 +7,7 @@
 from papayatack.core.ownership.claims import Claims
 from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.effects import FinishNode
+from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.selection import choose_successors
 from papayatack.core.ownership.timing import (
     DRAIN_PATIENCE_S,
@@ -164,6 +165,7 @@
         late = now - self._stage_since_s > DRAIN_PATIENCE_S
         if not left or late or not any(holder.witnesses for holder in left):
             if self._stays:
+                self._end_resigned(left)
                 self._resume(now)
             else:
                 self._enter(Stage.RETIRING, now)
@@ -173,6 +175,12 @@
                     message = Fence(lease=holder.lease, resigned=True)
                     self._context.send(witness, message)
 
+    def _end_resigned(self, left: list[Holder]) -> None:
+        """End leases that witnesses may have fenced: a successor may serve by now."""
+        for holder in left:
+            if holder.witnesses:
+                holder.end()
+
     def _retire(self, now: float) -> None:
         member = self._context.state.members.get(self._context.me)
         done = member is None or member.ended is not None
