Give a split hot key its parent's tokens

Cause: a split raised the key's token, at once and at the owner alone. A successor that had not heard of it could fence the owner, whose floor was not confirmed, and take the key under the parent's chain with a lower token.

The key stays with its owner at a split, so that its token need not rise: the chain of a new hot shard counts from the parent's. It is above all that the key has had, since a return lifts the parent's. A move of the key raises it as before, once the floor is confirmed. The fold changes: nodes of both kinds must not share a log.

Open, listed: a return lifts the parent's token in the same way.

--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -249,12 +249,14 @@
 
     The epoch of a new one starts at its position in the log, beyond every epoch that
     a forgotten shard of the same key can have had: each of its moves took a record.
+    Its tokens are the parent's: a successor may not have heard of the split.
     """
     if not assignment.chain:
         state.remove_shard(assignment.shard)
         _renew_tokens(assignment.parent, state, offset)
         return
-    chain = Chain(epoch=offset + 1, leases=assignment.chain, since=offset + 1)
+    since = state.shards[assignment.parent].current.since
+    chain = Chain(epoch=offset + 1, leases=assignment.chain, since=since)
     state.set_shard(assignment.shard, ShardEntry(current=chain, active=True))
 
 
--- a/src/papayatack/core/ownership/state.py
+++ b/src/papayatack/core/ownership/state.py
@@ -91,7 +91,8 @@
         epoch: Counts the chains of the shard, from 1.
         leases: Owner first, then its successors.
         since: Position right after the record that made the chain: who has applied
-            all records before it knows the chain.
+            all records before it knows the chain. For a hot key's first one, that of
+            its parent's.
     """
 
     epoch: int
