Failing tests: a suspended node ends a lease while its grants stand

What callers would see: OWNER after a suspension.

Cause: since a suspension sets the end of the view to the past. Two places take that end for the end of the upstream's grants: an older lease is given up 0.25 s later and its end goes to the log, which others count at once (Admission._give_up), and a stranded one is ended by the holder's own word (Holder.is_stranded).

--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -12,7 +12,7 @@
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.rights import Right
 from papayatack.core.ownership.succession import TOKEN_LIFE_BITS
-from papayatack.core.records import Assign, Assignment, DeclareLost
+from papayatack.core.records import Admit, Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
 
 TARGET_S = 2.0
@@ -575,6 +575,38 @@
         self.assertEqual(fleet.list_owners(hot), fleet.list_owners(shard))
 
 
+class SuspensionTests(unittest.TestCase):
+    """A node's VM is suspended, its upstream's grants with it."""
+
+    def test_suspended_node_ends_a_lease_while_its_grants_stand(self):
+        """An older lease, whose witnesses it does not reach any more."""
+        fleet = make_fleet(lease_s=3.0)
+        fleet.plans = False
+        slot = fleet.slots["a"]
+        core = slot.core
+        old = core.context.find_newest_holder()
+        witnesses = tuple(
+            other.core.me
+            for other in fleet.slots.values()
+            if other.core.me not in (core.me, *old.witnesses)
+        )
+        lease = LeaseId(core.me, old.lease.term + 1)
+        fleet.append(
+            Admit(record_id="op/1", writer="op", lease=lease, witnesses=witnesses)
+        )
+        fleet.run_until(lambda: lease in core.context.holders, 1)
+        fleet.log_up = False
+        fleet.run_until(
+            lambda: core.context.holders[lease].is_live(slot.read_clock(fleet.now)), 1
+        )
+        fleet.isolate("a", others=[name.split("#")[0] for name in old.witnesses])
+        fleet._carry_out(slot, core, core.resume(slot.read_clock(fleet.now)))
+        end_s = max(until_s for _, until_s in slot.upstream.grants.values())
+        self.assertGreater(end_s, fleet.now + 2.0)
+        fleet.run_until(lambda: old.ended, 10)
+        self.assertGreaterEqual(fleet.now, end_s)
+
+
 class UpstreamTests(unittest.TestCase):
     """The upstream beside a node is started again."""
 
--- a/tests/core/ownership/test_holder.py
+++ b/tests/core/ownership/test_holder.py
@@ -121,6 +121,18 @@
             self.answer("b#1", self.renew(now), now)
         self.assertTrue(self.holder.is_stranded(now))
 
+    def test_suspended_holder_is_stranded_while_its_grants_stand(self):
+        """Promises are forgotten; what was granted under them is not over."""
+        number = self.renew(0.0)
+        for witness in WITNESSES:
+            self.answer(witness, number, 0.01)
+        self.holder.forget_promises()
+        for step in range(SILENT_ROUNDS_END):
+            now = 0.1 * (step + 1)
+            self.answer("b#1", self.renew(now), now)
+        self.assertFalse(self.holder.is_stranded(VIEW_S - 0.01))
+        self.assertTrue(self.holder.is_stranded(VIEW_S + 0.01))
+
     def test_isolated_is_not_stranded(self):
         """A holder that hears nobody may be the one that is cut off."""
         for number in range(20):
