Count a suspended node's grants until they have run out

The holder remembers until when grants under forgotten promises stand. Until then an older lease is not given up, and a stranded one is not ended by the holder's own word. A lease that witnesses fenced is not concerned: others count its promises, which run on during a suspension.

--- a/src/papayatack/core/ownership/admission.py
+++ b/src/papayatack/core/ownership/admission.py
@@ -228,7 +228,7 @@
 
     def _give_up(self, holder: Holder, now: float) -> None:
         """End a lease whose witnesses cannot be reached, and tell the log."""
-        if holder.is_live(now):
+        if holder.may_be_granted(now):
             self._dead_since_s.pop(holder.lease, None)
             return
         since_s = self._dead_since_s.setdefault(holder.lease, now)
--- a/src/papayatack/core/ownership/holder.py
+++ b/src/papayatack/core/ownership/holder.py
@@ -46,6 +46,8 @@
         last_sent_s: When the last renewal was made.
         sent_floor: Floor of the last renewal.
         extended_s: End of the view when the upstream's grants were last extended.
+        granted_until_s: When the upstream's grants under promises that were forgotten
+            have run out.
         lease_s: Longest promise that counts.
     """
 
@@ -67,6 +69,7 @@
         self.last_sent_s = float("-inf")
         self.sent_floor = 0
         self.extended_s = float("-inf")
+        self.granted_until_s = float("-inf")
         self._round = 0
         self._rounds: dict[int, _Round] = {}
         self._promised_s: dict[IncarnationId, float] = {}
@@ -74,6 +77,10 @@
         self._heard = dict.fromkeys(witnesses, 0)
         self._behind_since_s: dict[IncarnationId, float] = {}
 
+    def may_be_granted(self, now: float) -> bool:
+        """Tell whether the upstream may hold grants under the lease."""
+        return self.is_live(now) or now < self.granted_until_s
+
     def is_live(self, now: float) -> bool:
         """Tell whether the holder may serve now."""
         return not self.ended and now < self.view_end_s
@@ -87,6 +94,7 @@
         """Stop serving until the witnesses promise anew, for time passed uncounted."""
         if self.ended or not self.witnesses:
             return
+        self.granted_until_s = max(self.granted_until_s, self.view_end_s)
         self._rounds.clear()
         self._promised_s.clear()
         self.view_end_s = float("-inf")
@@ -129,7 +137,7 @@
         So it is if too many witnesses are silent while another answers: then they are
         lost, and not this node.
         """
-        if self.ended or not self.witnesses or self.is_live(now):
+        if self.ended or not self.witnesses or self.may_be_granted(now):
             return False
         silent = len(self.list_silent(SILENT_ROUNDS_END))
         answering = len(self.witnesses) - silent
