Failing tests: the second of three leases of a node is released while its grant may stand

What callers would see: OWNER.

Cause: Rights remembers one grant that a newer lease is to replace, the first. A node that goes to a third lease before the second one's grant was answered forgets the second one's; once the first lease has ended, nothing keeps the second from being released to others.

--- a/tests/core/ownership/test_rights.py
+++ b/tests/core/ownership/test_rights.py
@@ -65,6 +65,33 @@
         found = self.rights.collect_revocable(0.0)
         self.assertEqual(found, [self.make_revocation(1, self.new)])
 
+    def transfer_again(self):
+        """Go over to a third lease, while the second one's grant has no answer."""
+        third = self.make_holder(3)
+        self.rights.stop(SHARD, drains=False)
+        self.rights.acquire(SHARD, third, 3, 30, now=0.0)
+        self.rights.collect_grants(0.0)
+        chains = [
+            Chain(epoch=holder.lease.term, leases=(holder.lease,), since=index)
+            for index, holder in enumerate((self.old, self.new, third), 1)
+        ]
+        entry = ShardEntry(current=chains[2], earlier=tuple(chains[:2]))
+        self.state.set_shard(SHARD, entry)
+        self.new.confirmed_floor = 3
+
+    def test_second_of_three_leases_is_released_though_the_first_had_ended(self):
+        """The upstream may have its grant, whose answer may be late."""
+        self.old.end()
+        self.transfer_again()
+        self.assertFalse(self.rights.can_release(self.new, SHARD, 3, now=0.0))
+
+    def test_second_of_three_leases_is_released_once_the_first_has_ended(self):
+        """The upstream may have its grant, whose answer may be late."""
+        self.transfer_again()
+        self.assertFalse(self.rights.can_release(self.new, SHARD, 3, now=0.0))
+        self.old.end()
+        self.assertFalse(self.rights.can_release(self.new, SHARD, 3, now=0.0))
+
     def test_old_lease_is_not_released_to_others_while_its_grant_may_stand(self):
         """The newer lease may end without its grant having reached the upstream."""
         chain = Chain(epoch=2, leases=(self.new.lease,), since=2)
