--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -275,8 +275,9 @@
         """
         right = self.rights.pop(shard, None)
         if not drains:
-            if right is not None:
-                self._transferred.setdefault(shard, right)
+            known = self._transferred.get(shard)
+            if right is not None and (known is None or known.holder.ended):
+                self._transferred[shard] = right
             return right is not None
         first = self._transferred.get(shard) or right
         if first is not None and not is_hot(shard):
