--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -12,7 +12,7 @@
 from papayatack.core.ownership.holder import Holder
 from papayatack.core.ownership.rights import Right
 from papayatack.core.ownership.succession import TOKEN_LIFE_BITS
-from papayatack.core.records import Assign, Assignment, DeclareLost
+from papayatack.core.records import Admit, Assign, Assignment, DeclareLost
 from tests.fakes.fleet import Fleet
 
 TARGET_S = 2.0
@@ -488,6 +488,125 @@
         self.assertEqual(self.fleet.list_owners(self.hot), ["b"])
 
 
+class UnknownSplitTests(unittest.TestCase):
+    """A hot key's split or return is known to its owner alone, which is lost."""
+
+    hot = "s/all/=hot"
+
+    def setUp(self):
+        self.fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, shards=3)
+        self.fleet.plans = False
+        self.parent = self.fleet.list_owned("a")[0]
+        self.fleet.hot_keys[self.hot] = self.parent
+
+    def split(self):
+        """Give the hot key a shard of its own."""
+        self.assign(self.fleet.truth.shards[self.parent].current.leases)
+
+    def assign(self, chain):
+        """Append the split or the return of the hot key."""
+        shards = self.fleet.truth.shards
+        base_epoch = shards[self.hot].current.epoch if self.hot in shards else 0
+        assignment = Assignment(
+            shard=self.hot,
+            base_epoch=base_epoch,
+            chain=chain,
+            parent=self.parent,
+            parent_epoch=shards[self.parent].current.epoch,
+        )
+        record_id = f"operator/{len(self.fleet.log)}"
+        self.fleet.append(
+            Assign(record_id=record_id, writer="operator", assignments=(assignment,))
+        )
+
+    def lose_owner_once_granted(self, shard):
+        """Kill the owner as soon as its upstream has a new token for a shard."""
+        fleet, tokens = self.fleet, self.fleet.slots["a"].upstream.tokens
+        before = tokens.get(shard)
+        fleet.run_until(lambda: tokens.get(shard) != before, 1)
+        fleet.kill("a")
+        fleet.run(8)
+        self.assertEqual(len(fleet.list_owners(self.parent)), 1)
+
+    def test_successor_takes_a_key_with_a_token_below_that_of_its_unknown_split(self):
+        """Nobody else can read the log for longer than the lease lasts."""
+        self.fleet.log_cut |= {"b", "c"}
+        self.split()
+        self.lose_owner_once_granted(self.hot)
+
+    def test_successor_takes_a_key_with_a_token_below_that_of_its_unknown_return(self):
+        """Nobody else can read the log for longer than the lease lasts."""
+        self.split()
+        self.fleet.run(2)
+        self.fleet.log_cut |= {"b", "c"}
+        self.assign(())
+        self.lose_owner_once_granted(self.parent)
+
+
+class ResignationTests(unittest.TestCase):
+    """A node without an upstream resigns its lease, and then takes part again."""
+
+    def test_node_serves_under_a_lease_that_it_has_resigned(self):
+        """The witnesses' answers are lost; a successor serves at once."""
+        fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, lease_s=3.0)
+        fleet.plans = False
+        slot, hot = fleet.slots["a"], "s/all/=hot"
+        core = slot.core
+        shard = fleet.list_owned("a")[0]
+        fleet.hot_keys[hot] = shard
+        fleet.log_up = False
+        effects = core.give_up_shards(slot.read_clock(fleet.now))
+        fleet._carry_out(slot, core, effects)
+        fleet.run_until(lambda: core.departure.stage is Stage.DRAINING, 5)
+        fleet.cut |= {("b", "a"), ("c", "a")}
+        fleet.run_until(lambda: core.departure.stage is Stage.SERVING, 5)
+        self.assertNotIn("a", fleet.list_owners(shard))
+        fleet.log_up = True
+        current = fleet.truth.shards[shard].current
+        split = Assignment(
+            shard=hot,
+            base_epoch=0,
+            chain=current.leases,
+            parent=shard,
+            parent_epoch=current.epoch,
+        )
+        fleet.append(Assign(record_id="op/1", writer="op", assignments=(split,)))
+        fleet.run(3)
+        self.assertEqual(fleet.list_owners(hot), fleet.list_owners(shard))
+
+
+class SuspensionTests(unittest.TestCase):
+    """A node's VM is suspended, its upstream's grants with it."""
+
+    def test_suspended_node_ends_a_lease_while_its_grants_stand(self):
+        """An older lease, whose witnesses it does not reach any more."""
+        fleet = make_fleet(lease_s=3.0)
+        fleet.plans = False
+        slot = fleet.slots["a"]
+        core = slot.core
+        old = core.context.find_newest_holder()
+        witnesses = tuple(
+            other.core.me
+            for other in fleet.slots.values()
+            if other.core.me not in (core.me, *old.witnesses)
+        )
+        lease = LeaseId(core.me, old.lease.term + 1)
+        fleet.append(
+            Admit(record_id="op/1", writer="op", lease=lease, witnesses=witnesses)
+        )
+        fleet.run_until(lambda: lease in core.context.holders, 1)
+        fleet.log_up = False
+        fleet.run_until(
+            lambda: core.context.holders[lease].is_live(slot.read_clock(fleet.now)), 1
+        )
+        fleet.isolate("a", others=[name.split("#")[0] for name in old.witnesses])
+        fleet._carry_out(slot, core, core.resume(slot.read_clock(fleet.now)))
+        end_s = max(until_s for _, until_s in slot.upstream.grants.values())
+        self.assertGreater(end_s, fleet.now + 2.0)
+        fleet.run_until(lambda: old.ended, 10)
+        self.assertGreaterEqual(fleet.now, end_s)
+
+
 class UpstreamTests(unittest.TestCase):
     """The upstream beside a node is started again."""
 
