Count a shard as moved when its owner changes, not its successors

Cause: the planner moves no shard for load within 2.5 s of its last move, and took every new epoch for a move. Each node that goes or comes changes successors, so that no shard ever settled.

Evidence: tests.control.test_planning.AgeTests.test_change_of_successors_counts_as_a_move failed with "0.0 != inf". Readmission of the owner is no move either.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -79,7 +79,7 @@
         self._append = append
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._seen_s: dict[LeaseId, float] = {}
-        self._moved_s: dict[ShardId, tuple[int, float]] = {}
+        self._moved_s: dict[ShardId, tuple[IncarnationId | None, float]] = {}
         self._fenced_s: dict[IncarnationId, float] = {}
         self._orphans_s: float | None = None
         self._gathered = (0, float("-inf"))
@@ -231,7 +231,7 @@
                     epoch=entry.current.epoch,
                     chain=entry.current.leases,
                     moving=not entry.active and bool(entry.current.leases),
-                    age_s=self._measure_age(shard, entry.current.epoch, now),
+                    age_s=self._measure_age(shard, entry.current.leases, now),
                 )
                 for shard, entry in state.shards.items()
             },
@@ -270,14 +270,20 @@
             age_s=now - since_s,
         )
 
-    def _measure_age(self, shard: ShardId, epoch: int, now: float) -> float:
-        """Return the time since a move; a hot key is new when it is first seen."""
+    def _measure_age(
+        self, shard: ShardId, chain: tuple[LeaseId, ...], now: float
+    ) -> float:
+        """Return the time since the owner changed.
+
+        A hot key is new when it is first seen.
+        """
+        owner = chain[0].incarnation if chain else None
         known = self._moved_s.get(shard)
         if known is None:
             seen_s = now if is_hot(shard) else float("-inf")
-            self._moved_s[shard] = (epoch, seen_s)
-        elif known[0] != epoch:
-            self._moved_s[shard] = (epoch, now)
+            self._moved_s[shard] = (owner, seen_s)
+        elif known[0] != owner:
+            self._moved_s[shard] = (owner, now)
         return now - self._moved_s[shard][1]
 
     def _forget_old(self, now: float) -> None:
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -45,7 +45,7 @@
         epoch: Its current epoch, 0 if it was never assigned.
         chain: Owner first; empty if nobody is to own it.
         moving: Its last move is not activated yet.
-        age_s: Seconds since its last move, as far as this node knows.
+        age_s: Seconds since its owner changed, as far as this node knows.
     """
 
     epoch: int
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -102,6 +102,24 @@
         """Return the age of a shard."""
         return self.planner.build_view(now).shards[shard].age_s
 
+    def test_change_of_successors_counts_as_a_move(self):
+        """The shard would stay where it is for as long as other nodes come and go."""
+        self.assign(1, 0)
+        self.planner.build_view(0.0)
+        self.apply(make_announcement("other", OTHER))
+        lease = LeaseId(OTHER, 1)
+        self.apply(Admit(record_id="o", writer=OTHER, lease=lease, witnesses=()))
+        for base_epoch, chain in enumerate(
+            ((LeaseId(ME, 1), lease), (LeaseId(ME, 1),)), 1
+        ):
+            changed = Assignment(shard=SHARD, base_epoch=base_epoch, chain=chain)
+            record_id = f"successors-{base_epoch}"
+            self.apply(Assign(record_id=record_id, writer=ME, assignments=(changed,)))
+            self.assertEqual(self.read_age_s(SHARD, 10.0), math.inf)
+        moved = Assignment(shard=SHARD, base_epoch=3, chain=(lease,))
+        self.apply(Assign(record_id="move", writer=ME, assignments=(moved,)))
+        self.assertEqual(self.read_age_s(SHARD, 10.0), 0.0)
+
     def test_hot_key_that_was_just_split_counts_as_old(self):
         """It would be returned before its load was reported, and split again."""
         self.assign(1, 0)
