Share the cases of a hot key among tests, and the placement's limits with the harness

The same lines stood twice in test_failures, and the platform's pace and limits in the harness; the harness keeps its shorter times. No test changed what it checks.

--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -434,8 +434,8 @@
             self.assertEqual(len(holder.witnesses), 3)
 
 
-class SlowOrderTests(unittest.TestCase):
-    """Grants and releases that the upstream answers late."""
+class HotKeyCase(unittest.TestCase):
+    """Three nodes, one of which owns a key that may get a shard of its own."""
 
     hot = "s/all/=hot"
 
@@ -466,6 +466,10 @@
         chain = self.fleet.truth.shards[self.parent].current.leases
         self.assign(self.hot, chain, parent=self.parent)
 
+    def return_key(self):
+        """Return the hot key to its parent."""
+        self.assign(self.hot, (), parent=self.parent)
+
     def find_leases(self, *names):
         """Return the leases of the places."""
         return tuple(
@@ -473,13 +477,17 @@
             for name in names
         )
 
+
+class SlowOrderTests(HotKeyCase):
+    """Grants and releases that the upstream answers late."""
+
     def test_answer_to_an_earlier_release_counts_for_a_later_one(self):
         """A shard comes back and goes again while its first release is under way."""
         self.split()
         self.fleet.run(1.0)
         self.fleet.order_delays = {"a": 0.4}
         revoking = self.fleet.slots["a"].revoking
-        self.assign(self.hot, (), parent=self.parent)
+        self.return_key()
         self.fleet.run_until(lambda: revoking[self.hot], 2)
         self.split()
         self.fleet.run(0.05)
@@ -488,37 +496,9 @@
         self.assertEqual(self.fleet.list_owners(self.hot), ["b"])
 
 
-class UnknownSplitTests(unittest.TestCase):
+class UnknownSplitTests(HotKeyCase):
     """A hot key's split or return is known to its owner alone, which is lost."""
 
-    hot = "s/all/=hot"
-
-    def setUp(self):
-        self.fleet = make_fleet(places={"a": "1", "b": "2", "c": "3"}, shards=3)
-        self.fleet.plans = False
-        self.parent = self.fleet.list_owned("a")[0]
-        self.fleet.hot_keys[self.hot] = self.parent
-
-    def split(self):
-        """Give the hot key a shard of its own."""
-        self.assign(self.fleet.truth.shards[self.parent].current.leases)
-
-    def assign(self, chain):
-        """Append the split or the return of the hot key."""
-        shards = self.fleet.truth.shards
-        base_epoch = shards[self.hot].current.epoch if self.hot in shards else 0
-        assignment = Assignment(
-            shard=self.hot,
-            base_epoch=base_epoch,
-            chain=chain,
-            parent=self.parent,
-            parent_epoch=shards[self.parent].current.epoch,
-        )
-        record_id = f"operator/{len(self.fleet.log)}"
-        self.fleet.append(
-            Assign(record_id=record_id, writer="operator", assignments=(assignment,))
-        )
-
     def lose_owner_once_granted(self, shard):
         """Kill the owner as soon as its upstream has a new token for a shard."""
         fleet, tokens = self.fleet, self.fleet.slots["a"].upstream.tokens
@@ -539,7 +519,7 @@
         self.split()
         self.fleet.run(2)
         self.fleet.log_cut |= {"b", "c"}
-        self.assign(())
+        self.return_key()
         self.lose_owner_once_granted(self.parent)
 
 
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextvars
+import dataclasses
 import random
 import types
 
@@ -14,12 +15,11 @@
 from returns.result import Failure
 
 from papayatack.control import ControlNode
-from papayatack.control.planning import PlanPace
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Configuration, KeyRange, Place, Service
 from papayatack.core.ownership import OwnershipState, fold
 from papayatack.core.ownership.selection import TailPolicy
-from papayatack.core.placement import PlacementLimits, Plan, plan
+from papayatack.core.placement import Plan, plan
 from papayatack.core.records import OWNERSHIP_STREAM, Announce
 from papayatack.core.shards import is_hot
 from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
@@ -27,6 +27,7 @@
 from papayatack.logservice.interface import LogFailure, LogFailureKind
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.grants import RangeGrants
+from papayatack.platform.surroundings import PACE, PLACEMENT
 from papayatack.wire.records import decode_record, encode_record
 from standins.logstore import InProcessLog, LogStore
 from tests.fakes.clocks import PROCESS
@@ -43,21 +44,7 @@
 CHECK_EVERY_S = 0.02
 DEADLINE_S = 3.0
 DRAIN_S = 2.0
-PACE = PlanPace(
-    interval_s=0.2, idle_interval_s=0.6, report_interval_s=0.6, gather_s=0.8
-)
-PLACEMENT = PlacementLimits(
-    moves=48,
-    hourly_share=float("inf"),
-    hot_shards=96,
-    start_imbalance=0.25,
-    stop_imbalance=0.1,
-    min_gain=0.02,
-    hot_share=0.1,
-    cool_share=0.03,
-    settle_s=1.0,
-    keep_hot_s=2.0,
-)
+QUICK_PLACEMENT = dataclasses.replace(PLACEMENT, settle_s=1.0, keep_hot_s=2.0)
 CONFIGURATION = Configuration(
     version=1,
     services=(
@@ -250,7 +237,7 @@
     def _plan(self, view):
         if not self.plans:
             return Plan(assignments=())
-        return plan(view, limits=PLACEMENT)
+        return plan(view, limits=QUICK_PLACEMENT)
 
     def _announce(self, slot, *, leaving=False):
         return AnnouncedUpstream(
