Confirm the floor before a returned key is granted under a higher token

Two upstreams could get one key with tokens that fall: on the return of a hot key the owner granted the parent's new token at once, though no witness had heard of the return. Lost then, it was followed by a node that still served under the token before it.

A chain that has no earlier ones was taken for confirmed; but a return raises the tokens of such a chain. The owner now goes on under its old token until its floor covers the return, as it does for a new epoch. Waiting for the floor at every chain was tried and given up: a readmitted node then released keys that it was to keep (test_readmitted_node_serves_on).

--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -182,20 +182,36 @@
         if now < ready_s and shard not in self._context.rights.rights:
             self._due_s[shard] = ready_s
             return
-        if self._must_confirm(entry, holder):
+        if self._must_confirm(shard, entry, holder):
             self._blocked[shard] = claim
             return
         self._acquire(shard, entry, holder)
 
-    def _must_confirm(self, entry: ShardEntry, holder: Holder) -> bool:
+    def _must_confirm(
+        self, shard: ShardId, entry: ShardEntry, holder: Holder
+    ) -> bool:
         """Tell whether the floor must be confirmed before the new epoch is served.
 
-        A holder that stays goes on under the old epoch until no successor of an
-        earlier chain can fence it without learning of the new one: epochs and tokens
-        never go back.
+        A holder that stays goes on under the old epoch or token until no successor can
+        fence it without learning of the new one: epochs and tokens never go back.
         """
-        stays = any(holder.lease in chain.leases for chain in entry.earlier)
-        return stays and holder.confirmed_floor < entry.current.since
+        if holder.confirmed_floor >= entry.current.since:
+            return False
+        if any(holder.lease in chain.leases for chain in entry.earlier):
+            return True
+        right = self._context.rights.rights.get(shard)
+        return (
+            right is not None
+            and right.holder is holder
+            and right.epoch == entry.current.epoch
+            and right.wanted_token < self._make_token(entry, holder)
+        )
+
+    def _make_token(self, entry: ShardEntry, holder: Holder) -> int:
+        """Return the token with which an own lease serves a shard."""
+        position = entry.current.leases.index(holder.lease)
+        life = self._context.upstream_life
+        return make_token(entry.current.since, position, life)
 
     def _find_own(self, entry: ShardEntry) -> Holder | None:
         for lease in entry.current.leases:
@@ -267,9 +283,9 @@
             )
 
     def _acquire(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> None:
-        position = entry.current.leases.index(holder.lease)
         current = entry.current
-        token = make_token(current.since, position, self._context.upstream_life)
+        position = current.leases.index(holder.lease)
+        token = self._make_token(entry, holder)
         right = self._context.rights.rights.get(shard)
         if right is None or right.wanted_token != token:
             self._note_taken(shard, entry, holder, token)
