Remember the grants of all leases of a node that may stand

Of three leases of one node the second one's grant was forgotten when the third began: the first one alone was remembered, and with its end nothing was left. The second could then be released to others while the upstream still held its grant. Each shard now has a list of rights under older leases, oldest first; every one that lives must be revoked or ended before a release, and the newest of them is the one that drains.

--- a/src/papayatack/core/ownership/rights.py
+++ b/src/papayatack/core/ownership/rights.py
@@ -1,6 +1,7 @@
 """The shards that one node serves, stops serving, and releases."""
 
 import dataclasses
+from collections.abc import Callable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.ownership.effects import RevokeShards
@@ -26,7 +27,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Right:
     """Permission to serve one shard while the lease is live.
 
@@ -78,7 +79,7 @@
     tenure: int
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Draining:
     """A shard that was taken away, while its requests finish.
 
@@ -102,7 +103,7 @@
         self.in_flight: dict[ShardId, int] = {}
         self.draining: dict[ShardId, Draining] = {}
         self.handovers: dict[ShardId, str] = {}
-        self._transferred: dict[ShardId, Right] = {}
+        self._transferred: dict[ShardId, list[Right]] = {}
         self._returns: dict[ShardId, Return] = {}
         self.stopped: dict[ShardId, Right] = {}
         self._last_tenure = 0
@@ -190,7 +191,7 @@
         right = self.rights.get(shard)
         if right is None or right.holder is not holder:
             self.rights[shard] = self._make_right(
-                right or self._transferred.get(shard),
+                right or self._find_transferred(shard),
                 Right(
                     holder=holder,
                     epoch=epoch,
@@ -220,6 +221,11 @@
             right.tenure = self._last_tenure
         return right
 
+    def _find_transferred(self, shard: ShardId) -> Right | None:
+        """Return the newest right under an older lease whose grant may stand."""
+        transferred = self._transferred.get(shard)
+        return transferred[-1] if transferred else None
+
     def note_split(self, shard: ShardId, parent: ShardId, now: float) -> None:
         """Note from which tenure of the parent a new hot shard's key came.
 
@@ -275,31 +281,35 @@
         """
         right = self.rights.pop(shard, None)
         if not drains:
-            known = self._transferred.get(shard)
-            if right is not None and (known is None or known.holder.ended):
-                self._transferred[shard] = right
+            if right is not None:
+                self._transferred.setdefault(shard, []).append(right)
             return right is not None
-        first = self._transferred.get(shard) or right
-        if first is not None and not is_hot(shard):
-            self.stopped[shard] = right or first
-        if first is not None and shard not in self.draining:
-            holder = self._choose_holder(shard, right, first)
-            limit = self._find_limit(shard, first.epoch)
+        standing = [*self._transferred.pop(shard, ())]
+        if right is not None:
+            standing.append(right)
+        if not standing:
+            return False
+        if not is_hot(shard):
+            self.stopped[shard] = standing[-1]
+        if shard not in self.draining:
+            limit = self._find_limit(shard, standing[0].epoch)
+            holder = self._take_newest(standing).holder
             self.draining[shard] = Draining(holder=holder, floor_limit=limit)
+        living = [old for old in standing if not old.holder.ended]
+        if living:
+            self._transferred[shard] = living
         return right is not None
 
-    def _choose_holder(
-        self, shard: ShardId, right: Right | None, first: Right
-    ) -> Holder:
-        """Return the lease under which a taken shard is to be revoked.
+    def _take_newest(self, standing: list[Right]) -> Right:
+        """Take out the right under whose lease a taken shard is to be revoked.
 
-        The newest one, whose grant may stand though it was never confirmed; an older
-        one that lives as well is revoked beside it.
+        The newest that lives, whose grant may stand though it was never confirmed;
+        older ones that live as well are revoked beside it.
         """
-        newest = right if right is not None and not right.holder.ended else first
-        if newest is first or first.holder.ended:
-            self._transferred.pop(shard, None)
-        return newest.holder
+        living = [right for right in standing if not right.holder.ended]
+        newest = living[-1] if living else standing[-1]
+        standing.remove(newest)
+        return newest
 
     def _find_limit(self, shard: ShardId, epoch: int) -> int:
         """Return the offset of the record that replaced the chain of ``epoch``."""
@@ -356,14 +366,15 @@
         replaces; unless the newer one has run out before.
         """
         found: dict[LeaseId, list[tuple[ShardId, Right | Draining]]] = {}
-        for shard, old in list(self._transferred.items()):
+        for shard in list(self._transferred):
             right = self.rights.get(shard)
-            if right is None and old.holder.ended:
-                del self._transferred[shard]
-                continue
-            if old.revocation or (right is not None and right.holder.is_live(now)):
+            if right is None:
+                self._keep_transferred(shard, lambda old: not old.holder.ended)
+            elif right.holder.is_live(now):
                 continue
-            found.setdefault(old.holder.lease, []).append((shard, old))
+            for old in self._transferred.get(shard, ()):
+                if not old.revocation:
+                    found.setdefault(old.holder.lease, []).append((shard, old))
         for shard, draining in list(self.draining.items()):
             if draining.revocation or self.is_busy(shard, now):
                 continue
@@ -373,6 +384,16 @@
             found.setdefault(draining.holder.lease, []).append((shard, draining))
         return [self._revoke(lease, entries) for lease, entries in found.items()]
 
+    def _keep_transferred(
+        self, shard: ShardId, is_kept: Callable[[Right], bool]
+    ) -> None:
+        """Forget the other rights under older leases."""
+        kept = [old for old in self._transferred[shard] if is_kept(old)]
+        if kept:
+            self._transferred[shard] = kept
+        else:
+            del self._transferred[shard]
+
     def _revoke(
         self, lease: LeaseId, entries: list[tuple[ShardId, Right | Draining]]
     ) -> RevokeShards:
@@ -391,17 +412,21 @@
         The shard may have been granted again and revoked again meanwhile; the answer
         says nothing of that.
         """
-        waiting: list[dict[ShardId, Right] | dict[ShardId, Draining]] = []
-        for entries in (self._transferred, self.draining):
-            entry = entries.get(shard)
-            if entry is not None and entry.revocation == number:
-                entry.revocation = 0
-                waiting.append(entries)
-        if not done:
+        transferred = self._transferred.get(shard, [])
+        draining = self.draining.get(shard)
+        known: list[Right | Draining] = [*transferred]
+        if draining is not None:
+            known.append(draining)
+        answered = [entry for entry in known if entry.revocation == number]
+        for entry in answered:
+            entry.revocation = 0
+        if not done or not answered:
             return
-        for entries in waiting:
-            del entries[shard]
-        if waiting and handover and shard not in self.rights:
+        if draining in answered:
+            del self.draining[shard]
+        if transferred:
+            self._keep_transferred(shard, lambda old: old not in answered)
+        if handover and shard not in self.rights:
             self.handovers[shard] = handover
 
     def can_release(
@@ -430,8 +455,8 @@
         if right is not None and right.epoch < epoch:
             return False
         if not to_self:
-            old = self._transferred.get(shard)
-            if old is not None and not old.holder.ended:
+            transferred = self._transferred.get(shard, ())
+            if any(not old.holder.ended for old in transferred):
                 return False
             if right is None and self.is_busy(shard, now):
                 return False
--- a/tests/core/ownership/test_failures.py
+++ b/tests/core/ownership/test_failures.py
@@ -359,7 +359,7 @@
         core = fleet.slots["a"].core
         older = Holder(lease=LeaseId(core.me, 0), witnesses=(), now=0.0)
         right = Right(holder=older, epoch=1, wanted_token=1, revocation=NUMBER)
-        core.context.rights._transferred["s/all/9"] = right
+        core.context.rights._transferred["s/all/9"] = [right]
         fleet.leave("a")
         fleet.run(3)
         self.assertIs(fleet.slots["a"].core, core)
