Split the ranges of keys from the grants of the platform

Names lose their underscore, since they are used from another module; test_grant_that_waited_ends_with _its_lease patches the function by its new name. No change of behaviour: tests.platform.test_grants and test_border pass.

--- a/src/papayatack/core/ownership/claims.py
+++ b/src/papayatack/core/ownership/claims.py
@@ -187,9 +187,7 @@
             return
         self._acquire(shard, entry, holder)
 
-    def _must_confirm(
-        self, shard: ShardId, entry: ShardEntry, holder: Holder
-    ) -> bool:
+    def _must_confirm(self, shard: ShardId, entry: ShardEntry, holder: Holder) -> bool:
         """Tell whether the floor must be confirmed before the new epoch is served.
 
         A holder that stays goes on under the old epoch or token until no successor can
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import bisect
 import contextlib
 import dataclasses
 import json
@@ -20,12 +19,19 @@
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.holdings import Holdings
 from papayatack.core.shards import find_slice, is_hot
-from papayatack.network.exchanges import Response, find_header
+from papayatack.network.exchanges import Response
 from papayatack.network.grants import build_json_request
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
-from papayatack.platform.fields import HANDOVER
-from papayatack.platform.times import format_ms
+from papayatack.platform.ranges import (
+    KeyRange,
+    cut_shard,
+    describe_range,
+    join_handovers,
+    list_overlapping,
+    merge_ranges,
+    split_handovers,
+)
 from papayatack.proxy.settling import settle_response
 
 __all__ = ["RangeGrants"]
@@ -59,16 +65,6 @@
 """Stands for the answer to a call that the upstream has not got."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
-class _KeyRange:
-    """Neighbouring keys under one token; ``last`` is included."""
-
-    first: int
-    last: int
-    token: int
-    handover: str = ""
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Granted:
     """A shard whose newest grant the upstream has confirmed.
@@ -196,7 +192,7 @@
         pending = [
             call
             for call, known in life.calls.items()
-            if any(_list_overlapping(shard, known) for shard in wanted)
+            if any(list_overlapping(shard, known) for shard in wanted)
         ]
         if pending:
             await asyncio.wait(pending)
@@ -211,7 +207,7 @@
         handovers = dict(zip(shards, answers, strict=True))
         return Success({shard: text for shard, text in handovers.items() if text})
 
-    def _list_standing(self, life: _Life, shard: ShardId) -> list[_KeyRange]:
+    def _list_standing(self, life: _Life, shard: ShardId) -> list[KeyRange]:
         """Return the ranges of a shard that the upstream may hold.
 
         Keys of a hot slice that are granted with its parent again stay there.
@@ -220,13 +216,13 @@
         newest = life.asked.get(shard)
         returned = is_hot(shard) and shard not in self._list_hot()
         found = []
-        for first, last in _cut(shard, self._find_hot()):
+        for first, last in cut_shard(shard, self._find_hot()):
             known = list(self._holdings.list_parts(first, last))
             token = max(part.token for part in known)
             if returned and newest is not None and token > newest:
                 continue
             if max(part.may_stand_s for part in known) + ARRIVAL_S > now:
-                found.append(_KeyRange(first=first, last=last, token=token))
+                found.append(KeyRange(first=first, last=last, token=token))
         return found
 
     async def _send_grants(
@@ -282,15 +278,15 @@
 
     def _list_wanted(
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
-    ) -> tuple[list[_KeyRange], list[_KeyRange]]:
+    ) -> tuple[list[KeyRange], list[KeyRange]]:
         """Return the fewest ranges that cover just these shards.
 
         Those that may not be sent come apart: their keys have had a higher token, or
         an earlier life of the upstream may hold them.
         """
         now = asyncio.get_running_loop().time()
-        ranges: list[_KeyRange] = []
-        withheld: list[_KeyRange] = []
+        ranges: list[KeyRange] = []
+        withheld: list[KeyRange] = []
         for part in sorted(self._divide(tokens, handovers)):
             known = list(self._holdings.list_parts(part.first, part.last))
             if all(holding.may_take(part.token, now) for holding in known):
@@ -302,17 +298,17 @@
                 )
                 may_take = holding.may_take(part.token, now)
                 (ranges if may_take else withheld).append(piece)
-        return _merge(ranges), withheld
+        return merge_ranges(ranges), withheld
 
     def _divide(
         self, tokens: Mapping[ShardId, int], handovers: Mapping[ShardId, str]
-    ) -> Iterable[_KeyRange]:
+    ) -> Iterable[KeyRange]:
         """Yield each shard's ranges with their handovers."""
         hot = self._find_hot()
         for shard, token in tokens.items():
-            known = _split_handovers(handovers.get(shard, ""))
-            for first, last in _cut(shard, hot):
-                yield _KeyRange(
+            known = split_handovers(handovers.get(shard, ""))
+            for first, last in cut_shard(shard, hot):
+                yield KeyRange(
                     first=first,
                     last=last,
                     token=token,
@@ -323,7 +319,7 @@
         """Return the hot slices that are shards of their own, by their keys."""
         return sorted(map(find_slice, self._list_hot()))
 
-    async def _release(self, life: _Life, parts: list[_KeyRange]) -> str:
+    async def _release(self, life: _Life, parts: list[KeyRange]) -> str:
         """Return the upstream's handover, empty if it gave none."""
         answers = await asyncio.gather(
             *(self._call_release(life, part) for part in parts)
@@ -334,10 +330,10 @@
             if answer is not None and answer.status == OK:
                 self._holdings.note_released(part.first, part.last, part.token)
         if all(answer is not None and answer.status == OK for answer in answers):
-            return _join_handovers(parts, answers)
+            return join_handovers(parts, answers)
         return ""
 
-    async def _wait_free(self, parts: list[_KeyRange]) -> None:
+    async def _wait_free(self, parts: list[KeyRange]) -> None:
         """Wait until no life of the upstream can hold these keys any more.
 
         One that did not answer holds them until its grants have run out, and a grant
@@ -361,7 +357,7 @@
                     await life.ended.wait()
 
     async def _call_grant(
-        self, life: _Life, key_range: _KeyRange, end_s: float
+        self, life: _Life, key_range: KeyRange, end_s: float
     ) -> Response | None:
         """Grant until ``end_s``, whatever time passes before the grant is sent.
 
@@ -378,7 +374,7 @@
             if life.ended.is_set() or hold_s < LEAST_HOLD_S or not may_take:
                 return None
             self._holdings.note_sent(first, last, token, end_s)
-            return _describe(key_range, hold_s)
+            return describe_range(key_range, hold_s)
 
         answer_s = FIRST_ANSWER_S
         answer: Response | None = NOT_SENT
@@ -391,19 +387,19 @@
             self._note_unanswered(life, key_range, end_s)
             answer_s *= 2
 
-    def _note_unanswered(self, life: _Life, key_range: _KeyRange, end_s: float) -> None:
+    def _note_unanswered(self, life: _Life, key_range: KeyRange, end_s: float) -> None:
         """Note that a grant may be taken in as late as its end."""
         if not life.ended.is_set():
             late_s = end_s + ARRIVAL_S
             self._holdings.note_unanswered(key_range.first, key_range.last, late_s)
 
-    async def _call_release(self, life: _Life, key_range: _KeyRange) -> Response | None:
+    async def _call_release(self, life: _Life, key_range: KeyRange) -> Response | None:
         end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         async with self._release_slots:
             return await self._call(
                 life,
                 b"/release",
-                lambda: _describe(key_range),
+                lambda: describe_range(key_range),
                 end_s,
                 RELEASE_TIMEOUT_S,
             )
@@ -449,50 +445,8 @@
         return settled.unwrap() if is_successful(settled) else None
 
 
-def _cut(shard: ShardId, hot: list[tuple[str, int, int]]) -> Iterable[tuple[int, int]]:
-    """Yield a shard's keys without the hot slices within it."""
-    service, first, last = find_slice(shard)
-    holes: list[tuple[str, int, int]] = []
-    if not is_hot(shard):
-        start = bisect.bisect_left(hot, (service, first, first))
-        holes = hot[start : bisect.bisect_right(hot, (service, last, last))]
-    for _, start, end in (*holes, (service, last + 1, last + 1)):
-        if first < start:
-            yield first, start - 1
-        first = end + 1
-
-
-def _merge(parts: Iterable[_KeyRange]) -> list[_KeyRange]:
-    """Return ranges in the order of their keys with neighbours made one."""
-    ranges: list[_KeyRange] = []
-    for part in parts:
-        last = ranges[-1] if ranges else None
-        joins = (
-            last is not None
-            and last.last + 1 == part.first
-            and (last.token, last.handover) == (part.token, part.handover)
-            and not part.handover
-        )
-        if joins and last is not None:
-            ranges[-1] = dataclasses.replace(last, last=part.last)
-        else:
-            ranges.append(part)
-    return ranges
-
-
-def _list_overlapping(shard: ShardId, others: Iterable[ShardId]) -> list[ShardId]:
-    """Return which shards have keys in common with this one."""
-    service, first, last = find_slice(shard)
-    found = ((other, *find_slice(other)) for other in others)
-    return [
-        other
-        for other, name, start, end in found
-        if name == service and start <= last and first <= end
-    ]
-
-
 def _note_failures(
-    failed: list[tuple[_KeyRange, Response | None]], left_s: float
+    failed: list[tuple[KeyRange, Response | None]], left_s: float
 ) -> None:
     """Log which ranges the upstream did not take, and its answers."""
     log_event(
@@ -512,37 +466,5 @@
     )
 
 
-def _join_handovers(parts: list[_KeyRange], answers: list[Response | None]) -> str:
-    """Return the upstream's handovers with the keys that each is for."""
-    found = []
-    for part, answer in zip(parts, answers, strict=True):
-        value = find_header(answer.headers, HANDOVER) if answer is not None else None
-        if value:
-            found.append(f"{part.first}-{part.last}:{value.decode('latin-1')}")
-    return ";".join(found)
-
-
-def _split_handovers(text: str) -> dict[str, str]:
-    """Return the handovers by their keys."""
-    pairs = (item.partition(":") for item in text.split(";") if item)
-    return {keys: value for keys, _, value in pairs}
-
-
-def _describe(
-    key_range: _KeyRange, hold_s: float | None = None
-) -> Mapping[str, object]:
-    """Return a grant, or without a time a release, as the upstream reads it."""
-    document: dict[str, object] = {
-        "From": key_range.first,
-        "To": key_range.last,
-        "fence": key_range.token,
-    }
-    if hold_s is not None:
-        document["Hold"] = format_ms(hold_s)
-    if key_range.handover:
-        document["Handover"] = key_range.handover
-    return document
-
-
 def _refuse(detail: str) -> Failure[Refusal]:
     return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED, detail=detail))
--- /dev/null
+++ b/src/papayatack/platform/ranges.py
@@ -0,0 +1,107 @@
+"""Contiguous ranges of keys, as grants and releases to the upstream name them."""
+
+import bisect
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from papayatack.core.identity import ShardId
+from papayatack.core.shards import find_slice, is_hot
+from papayatack.network.exchanges import Response, find_header
+from papayatack.platform.fields import HANDOVER
+from papayatack.platform.times import format_ms
+
+__all__ = [
+    "KeyRange",
+    "cut_shard",
+    "describe_range",
+    "join_handovers",
+    "list_overlapping",
+    "merge_ranges",
+    "split_handovers",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class KeyRange:
+    """Neighbouring keys under one token; ``last`` is included."""
+
+    first: int
+    last: int
+    token: int
+    handover: str = ""
+
+
+def cut_shard(
+    shard: ShardId, hot: list[tuple[str, int, int]]
+) -> Iterable[tuple[int, int]]:
+    """Yield a shard's keys without the hot slices within it."""
+    service, first, last = find_slice(shard)
+    holes: list[tuple[str, int, int]] = []
+    if not is_hot(shard):
+        start = bisect.bisect_left(hot, (service, first, first))
+        holes = hot[start : bisect.bisect_right(hot, (service, last, last))]
+    for _, start, end in (*holes, (service, last + 1, last + 1)):
+        if first < start:
+            yield first, start - 1
+        first = end + 1
+
+
+def merge_ranges(parts: Iterable[KeyRange]) -> list[KeyRange]:
+    """Return ranges in the order of their keys with neighbours made one."""
+    ranges: list[KeyRange] = []
+    for part in parts:
+        last = ranges[-1] if ranges else None
+        joins = (
+            last is not None
+            and last.last + 1 == part.first
+            and (last.token, last.handover) == (part.token, part.handover)
+            and not part.handover
+        )
+        if joins and last is not None:
+            ranges[-1] = dataclasses.replace(last, last=part.last)
+        else:
+            ranges.append(part)
+    return ranges
+
+
+def list_overlapping(shard: ShardId, others: Iterable[ShardId]) -> list[ShardId]:
+    """Return which shards have keys in common with this one."""
+    service, first, last = find_slice(shard)
+    found = ((other, *find_slice(other)) for other in others)
+    return [
+        other
+        for other, name, start, end in found
+        if name == service and start <= last and first <= end
+    ]
+
+
+def join_handovers(parts: list[KeyRange], answers: list[Response | None]) -> str:
+    """Return the upstream's handovers with the keys that each is for."""
+    found = []
+    for part, answer in zip(parts, answers, strict=True):
+        value = find_header(answer.headers, HANDOVER) if answer is not None else None
+        if value:
+            found.append(f"{part.first}-{part.last}:{value.decode('latin-1')}")
+    return ";".join(found)
+
+
+def split_handovers(text: str) -> dict[str, str]:
+    """Return the handovers by their keys."""
+    pairs = (item.partition(":") for item in text.split(";") if item)
+    return {keys: value for keys, _, value in pairs}
+
+
+def describe_range(
+    key_range: KeyRange, hold_s: float | None = None
+) -> Mapping[str, object]:
+    """Return a grant, or without a time a release, as the upstream reads it."""
+    document: dict[str, object] = {
+        "From": key_range.first,
+        "To": key_range.last,
+        "fence": key_range.token,
+    }
+    if hold_s is not None:
+        document["Hold"] = format_ms(hold_s)
+    if key_range.handover:
+        document["Handover"] = key_range.handover
+    return document
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -87,7 +87,7 @@
         loop = asyncio.get_running_loop()
         self.upstream.grant_delay_s = 0.05
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(4 * MAX_CALLS)}
-        describe = grants._describe
+        describe = grants.describe_range
         ends_s = []
 
         def note_end(key_range, hold_s):
@@ -97,7 +97,7 @@
             return document
 
         end_s = loop.time() + LONG_US / 1e6
-        with mock.patch.object(grants, "_describe", note_end):
+        with mock.patch.object(grants, "describe_range", note_end):
             await self.grants.grant(LEASE, shards, LONG_US)
         self.assertEqual(len(ends_s), len(shards))
         self.assertLessEqual(max(ends_s), end_s)
