--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -139,6 +139,14 @@
         )
         self.store.append(CONFIG_STREAM, encode_record(record))
 
+    def build_log(self, address):
+        """Return the log as a node reaches it."""
+        return InProcessLog(store=self.store)
+
+    def build_options(self):
+        """Return further arguments of a node."""
+        return {}
+
     def start(self, address, data_centre):
         """Start a node."""
         self.starts += 1
@@ -158,7 +166,7 @@
                 slots=4,
                 connections=20,
             ),
-            log=InProcessLog(store=self.store),
+            log=self.build_log(address),
             sender=self.network.make_sender(address),
             sink=upstream,
             plan=plan,
@@ -166,6 +174,7 @@
             random=random.Random(self.starts),
             retention_s=self.retention_s,
             tailing=self.tailing,
+            **self.build_options(),
         )
         self.network.nodes[address] = node
         self.tasks[address] = asyncio.create_task(node.run())
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -1,13 +1,16 @@
 """A manifest and heartbeats in the platform's words, for tests."""
 
 import json
+import random
 
 from papayatack.core.inventory import Place
 
-__all__ = ["PLACES", "build_heartbeat", "build_manifest"]
+__all__ = ["PLACES", "build_heartbeat", "build_large_manifest", "build_manifest"]
 
 PLACES = (Place(name="east", region="r"), Place(name="west", region="r"))
 
+HOSTS = ("ficu95", "deny57", "puma33")
+
 
 def build_manifest(*, version="0000000c", **changes):
     """Return a manifest's bytes; ``changes`` replace top-level fields."""
@@ -57,6 +60,28 @@
     return json.dumps({**document, **changes}).encode()
 
 
+def build_large_manifest(*, version, routes):
+    """Return the bytes of a manifest with so many routes, of different names."""
+    names = random.Random(1)
+    return build_manifest(
+        version=version,
+        Routes={
+            f"r-{names.getrandbits(32):08x}": {
+                "Host": f"{names.choice(HOSTS)}.example",
+                "PathPrefix": f"/{names.getrandbits(32):08x}/",
+                "RouteKind": "idempotent",
+                "Timeout": "3000ms",
+                "TargetLatency": "1611ms",
+                "Priority": 2,
+                "Service": "papers",
+                "MaxAttempts": 2,
+            }
+            for _ in range(routes)
+        },
+        Services={"papers": {"HealthPath": "/healthy", "MaxConnections": 20}},
+    )
+
+
 def build_heartbeat(*, state="ready", seq=1, address="127.0.0.1:8080", slots=13):
     """Return a heartbeat as a document."""
     return {
