Log runs that are cut and connections of nodes lost under requests

Callers of a stopping node got 502 while an upstream was at work, and no line told who had ended the run: the caller's node, the owner's, a lost connection or the upstream.

Guarded by test_loss_of_a_connection_with_requests_is_logged and test_run_whose_caller_has_left_is_logged; both failed before, as no such line was written.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import logging
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -10,6 +11,7 @@
 from papayatack.network.lag import Lag
 from papayatack.network.limits import PeerLimits
 from papayatack.network.streams import US_PER_S, PeerStream
+from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.convert import decode_control
 from papayatack.wire.errors import WireError
@@ -18,6 +20,9 @@
 
 __all__ = ["Link", "LinkOwner", "read_address"]
 
+LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
 PROTOCOL_VERSION = 1
 FLUSH_BYTES = 64 * 1024
 WRITE_LOW_BYTES = 16 * 1024
@@ -109,10 +114,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End all streams."""
         self.closed = True
-        detail = str(exc) if exc else "the peer closed the connection"
-        for stream in list(self.streams.values()):
-            stream.lose(detail)
-        self.streams.clear()
+        self._lose_streams(str(exc) if exc else "the peer closed the connection")
         self._owner.handle_loss(self)
 
     def pause_writing(self) -> None:
@@ -173,12 +175,31 @@
 
     def abort(self, detail: str) -> None:
         """Close at once; all streams end as lost."""
-        for stream in list(self.streams.values()):
-            stream.lose(detail)
+        self._lose_streams(detail)
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
 
+    def _lose_streams(self, detail: str) -> None:
+        """End all streams as lost, and say so if there are any."""
+        streams = list(self.streams.values())
+        if not streams:
+            return
+        silent_s = self._loop.time() - self.last_received_s
+        log_event(
+            LOGGER,
+            Event.PEER_LINK_LOST,
+            level=logging.WARNING,
+            peer=self.address or "",
+            detail=detail,
+            streams=len(streams),
+            silent_ms=int(silent_s * MS_PER_S),
+            retired=self.retired,
+        )
+        for stream in streams:
+            stream.lose(detail)
+        self.streams.clear()
+
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled and not self._paused:
             self._flush_scheduled = True
@@ -276,7 +297,7 @@
     def _take_cancel(self, frame: Any) -> None:
         stream = self.streams.pop(frame.stream, None)
         if stream is not None:
-            stream.withdraw()
+            stream.withdraw(frame.cancel.reason or "")
 
     def _send_hello(self, *, reply_wanted: bool) -> None:
         hello = schema.Hello(
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -189,7 +189,7 @@
         if not self.response.done():
             self.response.set_result(Failure(refusal))
         self.inbound.fail(kind=refusal.kind, detail=refusal.detail)
-        self._end()
+        self._end(refusal.detail)
 
     def lose(self, detail: str) -> None:
         """End the stream because its connection is gone."""
@@ -212,17 +212,18 @@
         if not self._ended and self.written:
             cancel = schema.Cancel(reason=reason)
             self._link.send_now(schema.Frame(stream=self.stream_id, cancel=cancel))
-        self._end()
+        self._end(reason)
 
     def finish(self) -> None:
         """Forget the stream once its last frame is queued."""
         self._ended = True
         self._link.drop_stream(self)
 
-    def withdraw(self) -> None:
+    def withdraw(self, reason: str) -> None:
         """End the stream because the opener no longer waits."""
-        self.inbound.fail(kind=ErrorKind.CALLER_LEFT, detail="withdrawn by the peer")
-        self._end()
+        detail = f"withdrawn by the peer: {reason}"
+        self.inbound.fail(kind=ErrorKind.CALLER_LEFT, detail=detail)
+        self._end(detail)
 
     def _grant_window(self, size: int) -> None:
         self._consumed += size
@@ -237,15 +238,15 @@
         if self.response.done() and not self.inbound.finished:
             self.cancel("body not wanted")
         elif self.response.done():
-            self._end()
+            self._end("the body was read")
 
-    def _end(self) -> None:
+    def _end(self, detail: str) -> None:
         if not self._ended:
             self._ended = True
             self._queue.clear()
             self._link.drop_stream(self)
             if self.task is not None:
-                self.task.cancel()
+                self.task.cancel(detail)
 
 
 def read_body_error(error: BodyCutError, *, written: bool) -> Refusal:
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -10,7 +10,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.errors import ErrorKind, Outcome, Refusal, find_answer
 from papayatack.core.identity import ShardId
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
@@ -37,6 +37,7 @@
     permit: Permit
     grant: Grant
     started_s: float
+    sent: bool = False
 
     def read_age_s(self) -> float:
         """Return for how long the slot has been held."""
@@ -124,11 +125,16 @@
         )
         try:
             result = await self._forward(peer_request, use, deadline_s, attempt)
-        except BaseException:
+        except BaseException as error:
             use.end(ErrorKind.CALLER_LEFT)
+            if use.sent:
+                _note_cut(peer_request, use, ErrorKind.CALLER_LEFT, str(error))
             raise
         if not is_successful(result):
-            use.end(result.failure().kind)
+            refusal = result.failure()
+            use.end(refusal.kind)
+            if use.sent and find_answer(refusal.kind).outcome is Outcome.UNKNOWN:
+                _note_cut(peer_request, use, refusal.kind, refusal.detail)
         return result
 
     async def _forward(
@@ -159,6 +165,7 @@
             ),
             body=peer_request.request.body,
         )
+        use.sent = True
         if attempt is not None:
             attempt.sent = True
         result = await connection.exchange(
@@ -242,6 +249,22 @@
         )
 
 
+def _note_cut(
+    peer_request: PeerRequest, use: _Use, kind: ErrorKind, detail: str
+) -> None:
+    """Log that a request may run at the upstream whose answer nobody takes."""
+    log_event(
+        LOGGER,
+        Event.RUN_CUT,
+        level=logging.WARNING,
+        request=peer_request.request_id,
+        shard=peer_request.shard,
+        reason=kind.value,
+        detail=detail,
+        ran_ms=int(use.read_age_s() * MS_PER_S),
+    )
+
+
 def _find_target(peer_request: PeerRequest) -> float | None:
     """Return when the answer stops being worth most, on this node's clock."""
     if peer_request.target_s is None:
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -243,6 +243,32 @@
         self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
         frozen.close()
 
+    async def test_loss_of_a_connection_with_requests_is_logged(self):
+        """Both ends say how many requests it carried, and the server why it ended."""
+        released = asyncio.Event()
+
+        async def wait(request):
+            await released.wait()
+            return await self.answer(request)
+
+        self.second.on_request = wait
+        with self.assertLogs("papayatack.network.links", "WARNING") as logs:
+            running = asyncio.ensure_future(self.exchange())
+            await wait_until(lambda: self.second._serving)
+            serving = next(iter(self.second._serving))
+            for link in list(self.first._all_links):
+                link.abort("cut by the test")
+            await wait_until(lambda: len(logs.records) == 2)
+        self.assertIs((await running).failure().kind, ErrorKind.PEER_LOST)
+        self.assertEqual(
+            {record.getMessage() for record in logs.records}, {"PEER_LINK_LOST"}
+        )
+        self.assertEqual(logs.records[0].detail, "cut by the test")
+        self.assertEqual([record.streams for record in logs.records], [1, 1])
+        with self.assertRaises(asyncio.CancelledError) as caught:
+            await serving
+        self.assertEqual(str(caught.exception), logs.records[1].detail)
+
     async def test_idle_connection_is_not_taken_for_a_silent_peer(self):
         """A peer is given up only if it stays silent after being asked."""
         self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -154,6 +154,20 @@
         self.assertEqual(record.token, 1)
         self.assertGreater(record.lease_left_ms, record.ran_ms)
 
+    async def test_run_whose_caller_has_left_is_logged(self):
+        """The line says how long it ran."""
+        target = "/hiring/v/k1?sleep_ms=5000"
+        asking = asyncio.ensure_future(
+            self.request(self.owner, "POST", target, body=b"a")
+        )
+        await wait_until(lambda: self.upstream.runs)
+        with self.assertLogs("papayatack.proxy.local", "WARNING") as logs:
+            asking.cancel()
+            await wait_until(lambda: logs.records)
+        (record,) = logs.records
+        self.assertEqual(record.getMessage(), "RUN_CUT")
+        self.assertEqual(record.reason, "caller-left")
+
     async def test_unknown_token_is_granted_again(self):
         """An upstream that lost its grants gets them without waiting for a renewal."""
         await self.owner.grant(token=2)
