--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -106,9 +106,13 @@
                 await self.upstream.report(self.ports["desk"])
             await asyncio.sleep(POLL_S)
 
+    def stop_reports(self):
+        """Let the upstream send no more heartbeats."""
+        self._beats.cancel()
+
     async def stop(self):
         """End both."""
-        self._beats.cancel()
+        self.stop_reports()
         if self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
