Take a peer that has answered for alive, whatever the clock's tick

Cause: a look at a silent connection asked the peer only if the last question was older than the last byte received. uvloop's clock counts whole milliseconds and stands still within one turn of the loop; an answer within the same millisecond had the time of the question. The peer counted as asked and silent, and 0.6 s later, or at once when the next request came after a pause, the connection was reset with all its requests: the caller's own, and those that this node ran for the peer. After a planned stop has handed all on, no renewals pass between the nodes and nothing hides the fault; hence its callers.

Ruled out: stalled loops (no LOOP_STALLED there), the end of grants, retired connections (retired is false in the line), the upstream's leaving, the stages of the stop.

The question is now forgotten as soon as bytes come, without a comparison of times.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -72,7 +72,7 @@
         self.streams: dict[int, PeerStream] = {}
         self.last_received_s = 0.0
         self.last_used_s = 0.0
-        self._asked_s = float("-inf")
+        self._asked_s: float | None = None
         self._owner = owner
         self._reader = FrameReader()
         self._lag = Lag()
@@ -104,6 +104,7 @@
     def data_received(self, data: bytes) -> None:
         """Handle all frames that are complete."""
         self.last_received_s = self._loop.time()
+        self._asked_s = None
         try:
             for frame in self._reader.feed(data):
                 self._handle(frame)
@@ -161,7 +162,7 @@
         """Ask a silent peer for a sign of life, and give it up after a while."""
         if not self.streams or now - self.last_received_s < self.limits.silence_s:
             return
-        if self._asked_s < self.last_received_s:
+        if self._asked_s is None:
             self._asked_s = now
             self._send_hello(reply_wanted=True)
         elif now - self._asked_s >= self.limits.lost_s - self.limits.silence_s:
