--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -18,6 +18,9 @@
 from papayatack.wire.frames import MAX_FRAME_BYTES
 from tests.proxy.fakes import wait_until
 
+LATE_S = 1.6
+"""After three looks at the connections; a peer is silent after two."""
+
 MESSAGE = Fence(lease=LeaseId(IncarnationId("x"), 1))
 
 
@@ -243,6 +246,43 @@
         self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
         frozen.close()
 
+    def hold_up(self, network):
+        """Let a network read nothing from its peers; return what ends that."""
+        transports = [link._transport for link in network._all_links]
+        for transport in transports:
+            transport.pause_reading()
+
+        def resume():
+            for transport in transports:
+                transport.resume_reading()
+
+        return resume
+
+    async def answer_late(self, peer_request):
+        """Answer after a while."""
+        await asyncio.sleep(LATE_S)
+        return await self.answer(peer_request)
+
+    async def test_request_at_a_peer_that_falls_silent_gets_its_answer(self):
+        """Its run may have begun; another may not begin."""
+        self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        self.second.on_request = self.answer_late
+        sent = asyncio.ensure_future(self.exchange())
+        await wait_until(lambda: self.second._serving)
+        self.addCleanup(self.hold_up(self.second))
+        self.assertEqual((await sent).unwrap().status, 200)
+
+    async def test_run_for_a_peer_that_falls_silent_is_not_cut(self):
+        """It gets the answer once it reads again."""
+        self.second.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        self.second.on_request = self.answer_late
+        sent = asyncio.ensure_future(self.exchange())
+        await wait_until(lambda: self.second._serving)
+        resume = self.hold_up(self.first)
+        await wait_until(lambda: not self.second._serving)
+        resume()
+        self.assertEqual((await sent).unwrap().status, 200)
+
     async def test_loss_of_a_connection_with_requests_is_logged(self):
         """Both ends say how many requests it carried, and the server why it ended."""
         released = asyncio.Event()
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -15,6 +15,7 @@
 QUIET_S = 1.5
 """Longer than a connection of nodes may be silent."""
 
+PAUSE_S = 2.0
 AFTER_LEAVE_S = 5.0
 SERVES_ON_S = 3.0
 """For how long an upstream that leaves goes on with what it has."""
@@ -117,6 +118,21 @@
         await self.check_all_served(asked)
         await self.wait_ended(stopped)
 
+    async def test_request_of_a_stopping_node_outlasts_a_pause_of_the_owners_node(
+        self,
+    ):
+        """The node is slow, and its upstream at work all the while."""
+        await self.begin()
+        owner, _, _, stopped = self.machines
+        asked = self.ask_later(stopped, *self.find_keys(owner, 1))
+        await self.wait_runs(owner, 1)
+        stopped.process.send_signal(signal.SIGTERM)
+        owner.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        owner.process.send_signal(signal.SIGCONT)
+        await self.check_all_served([asked])
+        await self.wait_ended(stopped)
+
     async def test_requests_at_a_stopping_nodes_upstream_are_not_cut(self):
         """Its own callers' and those of other nodes."""
         await self.begin()
