Wait for the answer of a node that falls silent

Callers of stopping nodes got 502 or a cut answer (LOST) while an upstream was at work.

Cause: a node that did not answer for a second lost its connection with everything on it: what ran there for this node, and what this node ran for it. Silence does not tell whether a request runs: the node may be slow or its link full.

Ruled out as causes there: the stages of the stop (the node was in FENCING, which sends no request away), the upstream's leaving, its pool, the end of grants.

Now only the trust goes: further requests take a new connection, as before, while the old one stays open for its answers, until their deadlines or the loss of the connection. A request that may be repeated is attempted again as before, but beside the first attempt: the first answer counts, and the first attempt's is passed on if no other is served. What was not written yet is withdrawn as not run. A peer that opens another connection long after it knew ours has given ours up: both then use the new one.

--- a/src/papayatack/network/limits.py
+++ b/src/papayatack/network/limits.py
@@ -68,7 +68,7 @@
         backoff_initial_s: Pause after the first failed connect; it doubles.
         backoff_max_s: Longest pause.
         silence_s: Silence after which a peer with requests in flight is asked.
-        lost_s: Silence after which its connection is given up.
+        lost_s: Silence after which it is sent no further requests on its connection.
         idle_s: Time without use after which a connection is closed.
         deadline_margin_s: Taken from the deadline on each hop, so that the honest
             answer of the next node arrives in time.
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -52,6 +52,9 @@
     def handle_request(self, stream: PeerStream, head: Any) -> None:
         """Serve a request that the other side opened."""
 
+    def handle_silence(self, link: "Link") -> None:
+        """Send no further requests on a link whose peer has fallen silent."""
+
     def handle_loss(self, link: "Link") -> None:
         """Forget a link that is closed."""
 
@@ -61,6 +64,10 @@
 
     Streams that this side opens have odd ids if it opened the connection and even
     ids otherwise.
+
+    Attributes:
+        greeted_s: When the peer first introduced itself.
+        silent: Whether the peer has not answered when it was asked for a sign of life.
     """
 
     def __init__(self, *, owner: LinkOwner, address: PeerAddress | None) -> None:
@@ -69,7 +76,9 @@
         self.opener = address is not None
         self.retired = False
         self.closed = False
+        self.silent = False
         self.streams: dict[int, PeerStream] = {}
+        self.greeted_s = float("inf")
         self.last_received_s = 0.0
         self.last_used_s = 0.0
         self._asked_s: float | None = None
@@ -105,6 +114,7 @@
         """Handle all frames that are complete."""
         self.last_received_s = self._loop.time()
         self._asked_s = None
+        self.silent = False
         try:
             for frame in self._reader.feed(data):
                 self._handle(frame)
@@ -159,15 +169,28 @@
         self.send_now(frame)
 
     def check_silence(self, now: float) -> None:
-        """Ask a silent peer for a sign of life, and give it up after a while."""
+        """Ask a silent peer for a sign of life, and trust it no more after a while.
+
+        Its silence does not tell whether it runs what it was sent: the connection
+        stays open for the answers.
+        """
         if not self.streams or now - self.last_received_s < self.limits.silence_s:
             return
         if self._asked_s is None:
             self._asked_s = now
             self._send_hello(reply_wanted=True)
         elif now - self._asked_s >= self.limits.lost_s - self.limits.silence_s:
-            self._owner.metrics.count("peer_links_closed", "silent")
-            self.abort("the peer is silent")
+            self._doubt_streams()
+
+    def _doubt_streams(self) -> None:
+        if not self.silent:
+            self.silent = True
+            self._owner.metrics.count("peer_links_silent")
+            self._note(Event.PEER_SILENT, "the peer is silent", len(self.streams))
+            self._owner.handle_silence(self)
+        for stream_id, stream in list(self.streams.items()):
+            if stream_id % 2 == self._next_id % 2:
+                stream.doubt("the peer is silent")
 
     def close(self) -> None:
         """Close after what is queued has been sent."""
@@ -186,20 +209,23 @@
         streams = list(self.streams.values())
         if not streams:
             return
+        self._note(Event.PEER_LINK_LOST, detail, len(streams))
+        for stream in streams:
+            stream.lose(detail)
+        self.streams.clear()
+
+    def _note(self, event: Event, detail: str, streams: int) -> None:
         silent_s = self._loop.time() - self.last_received_s
         log_event(
             LOGGER,
-            Event.PEER_LINK_LOST,
+            event,
             level=logging.WARNING,
             peer=self.address or "",
             detail=detail,
-            streams=len(streams),
+            streams=streams,
             silent_ms=int(silent_s * MS_PER_S),
             retired=self.retired,
         )
-        for stream in streams:
-            stream.lose(detail)
-        self.streams.clear()
 
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled and not self._paused:
@@ -246,6 +272,7 @@
         hello = frame.hello
         if not hello.incarnation:
             raise WireError("hello lacks the incarnation")
+        self.greeted_s = min(self.greeted_s, self._loop.time())
         self._lag.measure(self._read_clock_us(), hello.sent_us)
         if hello.reply_wanted:
             self._send_hello(reply_wanted=False)
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -52,6 +52,7 @@
 SWEEP_INTERVAL_S = 0.5
 
 RequestHandler = Callable[[PeerRequest], Awaitable[Result[Response, Refusal]]]
+DoubtHandler = Callable[[PeerStream], None]
 ControlHandler = Callable[[IncarnationId, IncarnationId, ControlMessage], None]
 
 
@@ -162,7 +163,12 @@
         self._start_connecting(address)
 
     async def exchange(
-        self, *, address: PeerAddress, peer_request: PeerRequest, deadline_s: float
+        self,
+        *,
+        address: PeerAddress,
+        peer_request: PeerRequest,
+        deadline_s: float,
+        on_doubt: DoubtHandler | None = None,
     ) -> Result[Response, Refusal]:
         """Send a request to a node and return the head of its response.
 
@@ -172,6 +178,8 @@
             address: Where the node listens for peers.
             peer_request: The request, with the time that the node may take.
             deadline_s: Event loop time after which no answer is waited for.
+            on_doubt: Takes the request if the node falls silent, which then counts as
+                lost; its answer may still come. Without it the answer is waited for.
         """
         link = self._find_link(address)
         if link is None:
@@ -183,24 +191,33 @@
         if link is None:
             detail = f"no connection to {address}"
             return Failure(Refusal(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
-        return await self._exchange_on(link, peer_request, deadline_s)
+        return await self._exchange_on(link, peer_request, deadline_s, on_doubt)
 
     async def _exchange_on(
-        self, link: Link, peer_request: PeerRequest, deadline_s: float
+        self,
+        link: Link,
+        peer_request: PeerRequest,
+        deadline_s: float,
+        on_doubt: DoubtHandler | None,
     ) -> Result[Response, Refusal]:
         stream = link.open_stream()
+        stream.on_doubt = on_doubt
         loop = asyncio.get_running_loop()
         head = build_head(peer_request, sent_us=int(loop.time() * US_PER_S))
         frame = schema.Frame(stream=stream.stream_id, request=head)
         timer = loop.call_at(deadline_s, self._expire, stream)
         stream.task = loop.create_task(self._send_request(stream, frame, peer_request))
+        awaited = stream.response
         try:
-            return await stream.response
+            return await awaited
         except asyncio.CancelledError:
             stream.cancel("the caller left")
             raise
         finally:
-            timer.cancel()
+            if stream.response is awaited:
+                timer.cancel()
+            else:
+                stream.response.add_done_callback(lambda _: timer.cancel())
 
     async def _send_request(
         self, stream: PeerStream, frame: Any, peer_request: PeerRequest
@@ -231,13 +248,31 @@
             return
         link.address = read_address(incarnation)
         own = self._links.get(link.address)
-        if own is None or own.closed or link.address < self._address:
+        outdated = own is None or own.closed or self._is_given_up(own)
+        if outdated or link.address < self._address:
             if own is not None:
                 own.retired = True
             self._links[link.address] = link
         else:
             link.retired = True
 
+    def _is_given_up(self, link: Link) -> bool:
+        """Tell whether a peer that opens another connection has given this one up.
+
+        Otherwise both sides have opened one at the same time.
+        """
+        if not link.opener:
+            return True
+        known_s = asyncio.get_running_loop().time() - link.greeted_s
+        return known_s > self.limits.connect_timeout_s
+
+    def handle_silence(self, link: Link) -> None:
+        """Open another connection for further requests.
+
+        The peer may go on using this one until it learns of the other.
+        """
+        self._forget_link(link)
+
     def handle_control(
         self, sender: IncarnationId, recipient: IncarnationId, message: ControlMessage
     ) -> None:
@@ -257,6 +292,9 @@
     def handle_loss(self, link: Link) -> None:
         """Forget a link that is closed."""
         self._all_links.discard(link)
+        self._forget_link(link)
+
+    def _forget_link(self, link: Link) -> None:
         if link.address is not None and self._links.get(link.address) is link:
             del self._links[link.address]
 
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from returns.result import Failure, Result, Success
@@ -54,6 +55,10 @@
     """One request: frames that wait to be sent, and the body that arrives.
 
     The side that opens a stream awaits :attr:`response`.
+
+    Attributes:
+        on_doubt: Takes the stream if the peer falls silent before it answers; without
+            it the response is awaited all the same.
     """
 
     def __init__(self, *, link: StreamSink, stream_id: int) -> None:
@@ -64,6 +69,7 @@
             asyncio.get_running_loop().create_future()
         )
         self.task: asyncio.Task[None] | None = None
+        self.on_doubt: Callable[[PeerStream], None] | None = None
         self._link = link
         self._queue: collections.deque[bytes] = collections.deque()
         self._credit = link.limits.window_bytes
@@ -196,6 +202,23 @@
         kind = ErrorKind.PEER_LOST if self.written else ErrorKind.PEER_UNREACHABLE
         self.fail(Refusal(kind=kind, detail=detail))
 
+    def doubt(self, detail: str) -> None:
+        """Note that the peer has fallen silent.
+
+        What has not been written is withdrawn. What may run is not cut: whoever can
+        attempt it again awaits a new :attr:`response` beside the further attempt.
+        """
+        if not self.written:
+            self.lose(detail)
+            return
+        is_sent = self.task is not None and self.task.done()
+        if self.on_doubt is None or not is_sent or self.response.done():
+            return
+        awaited = self.response
+        self.response = asyncio.get_running_loop().create_future()
+        self.on_doubt(self)
+        awaited.set_result(Failure(Refusal(kind=ErrorKind.PEER_LOST, detail=detail)))
+
     def send_failure(self, refusal: Refusal) -> None:
         """Tell the opener that there will be no whole response."""
         delay_s = refusal.retry_after_s
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -33,6 +33,7 @@
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.streams import PeerStream
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.balance import NodeBalance
@@ -41,6 +42,7 @@
 from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
 from papayatack.proxy.keyed import KeyedServer
+from papayatack.proxy.late import LateAnswers
 from papayatack.proxy.local import LocalServer
 from papayatack.proxy.replay import ReplayBody
 from papayatack.proxy.settling import is_settled, settle_response
@@ -58,9 +60,18 @@
     """Sends requests to other nodes."""
 
     async def exchange(
-        self, *, address: PeerAddress, peer_request: PeerRequest, deadline_s: float
+        self,
+        *,
+        address: PeerAddress,
+        peer_request: PeerRequest,
+        deadline_s: float,
+        on_doubt: Callable[[PeerStream], None] | None = None,
     ) -> Result[Response, Refusal]:
-        """Send a request and return the head of its response."""
+        """Send a request and return the head of its response.
+
+        One that has no answer from a silent node is passed to ``on_doubt``, and counts
+        as lost; without that its answer is waited for.
+        """
 
 
 class RequestEngine:
@@ -165,18 +176,21 @@
     async def _run(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
         """Attempt a request until it is answered or given up."""
         state = WaitState()
+        late = LateAnswers()
         try:
-            return await self._run_attempts(peer_request, state)
+            return await self._run_attempts(peer_request, state, late)
         finally:
+            late.close()
             self._handover.end(state)
 
     async def _run_attempts(
-        self, peer_request: PeerRequest, state: WaitState
+        self, peer_request: PeerRequest, state: WaitState, late: LateAnswers
     ) -> Result[Response, Refusal]:
         """Attempt a request until it is answered or must not be attempted again.
 
         Once an attempt may have run, no later refusal may claim that it did not. An
-        upstream's own failure is the answer unless a further attempt does better.
+        upstream's own failure is the answer unless a further attempt does better, and
+        a silent node's answer if none does.
         """
         now = self._now()
         deadline_s = now + peer_request.remaining_s
@@ -188,7 +202,8 @@
         tried: set[IncarnationId] = set()
         attempt = 1
         while True:
-            result = await self._attempt(peer_request, deadline_s, tried, state)
+            made = self._attempt(peer_request, deadline_s, tried, state, late)
+            result = await (late.race(made) if late.pending else made)
             if is_successful(result):
                 self._handover.note_served(state.subject)
                 if not _has_failed(result.unwrap(), peer_request):
@@ -208,7 +223,8 @@
                 )
                 attempt += 1
             if delay_s is None:
-                return failed or Failure(unknown or refusal)
+                answer = await late.wait()
+                return answer or failed or Failure(unknown or refusal)
             self._metrics.count("retry_causes", refusal.kind.value)
             if refusal.kind not in HANDOVER_KINDS:
                 node = next(iter(tried), "")
@@ -257,6 +273,7 @@
         deadline_s: float,
         tried: set[IncarnationId],
         state: WaitState,
+        late: LateAnswers,
     ) -> Result[Response, Refusal]:
         routed = self._find_route(peer_request, tried)
         state.subject = _find_subject(peer_request, routed)
@@ -264,18 +281,23 @@
             return Failure(routed.failure())
         route = routed.unwrap()
         tried.add(route.incarnation)
+        spare = late if peer_request.repeatable else None
         if peer_request.key:
-            return await self._forward(peer_request, route, deadline_s)
-        return await self._forward_measured(peer_request, route, deadline_s)
+            return await self._forward(peer_request, route, deadline_s, spare)
+        return await self._forward_measured(peer_request, route, deadline_s, spare)
 
     async def _forward_measured(
-        self, peer_request: PeerRequest, route: Route, deadline_s: float
+        self,
+        peer_request: PeerRequest,
+        route: Route,
+        deadline_s: float,
+        late: LateAnswers | None,
     ) -> Result[Response, Refusal]:
         """Forward a request without key, and note how its node did."""
         use = self._balance.begin(self._now(), peer_request.service, route.incarnation)
         error: ErrorKind | None = ErrorKind.CALLER_LEFT
         try:
-            result = await self._forward(peer_request, route, deadline_s)
+            result = await self._forward(peer_request, route, deadline_s, late)
             error = None if is_successful(result) else result.failure().kind
         finally:
             use.end(self._now(), error)
@@ -290,7 +312,11 @@
         return self._balance.choose(self._now(), peer_request, nodes, frozenset(tried))
 
     async def _forward(
-        self, peer_request: PeerRequest, route: Route, deadline_s: float
+        self,
+        peer_request: PeerRequest,
+        route: Route,
+        deadline_s: float,
+        late: LateAnswers | None = None,
     ) -> Result[Response, Refusal]:
         """Serve here, or send to the node of the route."""
         shard = route.shard if peer_request.key else ShardId("")
@@ -309,7 +335,10 @@
             hops=peer_request.hops + 1,
         )
         result = await self._peers.exchange(
-            address=route.address, peer_request=sent, deadline_s=deadline_s
+            address=route.address,
+            peer_request=sent,
+            deadline_s=deadline_s,
+            on_doubt=None if late is None else late.add,
         )
         if not is_successful(result):
             return result
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -238,12 +238,15 @@
         """A frozen process keeps its connection open but answers nothing."""
         frozen = await asyncio.start_server(lambda r, w: r.read(-1), "127.0.0.1", 0)
         self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        doubted = []
         result = await self.first.exchange(
             address=PeerAddress("{}:{}".format(*frozen.sockets[0].getsockname())),
             peer_request=build_peer_request(),
             deadline_s=asyncio.get_running_loop().time() + 30.0,
+            on_doubt=doubted.append,
         )
         self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
+        self.assertFalse(doubted[0].response.done())
         frozen.close()
 
     def hold_up(self, network):
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -5,12 +5,18 @@
 import unittest
 from unittest import mock
 
+from returns.result import Failure
+
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import Response
+from papayatack.network.limits import PeerLimits
 from standins.upstream import UpstreamStandin
 from tests.proxy.fakes import Node, build_request, fetch, wait_until
 
+LONG_MS = 2_000
+"""Work that lasts longer than the node's silence goes unnoticed."""
+
 
 class EngineTestCase(unittest.IsolatedAsyncioTestCase):
     """Two nodes; the second owns the shard."""
@@ -175,6 +181,53 @@
         self.assertGreaterEqual(self.owner.ownership.renewed, 1)
 
 
+class SilentOwnerTests(EngineTestCase):
+    """An owner's node that reads nothing more while its upstream is at work."""
+
+    async def asyncSetUp(self):
+        """Let the owner fall silent once a run has begun."""
+        await super().asyncSetUp()
+        self.entry.network.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+
+    async def ask(self, method, **kwargs):
+        """Return the answer of a request whose owner falls silent."""
+        target = f"/hiring/v/k1?sleep_ms={LONG_MS}"
+        asking = asyncio.ensure_future(
+            self.request(self.entry, method, target, **kwargs)
+        )
+        await wait_until(lambda: self.upstream.runs)
+        for link in self.owner.network._all_links:
+            link._transport.pause_reading()
+        return await asking
+
+    async def test_unrepeatable_request_gets_the_answer_of_its_run(self):
+        """It is run once."""
+        answer = await self.ask("POST", body=b"a")
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
+    async def test_first_answer_counts_if_a_further_attempt_is_under_way(self):
+        """The first run goes on beside it."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await self.ask("GET")
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertLess(loop.time() - started_s, 1.5 * LONG_MS / 1000)
+        self.assertEqual(list(self.upstream.runs.values()), [2])
+
+    async def test_answer_of_the_run_is_passed_on_if_no_further_attempt_is_served(self):
+        """A refusal of the further attempt is no reason to cut the run."""
+        refusal = Refusal(kind=ErrorKind.QUEUE_FULL)
+        asking = asyncio.ensure_future(self.ask("GET"))
+        await wait_until(lambda: self.upstream.runs)
+        refuse = mock.AsyncMock(return_value=Failure(refusal))
+        with mock.patch.object(self.owner.gate, "acquire", refuse):
+            answer = await asking
+        refuse.assert_awaited()
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
+
 class RefusalTests(EngineTestCase):
     """Requests that are not answered by the upstream."""
 
