--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -15,10 +15,12 @@
 QUIET_S = 1.5
 """Longer than a connection of nodes may be silent."""
 
+PAUSE_S = 2.0
 AFTER_LEAVE_S = 5.0
 SERVES_ON_S = 3.0
 """For how long an upstream that leaves goes on with what it has."""
 
+LEAST_KEYS = 3
 KEYS = range(200, 65_536, 4_096)
 
 
@@ -32,13 +34,24 @@
             route |= {"Timeout": "6000ms", "TargetLatency": "4000ms"}
         self.store.store.append("keyed.op", b"config", build_manifest(Routes=routes))
         await self.wait_for(self.is_served)
+        await self.wait_for(self.is_spread)
         await asyncio.sleep(QUIET_S)
         for machine in self.machines:
             machine.upstream.work_s = WORK_S
 
-    def find_keys(self, machine, count):
+    async def is_spread(self):
+        """Tell whether each upstream with keys holds enough of them."""
+        return all(
+            len(self.list_held(machine)) >= LEAST_KEYS for machine in self.machines[:3]
+        )
+
+    def list_held(self, machine):
         """Return keys that the upstream of a machine holds."""
-        held = [key for key in KEYS if machine.upstream.holds(key)]
+        return [key for key in KEYS if machine.upstream.holds(key)]
+
+    def find_keys(self, machine, count):
+        """Return so many keys that the upstream of a machine holds."""
+        held = self.list_held(machine)
         self.assertGreaterEqual(len(held), count)
         return held[:count]
 
@@ -117,6 +130,21 @@
         await self.check_all_served(asked)
         await self.wait_ended(stopped)
 
+    async def test_request_of_a_stopping_node_outlasts_a_pause_of_the_owners_node(
+        self,
+    ):
+        """The node is slow, and its upstream at work all the while."""
+        await self.begin()
+        owner, _, _, stopped = self.machines
+        asked = self.ask_later(stopped, *self.find_keys(owner, 1))
+        await self.wait_runs(owner, 1)
+        stopped.process.send_signal(signal.SIGTERM)
+        owner.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        owner.process.send_signal(signal.SIGCONT)
+        await self.check_all_served([asked])
+        await self.wait_ended(stopped)
+
     async def test_requests_at_a_stopping_nodes_upstream_are_not_cut(self):
         """Its own callers' and those of other nodes."""
         await self.begin()
