--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -25,13 +25,26 @@
 [log]
 address = 127.0.0.1:{log}
 """
+SHORT_STOP = """
+[limits]
+drain_notice_s = {notice_s}
+drain_timeout_s = {timeout_s}
+"""
 LIMIT_S = 30.0
 POLL_S = 0.02
+NOTICE_S = 0.4
+DRAIN_S = 1.2
+EXIT_S = 0.8
+"""What is left of the time for a stop once the last callers have their answers."""
+
+LONG_WORK_MS = 8_000
 
 
-class NodeTests(unittest.IsolatedAsyncioTestCase):
+class NodeTestCase(unittest.IsolatedAsyncioTestCase):
     """A lone node with its upstream and a log."""
 
+    limits = ""
+
     async def asyncSetUp(self):
         names = ("callers", "peers", "operators", "desk")
         self.ports = dict(zip(names, pick_ports(len(names)), strict=True))
@@ -41,7 +54,7 @@
         self.upstream = UpstreamStandin()
         await self.upstream.start()
         self.addAsyncCleanup(self.upstream.stop, timeout_s=0.0)
-        text = SETTINGS.format(log=self.log.port, **self.ports)
+        text = SETTINGS.format(log=self.log.port, **self.ports) + self.limits
         self.node = Node(settings=parse_settings(text))
         self.running = asyncio.ensure_future(self.node.run())
         self.addAsyncCleanup(self.end)
@@ -94,6 +107,10 @@
         }
         return await self.ask("operators", "/publish", method="POST", document=document)
 
+
+class NodeTests(NodeTestCase):
+    """The life of the node."""
+
     async def test_request_is_served_and_drain_ends_the_node(self):
         """An announced upstream serves a published key until the drain ends it."""
         await self.announce()
@@ -183,3 +200,69 @@
     async def test_drain_before_the_upstream_announces(self):
         """A node that never served ends at once."""
         self.assertIs(await self.end(), Ending.DRAINED)
+
+
+class StopTests(NodeTestCase):
+    """A stop whose end comes before that of the work in flight."""
+
+    limits = SHORT_STOP.format(notice_s=NOTICE_S, timeout_s=DRAIN_S)
+
+    async def asyncSetUp(self):
+        """Have a key served."""
+        await super().asyncSetUp()
+        await self.announce()
+        await self.publish()
+        target = "/hiring/vacancies/v-00001"
+        await self.wait_for("callers", target, lambda status, _: status == 200)
+
+    async def send(self, *, delay_s=0.0):
+        """Send a request with long work; return its answer and when it ended."""
+        await asyncio.sleep(delay_s)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports["callers"]
+        )
+        target = f"/hiring/vacancies/v-00001/acceptances?sleep_ms={LONG_WORK_MS}"
+        writer.write(
+            f"POST {target} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+            "Papayatack-Deadline-Ms: 9700\r\n\r\n".encode()
+        )
+        try:
+            return await reader.read(), asyncio.get_running_loop().time()
+        finally:
+            writer.close()
+
+    async def test_request_at_work_at_the_end_of_a_stop_is_answered_not_reset(self):
+        """Sent before the stop or within its notice."""
+        loop = asyncio.get_running_loop()
+        early = asyncio.ensure_future(self.send())
+        await asyncio.sleep(0.2)
+        late = asyncio.ensure_future(self.send(delay_s=NOTICE_S / 2))
+        started_s = loop.time()
+        ending = asyncio.ensure_future(self.end())
+        for answer, ended_s in await asyncio.gather(early, late):
+            self.assertIn(b"HTTP/1.1 504", answer)
+            self.assertIn(b"papayatack-outcome: unknown", answer)
+            self.assertIn(b"connection: close", answer)
+            self.assertTrue(answer.endswith(b"}\n"))
+            self.assertGreaterEqual(ended_s - started_s, NOTICE_S + DRAIN_S - 0.1)
+        await ending
+        self.assertLess(loop.time() - started_s, NOTICE_S + DRAIN_S + EXIT_S)
+
+    async def test_caller_that_comes_after_the_notice_is_not_held(self):
+        """It is refused as not run, or finds nobody listening."""
+        loop = asyncio.get_running_loop()
+        early = asyncio.ensure_future(self.send())
+        await asyncio.sleep(0.2)
+        started_s = loop.time()
+        ending = asyncio.ensure_future(self.end())
+        await asyncio.sleep(NOTICE_S + DRAIN_S * 0.75)
+        asked_s = loop.time()
+        try:
+            answer, _ = await self.send()
+            self.assertIn(b"HTTP/1.1 503", answer)
+        except ConnectionRefusedError:
+            pass
+        self.assertLess(loop.time() - asked_s, 0.2)
+        await early
+        await ending
+        self.assertLess(loop.time() - started_s, NOTICE_S + DRAIN_S + EXIT_S)
--- /dev/null
+++ b/tests/platform/test_stops.py
@@ -0,0 +1,121 @@
+"""Nodes that are stopped under work, as processes."""
+
+import asyncio
+import json
+import signal
+
+from tests.platform.documents import build_manifest
+from tests.platform.test_process import GRACE_S, LIMIT_S, ProcessTestCase
+
+CALLERS = 16
+FIRST_S = 0.3
+LAST_S = 2.05
+DEADLINE_MS = 5_500
+LONG_DEADLINE_MS = 9_700
+EXCUSED_S = GRACE_S * 5 / 6
+"""From then on work that is still under way may be answered as unknown."""
+
+
+class StopTests(ProcessTestCase):
+    """Callers with open connections, of a node that gets SIGTERM."""
+
+    async def asyncSetUp(self):
+        """Serve keys with long deadlines."""
+        await super().asyncSetUp()
+        self.ended_in_time = True
+        routes = json.loads(build_manifest())["Routes"]
+        routes["orders"] |= {"Timeout": "9700ms", "TargetLatency": "6000ms"}
+        self.store.store.append("keyed.op", b"config", build_manifest(Routes=routes))
+        await self.wait_for(self.is_served)
+
+    async def open(self):
+        """Return an open connection to the node that is stopped."""
+        return await asyncio.open_connection(
+            "127.0.0.1", self.machines[0].ports["callers"]
+        )
+
+    async def send(self, connection, number, *, at_s, deadline_ms):
+        """Send a request; return when it was sent and answered, and the status.
+
+        The status is 0 for a connection that ends without a whole answer.
+        """
+        loop = asyncio.get_running_loop()
+        reader, writer = connection
+        await asyncio.sleep(at_s - loop.time())
+        lines = (
+            "GET /orders/1 HTTP/1.1",
+            "Host: shop.example",
+            f"Papayatack-Request-Id: r{number}",
+            f"Papayatack-Deadline-Ms: {deadline_ms}",
+            f"Papayatack-Shard-Key: {number * 4_000}",
+        )
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                status = await _read_answer(reader)
+        except (OSError, asyncio.IncompleteReadError):
+            status = 0
+        finally:
+            writer.close()
+        return at_s, loop.time(), status
+
+    async def stop_under_work(self, *, work_s, deadline_ms):
+        """Stop a node with a request on each connection; return times and statuses.
+
+        Times count from the signal.
+        """
+        for machine in self.machines:
+            machine.upstream.work_s = work_s
+        loop = asyncio.get_running_loop()
+        connections = [await self.open() for _ in range(CALLERS)]
+        node = self.machines[0].process
+        node.send_signal(signal.SIGTERM)
+        began_s = loop.time()
+        step_s = (LAST_S - FIRST_S) / (CALLERS - 1)
+        answers = await asyncio.gather(
+            *(
+                self.send(
+                    connection,
+                    number,
+                    at_s=began_s + FIRST_S + number * step_s,
+                    deadline_ms=deadline_ms,
+                )
+                for number, connection in enumerate(connections)
+            ),
+            self.check_end(began_s),
+        )
+        return [
+            (round(sent_s - began_s, 2), round(ended_s - began_s, 2), status)
+            for sent_s, ended_s, status in answers[:-1]
+        ]
+
+    async def check_end(self, began_s):
+        """Note whether the process ends before it would be killed."""
+        try:
+            async with asyncio.timeout_at(began_s + GRACE_S):
+                await self.machines[0].process.wait()
+        except TimeoutError:
+            self.ended_in_time = False
+
+    async def test_no_connection_is_reset_by_a_stop(self):
+        """Work of 3.6 s, begun from 0.3 to 2.05 s after the signal."""
+        answers = await self.stop_under_work(work_s=3.6, deadline_ms=DEADLINE_MS)
+        self.assertEqual([answer for answer in answers if not answer[2]], [], answers)
+        self.assertTrue(self.ended_in_time, answers)
+
+    async def test_work_longer_than_the_grace_is_answered_as_unknown(self):
+        """A whole answer of the node's own, and not before the last sixth."""
+        answers = await self.stop_under_work(work_s=8.0, deadline_ms=LONG_DEADLINE_MS)
+        self.assertEqual([answer for answer in answers if not answer[2]], [], answers)
+        timed_out = [answer for answer in answers if answer[2] == 504]
+        early = [answer for answer in timed_out if answer[1] < EXCUSED_S]
+        self.assertEqual(early, [], answers)
+        self.assertTrue(self.ended_in_time, answers)
+
+
+async def _read_answer(reader):
+    """Return the status of a whole answer with a length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    size = int(head.partition("content-length:")[2].split("\r\n")[0])
+    await reader.readexactly(size)
+    return int(head.split()[1])
