--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 import logging
+import math
 import random
 import traceback
 import uuid
@@ -22,11 +23,13 @@
 from papayatack.core.placement import plan
 from papayatack.core.records import OWNERSHIP_STREAM, Announce
 from papayatack.core.retry import RetryPolicy
+from papayatack.core.stopping import plan_stop
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.limits import build_caller_limits, follow_limits
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
 from papayatack.daemon.readiness import ReadinessEndpoint
 from papayatack.daemon.settings import LimitSettings, Settings
+from papayatack.daemon.stop import PlannedStop
 from papayatack.daemon.surroundings import (
     OwnSurroundings,
     Surroundings,
@@ -50,8 +53,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-HANDOVER_CHECK_S = 0.02
-HANDOVER_CHECKS = 100
 ENDPOINT_STOP_TIMEOUT_S = 1.0
 LOAD_ATTEMPT_S = 30.0
 LOAD_PAUSE_S = 1.0
@@ -102,9 +103,11 @@
             limits=self._surroundings.peer_limits,
         )
         self._drain_wanted = asyncio.Event()
+        self._drain_s = 0.0
+        self._close_s = math.inf
         self._control: ControlNode | None = None
         self._endpoint = OperatorEndpoint(
-            metrics=self._metrics, start_drain=self._drain_wanted.set
+            metrics=self._metrics, start_drain=self.start_drain
         )
         listen = settings.listen
         self._desk_server = self._build_server(
@@ -124,8 +127,10 @@
         )
 
     def start_drain(self) -> None:
-        """Begin the graceful shutdown."""
-        self._drain_wanted.set()
+        """Begin the graceful shutdown, whose times count from now."""
+        if not self._drain_wanted.is_set():
+            self._drain_s = asyncio.get_running_loop().time()
+            self._drain_wanted.set()
 
     async def run(self) -> Ending:
         """Run until drained or superseded."""
@@ -138,13 +143,16 @@
         try:
             return await self._join()
         finally:
-            timeout_s = ENDPOINT_STOP_TIMEOUT_S
+            left_s = self._close_s - asyncio.get_running_loop().time()
+            timeout_s = max(min(left_s, ENDPOINT_STOP_TIMEOUT_S), 0.0)
             if self._readiness_server is not None:
                 await self._readiness_server.stop(timeout_s=0.0)
             await self._callers.stop(timeout_s=0.0)
-            await self._desk_server.stop(timeout_s=timeout_s)
-            await self._endpoint_server.stop(timeout_s=timeout_s)
-            await self._peers.stop()
+            await asyncio.gather(
+                self._desk_server.stop(timeout_s=timeout_s),
+                self._endpoint_server.stop(timeout_s=timeout_s),
+            )
+            await self._peers.abort()
 
     def _is_ready(self) -> bool:
         """Whether callers should come here."""
@@ -217,12 +225,13 @@
             follow_limits(control, gate, keeper, self._callers, self._settings.limits),
             *self._surroundings.follow(control, gate),
         )
-        return await self._serve(control, gate, engine, works)
+        return await self._serve(control, gate, admission, engine, works)
 
     async def _serve(
         self,
         control: ControlNode,
         gate: AdmissionGate,
+        admission: Admission,
         engine: RequestEngine,
         works: tuple[Awaitable[None], ...],
     ) -> Ending:
@@ -234,20 +243,35 @@
             self._control = control
             self._note_started()
             ending = await self._wait_ending(control, tasks)
-            await self._callers.stop(timeout_s=self._settings.limits.drain_timeout_s)
-            gate.close()
-            await _wait_handed_over(control)
+            limits = self._settings.limits
+            departs = ending is Ending.DRAINED
+            plan = plan_stop(
+                self._drain_s if departs else asyncio.get_running_loop().time(),
+                notice_s=limits.drain_notice_s if departs else 0.0,
+                drain_s=limits.drain_timeout_s,
+            )
+            self._close_s = plan.close_s
+            stop = PlannedStop(
+                plan=plan,
+                control=control,
+                gate=gate,
+                admission=admission,
+                engine=engine,
+                callers=self._callers,
+                peers=self._peers,
+            )
+            if not await stop.run(departs=departs):
+                ending = Ending.DRAIN_TIMEOUT
         log_event(LOGGER, Event.DAEMON_STOPPED, reason=ending.value)
         return ending
 
     async def _wait_ending(
         self, control: ControlNode, tasks: list[asyncio.Future[None]]
     ) -> Ending:
-        """Wait for the reason to end, and hand the shards on if there is time.
+        """Wait for the reason to end.
 
         The tasks run for ever; one that ended has failed, and a node without it must
-        not stay. Callers are served for a while after a drain has begun, until they
-        have learned to go elsewhere.
+        not stay.
         """
         finished = asyncio.ensure_future(control.wait_finished())
         draining = asyncio.ensure_future(self._drain_wanted.wait())
@@ -260,12 +284,7 @@
                     return Ending.FAILED
             if finished.done():
                 return Ending.SUPERSEDED
-            control.start_departure()
-            limits = self._settings.limits
-            notice = asyncio.ensure_future(asyncio.sleep(limits.drain_notice_s))
-            await asyncio.wait((finished, notice), timeout=limits.drain_timeout_s)
-            await notice
-            return Ending.DRAINED if finished.done() else Ending.DRAIN_TIMEOUT
+            return Ending.DRAINED
         finally:
             for task in waiting:
                 task.cancel()
@@ -386,15 +405,6 @@
         )
 
 
-async def _wait_handed_over(control: ControlNode) -> None:
-    """Stay until the outcomes of keyed requests are asked for, but not for long."""
-    loop = asyncio.get_running_loop()
-    for _ in range(HANDOVER_CHECKS):
-        if not control.outcomes.has_left(loop.time()):
-            return
-        await asyncio.sleep(HANDOVER_CHECK_S)
-
-
 async def _cancel(task: asyncio.Future[None]) -> None:
     """End a task; one that failed was reported already."""
     task.cancel()
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -105,7 +105,8 @@
         caller_connections: Callers' connections at once.
         idle_timeout_s: Seconds for which a quiet connection is kept.
         header_timeout_s: Seconds within which a request's header must arrive.
-        drain_timeout_s: Seconds that a graceful shutdown may take.
+        drain_timeout_s: Seconds of a graceful shutdown, after its notice, in which
+            what is in flight may end.
         drain_notice_s: Seconds at its beginning in which callers are served as ever.
         upstream_drain_s: Seconds for which a leaving upstream still gets requests.
     """
--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -143,8 +143,18 @@
         if self._task is None:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Close at once."""
+    def end(self) -> None:
+        """Close at once; an answer that has begun or is missing must not look whole."""
+        if not self.busy or self._closing:
+            self._transport.close()
+            return
+        self._owner.metrics.count("caller_connections_cut", "stop")
+        log_event(
+            _logger,
+            Event.CONNECTION_CUT,
+            level=logging.ERROR,
+            begun=self._h11.our_state is not h11.SEND_RESPONSE,
+        )
         self._cut()
 
     def _advance(self) -> None:
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -60,7 +60,8 @@
         """Stop gracefully: finish requests in flight, then close.
 
         Args:
-            timeout_s: Time after which connections that are left are cut.
+            timeout_s: Time after which connections that are left are closed; those
+                with an answer that is not yet written whole are cut.
         """
         self.draining = True
         if self._server is not None:
@@ -72,8 +73,7 @@
                 connection.close_if_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         for connection in list(self._connections):
-            self.metrics.count("caller_connections_cut", "stop")
-            connection.abort()
+            connection.end()
         if self._sweeper is not None:
             self._sweeper.cancel()
 
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -16,6 +16,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -122,12 +123,22 @@
 
     async def stop(self) -> None:
         """Finish requests that peers sent, refuse further ones, then close."""
+        await self.finish_requests()
+        await self.abort()
+
+    async def finish_requests(self, *, until_s: float = math.inf) -> None:
+        """Take no more requests of peers, and wait for those that run.
+
+        Args:
+            until_s: Event loop time after which they are not waited for.
+        """
         self.on_request = _refuse_request
         if self._server is not None:
             self._server.close()
-        while self._serving:
-            await asyncio.wait(self._serving)
-        await self.abort()
+        loop = asyncio.get_running_loop()
+        while self._serving and (left_s := until_s - loop.time()) > 0:
+            timeout_s = left_s if math.isfinite(left_s) else None
+            await asyncio.wait(self._serving, timeout=timeout_s)
 
     async def abort(self) -> None:
         """Close all connections at once."""
--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -19,12 +19,18 @@
 
 __all__ = ["PlatformSettings", "parse_platform_settings", "read_platform_settings"]
 
-STOP_MARGIN_S = 0.8
-"""Left of the time for a graceful shutdown when the last callers are cut."""
+WORK_SHARE = 5 / 6
+"""Part of the time for a graceful shutdown in which work must not be given up."""
+
+WORK_MARGIN_S = 0.05
+"""Beyond that part, since other nodes are given a little less time than this one."""
 
 NOTICE_S = 2.3
 """Two questions for readiness, a second apart, and some time for their answers."""
 
+NOTICE_SHARE = 0.5
+"""Most of the time for work that the notice may take."""
+
 UPSTREAM_MARGIN_S = 0.4
 CALLER_CONNECTIONS = 3_000
 
@@ -89,7 +95,8 @@
     def build_settings(self) -> Settings:
         """Return the product's own settings."""
         bounds = self.bounds
-        longest_s = max(bounds.grace - STOP_MARGIN_S, 1.0)
+        work_s = bounds.grace * WORK_SHARE + WORK_MARGIN_S
+        notice_s = min(NOTICE_S, work_s * NOTICE_SHARE)
         return Settings(
             node=NodeSettings(
                 data_centre=self.node.data_centre, region=self.node.region
@@ -104,8 +111,8 @@
             log=LogServiceSettings(address=self.store.address),
             limits=LimitSettings(
                 caller_connections=CALLER_CONNECTIONS,
-                drain_timeout_s=max(longest_s - NOTICE_S, 0.5),
-                drain_notice_s=NOTICE_S,
+                drain_timeout_s=work_s - notice_s,
+                drain_notice_s=notice_s,
                 upstream_drain_s=max(bounds.drain - UPSTREAM_MARGIN_S, 0.1),
             ),
             logging=LoggingSettings(),
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -32,6 +32,7 @@
 from papayatack.core.idempotency import OutcomeExchange
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
+from papayatack.core.stopping import StopPlan
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
@@ -39,6 +40,7 @@
 from papayatack.proxy.classification import Classifier, RequestClassifier
 from papayatack.proxy.decisions import DecisionLog
 from papayatack.proxy.dialect import Dialect, OwnDialect
+from papayatack.proxy.ending import StopGuard
 from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
 from papayatack.proxy.keyed import KeyedServer
 from papayatack.proxy.local import LocalServer
@@ -95,6 +97,8 @@
         )
         self._balance = NodeBalance(rng=random.Random(), count=metrics.count)
         self._decisions = DecisionLog()
+        self._of_callers = StopGuard()
+        self._of_peers = StopGuard()
         self._classified = Configuration()
         self._classifier = build_classifier(configuration=self._classified)
 
@@ -112,6 +116,21 @@
     def upstream(self, upstream: UpstreamPool | None) -> None:
         self._local.upstream = upstream
 
+    @property
+    def in_flight(self) -> tuple[int, int]:
+        """Requests without an answer: of callers, and of other nodes."""
+        return self._of_callers.in_flight, self._of_peers.in_flight
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for an owner."""
+        return self._handover.waiting
+
+    def begin_stop(self, plan: StopPlan) -> None:
+        """End all requests by the plan of a stop."""
+        self._of_callers.begin(plan, last_come_s=plan.last_come_s)
+        self._of_peers.begin(plan, last_come_s=plan.last_start_s)
+
     async def handle(self, request: Request) -> Response:
         """Answer a caller's request."""
         started_s = self._now()
@@ -127,7 +146,7 @@
             )
             return self._answer_refusal(refusal, "")
         peer_request = classified.unwrap()
-        result = await self._run(peer_request)
+        result = await self._of_callers.run(self._run(peer_request))
         self._metrics.record_latency("request", self._now() - started_s)
         request_id = peer_request.request_id
         held_s = self._now() - started_s
@@ -150,7 +169,14 @@
 
         Only the node that the caller reached retries.
         """
-        deadline_s = self._now() + peer_request.remaining_s
+        return await self._of_peers.run(self._serve_peer(peer_request))
+
+    async def _serve_peer(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
+        now = self._now()
+        obstacle = self._of_peers.find_obstacle(now)
+        if obstacle is not None:
+            return Failure(obstacle)
+        deadline_s = self._of_peers.limit_deadline(now + peer_request.remaining_s)
         if not peer_request.key:
             return await self._local.serve(peer_request, deadline_s=deadline_s)
         located = self._ownership.locate(peer_request.service, peer_request.key)
@@ -164,6 +190,9 @@
 
     async def _run(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
         """Attempt a request until it is answered or given up."""
+        obstacle = self._of_callers.find_obstacle(self._now())
+        if obstacle is not None:
+            return Failure(obstacle)
         state = WaitState()
         try:
             return await self._run_attempts(peer_request, state)
@@ -179,7 +208,7 @@
         upstream's own failure is the answer unless a further attempt does better.
         """
         now = self._now()
-        deadline_s = now + peer_request.remaining_s
+        deadline_s = self._of_callers.limit_deadline(now + peer_request.remaining_s)
         self._retry.record_request(now)
         body = ReplayBody(body=peer_request.request.body, limit_bytes=REPLAY_BYTES)
         peer_request.request.body = body
@@ -201,10 +230,12 @@
                 unknown = unknown or refusal
             if refusal.kind in HANDOVER_KINDS:
                 wait_until_s = _find_wait_end(peer_request, now, deadline_s)
-                delay_s = self._find_pause(body, state, wait_until_s)
+                start_s = self._of_callers.limit_start(wait_until_s)
+                delay_s = self._find_pause(body, state, start_s)
             else:
+                start_s = self._of_callers.limit_start(deadline_s)
                 delay_s = self._find_retry_delay(
-                    refusal, peer_request, body, attempt, deadline_s
+                    refusal, peer_request, body, attempt, start_s
                 )
                 attempt += 1
             if delay_s is None:
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -29,6 +29,7 @@
 
 
 OWN_UPSTREAM = "own"
+_CLOSED = Refusal(kind=ErrorKind.NODE_DRAINING, detail="node is stopping")
 
 
 class _SlotPermit:
@@ -86,11 +87,15 @@
         self._waiters: dict[Entry, asyncio.Future[Result[Permit, Refusal]]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s = 0.0
+        self._closed = False
 
     async def acquire(self, ticket: Ticket) -> Result[Permit, Refusal]:
         """Wait for a slot; the wait may be cancelled."""
         loop = asyncio.get_running_loop()
         now = loop.time()
+        if self._closed:
+            self._metrics.count("admission_refusals", ErrorKind.NODE_DRAINING)
+            return Failure(_CLOSED)
         if not self._is_open(now, ticket):
             self._metrics.count("admission_refusals", ErrorKind.UPSTREAM_EJECTED)
             return Failure(self._build_ejection(now))
@@ -148,10 +153,9 @@
         self._admission.restart(asyncio.get_running_loop().time())
 
     def close(self) -> None:
-        """Refuse all that wait, for the node is going down."""
-        self._refuse_waiting(
-            Refusal(kind=ErrorKind.NODE_DRAINING, detail="node is stopping")
-        )
+        """Refuse all that wait or come, for the node is going down."""
+        self._closed = True
+        self._refuse_waiting(_CLOSED)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -164,6 +164,19 @@
         self.assertIn(b"connection: close", (await answer).lower())
         await stop
 
+    async def test_answer_that_is_missing_at_the_end_of_a_stop_is_told(self):
+        """The cut has a line in the log; idle connections are closed without one."""
+        self.release.clear()
+        idle, _ = await asyncio.open_connection("127.0.0.1", self.server.port)
+        answer = asyncio.create_task(self.fetch(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"))
+        await wait_until(lambda: self.requests)
+        with self.assertLogs("papayatack.network", "ERROR") as logs:
+            await self.server.stop(timeout_s=0.05)
+        self.assertEqual(len(logs.output), 1)
+        self.assertIn("CONNECTION_CUT", logs.output[0])
+        self.assertEqual(await idle.read(), b"")
+        self.assertEqual(await answer, b"")
+
     async def test_unread_body_stops_the_reading(self):
         """Bytes that nobody takes are not gathered in memory."""
         self.release.clear()
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -148,6 +148,22 @@
         self.assertEqual((await running).unwrap().status, 200)
         await stopping
 
+    async def test_stopping_node_waits_for_peers_no_longer_than_its_stop(self):
+        """A request that never ends does not keep the node."""
+
+        async def hang(request):
+            await asyncio.get_running_loop().create_future()
+
+        self.second.on_request = hang
+        running = asyncio.ensure_future(self.exchange())
+        await wait_until(lambda: self.second._serving)
+        until_s = asyncio.get_running_loop().time() + 0.1
+        async with asyncio.timeout(1.0):
+            await self.second.finish_requests(until_s=until_s)
+        self.assertGreaterEqual(asyncio.get_running_loop().time(), until_s - 0.001)
+        await self.second.abort()
+        self.assertIs((await running).failure().kind, ErrorKind.PEER_LOST)
+
     async def test_both_sides_opening_leaves_one_connection_each(self):
         """Connections opened at once are reduced to the preferred one."""
         for _ in range(3):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 import unittest
 
 from papayatack.core.errors import SettingsError
+from papayatack.core.stopping import CLOSE_S
 from papayatack.platform import settings as module
 from papayatack.platform.settings import parse_platform_settings
 
@@ -47,11 +48,13 @@
         self.assertEqual(names, ["east", "West"])
 
     def test_stop_fits_the_grace(self):
-        """Notice and the cutting of callers end before the process is killed."""
+        """Work is given up in the last sixth alone, and all ends before the kill."""
         settings = parse_platform_settings(TEXT, source="s")
         limits = settings.build_settings().limits
         longest_s = limits.drain_notice_s + limits.drain_timeout_s
-        self.assertLess(longest_s, settings.bounds.grace)
+        grace_s = settings.bounds.grace
+        self.assertGreaterEqual(longest_s, grace_s * 5 / 6)
+        self.assertLess(longest_s + CLOSE_S, grace_s)
         self.assertLess(limits.upstream_drain_s, settings.bounds.drain)
 
     def test_faults_are_all_named(self):
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -8,6 +8,9 @@
 from tests.platform.test_process import GRACE_S, LIMIT_S, ProcessTestCase
 
 CALLERS = 16
+MANY_CALLERS = 200
+PROCESSOR_SHARE = 0.43
+SLICE_S = 0.05
 FIRST_S = 0.3
 LAST_S = 2.05
 DEADLINE_MS = 5_500
@@ -16,13 +19,14 @@
 """From then on work that is still under way may be answered as unknown."""
 
 
-class StopTests(ProcessTestCase):
+class StopTestCase(ProcessTestCase):
     """Callers with open connections, of a node that gets SIGTERM."""
 
     async def asyncSetUp(self):
         """Serve keys with long deadlines."""
         await super().asyncSetUp()
         self.ended_in_time = True
+        self.ended_s = GRACE_S
         routes = json.loads(build_manifest())["Routes"]
         routes["orders"] |= {"Timeout": "9700ms", "TargetLatency": "6000ms"}
         self.store.store.append("keyed.op", b"config", build_manifest(Routes=routes))
@@ -47,7 +51,7 @@
             "Host: shop.example",
             f"Papayatack-Request-Id: r{number}",
             f"Papayatack-Deadline-Ms: {deadline_ms}",
-            f"Papayatack-Shard-Key: {number * 4_000}",
+            f"Papayatack-Shard-Key: {number * 4_000 % 65_536}",
         )
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         try:
@@ -59,7 +63,7 @@
             writer.close()
         return at_s, loop.time(), status
 
-    async def stop_under_work(self, *, work_s, deadline_ms):
+    async def stop_under_work(self, *, work_s, deadline_ms, callers=CALLERS):
         """Stop a node with a request on each connection; return times and statuses.
 
         Times count from the signal.
@@ -67,11 +71,11 @@
         for machine in self.machines:
             machine.upstream.work_s = work_s
         loop = asyncio.get_running_loop()
-        connections = [await self.open() for _ in range(CALLERS)]
+        connections = [await self.open() for _ in range(callers)]
         node = self.machines[0].process
         node.send_signal(signal.SIGTERM)
         began_s = loop.time()
-        step_s = (LAST_S - FIRST_S) / (CALLERS - 1)
+        step_s = (LAST_S - FIRST_S) / (callers - 1)
         answers = await asyncio.gather(
             *(
                 self.send(
@@ -94,9 +98,14 @@
         try:
             async with asyncio.timeout_at(began_s + GRACE_S):
                 await self.machines[0].process.wait()
+            self.ended_s = asyncio.get_running_loop().time() - began_s
         except TimeoutError:
             self.ended_in_time = False
 
+
+class StopTests(StopTestCase):
+    """Work that lasts longer than the time for the stop."""
+
     async def test_no_connection_is_reset_by_a_stop(self):
         """Work of 3.6 s, begun from 0.3 to 2.05 s after the signal."""
         answers = await self.stop_under_work(work_s=3.6, deadline_ms=DEADLINE_MS)
@@ -113,6 +122,31 @@
         self.assertTrue(self.ended_in_time, answers)
 
 
+class SlowNodeTests(StopTestCase):
+    """The same with less than half of a core."""
+
+    async def slow(self):
+        """Give the node its processor for a part of the time only."""
+        process = self.machines[0].process
+        while process.returncode is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(SLICE_S * (1 - PROCESSOR_SHARE))
+            process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(SLICE_S * PROCESSOR_SHARE)
+
+    async def test_slow_node_answers_many_callers_before_it_is_killed(self):
+        """Queues are full, and work lasts longer than the time for the stop."""
+        slowing = asyncio.ensure_future(self.slow())
+        try:
+            answers = await self.stop_under_work(
+                work_s=8.0, deadline_ms=LONG_DEADLINE_MS, callers=MANY_CALLERS
+            )
+        finally:
+            slowing.cancel()
+        self.assertEqual([answer for answer in answers if not answer[2]], [])
+        self.assertTrue(self.ended_in_time)
+
+
 async def _read_answer(reader):
     """Return the status of a whole answer with a length."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
--- /dev/null
+++ b/tests/proxy/test_ending.py
@@ -0,0 +1,72 @@
+"""Tests of papayatack.proxy.ending."""
+
+import asyncio
+import unittest
+
+from returns.result import Success
+
+from papayatack.core.errors import ErrorKind
+from papayatack.core.stopping import plan_stop
+from papayatack.network.exchanges import Response
+from papayatack.proxy.ending import StopGuard
+
+DRAIN_S = 0.1
+
+
+async def work(work_s):
+    """Answer after some time."""
+    await asyncio.sleep(work_s)
+    return Success(Response(status=200))
+
+
+class StopGuardTests(unittest.IsolatedAsyncioTestCase):
+    """Requests before and during a stop."""
+
+    async def asyncSetUp(self):
+        """Have a guard and a plan."""
+        self.guard = StopGuard()
+        now = asyncio.get_running_loop().time()
+        self.plan = plan_stop(now, notice_s=0.0, drain_s=DRAIN_S)
+
+    def begin(self):
+        """Begin the stop."""
+        self.guard.begin(self.plan, last_come_s=self.plan.last_come_s)
+
+    async def test_request_from_before_the_stop_ends_with_it(self):
+        """What may have run is answered as unknown, at the end and not before."""
+        running = asyncio.ensure_future(self.guard.run(work(10.0)))
+        await asyncio.sleep(0)
+        self.assertEqual(self.guard.in_flight, 1)
+        self.begin()
+        result = await running
+        self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_TIMEOUT)
+        now = asyncio.get_running_loop().time()
+        self.assertGreaterEqual(now, self.plan.end_s)
+        self.assertEqual(self.guard.in_flight, 0)
+
+    async def test_answers_within_the_time_are_passed_on(self):
+        """Of requests before and during the stop."""
+        running = asyncio.ensure_future(self.guard.run(work(DRAIN_S / 4)))
+        await asyncio.sleep(0)
+        self.begin()
+        later = await self.guard.run(work(0.0))
+        self.assertEqual(later.unwrap().status, 200)
+        self.assertEqual((await running).unwrap().status, 200)
+
+    async def test_fault_of_the_work_is_not_taken_for_the_end(self):
+        """A timeout of its own stays one."""
+
+        async def fail():
+            raise TimeoutError
+
+        self.begin()
+        with self.assertRaises(TimeoutError):
+            await self.guard.run(fail())
+
+    async def test_request_that_comes_too_late_is_not_taken(self):
+        """It is refused as not run."""
+        self.assertIsNone(self.guard.find_obstacle(self.plan.close_s))
+        self.begin()
+        self.assertIsNone(self.guard.find_obstacle(self.plan.last_come_s - 0.01))
+        refusal = self.guard.find_obstacle(self.plan.last_come_s)
+        self.assertIs(refusal.kind, ErrorKind.NODE_DRAINING)
--- a/tests/proxy/test_gate.py
+++ b/tests/proxy/test_gate.py
@@ -153,6 +153,8 @@
             gate.close()
             refusal = (await waiting).failure()
             self.assertEqual(refusal.kind, ErrorKind.NODE_DRAINING)
+            refusal = (await gate.acquire(build_ticket())).failure()
+            self.assertEqual(refusal.kind, ErrorKind.NODE_DRAINING)
 
         run(scenario())
 
