--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -174,8 +174,18 @@
 
         A node that cannot load them does not serve; it says why and tries again.
         """
+        loading = asyncio.ensure_future(self._load_states())
+        draining = asyncio.ensure_future(self._drain_wanted.wait())
+        try:
+            await asyncio.wait((loading, draining), return_when=asyncio.FIRST_COMPLETED)
+            return loading.result() if loading.done() else None
+        finally:
+            await _cancel(draining)
+            await _cancel(loading)
+
+    async def _load_states(self) -> tuple[OwnershipState, ConfigState]:
         loop = asyncio.get_running_loop()
-        while not self._drain_wanted.is_set():
+        while True:
             loaded = await self._surroundings.load(
                 random=self._random, deadline_s=loop.time() + LOAD_ATTEMPT_S
             )
@@ -184,10 +194,7 @@
                     return states
                 case Failure(failure):
                     self._metrics.count("bootstrap_failures", failure.kind.value)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LOAD_PAUSE_S):
-                    await self._drain_wanted.wait()
-        return None
+            await asyncio.sleep(LOAD_PAUSE_S)
 
     async def _join(self) -> Ending:
         """Take part in ownership and serve callers until the end."""
--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -197,6 +197,22 @@
         self.assertIs(ending, Ending.FAILED)
         self.assertIn("DAEMON_FAILED", logs.output[0])
 
+    async def test_drain_while_the_log_does_not_answer_ends_the_node(self):
+        """A node that loads its state does not wait for the end of the attempt."""
+        started = asyncio.Event()
+
+        async def hang(**kwargs):
+            started.set()
+            await asyncio.get_running_loop().create_future()
+
+        load = "papayatack.daemon.surroundings.OwnSurroundings.load"
+        with unittest.mock.patch(load, side_effect=hang):
+            async with asyncio.timeout(LIMIT_S):
+                await started.wait()
+            self.node.start_drain()
+            async with asyncio.timeout(1.0):
+                self.assertIs(await self.running, Ending.DRAINED)
+
     async def test_drain_before_the_upstream_announces(self):
         """A node that never served ends at once."""
         self.assertIs(await self.end(), Ending.DRAINED)
