--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -64,10 +64,13 @@
                 with an answer that is not yet written whole are cut.
         """
         self.draining = True
-        if self._server is not None:
-            self._server.close()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
+        if timeout_s > 0:
+            # What callers have sent by now is read first, for closing would reset it.
+            await asyncio.sleep(min(STOP_POLL_INTERVAL_S, timeout_s))
+        if self._server is not None:
+            self._server.close()
         while self._connections and loop.time() < deadline_s:
             for connection in list(self._connections):
                 connection.close_if_idle()
--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of papayatack.network.callers on loopback."""
 
 import asyncio
+import socket
 import unittest
 
 from papayatack.network.bodies import BodyQueue, BytesBody
@@ -164,6 +165,19 @@
         self.assertIn(b"connection: close", (await answer).lower())
         await stop
 
+    async def test_request_that_the_stop_finds_unread_is_answered_not_reset(self):
+        """On an open connection, and on one that is not yet accepted."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        await wait_until(lambda: self.server._connections)
+        unaccepted = socket.create_connection(("127.0.0.1", self.server.port))
+        self.addCleanup(unaccepted.close)
+        unaccepted.sendall(build_request("GET", "/new"))
+        writer.write(build_request("GET", "/open"))
+        await self.server.stop(timeout_s=5)
+        self.assertIn(b"/open 0", await reader.read())
+        self.assertIn(b"/new 0", unaccepted.recv(4096))
+        writer.close()
+
     async def test_answer_that_is_missing_at_the_end_of_a_stop_is_told(self):
         """The cut has a line in the log; idle connections are closed without one."""
         self.release.clear()
