--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -149,15 +149,20 @@
     return max(found, default=LONGEST_REQUEST_S)
 
 
+def _build_targets(route: _Route) -> tuple[Target, ...]:
+    if not route.traffic_split:
+        return (Target(service=route.service),)
+    return tuple(
+        Target(service=part.service, weight=part.weight) for part in route.traffic_split
+    )
+
+
 def _build_route(name: str, route: _Route) -> HostRoute:
-    parts = route.traffic_split or (_Part(Service=route.service),)
     return HostRoute(
         name=name,
         host=route.host.lower(),
         prefix=route.path_prefix,
-        targets=tuple(
-            Target(service=part.service, weight=part.weight) for part in parts
-        ),
+        targets=_build_targets(route),
         repeatable=route.route_kind in ("idempotent", "download"),
         request_class=_find_class(route),
         timeout_s=route.timeout,
