Load at a start only what the platform uses

A start costs processor and is time away after every kill.

No longer loaded: the product's documents and their validation, the folded form of its configurations, checkpoints, the client of its own log, publications, difflib. Models of operators' answers are built when one is asked.

--- a/bench/checkpoint.py
+++ b/bench/checkpoint.py
@@ -27,7 +27,7 @@
     Assignment,
     Retire,
 )
-from papayatack.logservice import load_stream
+from papayatack.logservice.bootstrap import load_stream
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.records import encode_record
 from standins.logstore import InProcessLog, LogStore
--- a/src/papayatack/control/__init__.py
+++ b/src/papayatack/control/__init__.py
@@ -1,7 +1,6 @@
 """Tasks that drive ownership: timers, log tail, peer messages, grants, planning."""
 
 from papayatack.control.interface import GrantSink, PeerSender
-from papayatack.control.loading import load_streams
 from papayatack.control.node import ControlNode
 
-__all__ = ["ControlNode", "GrantSink", "PeerSender", "load_streams"]
+__all__ = ["ControlNode", "GrantSink", "PeerSender"]
--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -6,8 +6,8 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from papayatack.control.interface import ConfigState
 from papayatack.control.loads import LoadMeter
-from papayatack.core.config_fold import ConfigFold
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.idempotency import KeyTenure
 from papayatack.core.identity import ShardId
@@ -39,7 +39,7 @@
         self,
         *,
         core: NodeCore,
-        config: ConfigFold,
+        config: ConfigState,
         loads: LoadMeter,
         carry_out: Callable[[list[Effect]], None],
         check_clock: Callable[[], None],
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -31,8 +31,8 @@
 import logging
 import random
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
-from papayatack.control.checkpoints import build_keepers
 from papayatack.control.directory import Directory
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.grants import GrantEffect, GrantTask
@@ -42,7 +42,6 @@
 from papayatack.control.planning import Planner, PlanPace
 from papayatack.control.suspension import SuspensionWatch
 from papayatack.control.writing import RecordWriter
-from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.inventory import Service
 from papayatack.core.messages import (
@@ -78,7 +77,6 @@
     Announce,
 )
 from papayatack.logservice.appender import Appender
-from papayatack.logservice.checkpoints import CheckpointKeeper
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import (
@@ -92,6 +90,9 @@
 from papayatack.wire.errors import WireError
 from papayatack.wire.packing import pack_record, unpack_record
 
+if TYPE_CHECKING:
+    from papayatack.logservice.checkpoints import CheckpointKeeper
+
 __all__ = ["ControlNode"]
 
 LOGGER = logging.getLogger(__name__)
@@ -152,7 +153,7 @@
         self._sender = sender
         self._random = random
         self._pace = pace or PlanPace()
-        self._config = config or ConfigFold()
+        self._config = config or _create_config()
         self.core = NodeCore(
             announcement=announcement,
             state=state or OwnershipState(),
@@ -212,20 +213,29 @@
         self._pushes = tailing is not None
         self._keepers: dict[str, CheckpointKeeper] = {}
         if retention_s is not None:
-            self._keepers = build_keepers(
-                core=self.core,
-                config=self._config,
-                follower=self._follower,
-                appenders={
-                    CONFIG_STREAM: Appender(
-                        log=log, stream=CONFIG_STREAM, metrics=metrics, random=random
-                    ),
-                    OWNERSHIP_STREAM: self._appender,
-                },
-                retention_s=retention_s,
-                metrics=metrics,
-                now=now,
-            )
+            self._keepers = self._build_keepers(log, retention_s)
+
+    def _build_keepers(
+        self, log: LogService, retention_s: float
+    ) -> dict[str, "CheckpointKeeper"]:
+        # Imported where it is used: a log that keeps all needs none of it.
+        from papayatack.control.checkpoints import build_keepers
+
+        config_appender = Appender(
+            log=log, stream=CONFIG_STREAM, metrics=self.metrics, random=self._random
+        )
+        return build_keepers(
+            core=self.core,
+            config=self._config,
+            follower=self._follower,
+            appenders={
+                CONFIG_STREAM: config_appender,
+                OWNERSHIP_STREAM: self._appender,
+            },
+            retention_s=retention_s,
+            metrics=self.metrics,
+            now=self._read_clock(),
+        )
 
     @property
     def ownership(self) -> Ownership:
@@ -599,3 +609,10 @@
             self.metrics.count("control_messages_dropped", "unknown-recipient")
             return
         self._sender.send(member.address, recipient, message)
+
+
+def _create_config() -> ConfigState:
+    # Imported where it is used: elsewhere configurations have another form.
+    from papayatack.core.config_fold import ConfigFold
+
+    return ConfigFold()
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -7,17 +7,16 @@
 import dataclasses
 import uuid
 from collections.abc import Awaitable, Callable
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import parse_qs, urlsplit
 
 import pydantic
 from returns.result import Failure, Result, Success
 
 from papayatack.control.node import ControlNode
-from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.records import Announce, DeclareLost
-from papayatack.daemon.publication import PublicationStatus, Publisher
+from papayatack.daemon.publication_answer import PublicationStatus
 from papayatack.daemon.replies import read_json, reply_json, reply_text
 from papayatack.daemon.status import describe_key, describe_node
 from papayatack.logservice.appender import Appender
@@ -26,6 +25,9 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.answers import ConfigAnswer, ExplainAnswer, PublishAnswer
 
+if TYPE_CHECKING:
+    from papayatack.daemon.publication import Publisher
+
 __all__ = ["OperatorEndpoint", "ServingParts"]
 
 DECLARE_TIMEOUT_S = 10.0
@@ -53,19 +55,19 @@
 
     announcement: Announce
     control: ControlNode
-    publisher: Publisher | None
+    publisher: "Publisher | None"
     declarer: Appender
     read_load: Callable[[], tuple[int, int]]
 
 
-class _PublishRequest(pydantic.BaseModel):
+class _PublishRequest(pydantic.BaseModel, defer_build=True):
     record_id: Annotated[str, pydantic.Field(min_length=1, max_length=MAX_ID_LENGTH)]
     base_version: Annotated[int, pydantic.Field(ge=0)]
     inventory: str
     rules: str = ""
 
 
-class _DeclareRequest(pydantic.BaseModel):
+class _DeclareRequest(pydantic.BaseModel, defer_build=True):
     incarnations: Annotated[list[str], pydantic.Field(min_length=1)]
 
 
@@ -137,7 +139,7 @@
 
     async def _read_config(self, parts: ServingParts, request: Request) -> Response:
         config = parts.control.config
-        if not isinstance(config, ConfigFold):
+        if parts.publisher is None:
             return reply_json(200, {"version": config.version})
         answer = ConfigAnswer(
             version=config.version, inventory=config.inventory, rules=config.rules
--- a/src/papayatack/daemon/publication.py
+++ b/src/papayatack/daemon/publication.py
@@ -6,8 +6,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import enum
 
 from returns.result import Failure, Success
 
@@ -16,45 +14,16 @@
 from papayatack.core.configuration import parse_configuration
 from papayatack.core.errors import InventoryError
 from papayatack.core.records import Publish
+from papayatack.daemon.publication_answer import PublicationAnswer, PublicationStatus
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.interface import LogFailureKind
 
-__all__ = ["PublicationAnswer", "PublicationStatus", "Publisher"]
+__all__ = ["Publisher"]
 
 PUBLISH_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 
 
-class PublicationStatus(enum.StrEnum):
-    """What an operator is told of a publication."""
-
-    ACCEPTED = "accepted"
-    CONFLICT = "conflict"
-    INVALID = "invalid"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PublicationAnswer:
-    """The answer to a publication.
-
-    Attributes:
-        status: What became of it.
-        version: The version in force on this node.
-        difference: What the version in force has that the publication was not made
-            from, for a conflict.
-        faults: Why it is invalid.
-        detail: What to do, for an unknown or refused one.
-    """
-
-    status: PublicationStatus
-    version: int
-    difference: tuple[str, ...] = ()
-    faults: tuple[str, ...] = ()
-    detail: str = ""
-
-
 class Publisher:
     """Appends publications and reads back what became of them.
 
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -1,7 +1,6 @@
 """Settings of the daemon: an INI file, validated whole before anything starts."""
 
 import configparser
-import difflib
 import ipaddress
 import pathlib
 from typing import Annotated, Literal
@@ -214,6 +213,9 @@
     if len(place) > 1:
         model = Settings.model_fields[place[0]].annotation
     known = list(model.model_fields)
+    # Imported where it is used: most settings are valid.
+    import difflib
+
     near = difflib.get_close_matches(place[-1], known, n=1)
     if near:
         return f"did you mean {near[0]!r}?"
--- a/src/papayatack/daemon/surroundings.py
+++ b/src/papayatack/daemon/surroundings.py
@@ -2,15 +2,13 @@
 
 import random
 from collections.abc import Awaitable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from returns.result import Failure, Result, Success
 
 from papayatack.control.interface import ConfigState, GrantSink
-from papayatack.control.loading import load_streams
 from papayatack.control.node import ControlNode
 from papayatack.control.planning import PlanPace
-from papayatack.core.config_fold import ConfigFold
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership import OwnershipState
@@ -25,12 +23,10 @@
     UpstreamGone,
 )
 from papayatack.daemon.health import follow_health
-from papayatack.daemon.publication import Publisher
 from papayatack.daemon.settings import Settings
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.bootstrap import BootstrapFailure
 from papayatack.logservice.decoding import RecordDecoder
-from papayatack.logservice.http import HttpLogService
 from papayatack.logservice.interface import LogService
 from papayatack.network.exchanges import Request, Response
 from papayatack.network.grants import GrantClient
@@ -40,6 +36,9 @@
 from papayatack.proxy.dialect import Dialect, OwnDialect
 from papayatack.proxy.gate import AdmissionGate
 
+if TYPE_CHECKING:
+    from papayatack.daemon.publication import Publisher
+
 __all__ = ["OwnSurroundings", "Surroundings", "UpstreamDesk", "split_address"]
 
 
@@ -101,7 +100,7 @@
 
     def build_publisher(
         self, control: ControlNode, writer: IncarnationId
-    ) -> Publisher | None:
+    ) -> "Publisher | None":
         """Return what publishes configurations, ``None`` if that is done elsewhere."""
 
     async def load(
@@ -119,12 +118,17 @@
 class OwnSurroundings:
     """The product's own interfaces, without the users' platform.
 
+    What they alone need is imported where it is used: elsewhere it would cost time and
+    memory at each start.
+
     Args:
         settings: The daemon's settings.
         metrics: Counters of the process.
     """
 
     def __init__(self, *, settings: Settings, metrics: Metrics) -> None:
+        from papayatack.logservice.http import HttpLogService
+
         host, port = split_address(settings.log.address)
         self._metrics = metrics
         self.log: LogService = HttpLogService(host=host, port=port)
@@ -152,8 +156,11 @@
 
     def build_publisher(
         self, control: ControlNode, writer: IncarnationId
-    ) -> Publisher | None:
+    ) -> "Publisher | None":
         """Return what publishes configurations."""
+        from papayatack.core.config_fold import ConfigFold
+        from papayatack.daemon.publication import Publisher
+
         config = control.config
         if not isinstance(config, ConfigFold):
             return None
@@ -169,6 +176,8 @@
         self, *, random: random.Random, deadline_s: float
     ) -> Result[tuple[OwnershipState, ConfigState], BootstrapFailure]:
         """Load the state of both streams from the log."""
+        from papayatack.control.loading import load_streams
+
         loaded = await load_streams(
             log=self.log, metrics=self._metrics, random=random, deadline_s=deadline_s
         )
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -16,7 +16,6 @@
 from papayatack.core.records import OWNERSHIP_STREAM
 from papayatack.core.shards import is_hot
 from papayatack.daemon.announcement import AnnouncedUpstream
-from papayatack.daemon.publication import Publisher
 from papayatack.daemon.surroundings import split_address
 from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
 from papayatack.logservice.interface import LogService
@@ -100,11 +99,8 @@
         """Return what tells the upstream its grants."""
         return RangeGrants(list_hot=self._list_hot)
 
-    def build_publisher(
-        self, control: ControlNode, writer: IncarnationId
-    ) -> Publisher | None:
+    def build_publisher(self, control: ControlNode, writer: IncarnationId) -> None:
         """Return nothing: operators publish in the store itself."""
-        return None
 
     async def load(
         self, *, random: random.Random, deadline_s: float
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -21,7 +21,7 @@
 class _Answer(pydantic.BaseModel):
     """An answer; unknown fields are ignored."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
 
 class LeaseState(_Answer):
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -9,7 +9,8 @@
 import looptime
 from returns.result import Success
 
-from papayatack.control import load_streams, planning
+from papayatack.control import planning
+from papayatack.control.loading import load_streams
 from papayatack.core.errors import ErrorKind
 from papayatack.core.idempotency import KeptAnswer, Replay, Run
 from papayatack.core.messages import LogBatch
