Tell a caller that its deadline came, not that a node was silent

The way in which the last attempt ended is now what the caller is told: 504 at the deadline. test_run_that_outlasts_the_deadline_ends_with_it failed before with 502.

--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -255,7 +255,9 @@
                 attempt += 1
             if delay_s is None:
                 answer = await late.wait()
-                return answer or failed or Failure(unknown or refusal)
+                if answer is not None and is_successful(answer):
+                    return answer
+                return failed or answer or Failure(unknown or refusal)
             self._metrics.count("retry_causes", refusal.kind.value)
             if refusal.kind not in HANDOVER_KINDS:
                 node = next(iter(tried), "")
--- a/src/papayatack/proxy/late.py
+++ b/src/papayatack/proxy/late.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self._streams: list[PeerStream] = []
+        self._failure: _Answer | None = None
 
     def add(self, stream: PeerStream) -> None:
         """Keep an attempt whose answer may still come."""
@@ -51,13 +52,17 @@
             task.cancel()
 
     async def wait(self) -> _Answer | None:
-        """Return the first late answer, ``None`` once none can come."""
+        """Return the first late answer, or how the last attempt ended without one.
+
+        Returns:
+            ``None`` if no attempt was under way.
+        """
         while self._streams:
             await self._wait_any()
             answer = await self._take()
             if answer is not None:
                 return answer
-        return None
+        return self._failure
 
     def close(self) -> None:
         """Tell the peers that nobody waits any more."""
@@ -75,6 +80,7 @@
                 result = await settle_response(result.unwrap())
             if is_successful(result):
                 return result
+            self._failure = result
         return None
 
     async def _wait_any(self, *others: "asyncio.Future[_Answer]") -> None:
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -227,6 +227,18 @@
         self.assertIn(b"HTTP/1.1 200", answer)
         self.assertEqual(list(self.upstream.runs.values()), [1])
 
+    async def test_run_that_outlasts_the_deadline_ends_with_it(self):
+        """The caller is told so, not that a node was silent."""
+        refusal = Refusal(kind=ErrorKind.QUEUE_FULL)
+        deadline = ("papayatack-deadline-ms: 1700",)
+        asking = asyncio.ensure_future(self.ask("GET", headers=deadline))
+        await wait_until(lambda: self.upstream.runs)
+        refuse = mock.AsyncMock(return_value=Failure(refusal))
+        with mock.patch.object(self.owner.gate, "acquire", refuse):
+            answer = await asking
+        self.assertIn(b"HTTP/1.1 504", answer)
+        self.assertIn(b"papayatack-error: upstream-timeout", answer)
+
 
 class RefusalTests(EngineTestCase):
     """Requests that are not answered by the upstream."""
