--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -34,7 +34,7 @@
         appender: Appends to the ownership stream.
         decoder: Decodes records that others ask this node to append.
         send: Sends a message to a node.
-        metrics: Counts records dropped and relayed, by kind.
+        metrics: Counts records written, dropped and relayed, by kind.
         random: Draws the nodes that are asked.
     """
 
@@ -73,6 +73,7 @@
         """Append until cancelled."""
         while True:
             record = await self._waiting.get()
+            self._metrics.count("records_written", type(record).__name__)
             deadline_s = asyncio.get_running_loop().time() + APPEND_DEADLINE_S
             result = await self._appender.append(record, deadline_s=deadline_s)
             if not is_successful(result) and record.writer == self._core.me:
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -21,10 +21,12 @@
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.calls import AnswerError, HttpCall, HttpCaller
 from papayatack.logservice.interface import LogFailure, LogFailureKind, LogPage
+from papayatack.observability.metrics import Metrics
 
 __all__ = ["PlatformStore"]
 
 TOPICS = {CONFIG_STREAM: "keyed.op", OWNERSHIP_STREAM: "keyed.ownership"}
+_STREAMS = {topic: stream for stream, topic in TOPICS.items()}
 MANIFEST_KEY = b"config"
 PARTITION = 0
 MAX_READ_KB = 1024
@@ -74,10 +76,12 @@
     Args:
         host: IP address of the store.
         port: Its port.
+        metrics: Counts ``store_calls`` by kind and stream.
     """
 
-    def __init__(self, *, host: str, port: int) -> None:
+    def __init__(self, *, host: str, port: int, metrics: Metrics) -> None:
         self._caller = HttpCaller(host=host, port=port)
+        self._metrics = metrics
         self._scanned = dict.fromkeys(TOPICS, 0)
 
     async def append(
@@ -92,6 +96,7 @@
             target=f"/log-append?{query}",
             body=_LENGTH.pack(len(content)) + content,
         )
+        self._metrics.count("store_calls", f"append {stream}")
         try:
             status, answer = await self._caller.call(call, timeout_s=timeout_s)
         except _CALL_ERRORS as error:
@@ -145,6 +150,7 @@
             }
         )
         call = HttpCall(method="GET", target=f"/log-read?{query}")
+        self._metrics.count("store_calls", f"read {_STREAMS[topic]}")
         try:
             status, content = await self._caller.call(call, timeout_s=timeout_s)
             if status == http.HTTPStatus.GONE:
@@ -166,6 +172,7 @@
             call = HttpCall(
                 method="GET", target=f"/log-newest?{urllib.parse.urlencode(fields)}"
             )
+            self._metrics.count("store_calls", f"newest {_STREAMS[topic]}")
             status, content = await self._caller.call(call, timeout_s=timeout_s)
             if status != http.HTTPStatus.OK:
                 raise AnswerError(f"status {status}")
--- a/src/papayatack/platform/surroundings.py
+++ b/src/papayatack/platform/surroundings.py
@@ -72,7 +72,7 @@
         self._hot: tuple[int, Collection[ShardId]] = (-1, ())
         self._state: OwnershipState | None = None
         self._fold: ManifestFold | None = None
-        self.log: LogService = PlatformStore(host=host, port=port)
+        self.log: LogService = PlatformStore(host=host, port=port, metrics=metrics)
         self.dialect = PlatformDialect()
         self.desk = HeartbeatDesk(
             metrics=metrics,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.interface import LogFailureKind
+from papayatack.observability.metrics import Metrics
 from papayatack.platform.store import PlatformStore
 from standins.platformstore import StoreServer
 
@@ -19,7 +20,10 @@
         self.server = StoreServer()
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
-        self.store = PlatformStore(host="127.0.0.1", port=self.server.port)
+        self.metrics = Metrics()
+        self.store = PlatformStore(
+            host="127.0.0.1", port=self.server.port, metrics=self.metrics
+        )
         self.addAsyncCleanup(self.store.close)
 
     async def append(self, payload):
@@ -39,6 +43,22 @@
         page = (await self.read(OWNERSHIP_STREAM, 1)).unwrap()
         self.assertEqual((page.first, page.payloads, page.end), (1, (b"1", b"2"), 3))
 
+    async def test_calls_are_counted_by_kind_and_stream(self):
+        """Each call costs, also one that brings nothing."""
+        await self.append(b"1")
+        for stream in (OWNERSHIP_STREAM, CONFIG_STREAM, CONFIG_STREAM):
+            await self.read(stream, 0)
+        self.server.store.drop_history()
+        await self.read(OWNERSHIP_STREAM, 0)
+        counts = {
+            f"{kind} {stream}": self.metrics.read_count(
+                "store_calls", f"{kind} {stream}"
+            )
+            for kind in ("append", "read", "newest")
+            for stream in (OWNERSHIP_STREAM, CONFIG_STREAM)
+        }
+        self.assertEqual(list(counts.values()), [1, 0, 2, 2, 1, 0])
+
     async def test_records_outlast_the_history(self):
         """A stream is read whole from the newest records once its history is gone."""
         for number in range(1200):
