--- /dev/null
+++ b/tests/fakes/playedkeys.py
@@ -0,0 +1,149 @@
+"""Keyed requests, played against the load meters of a fleet and its planner."""
+
+import bisect
+import itertools
+import random
+
+from papayatack.control.loads import LoadMeter
+from papayatack.core.identity import IncarnationId, LeaseId
+from papayatack.core.inventory import Configuration
+from papayatack.core.placement import PlacementLimits, plan
+from papayatack.core.placement.view import PlacementNode, PlacementShard, PlacementView
+from papayatack.core.shards import find_hot_shard, is_hot, locate_shard
+
+__all__ = ["PlayedKeys"]
+
+KEYS = 65_536
+THINGS = 60_000
+SKEW = 0.52
+PLAN_INTERVAL_S = 0.6
+MOVE_S = 1.0
+SERVICE_TIME_S = 0.6
+
+
+class PlayedKeys:
+    """A fleet whose callers ask for neighbouring keys, some far more often.
+
+    Only the numbers of requests are random: each takes the same time, and one that
+    meets no free slot is counted and not held.
+
+    Args:
+        configuration: The inventory, with one service with keys.
+        limits: Of the planner.
+        nodes: How many there are.
+        slots: Slots of each one's upstream.
+        utilisation: Share of all slots that the requests take.
+        seed: Of the requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        limits: PlacementLimits,
+        nodes: int,
+        slots: int,
+        utilisation: float,
+        seed: int,
+    ) -> None:
+        self.configuration = configuration
+        self._service = next(s for s in configuration.services if s.key_ranges).name
+        self._limits = limits
+        self._slots = slots
+        self._rng = random.Random(seed)
+        self._rate = nodes * slots * utilisation / SERVICE_TIME_S
+        self._first = self._rng.randrange(KEYS)
+        weights = [rank**-SKEW for rank in range(1, THINGS + 1)]
+        self._cumulated = list(itertools.accumulate(weights))
+        self._weights = weights
+        places = [place.name for place in configuration.places]
+        self._nodes = tuple(
+            PlacementNode(
+                lease=LeaseId(IncarnationId(f"10.0.{number}.1:7000#a"), 1),
+                data_centre=places[number % len(places)],
+                region="r",
+                service=self._service,
+                slots=slots,
+                age_s=1000.0,
+            )
+            for number in range(nodes)
+        )
+        self._meters = {n.lease.incarnation: LoadMeter(now=0.0) for n in self._nodes}
+        self._now = 0.0
+        self.shards: dict = {}
+        self._moved_s: dict = {}
+        self._plan(loads=())
+
+    def play(self, seconds: float) -> None:
+        """Let requests come, nodes report and the planner plan."""
+        end_s = self._now + seconds
+        while self._now < end_s:
+            self._ask()
+            self._now += PLAN_INTERVAL_S
+            reports = tuple(
+                meter.make_report(
+                    name, members=len(self._nodes), leaving=False, now=self._now
+                )
+                for name, meter in self._meters.items()
+            )
+            self._plan(reports)
+
+    def list_loads(self) -> dict[IncarnationId, float]:
+        """Return the slots that each node's keys take in the long run."""
+        loads = dict.fromkeys(self._meters, 0.0)
+        scale = self._rate * SERVICE_TIME_S / self._cumulated[-1]
+        for rank, weight in enumerate(self._weights):
+            owner = self._find_owner(self._find_key(rank))[1]
+            loads[owner] += weight * scale
+        return loads
+
+    def _ask(self) -> None:
+        """Draw the requests of one interval."""
+        count = round(self._rate * PLAN_INTERVAL_S)
+        for _ in range(count):
+            drawn = self._rng.random() * self._cumulated[-1]
+            key = self._find_key(bisect.bisect_left(self._cumulated, drawn))
+            shard, owner = self._find_owner(key)
+            part = shard if is_hot(shard) else find_hot_shard(shard, key)
+            self._meters[owner].note_arrival(shard, part)
+            self._meters[owner].note_finish(shard, SERVICE_TIME_S)
+
+    def _find_key(self, rank: int) -> str:
+        """Return the key of a rank; the most wanted ones are close together."""
+        step = (rank + 1) // 2 if rank % 2 else -(rank // 2)
+        return str((self._first + step) % KEYS)
+
+    def _find_owner(self, key: str) -> tuple:
+        shard = locate_shard(
+            self.configuration, self._service, key, self.shards
+        ).unwrap()
+        return shard, self.shards[shard].chain[0].incarnation
+
+    def _plan(self, loads: tuple) -> None:
+        view = PlacementView(
+            configuration=self.configuration,
+            nodes=self._nodes,
+            shards=self._describe_shards(),
+            loads=loads,
+        )
+        for assignment in plan(view, limits=self._limits).assignments:
+            if not assignment.chain:
+                del self.shards[assignment.shard]
+                continue
+            known = self.shards.get(assignment.shard)
+            if known is None or known.chain[0] != assignment.chain[0]:
+                self._moved_s[assignment.shard] = self._now
+            self.shards[assignment.shard] = PlacementShard(
+                epoch=assignment.base_epoch + 1, chain=assignment.chain
+            )
+
+    def _describe_shards(self) -> dict:
+        return {
+            shard: PlacementShard(
+                epoch=state.epoch,
+                chain=state.chain,
+                moving=self._now - self._moved_s[shard] < MOVE_S,
+                age_s=self._now - self._moved_s[shard],
+            )
+            for shard, state in self.shards.items()
+        }
