Do not take a key that was asked for once for a hot one

Cause: a load report divides what was counted by the time since the meter began, so that a single request in the first 0.3 s is a rate of 3.5 a second, above a tenth of a mean node's load. All places of hot slices are given to chance in the first second and stay taken for 10 s (a played load: 96 splits in second 0, none after).

Fix: a key is reported as asked for often from 3 remembered requests on.

--- a/src/papayatack/control/loads.py
+++ b/src/papayatack/control/loads.py
@@ -13,6 +13,9 @@
 requests a second is not taken for a busy one or an idle one by chance."""
 
 NEGLIGIBLE = 0.05
+LEAST_REQUESTS = 3.0
+"""Requests remembered of a key that counts as asked for often: fewer are chance."""
+
 MAX_KEYS_COUNTED = 1024
 MAX_HOT_KEYS = 64
 SHORT_REPORT = 4
@@ -78,7 +81,7 @@
         service_s = spent_s / served if served > NEGLIGIBLE else 0.0
         limit = max(SHORT_REPORT, REPORT_BUDGET // max(members, 1))
         shards = self._list_loads(self._arrivals, factor, service_s)
-        keys = self._list_loads(self._keys, factor, service_s)
+        keys = self._list_loads(self._keys, factor, service_s, least=LEAST_REQUESTS)
         self._key_parent = {key: self._key_parent[key] for key in self._keys}
         return LoadReport(
             incarnation=incarnation,
@@ -90,7 +93,11 @@
         )
 
     def _list_loads(
-        self, counts: dict[ShardId, _Faded], factor: float, service_s: float
+        self,
+        counts: dict[ShardId, _Faded],
+        factor: float,
+        service_s: float,
+        least: float = NEGLIGIBLE,
     ) -> list[ShardLoad]:
         """Return the loads, the greatest first, and forget what has faded."""
         found = []
@@ -99,6 +106,8 @@
             if requests < NEGLIGIBLE:
                 del counts[shard]
                 continue
+            if requests < least:
+                continue
             rate = requests / max(self._weight_s, 1e-3)
             found.append(ShardLoad(shard=shard, rate=rate, busy=rate * service_s))
         found.sort(key=lambda load: (-load.rate, load.shard))
