Do not take an upstream that refuses for a fast or an idle one

Cause: a request that the upstream refuses is over in milliseconds, and its time was counted as a service time. The planner takes the node for a fast one with little load and gives it more keys; one whose upstream runs nothing looked idle. Resets and callers that leave shorten the time likewise.

Fix: only answers and time-outs teach the load meter a service time, and the last one known stands while nothing is run. Both tests failed before (a load of 0.0 where 6.0 slots are asked for; the refusal's time counted).

--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -122,10 +122,11 @@
         )
         return Success(grant)
 
-    def finish(self, grant: Grant, *, service_time_s: float) -> None:
+    def finish(self, grant: Grant, *, service_time_s: float | None) -> None:
         """Report that a request that was authorized has ended."""
         now = asyncio.get_running_loop().time()
-        self._loads.note_finish(grant.shard, service_time_s)
+        if service_time_s is not None:
+            self._loads.note_finish(grant.shard, service_time_s)
         self._carry_out(self._core.finish(grant.shard, grant.generation, now=now))
 
     def renew_grant(self, grant: Grant) -> None:
--- a/src/papayatack/control/loads.py
+++ b/src/papayatack/control/loads.py
@@ -42,7 +42,7 @@
     """Measures what is asked of each shard, and how long the upstream takes.
 
     A shard's load is what its requests would take if all were served: a node that
-    refuses some is no less loaded for that.
+    refuses some is no less loaded for that, nor is one whose upstream runs none.
     """
 
     def __init__(self, *, now: float) -> None:
@@ -52,12 +52,13 @@
         self._keys: dict[ShardId, _Faded] = {}
         self._key_parent: dict[ShardId, ShardId] = {}
         self._served = _Faded()
-        self._service_s = _Faded()
+        self._spent_s = _Faded()
+        self._service_s = 0.0
 
     def note_finish(self, shard: ShardId, service_time_s: float) -> None:
-        """Count a request that has ended."""
+        """Count a request that the upstream ran."""
         self._served.fresh += 1
-        self._service_s.fresh += service_time_s
+        self._spent_s.fresh += service_time_s
 
     def note_arrival(self, shard: ShardId, key_shard: ShardId) -> None:
         """Count a request that wants a key, named by the shard that it would be."""
@@ -77,8 +78,10 @@
         self._since_s = now
         self._weight_s = self._weight_s * factor + MEMORY_S * (1 - factor)
         served = self._served.fade(factor)
-        spent_s = self._service_s.fade(factor)
-        service_s = spent_s / served if served > NEGLIGIBLE else 0.0
+        spent_s = self._spent_s.fade(factor)
+        if served > NEGLIGIBLE:
+            self._service_s = spent_s / served
+        service_s = self._service_s
         limit = max(SHORT_REPORT, REPORT_BUDGET // max(members, 1))
         shards = self._list_loads(self._arrivals, factor, service_s)
         keys = self._list_loads(self._keys, factor, service_s, least=LEAST_REQUESTS)
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -85,8 +85,14 @@
         Every success must be paired with one call of :meth:`finish`.
         """
 
-    def finish(self, grant: Grant, *, service_time_s: float) -> None:
-        """Report that a request that was authorized has ended."""
+    def finish(self, grant: Grant, *, service_time_s: float | None) -> None:
+        """Report that a request that was authorized has ended.
+
+        Args:
+            grant: What it was authorized by.
+            service_time_s: How long the upstream took; ``None`` if that tells nothing
+                of the next request.
+        """
 
     def renew_grant(self, grant: Grant) -> None:
         """Ask the upstream again for a grant that it does not know."""
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -26,6 +26,10 @@
 LOGGER = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+_TELLING_KINDS = frozenset({None, ErrorKind.UPSTREAM_TIMEOUT})
+"""Ends of a request after which its time says how fast the upstream is. One that was
+refused or cut short was over sooner, for a reason of its own."""
+
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
@@ -50,7 +54,8 @@
             self.permit.release(service_time_s=service_time_s, error=error)
         finally:
             if self.grant.shard:
-                self.ownership.finish(self.grant, service_time_s=service_time_s)
+                told_s = service_time_s if kind in _TELLING_KINDS else None
+                self.ownership.finish(self.grant, service_time_s=told_s)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/control/test_loads.py
+++ b/tests/control/test_loads.py
@@ -9,6 +9,7 @@
 PARENT = ShardId("s/keys/0-511")
 SHORT_WHILE_S = 0.3
 SERVICE_TIME_S = 0.6
+STEP_S = 0.1
 
 
 def name_part(number):
@@ -33,3 +34,19 @@
 
     def test_key_that_is_asked_for_often_is_hot(self):
         self.assertEqual(self.report(*[7] * 6, 1, 2), [name_part(7)])
+
+
+class RefusingUpstreamTests(unittest.TestCase):
+    """An upstream that runs nothing is no less asked for."""
+
+    def test_node_whose_upstream_refuses_all_looks_idle(self):
+        """Its load is told by the time that its requests took when they were run."""
+        meter = LoadMeter(now=0.0)
+        for step in range(300):
+            meter.note_arrival(PARENT, name_part(1))
+            if step < 50:
+                meter.note_finish(PARENT, SERVICE_TIME_S)
+            now = (step + 1) * STEP_S
+            report = meter.make_report(NODE, members=3, leaving=False, now=now)
+        asked_for = SERVICE_TIME_S / STEP_S
+        self.assertAlmostEqual(report.busy, asked_for, delta=0.05 * asked_for)
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -66,6 +66,7 @@
         self.earlier = None
         self.authorized = 0
         self.finished = 0
+        self.service_times_s = []
         self.renewed = 0
 
     def locate(self, service, key):
@@ -90,8 +91,9 @@
         return Success(Grant(shard=shard, token=self.token, remaining_s=1.0))
 
     def finish(self, grant, *, service_time_s):
-        """Count."""
+        """Count, and note the time."""
         self.finished += 1
+        self.service_times_s.append(service_time_s)
 
     def renew_grant(self, grant):
         """Note the wish."""
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -56,6 +56,12 @@
         self.assertEqual(self.owner.ownership.finished, 1)
         self.assertEqual(self.owner.gate.released, 1)
 
+    async def test_refusal_of_the_upstream_counts_as_a_short_service_time(self):
+        """What was not run tells nothing of how long the upstream takes."""
+        self.upstream.behaviour.shed = True
+        self.assertIn(b"papayatack-outcome: not-run", await self.request(self.owner))
+        self.assertEqual(set(self.owner.ownership.service_times_s), {None})
+
     async def test_large_bodies_pass_whole_both_ways(self):
         """Bodies larger than all buffers arrive with their full length."""
         target = "/hiring/v/k1?bytes=1000000"
