Go back to 128 parts of keys until renewing their grants costs less

Each node renews each range of its keys every 0.4 s, and has some ten of them instead of two (a calculation for parts that lie apart; that this is the cost is not proved).

--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -26,10 +26,7 @@
 LOGGER = logging.getLogger(__name__)
 
 KEY_COUNT = 65_536
-SLICES = 512
-"""Parts in which keys are placed. The keys that are asked for most are neighbours: in
-each part there are so few of them that one node can serve it."""
-
+SLICES = 128
 KEY_RANGE = "keys"
 SHARES = {
     RequestClass.ORDER: 0.35,
