--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -21,6 +21,7 @@
 from papayatack.observability.events import Event
 from papayatack.observability.metrics import Metrics
 from standins.logstore import InProcessLog, Outage
+from tests.fakes.clocks import FreezableLoop
 from tests.fakes.nodes import INVENTORY, NodeFixture
 
 KEYS = [f"key-{number}" for number in range(40)]
@@ -34,6 +35,9 @@
 FIRST_S = 20.0
 START_SPREAD_S = 1.0
 LOG_DELAY_S = 0.004
+DATA_CENTRES = 5
+RECORDS_PER_S = 29
+WATCHED_S = 10
 
 
 class ControlNodeTests(unittest.TestCase):
@@ -320,6 +324,28 @@
             runner.run(run())
         self.assertLess(calls[0], FIRST_S * STARTED)
 
+    def test_records_in_quick_succession_share_calls_to_the_log(self):
+        """With 29 records a second, a node makes less than one call a second."""
+
+        async def run():
+            fixture = NodeFixture(tailing=TailPolicy(all_members=2, per_data_centre=1))
+            fixture.publish()
+            fixture.store.faults.delay_s = LOG_DELAY_S
+            for number in range(STARTED):
+                fixture.start(f"n{number}", f"dc{number % DATA_CENTRES}")
+            await asyncio.sleep(FIRST_S)
+            fixture.store.read_count = fixture.store.append_count = 0
+            again = fixture.store.get_stream(OWNERSHIP_STREAM).records[0][1]
+            for _ in range(RECORDS_PER_S * WATCHED_S):
+                fixture.store.append(OWNERSHIP_STREAM, again)
+                await asyncio.sleep(1 / RECORDS_PER_S)
+            calls = fixture.store.read_count + fixture.store.append_count
+            await fixture.stop()
+            return calls
+
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            self.assertLess(runner.run(run()), WATCHED_S * STARTED)
+
     def test_garbage_in_the_log(self):
         """Every node counts and skips the same payloads, and goes on."""
 
