Do not write to a connection of a node that is closing

What callers saw: 502 for a request that was never sent.

The link asks the transport first. Frames then stay unwritten, and the request ends as peer-unreachable, which is not run and may be attempted again.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -235,7 +235,7 @@
     def _flush(self) -> None:
         """Write control frames, then one frame of each stream in turn."""
         self._flush_scheduled = False
-        if self._paused or self.closed or self._transport is None:
+        if self._paused or self.closed or not self._can_write():
             return
         parts = []
         size = 0
@@ -250,6 +250,13 @@
         if self._priority or self._ready:
             self._schedule_flush()
 
+    def _can_write(self) -> bool:
+        """Tell whether the connection still takes bytes.
+
+        Frames for one that does not stay unwritten, so that they count as not sent.
+        """
+        return self._transport is not None and not self._transport.is_closing()
+
     def _take_part(self) -> bytes | None:
         if self._priority:
             return self._priority.popleft()
--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -30,6 +30,7 @@
             limits=LIMITS, metrics=Metrics(), incarnation=IncarnationId("a:1#own")
         )
         self.transport = mock.Mock()
+        self.transport.is_closing.return_value = False
         with patched:
             self.link = Link(owner=self.owner, address=PeerAddress("b:2"))
             self.link.connection_made(self.transport)
@@ -129,3 +130,27 @@
             while not awaited.done():
                 await self.look()
         self.assertIs(awaited.result().failure().kind, ErrorKind.PEER_UNREACHABLE)
+
+
+class ClosingTests(unittest.IsolatedAsyncioTestCase):
+    """A connection whose transport closes before the protocol hears of it."""
+
+    async def test_request_for_a_closing_connection_does_not_count_as_sent(self):
+        """It ends as not run, since none of it was written."""
+        owner = mock.Mock(
+            limits=LIMITS, metrics=Metrics(), incarnation=IncarnationId("a:1#own")
+        )
+        transport = mock.Mock()
+        transport.is_closing.return_value = False
+        link = Link(owner=owner, address=PeerAddress("b:2"))
+        link.connection_made(transport)
+        await asyncio.sleep(0)
+        stream = link.open_stream()
+        transport.is_closing.return_value = True
+        transport.write.side_effect = RuntimeError("the handler is closed")
+        stream.queue_frame(schema.Frame(stream=stream.stream_id))
+        await asyncio.sleep(0)
+        with self.assertLogs("papayatack.network.links", "WARNING"):
+            link.connection_lost(None)
+        refusal = stream.response.result().failure()
+        self.assertIs(refusal.kind, ErrorKind.PEER_UNREACHABLE)
