Tests that fail: silence midway in an answer holds it for ever, and a stop drops queued answers

Callers of a GET whose owner's node falls silent after the head wait beyond their deadline, and a node keeps the slot of a run whose reader is gone. A stop ends while answers to peers are still queued on links; Link.close drops them.

--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
@@ -18,6 +19,9 @@
 from papayatack.wire.frames import MAX_FRAME_BYTES
 from tests.proxy.fakes import wait_until
 
+DEADLINE_S = 5.0
+"""Of each request."""
+
 LATE_S = 1.6
 """After three looks at the connections; a peer is silent after two."""
 
@@ -302,6 +306,44 @@
         resume()
         self.assertEqual((await sent).unwrap().status, 200)
 
+    async def test_answer_that_a_silent_peer_breaks_off_ends_by_the_deadline(self):
+        """Its head has come; no more of its body does."""
+        self.first.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        self.body_size = 200_000
+        response = (await self.exchange()).unwrap()
+        self.hold_up(self.second)
+        with self.assertRaises(BodyCutError):
+            async with asyncio.timeout(DEADLINE_S):
+                while await response.body.read():
+                    pass
+
+    async def test_answer_to_a_silent_peer_does_not_hold_its_run_for_ever(self):
+        """A peer that is gone without a word takes no more of the body."""
+        self.second.limits = PeerLimits(silence_s=0.01, lost_s=0.02)
+        self.body_size = 200_000
+        await self.exchange()
+        self.hold_up(self.first)
+        async with asyncio.timeout(DEADLINE_S):
+            await wait_until(lambda: not self.second._serving)
+
+    async def test_stop_does_not_end_before_the_answers_to_peers_are_written(self):
+        """What is queued on a link that is held up would be gone with the process."""
+        self.body_size = 16 * 1024
+        await self.exchange()
+        resume = self.hold_up(self.first)
+        sent = [asyncio.ensure_future(self.exchange()) for _ in range(400)]
+        await wait_until(
+            lambda: any(link._ready for link in self.second._all_links)
+            and not self.second._serving
+        )
+        asyncio.get_running_loop().call_later(0.1, resume)
+        until_s = asyncio.get_running_loop().time() + 2.0
+        await self.second.finish_requests(until_s=until_s)
+        await self.second.abort()
+        results = await asyncio.gather(*sent)
+        lost = [result for result in results if not is_successful(result)]
+        self.assertEqual(len(lost), 0)
+
     async def test_loss_of_a_connection_with_requests_is_logged(self):
         """Both ends say how many requests it carried, and the server why it ended."""
         released = asyncio.Event()
