Test that fails: a late refusal hides that another attempt may have run

The answer is 503 not-run (queue-full) though the second attempt ended as unknown (upstream-timeout). RequestEngine._run_attempts prefers LateAnswers' failure to its own unknown one, against its docstring.

--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -240,6 +240,29 @@
         self.assertIn(b"papayatack-error: upstream-timeout", answer)
 
 
+class LateFailureTests(EngineTestCase):
+    """A first attempt whose node fell silent, and a second that may have run."""
+
+    async def test_late_refusal_does_not_claim_that_the_other_attempt_has_not_run(self):
+        """The late node did not run it; of the other nobody knows."""
+        loop = asyncio.get_running_loop()
+        late = mock.Mock(response=loop.create_future())
+        refused = Failure(Refusal(kind=ErrorKind.QUEUE_FULL))
+        results = [ErrorKind.PEER_LOST, ErrorKind.UPSTREAM_TIMEOUT]
+
+        async def exchange(*, on_doubt, **kwargs):
+            kind = results.pop(0)
+            if results:
+                on_doubt(late)
+                loop.call_later(0.3, late.response.set_result, refused)
+            return Failure(Refusal(kind=kind))
+
+        with mock.patch.object(self.entry.network, "exchange", exchange):
+            answer = await self.request(self.entry, "GET")
+        self.assertEqual(results, [])
+        self.assertIn(b"papayatack-outcome: unknown", answer)
+
+
 class RefusalTests(EngineTestCase):
     """Requests that are not answered by the upstream."""
 
