Test that fails: a node that stalls at the end of its stop resets what it should answer

The loop is held from 0.1 s before the end of the plan for 0.8 s, so that the times of the answer (end_s) and of the close (close_s, 0.5 s later) pass within one turn: CallerServer.stop cuts the connection before the 504 is written (connection reset by peer).

--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import time
 import unittest
 import unittest.mock
 
@@ -38,6 +39,7 @@
 """What is left of the time for a stop once the last callers have their answers."""
 
 LONG_WORK_MS = 8_000
+STALL_S = 0.8
 
 
 class NodeTestCase(unittest.IsolatedAsyncioTestCase):
@@ -264,6 +266,18 @@
         await ending
         self.assertLess(loop.time() - started_s, NOTICE_S + DRAIN_S + EXIT_S)
 
+    async def test_node_that_stalls_at_the_end_of_a_stop_answers_before_it_closes(self):
+        """The times of the answer and of the close pass within one turn of the loop."""
+        loop = asyncio.get_running_loop()
+        asked = asyncio.ensure_future(self.send())
+        await asyncio.sleep(0.2)
+        stall_s = loop.time() + NOTICE_S + DRAIN_S - 0.1
+        loop.call_at(stall_s, time.sleep, STALL_S)
+        ending = asyncio.ensure_future(self.end())
+        answer, _ = await asked
+        self.assertIn(b"HTTP/1.1 504", answer)
+        await ending
+
     async def test_caller_that_comes_after_the_notice_is_not_held(self):
         """It is refused as not run, or finds nobody listening."""
         loop = asyncio.get_running_loop()
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -333,8 +333,10 @@
         resume = self.hold_up(self.first)
         sent = [asyncio.ensure_future(self.exchange()) for _ in range(400)]
         await wait_until(
-            lambda: any(link._ready for link in self.second._all_links)
-            and not self.second._serving
+            lambda: (
+                any(link._ready for link in self.second._all_links)
+                and not self.second._serving
+            )
         )
         asyncio.get_running_loop().call_later(0.1, resume)
         until_s = asyncio.get_running_loop().time() + 2.0
