Let a held-up loop write its last answers before a stop closes connections

Once the time is over, connections that are left are closed one look later, so that answers that became due in the same turn are written.

--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -75,6 +75,9 @@
             for connection in list(self._connections):
                 connection.close_if_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        if self._connections and timeout_s > 0:
+            # A loop that was held up has answers to write that are due already.
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
         for connection in list(self._connections):
             connection.end()
         if self._sweeper is not None:
