--- a/tests/wire/test_packing.py
+++ b/tests/wire/test_packing.py
@@ -1,10 +1,15 @@
 """Tests of papayatack.wire.packing."""
 
+import io
 import unittest
 import zlib
 
+import thriftpy2
 from hypothesis import given, strategies as st
+from thriftpy2.utils import deserialize, serialize
 
+from papayatack.core.messages import LogBatch
+from papayatack.wire.convert import encode_struct
 from papayatack.wire.errors import WireError
 from papayatack.wire.packing import (
     MAX_RECORD_BYTES_PASSED,
@@ -18,6 +23,10 @@
 SENDS_IN_TURN = 9
 IN_FORCE_S = 2.5
 DEFLATED = b"\1"
+OLDER_BATCH = """
+struct LogBatch { 1: string stream, 2: i64 first, 3: list<binary> payloads }
+"""
+"""How nodes read a batch whose records are not packed."""
 
 
 class PackingTests(unittest.TestCase):
@@ -62,3 +71,15 @@
         bomb = zlib.compress(bytes(64 * MAX_RECORD_BYTES_PASSED), 9)
         with self.assertRaisesRegex(WireError, "over the limit"):
             unpack_record(DEFLATED + bomb)
+
+
+class UpgradeTests(unittest.TestCase):
+    """Versions mix while an upgrade is under way."""
+
+    def test_older_node_does_not_take_a_packed_record_for_a_broken_one(self):
+        """It would skip it, and go on without what all others know."""
+        record = b"record"
+        batch = LogBatch(stream="s", first=0, payloads=(pack_record(record),))
+        older = thriftpy2.load_fp(io.StringIO(OLDER_BATCH), "older_batch_thrift")
+        read = deserialize(older.LogBatch(), serialize(encode_struct(batch)))
+        self.assertIn(read.payloads, ([], [record]))
