--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -227,6 +227,18 @@
         self.assertIn(b"HTTP/1.1 200", answer)
         self.assertEqual(list(self.upstream.runs.values()), [1])
 
+    async def test_caller_that_leaves_ends_both_attempts(self):
+        """Also the one whose node was silent, once it reads again."""
+        asking = asyncio.ensure_future(self.ask("GET"))
+        await wait_until(lambda: list(self.upstream.runs.values()) == [2])
+        asking.cancel()
+        for link in self.owner.network._all_links:
+            link._transport.resume_reading()
+        loop = asyncio.get_running_loop()
+        left_s = loop.time()
+        await wait_until(lambda: self.owner.gate.released == 2)
+        self.assertLess(loop.time() - left_s, 0.5)
+
     async def test_run_that_outlasts_the_deadline_ends_with_it(self):
         """The caller is told so, not that a node was silent."""
         refusal = Refusal(kind=ErrorKind.QUEUE_FULL)
