Send packed records in a field of their own

Found by the review: an older node reads a batch whose records are packed as malformed records, skips them for good and folds another state than all others; the upgrade page promises that versions mix. Packed records have a field of their own now, that older nodes skip; they get the records from the log. Records of an older node are taken unpacked. UpgradeTests failed before and passes; it and the test of a broken batch name the new field. tests.wire, tests.control, test_spread: 72 passed, 1 known red.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -373,7 +373,8 @@
         if message.stream not in STREAMS:
             return
         known = self._count_known(message.stream, message.first)
-        packed = message.payloads[known:]
+        packed = message.packed or tuple(map(pack_record, message.payloads))
+        packed = packed[known:]
         try:
             payloads = tuple(map(unpack_record, packed))
         except WireError as error:
@@ -471,7 +472,7 @@
 
     def _push(self, stream: str, first: int, packed: tuple[bytes, ...]) -> None:
         """Pass records on to other nodes of the data centre."""
-        batch = LogBatch(stream=stream, first=first, payloads=packed)
+        batch = LogBatch(stream=stream, first=first, packed=packed)
         for recipient in list_followers(self.core.state, self.core.me):
             self._send(recipient, batch)
 
--- a/src/papayatack/control/recent.py
+++ b/src/papayatack/control/recent.py
@@ -67,4 +67,4 @@
             if chosen and (size > MAX_BATCH_BYTES or len(chosen) >= MAX_BATCH_RECORDS):
                 break
             chosen.append(payload)
-        return LogBatch(stream=self._stream, first=offset, payloads=tuple(chosen))
+        return LogBatch(stream=self._stream, first=offset, packed=tuple(chosen))
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -171,12 +171,14 @@
     Attributes:
         stream: The stream's name.
         first: Offset of the first record.
-        payloads: The records, packed.
+        payloads: The records as they are in the log, from a node that does not pack.
+        packed: The records, packed.
     """
 
     stream: str
     first: int
-    payloads: tuple[bytes, ...]
+    payloads: tuple[bytes, ...] = ()
+    packed: tuple[bytes, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -26,7 +26,9 @@
   1: LeaseId asker, 2: LeaseId lease, 3: list<string> shards, 4: list<i64> epochs
 }
 struct RelayRecord { 1: binary payload }
-struct LogBatch { 1: string stream, 2: i64 first, 3: list<binary> payloads }
+struct LogBatch {
+  1: string stream, 2: i64 first, 3: list<binary> payloads, 4: list<binary> packed
+}
 struct ShardLoad { 1: string shard, 2: double rate, 3: double busy }
 struct LoadReport {
   1: string incarnation, 2: double busy,
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -372,7 +372,7 @@
         async def scenario(fixture):
             node = fixture.network.nodes["a"]
             end = node.config.next_offset
-            batch = LogBatch(stream=CONFIG_STREAM, first=end, payloads=(b"\1broken",))
+            batch = LogBatch(stream=CONFIG_STREAM, first=end, packed=(b"\1broken",))
             with self.assertLogs("papayatack", "WARNING"):
                 node.receive(fixture.network.nodes["b"].core.me, node.core.me, batch)
                 await asyncio.sleep(0.1)
--- a/tests/wire/test_packing.py
+++ b/tests/wire/test_packing.py
@@ -79,7 +79,7 @@
     def test_older_node_does_not_take_a_packed_record_for_a_broken_one(self):
         """It would skip it, and go on without what all others know."""
         record = b"record"
-        batch = LogBatch(stream="s", first=0, payloads=(pack_record(record),))
+        batch = LogBatch(stream="s", first=0, packed=(pack_record(record),))
         older = thriftpy2.load_fp(io.StringIO(OLDER_BATCH), "older_batch_thrift")
         read = deserialize(older.LogBatch(), serialize(encode_struct(batch)))
         self.assertIn(read.payloads, ([], [record]))
