Do not call a request not run while one of its attempts may have run

A repeatable request with one attempt at a silent node and another that ended without an answer got 503, not run, when the late node refused it. A failure that may have run, of the further or of a late attempt, goes first now. test_late_refusal_does_not_claim_that_the_other_attempt_has_not_run failed before, passes now.

--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -227,10 +227,12 @@
         body = ReplayBody(body=peer_request.request.body, limit_bytes=REPLAY_BYTES)
         peer_request.request.body = body
         unknown: Refusal | None = None
+        lost: Refusal | None = None
         failed: Result[Response, Refusal] | None = None
         tried: set[IncarnationId] = set()
         attempt = 1
         while True:
+            awaited = late.added
             made = self._attempt(peer_request, deadline_s, tried, state, late)
             result = await (late.race(made) if late.pending else made)
             if is_successful(result):
@@ -243,6 +245,8 @@
                 refusal = result.failure()
             if _is_unknown(refusal):
                 unknown = unknown or refusal
+                if late.added == awaited:
+                    lost = lost or refusal
             if refusal.kind in HANDOVER_KINDS:
                 wait_until_s = _find_wait_end(peer_request, now, deadline_s)
                 start_s = self._of_callers.limit_start(wait_until_s)
@@ -257,6 +261,8 @@
                 answer = await late.wait()
                 if answer is not None and is_successful(answer):
                     return answer
+                if lost is not None:
+                    return failed or Failure(lost)
                 return failed or answer or Failure(unknown or refusal)
             self._metrics.count("retry_causes", refusal.kind.value)
             if refusal.kind not in HANDOVER_KINDS:
--- a/src/papayatack/proxy/late.py
+++ b/src/papayatack/proxy/late.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.errors import ErrorKind, Outcome, Refusal, find_answer
 from papayatack.network.exchanges import Response
 from papayatack.network.streams import PeerStream
 from papayatack.proxy.settling import settle_response
@@ -23,15 +23,20 @@
 
     Their runs are not cut: a further attempt is made beside them, and the first answer
     counts.
+
+    Attributes:
+        added: Attempts that were waited for.
     """
 
     def __init__(self) -> None:
         self._streams: list[PeerStream] = []
+        self.added = 0
         self._failure: _Answer | None = None
 
     def add(self, stream: PeerStream) -> None:
         """Keep an attempt whose answer may still come."""
         self._streams.append(stream)
+        self.added += 1
 
     @property
     def pending(self) -> bool:
@@ -52,10 +57,10 @@
             task.cancel()
 
     async def wait(self) -> _Answer | None:
-        """Return the first late answer, or how the last attempt ended without one.
+        """Return the first late answer, or how an attempt ended without one.
 
         Returns:
-            ``None`` if no attempt was under way.
+            One that may have run before others; ``None`` if none was under way.
         """
         while self._streams:
             await self._wait_any()
@@ -80,9 +85,15 @@
                 result = await settle_response(result.unwrap())
             if is_successful(result):
                 return result
-            self._failure = result
+            if self._failure is None or _may_have_run(result):
+                self._failure = result
         return None
 
     async def _wait_any(self, *others: "asyncio.Future[_Answer]") -> None:
         awaited = (*(stream.response for stream in self._streams), *others)
         await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+
+
+def _may_have_run(result: _Answer) -> bool:
+    """Tell whether an attempt that has failed may have run."""
+    return find_answer(result.failure().kind).outcome is Outcome.UNKNOWN
