Wait for a silent node no longer than a request's deadline, and write answers before a stop ends

When a link turns silent, its streams of either side get an end at their deadlines.

A stopping node waited for the tasks that answer other nodes, which end when their frames are queued: 384 of 400 answers were lost with the process. It now waits until they are written.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import logging
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -183,15 +184,41 @@
             self._doubt_streams()
 
     def _doubt_streams(self) -> None:
+        """Wait for no stream beyond its deadline; let others attempt it elsewhere."""
         if not self.silent:
             self.silent = True
             self._owner.metrics.count("peer_links_silent")
             self._note(Event.PEER_SILENT, "the peer is silent", len(self.streams))
             self._owner.handle_silence(self)
-        for stream_id, stream in list(self.streams.items()):
-            if stream_id % 2 == self._next_id % 2:
+            for stream in self.streams.values():
+                if math.isfinite(stream.deadline_s):
+                    self._loop.call_at(stream.deadline_s, self._end_late, stream)
+        for stream in list(self.streams.values()):
+            if self._is_own(stream):
                 stream.doubt("the peer is silent")
 
+    def _end_late(self, stream: PeerStream) -> None:
+        """End a stream of a silent peer at its deadline."""
+        if not self.silent or self.streams.get(stream.stream_id) is not stream:
+            return
+        if self._is_own(stream):
+            stream.lose("the peer is silent")
+        else:
+            stream.withdraw("the peer is silent")
+
+    def _is_own(self, stream: PeerStream) -> bool:
+        """Tell whether this side has opened a stream."""
+        return stream.stream_id % 2 == self._next_id % 2
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether frames wait to be written, or bytes to be taken by the peer."""
+        if self.closed or not self._can_write():
+            return False
+        return bool(
+            self._priority or self._ready or self._transport.get_write_buffer_size()
+        )
+
     def close(self) -> None:
         """Close after what is queued has been sent."""
         if self._transport is not None:
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -51,6 +51,7 @@
 
 _CLASS_NAMES = frozenset(item.value for item in RequestClass)
 SWEEP_INTERVAL_S = 0.5
+UNSENT_CHECK_S = 0.02
 
 RequestHandler = Callable[[PeerRequest], Awaitable[Result[Response, Refusal]]]
 DoubtHandler = Callable[[PeerStream], None]
@@ -128,7 +129,7 @@
         await self.abort()
 
     async def finish_requests(self, *, until_s: float = math.inf) -> None:
-        """Take no more requests of peers, and wait for those that run.
+        """Take no more requests of peers; wait until all have their answers.
 
         Args:
             until_s: Event loop time after which they are not waited for.
@@ -140,6 +141,14 @@
         while self._serving and (left_s := until_s - loop.time()) > 0:
             timeout_s = left_s if math.isfinite(left_s) else None
             await asyncio.wait(self._serving, timeout=timeout_s)
+        await self._wait_written(until_s)
+
+    async def _wait_written(self, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            if not any(link.has_unsent for link in self._all_links):
+                return
+            await asyncio.sleep(UNSENT_CHECK_S)
 
     async def abort(self) -> None:
         """Close all connections at once."""
@@ -213,6 +222,7 @@
     ) -> Result[Response, Refusal]:
         stream = link.open_stream()
         stream.on_doubt = on_doubt
+        stream.deadline_s = deadline_s
         loop = asyncio.get_running_loop()
         head = build_head(peer_request, sent_us=int(loop.time() * US_PER_S))
         frame = schema.Frame(stream=stream.stream_id, request=head)
@@ -295,7 +305,9 @@
 
     def handle_request(self, stream: PeerStream, head: Any) -> None:
         """Serve a request of a peer in a task of its own."""
-        task = asyncio.get_running_loop().create_task(self._serve(stream, head))
+        loop = asyncio.get_running_loop()
+        stream.deadline_s = loop.time() + (head.deadline_us or 0) / US_PER_S
+        task = loop.create_task(self._serve(stream, head))
         stream.task = task
         self._serving.add(task)
         task.add_done_callback(self._serving.discard)
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -59,6 +60,7 @@
     Attributes:
         on_doubt: Takes the stream if the peer falls silent before it answers; without
             it the response is awaited all the same.
+        deadline_s: Event loop time after which a silent peer is not waited for.
     """
 
     def __init__(self, *, link: StreamSink, stream_id: int) -> None:
@@ -70,6 +72,7 @@
         )
         self.task: asyncio.Task[None] | None = None
         self.on_doubt: Callable[[PeerStream], None] | None = None
+        self.deadline_s = math.inf
         self._link = link
         self._queue: collections.deque[bytes] = collections.deque()
         self._credit = link.limits.window_bytes
@@ -243,8 +246,8 @@
         self._link.drop_stream(self)
 
     def withdraw(self, reason: str) -> None:
-        """End the stream because the opener no longer waits."""
-        detail = f"withdrawn by the peer: {reason}"
+        """End the stream because nobody takes its response any more."""
+        detail = f"withdrawn: {reason}"
         self.inbound.fail(kind=ErrorKind.CALLER_LEFT, detail=detail)
         self._end(detail)
 
