--- a/src/papayatack/core/stopping.py
+++ b/src/papayatack/core/stopping.py
@@ -2,7 +2,7 @@
 
 A stop has a notice, in which callers are served as ever, and a time to drain. Nothing
 is begun once half of the drain is over, and whatever is still unanswered at its end
-gets an answer of the node's own, so that nothing is left to be cut::
+gets an answer of the node's own::
 
     plan = plan_stop(now, notice_s=2.3, drain_s=2.8)
     plan.limit_deadline(deadline_s)
--- a/src/papayatack/proxy/ending.py
+++ b/src/papayatack/proxy/ending.py
@@ -21,8 +21,8 @@
 class StopGuard:
     """Knows the requests in flight, and ends them when a stop is at its end.
 
-    What waits to be sent is refused before by whoever lets it wait, so that what is
-    left at the end may have run.
+    What waits for a slot or an owner is refused before by whoever lets it wait. What is
+    left at the end counts as one that may have run.
 
     Attributes:
         plan: The stop's times; ``None`` for a node that goes on.
