Show that no node follows the log while those that do it for the others are cut off

One node in each of the four data centres had lost the store. They kept their leases, which need no store, and so the task of following it for their data centres; the six others reached it all the while and read nothing, since nobody told them of a higher position.

The test cuts all such nodes off and fails; without the cut it passes.

--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -22,6 +22,7 @@
 from papayatack.observability.metrics import Metrics
 from standins.logstore import InProcessLog, Outage
 from tests.fakes.clocks import FreezableLoop
+from tests.fakes.cuts import CutFixture
 from tests.fakes.nodes import INVENTORY, NodeFixture
 
 KEYS = [f"key-{number}" for number in range(40)]
@@ -32,6 +33,8 @@
 RECORDS_PASSED = 10
 LARGE_FLEET = 90
 STARTED = 60
+CUT_NODES = 10
+CUT_DATA_CENTRES = 3
 FIRST_S = 20.0
 START_SPREAD_S = 1.0
 LOG_DELAY_S = 0.004
@@ -346,6 +349,28 @@
         with asyncio.Runner(loop_factory=FreezableLoop) as runner:
             self.assertLess(runner.run(run()), WATCHED_S * STARTED)
 
+    def test_nodes_that_reach_the_log_follow_it_while_all_tailers_are_cut_off(self):
+        """A configuration is in force on them in time."""
+
+        async def run():
+            fixture = CutFixture(tailing=TailPolicy(all_members=2, per_data_centre=1))
+            fixture.publish()
+            for number in range(CUT_NODES):
+                fixture.start(f"n{number}", f"dc{number % CUT_DATA_CENTRES}")
+            await asyncio.sleep(FIRST_S)
+            nodes = fixture.network.nodes
+            fixture.cut |= {name for name in nodes if nodes[name]._follower.is_tailer}
+            others = [nodes[name] for name in nodes if name not in fixture.cut]
+            await asyncio.sleep(CONFIG_TARGET_S)
+            fixture.publish(base_version=1, record_id="p2")
+            await asyncio.sleep(CONFIG_TARGET_S)
+            versions = {node.config.version for node in others}
+            await fixture.stop()
+            return versions
+
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            self.assertEqual(runner.run(run()), {2})
+
     def test_garbage_in_the_log(self):
         """Every node counts and skips the same payloads, and goes on."""
 
