Limit the wait for a slot alike for all requests of a partner

What callers saw: under overload, requests on some routes were refused nearly always (503, deadline-unreachable) while others of the same service were served, and callers that came back after the time in Retry-After were refused again.

Cause: each request was accepted while the expected wait was below the wait that it permitted itself. The queue of an overloaded upstream then settles at the longest wait that anybody permits; a shorter target, a shorter deadline or time used up before is always too late for it. Class of fault: starvation by a bound of each request's own on a queue that all share.

Change: one limit for all requests of a partner in a class, the shortest wait permitted in the last 5 to 10 s and at least the mean service time; within a partner's queue the request that must start first is served first.

Why it works: all see the same queue at the same limit, so they are refused in equal shares; those with less time are not expired in the queue by those with more.

The reference of the fair queue and the name that test_pairs patches follow the change; the reference now also draws latest starts.

--- a/src/papayatack/core/admission/class_state.py
+++ b/src/papayatack/core/admission/class_state.py
@@ -1,8 +1,10 @@
 """Queue and service-time estimate of one request class."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from papayatack.core.admission.fair_queue import FairQueue
+from papayatack.core.admission.wait_limit import WaitLimit
 
 __all__ = ["ClassState"]
 
@@ -15,10 +17,6 @@
 PRIOR_SECONDS_PER_COST = 0.02
 """Service time in seconds that is assumed for a cost of 1 before the first sample."""
 
-RESUME_WAIT_RATIO = 0.7
-"""Share of the permitted wait to which the expected wait must fall before refused
-requests are accepted again."""
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ClassState:
@@ -28,8 +26,7 @@
         share: Share of the slots that is guaranteed to the class.
         queue: Queued requests of the class.
         in_use: Slots that the class holds.
-        refused_wait_s: Longest permitted wait among the requests that were refused
-            since requests with such a wait were last accepted.
+        wait_limits: Limits on the expected wait, by the name of the flow.
         seconds_per_cost: Mean service time for a cost of 1 in seconds, or ``None``
             before the first sample.
         deviation: Mean absolute deviation of the service time for a cost of 1.
@@ -38,7 +35,7 @@
     share: float
     queue: FairQueue
     in_use: int = 0
-    refused_wait_s: float = 0.0
+    wait_limits: dict[str, WaitLimit] = dataclasses.field(default_factory=dict)
     seconds_per_cost: float | None = None
     deviation: float = 0.0
 
@@ -47,20 +44,16 @@
         """Return the number of slots that the class holds or waits for."""
         return self.in_use + len(self.queue)
 
-    def accepts(self, wait_s: float, max_wait_s: float) -> bool:
-        """Return whether to accept a request that may wait for ``max_wait_s``.
+    def get_wait_limit(self, flow: str) -> WaitLimit:
+        """Return the limit on the expected wait of a flow."""
+        return self.wait_limits.setdefault(flow, WaitLimit())
 
-        After a refusal, requests are accepted again only once the expected wait has
-        fallen well below the wait that they permit. With this hysteresis, requests that
-        arrive together are accepted or refused together.
-        """
-        refuses = max_wait_s <= self.refused_wait_s
-        if wait_s > max_wait_s * (RESUME_WAIT_RATIO if refuses else 1.0):
-            self.refused_wait_s = max(self.refused_wait_s, max_wait_s)
-            return False
-        if refuses:
-            self.refused_wait_s = 0.0
-        return True
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Apply new weights of the partners, and drop the limits of removed ones."""
+        self.queue.set_weights(weights)
+        for flow in list(self.wait_limits):
+            if self.queue.find_flow(flow) != flow:
+                del self.wait_limits[flow]
 
     def estimate_charge(self, cost: float) -> float:
         """Return the expected use of a slot by a request, in slot-seconds."""
--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -32,9 +32,8 @@
 """Lower bound on the declared cost of a request."""
 
 MIN_LATE_WAIT_S = 0.03
-"""Lower bound, in seconds, on the maximum wait of a request that is expected to miss
-its target anyway. The maximum is the mean service time: where requests wait longer than
-one takes, the slots go to those that can be answered in time."""
+"""Lower bound, in seconds, on the wait of a request that misses its target anyway; it
+is the mean service time if that is longer."""
 
 
 class AdmissionController:
@@ -112,7 +111,7 @@
         weights = _list_weights(partners)
         for request_class, state in self._classes.items():
             state.share = limits.class_shares[request_class]
-            state.queue.set_weights(weights)
+            state.set_weights(weights)
 
     def restart(self, now: float) -> None:
         """Begin a new slow start, because the upstream was restarted and is cold."""
@@ -241,11 +240,18 @@
             slots = self._count_usable_slots(now, state)
             wait_s = _estimate_wait(state, entry.flow, slots)
             max_wait_s = entry.queue_deadline_s - now
-            if not state.accepts(wait_s, max_wait_s):
+            wait_limit = state.get_wait_limit(entry.flow)
+            if not wait_limit.accept(
+                now,
+                wait_s=wait_s,
+                max_wait_s=max_wait_s,
+                min_limit_s=_find_late_wait(state, entry.cost),
+            ):
                 self._refuse(
                     entry,
                     ErrorKind.DEADLINE_UNREACHABLE,
-                    f"expected wait of {wait_s:.3f} s, longest wait {max_wait_s:.3f} s",
+                    f"expected wait of {wait_s:.3f} s, "
+                    f"limit {wait_limit.limit_s:.3f} s, permitted {max_wait_s:.3f} s",
                     wait_s,
                 )
                 return
@@ -370,7 +376,12 @@
     if target_s is None:
         return math.inf
     mean_s = cost * (state.seconds_per_cost or 0.0)
-    return max(target_s - mean_s, now + max(mean_s, MIN_LATE_WAIT_S))
+    return max(target_s - mean_s, now + _find_late_wait(state, cost))
+
+
+def _find_late_wait(state: ClassState, cost: float) -> float:
+    """Return for how many seconds a request waits that misses its target anyway."""
+    return max(cost * (state.seconds_per_cost or 0.0), MIN_LATE_WAIT_S)
 
 
 def _list_weights(partners: Iterable[Partner]) -> dict[str, float]:
--- a/src/papayatack/core/admission/entry.py
+++ b/src/papayatack/core/admission/entry.py
@@ -31,7 +31,7 @@
         queue_deadline_s: Latest time at which the request may start and still finish in
             time.
         offered_s: Time of submission.
-        work_ahead: Charges queued before it in its flow, in slot-seconds.
+        work_ahead: Charges queued in its flow on submission, in slot-seconds.
         state: Current stage.
         started_s: Time at which the request got its slot.
     """
--- a/src/papayatack/core/admission/fair_queue.py
+++ b/src/papayatack/core/admission/fair_queue.py
@@ -20,6 +20,8 @@
 class _Flow:
     """Queued requests of a partner, with its start and finish tags in virtual time.
 
+    ``entries`` is in the order of submission, ``start_order`` in that of the latest
+    starts, in which requests are served.
     ``backlog`` is the sum of the queued charges, in slot-seconds. ``wait_rate`` is the
     measured wait of a request, divided by the work queued in the flow up to and
     including that request, in seconds per slot-second. It is reset when the queue
@@ -35,11 +37,26 @@
     entries: OrderedDict[int, QueueEntry] = dataclasses.field(
         default_factory=OrderedDict
     )
+    start_order: KeyedHeap[int] = dataclasses.field(default_factory=KeyedHeap)
+
+    def pop(self) -> QueueEntry:
+        """Remove and return the request that must start first."""
+        _, number = self.start_order.peek()
+        entry = self.entries[number]
+        self.remove(entry)
+        return entry
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Remove a request."""
+        del self.entries[entry.number]
+        self.start_order.remove(entry.number)
 
 
 class FairQueue:
     """Serves the flow that has received the least slot time relative to its weight.
 
+    In a flow, the request that must start first is served first, so that requests that
+    may wait for different times are equally likely to start in time.
     A request is charged its expected slot-seconds when it is popped; :meth:`adjust`
     corrects the charge to the actual use. Idle flows accumulate no credit. All partners
     without a configured weight share one flow of weight 1, so that memory is bounded by
@@ -86,7 +103,7 @@
         return partner if partner in self._weights else SHARED_FLOW
 
     def push(self, entry: QueueEntry) -> None:
-        """Append a request to its flow."""
+        """Add a request to its flow."""
         flow = self._flows.get(entry.flow)
         if flow is None:
             weight = self._weights.get(entry.flow, 1.0)
@@ -97,6 +114,7 @@
             self._active_weight += flow.weight
             self._start_tags.put(flow.name, flow.start)
         flow.entries[entry.number] = entry
+        flow.start_order.put(entry.number, entry.queue_deadline_s)
         entry.work_ahead = flow.backlog
         flow.backlog += entry.charge
         self._backlog += entry.charge
@@ -110,7 +128,7 @@
             return None
         flow = self._flows[head[1]]
         self._virtual_time = max(self._virtual_time, flow.start)
-        _, entry = flow.entries.popitem(last=False)
+        entry = flow.pop()
         flow.finish = flow.start + entry.charge / flow.weight
         flow.start = flow.finish
         self._update_after_removal(flow, entry)
@@ -121,7 +139,7 @@
     def remove(self, entry: QueueEntry) -> None:
         """Remove a queued request without charging its flow."""
         flow = self._flows[entry.flow]
-        del flow.entries[entry.number]
+        flow.remove(entry)
         self._update_after_removal(flow, entry)
 
     def adjust(self, entry: QueueEntry, difference: float) -> None:
--- a/tests/core/admission/reference.py
+++ b/tests/core/admission/reference.py
@@ -14,8 +14,13 @@
         self.virtual_time = 0.0
 
     def flow_entries(self, flow):
-        """Return the queued entries of a flow in order."""
-        return [entry for entry in self.waiting if entry.flow == flow]
+        """Return the queued entries of a flow by their latest starts."""
+        entries = [entry for entry in self.waiting if entry.flow == flow]
+        return sorted(entries, key=lambda entry: entry.queue_deadline_s)
+
+    def newest(self, flow):
+        """Return the queued entry of a flow that was added last."""
+        return [entry for entry in self.waiting if entry.flow == flow][-1]
 
     def push(self, entry):
         """Append an entry."""
--- a/tests/core/admission/test_fair_queue.py
+++ b/tests/core/admission/test_fair_queue.py
@@ -14,7 +14,7 @@
 FLOWS = ("a", "b", "c", "")
 
 
-def build_entry(number, flow, charge=1.0):
+def build_entry(number, flow, charge=1.0, latest_start_s=0.0):
     """Return a queue entry."""
     return QueueEntry(
         number=number,
@@ -23,7 +23,7 @@
         cost=charge,
         deadline_s=0.0,
         charge=charge,
-        queue_deadline_s=0.0,
+        queue_deadline_s=latest_start_s,
     )
 
 
@@ -156,9 +156,10 @@
         self.number = 0
 
     def push(self, flow, charge):
-        """Push an entry to both queues."""
+        """Push an entry to both queues; some have the same latest start."""
         self.number += 1
-        entry = build_entry(self.number, flow, float(charge))
+        latest_start_s = float(self.number * charge % 7)
+        entry = build_entry(self.number, flow, float(charge), latest_start_s)
         self.queue.push(entry)
         self.reference.push(entry)
 
@@ -202,4 +203,4 @@
         case.assertAlmostEqual(
             self.queue.weighted_length(candidate.flow), self.reference.longest()
         )
-        case.assertIs(self.reference.flow_entries(candidate.flow)[-1], candidate)
+        case.assertIs(self.reference.newest(candidate.flow), candidate)
--- a/tests/core/admission/test_pairs.py
+++ b/tests/core/admission/test_pairs.py
@@ -15,7 +15,7 @@
     AdmissionController,
     AdmissionLimits,
     Admitted,
-    class_state,
+    wait_limit,
 )
 from papayatack.core.inventory import RequestClass
 
@@ -108,7 +108,7 @@
     def run_both(self, load, **options):
         """Return the served shares with the hysteresis and without it."""
         found = PairLoad(load=load, seed=3, **options).run()
-        with mock.patch.object(class_state, "RESUME_WAIT_RATIO", 1.0):
+        with mock.patch.object(wait_limit, "RESUME_WAIT_RATIO", 1.0):
             baseline = PairLoad(load=load, seed=3, **options).run()
         return found, baseline
 
@@ -119,7 +119,7 @@
         self.assertGreater(pairs, 1.1 * before)
 
     def test_requests_with_longer_waits_do_not_break_pairs(self):
-        """Requests that permit a longer wait are accepted while calls are refused."""
+        """Calls come beside requests that permit a longer wait."""
         (calls, pairs), (_, before) = self.run_both(1.2, singles=True)
         self.assertGreater(pairs, 0.85 * calls)
         self.assertGreater(pairs, 1.15 * before)
