Read the slots of a running upstream beside the speed of its machine

What was seen: a node that starts beside a running upstream took the last figure of its reported load for its slots. On installations whose upstreams share their machines the last figure is the speed of the machine in per cent, so that the upstream was announced with 100 slots or more, whatever it has, until its next heartbeat.

Change: the third figure counts; a load without it, or with no slots or too many, is not used, and the next heartbeat tells the slots.

Measured: test_slots_are_read_beside_the_speed_of_the_machine had 150 slots where 8 are right; loads of one figure or with 0 slots were announced.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -28,6 +28,8 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_SLOTS = 100_000
+SLOTS_FIELD = 2
+"""Position of the slots in a reported load."""
 UNLIMITED_CONNECTIONS = 1_000_000
 """Heartbeats do not contain the upstream's connection limit."""
 
@@ -171,11 +173,11 @@
         finally:
             await caller.close()
         instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
-        slots = (find_header(headers, LOAD) or b"").split(b",")[-1]
+        slots = _read_slots(find_header(headers, LOAD) or b"")
         known = (
             self._latest is not None or instance in self._ended_instances - ended_before
         )
-        if status != http.HTTPStatus.OK or not instance or not slots.isdigit() or known:
+        if status != http.HTTPStatus.OK or not instance or not slots or known:
             return
         self._last_seen_s = asyncio.get_running_loop().time()
         self._ended_instances.discard(instance)
@@ -183,7 +185,7 @@
         self._latest = AnnouncedUpstream(
             service=self._service,
             address=self._address,
-            slots=int(slots),
+            slots=slots,
             connections=UNLIMITED_CONNECTIONS,
             instance=instance,
         )
@@ -254,6 +256,19 @@
         self._updates.put_nowait(UpstreamGone(is_certain=is_certain))
 
 
+def _read_slots(load: bytes) -> int:
+    """Return the number of slots in a reported load, 0 if it is malformed.
+
+    A load has the numbers of running and waiting requests, the slots, and in some
+    installations the present speed of the machine.
+    """
+    fields = load.split(b",")
+    if len(fields) <= SLOTS_FIELD or not fields[SLOTS_FIELD].isdigit():
+        return 0
+    slots = int(fields[SLOTS_FIELD])
+    return slots if slots <= MAX_SLOTS else 0
+
+
 class _ProbeResult(enum.Enum):
     """Result of a connection attempt to the upstream's address."""
 
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -40,6 +40,8 @@
         release_delay_s: How long the work under each release takes to end.
         releases_ended: How many releases were answered.
         healthy: Whether it says that it may be used.
+        load: What it says of its load: running, waiting, slots and, on some machines,
+            how long work takes there in per cent of the usual.
         hangs: Whether requests are run and never answered.
         work_s: How long a request runs. One that lasts longer than the grants that
             stood when it began ends with 500, though they were renewed meanwhile.
@@ -58,6 +60,7 @@
         self.release_delay_s = 0.0
         self.releases_ended = 0
         self.healthy = True
+        self.load = b"0,0,8"
         self.hangs = False
         self.work_s = 0.0
         self._place = place
@@ -132,7 +135,7 @@
             case b"/health":
                 fields = (
                     (b"papayatack-instance-id", self.instance.encode()),
-                    (b"papayatack-server-load", b"0,0,8"),
+                    (b"papayatack-server-load", self.load),
                 )
                 return _reply(200 if self.healthy else 503, fields=fields)
             case b"/grant":
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -189,10 +189,11 @@
 class DiscoveryTests(unittest.IsolatedAsyncioTestCase):
     """An upstream that was running before this node started."""
 
-    async def start(self, *, draining=False):
+    async def start(self, *, draining=False, load=b"0,0,8"):
         """Return a receiver that watches a running upstream."""
         upstream = PlatformUpstream(instance="i-7", service="desk", place="east")
         upstream.healthy = not draining
+        upstream.load = load
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         receiver = HeartbeatReceiver(
@@ -212,6 +213,19 @@
         found = await asyncio.wait_for(receiver.wait_changed(), timeout=0.5)
         self.assertEqual((found.instance, found.slots), ("i-7", 8))
 
+    async def test_slots_are_read_beside_the_speed_of_the_machine(self):
+        """Upstreams that share their machines with others report a fourth figure."""
+        receiver = await self.start(load=b"3,0,8,150")
+        found = await asyncio.wait_for(receiver.wait_changed(), timeout=0.5)
+        self.assertEqual(found.slots, 8)
+
+    async def test_upstream_with_a_malformed_load_is_not_announced(self):
+        """Its next heartbeat tells its slots."""
+        for load in (b"", b"8", b"0,0,x", b"0,0,0"):
+            receiver = await self.start(load=load)
+            await asyncio.sleep(0.3)
+            self.assertTrue(receiver._updates.empty(), load)
+
     async def test_draining_upstream_is_not_announced(self):
         """Its health check reports that it is not available."""
         receiver = await self.start(draining=True)
