Send an upstream no more requests than the limit that it names

What upstreams saw: one that named a limit of requests per second in its responses got many times as many.

Class of fault: a load signal of the receiver that the sender does not use.

Change: the node of the upstream reads the limit from each response and keeps it with a token bucket in admission. All requests to an upstream pass its own node, so no message and no share is needed. The limit counts as fewer slots in the expected wait; what does not fit is refused at once as not run. Classes without a slot in use are drawn by their shares, since under a low limit the first of them would always be served.

--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -19,6 +19,7 @@
 from papayatack.core.admission.fair_queue import FairQueue
 from papayatack.core.admission.headroom import Headroom
 from papayatack.core.admission.limits import AdmissionLimits
+from papayatack.core.admission.rate_limit import RateLimit
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.heap import KeyedHeap
 from papayatack.core.inventory import Partner, RequestClass
@@ -65,6 +66,7 @@
             ramp_s=limits.ramp_s,
             least_share=limits.least_share,
         )
+        self._rate_limit = RateLimit()
         self._headroom = Headroom(updated_s=now)
         self._queue_deadlines: KeyedHeap[QueueEntry] = KeyedHeap()
         self._outbox: list[AdmissionDecision] = []
@@ -92,6 +94,15 @@
         """Number of queued requests."""
         return len(self._queue_deadlines)
 
+    @property
+    def requests_per_s(self) -> float | None:
+        """Limit that the upstream names, ``None`` if it names none."""
+        return self._rate_limit.requests_per_s
+
+    def observe_limit(self, now: float, requests_per_s: float | None) -> None:
+        """Record the limit that a response of the upstream names, if any."""
+        self._rate_limit.observe(now, requests_per_s)
+
     def get_class_state(self, request_class: RequestClass) -> ClassState:
         """Return the state of a class, for metrics."""
         return self._classes[request_class]
@@ -116,6 +127,7 @@
     def restart(self, now: float) -> None:
         """Begin a new slow start, because the upstream was restarted and is cold."""
         self._concurrency_limit.restart(now)
+        self._rate_limit.clear()
 
     def offer(
         self,
@@ -204,7 +216,7 @@
         self._record_load(now)
         self._refuse_expired(now)
         limit = self._concurrency_limit.current_limit(now)
-        while self._in_use < limit:
+        while self._in_use < limit and self._rate_limit.allows(now):
             state = self._choose_class(limit)
             if state is None:
                 break
@@ -219,6 +231,8 @@
         if head is None:
             return None
         limit = self._concurrency_limit.current_limit(now)
+        if self._in_use < limit and not self._rate_limit.allows(now):
+            return min(head[0], self._rate_limit.find_next(now))
         if self._concurrency_limit.is_ramping(now) or self._in_use < limit:
             return min(head[0], now + POLL_INTERVAL_S)
         return head[0]
@@ -238,7 +252,10 @@
             entry.queue_deadline_s = entry.deadline_s
         else:
             slots = self._count_usable_slots(now, state)
-            wait_s = _estimate_wait(state, entry.flow, slots)
+            wait_s = max(
+                _estimate_wait(state, entry.flow, slots),
+                self._rate_limit.find_next(now) - now,
+            )
             max_wait_s = entry.queue_deadline_s - now
             wait_limit = state.get_wait_limit(entry.flow)
             if not wait_limit.accept(
@@ -269,6 +286,7 @@
         return (
             not len(state.queue)
             and self._in_use < limit
+            and self._rate_limit.allows(now)
             and state.in_use < self._max_class_slots(state, limit)
         )
 
@@ -292,9 +310,12 @@
         for other in self._classes.values():
             if other is not state and other.demand:
                 active += other.share
+        share = state.share / active
         others = self._in_use - state.in_use
-        slots = max(limit * state.share / active, float(limit - others))
-        return max(1.0, min(slots, self._max_class_slots(state, limit)))
+        slots = max(limit * share, float(limit - others))
+        slots = max(1.0, min(slots, self._max_class_slots(state, limit)))
+        service_s = state.seconds_per_cost or 0.0
+        return self._rate_limit.scale_slots(slots, share * service_s)
 
     def _max_class_slots(self, state: ClassState, limit: int) -> int:
         """Return the maximum number of slots that a class may hold."""
@@ -305,17 +326,21 @@
 
     def _choose_class(self, limit: int) -> ClassState | None:
         """Return the class with queued requests that uses its share the least."""
-        chosen = None
-        lowest = 0.0
-        for state in self._classes.values():
-            if not len(state.queue) or state.in_use >= self._max_class_slots(
-                state, limit
-            ):
-                continue
-            held = state.in_use / state.share
-            if chosen is None or held < lowest:
-                chosen, lowest = state, held
-        return chosen
+        waiting = [
+            state
+            for state in self._classes.values()
+            if len(state.queue) and state.in_use < self._max_class_slots(state, limit)
+        ]
+        return min(waiting, key=self._rank_class, default=None)
+
+    def _rank_class(self, state: ClassState) -> float:
+        """Return the use of a class's share; it is negative for a class that uses none.
+
+        Those are ranked by a draw in proportion to their shares.
+        """
+        if state.in_use:
+            return state.in_use / state.share
+        return -(self._rng.random() ** (1.0 / state.share))
 
     def _start_next(self, now: float, state: ClassState) -> None:
         entry = state.queue.pop()
@@ -325,6 +350,7 @@
         entry.started_s = now
         state.in_use += 1
         self._in_use += 1
+        self._rate_limit.take(now)
         self._outbox.append(Admitted(entry=entry))
 
     def _refuse_expired(self, now: float) -> None:
--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -61,6 +61,8 @@
     CONNECTION_CUT = 410
     UPSTREAM_EJECTED = 501
     UPSTREAM_RECOVERED = 502
+    UPSTREAM_LIMITED = 503
+    UPSTREAM_LIMIT_MALFORMED = 504
 
 
 def log_event(
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -1,6 +1,7 @@
 """The platform's header fields, and their use in requests and responses."""
 
 import http
+import re
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.error_responses import build_error_response
@@ -10,6 +11,7 @@
     Response,
     find_header,
 )
+from papayatack.proxy.dialect import UpstreamSignals
 from papayatack.proxy.headers import HOP_BY_HOP_HEADERS, list_connection_options
 from papayatack.proxy.interface import Grant
 from papayatack.proxy.route_classifier import HeaderNames
@@ -23,6 +25,7 @@
 EXPECTED_INSTANCE = b"papayatack-expected-instance"
 NOT_EXECUTED = b"papayatack-not-executed"
 LOAD = b"papayatack-server-load"
+LIMIT_NAMES = (b"papayatack-server-limit", b"server-limit")
 INSTANCE = b"papayatack-instance-id"
 HANDOVER = b"papayatack-handover"
 CONTENT_ENCODING = b"content-encoding"
@@ -34,7 +37,9 @@
     caller=b"papayatack-caller-service",
     reserved=frozenset({EXPECTED_INSTANCE}),
 )
-_INTERNAL_HEADERS = frozenset({LOAD, INSTANCE, NOT_EXECUTED, HANDOVER})
+_INTERNAL_HEADERS = frozenset({LOAD, INSTANCE, NOT_EXECUTED, HANDOVER, *LIMIT_NAMES})
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_NO_SIGNALS = UpstreamSignals()
 
 
 class PlatformDialect:
@@ -86,6 +91,16 @@
             return ErrorKind.RESPONSE_TRUNCATED
         return None
 
+    def read_signals(self, headers: Headers) -> UpstreamSignals:
+        """Return the limit that an upstream names in a response."""
+        value = next((value for name, value in headers if name in LIMIT_NAMES), None)
+        if value is None:
+            return _NO_SIGNALS
+        requests_per_s = float(value) if _DECIMAL.fullmatch(value) else 0.0
+        if not requests_per_s:
+            return UpstreamSignals(malformed_limit=repr(value))
+        return UpstreamSignals(requests_per_s=requests_per_s)
+
     def clean_response(self, headers: Headers) -> Headers:
         """Return the fields of an upstream's response that are forwarded to callers."""
         dropped = (
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -1,5 +1,6 @@
 """Header fields exchanged between the node, its callers and its upstream."""
 
+import dataclasses
 from typing import Protocol
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal
@@ -21,7 +22,7 @@
 )
 from papayatack.proxy.interface import Grant
 
-__all__ = ["Dialect", "DefaultDialect"]
+__all__ = ["DefaultDialect", "Dialect", "UpstreamSignals"]
 
 MS_PER_S = 1000
 STATUS_CONFLICT = 409
@@ -34,6 +35,19 @@
 """Error kinds by the value of the refusal header of a 409 response."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamSignals:
+    """What an upstream says of itself in a response.
+
+    Attributes:
+        requests_per_s: Requests per second that it takes; ``None`` if not named.
+        malformed_limit: A limit that is no positive number; empty if there is none.
+    """
+
+    requests_per_s: float | None = None
+    malformed_limit: str = ""
+
+
 class Dialect(Protocol):
     """Header fields of requests and responses, which differ between deployments."""
 
@@ -57,6 +71,9 @@
     def find_refusal(self, response: Response) -> ErrorKind | None:
         """Return why a response is not usable, ``None`` if it is."""
 
+    def read_signals(self, headers: Headers) -> UpstreamSignals:
+        """Return what the upstream says of itself in a response with these headers."""
+
     def clean_response(self, headers: Headers) -> Headers:
         """Return the headers of an upstream's response that may be forwarded."""
 
@@ -67,6 +84,9 @@
         """Return the error response to a request that got no upstream response."""
 
 
+_NO_SIGNALS = UpstreamSignals()
+
+
 class DefaultDialect:
     """The header fields that Papayatack defines."""
 
@@ -106,6 +126,10 @@
             return _REFUSAL_KINDS[refused]
         return None
 
+    def read_signals(self, headers: Headers) -> UpstreamSignals:
+        """Return no signals; these upstreams send none in their responses."""
+        return _NO_SIGNALS
+
     def clean_response(self, headers: Headers) -> Headers:
         """Return the headers of an upstream's response that may be forwarded."""
         return clean_response_headers(headers)
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -146,6 +146,18 @@
         )
         return _SlotPermit(gate=self, entry=entry, attempt=attempt)
 
+    def observe_limit(self, requests_per_s: float | None) -> None:
+        """Record the limit that a response of the upstream names, if any."""
+        before = self._admission.requests_per_s
+        if before is None and requests_per_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._admission.observe_limit(now, requests_per_s)
+        after = self._admission.requests_per_s
+        if (before is None) != (after is None):
+            log_event(logger, Event.UPSTREAM_LIMITED, requests_per_s=after)
+            self._process_queue(now)
+
     def report_health(self, *, healthy: bool) -> None:
         """Record the result of the upstream's health endpoint, which is only a hint."""
         now = asyncio.get_running_loop().time()
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -137,6 +137,9 @@
     ) -> Result[Permit, Refusal]:
         """Wait for a slot; the wait may be cancelled."""
 
+    def observe_limit(self, requests_per_s: float | None) -> None:
+        """Record the limit that a response of the upstream names, if any."""
+
 
 class RetryPolicy(Protocol):
     """Decides whether a failed request may be attempted again."""
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -90,6 +90,7 @@
         self._ownership = ownership
         self._gate = gate
         self._metrics = metrics
+        self._last_malformed_limit = ""
 
     async def serve(
         self,
@@ -187,8 +188,27 @@
         )
         if not is_successful(result):
             return Failure(result.failure())
+        if upstream is self.upstream:
+            self._observe_signals(result.unwrap())
         return await self._check_response(peer_request, result.unwrap(), use)
 
+    def _observe_signals(self, response: Response) -> None:
+        """Apply what the upstream says of itself in a response."""
+        signals = self._dialect.read_signals(response.headers)
+        self._gate.observe_limit(signals.requests_per_s)
+        malformed = signals.malformed_limit
+        if not malformed:
+            return
+        self._metrics.count("upstream_limits_malformed")
+        if malformed != self._last_malformed_limit:
+            self._last_malformed_limit = malformed
+            log_event(
+                LOGGER,
+                Event.UPSTREAM_LIMIT_MALFORMED,
+                level=logging.WARNING,
+                detail=malformed,
+            )
+
     def _authorize(
         self,
         peer_request: PeerRequest,
--- a/tests/core/admission/test_controller.py
+++ b/tests/core/admission/test_controller.py
@@ -396,3 +396,53 @@
         for utilisation in (0.8, 0.95, 1.1):
             short, others = self.simulate(utilisation=utilisation)
             self.assertGreaterEqual(short, self.LEAST_RATIO * others)
+
+
+class LimitedUpstreamTests(unittest.TestCase):
+    """The upstream names fewer requests per second than its slots can run."""
+
+    LIMIT_PER_S = 4.0
+    SERVICE_S = 0.1
+    LENGTH_S = 60.0
+
+    def test_no_class_is_starved(self):
+        """Orders and browsing, both beyond the limit, share it."""
+        limits = AdmissionLimits(slots=13, ramp_s=0.0)
+        admission = AdmissionController(now=0.0, limits=limits, rng=random.Random(1))
+        admission.observe_limit(0.0, self.LIMIT_PER_S)
+        served = dict.fromkeys((RequestClass.ORDER, RequestClass.BROWSE), 0)
+        running = []
+        for step in range(int(self.LENGTH_S * 20)):
+            now = step / 20
+            for ended_s, entry in [item for item in running if item[0] <= now]:
+                running.remove((ended_s, entry))
+                admission.release(now, entry, service_time_s=self.SERVICE_S)
+            for kind in served:
+                offer(admission, now, kind=kind, within_s=1.0)
+            for entry in list_admitted(admission.poll(now)):
+                served[entry.request_class] += 1
+                running.append((now + self.SERVICE_S, entry))
+        total = sum(served.values())
+        self.assertLessEqual(total, self.LIMIT_PER_S * self.LENGTH_S + 1)
+        self.assertGreaterEqual(total, 0.95 * self.LIMIT_PER_S * self.LENGTH_S)
+        self.assertGreaterEqual(min(served.values()), 0.25 * total, served)
+
+    def test_restart_ends_the_limit(self):
+        """Another life of the upstream has named none."""
+        admission = build_admission()
+        admission.observe_limit(RAMPED_S, 0.5)
+        admission.restart(RAMPED_S)
+        offer(admission, RAMPED_S)
+        offer(admission, RAMPED_S)
+        self.assertIsNone(admission.requests_per_s)
+
+    def test_request_that_would_wait_too_long_is_refused_at_once(self):
+        """The next request may be sent in two seconds."""
+        admission = build_admission()
+        admission.observe_limit(RAMPED_S, 0.5)
+        now = RAMPED_S + 2.0
+        offer(admission, now)
+        self.assertEqual(len(list_admitted(admission.poll(now))), 1)
+        offer(admission, now, within_s=1.0)
+        ((_, kind),) = list_refused(admission.poll(now))
+        self.assertIs(kind, ErrorKind.DEADLINE_UNREACHABLE)
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -132,6 +132,9 @@
         self.released = 0
         self.errors = []
 
+    def observe_limit(self, requests_per_s):
+        """Ignore a limit."""
+
     async def acquire(self, admission_request):
         """Return a permit or the refusal."""
         if self.refusal is not None:
--- a/tests/proxy/test_idempotent.py
+++ b/tests/proxy/test_idempotent.py
@@ -37,6 +37,9 @@
         self.released = 0
         self.errors = []
 
+    def observe_limit(self, requests_per_s):
+        """Ignore a limit."""
+
     async def acquire(self, ticket):
         """Wait until the gate is open; count waits and cancellations."""
         self.waiting += 1
