Take an upstream that says in its responses that it leaves out of service

An upstream that leaves without a word in its calls to the node got requests until it ended.

Cause: only heartbeats and deregistrations began a departure. Class of fault: a signal of the receiver that the sender does not use.

Change: a response that says so begins the same departure as a deregistration. All requests to an upstream pass its own node, so its node alone keeps the time until which it may get requests.

--- a/src/papayatack/daemon/announcement.py
+++ b/src/papayatack/daemon/announcement.py
@@ -97,6 +97,9 @@
     def suspect(self) -> None:
         """Take no notice: the gate finds out what an upstream does."""
 
+    def note_leaving(self, instance: str) -> None:
+        """Take no notice: these upstreams do not say so in their responses."""
+
     async def watch(self) -> None:
         """Wait until cancelled: these upstreams send no heartbeats."""
         await asyncio.get_running_loop().create_future()
--- a/src/papayatack/daemon/environment.py
+++ b/src/papayatack/daemon/environment.py
@@ -54,6 +54,9 @@
     def suspect(self) -> None:
         """Take in that the upstream accepts no connections."""
 
+    def note_leaving(self, instance: str) -> None:
+        """Record that an upstream says in its responses that it leaves."""
+
     async def watch(self) -> None:
         """Notice an upstream that has stopped without a word, until cancelled."""
 
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 from collections.abc import Callable
 
@@ -118,6 +119,9 @@
         self._environment.note_upstream(upstream)
         self._sink.pool = pool
         self._engine.upstream = pool
+        self._engine.notify_leaving(
+            functools.partial(self._environment.desk.note_leaving, upstream.instance)
+        )
         self._gate.restart()
         self._control.handle_upstream_restart()
 
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -26,6 +26,8 @@
 NOT_EXECUTED = b"papayatack-not-executed"
 LOAD = b"papayatack-server-load"
 LIMIT_NAMES = (b"papayatack-server-limit", b"server-limit")
+LEAVING_NAMES = (b"papayatack-server-leaving", b"server-leaving")
+LEAVING = b"1"
 INSTANCE = b"papayatack-instance-id"
 HANDOVER = b"papayatack-handover"
 CONTENT_ENCODING = b"content-encoding"
@@ -37,7 +39,8 @@
     caller=b"papayatack-caller-service",
     reserved=frozenset({EXPECTED_INSTANCE}),
 )
-_INTERNAL_HEADERS = frozenset({LOAD, INSTANCE, NOT_EXECUTED, HANDOVER, *LIMIT_NAMES})
+_SIGNAL_NAMES = frozenset({*LIMIT_NAMES, *LEAVING_NAMES})
+_INTERNAL_HEADERS = _SIGNAL_NAMES | {LOAD, INSTANCE, NOT_EXECUTED, HANDOVER}
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _NO_SIGNALS = UpstreamSignals()
 
@@ -92,14 +95,18 @@
         return None
 
     def read_signals(self, headers: Headers) -> UpstreamSignals:
-        """Return the limit that an upstream names in a response."""
-        value = next((value for name, value in headers if name in LIMIT_NAMES), None)
-        if value is None:
+        """Return the limit that an upstream names, and whether it leaves."""
+        found = {name: value for name, value in headers if name in _SIGNAL_NAMES}
+        if not found:
             return _NO_SIGNALS
-        requests_per_s = float(value) if _DECIMAL.fullmatch(value) else 0.0
-        if not requests_per_s:
-            return UpstreamSignals(malformed_limit=repr(value))
-        return UpstreamSignals(requests_per_s=requests_per_s)
+        limit = next((found[name] for name in LIMIT_NAMES if name in found), None)
+        requests_per_s = None if limit is None else _parse_limit(limit)
+        is_malformed = limit is not None and requests_per_s is None
+        return UpstreamSignals(
+            requests_per_s=requests_per_s,
+            malformed_limit=repr(limit) if is_malformed else "",
+            is_leaving=any(found.get(name) == LEAVING for name in LEAVING_NAMES),
+        )
 
     def clean_response(self, headers: Headers) -> Headers:
         """Return the fields of an upstream's response that are forwarded to callers."""
@@ -119,3 +126,9 @@
             field = (REQUEST_ID, request_id.encode("latin-1"))
             response.headers = (*response.headers, field)
         return response
+
+
+def _parse_limit(value: bytes) -> float | None:
+    """Return a limit in requests per second, ``None`` if malformed."""
+    number = float(value) if _DECIMAL.fullmatch(value) else 0.0
+    return number or None
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -105,6 +105,14 @@
         """Have the upstream probed at once, since it accepts no connections."""
         self._suspected.set()
 
+    def note_leaving(self, instance: str) -> None:
+        """Record that an upstream is leaving; it still serves for a while."""
+        latest = self._latest
+        self._ended_instances.add(instance)
+        if latest is not None and latest.instance == instance and not latest.leaving:
+            self._latest = dataclasses.replace(latest, leaving=True)
+            self._updates.put_nowait(self._latest)
+
     async def handle(self, request: Request) -> Response:
         """Handle one call of the upstream."""
         found = _CALL_PATH.fullmatch(request.target.partition(b"?")[0])
@@ -237,13 +245,9 @@
             self._updates.put_nowait(upstream)
 
     def _handle_deregistration(self, instance: str) -> Response:
-        """Record that an upstream is leaving; it still serves for a while."""
+        """Record the deregistration of an upstream."""
         self._metrics.count("heartbeats", "leave")
-        latest = self._latest
-        self._ended_instances.add(instance)
-        if latest is not None and latest.instance == instance and not latest.leaving:
-            self._latest = dataclasses.replace(latest, leaving=True)
-            self._updates.put_nowait(self._latest)
+        self.note_leaving(instance)
         return reply_json(http.HTTPStatus.OK, {})
 
     def _report_gone(self, upstream: AnnouncedUpstream, result: "_ProbeResult") -> None:
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -42,10 +42,12 @@
     Attributes:
         requests_per_s: Requests per second that it takes; ``None`` if not named.
         malformed_limit: A limit that is no positive number; empty if there is none.
+        is_leaving: Whether it stops soon and wants no new work.
     """
 
     requests_per_s: float | None = None
     malformed_limit: str = ""
+    is_leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -145,6 +145,10 @@
     def upstream(self, upstream: UpstreamPool | None) -> None:
         self._local.upstream = upstream
 
+    def notify_leaving(self, callback: Callable[[], None]) -> None:
+        """Have ``callback`` called for responses that say that the upstream leaves."""
+        self._local.on_upstream_leaving = callback
+
     @property
     def in_flight(self) -> tuple[int, int]:
         """Number of unanswered requests: from callers, and from other nodes."""
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -74,7 +74,13 @@
 
 
 class LocalServer:
-    """Serves requests through the local upstream."""
+    """Serves requests through the local upstream.
+
+    Attributes:
+        upstream: Connections to the upstream; ``None`` while there is none.
+        on_upstream_leaving: Called for each response that says that the upstream
+            leaves.
+    """
 
     def __init__(
         self,
@@ -86,6 +92,7 @@
         dialect: Dialect | None = None,
     ) -> None:
         self.upstream = upstream
+        self.on_upstream_leaving: Callable[[], None] | None = None
         self._dialect = dialect or DefaultDialect()
         self._ownership = ownership
         self._gate = gate
@@ -196,6 +203,8 @@
         """Apply what the upstream says of itself in a response."""
         signals = self._dialect.read_signals(response.headers)
         self._gate.observe_limit(signals.requests_per_s)
+        if signals.is_leaving and self.on_upstream_leaving is not None:
+            self.on_upstream_leaving()
         malformed = signals.malformed_limit
         if not malformed:
             return
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -43,6 +43,7 @@
         load: What it says of its load: running, waiting, slots and, on some machines,
             how long work takes there in per cent of the usual.
         hangs: Whether requests are run and never answered.
+        signals: Header fields that all its responses to requests have.
         work_s: How long a request runs. One that lasts longer than the grants that
             stood when it began ends with 500, though they were renewed meanwhile.
     """
@@ -63,6 +64,7 @@
         self.load = b"0,0,8"
         self.hangs = False
         self.work_s = 0.0
+        self.signals: tuple[tuple[bytes, bytes], ...] = ()
         self._place = place
         self._sequence = 0
         self._server = CallerServer(
@@ -212,6 +214,7 @@
         )
         self.runs.append(request_id.decode())
         fields = (
+            *self.signals,
             (b"papayatack-request-id", request_id),
             (b"papayatack-response-signature", b"signed-" + request_id),
         )
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -35,7 +35,9 @@
 
         keeper = UpstreamKeeper(
             environment=types.SimpleNamespace(
-                desk=types.SimpleNamespace(wait_changed=queue.get, suspect=None),
+                desk=types.SimpleNamespace(
+                    wait_changed=queue.get, suspect=None, note_leaving=mock.Mock()
+                ),
                 note_upstream=lambda upstream: None,
             ),
             control=mock.Mock(),
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -215,7 +215,9 @@
                 desk=_Desk(slot.desk), note_upstream=lambda upstream: None
             ),
             control=control,
-            engine=types.SimpleNamespace(upstream=None),
+            engine=types.SimpleNamespace(
+                upstream=None, notify_leaving=lambda callback: None
+            ),
             gate=types.SimpleNamespace(restart=lambda: None),
             sink=slot.sink,
             build_pool=lambda upstream: RangePool(
@@ -401,6 +403,9 @@
         """Return the next news."""
         return await self._queue.get()
 
+    def note_leaving(self, instance):
+        """Do nothing: there are no responses."""
+
     def suspect(self):
         """Ignore a suspicion; the schedule tells when to hear of an end."""
 
--- /dev/null
+++ b/tests/platform/test_departures.py
@@ -0,0 +1,61 @@
+"""Tests of upstreams that say in their responses that they leave."""
+
+import asyncio
+import itertools
+
+from tests.platform.documents import build_manifest
+from tests.platform.test_process import ProcessTestCase
+
+DRAIN_S = 2.0
+WATCHED_S = 2.0
+LEAVING = ((b"papayatack-server-leaving", b"1"),)
+
+
+class LeavingUpstreamTests(ProcessTestCase):
+    """An upstream that neither drains nor deregisters in its calls to the node."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.store.store.append("keyed.op", b"config", build_manifest())
+        self.numbers = itertools.count()
+
+    async def ask_all(self, key):
+        """Send a request to each node; return the statuses."""
+        answers = await asyncio.gather(
+            *(
+                machine.ask("/orders/1", key=key, request_id=f"r-{next(self.numbers)}")
+                for machine in self.machines
+            )
+        )
+        return [status for status, _, _ in answers]
+
+    def find_holder(self, key):
+        """Return the machine whose upstream holds a key."""
+        return next(m for m in self.machines if m.upstream.holds(key))
+
+    async def test_upstream_that_says_that_it_leaves_gets_no_requests_after_its_drain(
+        self,
+    ):
+        await self.wait_for(self.is_served)
+        leaving = self.find_holder(7)
+        leaving.upstream.signals = LEAVING
+        await self.ask_all(7)
+        await asyncio.sleep(DRAIN_S)
+        runs_before = len(leaving.upstream.runs)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + WATCHED_S
+        served = 0
+        while loop.time() < end_s:
+            statuses = await self.ask_all(7)
+            served += statuses.count(200)
+            await asyncio.sleep(0.1)
+        self.assertEqual(leaving.upstream.runs[runs_before:], [])
+        self.assertGreater(served, 0)
+        self.assertIn(
+            "draining",
+            {
+                line.get("reason")
+                for line in leaving.read_lines()
+                if line["message"] == "UPSTREAM_LEFT"
+            },
+        )
--- a/tests/platform/test_fields.py
+++ b/tests/platform/test_fields.py
@@ -77,6 +77,8 @@
             SIGNATURE,
             (b"connection", b"close"),
             (b"papayatack-server-load", b"1"),
+            (b"papayatack-server-limit", b"15.9"),
+            (b"papayatack-server-leaving", b"1"),
         )
         self.assertEqual(self.dialect.clean_response(headers), (SIGNATURE,))
 
