Move keys away from an upstream that names a limit on its requests

Cause: the planner counted an upstream by its slots, whatever limit it named, so that its callers were refused as long as the limit stood though others had room.

Change: load reports carry the limit (a new field; older nodes skip it), and the planner counts the upstream by the slots that the limit keeps busy at its service time.

--- a/src/papayatack/control/loads.py
+++ b/src/papayatack/control/loads.py
@@ -96,7 +96,13 @@
             self._evict_rare_keys()
 
     def make_report(
-        self, incarnation: IncarnationId, *, members: int, leaving: bool, now: float
+        self,
+        incarnation: IncarnationId,
+        *,
+        members: int,
+        leaving: bool,
+        now: float,
+        requests_per_s: float | None = None,
     ) -> LoadReport:
         """Return the load report as of ``now`` and start the next interval.
 
@@ -105,6 +111,7 @@
             members: Number of members, which bounds the size of the report.
             leaving: Whether the node is shutting down.
             now: Time of the event loop in seconds.
+            requests_per_s: Limit that the upstream names, if it names one.
         """
         elapsed_s = max(now - self._last_report_s, 0.0)
         factor = math.exp(-elapsed_s / DECAY_TIME_S)
@@ -129,6 +136,7 @@
             hot_keys=tuple(keys[: min(limit, MAX_HOT_KEYS)]),
             leaving=leaving,
             service_s=service_s,
+            requests_per_s=requests_per_s or 0.0,
         )
 
     def _list_loads(
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -114,6 +114,10 @@
         tailing: Chooses the nodes that read the log directly. New records are passed
             along the forwarding tree only if it is given.
         lease_s: Duration of a lease in seconds, the same on all nodes.
+
+    Attributes:
+        read_limit: Returns the limit in requests per second that the local upstream
+            names, ``None`` if it names none.
     """
 
     def __init__(
@@ -136,6 +140,7 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.metrics = metrics
+        self.read_limit: Callable[[], float | None] = lambda: None
         self._sender = sender
         self._random = random
         self._intervals = planning_intervals or PlanningIntervals()
@@ -407,6 +412,7 @@
             members=len(self.core.state.members),
             leaving=self.is_leaving,
             now=self._read_clock(),
+            requests_per_s=self.read_limit(),
         )
         planner = self._planner.find_planner()
         if planner == self.core.incarnation:
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
@@ -303,6 +304,7 @@
     def _describe_node(
         self, member: Member, lease: LeaseId, leaving: bool, now: float
     ) -> PlacementNode:
+        _, report = self._reports.get(member.incarnation, (now, None))
         first = LeaseId(member.incarnation, 1)
         since_s = self._first_seen_s.setdefault(first, now)
         return PlacementNode(
@@ -313,6 +315,7 @@
             slots=member.slots,
             leaving=leaving,
             age_s=now - since_s,
+            max_busy=_find_max_busy(report),
         )
 
     def _measure_age(
@@ -349,3 +352,10 @@
             for shard, seen in self._owner_changes.items()
             if shard in state.shards
         }
+
+
+def _find_max_busy(report: LoadReport | None) -> float:
+    """Return how many slots the limit that an upstream names keeps busy."""
+    if report is None or report.requests_per_s <= 0 or report.service_s <= 0:
+        return math.inf
+    return report.requests_per_s * report.service_s
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -234,6 +234,7 @@
         leaving: Whether the node is shutting down: it hands over its shards and accepts
             no others.
         service_s: Mean service time of its upstream in seconds; 0 if unknown.
+        requests_per_s: Limit that its upstream names; 0 if it names none.
     """
 
     incarnation: IncarnationId
@@ -242,6 +243,7 @@
     hot_keys: tuple[ShardLoad, ...] = ()
     leaving: bool = False
     service_s: float = 0.0
+    requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/placement/node_pool.py
+++ b/src/papayatack/core/placement/node_pool.py
@@ -25,6 +25,10 @@
 """Utilisation of a data centre below which shards are moved back to it."""
 
 
+MIN_USABLE_SLOTS = 0.01
+"""Lower bound on the capacity of a node in slots, however low its upstream's limit."""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class PoolNode:
     """A node that may own shards.
@@ -96,7 +100,7 @@
             lease=node.lease,
             data_centre=node.data_centre,
             region=node.region,
-            capacity=max(1, node.slots)
+            capacity=_count_usable_slots(node)
             * node.speed
             * _warm_up_factor(node.age_s, self.service.warm_up_s),
         )
@@ -304,6 +308,10 @@
         return cached
 
 
+def _count_usable_slots(node: PlacementNode) -> float:
+    return max(min(max(1, node.slots), node.max_busy), MIN_USABLE_SLOTS)
+
+
 def _warm_up_factor(age_s: float, warm_up_s: float) -> float:
     """Return the share of its capacity that counts for a node of this age."""
     if age_s >= warm_up_s:
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -26,6 +26,7 @@
             no shards.
         age_s: Time since the node was admitted, in seconds.
         speed: Speed of the upstream, relative to the mean of its service.
+        max_busy: Slots that its own limit on requests per second keeps busy.
     """
 
     lease: LeaseId
@@ -36,6 +37,7 @@
     leaving: bool = False
     age_s: float = 0.0
     speed: float = 1.0
+    max_busy: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -212,6 +212,7 @@
             metrics=self._metrics,
             ejects_upstream=self._environment.ejects_upstream,
         )
+        control.read_limit = lambda: admission.requests_per_s
         engine = self._build_engine(control, gate)
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -34,7 +34,7 @@
 struct LoadReport {
   1: string incarnation, 2: double busy,
   3: list<ShardLoad> shards, 4: list<ShardLoad> hot_keys, 5: bool leaving,
-  6: double service_s
+  6: double service_s, 7: double requests_per_s
 }
 struct OutcomeQuery { 1: string shard, 2: i64 epoch, 3: i64 index }
 struct AnswerField { 1: binary name, 2: binary value }
--- a/tests/core/placement/test_rebalancing.py
+++ b/tests/core/placement/test_rebalancing.py
@@ -218,3 +218,26 @@
             self.assertEqual(len(state.chain), min(nodes, 3))
             self.assertEqual(len(set(list_places(settled, state.chain))), wanted)
             self.assertEqual(len(set(state.chain)), len(state.chain))
+
+
+class LimitedNodeTests(unittest.TestCase):
+    """A node whose upstream names a limit on its requests per second."""
+
+    def test_shards_move_from_a_node_until_its_load_fits_its_limit(self):
+        """Its part of the load is in proportion to what its upstream takes."""
+        view, _ = settle(make_view(nodes=6, shards=60))
+        busy = dict.fromkeys(view.shards, 0.5)
+        limited = view.nodes[0].lease.incarnation
+        nodes = tuple(
+            dataclasses.replace(node, max_busy=1.0)
+            if node.lease.incarnation == limited
+            else node
+            for node in view.nodes
+        )
+        view, _ = settle(dataclasses.replace(view, nodes=nodes), busy)
+        load = sum(
+            busy[shard]
+            for shard, state in view.shards.items()
+            if state.chain[0].incarnation == limited
+        )
+        self.assertLessEqual(load, 1.0)
