--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -1,6 +1,7 @@
 """The platform's header fields, and their use in requests and responses."""
 
 import http
+import re
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.error_responses import build_error_response
@@ -10,6 +11,7 @@
     Response,
     find_header,
 )
+from papayatack.proxy.dialect import UpstreamSignals
 from papayatack.proxy.headers import HOP_BY_HOP_HEADERS, list_connection_options
 from papayatack.proxy.interface import Grant
 from papayatack.proxy.route_classifier import HeaderNames
@@ -23,6 +25,9 @@
 EXPECTED_INSTANCE = b"papayatack-expected-instance"
 NOT_EXECUTED = b"papayatack-not-executed"
 LOAD = b"papayatack-server-load"
+LIMIT_NAMES = (b"papayatack-server-limit", b"server-limit")
+LEAVING_NAMES = (b"papayatack-server-leaving", b"server-leaving")
+LEAVING = b"1"
 INSTANCE = b"papayatack-instance-id"
 HANDOVER = b"papayatack-handover"
 CONTENT_ENCODING = b"content-encoding"
@@ -34,7 +39,10 @@
     caller=b"papayatack-caller-service",
     reserved=frozenset({EXPECTED_INSTANCE}),
 )
-_INTERNAL_HEADERS = frozenset({LOAD, INSTANCE, NOT_EXECUTED, HANDOVER})
+_SIGNAL_NAMES = frozenset({*LIMIT_NAMES, *LEAVING_NAMES})
+_INTERNAL_HEADERS = _SIGNAL_NAMES | {LOAD, INSTANCE, NOT_EXECUTED, HANDOVER}
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_NO_SIGNALS = UpstreamSignals()
 
 
 class PlatformDialect:
@@ -86,6 +94,20 @@
             return ErrorKind.RESPONSE_TRUNCATED
         return None
 
+    def read_signals(self, headers: Headers) -> UpstreamSignals:
+        """Return the limit that an upstream names, and whether it leaves."""
+        found = {name: value for name, value in headers if name in _SIGNAL_NAMES}
+        if not found:
+            return _NO_SIGNALS
+        limit = next((found[name] for name in LIMIT_NAMES if name in found), None)
+        requests_per_s = None if limit is None else _parse_limit(limit)
+        is_malformed = limit is not None and requests_per_s is None
+        return UpstreamSignals(
+            requests_per_s=requests_per_s,
+            malformed_limit=repr(limit) if is_malformed else "",
+            is_leaving=any(found.get(name) == LEAVING for name in LEAVING_NAMES),
+        )
+
     def clean_response(self, headers: Headers) -> Headers:
         """Return the fields of an upstream's response that are forwarded to callers."""
         dropped = (
@@ -104,3 +126,9 @@
             field = (REQUEST_ID, request_id.encode("latin-1"))
             response.headers = (*response.headers, field)
         return response
+
+
+def _parse_limit(value: bytes) -> float | None:
+    """Return a limit in requests per second, ``None`` if malformed."""
+    number = float(value) if _DECIMAL.fullmatch(value) else 0.0
+    return number or None
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -28,6 +28,8 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_SLOTS = 100_000
+SLOTS_FIELD = 2
+"""Position of the slots in a reported load."""
 UNLIMITED_CONNECTIONS = 1_000_000
 """Heartbeats do not contain the upstream's connection limit."""
 
@@ -103,6 +105,14 @@
         """Have the upstream probed at once, since it accepts no connections."""
         self._suspected.set()
 
+    def note_leaving(self, instance: str) -> None:
+        """Record that an upstream is leaving; it still serves for a while."""
+        latest = self._latest
+        self._ended_instances.add(instance)
+        if latest is not None and latest.instance == instance and not latest.leaving:
+            self._latest = dataclasses.replace(latest, leaving=True)
+            self._updates.put_nowait(self._latest)
+
     async def handle(self, request: Request) -> Response:
         """Handle one call of the upstream."""
         found = _CALL_PATH.fullmatch(request.target.partition(b"?")[0])
@@ -171,11 +181,11 @@
         finally:
             await caller.close()
         instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
-        slots = (find_header(headers, LOAD) or b"").split(b",")[-1]
+        slots = _read_slots(find_header(headers, LOAD) or b"")
         known = (
             self._latest is not None or instance in self._ended_instances - ended_before
         )
-        if status != http.HTTPStatus.OK or not instance or not slots.isdigit() or known:
+        if status != http.HTTPStatus.OK or not instance or not slots or known:
             return
         self._last_seen_s = asyncio.get_running_loop().time()
         self._ended_instances.discard(instance)
@@ -183,7 +193,7 @@
         self._latest = AnnouncedUpstream(
             service=self._service,
             address=self._address,
-            slots=int(slots),
+            slots=slots,
             connections=UNLIMITED_CONNECTIONS,
             instance=instance,
         )
@@ -235,13 +245,9 @@
             self._updates.put_nowait(upstream)
 
     def _handle_deregistration(self, instance: str) -> Response:
-        """Record that an upstream is leaving; it still serves for a while."""
+        """Record the deregistration of an upstream."""
         self._metrics.count("heartbeats", "leave")
-        latest = self._latest
-        self._ended_instances.add(instance)
-        if latest is not None and latest.instance == instance and not latest.leaving:
-            self._latest = dataclasses.replace(latest, leaving=True)
-            self._updates.put_nowait(self._latest)
+        self.note_leaving(instance)
         return reply_json(http.HTTPStatus.OK, {})
 
     def _report_gone(self, upstream: AnnouncedUpstream, result: "_ProbeResult") -> None:
@@ -254,6 +260,19 @@
         self._updates.put_nowait(UpstreamGone(is_certain=is_certain))
 
 
+def _read_slots(load: bytes) -> int:
+    """Return the number of slots in a reported load, 0 if it is malformed.
+
+    A load has the numbers of running and waiting requests, the slots, and in some
+    installations the present speed of the machine.
+    """
+    fields = load.split(b",")
+    if len(fields) <= SLOTS_FIELD or not fields[SLOTS_FIELD].isdigit():
+        return 0
+    slots = int(fields[SLOTS_FIELD])
+    return slots if slots <= MAX_SLOTS else 0
+
+
 class _ProbeResult(enum.Enum):
     """Result of a connection attempt to the upstream's address."""
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -74,7 +74,13 @@
 
 
 class LocalServer:
-    """Serves requests through the local upstream."""
+    """Serves requests through the local upstream.
+
+    Attributes:
+        upstream: Connections to the upstream; ``None`` while there is none.
+        on_upstream_leaving: Called for each response that says that the upstream
+            leaves.
+    """
 
     def __init__(
         self,
@@ -86,10 +92,12 @@
         dialect: Dialect | None = None,
     ) -> None:
         self.upstream = upstream
+        self.on_upstream_leaving: Callable[[], None] | None = None
         self._dialect = dialect or DefaultDialect()
         self._ownership = ownership
         self._gate = gate
         self._metrics = metrics
+        self._last_malformed_limit = ""
 
     async def serve(
         self,
@@ -187,8 +195,29 @@
         )
         if not is_successful(result):
             return Failure(result.failure())
+        if upstream is self.upstream:
+            self._observe_signals(result.unwrap())
         return await self._check_response(peer_request, result.unwrap(), use)
 
+    def _observe_signals(self, response: Response) -> None:
+        """Apply what the upstream says of itself in a response."""
+        signals = self._dialect.read_signals(response.headers)
+        self._gate.observe_limit(signals.requests_per_s)
+        if signals.is_leaving and self.on_upstream_leaving is not None:
+            self.on_upstream_leaving()
+        malformed = signals.malformed_limit
+        if not malformed:
+            return
+        self._metrics.count("upstream_limits_malformed")
+        if malformed != self._last_malformed_limit:
+            self._last_malformed_limit = malformed
+            log_event(
+                LOGGER,
+                Event.UPSTREAM_LIMIT_MALFORMED,
+                level=logging.WARNING,
+                detail=malformed,
+            )
+
     def _authorize(
         self,
         peer_request: PeerRequest,
