Go on with one history when the store returns from an older copy

Cause: order, tokens and versions come from offsets of the store. When it returns from an older copy, offsets go back and are given out again; readers waited at offsets that the store did not have, then applied other records there, and new nodes saw a history without the lost records. A manifest at a lower offset was ignored.

Change: the adapter follows the era in the store's responses. Offsets of the ownership stream are its own from now on: one node appends the lost records again, in one call on the condition that nothing came between, behind a record that makes void what others appended unawares. All readers map the store's offsets to those of the stream. Offsets of the config stream contain the era. Calls to the store have a module of their own.

A store that names no era gets the same calls as before (test_calls_are_counted_by_kind_and_stream).

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -16,7 +16,7 @@
 from papayatack.logservice.tailer import Tailer
 from papayatack.observability.metrics import Metrics
 
-__all__ = ["STREAMS", "LogFollower"]
+__all__ = ["STREAMS", "AppliedRecords", "LogFollower"]
 
 STREAMS = (CONFIG_STREAM, OWNERSHIP_STREAM)
 CHECK_INTERVAL_S = 0.5
@@ -48,6 +48,44 @@
 """Time for which a node reads the log itself after a tailer reported a failure."""
 
 
+class AppliedRecords:
+    """The newest ownership records of a node, from which lost ones can be restored.
+
+    Args:
+        follower: Reads and buffers the records of the node.
+        core: The ownership core of the node.
+    """
+
+    def __init__(self, *, follower: "LogFollower", core: NodeCore) -> None:
+        self._follower = follower
+        self._core = core
+        self._recent = follower.recent[OWNERSHIP_STREAM]
+
+    @property
+    def first(self) -> int:
+        """Offset of the oldest of them."""
+        return self._recent.first
+
+    @property
+    def end(self) -> int:
+        """Offset after the newest of them."""
+        return self._recent.end
+
+    @property
+    def peer_end(self) -> int:
+        """Highest such offset that any other node has reported."""
+        return self._core.peer_offsets[OWNERSHIP_STREAM]
+
+    @property
+    def is_lead(self) -> bool:
+        """Whether this node reads the log for the whole fleet."""
+        return self._follower.is_lead
+
+    def read(self, offset: int) -> bytes:
+        """Return the record at an offset from ``first`` up to ``end``."""
+        return self._recent.read(offset)
+
+
 class LogFollower:
     """Tails both streams for a node.
 
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -35,7 +35,7 @@
 
 from papayatack.control.directory import Directory
 from papayatack.control.effects import EffectExecutor
-from papayatack.control.following import STREAMS, LogFollower
+from papayatack.control.following import STREAMS, AppliedRecords, LogFollower
 from papayatack.control.interface import ConfigState, GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeTransport
@@ -258,6 +258,11 @@
         """State built from the config stream; callers must not modify it."""
         return self._config
 
+    @property
+    def applied_records(self) -> AppliedRecords:
+        """The newest ownership records that this node has applied."""
+        return AppliedRecords(follower=self._follower, core=self.core)
+
     @property
     def log_reachable(self) -> bool:
         """Whether the log answered the last call of each stream's tailer."""
--- a/src/papayatack/control/recent.py
+++ b/src/papayatack/control/recent.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from papayatack.core.messages import LogBatch
+from papayatack.wire.packing import unpack_record
 
 __all__ = ["RecentRecords"]
 
@@ -35,6 +36,15 @@
         """Offset of the record after the newest one."""
         return self._first + len(self._payloads)
 
+    @property
+    def first(self) -> int:
+        """Offset of the oldest buffered record."""
+        return self._first
+
+    def read(self, offset: int) -> bytes:
+        """Return the buffered record at an offset, unpacked."""
+        return unpack_record(self._payloads[offset - self._first])
+
     def add(self, offset: int, payload: bytes) -> None:
         """Add a payload; discard the earlier ones if there is a gap before it.
 
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -18,7 +18,6 @@
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.environment import split_address
 from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
-from papayatack.logservice.interface import LogService
 from papayatack.network.limits import PeerLimits, UpstreamLimits
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.fields import REQUEST_FIELDS, PlatformDialect
@@ -77,7 +76,7 @@
         self._hot_shards: tuple[int, Collection[ShardId]] = (-1, ())
         self._state: OwnershipState | None = None
         self._fold: ManifestFold | None = None
-        self.log: LogService = PlatformStore(host=host, port=port, metrics=metrics)
+        self.log = PlatformStore(host=host, port=port, metrics=metrics)
         self.dialect = PlatformDialect()
         self.desk = HeartbeatReceiver(
             metrics=metrics,
@@ -145,8 +144,10 @@
     def follow(self, control: ControlNode, gate: AdmissionGate) -> list[Awaitable]:
         """Return the tasks to run beside the node.
 
-        There are none, because heartbeats report the state of the upstream.
+        There are none, because heartbeats report the state of the upstream. The store
+        can restore its history from the node's records from now on.
         """
+        self.log.serve_history(control.applied_records)
         return []
 
     def _find_health_path(self) -> str:
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -3,71 +3,40 @@
 The ownership stream is a topic that retains the newest record of each key for ever.
 Each record has a unique key, so that the whole stream is retained. The config stream is
 the operators' topic, of which only the newest manifest is used.
+
+The store may return from an older copy, in a higher era. Offsets of the config stream
+contain the era, since a newer manifest replaces all earlier ones. Those of the
+ownership stream go on as before (see :mod:`papayatack.platform.history`).
 """
 
-import base64
-import dataclasses
 import http
-import struct
-import urllib.parse
+import random
 import uuid
 
-import h11
-import pydantic
-from pydantic.alias_generators import to_pascal
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
-from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
+from papayatack.logservice.calls import HttpCall, ResponseError
 from papayatack.logservice.interface import LogFailure, LogFailureKind, LogPage
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.history import HistoryLostError, HistorySource, Restoration
+from papayatack.platform.restoration import HistoryKeeper
+from papayatack.platform.store_calls import (
+    CALL_ERRORS,
+    TOPICS,
+    AppendedRecords,
+    StoreCalls,
+    TopicPage,
+)
 
 __all__ = ["PlatformStore"]
 
-TOPICS = {CONFIG_STREAM: "keyed.op", OWNERSHIP_STREAM: "keyed.ownership"}
-_STREAMS = {topic: stream for stream, topic in TOPICS.items()}
 MANIFEST_KEY = b"config"
-PARTITION = 0
-MAX_READ_KB = 1024
-_LENGTH = struct.Struct(">I")
-_OFFSETS = struct.Struct(">QQ")
-_CALL_ERRORS = (OSError, h11.ProtocolError, ResponseError, ValueError)
-
-
-class _StoreResponse(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(alias_generator=to_pascal)
-
-
-class _AppendResponse(_StoreResponse):
-    offset: pydantic.NonNegativeInt
-
-
-class _NewestItem(_StoreResponse):
-    key: str
-    value: str
-    offset: pydantic.NonNegativeInt
-
-
-class _NewestResponse(_StoreResponse):
-    items: list[_NewestItem] = pydantic.Field(alias="items")
-    has_more: bool = False
-    end_offset: pydantic.NonNegativeInt
-
+ERA_SHIFT = 40
+"""Bits of an offset of the config stream below its era."""
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Record:
-    offset: int
-    key: bytes
-    value: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _TopicPage:
-    """Records of a topic in order of their offsets, and the end offset of the topic."""
-
-    records: tuple[_Record, ...]
-    end: int
+_OFFSET_MASK = (1 << ERA_SHIFT) - 1
+_NOT_RESTORED = "the history of the store is not restored yet"
 
 
 class PlatformStore:
@@ -77,180 +46,190 @@
         host: IP address of the store.
         port: TCP port of the store.
         metrics: Counts ``store_calls`` by kind and stream.
+        rng: Source of jitter.
     """
 
-    def __init__(self, *, host: str, port: int, metrics: Metrics) -> None:
-        self._caller = HttpClient(host=host, port=port)
-        self._metrics = metrics
-        self._scanned_offsets = dict.fromkeys(TOPICS, 0)
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._calls = StoreCalls(host=host, port=port, metrics=metrics)
+        self._keeper = HistoryKeeper(
+            calls=self._calls, metrics=metrics, random=rng or random.Random()
+        )
+        self._scanned_offset = 0
+        self._scanned_era = 0
+
+    def serve_history(self, source: HistorySource) -> None:
+        """Restore lost records from those that the node has applied."""
+        self._keeper.source = source
 
     async def append(
         self, stream: str, payload: bytes, *, timeout_s: float
     ) -> Result[int, LogFailure]:
-        """Append one record and return its offset.
+        """Append one record to the ownership stream and return its offset.
 
         A failure of kind ``UNKNOWN`` means that the record may have been appended.
         """
-        key = uuid.uuid4().hex.encode()
-        content = bytes([len(key)]) + key + payload
-        query = urllib.parse.urlencode({"Topic": TOPICS[stream], "part": PARTITION})
-        call = HttpCall(
-            method="POST",
-            target=f"/log-append?{query}",
-            body=_LENGTH.pack(len(content)) + content,
-        )
-        self._metrics.count("store_calls", f"append {stream}")
+        call = HttpCall(method="POST", target="")
+        record = (uuid.uuid4().hex.encode(), payload)
+        era = self._calls.eras.era
         try:
-            status, response = await self._caller.call(call, timeout_s=timeout_s)
-        except _CALL_ERRORS as error:
+            if not await self._knows_offsets():
+                return _fail(LogFailureKind.REFUSED, _NOT_RESTORED)
+            appended = await self._append_record(stream, record, call, timeout_s)
+        except HistoryLostError as error:
+            return _fail(LogFailureKind.REFUSED, str(error))
+        except CALL_ERRORS as error:
             kind = LogFailureKind.UNKNOWN if call.sent else LogFailureKind.REFUSED
             return _fail(kind, _describe(error))
-        if status != http.HTTPStatus.OK:
-            was_rejected = status < 500 or status == http.HTTPStatus.SERVICE_UNAVAILABLE
-            kind = LogFailureKind.REFUSED if was_rejected else LogFailureKind.UNKNOWN
-            return _fail(kind, f"status {status}")
-        try:
-            return Success(_AppendResponse.model_validate_json(response).offset)
-        except ValueError:
-            return _fail(LogFailureKind.UNKNOWN, "malformed response to an append")
+        if appended.offset is None:
+            return _fail_status(appended.status)
+        if self._calls.eras.era != era:
+            return _fail(LogFailureKind.UNKNOWN, "the era of the store has changed")
+        return Success(self._keeper.map.find_in_stream(appended.offset))
+
+    async def _append_record(
+        self, stream: str, record: tuple[bytes, bytes], call: HttpCall, timeout_s: float
+    ) -> AppendedRecords:
+        if stream == OWNERSHIP_STREAM and self._keeper.begins_era:
+            return await self._keeper.append_beginning(record, call, timeout_s)
+        return await self._calls.append(
+            TOPICS[stream], (record,), call=call, timeout_s=timeout_s
+        )
 
     async def read(
         self, stream: str, offset: int, *, limit: int, wait_s: float, timeout_s: float
     ) -> Result[LogPage, LogFailure]:
         """Read records from ``offset`` on, waiting up to ``wait_s`` for the first."""
-        start = max(offset, self._scanned_offsets[stream])
-        found = await self._read_topic(TOPICS[stream], start, wait_s, timeout_s)
-        if not is_successful(found):
-            return Failure(found.failure())
-        if stream == CONFIG_STREAM:
-            return Success(self._select_manifest(found.unwrap()))
-        return _build_page(found.unwrap(), offset, limit)
+        try:
+            if stream == CONFIG_STREAM:
+                return Success(await self._read_manifest(offset, wait_s, timeout_s))
+            return await self._read_records(offset, limit, wait_s, timeout_s)
+        except HistoryLostError:
+            return Failure(self._report_lost(offset))
+        except CALL_ERRORS as error:
+            return _fail(LogFailureKind.REFUSED, _describe(error))
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._caller.close()
+        await self._calls.close()
 
-    def _select_manifest(self, found: _TopicPage) -> LogPage:
+    async def _read_manifest(
+        self, offset: int, wait_s: float, timeout_s: float
+    ) -> LogPage:
         """Return a page with the newest manifest, without any other records."""
+        topic = TOPICS[CONFIG_STREAM]
+        era = self._calls.eras.era or 0
+        if offset >> ERA_SHIFT == era:
+            is_scanned = self._scanned_era == era
+            start = max(offset & _OFFSET_MASK, self._scanned_offset * is_scanned)
+            found = await self._calls.read(
+                topic, start, wait_s=wait_s, timeout_s=timeout_s
+            )
+        else:
+            found = await self._calls.read_newest(topic, 0, timeout_s=timeout_s)
+        if (self._calls.eras.era or 0) != era:
+            raise ResponseError("the era of the store has changed")
         if found.records:
-            self._scanned_offsets[CONFIG_STREAM] = found.records[-1].offset + 1
+            self._scanned_offset = found.records[-1].offset + 1
+            self._scanned_era = era
+        start = era << ERA_SHIFT
         manifests = [item for item in found.records if item.key == MANIFEST_KEY]
+        end = start + found.end
         if not manifests:
-            return LogPage(first=found.end, payloads=(), end=found.end)
+            return LogPage(first=end, payloads=(), end=end)
         newest = manifests[-1]
-        return LogPage(first=newest.offset, payloads=(newest.value,), end=found.end)
-
-    async def _read_topic(
-        self, topic: str, offset: int, wait_s: float, timeout_s: float
-    ) -> Result[_TopicPage, LogFailure]:
-        query = urllib.parse.urlencode(
-            {
-                "Topic": topic,
-                "part": PARTITION,
-                "From": offset,
-                "MaxKb": MAX_READ_KB,
-                "WaitMs": int(wait_s * 1000),
-            }
+        return LogPage(first=start + newest.offset, payloads=(newest.value,), end=end)
+
+    async def _read_records(
+        self, offset: int, limit: int, wait_s: float, timeout_s: float
+    ) -> Result[LogPage, LogFailure]:
+        if not await self._knows_offsets():
+            raise ResponseError(_NOT_RESTORED)
+        await self._keeper.load_restorations()
+        era = self._calls.eras.era
+        start = self._keeper.map.find_in_store(offset)
+        found = await self._calls.read(
+            TOPICS[OWNERSHIP_STREAM], start, wait_s=wait_s, timeout_s=timeout_s
         )
-        call = HttpCall(method="GET", target=f"/log-read?{query}")
-        self._metrics.count("store_calls", f"read {_STREAMS[topic]}")
-        try:
-            status, content = await self._caller.call(call, timeout_s=timeout_s)
-            if status == http.HTTPStatus.GONE:
-                return Success(await self._read_newest(topic, offset, timeout_s))
-            if status != http.HTTPStatus.OK:
-                return _fail(LogFailureKind.REFUSED, f"status {status}")
-            return Success(_parse_records(content, offset))
-        except _CALL_ERRORS as error:
-            return _fail(LogFailureKind.REFUSED, _describe(error))
+        is_first_era = era is None and self._keeper.source is None
+        if self._calls.eras.era != era and not is_first_era:
+            if self._keeper.source is None:
+                raise HistoryLostError("the era of the store has changed")
+            raise ResponseError("the era of the store has changed")
+        return self._build_page(found, offset, start, limit)
 
-    async def _read_newest(
-        self, topic: str, offset: int, timeout_s: float
-    ) -> _TopicPage:
-        """Return the newest record of each key, from ``offset`` on.
+    async def _knows_offsets(self) -> bool:
+        """Return whether records can be read and appended in the store's present era.
 
-        Raises:
-            ResponseError: The store responded with an error status.
-            ValueError: A response is malformed.
+        A node that still loads the stream reads on, and waits at its end.
         """
-        records: list[_Record] = []
-        after = ""
-        while True:
-            query = {"Topic": topic, "part": PARTITION}
-            if after:
-                query["after"] = after
-            call = HttpCall(
-                method="GET", target=f"/log-newest?{urllib.parse.urlencode(query)}"
-            )
-            self._metrics.count("store_calls", f"newest {_STREAMS[topic]}")
-            status, content = await self._caller.call(call, timeout_s=timeout_s)
-            if status != http.HTTPStatus.OK:
-                raise ResponseError(f"status {status}")
-            response = _NewestResponse.model_validate_json(content)
-            records.extend(map(_parse_item, response.items))
-            if not response.has_more or not response.items:
-                break
-            after = response.items[-1].key
-        records.sort(key=lambda record: record.offset)
-        kept = tuple(record for record in records if record.offset >= offset)
-        end = max([response.end_offset, *(record.offset + 1 for record in kept)])
-        return _TopicPage(records=kept, end=end)
-
+        source = self._keeper.source
+        if source is None or self._keeper.is_known:
+            return True
+        return await self._keeper.learn(source)
 
-def _parse_item(item: _NewestItem) -> _Record:
-    value = base64.b64decode(item.value)
-    return _Record(offset=item.offset, key=item.key.encode(), value=value)
+    def _build_page(
+        self, found: TopicPage, offset: int, start: int, limit: int
+    ) -> Result[LogPage, LogFailure]:
+        """Return the contiguous records of the stream from ``offset`` on.
 
+        Fails with ``EXPIRED`` if the record at ``offset`` is no longer retained.
+        """
+        records = found.records[:limit]
+        if records and records[0].offset != start:
+            first = self._keeper.map.find_in_stream(records[0].offset)
+            return Failure(LogFailure(kind=LogFailureKind.EXPIRED, first=first))
+        payloads: list[bytes] = []
+        position = start
+        for record in records:
+            if record.offset != position:
+                break
+            position += 1
+            if self._keeper.map.is_void(record.offset):
+                continue
+            restoration = Restoration.decode(record.key, record.value)
+            if restoration is None:
+                payloads.append(record.value)
+            else:
+                self._skip_void(payloads, offset, record.offset, restoration)
+        if position >= found.end and not self._may_continue(found.end):
+            raise ResponseError(_NOT_RESTORED)
+        end = offset + len(payloads) + found.end - position
+        return Success(LogPage(first=offset, payloads=tuple(payloads), end=end))
+
+    def _skip_void(
+        self,
+        payloads: list[bytes],
+        offset: int,
+        position: int,
+        restoration: Restoration,
+    ) -> None:
+        """Drop the records before a restoration that are no part of the stream."""
+        kept = restoration.first - offset
+        if not 0 <= kept <= len(payloads):
+            raise HistoryLostError("records were read that are void")
+        del payloads[kept:]
+        self._keeper.adopt(position, restoration)
+
+    def _may_continue(self, end: int) -> bool:
+        return (
+            self._keeper.source is not None
+            or self._keeper.is_known
+            or self._keeper.allow_start(end)
+        )
 
-def _parse_records(content: bytes, offset: int) -> _TopicPage:
-    """Parse a read response: end offset, first retained offset, then the records.
-
-    Raises:
-        ValueError: The content is truncated or malformed.
-    """
-    try:
-        end, _ = _OFFSETS.unpack_from(content)
-        records = []
-        position = _OFFSETS.size
-        while position < len(content):
-            (length,) = _LENGTH.unpack_from(content, position)
-            position += _LENGTH.size
-            record = content[position : position + length]
-            if len(record) < length:
-                raise ValueError("record truncated")
-            position += length
-            records.append(_parse_record(offset + len(records), record))
-    except struct.error as error:
-        raise ValueError(f"malformed page of records: {error}") from error
-    return _TopicPage(records=tuple(records), end=end)
-
-
-def _parse_record(offset: int, content: bytes) -> _Record:
-    key_length = content[0] if content else 0
-    return _Record(
-        offset=offset,
-        key=content[1 : 1 + key_length],
-        value=content[1 + key_length :],
-    )
-
-
-def _build_page(
-    found: _TopicPage, offset: int, limit: int
-) -> Result[LogPage, LogFailure]:
-    """Return the contiguous records from ``offset`` on.
-
-    Fails with ``EXPIRED`` if the record at ``offset`` is no longer retained.
-    """
-    records = found.records[:limit]
-    if records and records[0].offset != offset:
-        first = records[0].offset
-        return Failure(LogFailure(kind=LogFailureKind.EXPIRED, first=first))
-    payloads = []
-    for expected_offset, record in enumerate(records, offset):
-        if record.offset != expected_offset:
-            break
-        payloads.append(record.value)
-    return Success(LogPage(first=offset, payloads=tuple(payloads), end=found.end))
+    def _report_lost(self, offset: int) -> LogFailure:
+        """Return the failure after which the node loads the stream again."""
+        if self._keeper.source is not None:
+            return LogFailure(kind=LogFailureKind.EXPIRED, first=offset + 1)
+        self._keeper.restart()
+        return LogFailure(kind=LogFailureKind.EXPIRED, first=0)
 
 
 def _describe(error: Exception) -> str:
@@ -259,3 +238,9 @@
 
 def _fail(kind: LogFailureKind, detail: str) -> Failure[LogFailure]:
     return Failure(LogFailure(kind=kind, detail=detail))
+
+
+def _fail_status(status: int) -> Failure[LogFailure]:
+    was_rejected = status < 500 or status == http.HTTPStatus.SERVICE_UNAVAILABLE
+    kind = LogFailureKind.REFUSED if was_rejected else LogFailureKind.UNKNOWN
+    return _fail(kind, f"status {status}")
--- /dev/null
+++ b/src/papayatack/platform/store_calls.py
@@ -0,0 +1,256 @@
+"""Calls to the platform's store: reads and appends of its topics."""
+
+import base64
+import dataclasses
+import http
+import struct
+import urllib.parse
+from collections.abc import Sequence
+
+import h11
+import pydantic
+from pydantic.alias_generators import to_pascal
+
+from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
+from papayatack.network.exchanges import Headers
+from papayatack.observability.metrics import Metrics
+from papayatack.platform.eras import EraTracker
+
+__all__ = [
+    "CALL_ERRORS",
+    "TOPICS",
+    "AppendedRecords",
+    "StoreCalls",
+    "StoreRecord",
+    "TopicPage",
+]
+
+TOPICS = {CONFIG_STREAM: "keyed.op", OWNERSHIP_STREAM: "keyed.ownership"}
+CALL_ERRORS = (OSError, h11.ProtocolError, ResponseError, ValueError)
+"""Errors of a call that got no usable response."""
+
+PARTITION = 0
+MAX_READ_KB = 1024
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+_STREAMS = {topic: stream for stream, topic in TOPICS.items()}
+
+
+class _StoreResponse(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(alias_generator=to_pascal)
+
+
+class _AppendResponse(_StoreResponse):
+    offset: pydantic.NonNegativeInt
+
+
+class _NewestItem(_StoreResponse):
+    key: str
+    value: str
+    offset: pydantic.NonNegativeInt
+
+
+class _NewestResponse(_StoreResponse):
+    items: list[_NewestItem] = pydantic.Field(alias="items")
+    has_more: bool = False
+    end_offset: pydantic.NonNegativeInt
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreRecord:
+    """A record of a topic.
+
+    Attributes:
+        offset: Its offset in the store.
+        key: Its key.
+        value: Its content.
+    """
+
+    offset: int
+    key: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TopicPage:
+    """Records of a topic in order of their offsets, and the end offset of the topic."""
+
+    records: tuple[StoreRecord, ...]
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AppendedRecords:
+    """The response to an append.
+
+    Attributes:
+        status: HTTP status.
+        offset: Offset of the first record, ``None`` unless the append succeeded.
+    """
+
+    status: int
+    offset: int | None = None
+
+
+class StoreCalls:
+    """Calls to the store; each raises one of :data:`CALL_ERRORS` if it fails.
+
+    Args:
+        host: IP address of the store.
+        port: TCP port of the store.
+        metrics: Counts ``store_calls`` by kind and stream.
+
+    Attributes:
+        eras: Follows the era that the store names.
+    """
+
+    def __init__(self, *, host: str, port: int, metrics: Metrics) -> None:
+        self.eras = EraTracker(metrics=metrics)
+        self._caller = HttpClient(host=host, port=port)
+        self._metrics = metrics
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._caller.close()
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[tuple[bytes, bytes]],
+        *,
+        call: HttpCall,
+        at: int | None = None,
+        timeout_s: float,
+    ) -> AppendedRecords:
+        """Append records, all or none of them.
+
+        Args:
+            topic: The topic.
+            records: Keys and values.
+            call: Is filled in; tells after an error whether it may have been sent.
+            at: Offset at which the topic must end, if the append depends on it.
+            timeout_s: Time limit in seconds.
+        """
+        query = {"Topic": topic, "part": PARTITION}
+        if at is not None:
+            query["At"] = at
+        call.target = f"/log-append?{urllib.parse.urlencode(query)}"
+        call.body = b"".join(_encode_record(key, value) for key, value in records)
+        self._metrics.count("store_calls", f"append {_STREAMS[topic]}")
+        status, content, _ = await self._call(call, timeout_s)
+        if status != http.HTTPStatus.OK:
+            return AppendedRecords(status=status)
+        response = _AppendResponse.model_validate_json(content)
+        return AppendedRecords(status=status, offset=response.offset)
+
+    async def read(
+        self, topic: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> TopicPage:
+        """Read records from ``offset`` on, waiting up to ``wait_s`` for the first."""
+        query = urllib.parse.urlencode(
+            {
+                "Topic": topic,
+                "part": PARTITION,
+                "From": offset,
+                "MaxKb": MAX_READ_KB,
+                "WaitMs": int(wait_s * 1000),
+            }
+        )
+        call = HttpCall(method="GET", target=f"/log-read?{query}")
+        self._metrics.count("store_calls", f"read {_STREAMS[topic]}")
+        era = self.eras.era
+        status, content, _ = await self._call(call, timeout_s)
+        if status == http.HTTPStatus.GONE and era in (None, self.eras.era):
+            return await self.read_newest(topic, offset, timeout_s=timeout_s)
+        if status != http.HTTPStatus.OK:
+            raise ResponseError(f"status {status}")
+        return _parse_records(content, offset)
+
+    async def read_newest(
+        self, topic: str, offset: int, *, timeout_s: float
+    ) -> TopicPage:
+        """Return the newest record of each key, from ``offset`` on."""
+        found = await self.read_keys(topic, after="", timeout_s=timeout_s)
+        kept = tuple(record for record in found.records if record.offset >= offset)
+        end = max([found.end, *(record.offset + 1 for record in kept)])
+        return TopicPage(records=kept, end=end)
+
+    async def read_keys(self, topic: str, *, after: str, timeout_s: float) -> TopicPage:
+        """Read the newest record of each key that follows ``after``."""
+        records: list[StoreRecord] = []
+        while True:
+            response = await self._read_newest_page(topic, after, timeout_s)
+            records.extend(map(_parse_item, response.items))
+            if not response.has_more or not response.items:
+                break
+            after = response.items[-1].key
+        records.sort(key=lambda record: record.offset)
+        return TopicPage(records=tuple(records), end=response.end_offset)
+
+    async def _read_newest_page(
+        self, topic: str, after: str, timeout_s: float
+    ) -> _NewestResponse:
+        query = {"Topic": topic, "part": PARTITION}
+        if after:
+            query["after"] = after
+        call = HttpCall(
+            method="GET", target=f"/log-newest?{urllib.parse.urlencode(query)}"
+        )
+        self._metrics.count("store_calls", f"newest {_STREAMS[topic]}")
+        status, content, _ = await self._call(call, timeout_s)
+        if status != http.HTTPStatus.OK:
+            raise ResponseError(f"status {status}")
+        return _NewestResponse.model_validate_json(content)
+
+    async def _call(
+        self, call: HttpCall, timeout_s: float
+    ) -> tuple[int, bytes, Headers]:
+        status, content, headers = await self._caller.call_with_headers(
+            call, timeout_s=timeout_s
+        )
+        if not self.eras.observe(headers):
+            raise ResponseError("the response is of an earlier era of the store")
+        return status, content, headers
+
+
+def _encode_record(key: bytes, value: bytes) -> bytes:
+    content = bytes([len(key)]) + key + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _parse_item(item: _NewestItem) -> StoreRecord:
+    value = base64.b64decode(item.value)
+    return StoreRecord(offset=item.offset, key=item.key.encode(), value=value)
+
+
+def _parse_records(content: bytes, offset: int) -> TopicPage:
+    """Parse a read response: end offset, first retained offset, then the records.
+
+    Raises:
+        ValueError: The content is truncated or malformed.
+    """
+    try:
+        end, _ = _OFFSETS.unpack_from(content)
+        records = []
+        position = _OFFSETS.size
+        while position < len(content):
+            (length,) = _LENGTH.unpack_from(content, position)
+            position += _LENGTH.size
+            record = content[position : position + length]
+            if len(record) < length:
+                raise ValueError("record truncated")
+            position += length
+            records.append(_parse_record(offset + len(records), record))
+    except struct.error as error:
+        raise ValueError(f"malformed page of records: {error}") from error
+    return TopicPage(records=tuple(records), end=end)
+
+
+def _parse_record(offset: int, content: bytes) -> StoreRecord:
+    key_length = content[0] if content else 0
+    return StoreRecord(
+        offset=offset,
+        key=content[1 : 1 + key_length],
+        value=content[1 + key_length :],
+    )
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -1,6 +1,7 @@
 """A stand-in of the platform's store: topics that keep the newest record of a key.
 
-Its faults are attributes: refusals, lost answers, garbled ones and dropped history.
+Its faults are attributes: refusals, lost answers, garbled ones and dropped history. It
+may return from an older copy of its records, in a higher era.
 """
 
 import asyncio
@@ -37,11 +38,31 @@
 
 
 class KeyedStore:
-    """Topics with one partition each."""
+    """Topics with one partition each.
+
+    Attributes:
+        era: Named in all answers; ``None`` for a store that names none.
+    """
 
     def __init__(self) -> None:
+        self.era: int | None = None
         self._topics: dict[str, Topic] = {}
 
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics."""
+        return {
+            name: Topic(records=list(topic.records), first=topic.first)
+            for name, topic in self._topics.items()
+        }
+
+    def return_from(self, copy: dict[str, Topic]) -> None:
+        """Lose all that was written since a copy; the era rises."""
+        for name, topic in self._topics.items():
+            older = copy.get(name, Topic())
+            topic.records[:] = older.records
+            topic.first = min(older.first, len(older.records))
+        self.era = (self.era or 0) + 1
+
     def append(self, topic: str, key: bytes, value: bytes) -> int:
         """Append a record and return its offset."""
         records = self.find(topic).records
@@ -97,6 +118,14 @@
         await self._server.stop(timeout_s=0.0)
 
     async def _handle(self, request: Request) -> Response:
+        response = await self.answer(request)
+        if self.store.era is not None:
+            field = (b"papayatack-store-era", b"%d" % self.store.era)
+            response.headers = (*response.headers, field)
+        return response
+
+    async def answer(self, request: Request) -> Response:
+        """Return the answer to a call, without the era."""
         if self.refuse_with is not None:
             return _reply(self.refuse_with, b"{}")
         parts = urlsplit(request.target.decode())
@@ -114,6 +143,9 @@
         return _reply(404, b"{}")
 
     async def _append(self, query: dict[str, str], body: bytes) -> Response:
+        records = self.store.find(query["Topic"]).records
+        if "At" in query and int(query["At"]) != len(records):
+            return _reply(412, json.dumps({"EndOffset": len(records)}).encode())
         offset, at = None, 0
         while at < len(body):
             (length,) = LENGTH.unpack_from(body, at)
@@ -135,11 +167,11 @@
             return _reply(200, b"\x00\x01nonsense")
         deadline_s = asyncio.get_running_loop().time() + int(query["WaitMs"]) / 1000
         while (
-            start >= len(topic.records)
+            start == len(topic.records)
             and asyncio.get_running_loop().time() < deadline_s
         ):
             await asyncio.sleep(WAIT_STEP_S)
-        if start < topic.first:
+        if start < topic.first or start > len(topic.records):
             return _reply(410, json.dumps({"FirstOffset": topic.first}).encode())
         content = [POSITIONS.pack(len(topic.records), topic.first)]
         for key, value in topic.records[start:]:
--- a/tests/running.py
+++ b/tests/running.py
@@ -26,6 +26,7 @@
     "tests.platform.test_stop_ends",
     "tests.platform.test_stops",
     "tests.platform.test_store",
+    "tests.platform.test_store_return",
     "tests.standins",
 )
 """Tests with real sockets or processes. They run one after the other once the others,
