End a node that learns by an append that its records are void

Cause: only a read led to the end of the node; an append was refused and made again.

Change: the node is told once, whichever call finds it out, and ends as where records that it lacks are kept no longer.

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -13,7 +13,7 @@
 )
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.interface import LogService
-from papayatack.logservice.tailer import Tailer
+from papayatack.logservice.tailer import RecordsExpired, Tailer
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["STREAMS", "AppliedRecords", "LogFollower"]
@@ -54,12 +54,17 @@
     Args:
         follower: Reads and buffers the records of the node.
         core: The ownership core of the node.
+        queue: Receives the messages of the tailers.
     """
 
-    def __init__(self, *, follower: "LogFollower", core: NodeCore) -> None:
+    def __init__(
+        self, *, follower: "LogFollower", core: NodeCore, queue: asyncio.Queue
+    ) -> None:
         self._follower = follower
         self._core = core
+        self._queue = queue
         self._recent = follower.recent[OWNERSHIP_STREAM]
+        self._abandoning: set[asyncio.Task] = set()
 
     @property
     def first(self) -> int:
@@ -85,6 +90,15 @@
         """Return the record at an offset from ``first`` up to ``end``."""
         return self._recent.read(offset)
 
+    def abandon(self) -> None:
+        """Have the node end, as if records that it lacks were kept no longer."""
+        message = RecordsExpired(
+            stream=OWNERSHIP_STREAM, wanted=self.end, first=self.end + 1
+        )
+        task = asyncio.ensure_future(self._queue.put(message))
+        self._abandoning.add(task)
+        task.add_done_callback(self._abandoning.discard)
+
 
 class LogFollower:
     """Tails both streams for a node.
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -261,7 +261,9 @@
     @property
     def applied_records(self) -> AppliedRecords:
         """The newest ownership records that this node has applied."""
-        return AppliedRecords(follower=self._follower, core=self.core)
+        return AppliedRecords(
+            follower=self._follower, core=self.core, queue=self._inbox
+        )
 
     @property
     def log_reachable(self) -> bool:
--- a/src/papayatack/platform/history.py
+++ b/src/papayatack/platform/history.py
@@ -47,6 +47,9 @@
     def read(self, offset: int) -> bytes:
         """Return the record at an offset from ``first`` up to ``end``."""
 
+    def abandon(self) -> None:
+        """Have the node load the stream anew: what it has applied is no part of it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Restoration:
--- a/src/papayatack/platform/restoration.py
+++ b/src/papayatack/platform/restoration.py
@@ -324,4 +324,6 @@
     def _fail_lost(self, detail: str) -> None:
         self._metrics.count("history_restorations", "lost")
         log_event(LOGGER, Event.HISTORY_LOST, level=logging.WARNING, detail=detail)
+        if self.source is not None:
+            self.source.abandon()
         raise HistoryLostError(detail)
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -106,6 +106,16 @@
 
         self.run_nodes(scenario)
 
+    def test_node_whose_records_are_no_part_of_the_stream_ends(self):
+        """It must not go on beside nodes that have other records there."""
+
+        async def scenario(fixture):
+            node = fixture.network.nodes["a"]
+            node.applied_records.abandon()
+            self.assertFalse(await asyncio.wait_for(node.wait_finished(), 1.0))
+
+        self.run_nodes(scenario)
+
     def test_takeover_starts_a_new_tenure(self):
         """The new tenure is not the first; shards that did not move keep theirs."""
 
--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -101,6 +101,10 @@
         """Return an applied record."""
         return self.records[offset]
 
+    def abandon(self):
+        """Have the fleet start it anew."""
+        self.is_lost = True
+
     async def run(self):
         """Load the stream, then follow it, until cancelled."""
         while True:
