--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -1,4 +1,4 @@
-"""Tests of upstreams that say in their responses that they leave."""
+"""Tests of upstreams that say in their responses that they leave or are in need."""
 
 import asyncio
 import itertools
@@ -8,6 +8,10 @@
 
 DRAIN_S = 2.0
 WATCHED_S = 2.0
+SLICE_KEYS = 512
+REQUESTS = 120
+REQUEST_INTERVAL_S = 0.025
+LIMITED = ((b"papayatack-server-limit", b"5.0"),)
 LEAVING = ((b"papayatack-server-leaving", b"1"),)
 
 
@@ -59,3 +63,32 @@
                 if line["message"] == "UPSTREAM_LEFT"
             },
         )
+
+    def count_slices(self, upstream):
+        """Return the number of slices of keys that an upstream holds."""
+        return sum(upstream.holds(key) for key in range(0, 65_536, SLICE_KEYS))
+
+    async def test_keys_move_away_from_an_upstream_that_names_a_limit(self):
+        """Then the others serve what it does not take."""
+        await self.wait_for(self.is_served)
+        limited = self.machines[0].upstream
+        before = self.count_slices(limited)
+        for machine in self.machines:
+            machine.upstream.work_s = 0.05
+        limited.signals = LIMITED
+
+        async def ask_many():
+            tasks = []
+            for number in range(REQUESTS):
+                machine = self.machines[number % len(self.machines)]
+                key = number * 7_919 % 65_536
+                tasks.append(asyncio.ensure_future(machine.ask("/orders/1", key=key)))
+                await asyncio.sleep(REQUEST_INTERVAL_S)
+            return [status for status, _, _ in await asyncio.gather(*tasks)]
+
+        async def is_relieved():
+            statuses = await ask_many()
+            return set(statuses) == {200} and self.count_slices(limited) < before / 3
+
+        self.assertGreater(before, 20)
+        await self.wait_for(is_relieved)
