Drop all later segments when a restoration stands where an earlier one stood

Cause: a restoration at the store offset of an earlier one with the same base was taken for that one, and the segments after it were kept.

Change: each restoration that is read replaces what follows its base.

--- a/src/papayatack/platform/history.py
+++ b/src/papayatack/platform/history.py
@@ -124,9 +124,8 @@
         segment = _Segment(
             base=restoration.base, start=position + 1, first=restoration.first
         )
-        if segment not in self._segments:
-            kept = [part for part in self._segments if part.start <= segment.base]
-            self._segments = [*kept, segment]
+        kept = [part for part in self._segments if part.start <= segment.base]
+        self._segments = [*kept, segment]
 
     def find_in_store(self, offset: int) -> int:
         """Return the offset in the store of a record of the stream."""
--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -17,6 +17,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.platform import store_calls
 from papayatack.platform.eras import EraTracker
+from papayatack.platform.history import HistoryMap, Restoration
 from papayatack.platform.store import PlatformStore
 from standins.platformstore import StoreServer
 
@@ -392,6 +393,26 @@
             self.play_history(seed)
 
 
+class HistoryMapTests(unittest.TestCase):
+    """Offsets in the store and in the stream."""
+
+    def test_restoration_at_an_offset_that_had_one_ends_all_later_segments(self):
+        """The store returned twice, the second time from an older copy."""
+        history = HistoryMap()
+        history.add(0, Restoration(era=4, base=0, first=0, count=0))
+        history.add(1, Restoration(era=5, base=1, first=0, count=3))
+        history.add(0, Restoration(era=6, base=0, first=0, count=3))
+        self.assertEqual(history.find_in_store(0), 1)
+        self.assertEqual(history.find_in_stream(3), 2)
+
+    def test_void_records_have_no_offset_in_the_stream(self):
+        history = HistoryMap()
+        history.add(4, Restoration(era=2, base=3, first=3, count=2))
+        voids = [offset for offset in range(8) if history.is_void(offset)]
+        self.assertEqual(voids, [3, 4])
+        self.assertEqual([history.find_in_store(n) for n in range(5)], [0, 1, 2, 5, 6])
+
+
 class ManifestTests(HistoryTestCase):
     """The config stream, whose offsets contain the era."""
 
