Tell the crash of an upstream from the loss of single connections, and log it

Callers saw 502 and, for seconds, 503 of a whole service. The lines could not tell whether one request caused it: a crash looked like a lost connection, and lines name ids only, which are new each time.

The node beside an upstream now follows the requests in flight. When a connection is lost it probes the address once: refused means that the process has ended, and the request ends as `upstream-crashed` (502, unknown, retried like `upstream-lost`). A listening or silent upstream, or one that announced its end, is no crash. UPSTREAM_CRASHED names the requests in flight and their targets. No decision changes but the name of the error.

The probe moved from platform/heartbeats.py to network/probes.py, where both use it.

--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -59,6 +59,7 @@
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_LOST = "peer-lost"
     UPSTREAM_LOST = "upstream-lost"
+    UPSTREAM_CRASHED = "upstream-crashed"
     UPSTREAM_TIMEOUT = "upstream-timeout"
     UPSTREAM_FAILED = "upstream-failed"
     RESPONSE_TRUNCATED = "response-truncated"
@@ -126,6 +127,7 @@
     ErrorKind.PEER_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_LOST: _unknown(502, _CHECK_REMEDY),
     ErrorKind.UPSTREAM_LOST: _unknown(502, _CHECK_REMEDY),
+    ErrorKind.UPSTREAM_CRASHED: _unknown(502, _CHECK_REMEDY),
     ErrorKind.UPSTREAM_TIMEOUT: _unknown(504, _CHECK_REMEDY, retryable=False),
     ErrorKind.UPSTREAM_FAILED: _unknown(502, _CHECK_REMEDY),
     ErrorKind.RESPONSE_TRUNCATED: _unknown(502, _CHECK_REMEDY),
--- a/src/papayatack/core/health.py
+++ b/src/papayatack/core/health.py
@@ -22,6 +22,7 @@
     {
         ErrorKind.UPSTREAM_UNREACHABLE,
         ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_CRASHED,
         ErrorKind.UPSTREAM_TIMEOUT,
         ErrorKind.RESPONSE_TRUNCATED,
         ErrorKind.PEER_UNREACHABLE,
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -108,7 +108,7 @@
         )
 
     def _connect(self, upstream: AnnouncedUpstream) -> None:
-        self._retire_pool()
+        self._retire_pool(has_ended=True)
         last, self._granted = self._granted, upstream
         if last is not None:
             is_reborn = last.instance != upstream.instance
@@ -126,6 +126,8 @@
         self._control.handle_upstream_restart()
 
     def _start_leaving(self, upstream: AnnouncedUpstream) -> None:
+        if self._sink.pool is not None:
+            self._sink.pool.is_leaving = True
         self._control.attach_upstream(service="")
         self._control.evacuate_shards()
         loop = asyncio.get_running_loop()
@@ -141,16 +143,23 @@
     def _take_out(self, news: UpstreamGone) -> None:
         """Forget an upstream that has gone."""
         self.current = None
-        self._retire_pool()
+        self._retire_pool(has_ended=news.is_certain)
         if news.is_certain and self._granted is not None:
             self._granted = None
             self._sink.forget()
         self._control.attach_upstream(service="")
         self._control.evacuate_shards()
 
-    def _retire_pool(self) -> None:
-        """Send nothing more; answers that are still to come are waited for."""
+    def _retire_pool(self, *, has_ended: bool) -> None:
+        """Send nothing more; answers that are still to come are waited for.
+
+        Args:
+            has_ended: Whether the upstream's process is known to have ended.
+        """
         self._engine.upstream = None
         pool, self._sink.pool = self._sink.pool, None
-        if pool is not None:
-            pool.retire()
+        if pool is None:
+            return
+        if has_ended:
+            self._engine.crashes.note_end(pool)
+        pool.retire()
--- a/src/papayatack/network/upstreams.py
+++ b/src/papayatack/network/upstreams.py
@@ -16,6 +16,7 @@
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.exchanges import Request, Response
 from papayatack.network.limits import UpstreamLimits
+from papayatack.network.probes import ProbeResult, probe
 from papayatack.network.upstream_connection import UpstreamConnection
 from papayatack.observability.metrics import Metrics
 
@@ -30,6 +31,8 @@
     Attributes:
         limits: Limits for the upstream.
         on_unreachable: Called when a connection can't be opened.
+        is_leaving: Whether the upstream has announced that it ends.
+        is_crashed: Whether its process has ended without a word.
     """
 
     def __init__(
@@ -42,6 +45,8 @@
     ) -> None:
         self.limits = limits or UpstreamLimits()
         self.on_unreachable: Callable[[], None] | None = None
+        self.is_leaving = False
+        self.is_crashed = False
         self._host = host
         self._port = port
         self._metrics = metrics
@@ -108,6 +113,13 @@
             )
         )
 
+    async def probe(self) -> ProbeResult:
+        """Return whether the upstream still accepts connections."""
+        found = await probe(self.address)
+        if found is ProbeResult.CLOSED and self.on_unreachable is not None:
+            self.on_unreachable()
+        return found
+
     def close(self) -> None:
         """Close all connections immediately."""
         for connection in list(self._open):
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import enum
 import http
 import logging
 import re
@@ -18,6 +17,7 @@
 from papayatack.daemon.replies import read_json, reply_json
 from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
 from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.probes import ProbeResult, probe
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.fields import INSTANCE, LOAD
@@ -159,7 +159,7 @@
                 continue
             result = await _probe_repeatedly(latest.address)
             self._suspected.clear()
-            if result is _ProbeResult.LISTENING:
+            if result is ProbeResult.LISTENING:
                 self._last_seen_s = now
             elif self._latest is latest:
                 self._report_gone(latest, result)
@@ -250,13 +250,13 @@
         self.note_leaving(instance)
         return reply_json(http.HTTPStatus.OK, {})
 
-    def _report_gone(self, upstream: AnnouncedUpstream, result: "_ProbeResult") -> None:
+    def _report_gone(self, upstream: AnnouncedUpstream, result: ProbeResult) -> None:
         self._latest = None
         reason = result.value
         log_event(
             LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason=reason
         )
-        is_certain = result is _ProbeResult.CLOSED
+        is_certain = result is ProbeResult.CLOSED
         self._updates.put_nowait(UpstreamGone(is_certain=is_certain))
 
 
@@ -273,33 +273,12 @@
     return slots if slots <= MAX_SLOTS else 0
 
 
-class _ProbeResult(enum.Enum):
-    """Result of a connection attempt to the upstream's address."""
-
-    LISTENING = "listening"
-    CLOSED = "closed"
-    UNRESPONSIVE = "silent"
-
-
-async def _probe_repeatedly(address: str) -> _ProbeResult:
+async def _probe_repeatedly(address: str) -> ProbeResult:
     """Probe the address, and probe it again before reporting a failure."""
-    found = _ProbeResult.UNRESPONSIVE
+    found = ProbeResult.UNRESPONSIVE
     for _ in range(PROBE_ATTEMPTS):
-        found = await _probe(address)
-        if found is _ProbeResult.LISTENING:
+        found = await probe(address)
+        if found is ProbeResult.LISTENING:
             break
         await asyncio.sleep(PROBE_INTERVAL_S)
     return found
-
-
-async def _probe(address: str) -> _ProbeResult:
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return _ProbeResult.CLOSED
-    except (OSError, ValueError):
-        return _ProbeResult.UNRESPONSIVE
-    writer.close()
-    return _ProbeResult.LISTENING
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -40,6 +40,7 @@
 from papayatack.proxy.body_wrappers import RewindableBody
 from papayatack.proxy.buffering import buffer_response, is_buffered
 from papayatack.proxy.classification import Classifier, RequestClassifier
+from papayatack.proxy.crashes import CrashDetector
 from papayatack.proxy.decisions import RequestLog
 from papayatack.proxy.dialect import DefaultDialect, Dialect
 from papayatack.proxy.idempotent import IdempotentServer
@@ -145,6 +146,11 @@
     def upstream(self, upstream: UpstreamPool | None) -> None:
         self._local.upstream = upstream
 
+    @property
+    def crashes(self) -> CrashDetector:
+        """Follows the requests in flight at the upstream."""
+        return self._local.crashes
+
     def notify_leaving(self, callback: Callable[[], None]) -> None:
         """Have ``callback`` called for responses that say that the upstream leaves."""
         self._local.on_upstream_leaving = callback
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -18,6 +18,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.body_wrappers import MonitoredBody
 from papayatack.proxy.buffering import buffer_response, is_buffered
+from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.dialect import DefaultDialect, Dialect
 from papayatack.proxy.interface import AdmissionRequest, Gate, Grant, Ownership, Permit
 
@@ -26,10 +27,16 @@
 LOGGER = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+MAX_SUSPECTS_LOGGED = 32
+MAX_TARGET_LOGGED = 120
 _REPRESENTATIVE_KINDS = frozenset({None, ErrorKind.UPSTREAM_TIMEOUT})
 """Results after which the service time measures the upstream's speed. A request that
 was refused or cancelled ended sooner for another reason."""
 
+_LOSS_KINDS = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.RESPONSE_TRUNCATED})
+_ABANDONED_KINDS = frozenset({ErrorKind.CALLER_LEFT, ErrorKind.UPSTREAM_TIMEOUT})
+"""Results after which the upstream may still work on the request."""
+
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
@@ -41,7 +48,13 @@
     permit: Permit
     grant: Grant
     started_s: float
-    sent: bool = False
+    crashes: CrashDetector
+    run: Run | None = None
+
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the request may have reached the upstream."""
+        return self.run is not None
 
     def read_duration_s(self) -> float:
         """Return for how many seconds the slot has been in use."""
@@ -54,10 +67,21 @@
         try:
             self.permit.release(service_time_s=service_time_s, error=error)
         finally:
+            self._end_run(kind)
             if self.grant.shard:
                 reported_s = service_time_s if kind in _REPRESENTATIVE_KINDS else None
                 self.ownership.finish(self.grant, service_time_s=reported_s)
 
+    def _end_run(self, kind: ErrorKind | None) -> None:
+        if self.run is None:
+            return
+        if kind in _ABANDONED_KINDS:
+            self.crashes.abandon(self.run)
+        elif kind in _LOSS_KINDS:
+            self.crashes.note_loss(self.run)
+        else:
+            self.crashes.end(self.run)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class IdempotentAttempt:
@@ -80,6 +104,7 @@
         upstream: Connections to the upstream; ``None`` while there is none.
         on_upstream_leaving: Called for each response that says that the upstream
             leaves.
+        crashes: Follows the requests in flight at the upstream.
     """
 
     def __init__(
@@ -98,6 +123,7 @@
         self._gate = gate
         self._metrics = metrics
         self._last_malformed_limit = ""
+        self.crashes = CrashDetector(metrics=metrics, report=_log_crash)
 
     async def serve(
         self,
@@ -138,9 +164,11 @@
             permit=admitted.unwrap(),
             grant=_NO_GRANT,
             started_s=asyncio.get_running_loop().time(),
+            crashes=self.crashes,
         )
         try:
             result = await self._forward(peer_request, use, deadline_s, attempt)
+            result = await self._name_crash(result, use)
         except BaseException as error:
             use.end(ErrorKind.CALLER_LEFT)
             if use.sent:
@@ -183,7 +211,7 @@
             ),
             body=peer_request.request.body,
         )
-        use.sent = True
+        use.run = self.crashes.start(peer_request, upstream)
         if attempt is not None:
             attempt.sent = True
         result = await connection.exchange(
@@ -199,6 +227,18 @@
             self._observe_signals(result.unwrap())
         return await self._check_response(peer_request, result.unwrap(), use)
 
+    async def _name_crash(
+        self, result: Result[Response, Refusal], use: _InFlightUse
+    ) -> Result[Response, Refusal]:
+        """Return the result, with a lost connection told from a crash."""
+        if is_successful(result) or use.run is None or use.run.has_ended:
+            return result
+        refusal = result.failure()
+        is_lost = refusal.kind in _LOSS_KINDS
+        if not is_lost or not await self.crashes.check_loss(use.run):
+            return result
+        return _refuse(ErrorKind.UPSTREAM_CRASHED, refusal.detail)
+
     def _observe_signals(self, response: Response) -> None:
         """Apply what the upstream says of itself in a response."""
         signals = self._dialect.read_signals(response.headers)
@@ -253,6 +293,8 @@
         kind = self._dialect.find_refusal(response)
         if kind is not None:
             response.body.close()
+            if use.run is not None:
+                self.crashes.end(use.run)
             self._metrics.count("upstream_refusals", kind.value)
             log_event(
                 LOGGER,
@@ -298,6 +340,26 @@
         )
 
 
+def _log_crash(pool: UpstreamPool, runs: list[Run]) -> None:
+    """Log the requests that were in flight when the upstream's process ended."""
+    requests = [run.peer_request for run in runs[:MAX_SUSPECTS_LOGGED]]
+    log_event(
+        LOGGER,
+        Event.UPSTREAM_CRASHED,
+        level=logging.WARNING,
+        address=pool.address,
+        count=len(runs),
+        requests=[request.request_id for request in requests],
+        targets=[_format_target(request) for request in requests],
+    )
+
+
+def _format_target(peer_request: PeerRequest) -> str:
+    request = peer_request.request
+    text = b"%s %s" % (request.method, request.target)
+    return text[:MAX_TARGET_LOGGED].decode("latin-1")
+
+
 def _log_cut_run(
     peer_request: PeerRequest, use: _InFlightUse, kind: ErrorKind, detail: str
 ) -> None:
