--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -46,6 +46,12 @@
         signals: Header fields that all its responses to requests have.
         work_s: How long a request runs. One that lasts longer than the grants that
             stood when it began ends with 500, though they were renewed meanwhile.
+        crash_target: A request whose target contains this ends the upstream; empty for
+            none. It is back after ``down_s``, with another id and without grants.
+        crash_after_s: How long such a request runs before.
+        down_s: How long the upstream is away after a crash.
+        crashes_s: Event loop times of its crashes.
+        crashing_runs_s: Event loop times at which such requests began to run.
     """
 
     def __init__(self, *, instance: str, service: str, place: str) -> None:
@@ -64,11 +70,21 @@
         self.load = b"0,0,8"
         self.hangs = False
         self.work_s = 0.0
+        self.crash_target = b""
+        self.crash_after_s = 0.03
+        self.down_s = 1.5
+        self.crashes_s: list[float] = []
+        self.crashing_runs_s: list[float] = []
+        self._restart: asyncio.Task[None] | None = None
         self.signals: tuple[tuple[bytes, bytes], ...] = ()
         self._place = place
         self._sequence = 0
-        self._server = CallerServer(
-            host="127.0.0.1", port=0, handler=self._handle, metrics=Metrics()
+        self._first_instance = instance
+        self._server = self._build_server(0)
+
+    def _build_server(self, port: int) -> CallerServer:
+        return CallerServer(
+            host="127.0.0.1", port=port, handler=self._handle, metrics=Metrics()
         )
 
     @property
@@ -82,12 +98,30 @@
 
     async def stop(self) -> None:
         """Stop at once."""
+        if self._restart is not None:
+            self._restart.cancel()
+        await self._server.stop(timeout_s=0.0)
+
+    def crash(self) -> None:
+        """End at once, and start again as another process after ``down_s``."""
+        if self._restart is None or self._restart.done():
+            self.crashes_s.append(asyncio.get_running_loop().time())
+            self._restart = asyncio.ensure_future(self._crash())
+
+    async def _crash(self) -> None:
+        port = self._server.port
         await self._server.stop(timeout_s=0.0)
+        self.grants.clear()
+        await asyncio.sleep(self.down_s)
+        self.instance = f"{self._first_instance}-{len(self.crashes_s)}"
+        self._server = self._build_server(port)
+        await self._server.start()
 
     async def report(self, control_port: int) -> None:
         """Send heartbeats to a node until cancelled."""
         while True:
-            await self.send_heartbeat(control_port, "ready")
+            if self._restart is None or self._restart.done():
+                await self.send_heartbeat(control_port, "ready")
             await asyncio.sleep(HEARTBEAT_S)
 
     async def send_heartbeat(self, control_port: int, state: str) -> int:
@@ -192,6 +226,11 @@
         response = self._run(request)
         if response.status != 200:
             return response
+        if self.crash_target and self.crash_target in request.target:
+            self.crashing_runs_s.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(self.crash_after_s)
+            self.crash()
+            await asyncio.get_running_loop().create_future()
         if self.hangs:
             await asyncio.get_running_loop().create_future()
         left_s = until_s - asyncio.get_running_loop().time()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -149,7 +149,13 @@
 
 
 class ProcessTestCase(unittest.IsolatedAsyncioTestCase):
-    """Three nodes of a sharded service and one of an unsharded service."""
+    """Three nodes of a sharded service and one of an unsharded service.
+
+    Attributes:
+        layout: Data centre and service of each node.
+    """
+
+    layout = (("east", "desk"), ("west", "desk"), ("south", "desk"), ("east", "papers"))
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -158,9 +164,7 @@
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         self.machines = []
-        for number, (place, service) in enumerate(
-            (("east", "desk"), ("west", "desk"), ("south", "desk"), ("east", "papers"))
-        ):
+        for number, (place, service) in enumerate(self.layout):
             machine = Machine(
                 folder=folder.name,
                 place=place,
