Keep requests that crash their upstreams away from all upstreams

Cause: nothing looked across requests. A crash even helped it on: its attempt, and those of all requests in flight with it, were retried at once at the next upstream.

Now the node beside an upstream that crashes reports the requests that were in flight, by digests of service, method, host, target, caller, key and body: to all nodes at once, and in the ownership log. Each crash of a run that had begun when the crash before was known is a round; a run that ends clears the request everywhere. Suspects run one at a time at a node (without keys: at the node that all choose), so that the others in flight at the next crash are new; after two rounds a request waits 5 s, after three it reaches no upstream: it gets 503, not run, until an operator lifts it. The last check is at the upstream's own node, just before the request is sent. Reports are merged by (generation, rounds): order, repeats and losses of messages do not matter. A request is retried once after a crash.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -40,6 +40,7 @@
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeTransport
 from papayatack.control.planning import Planner, PlanningIntervals
+from papayatack.control.quarantine import QuarantineControl
 from papayatack.control.replication import RecordReplicator
 from papayatack.control.suspension import SuspensionDetector
 from papayatack.control.writing import RecordWriter
@@ -116,6 +117,7 @@
         lease_s: Duration of a lease in seconds, the same on all nodes.
 
     Attributes:
+        quarantine: Requests that were in flight when upstreams crashed.
         read_limit: Returns the limit in requests per second that the local upstream
             names, ``None`` if it names none.
     """
@@ -208,6 +210,9 @@
             execute_effects=self._effects.execute,
             check_suspension=self._check_suspension,
         )
+        self.quarantine = QuarantineControl(
+            core=self.core, execute_effects=self._effects.execute
+        )
         self._checkpoint_managers: dict[str, CheckpointManager] = {}
         if retention_s is not None:
             self._checkpoint_managers = self._build_checkpoint_managers(
--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -60,6 +60,8 @@
     PEER_LOST = "peer-lost"
     UPSTREAM_LOST = "upstream-lost"
     UPSTREAM_CRASHED = "upstream-crashed"
+    REQUEST_HELD = "request-held"
+    REQUEST_QUARANTINED = "request-quarantined"
     UPSTREAM_TIMEOUT = "upstream-timeout"
     UPSTREAM_FAILED = "upstream-failed"
     RESPONSE_TRUNCATED = "response-truncated"
@@ -128,6 +130,10 @@
     ErrorKind.PEER_LOST: _unknown(502, _CHECK_REMEDY),
     ErrorKind.UPSTREAM_LOST: _unknown(502, _CHECK_REMEDY),
     ErrorKind.UPSTREAM_CRASHED: _unknown(502, _CHECK_REMEDY),
+    ErrorKind.REQUEST_HELD: _not_run(503, _RETRY_REMEDY),
+    ErrorKind.REQUEST_QUARANTINED: _not_run(
+        503, "Do not repeat the request; ask the operators of the service."
+    ),
     ErrorKind.UPSTREAM_TIMEOUT: _unknown(504, _CHECK_REMEDY, retryable=False),
     ErrorKind.UPSTREAM_FAILED: _unknown(502, _CHECK_REMEDY),
     ErrorKind.RESPONSE_TRUNCATED: _unknown(502, _CHECK_REMEDY),
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.core.quarantine.suspicion import Suspicion
 
 __all__ = [
     "AnswerField",
@@ -29,6 +30,7 @@
     "Renew",
     "RenewReply",
     "ShardLoad",
+    "SuspectReport",
 ]
 
 
@@ -314,6 +316,13 @@
     outcomes: tuple[KeyOutcome, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SuspectReport:
+    """Tells a node of suspicions before it reads them in the ownership log."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
 ControlMessage = (
     Renew
     | RenewReply
@@ -330,4 +339,5 @@
     | OutcomeQuery
     | OutcomePart
     | RelayRecord
+    | SuspectReport
 )
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -17,6 +17,7 @@
 from papayatack.core.ownership.owned_shards import OwnedShards
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.ownership.witnessing import Witnessing
+from papayatack.core.quarantine.verdict import Quarantine
 from papayatack.core.records import OwnershipRecord
 
 __all__ = ["Context", "find_service_name"]
@@ -44,6 +45,7 @@
         owned_shards: Shards that this node serves.
         fencing: Known ends of other nodes' leases.
         witnessing: Leases that this node witnesses.
+        quarantine: Requests that were in flight when upstreams crashed.
         find_service: Looks up a service by name; returns ``None`` if it is unknown.
         effects: Effects of the input being processed, in order.
         reported_fenced: Leases that other nodes report as fenced, without proof. Only
@@ -59,6 +61,7 @@
     owned_shards: OwnedShards
     fencing: Fencing
     witnessing: Witnessing
+    quarantine: Quarantine
     find_service: Callable[[str], Service | None]
     holders: dict[LeaseId, LeaseHolder] = dataclasses.field(default_factory=dict)
     effects: list[Effect] = dataclasses.field(default_factory=list)
--- a/src/papayatack/core/ownership/fold.py
+++ b/src/papayatack/core/ownership/fold.py
@@ -19,6 +19,7 @@
     RecordedEnd,
     ShardEntry,
 )
+from papayatack.core.quarantine.suspicion import Suspicion
 from papayatack.core.records import (
     Activate,
     Activation,
@@ -31,6 +32,7 @@
     DeclareLost,
     Fenced,
     OwnershipRecord,
+    ReportSuspects,
     Retire,
 )
 
@@ -66,6 +68,7 @@
         members: Incarnations that were announced, updated or ended.
         split_or_merged: Pairs of a hot key's shard and its parent that the record split
             or merged, both under the same chain.
+        suspicions: Suspicions that say more than was known.
     """
 
     effective: bool
@@ -74,6 +77,7 @@
     leases: tuple[LeaseId, ...] = ()
     members: tuple[IncarnationId, ...] = ()
     split_or_merged: tuple[tuple[ShardId, ShardId], ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
 
 
 def apply_record(
@@ -360,6 +364,18 @@
     return ApplyResult(effective=True)
 
 
+@_apply.register
+def _report_suspects(
+    record: ReportSuspects, state: OwnershipState, offset: int
+) -> ApplyResult:
+    if not all(suspicion.is_valid for suspicion in record.suspicions):
+        return _reject("malformed")
+    changed = tuple(filter(state.suspicions.merge, record.suspicions))
+    if not changed:
+        return _reject("unchanged")
+    return ApplyResult(effective=True, suspicions=changed)
+
+
 def _end_member(
     state: OwnershipState, incarnation: IncarnationId, kind: EndKind, offset: int
 ) -> tuple[LeaseId, ...]:
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -14,6 +14,7 @@
     ReleaseQuery,
     Renew,
     RenewReply,
+    SuspectReport,
 )
 from papayatack.core.ownership.claims import Claims
 from papayatack.core.ownership.context import Context
@@ -22,6 +23,7 @@
 from papayatack.core.ownership.lease_holder import LeaseHolder
 from papayatack.core.ownership.record_reporter import RecordReporter
 from papayatack.core.ownership.succession import LeaseEnd
+from papayatack.core.ownership.suspicions import SuspicionExchange
 
 __all__ = ["MessageHandler"]
 
@@ -38,6 +40,7 @@
         context: The node's state.
         claims: The shards that this node claims.
         reporter: Reports fences to the log.
+        suspicions: Shares suspicions of requests.
         config_spread_s: Seconds after a new configuration arrives during which this
             node does not send it to peers that lack it.
 
@@ -51,11 +54,13 @@
         context: Context,
         claims: Claims,
         reporter: RecordReporter,
+        suspicions: SuspicionExchange,
         config_spread_s: float,
     ) -> None:
         self._context = context
         self._claims = claims
         self._reporter = reporter
+        self._suspicions = suspicions
         self.exchange = RecordExchange(
             context=context, deliver=self.deliver, config_spread_s=config_spread_s
         )
@@ -196,6 +201,11 @@
         )
         self._context.effects.append(effect)
 
+    @receive.register
+    def _(self, message: SuspectReport, sender: IncarnationId, now: float) -> None:
+        if not self._suspicions.receive(message.suspicions, now):
+            self._refuse_message(message, sender, "malformed")
+
     def _refuse_message(
         self, message: ControlMessage, sender: IncarnationId, reason: str
     ) -> None:
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -6,7 +6,7 @@
 returns the effects that the caller must carry out, in order.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from returns.result import Failure, Result, Success
 
@@ -34,11 +34,13 @@
 from papayatack.core.ownership.record_reporter import RecordReporter
 from papayatack.core.ownership.state import Member, OwnershipState
 from papayatack.core.ownership.succession import replace_token_restarts
+from papayatack.core.ownership.suspicions import Suspect, SuspicionExchange
 from papayatack.core.ownership.timing import (
     LEASE_DURATION_S,
     compute_renew_interval_s,
 )
 from papayatack.core.ownership.witnessing import Witnessing
+from papayatack.core.quarantine.verdict import Quarantine
 from papayatack.core.records import (
     Announce,
     OwnershipRecord,
@@ -86,17 +88,20 @@
             owned_shards=OwnedShards(state=state),
             fencing=Fencing(state=state, lease_s=lease_s),
             witnessing=Witnessing(incarnation=local_id, state=state, lease_s=lease_s),
+            quarantine=Quarantine(logged=state.suspicions),
             find_service=find_service,
         )
         self.claims = Claims(context=self.context)
         self.departure = Departure(context=self.context, claims=self.claims)
         self._membership = Membership(context=self.context, announcement=announcement)
         self._reporter = RecordReporter(context=self.context)
+        self._suspicions = SuspicionExchange(context=self.context)
         self._finished = False
         self._messages = MessageHandler(
             context=self.context,
             claims=self.claims,
             reporter=self._reporter,
+            suspicions=self._suspicions,
             config_spread_s=config_spread_s,
         )
         self._exchange = self._messages.exchange
@@ -143,6 +148,7 @@
         change = apply_record(self.context.state, offset, record)
         for lease in change.leases:
             self._apply_lease_entry(lease, now)
+        self._suspicions.note_logged(change.suspicions, now)
         self.claims.recheck(*change.shards)
         for shard, parent in change.split_or_merged:
             deadline_s = self.context.find_deadline_s(find_service_name(shard))
@@ -179,6 +185,7 @@
             if self.caught_up:
                 self._membership.advance(now)
             self._reporter.advance(now)
+            self._suspicions.advance(now)
             self.departure.advance(now)
         return self._complete_input(now)
 
@@ -312,6 +319,20 @@
             )
         return self._complete_input(now) if done else []
 
+    def report_crash(
+        self, upstream: str, suspects: Iterable[Suspect], now: float
+    ) -> list[Effect]:
+        """Share which requests were in flight when the local upstream crashed."""
+        self._suspicions.report_crash(upstream, suspects, now)
+        return self._complete_input(now)
+
+    def clear_suspicions(
+        self, fingerprints: Iterable[str], request_id: str, now: float
+    ) -> list[Effect]:
+        """Share that requests have ended at an upstream, or that they are lifted."""
+        self._suspicions.clear(fingerprints, request_id, now)
+        return self._complete_input(now)
+
     def find_owner(self, shard: ShardId) -> Member | None:
         """Return the node that serves a shard, as far as this node knows."""
         entry = self.context.state.shards.get(shard)
--- a/src/papayatack/core/ownership/snapshot.py
+++ b/src/papayatack/core/ownership/snapshot.py
@@ -17,6 +17,7 @@
     RecordedEnd,
     ShardEntry,
 )
+from papayatack.core.quarantine.suspicion import Suspicion
 
 __all__ = ["dump_state", "load_state"]
 
@@ -39,6 +40,9 @@
         ],
         "recent_ids": list(state.recent_ids),
     }
+    if state.suspicions:
+        suspicions = state.suspicions.list_all()
+        document["suspicions"] = [dataclasses.asdict(item) for item in suspicions]
     return json.dumps(document, sort_keys=True, separators=(",", ":"))
 
 
@@ -76,6 +80,9 @@
         )
         state.set_shard(ShardId(shard), entry)
     state.recent_ids = dict.fromkeys(document["recent_ids"])
+    for fields in document.get("suspicions", ()):
+        upstreams = tuple(fields["upstreams"])
+        state.suspicions.merge(Suspicion(**{**fields, "upstreams": upstreams}))
     return state
 
 
--- a/src/papayatack/core/ownership/state.py
+++ b/src/papayatack/core/ownership/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress, ShardId
+from papayatack.core.quarantine.table import SuspicionTable
 
 __all__ = [
     "Chain",
@@ -134,6 +135,7 @@
         shards: Shards with a chain.
         recent_ids: Ids of the last effective records, in log order.
         shards_by_lease: Shards whose chains contain a lease; derived from ``shards``.
+        suspicions: Requests that were in flight when upstreams crashed.
     """
 
     next_offset: int = 0
@@ -147,6 +149,7 @@
     shards_by_lease: dict[LeaseId, set[ShardId]] = dataclasses.field(
         default_factory=dict
     )
+    suspicions: SuspicionTable = dataclasses.field(default_factory=SuspicionTable)
 
     def is_live(self, lease: LeaseId) -> bool:
         """Return whether the lease is admitted and has no recorded end."""
--- a/src/papayatack/core/records.py
+++ b/src/papayatack/core/records.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress, ShardId
+from papayatack.core.quarantine.suspicion import Suspicion
 
 __all__ = [
     "CONFIG_STREAM",
@@ -26,6 +27,7 @@
     "OwnershipRecord",
     "Publish",
     "Retire",
+    "ReportSuspects",
 ]
 
 CONFIG_STREAM = "papayatack-config"
@@ -236,6 +238,15 @@
     data: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportSuspects:
+    """Reports requests that were in flight at crashes, or that were cleared."""
+
+    record_id: str
+    writer: str
+    suspicions: tuple[Suspicion, ...]
+
+
 OwnershipRecord = (
     Announce
     | Attach
@@ -246,5 +257,6 @@
     | Fenced
     | DeclareLost
     | CheckpointChunk
+    | ReportSuspects
 )
 ConfigRecord = Publish | CheckpointChunk
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -320,7 +320,13 @@
         limits = UpstreamLimits(
             connections=upstream.connections, accepts_unframed=base.accepts_unframed
         )
-        return UpstreamPool(host=host, port=port, metrics=self._metrics, limits=limits)
+        return UpstreamPool(
+            host=host,
+            port=port,
+            metrics=self._metrics,
+            limits=limits,
+            name=upstream.instance,
+        )
 
     def _build_control(
         self,
@@ -361,6 +367,7 @@
             handover=HandoverBackoff(rng=self._random),
             dialect=self._environment.dialect,
             build_classifier=self._environment.build_classifier,
+            quarantine=control.quarantine,
         )
 
     def _build_parts(
--- a/src/papayatack/network/upstreams.py
+++ b/src/papayatack/network/upstreams.py
@@ -29,6 +29,7 @@
     A refusal's outcome is *not run* only if no byte of the request was written.
 
     Attributes:
+        name: Name of the upstream's process, for operators.
         limits: Limits for the upstream.
         on_unreachable: Called when a connection can't be opened.
         is_leaving: Whether the upstream has announced that it ends.
@@ -42,7 +43,9 @@
         port: int,
         metrics: Metrics,
         limits: UpstreamLimits | None = None,
+        name: str = "",
     ) -> None:
+        self.name = name or f"{host}:{port}"
         self.limits = limits or UpstreamLimits()
         self.on_unreachable: Callable[[], None] | None = None
         self.is_leaving = False
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -70,6 +70,11 @@
         """Return the request id that the caller set, empty if there is none."""
         return (find_header(headers, REQUEST_ID) or b"").decode("latin-1")
 
+    def read_caller(self, peer_request: PeerRequest) -> str:
+        """Return the service on whose VM the request originated."""
+        caller = find_header(peer_request.request.headers, REQUEST_FIELDS.caller)
+        return (caller or b"").decode("latin-1")
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Return whether a response with these fields belongs to the request.
 
--- a/src/papayatack/proxy/body_wrappers.py
+++ b/src/papayatack/proxy/body_wrappers.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 
 from papayatack.core.errors import ErrorKind
+from papayatack.core.quarantine import BODY_PREFIX_BYTES
 from papayatack.network.bodies import Body, IncompleteBodyError
 
-__all__ = ["MonitoredBody", "RewindableBody"]
+__all__ = ["MonitoredBody", "RecordedBody", "RewindableBody"]
 
 
 class RewindableBody:
@@ -60,6 +61,54 @@
         self._position += 1
 
 
+class RecordedBody:
+    """Keeps the part of a request body by which requests are compared.
+
+    Args:
+        body: The wrapped body.
+    """
+
+    def __init__(self, *, body: Body) -> None:
+        self._body = body
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._has_ended = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return self._body.ready
+
+    @property
+    def prefix(self) -> bytes:
+        """The first ``BODY_PREFIX_BYTES`` that were read, or all of them."""
+        return b"".join(self._chunks)[:BODY_PREFIX_BYTES]
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the prefix is the whole body."""
+        return self._has_ended and self._size <= BODY_PREFIX_BYTES
+
+    @property
+    def is_comparable(self) -> bool:
+        """Whether enough was read to tell which requests are the same."""
+        return self._has_ended or self._size > BODY_PREFIX_BYTES
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of a complete body."""
+        data = await self._body.read()
+        if not data:
+            self._has_ended = True
+        elif self._size <= BODY_PREFIX_BYTES:
+            self._chunks.append(data)
+            self._size += len(data)
+        return data
+
+    def close(self) -> None:
+        """Close the wrapped body."""
+        self._body.close()
+
+
 class MonitoredBody:
     """Reports once how a response body ended.
 
--- a/src/papayatack/proxy/crashes.py
+++ b/src/papayatack/proxy/crashes.py
@@ -11,10 +11,12 @@
 import math
 from collections.abc import Callable
 
+from papayatack.core.ownership.suspicions import Standing
 from papayatack.network.exchanges import PeerRequest
 from papayatack.network.probes import ProbeResult
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
+from papayatack.proxy.body_wrappers import RecordedBody
 
 __all__ = ["CrashDetector", "Run"]
 
@@ -35,6 +37,9 @@
 
     Attributes:
         peer_request: The request.
+        body: Its body, as far as it has been sent.
+        standings: What was known when it was sent, of requests that are alike and of
+            those that are the same; ``None`` if nothing was known of its head.
         pool: Connections to the upstream process that runs it.
         lost_s: Event loop time at which its connection was lost or closed; infinite
             before.
@@ -42,6 +47,8 @@
     """
 
     peer_request: PeerRequest
+    body: RecordedBody
+    standings: tuple[Standing, Standing] | None
     pool: UpstreamPool
     lost_s: float = math.inf
     has_ended: bool = False
@@ -65,11 +72,9 @@
         self._checks: set[asyncio.Task[bool]] = set()
         self._judgements: dict[UpstreamPool, asyncio.Task[bool]] = {}
 
-    def start(self, peer_request: PeerRequest, pool: UpstreamPool) -> Run:
+    def start(self, run: Run) -> None:
         """Record that a request is sent to the upstream."""
-        run = Run(peer_request=peer_request, pool=pool)
         self._running.add(run)
-        return run
 
     def end(self, run: Run) -> None:
         """Record that the upstream has answered a request."""
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -67,6 +67,9 @@
     def read_request_id(self, headers: Headers) -> str:
         """Return the request id set by the caller, or an empty string."""
 
+    def read_caller(self, peer_request: PeerRequest) -> str:
+        """Return the name of the caller, as far as the router knows it."""
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these headers belongs to the request."""
 
@@ -117,6 +120,10 @@
         """Return an empty string; the node generates the request ids itself."""
         return ""
 
+    def read_caller(self, peer_request: PeerRequest) -> str:
+        """Return the partner on whose behalf the caller acts."""
+        return peer_request.partner
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these headers belongs to the request."""
         return True
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -20,7 +20,7 @@
 from typing import Protocol
 
 from returns.pipeline import is_successful
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal, get_error_response
 from papayatack.core.handover import (
@@ -32,6 +32,8 @@
 from papayatack.core.idempotency import OutcomeExchange
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration
+from papayatack.core.ownership.selection import compute_rendezvous_rank
+from papayatack.core.quarantine import RequestIdentity, compute_head_digest
 from papayatack.core.shutdown import ShutdownPlan
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.streams import PeerStream
@@ -44,7 +46,13 @@
 from papayatack.proxy.decisions import RequestLog
 from papayatack.proxy.dialect import DefaultDialect, Dialect
 from papayatack.proxy.idempotent import IdempotentServer
-from papayatack.proxy.interface import Gate, Ownership, RetryPolicy, Route
+from papayatack.proxy.interface import (
+    Gate,
+    Ownership,
+    Quarantine,
+    RetryPolicy,
+    Route,
+)
 from papayatack.proxy.late_responses import LateResponses
 from papayatack.proxy.local import LocalServer
 from papayatack.proxy.node_selector import NodeSelector
@@ -56,6 +64,8 @@
 """How often one request may be forwarded from node to node."""
 MAX_REPLAY_BYTES = 128 * 1024
 """Longest request body that is kept for a retry."""
+MAX_CRASHES = 1
+"""Crashes of upstreams after which a request is retried once more."""
 DEADLINE_MARGIN_S = 0.02
 DEADLINE_MARGIN_RATIO = 0.1
 """Part of the remaining time that bounds the margin. A forwarded request gets the
@@ -108,6 +118,7 @@
         handover: HandoverBackoff | None = None,
         dialect: Dialect | None = None,
         build_classifier: Callable[[Configuration], RequestClassifier] = Classifier,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._ownership = ownership
@@ -118,7 +129,11 @@
         self._dialect = dialect or DefaultDialect()
         self._build_classifier = build_classifier
         self._local = LocalServer(
-            ownership=ownership, gate=gate, metrics=metrics, dialect=self._dialect
+            ownership=ownership,
+            gate=gate,
+            metrics=metrics,
+            dialect=self._dialect,
+            quarantine=quarantine,
         )
         self._idempotent = IdempotentServer(
             local=self._local, ownership=ownership, metrics=metrics
@@ -257,6 +272,14 @@
         now = self._now()
         deadline_s = self._caller_guard.limit_deadline(now + peer_request.remaining_s)
         self._retry.record_request(now)
+        screened = await self._local.screening.screen(peer_request, deadline_s)
+        if not is_successful(screened):
+            return Failure(screened.failure())
+        peer_request = screened.unwrap().peer_request
+        suspect = _Suspect(
+            identity=screened.unwrap().identity,
+            is_suspected=screened.unwrap().is_suspected,
+        )
         body = RewindableBody(
             body=peer_request.request.body, limit_bytes=MAX_REPLAY_BYTES
         )
@@ -268,7 +291,9 @@
         attempt = 1
         while True:
             count_before = late.added_count
-            execution = self._attempt(peer_request, deadline_s, tried, state, late)
+            execution = self._attempt(
+                peer_request, deadline_s, tried, suspect, state, late
+            )
             result = await (late.race(execution) if late.pending else execution)
             if is_successful(result):
                 self._handover.record_served(state.subject)
@@ -278,6 +303,7 @@
                 refusal = _UPSTREAM_ERROR
             else:
                 refusal = result.failure()
+                suspect.note(refusal)
             if _is_unknown(refusal):
                 unknown_refusal = unknown_refusal or refusal
                 if late.added_count == count_before:
@@ -291,6 +317,9 @@
                 delay_s = self._find_retry_delay(
                     refusal, peer_request, body, attempt, dispatch_until_s
                 )
+                if suspect.crashes > MAX_CRASHES:
+                    self._metrics.count("retries_refused", "upstream-crashed")
+                    delay_s = None
                 attempt += 1
             if delay_s is None:
                 late_result = await late.wait()
@@ -348,10 +377,11 @@
         peer_request: PeerRequest,
         deadline_s: float,
         tried: set[IncarnationId],
+        suspect: "_Suspect",
         state: BackoffState,
         late: LateResponses,
     ) -> Result[Response, Refusal]:
-        routed = self._find_route(peer_request, tried)
+        routed = self._find_route(peer_request, tried, suspect)
         state.subject = _find_outage_subject(peer_request, routed)
         if not is_successful(routed):
             return Failure(routed.failure())
@@ -386,11 +416,18 @@
         return result
 
     def _find_route(
-        self, peer_request: PeerRequest, tried: set[IncarnationId]
+        self,
+        peer_request: PeerRequest,
+        tried: set[IncarnationId],
+        suspect: "_Suspect",
     ) -> Result[Route, Refusal]:
         if peer_request.key:
             return self._ownership.locate(peer_request.service, peer_request.key)
         nodes = self._ownership.list_nodes(peer_request.service)
+        if suspect.is_suspected:
+            untried = [route for route in nodes if route.incarnation not in tried]
+            if untried:
+                return Success(suspect.choose(untried))
         return self._node_selector.choose(
             self._now(), peer_request, nodes, frozenset(tried)
         )
@@ -445,6 +482,37 @@
         return asyncio.get_running_loop().time()
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Suspect:
+    """A request that may crash the upstreams that run it.
+
+    Attributes:
+        identity: What is equal in requests that are the same.
+        crashes: Number of upstreams that crashed while they ran it for this caller.
+        is_suspected: Whether it was in flight at any crash.
+    """
+
+    identity: RequestIdentity
+    crashes: int = 0
+    is_suspected: bool = False
+
+    def note(self, refusal: Refusal) -> None:
+        """Record how an attempt ended."""
+        if refusal.kind is ErrorKind.UPSTREAM_CRASHED:
+            self.crashes += 1
+            self.is_suspected = True
+
+    def choose(self, routes: list[Route]) -> Route:
+        """Return the node that all nodes choose for the same request.
+
+        That node runs it one at a time.
+        """
+        head = compute_head_digest(self.identity)
+        return min(
+            routes, key=lambda route: compute_rendezvous_rank(head, route.incarnation)
+        )
+
+
 def _find_outage_subject(
     peer_request: PeerRequest, routed: Result[Route, Refusal]
 ) -> str:
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from returns.result import Result
@@ -14,12 +15,16 @@
 from papayatack.core.idempotency import KeyTenure
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration, RequestClass
+from papayatack.core.ownership.suspicions import Standing, Suspect
+from papayatack.core.quarantine import Fingerprints, Verdict, VerdictKind
 
 __all__ = [
     "Gate",
     "Grant",
     "Ownership",
+    "NoQuarantine",
     "Permit",
+    "Quarantine",
     "RetryPolicy",
     "Route",
     "AdmissionRequest",
@@ -141,6 +146,59 @@
         """Record the limit that a response of the upstream names, if any."""
 
 
+class Quarantine(Protocol):
+    """The requests that were in flight when upstreams crashed."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of any request."""
+
+    def matches(self, head: str) -> bool:
+        """Return whether anything is known of a request with this head."""
+
+    def judge(self, fingerprints: Fingerprints) -> Verdict:
+        """Return what may be done with a request now."""
+
+    def find_standing(self, fingerprint: str) -> Standing:
+        """Return what is known of a request that is about to be sent."""
+
+    def notify_change(self, callback: Callable[[], None]) -> None:
+        """Have ``callback`` called after each change of a suspicion."""
+
+    def report_crash(self, upstream: str, suspects: Iterable[Suspect]) -> None:
+        """Share which requests were in flight when the local upstream crashed."""
+
+    def report_end(self, fingerprints: Fingerprints, request_id: str) -> None:
+        """Share that a request has ended at the local upstream, if it is suspected."""
+
+
+class NoQuarantine:
+    """A quarantine that never holds a request; for parts without a control side."""
+
+    is_empty = True
+
+    def matches(self, head: str) -> bool:
+        """Return false."""
+        return False
+
+    def judge(self, fingerprints: Fingerprints) -> Verdict:
+        """Return that the request may run."""
+        return Verdict(kind=VerdictKind.FREE)
+
+    def find_standing(self, fingerprint: str) -> Standing:
+        """Return that nothing is known."""
+        return Standing(fingerprint=fingerprint)
+
+    def notify_change(self, callback: Callable[[], None]) -> None:
+        """Do nothing, since there are no changes."""
+
+    def report_crash(self, upstream: str, suspects: Iterable[Suspect]) -> None:
+        """Do nothing."""
+
+    def report_end(self, fingerprints: Fingerprints, request_id: str) -> None:
+        """Do nothing."""
+
+
 class RetryPolicy(Protocol):
     """Decides whether a failed request may be attempted again."""
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -16,11 +16,20 @@
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
-from papayatack.proxy.body_wrappers import MonitoredBody
+from papayatack.proxy.body_wrappers import MonitoredBody, RecordedBody
 from papayatack.proxy.buffering import buffer_response, is_buffered
 from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.dialect import DefaultDialect, Dialect
-from papayatack.proxy.interface import AdmissionRequest, Gate, Grant, Ownership, Permit
+from papayatack.proxy.interface import (
+    AdmissionRequest,
+    Gate,
+    Grant,
+    NoQuarantine,
+    Ownership,
+    Permit,
+    Quarantine,
+)
+from papayatack.proxy.screening import ScreenedRequest, Screening
 
 __all__ = ["IdempotentAttempt", "LocalServer"]
 
@@ -37,6 +46,9 @@
 _ABANDONED_KINDS = frozenset({ErrorKind.CALLER_LEFT, ErrorKind.UPSTREAM_TIMEOUT})
 """Results after which the upstream may still work on the request."""
 
+_NEWLY_SUSPECTED = Refusal(
+    kind=ErrorKind.REQUEST_HELD, detail="an upstream crashed while the request waited"
+)
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
@@ -49,6 +61,7 @@
     grant: Grant
     started_s: float
     crashes: CrashDetector
+    screening: Screening
     run: Run | None = None
 
     @property
@@ -81,6 +94,8 @@
             self.crashes.note_loss(self.run)
         else:
             self.crashes.end(self.run)
+        if kind is None:
+            self.screening.report_end(self.run)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -104,6 +119,7 @@
         upstream: Connections to the upstream; ``None`` while there is none.
         on_upstream_leaving: Called for each response that says that the upstream
             leaves.
+        screening: Keeps requests that crash upstreams from the upstream.
         crashes: Follows the requests in flight at the upstream.
     """
 
@@ -115,6 +131,7 @@
         metrics: Metrics,
         upstream: UpstreamPool | None = None,
         dialect: Dialect | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self.upstream = upstream
         self.on_upstream_leaving: Callable[[], None] | None = None
@@ -123,7 +140,12 @@
         self._gate = gate
         self._metrics = metrics
         self._last_malformed_limit = ""
-        self.crashes = CrashDetector(metrics=metrics, report=_log_crash)
+        self.screening = Screening(
+            quarantine=quarantine or NoQuarantine(),
+            dialect=self._dialect,
+            metrics=metrics,
+        )
+        self.crashes = CrashDetector(metrics=metrics, report=self._report_crash)
 
     async def serve(
         self,
@@ -142,6 +164,40 @@
         Returns:
             The response, or why there is none.
         """
+        while True:
+            result = await self._serve_screened(peer_request, deadline_s, attempt)
+            match result:
+                case Failure(refusal) if refusal is _NEWLY_SUSPECTED:
+                    continue
+            return result
+
+    async def _serve_screened(
+        self,
+        peer_request: PeerRequest,
+        deadline_s: float,
+        attempt: IdempotentAttempt | None,
+    ) -> Result[Response, Refusal]:
+        """Serve a request if it is not suspected of crashing upstreams.
+
+        Fails with ``_NEWLY_SUSPECTED``, before it is sent, if it is suspected only
+        since it waited.
+        """
+        admitted = await self.screening.admit(peer_request, deadline_s)
+        if not is_successful(admitted):
+            return Failure(admitted.failure())
+        screened = admitted.unwrap()
+        try:
+            return await self._serve_admitted(screened, deadline_s, attempt)
+        finally:
+            self.screening.release(screened)
+
+    async def _serve_admitted(
+        self,
+        screened: ScreenedRequest,
+        deadline_s: float,
+        attempt: IdempotentAttempt | None,
+    ) -> Result[Response, Refusal]:
+        peer_request = screened.peer_request
         if self.upstream is None:
             return _refuse(ErrorKind.UPSTREAM_DRAINING, "no upstream runs here")
         shard = ShardId(peer_request.shard)
@@ -165,9 +221,10 @@
             grant=_NO_GRANT,
             started_s=asyncio.get_running_loop().time(),
             crashes=self.crashes,
+            screening=self.screening,
         )
         try:
-            result = await self._forward(peer_request, use, deadline_s, attempt)
+            result = await self._forward(screened, use, deadline_s, attempt)
             result = await self._name_crash(result, use)
         except BaseException as error:
             use.end(ErrorKind.CALLER_LEFT)
@@ -183,12 +240,13 @@
 
     async def _forward(
         self,
-        peer_request: PeerRequest,
+        screened: ScreenedRequest,
         use: _InFlightUse,
         deadline_s: float,
         attempt: IdempotentAttempt | None,
     ) -> Result[Response, Refusal]:
         """Reserve a connection first, so that no wait follows the authorization."""
+        peer_request = screened.peer_request
         upstream = self.upstream
         if upstream is None:
             return _refuse(
@@ -198,20 +256,30 @@
         if not is_successful(reserved):
             return Failure(reserved.failure())
         connection = reserved.unwrap()
+        if not self.screening.is_current(screened):
+            upstream.return_connection(connection)
+            return Failure(_NEWLY_SUSPECTED)
         now = asyncio.get_running_loop().time()
         granted = self._authorize(peer_request, use, deadline_s - now, attempt)
         if not is_successful(granted):
             upstream.return_connection(connection)
             return Failure(granted.failure())
+        body = RecordedBody(body=peer_request.request.body)
         request = Request(
             method=peer_request.request.method,
             target=peer_request.request.target,
             headers=self._dialect.build_upstream_headers(
                 peer_request, granted.unwrap(), deadline_s - now
             ),
-            body=peer_request.request.body,
+            body=body,
         )
-        use.run = self.crashes.start(peer_request, upstream)
+        use.run = Run(
+            peer_request=peer_request,
+            body=body,
+            standings=self.screening.find_standings(screened),
+            pool=upstream,
+        )
+        self.crashes.start(use.run)
         if attempt is not None:
             attempt.sent = True
         result = await connection.exchange(
@@ -227,6 +295,10 @@
             self._observe_signals(result.unwrap())
         return await self._check_response(peer_request, result.unwrap(), use)
 
+    def _report_crash(self, pool: UpstreamPool, runs: list[Run]) -> None:
+        _log_crash(pool, runs)
+        self.screening.report_crash(pool, runs)
+
     async def _name_crash(
         self, result: Result[Response, Refusal], use: _InFlightUse
     ) -> Result[Response, Refusal]:
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -46,6 +46,12 @@
   1: string shard, 2: i64 epoch, 3: i64 index, 4: bool last,
   5: i64 unknown_remaining_us, 6: i64 unknown_before, 7: list<KeyOutcome> outcomes
 }
+struct Suspicion {
+  1: string fingerprint, 2: string head, 3: string service_name, 4: string caller,
+  5: i64 generation, 6: i64 rounds, 7: string variant, 8: bool is_shared,
+  9: string request_id, 10: list<string> upstreams
+}
+struct SuspectReport { 1: list<Suspicion> suspicions }
 struct Control {
   1: string sender, 2: string recipient,
   10: optional Renew renew, 11: optional RenewReply renew_reply,
@@ -55,7 +61,7 @@
   18: optional LeaseLapsed lease_lapsed, 19: optional LeaseFenced lease_fenced,
   20: optional LogQuery log_query, 21: optional OutcomeQuery outcome_query,
   22: optional OutcomePart outcome_part, 23: optional RelayRecord relay_record,
-  24: optional LogUnreachable log_unreachable
+  24: optional LogUnreachable log_unreachable, 25: optional SuspectReport suspect_report
 }
 
 /* Data: one request is one stream on the connection of a pair of nodes. */
--- a/src/papayatack/wire/records.py
+++ b/src/papayatack/wire/records.py
@@ -33,6 +33,7 @@
     Fenced,
     OwnershipRecord,
     Publish,
+    ReportSuspects,
     Retire,
 )
 
@@ -74,6 +75,7 @@
         "retire": Retire,
         "fenced": Fenced,
         "declare-lost": DeclareLost,
+        "report-suspects": ReportSuspects,
         "checkpoint-chunk": CheckpointChunk,
     },
 }
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -6,10 +6,12 @@
 import looptime
 
 from papayatack.core.inventory import RequestClass
+from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import PeerRequest, Request
 from papayatack.network.probes import ProbeResult
 from papayatack.observability.metrics import Metrics
-from papayatack.proxy.crashes import END_WINDOW_S, LOSS_SPREAD_S, CrashDetector
+from papayatack.proxy.body_wrappers import RecordedBody
+from papayatack.proxy.crashes import END_WINDOW_S, LOSS_SPREAD_S, CrashDetector, Run
 
 
 class FakePool:
@@ -62,10 +64,18 @@
 
     def start(self, *numbers, pool=None):
         """Start runs."""
-        return [
-            self.detector.start(build_request(number), pool or self.pool)
+        runs = [
+            Run(
+                peer_request=build_request(number),
+                body=RecordedBody(body=BytesBody()),
+                standings=None,
+                pool=pool or self.pool,
+            )
             for number in numbers
         ]
+        for run in runs:
+            self.detector.start(run)
+        return runs
 
 
 class LossTests(CrashTestCase):
