Count a crash that the next node was not told of yet

A request that is retried after a crash may reach the next node before the report of that crash does. The request now says after how many crashes it comes; a node that knows nothing of it takes that for its rounds, and runs it alone. Test: test_crash_that_is_not_reported_here_yet_counts_as_a_round; it fails without the field.

--- a/src/papayatack/control/quarantine.py
+++ b/src/papayatack/control/quarantine.py
@@ -38,6 +38,10 @@
         """Return whether anything is known of a request with this head."""
         return self._quarantine.matches(head)
 
+    def is_known(self, fingerprint: str) -> bool:
+        """Return whether anything is known of a request."""
+        return self._quarantine.find(fingerprint) is not None
+
     def judge(self, fingerprints: Fingerprints) -> Verdict:
         """Return what may be done with a request now."""
         return self._quarantine.judge(fingerprints, _read_clock())
@@ -71,16 +75,25 @@
         self._execute_effects(effects)
 
     def list_open(self) -> list[Suspicion]:
-        """Return the suspicions that have not been cleared."""
-        return [item for item in self._quarantine.list_all() if item.is_open]
-
-    def lift(self, fingerprint: str) -> Suspicion | None:
-        """Clear a suspicion on behalf of an operator; return it if there was one."""
-        suspicion = self._quarantine.find(fingerprint)
-        if suspicion is None or not suspicion.is_open:
-            return None
-        self._clear((fingerprint,), LIFTED)
-        return suspicion
+        """Return the suspicions of single requests that have not been cleared.
+
+        Those of requests that are alike are left out while they name a single one.
+        """
+        return [
+            item
+            for item in self._quarantine.list_all()
+            if item.is_open and (item.is_shared or not item.variant)
+        ]
+
+    def lift(self, fingerprint: str) -> bool:
+        """Clear a suspicion on behalf of an operator; return whether there was one."""
+        related = [
+            item.fingerprint
+            for item in self._quarantine.list_all()
+            if item.is_open and fingerprint in (item.fingerprint, item.variant)
+        ]
+        self._clear(tuple(related), LIFTED)
+        return bool(related)
 
 
 def _read_clock() -> float:
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -74,6 +74,7 @@
         repeatable: Whether the request may be run more than once.
         request_id: Unique id.
         idempotency_key: The caller's idempotency key; empty if there is none.
+        crashes: Number of upstreams that crashed while they ran the request.
         hops: Number of nodes that have forwarded the request.
         recipient: Incarnation to which the request is addressed.
         max_attempts: Most upstreams to try; 0 applies the retry policy.
@@ -93,6 +94,7 @@
     repeatable: bool
     request_id: str
     idempotency_key: str = ""
+    crashes: int = 0
     hops: int = 0
     recipient: str = ""
     max_attempts: int = 0
--- a/src/papayatack/network/request_heads.py
+++ b/src/papayatack/network/request_heads.py
@@ -37,6 +37,7 @@
         recipient=peer_request.recipient,
         target_us=_encode_target_us(peer_request.target_s),
         sent_us=sent_us,
+        crashes=peer_request.crashes,
     )
 
 
@@ -60,6 +61,7 @@
         repeatable=bool(head.repeatable),
         request_id=head.request_id or "",
         idempotency_key=head.idempotency_key or "",
+        crashes=max(0, head.crashes or 0),
         hops=head.hops or 0,
         recipient=head.recipient or "",
         target_s=None if head.target_us is None else head.target_us / US_PER_S,
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -304,6 +304,7 @@
             else:
                 refusal = result.failure()
                 suspect.note(refusal)
+                peer_request.crashes = suspect.crashes
             if _is_unknown(refusal):
                 unknown_refusal = unknown_refusal or refusal
                 if late.added_count == count_before:
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -156,6 +156,9 @@
     def matches(self, head: str) -> bool:
         """Return whether anything is known of a request with this head."""
 
+    def is_known(self, fingerprint: str) -> bool:
+        """Return whether anything is known of a request."""
+
     def judge(self, fingerprints: Fingerprints) -> Verdict:
         """Return what may be done with a request now."""
 
@@ -181,6 +184,10 @@
         """Return false."""
         return False
 
+    def is_known(self, fingerprint: str) -> bool:
+        """Return true, so that nothing is held."""
+        return True
+
     def judge(self, fingerprints: Fingerprints) -> Verdict:
         """Return that the request may run."""
         return Verdict(kind=VerdictKind.FREE)
--- a/src/papayatack/proxy/screening.py
+++ b/src/papayatack/proxy/screening.py
@@ -91,7 +91,7 @@
         """Return a request with its fingerprints, or why it may not run now."""
         identity = self.identify(peer_request)
         screened = ScreenedRequest(peer_request=peer_request, identity=identity)
-        if not self._is_known(identity):
+        if not self._is_known(identity) and not peer_request.crashes:
             return Success(screened)
         try:
             async with asyncio.timeout_at(deadline_s):
@@ -104,7 +104,8 @@
         if verdict.kind >= VerdictKind.HELD:
             return Failure(self._refuse(verdict))
         screened.fingerprints = fingerprints
-        screened.is_suspected = verdict.kind is not VerdictKind.FREE
+        is_unreported = self._is_unreported(screened)
+        screened.is_suspected = is_unreported or verdict.kind is not VerdictKind.FREE
         return Success(screened)
 
     async def admit(
@@ -142,10 +143,13 @@
         fingerprints = screened.fingerprints
         if fingerprints is None:
             return None
-        return (
-            self._quarantine.find_standing(fingerprints.broad),
-            self._quarantine.find_standing(fingerprints.exact),
-        )
+        broad = self._quarantine.find_standing(fingerprints.broad)
+        exact = self._quarantine.find_standing(fingerprints.exact)
+        if self._is_unreported(screened):
+            rounds = screened.peer_request.crashes
+            broad = dataclasses.replace(broad, rounds=max(broad.rounds, rounds))
+            exact = dataclasses.replace(exact, rounds=rounds)
+        return broad, exact
 
     def report_end(self, run: Run) -> None:
         """Clear a request that has ended at the upstream."""
@@ -184,6 +188,13 @@
             request_id=run.peer_request.request_id,
         )
 
+    def _is_unreported(self, screened: ScreenedRequest) -> bool:
+        """Return whether the request comes with crashes that are not known here yet."""
+        fingerprints = screened.fingerprints
+        if fingerprints is None or not screened.peer_request.crashes:
+            return False
+        return not self._quarantine.is_known(fingerprints.exact)
+
     def _is_known(self, identity: RequestIdentity) -> bool:
         if self._quarantine.is_empty:
             return False
@@ -194,7 +205,8 @@
     ) -> Result[ScreenedRequest, Refusal]:
         while True:
             verdict = self._quarantine.judge(fingerprints)
-            if verdict.kind is VerdictKind.FREE:
+            is_free = verdict.kind is VerdictKind.FREE
+            if is_free and not self._is_unreported(screened):
                 return Success(screened)
             if verdict.kind >= VerdictKind.HELD:
                 return Failure(self._refuse(verdict))
--- a/tests/proxy/test_screening.py
+++ b/tests/proxy/test_screening.py
@@ -129,7 +129,7 @@
         )
         await test(self)
 
-    async def serve(self, target, *, body=None, caller="caribe"):
+    async def serve(self, target, *, body=None, caller="caribe", crashes=0):
         """Serve a request; return its status or the kind of its error."""
         peer_request = PeerRequest(
             request=Request(
@@ -144,6 +144,7 @@
             cost=1.0,
             repeatable=True,
             request_id="r",
+            crashes=crashes,
         )
         deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
         result = await self.server.serve(peer_request, deadline_s=deadline_s)
@@ -243,6 +244,12 @@
         found = await self.serve(b"/slow", body=BodyQueue())
         self.assertIs(found, ErrorKind.DEADLINE_EXPIRED)
 
+    @on_virtual_time
+    async def test_crash_that_is_not_reported_here_yet_counts_as_a_round(self):
+        await self.crash(b"/crash", crashes=1)
+        found = await self.crash(b"/crash")
+        self.assertEqual(found, [ErrorKind.REQUEST_HELD])
+
     @on_virtual_time
     async def test_slots_are_free_while_suspects_wait(self):
         targets = [b"/%d" % number for number in range(6)]
