List and lift requests that crash upstreams by the operators' command

papayatackctl quarantine lists the requests that were in flight at crashes and have not ended since; papayatackctl lift lets them run again on all nodes. What a command is and gets moved from ctl/commands.py to ctl/invocation.py.

--- a/src/papayatack/ctl/commands.py
+++ b/src/papayatack/ctl/commands.py
@@ -4,8 +4,7 @@
 import pathlib
 import urllib.parse
 import uuid
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from collections.abc import Mapping
 
 from prometheus_client.parser import text_string_to_metric_families
 
@@ -16,6 +15,8 @@
 from papayatack.ctl import tables
 from papayatack.ctl.documents import Documents, format_document, read_documents
 from papayatack.ctl.exits import CommandError, ExitStatus
+from papayatack.ctl.invocation import Command, Invocation, Output
+from papayatack.ctl.quarantine import lift, show_quarantine
 from papayatack.ctl.session import Session, decode_reply, read_detail
 from papayatack.ctl.watch import watch_version
 from papayatack.wire.answers import (
@@ -25,62 +26,7 @@
     StatusAnswer,
 )
 
-__all__ = ["COMMANDS", "Command", "Invocation", "Output"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Output:
-    """What a command prints.
-
-    Attributes:
-        document: For programs.
-        text: For people.
-        status: The exit status.
-    """
-
-    document: Any
-    text: str
-    status: ExitStatus = ExitStatus.DONE
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Invocation:
-    """One use of the command.
-
-    Attributes:
-        session: Which nodes it calls.
-        arguments: The words after the command's name.
-        base_version: ``--base``, if given.
-        record_id: ``--record_id``, if given.
-        directory: ``--out``, if given.
-        print_progress: Takes lines that tell how far a long command is.
-    """
-
-    session: Session
-    arguments: tuple[str, ...]
-    base_version: int | None = None
-    record_id: str | None = None
-    directory: str | None = None
-    print_progress: Callable[[str], None] = lambda line: None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Command:
-    """A command and its arguments.
-
-    Attributes:
-        run: Its function.
-        usage: Its arguments, for the usage message.
-        least: Least number of arguments.
-        most: Largest number of arguments.
-        summary: What it does.
-    """
-
-    run: Callable[[Invocation], Awaitable[Output]]
-    usage: str
-    least: int
-    most: int
-    summary: str
+__all__ = ["COMMANDS"]
 
 
 async def check(invocation: Invocation) -> Output:
@@ -383,6 +329,20 @@
         most=2,
         summary="tell who owns a key, and why",
     ),
+    "quarantine": Command(
+        run=show_quarantine,
+        usage="",
+        least=0,
+        most=0,
+        summary="list the requests that were in flight when upstreams crashed",
+    ),
+    "lift": Command(
+        run=lift,
+        usage="FINGERPRINT...",
+        least=1,
+        most=100,
+        summary="let requests that were in flight at crashes run again",
+    ),
     "counters": Command(
         run=show_counters,
         usage="",
--- a/src/papayatack/ctl/main.py
+++ b/src/papayatack/ctl/main.py
@@ -9,8 +9,9 @@
 
 from absl import flags
 
-from papayatack.ctl.commands import COMMANDS, Command, Invocation, Output
+from papayatack.ctl.commands import COMMANDS
 from papayatack.ctl.exits import CommandError, ExitStatus
+from papayatack.ctl.invocation import Command, Invocation, Output
 from papayatack.ctl.session import Session
 
 __all__ = ["main", "run"]
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -6,7 +6,12 @@
 from tabulate import tabulate
 
 from papayatack.ctl.watch import WatchReport
-from papayatack.wire.answers import ConfigAnswer, ExplainAnswer, StatusAnswer
+from papayatack.wire.answers import (
+    ConfigAnswer,
+    ExplainAnswer,
+    QuarantineAnswer,
+    StatusAnswer,
+)
 
 __all__ = [
     "format_check",
@@ -14,6 +19,7 @@
     "format_conflict",
     "format_counters",
     "format_explain",
+    "format_quarantine",
     "format_status",
     "format_watch",
 ]
@@ -50,6 +56,26 @@
     return "\n".join(lines)
 
 
+def format_quarantine(answer: QuarantineAnswer) -> str:
+    """Return a table of the requests that were in flight at crashes."""
+    if not answer.suspects:
+        return "no request is suspected"
+    rows = [
+        (
+            suspect.fingerprint,
+            suspect.service,
+            suspect.caller,
+            "refused" if suspect.is_refused else "runs alone",
+            suspect.rounds,
+            suspect.last_request,
+            " ".join(suspect.upstreams),
+        )
+        for suspect in answer.suspects
+    ]
+    headers = ("fingerprint", "service", "caller", "state", "crashes", "last request")
+    return _format_table((*headers, "upstreams"), rows)
+
+
 def format_config(answer: ConfigAnswer) -> str:
     """Return both documents."""
     return (
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -18,12 +18,21 @@
 from papayatack.core.records import Announce, DeclareLost
 from papayatack.daemon.publication_answer import PublicationStatus
 from papayatack.daemon.replies import read_json, reply_json, reply_text
-from papayatack.daemon.status import describe_key, describe_node
+from papayatack.daemon.status import (
+    describe_key,
+    describe_node,
+    describe_quarantine,
+)
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.interface import LogFailure, LogFailureKind
 from papayatack.network.exchanges import Request, Response
 from papayatack.observability.metrics import Metrics
-from papayatack.wire.answers import ConfigAnswer, ExplainAnswer, PublishAnswer
+from papayatack.wire.answers import (
+    ConfigAnswer,
+    ExplainAnswer,
+    LiftAnswer,
+    PublishAnswer,
+)
 
 if TYPE_CHECKING:
     from papayatack.daemon.publication import Publisher
@@ -32,6 +41,7 @@
 
 DECLARE_TIMEOUT_S = 10.0
 MAX_ID_LENGTH = 128
+MAX_LIFTED = 100
 PUBLICATION_STATUSES = {
     PublicationStatus.ACCEPTED: 200,
     PublicationStatus.CONFLICT: 409,
@@ -71,6 +81,13 @@
     incarnations: Annotated[list[str], pydantic.Field(min_length=1)]
 
 
+class _LiftRequest(pydantic.BaseModel, defer_build=True):
+    fingerprints: Annotated[
+        list[Annotated[str, pydantic.Field(min_length=1, max_length=MAX_ID_LENGTH)]],
+        pydantic.Field(min_length=1, max_length=MAX_LIFTED),
+    ]
+
+
 class OperatorEndpoint:
     """Answers operators.
 
@@ -96,6 +113,8 @@
             (b"GET", "/explain"): self._explain,
             (b"POST", "/publish"): self._publish,
             (b"POST", "/declare-lost"): self._declare_lost,
+            (b"GET", "/quarantine"): self._read_quarantine,
+            (b"POST", "/lift"): self._lift,
         }
 
     async def handle(self, request: Request) -> Response:
@@ -188,6 +207,19 @@
         result = await parts.declarer.append(record, deadline_s=deadline_s)
         return _reply_append(result)
 
+    async def _read_quarantine(self, parts: ServingParts, request: Request) -> Response:
+        answer = describe_quarantine(parts.control.quarantine.list_open())
+        return reply_json(200, answer.model_dump())
+
+    async def _lift(self, parts: ServingParts, request: Request) -> Response:
+        """Clear suspicions; other nodes learn it at once, the log a little later."""
+        document = _LiftRequest.model_validate(await read_json(request))
+        quarantine = parts.control.quarantine
+        lifted = [name for name in document.fingerprints if quarantine.lift(name)]
+        unknown = [name for name in document.fingerprints if name not in lifted]
+        answer = LiftAnswer(lifted=lifted, unknown=unknown)
+        return reply_json(200, answer.model_dump())
+
 
 def _reply_append(result: Result[int, LogFailure]) -> Response:
     match result:
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -1,11 +1,14 @@
 """What a node tells operators of itself and of a key."""
 
+from collections.abc import Iterable
+
 from returns.result import Success
 
 from papayatack.control.node import ControlNode
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.lease_holder import LeaseHolder
 from papayatack.core.ownership.state import Chain, Member, OwnershipState
+from papayatack.core.quarantine import Suspicion
 from papayatack.core.records import Announce
 from papayatack.core.shards import locate_shard
 from papayatack.wire.answers import (
@@ -13,10 +16,12 @@
     Holder,
     LeaseState,
     NodeEntry,
+    QuarantineAnswer,
     StatusAnswer,
+    SuspectEntry,
 )
 
-__all__ = ["describe_key", "describe_node"]
+__all__ = ["describe_key", "describe_node", "describe_quarantine"]
 
 MILLISECONDS = 1_000
 
@@ -183,3 +188,22 @@
     if holder is None:
         return "joining"
     return "serving" if now < holder.valid_until_s else "lease expired"
+
+
+def describe_quarantine(suspicions: Iterable[Suspicion]) -> QuarantineAnswer:
+    """Return the requests that were in flight at crashes, the refused ones first."""
+    ordered = sorted(suspicions, key=lambda suspicion: -suspicion.rounds)
+    return QuarantineAnswer(
+        suspects=[
+            SuspectEntry(
+                fingerprint=suspicion.fingerprint,
+                service=suspicion.service_name,
+                caller=suspicion.caller,
+                rounds=suspicion.rounds,
+                is_refused=suspicion.is_quarantined,
+                last_request=suspicion.request_id,
+                upstreams=list(suspicion.upstreams),
+            )
+            for suspicion in ordered
+        ]
+    )
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -11,9 +11,12 @@
     "ExplainAnswer",
     "Holder",
     "LeaseState",
+    "LiftAnswer",
     "NodeEntry",
     "PublishAnswer",
+    "QuarantineAnswer",
     "StatusAnswer",
+    "SuspectEntry",
     "VersionAnswer",
 ]
 
@@ -112,3 +115,28 @@
     difference: list[str] = []
     faults: list[str] = []
     detail: str = ""
+
+
+class SuspectEntry(_Answer):
+    """A request that was in flight when upstreams crashed."""
+
+    fingerprint: str
+    service: str = ""
+    caller: str = ""
+    rounds: int = 0
+    is_refused: bool = False
+    last_request: str = ""
+    upstreams: list[str] = []
+
+
+class QuarantineAnswer(_Answer):
+    """The requests that were in flight at crashes and have not ended since."""
+
+    suspects: list[SuspectEntry] = []
+
+
+class LiftAnswer(_Answer):
+    """The fingerprints of requests that may run again, and of those not known."""
+
+    lifted: list[str] = []
+    unknown: list[str] = []
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -303,6 +303,28 @@
         status, _, _ = self.run_command("drain", f"--node={AWAY}")
         self.assertEqual(status, ExitStatus.USAGE)
 
+    def test_quarantine_lists_suspects_and_lift_names_those_not_known(self):
+        suspect = {
+            "fingerprint": "f1",
+            "service": "desk",
+            "caller": "papers",
+            "rounds": 3,
+            "is_refused": True,
+            "upstreams": ["i-1", "i-2"],
+        }
+        self.endpoint.answer("GET", "/quarantine", (200, {"suspects": [suspect]}))
+        status, stdout, _ = self.run_command("quarantine")
+        self.assertEqual(status, ExitStatus.DONE)
+        self.assertRegex(stdout, r"f1 +desk +papers +refused +3 +i-1 i-2")
+        answer = {"lifted": ["f1"], "unknown": ["f2"]}
+        self.endpoint.answer("POST", "/lift", (200, answer))
+        status, stdout, _ = self.run_command("lift", "f1", "f2")
+        self.assertEqual(status, ExitStatus.REFUSED)
+        self.assertIn("lifted: f1", stdout)
+        self.assertIn("not known, or already lifted: f2", stdout)
+        (sent,) = self.endpoint.list_bodies("/lift")
+        self.assertEqual(sent, {"fingerprints": ["f1", "f2"]})
+
     def test_declare_lost(self):
         """Incarnations are sent; refusals are told."""
         self.endpoint.answer(
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 
+from standins.fleet import call
 from tests.platform.documents import build_manifest
 from tests.platform.test_process import ProcessTestCase
 
@@ -130,6 +131,48 @@
             share = self.find_share(path, last_s + RECOVERED_S)
             self.assertGreaterEqual(share, SERVED_SHARE, path)
 
+    async def is_refused(self):
+        """Return whether each running node refuses the crashing request."""
+        for machine in self.machines:
+            _, head, _ = await machine.ask("/papers/crash")
+            if "papayatack-error: request-quarantined" not in head:
+                return False
+        return True
+
+    async def call_operators(self, port, target, method="GET", body=b""):
+        """Return the document of an answer of a node's operators' endpoint."""
+        _, answer = await call(port, target, method=method, body=body)
+        return json.loads(answer.partition(b"\r\n\r\n")[2])
+
+    def count_runs(self):
+        """Return how often the crashing request ran."""
+        return len(self.list_times_s("papers", "crashing_runs_s"))
+
+    async def test_refused_request_stays_refused_after_all_nodes_restart_until_lifted(
+        self,
+    ):
+        await self.wait_for(self.is_refused)
+        runs = self.count_runs()
+        for machine in self.machines:
+            machine.process.kill()
+        for machine in self.machines:
+            await machine.process.wait()
+            await machine.start_node()
+        await self.wait_for(self.serves_papers)
+        self.assertTrue(await self.is_refused())
+        self.assertEqual(self.count_runs(), runs)
+        operators = [machine.ports["operators"] for machine in self.machines]
+        suspects = await self.call_operators(operators[0], "/quarantine")
+        names = [
+            item["fingerprint"] for item in suspects["suspects"] if item["is_refused"]
+        ]
+        body = json.dumps({"fingerprints": names}).encode()
+        lifted = await self.call_operators(operators[1], "/lift", "POST", body)
+        self.assertEqual(lifted, {"lifted": names, "unknown": []})
+        await self.wait_for(self.serves_papers)
+        await self.ask("/papers/crash", None)
+        self.assertGreater(self.count_runs(), runs)
+
     def check_crashes(self, service):
         """Check the crashes of a service's upstreams; return when the last one was."""
         crashes_s = self.list_times_s(service, "crashes_s")
