--- a/src/papayatack/control/quarantine.py
+++ b/src/papayatack/control/quarantine.py
@@ -82,7 +82,7 @@
         return [
             item
             for item in self._quarantine.list_all()
-            if item.is_open and (item.is_shared or not item.variant)
+            if item.is_open and not item.is_of_one
         ]
 
     def lift(self, fingerprint: str) -> bool:
--- a/src/papayatack/core/ownership/suspicions.py
+++ b/src/papayatack/core/ownership/suspicions.py
@@ -167,6 +167,8 @@
 
     def _emit_change(self, suspicion: Suspicion) -> None:
         """Log a request that is refused from now on, or one that was cleared."""
+        if suspicion.is_of_one:
+            return
         if suspicion.is_quarantined:
             name = "REQUEST_QUARANTINED"
         elif not suspicion.is_open:
--- a/src/papayatack/core/quarantine/suspicion.py
+++ b/src/papayatack/core/quarantine/suspicion.py
@@ -63,6 +63,11 @@
         """Whether the request may reach no upstream."""
         return self.rounds >= QUARANTINE_ROUNDS
 
+    @property
+    def is_of_one(self) -> bool:
+        """Whether it is of requests that are alike, of which only one was in flight."""
+        return bool(self.variant) and not self.is_shared
+
     @property
     def rank(self) -> tuple[int, int, bool]:
         """Order among suspicions of the same request; the highest replaces others."""
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -419,6 +419,7 @@
         LOGGER,
         Event.UPSTREAM_CRASHED,
         level=logging.WARNING,
+        upstream=pool.name,
         address=pool.address,
         count=len(runs),
         requests=[request.request_id for request in requests],
