Retire all idle connections to the log when one of them gives no answer

Where a network loses open connections without a word, each idle connection to the store cost a time-out of its own, one call after the other: three idle connections, three seconds. A call that gets no answer in time now closes the others that are idle. Test: with three idle connections silenced the second call failed before; it is answered on a new connection now (tests.logservice.test_calls).

--- a/src/papayatack/logservice/calls.py
+++ b/src/papayatack/logservice/calls.py
@@ -80,9 +80,7 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            connection = self._idle.pop()
-            connection.writer.close()
+        self._retire_idle()
 
     async def call(self, call: HttpCall, *, timeout_s: float) -> tuple[int, bytes]:
         """Send a request and return the response's status and content.
@@ -105,18 +103,30 @@
             h11.ProtocolError: The response is not valid HTTP.
             ResponseError: The response is too large, or the connection was closed.
         """
-        async with asyncio.timeout(timeout_s):
-            connection = await self._acquire_connection()
-            try:
-                response = await _exchange(
-                    connection, call, host=self._host, content_type=self._content_type
-                )
-            except BaseException:
-                connection.writer.close()
-                raise
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._call(call)
+        except TimeoutError:
+            # A network that lost one open connection may have lost all of them.
+            self._retire_idle()
+            raise
+
+    async def _call(self, call: HttpCall) -> tuple[int, bytes, Headers]:
+        connection = await self._acquire_connection()
+        try:
+            response = await _exchange(
+                connection, call, host=self._host, content_type=self._content_type
+            )
+        except BaseException:
+            connection.writer.close()
+            raise
         self._release_connection(connection)
         return response
 
+    def _retire_idle(self) -> None:
+        while self._idle:
+            self._idle.pop().writer.close()
+
     async def _acquire_connection(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
