Notice silent connections between nodes within 0.3 s

A link with an open request of this node now has a timer of its own: a sign of life is asked for after 0.1 s without bytes, and waited for 0.2 s, or longer where the peer's answers usually take longer (mean and four mean deviations, 0.6 s at most). A node that finds its timer late was stalled itself, and asks again first. Probes of a peer that answers them become rarer.

Test: test_silent_connection_is_noticed_within_three_tenths_of_a_second took 1.0 s before.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -32,6 +32,22 @@
 """Bytes written per flush, and high-water mark of the write buffer."""
 WRITE_LOW_BYTES = 16 * 1024
 """Low-water mark of the write buffer."""
+MAX_REPLY_S = 0.6
+"""Longest time for which the answer to a probe is waited for, however slow the peer's
+earlier answers were."""
+
+REPLY_SMOOTHING = 0.25
+REPLY_DEVIATIONS = 4.0
+"""Weight of a new sample in the mean time of the peer's answers, and the number of mean
+deviations from it that are allowed."""
+
+MAX_PROBE_DOUBLINGS = 2
+"""How often the pause between probes of a quiet peer is doubled."""
+
+MAX_TIMER_DELAY_S = 0.05
+"""Delay of a timer above which this node itself was stalled, and bytes of the peer may
+not have been read yet."""
+
 CONTROL_STREAM = 0
 """Stream id of frames that belong to no request."""
 
@@ -92,6 +108,11 @@
         self.last_received_s = 0.0
         self.last_used_s = 0.0
         self._probed_s: float | None = None
+        self._reply_s = 0.0
+        self._reply_deviation_s = 0.0
+        self._answered_probes = 0
+        self._opened_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
         self._owner = owner
         self._reader = FrameReader()
         self._delivery_delay = DeliveryDelay()
@@ -123,6 +144,8 @@
     def data_received(self, data: bytes) -> None:
         """Handle all complete frames."""
         self.last_received_s = self._loop.time()
+        if self._probed_s is not None:
+            self._record_reply(self.last_received_s - self._probed_s)
         self._probed_s = None
         self.unresponsive = False
         try:
@@ -152,7 +175,9 @@
         stream = PeerStream(link=self, stream_id=self._next_id)
         self._next_id += 2
         self.streams[stream.stream_id] = stream
-        self.last_used_s = self._loop.time()
+        self.last_used_s = self._opened_s = self._loop.time()
+        self._answered_probes = 0
+        self._start_timer(self._opened_s + self.limits.probe_after_s)
         return stream
 
     def drop_stream(self, stream: PeerStream) -> None:
@@ -189,12 +214,52 @@
         if self._probed_s is None:
             self._probed_s = now
             self._send_hello(reply_wanted=True)
-        elif (
-            now - self._probed_s
-            >= self.limits.unresponsive_after_s - self.limits.probe_after_s
-        ):
+        elif now - self._probed_s >= self._find_reply_limit():
             self._mark_unresponsive()
 
+    def _start_timer(self, due_s: float) -> None:
+        """Check the peer at a time, unless a check is due already."""
+        if self._timer is None and not self.closed:
+            self._timer = self._loop.call_at(due_s, self._check_due, due_s)
+
+    def _check_due(self, due_s: float) -> None:
+        """Check a peer that owes answers, and start the timer of the next check."""
+        self._timer = None
+        if self.closed or self.unresponsive or not self._is_owed_answers():
+            return
+        now = self._loop.time()
+        if now - due_s > MAX_TIMER_DELAY_S:
+            self._probed_s = None
+            self._start_timer(now + self.limits.probe_after_s)
+            return
+        self.check_liveness(now)
+        if self._probed_s is not None:
+            self._start_timer(max(now, self._probed_s + self._find_reply_limit()))
+            return
+        # Probes of a peer that answers them, but not the requests yet, become rarer.
+        pause_s = self.limits.probe_after_s * 2**self._answered_probes
+        quiet_since_s = max(self.last_received_s, self._opened_s)
+        self._start_timer(max(now, quiet_since_s + pause_s))
+
+    def _is_owed_answers(self) -> bool:
+        """Return whether a request of this node is open on the link."""
+        return any(map(self._is_local, self.streams.values()))
+
+    def _find_reply_limit(self) -> float:
+        """Return for how many seconds the answer to a probe is waited for."""
+        usual_s = self._reply_s + REPLY_DEVIATIONS * self._reply_deviation_s
+        least_s = self.limits.unresponsive_after_s - self.limits.probe_after_s
+        return max(least_s, min(usual_s, MAX_REPLY_S))
+
+    def _record_reply(self, reply_s: float) -> None:
+        """Update the usual time of the peer's answers to probes."""
+        difference_s = reply_s - self._reply_s
+        self._answered_probes = min(self._answered_probes + 1, MAX_PROBE_DOUBLINGS)
+        self._reply_s += REPLY_SMOOTHING * difference_s
+        self._reply_deviation_s += REPLY_SMOOTHING * (
+            abs(difference_s) - self._reply_deviation_s
+        )
+
     def _mark_unresponsive(self) -> None:
         """End streams at their deadlines, and let requests be retried elsewhere."""
         if not self.unresponsive:
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -88,7 +88,7 @@
         self.decoder = ManifestDecoder(places=settings.all_places, metrics=metrics)
         self.upstream_limits = UpstreamLimits(accepts_unframed=True)
         self.peer_limits = PeerLimits(
-            connect_timeout_s=0.5, probe_after_s=0.4, unresponsive_after_s=1.0
+            connect_timeout_s=0.5, probe_after_s=0.1, unresponsive_after_s=0.3
         )
         self.retention_s: float | None = None
         self.pace = PLANNING_INTERVALS
--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -31,7 +31,8 @@
         )
         self.transport = mock.Mock()
         self.transport.is_closing.return_value = False
-        with patched:
+        timers = mock.patch.object(asyncio.get_running_loop(), "call_at")
+        with patched, timers:
             self.link = Link(owner=self.owner, address=PeerAddress("b:2"))
             self.link.connection_made(self.transport)
             self.stream = self.link.open_stream()
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -26,6 +26,7 @@
 """A request must end within this time after its deadline."""
 
 RESPONSE_DELAY_S = 1.6
+NOTICE_SLACK_S = 0.15
 """Three checks of the links; a silent peer is unresponsive after two."""
 
 MESSAGE = Fence(lease=LeaseId(IncarnationId("x"), 1))
@@ -272,6 +273,23 @@
         self.assertFalse(unresponsive[0].response.done())
         frozen.close()
 
+    async def test_silent_connection_is_noticed_within_three_tenths_of_a_second(self):
+        """Requests are not waited for until their deadlines, or for the next sweep."""
+        self.first.limits = PeerLimits(probe_after_s=0.1, unresponsive_after_s=0.3)
+        self.assertTrue(is_successful(await self.exchange()))
+        resume = self.pause_reading(self.second)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        result = await self.first.exchange(
+            address=PeerAddress(f"127.0.0.1:{self.second.port}"),
+            peer_request=build_peer_request(),
+            deadline_s=started_s + 30.0,
+            on_unresponsive=lambda stream: None,
+        )
+        self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
+        self.assertLess(loop.time() - started_s, 0.3 + NOTICE_SLACK_S)
+        resume()
+
     def pause_reading(self, network):
         """Pause reading on a network's links; return a function that resumes it."""
         transports = [link._transport for link in network._all_links]
