Let calls of running requests wait in a class of their own

Two causes: calls waited in the class of their route, beside first requests; and all calls shared one limit on their wait, which fell to 20 to 30 ms because some parents had no time left.

The node where a call begins knows the run that makes it and says so to the called service's node; there calls are a class of their own, with waits of their own. A caller cannot claim it: an id that names no run in flight at the node's own upstream is a first request. Lines and counters lead from a refused call to its parent, and count the slot time that was thrown away.

--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -83,6 +83,7 @@
         self._order = self._classes[RequestClass.ORDER]
         self._browse = self._classes[RequestClass.BROWSE]
         self._download = self._classes[RequestClass.DOWNLOAD]
+        self._call = self._classes[RequestClass.CALL]
 
     @property
     def in_use(self) -> int:
@@ -262,7 +263,7 @@
                 now,
                 wait_s=wait_s,
                 max_wait_s=max_wait_s,
-                min_limit_s=_find_late_wait(state, entry.cost),
+                min_limit_s=self._find_least_limit(state, entry, max_wait_s),
             ):
                 self._refuse(
                     entry,
@@ -281,6 +282,18 @@
         state.queue.push(entry)
         self._queue_deadlines.put(entry, entry.queue_deadline_s)
 
+    def _find_least_limit(
+        self, state: ClassState, entry: QueueEntry, max_wait_s: float
+    ) -> float:
+        """Return the lower bound on the limit of a request's wait in seconds.
+
+        Calls need not wait alike: those that permit little are of requests that have
+        little time left.
+        """
+        if state is self._call:
+            return max_wait_s
+        return _find_late_wait(state, entry.cost)
+
     def _has_free_slot(self, now: float, state: ClassState) -> bool:
         limit = self._concurrency_limit.current_limit(now)
         return (
@@ -391,7 +404,7 @@
         """Record the load of the classes of short requests up to now."""
         if now <= self._headroom.updated_s:
             return
-        load = self._order.demand + self._browse.demand
+        load = self._order.demand + self._browse.demand + self._call.demand
         self._headroom.record(now, min(load, self._concurrency_limit.slots))
 
 
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -11,8 +11,11 @@
     RequestClass.ORDER: 0.35,
     RequestClass.BROWSE: 0.55,
     RequestClass.DOWNLOAD: 0.1,
+    RequestClass.CALL: 1.0,
 }
-"""Share of the slots guaranteed to each class by default."""
+"""Shares by default: the slots are divided in proportion to those of the classes that
+have requests. Calls get half of them while all others want them too: a call that is
+refused wastes the slot time of the request that waits for it."""
 
 QUEUE_PER_SLOT = 8
 """Default bound on the queued requests for each slot that a class can use."""
--- a/src/papayatack/core/documents.py
+++ b/src/papayatack/core/documents.py
@@ -133,7 +133,7 @@
     @pydantic.field_validator("request_class")
     @classmethod
     def _check_class(cls, value: str) -> str:
-        known = [str(member) for member in RequestClass]
+        known = [str(m) for m in RequestClass if m is not RequestClass.CALL]
         if value not in known:
             raise ValueError(f"not a class; use one of {', '.join(known)}")
         return value
--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -24,11 +24,19 @@
 
 
 class RequestClass(enum.StrEnum):
-    """Request classes among which an upstream's slots are shared."""
+    """Request classes among which an upstream's slots are shared.
+
+    Attributes:
+        ORDER: Requests that take precedence.
+        BROWSE: Other short requests.
+        DOWNLOAD: Long responses.
+        CALL: Requests that a running request waits for; no rule assigns this class.
+    """
 
     ORDER = "order"
     BROWSE = "browse"
     DOWNLOAD = "download"
+    CALL = "call"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -74,6 +74,7 @@
         repeatable: Whether the request may be run more than once.
         request_id: Unique id.
         idempotency_key: The caller's idempotency key; empty if there is none.
+        is_call: Whether another request, which runs at an upstream, waits for it.
         crashes: Number of upstreams that crashed while they ran the request.
         hops: Number of nodes that have forwarded the request.
         recipient: Incarnation to which the request is addressed.
@@ -94,6 +95,7 @@
     repeatable: bool
     request_id: str
     idempotency_key: str = ""
+    is_call: bool = False
     crashes: int = 0
     hops: int = 0
     recipient: str = ""
--- a/src/papayatack/network/request_heads.py
+++ b/src/papayatack/network/request_heads.py
@@ -38,6 +38,7 @@
         target_us=_encode_target_us(peer_request.target_s),
         sent_us=sent_us,
         crashes=peer_request.crashes,
+        is_call=peer_request.is_call,
     )
 
 
@@ -61,6 +62,7 @@
         repeatable=bool(head.repeatable),
         request_id=head.request_id or "",
         idempotency_key=head.idempotency_key or "",
+        is_call=bool(head.is_call),
         crashes=max(0, head.crashes or 0),
         hops=head.hops or 0,
         recipient=head.recipient or "",
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -75,6 +75,13 @@
         caller = find_header(peer_request.request.headers, REQUEST_FIELDS.caller)
         return (caller or b"").decode("latin-1")
 
+    def read_parent_id(self, request_id: str) -> str:
+        """Return the part of an id before its last dot, empty if it has none.
+
+        Upstreams name their calls after the request that they run.
+        """
+        return request_id.rpartition(".")[0]
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Return whether a response with these fields belongs to the request.
 
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -32,6 +32,7 @@
     RequestClass.ORDER: 0.35,
     RequestClass.BROWSE: 0.45,
     RequestClass.DOWNLOAD: 0.2,
+    RequestClass.CALL: 0.7,
 }
 MIN_SHARE = 0.8
 UNLIMITED_SLOTS = 1_000_000
--- a/src/papayatack/proxy/crashes.py
+++ b/src/papayatack/proxy/crashes.py
@@ -44,6 +44,7 @@
         lost_s: Event loop time at which its connection was lost or closed; infinite
             before.
         has_ended: Whether the upstream has answered it.
+        failed_call: Id of a call of this request that got no answer, empty if none.
     """
 
     peer_request: PeerRequest
@@ -52,6 +53,7 @@
     pool: UpstreamPool
     lost_s: float = math.inf
     has_ended: bool = False
+    failed_call: str = ""
 
 
 class CrashDetector:
@@ -67,19 +69,25 @@
     ) -> None:
         self._metrics = metrics
         self._report = report
-        self._running: set[Run] = set()
+        self._running: dict[Run, None] = {}
+        self._run_by_request: dict[str, Run] = {}
         self._lost: collections.deque[Run] = collections.deque(maxlen=MAX_LOST)
         self._checks: set[asyncio.Task[bool]] = set()
         self._judgements: dict[UpstreamPool, asyncio.Task[bool]] = {}
 
     def start(self, run: Run) -> None:
         """Record that a request is sent to the upstream."""
-        self._running.add(run)
+        self._running[run] = None
+        self._run_by_request[run.peer_request.request_id] = run
+
+    def find_run(self, request_id: str) -> Run | None:
+        """Return the run of a request at the upstream, if it is in flight."""
+        return self._run_by_request.get(request_id)
 
     def end(self, run: Run) -> None:
         """Record that the upstream has answered a request."""
         run.has_ended = True
-        self._running.discard(run)
+        self._discard(run)
 
     def abandon(self, run: Run) -> None:
         """Record that an answer is not awaited; the upstream may still be at work."""
@@ -113,12 +121,18 @@
 
     def _keep_lost(self, run: Run) -> None:
         now = asyncio.get_running_loop().time()
-        self._running.discard(run)
+        self._discard(run)
         run.lost_s = now
         while self._lost and self._lost[0].lost_s < now - END_WINDOW_S:
             self._lost.popleft()
         self._lost.append(run)
 
+    def _discard(self, run: Run) -> None:
+        self._running.pop(run, None)
+        request_id = run.peer_request.request_id
+        if self._run_by_request.get(request_id) is run:
+            del self._run_by_request[request_id]
+
     async def _judge(self, pool: UpstreamPool) -> bool:
         """Probe the upstream after a loss; report a crash if nothing listens."""
         try:
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -70,6 +70,12 @@
     def read_caller(self, peer_request: PeerRequest) -> str:
         """Return the name of the caller, as far as the router knows it."""
 
+    def read_parent_id(self, request_id: str) -> str:
+        """Return the id of the request that would have made a call with this id.
+
+        It is empty if ids do not tell.
+        """
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these headers belongs to the request."""
 
@@ -124,6 +130,10 @@
         """Return the partner on whose behalf the caller acts."""
         return peer_request.partner
 
+    def read_parent_id(self, request_id: str) -> str:
+        """Return an empty string; the node generates the request ids itself."""
+        return ""
+
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these headers belongs to the request."""
         return True
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -42,7 +42,7 @@
 from papayatack.proxy.body_wrappers import RewindableBody
 from papayatack.proxy.buffering import buffer_response, is_buffered
 from papayatack.proxy.classification import Classifier, RequestClassifier
-from papayatack.proxy.crashes import CrashDetector
+from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.decisions import RequestLog
 from papayatack.proxy.dialect import DefaultDialect, Dialect
 from papayatack.proxy.idempotent import IdempotentServer
@@ -200,11 +200,15 @@
             )
             return self._build_error_response(refusal, "")
         peer_request = classified.unwrap()
+        parent = self._find_parent(peer_request)
+        peer_request.is_call = parent is not None
         result = await self._caller_guard.run(self._run_caller_request(peer_request))
         self._metrics.record_latency("request", self._now() - started_s)
         request_id = peer_request.request_id
         elapsed_s = self._now() - started_s
         version = self._classifier_configuration.version
+        if parent is not None:
+            self._note_call(parent, peer_request, result)
         if not is_successful(result):
             self._decisions.log_refusal(
                 peer_request, result.failure(), elapsed_s=elapsed_s, version=version
@@ -220,6 +224,24 @@
         )
         return response
 
+    def _find_parent(self, peer_request: PeerRequest) -> Run | None:
+        """Return the run at the local upstream that waits for a request, if any.
+
+        An id that only looks like that of a call finds none.
+        """
+        parent_id = self._dialect.read_parent_id(peer_request.request_id)
+        return self._local.crashes.find_run(parent_id) if parent_id else None
+
+    def _note_call(
+        self, parent: Run, call: PeerRequest, result: Result[Response, Refusal]
+    ) -> None:
+        """Record how a call ended, since the run of its parent may fail for it."""
+        if is_successful(result):
+            self._metrics.count("calls", Outcome.ANSWERED.value)
+            return
+        self._metrics.count("calls", result.failure().kind.value)
+        parent.failed_call = call.request_id
+
     async def serve_peer(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
         """Serve a request that another node forwarded, or forward it to the owner.
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -12,6 +12,7 @@
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal, get_error_response
 from papayatack.core.identity import ShardId
+from papayatack.core.inventory import RequestClass
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
@@ -206,7 +207,7 @@
             return Failure(obstacle)
         admission_request = AdmissionRequest(
             partner=peer_request.partner,
-            request_class=peer_request.request_class,
+            request_class=_find_class(peer_request),
             cost=peer_request.cost,
             deadline_s=deadline_s,
             repeatable=peer_request.repeatable,
@@ -384,6 +385,7 @@
             return _refuse(kind, f"the upstream answered {response.status}")
         if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
             self._log_upstream_error(peer_request, response.status, use)
+        self._record_end(peer_request, response.status, use)
         response.headers = self._dialect.clean_response(response.headers)
         if is_buffered(response):
             use.end(None)
@@ -391,6 +393,19 @@
         response.body = MonitoredBody(body=response.body, on_end=use.end)
         return Success(response)
 
+    def _record_end(
+        self, peer_request: PeerRequest, status: int, use: _InFlightUse
+    ) -> None:
+        """Record whether a run was thrown away because one of its calls failed."""
+        has_failed = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        is_thrown_away = (
+            has_failed and use.run is not None and bool(use.run.failed_call)
+        )
+        if is_thrown_away:
+            ran_ms = int(use.read_duration_s() * MS_PER_S)
+            self._metrics.count("runs_thrown_away", peer_request.service)
+            self._metrics.count("run_ms_thrown_away", peer_request.service, ran_ms)
+
     def _log_upstream_error(
         self, peer_request: PeerRequest, status: int, use: _InFlightUse
     ) -> None:
@@ -409,6 +424,7 @@
             ran_ms=int(use.read_duration_s() * MS_PER_S),
             status=status,
             obstacle=obstacle.kind.value if obstacle is not None else "",
+            failed_call=use.run.failed_call if use.run is not None else "",
         )
 
 
@@ -449,6 +465,11 @@
     )
 
 
+def _find_class(peer_request: PeerRequest) -> RequestClass:
+    """Return the class in which a request waits for a slot."""
+    return RequestClass.CALL if peer_request.is_call else peer_request.request_class
+
+
 def _find_target(peer_request: PeerRequest) -> float | None:
     """Return the event loop time by which the response is worth most."""
     if peer_request.target_s is None:
