--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -50,7 +50,6 @@
 
     Attributes:
         peer_request: The request.
-        identity: What is equal in requests that are the same.
         body: Its body, kept for further attempts as far as that is possible.
         started_s: Event loop time of the first attempt.
         deadline_s: Event loop time after which the response is of no use.
@@ -65,7 +64,6 @@
     """
 
     peer_request: PeerRequest
-    identity: RequestIdentity
     body: RewindableBody
     started_s: float
     deadline_s: float
@@ -279,7 +277,8 @@
                 route for route in nodes if route.incarnation not in series.tried
             ]
             if untried:
-                return Success(_choose_for_suspect(series.identity, untried))
+                identity = self._screening.identify(peer_request)
+                return Success(_choose_for_suspect(identity, untried))
         return self._node_selector.choose(
             _read_clock(), peer_request, nodes, frozenset(series.tried)
         )
@@ -291,7 +290,6 @@
     peer_request.request.body = body
     return _Series(
         peer_request=peer_request,
-        identity=screened.identity,
         body=body,
         started_s=now,
         deadline_s=deadline_s,
--- a/src/papayatack/proxy/screening.py
+++ b/src/papayatack/proxy/screening.py
@@ -41,14 +41,12 @@
 
     Attributes:
         peer_request: The request; its body still has all bytes.
-        identity: The request without its body.
         fingerprints: Its digests, ``None`` if nothing was known of its head.
         is_suspected: Whether it was in flight at a crash and has not ended since.
         is_alone: Whether it runs while no other suspect does.
     """
 
     peer_request: PeerRequest
-    identity: RequestIdentity
     fingerprints: Fingerprints | None = None
     is_suspected: bool = False
     is_alone: bool = False
@@ -89,13 +87,13 @@
         self, peer_request: PeerRequest, deadline_s: float
     ) -> Result[ScreenedRequest, Refusal]:
         """Return a request with its fingerprints, or why it may not run now."""
-        identity = self.identify(peer_request)
-        screened = ScreenedRequest(peer_request=peer_request, identity=identity)
-        if not self._is_known(identity) and not peer_request.crashes:
+        screened = ScreenedRequest(peer_request=peer_request)
+        if not self._is_known(peer_request) and not peer_request.crashes:
             return Success(screened)
+        identity = self.identify(peer_request)
         try:
             async with asyncio.timeout_at(deadline_s):
-                fingerprints = await _read_fingerprints(screened)
+                fingerprints = await _read_fingerprints(screened, identity)
         except IncompleteBodyError as error:
             return Failure(Refusal(kind=error.kind, detail=error.detail))
         except TimeoutError:
@@ -126,7 +124,7 @@
     def is_current(self, screened: ScreenedRequest) -> bool:
         """Return whether a request that was admitted may still be sent."""
         if screened.fingerprints is None:
-            return not self._is_known(screened.identity)
+            return not self._is_known(screened.peer_request)
         kind = self._quarantine.judge(screened.fingerprints).kind
         return kind <= (VerdictKind.ALONE if screened.is_alone else VerdictKind.FREE)
 
@@ -153,10 +151,9 @@
 
     def report_end(self, run: Run) -> None:
         """Clear a request that has ended at the upstream."""
-        identity = self.identify(run.peer_request)
-        if not self._is_known(identity):
+        if not self._is_known(run.peer_request):
             return
-        fingerprints = _compute_from_run(run, identity)
+        fingerprints = _compute_from_run(run, self.identify(run.peer_request))
         if fingerprints is None:
             return
         if self._quarantine.judge(fingerprints).kind is not VerdictKind.FREE:
@@ -195,10 +192,12 @@
             return False
         return not self._quarantine.is_known(fingerprints.exact)
 
-    def _is_known(self, identity: RequestIdentity) -> bool:
+    def _is_known(self, peer_request: PeerRequest) -> bool:
+        """Return whether anything is known of requests with the same head."""
         if self._quarantine.is_empty:
             return False
-        return self._quarantine.matches(compute_head_digest(identity))
+        head = compute_head_digest(self.identify(peer_request))
+        return self._quarantine.matches(head)
 
     async def _wait_turn(
         self, screened: ScreenedRequest, fingerprints: Fingerprints, deadline_s: float
@@ -251,7 +250,9 @@
         )
 
 
-async def _read_fingerprints(screened: ScreenedRequest) -> Fingerprints:
+async def _read_fingerprints(
+    screened: ScreenedRequest, identity: RequestIdentity
+) -> Fingerprints:
     """Read the part of the body that is compared, and put it back."""
     request = screened.peer_request.request
     prefix, is_whole = await _read_prefix(request.body)
@@ -262,7 +263,7 @@
         screened.peer_request, request=dataclasses.replace(request, body=body)
     )
     return compute_fingerprints(
-        screened.identity,
+        identity,
         prefix[:BODY_PREFIX_BYTES],
         is_whole=is_whole and len(prefix) <= BODY_PREFIX_BYTES,
     )
