Bound what a crash costs other nodes, and what the detector keeps

Runs whose callers left are kept for the detector up to 256 instead of 1,024. A suspicion whose names are too long for a record was appended for ever; it is not learned.

--- a/src/papayatack/core/ownership/suspicions.py
+++ b/src/papayatack/core/ownership/suspicions.py
@@ -107,14 +107,14 @@
         """Learn what another node found; return whether it is well-formed."""
         if not all(suspicion.is_valid for suspicion in suspicions):
             return False
-        for suspicion in suspicions:
-            if self._learn(suspicion, now):
-                delay_s = FOREIGN_DELAY_S + FOREIGN_DELAY_STEP_S * self._find_rank(
-                    suspicion.fingerprint
-                )
-                self._pending[suspicion.fingerprint] = _Pending(
-                    due_s=now + min(delay_s, MAX_FOREIGN_DELAY_S), is_own=False
-                )
+        new = [suspicion for suspicion in suspicions if self._learn(suspicion, now)]
+        if new:
+            rank = self._find_rank(new[0].fingerprint)
+            delay_s = FOREIGN_DELAY_S + FOREIGN_DELAY_STEP_S * rank
+            due_s = now + min(delay_s, MAX_FOREIGN_DELAY_S)
+        for suspicion in new:
+            pending = _Pending(due_s=due_s, is_own=False)
+            self._pending[suspicion.fingerprint] = pending
         return True
 
     def note_logged(self, suspicions: tuple[Suspicion, ...], now: float) -> None:
@@ -155,7 +155,8 @@
         )
 
     def _learn_own(self, suspicion: Suspicion, now: float) -> None:
-        if self._learn(suspicion, now):
+        """Learn what this node found, to be shared; texts too long are not shared."""
+        if suspicion.is_valid and self._learn(suspicion, now):
             pending = _Pending(due_s=now, is_own=True)
             self._pending[suspicion.fingerprint] = pending
 
--- a/src/papayatack/proxy/crashes.py
+++ b/src/papayatack/proxy/crashes.py
@@ -27,7 +27,7 @@
 """Time before the end of a process is noticed by other signs, such as the start of the
 next one, in which a lost connection counts as lost in its crash."""
 
-MAX_LOST = 1024
+MAX_LOST = 256
 """Number of lost requests that are kept until the window has passed."""
 
 
