--- a/src/papayatack/proxy/screening.py
+++ b/src/papayatack/proxy/screening.py
@@ -2,7 +2,7 @@
 
 Requests of which nothing is suspected pass unread. The body of one whose head is known
 is read as far as it is compared. Suspects run one at a time, so that of the requests in
-flight at the next crash at most one is suspected of two.
+flight at the next crash at most one was in flight at an earlier one.
 """
 
 import asyncio
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -18,7 +18,9 @@
     Service,
 )
 from papayatack.core.retry import RetryPolicy
+from papayatack.network.bodies import BytesBody
 from papayatack.network.callers import CallerServer
+from papayatack.network.exchanges import PeerRequest, Request
 from papayatack.network.grants import GrantClient
 from papayatack.network.limits import CallerLimits, UpstreamLimits
 from papayatack.network.peers import PeerNetwork
@@ -247,6 +249,23 @@
         writer.close()
 
 
+def build_peer_request(request_id="r", *, target=b"/", body=None, **fields):
+    """Return a repeatable request of a service without keys."""
+    options = {
+        "service": "records",
+        "shard": "",
+        "key": "",
+        "remaining_s": 2.0,
+        "partner": "",
+        "request_class": RequestClass.BROWSE,
+        "cost": 1.0,
+        "repeatable": True,
+        **fields,
+    }
+    request = Request(method=b"GET", target=target, body=body or BytesBody())
+    return PeerRequest(request=request, request_id=request_id, **options)
+
+
 def build_request(method, target, *, body=b"", headers=()):
     """Return an HTTP/1.1 request that closes its connection."""
     lines = [f"{method} {target} HTTP/1.1", "Host: test", "Connection: close"]
--- a/tests/proxy/test_crashes.py
+++ b/tests/proxy/test_crashes.py
@@ -1,17 +1,14 @@
 """Tests of papayatack.proxy.crashes."""
 
 import asyncio
-import unittest
 
-import looptime
-
-from papayatack.core.inventory import RequestClass
 from papayatack.network.bodies import BytesBody
-from papayatack.network.exchanges import PeerRequest, Request
 from papayatack.network.probes import ProbeResult
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.body_wrappers import RecordedBody
 from papayatack.proxy.crashes import END_WINDOW_S, LOSS_SPREAD_S, CrashDetector, Run
+from tests.fakes.virtual_time import VirtualTimeTestCase
+from tests.proxy.fakes import build_peer_request
 
 
 class FakePool:
@@ -30,27 +27,8 @@
         return self.found
 
 
-def build_request(number):
-    """Return a request."""
-    return PeerRequest(
-        request=Request(method=b"GET", target=b"/%d" % number),
-        service="records",
-        shard="",
-        key="",
-        remaining_s=1.0,
-        partner="",
-        request_class=RequestClass.BROWSE,
-        cost=1.0,
-        repeatable=True,
-        request_id=str(number),
-    )
-
-
-class CrashTestCase(unittest.IsolatedAsyncioTestCase):
-    """A detector whose reports are recorded, on virtual time."""
-
-    def _setupAsyncioRunner(self):  # noqa: N802
-        self._asyncioRunner = asyncio.Runner(loop_factory=looptime.new_event_loop)
+class CrashTestCase(VirtualTimeTestCase):
+    """A detector whose reports are recorded."""
 
     async def asyncSetUp(self):
         self.reports = []
@@ -66,7 +44,7 @@
         """Start runs."""
         runs = [
             Run(
-                peer_request=build_request(number),
+                peer_request=build_peer_request(str(number)),
                 body=RecordedBody(body=BytesBody()),
                 standings=None,
                 pool=pool or self.pool,
--- a/tests/proxy/test_parents.py
+++ b/tests/proxy/test_parents.py
@@ -1,37 +1,19 @@
 """Tests of how the node of a running request recognises the calls that it makes."""
 
-import asyncio
 import unittest
 from unittest import mock
 
 from returns.result import Failure, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
-from papayatack.core.inventory import RequestClass
 from papayatack.network.bodies import BytesBody
-from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.exchanges import Response
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.fields import PlatformDialect
 from papayatack.proxy.body_wrappers import RecordedBody
 from papayatack.proxy.crashes import Run
 from papayatack.proxy.engine import RequestEngine
-from tests.proxy.fakes import FakeGate, FakeOwnership
-
-
-def build_peer_request(request_id):
-    """Return a request."""
-    return PeerRequest(
-        request=Request(method=b"GET", target=b"/a"),
-        service="desk",
-        shard="",
-        key="",
-        remaining_s=1.0,
-        partner="",
-        request_class=RequestClass.BROWSE,
-        cost=1.0,
-        repeatable=True,
-        request_id=request_id,
-    )
+from tests.proxy.fakes import FakeGate, FakeOwnership, build_peer_request
 
 
 class ParentTests(unittest.IsolatedAsyncioTestCase):
@@ -87,4 +69,3 @@
         await self.handle("parent.1")
         self.assertEqual(self.run.failed_call, "parent.1")
         self.assertEqual(self.metrics.read_count("calls", "deadline-unreachable"), 1)
-        await asyncio.sleep(0)
--- a/tests/proxy/test_screening.py
+++ b/tests/proxy/test_screening.py
@@ -1,27 +1,24 @@
 """Tests of papayatack.proxy.screening with the local server before an upstream."""
 
 import asyncio
-import functools
-import unittest
 
-import looptime
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from papayatack.control.quarantine import QuarantineControl
 from papayatack.core.errors import ErrorKind, Refusal
-from papayatack.core.inventory import RequestClass
 from papayatack.core.ownership import OwnershipState
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.quarantine import BODY_PREFIX_BYTES
 from papayatack.core.quarantine.verdict import HOLD_S
 from papayatack.core.records import Announce
 from papayatack.network.bodies import BodyQueue, BytesBody
-from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.exchanges import Response
 from papayatack.network.probes import ProbeResult
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.local import LocalServer
-from tests.proxy.fakes import FakeGate, FakeOwnership
+from tests.fakes.virtual_time import VirtualTimeTestCase
+from tests.proxy.fakes import FakeGate, FakeOwnership, build_peer_request
 
 WORK_S = 0.1
 CRASH_AFTER_S = 0.02
@@ -101,22 +98,10 @@
     )
 
 
-def on_virtual_time(test):
-    """Run an asynchronous test on a paused clock."""
-
-    @functools.wraps(test)
-    def run(self):
-        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
-            runner.run(self.run_test(test))
-
-    return run
-
-
-class ScreeningTests(unittest.TestCase):
+class ScreeningTests(VirtualTimeTestCase):
     """Requests that were in flight at crashes, at the upstream's own node."""
 
-    async def run_test(self, test):
-        """Build a server and run a test."""
+    async def asyncSetUp(self):
         self.gate = FakeGate()
         self.core = build_core()
         self.server = LocalServer(
@@ -127,24 +112,11 @@
                 core=self.core, execute_effects=lambda effects: None
             ),
         )
-        await test(self)
 
     async def serve(self, target, *, body=None, caller="caribe", crashes=0):
         """Serve a request; return its status or the kind of its error."""
-        peer_request = PeerRequest(
-            request=Request(
-                method=b"GET", target=target, body=body or BytesBody(data=b"")
-            ),
-            service="records",
-            shard="",
-            key="",
-            remaining_s=DEADLINE_S,
-            partner=caller,
-            request_class=RequestClass.BROWSE,
-            cost=1.0,
-            repeatable=True,
-            request_id="r",
-            crashes=crashes,
+        peer_request = build_peer_request(
+            target=target, body=body, partner=caller, crashes=crashes
         )
         deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
         result = await self.server.serve(peer_request, deadline_s=deadline_s)
@@ -158,7 +130,6 @@
         asked = [self.serve(other) for other in others]
         return await asyncio.gather(*asked, self.serve(target, **options))
 
-    @on_virtual_time
     async def test_third_crash_is_the_last(self):
         crashed = ErrorKind.UPSTREAM_CRASHED
         self.assertEqual(await self.crash(b"/crash"), [crashed])
@@ -171,7 +142,6 @@
         self.assertEqual(found, [ErrorKind.REQUEST_QUARANTINED])
         self.assertEqual(self.server.upstream.received, [])
 
-    @on_virtual_time
     async def test_others_in_flight_at_each_crash_are_served(self):
         for _ in range(4):
             await self.crash(b"/crash", b"/popular", b"/rare")
@@ -179,7 +149,6 @@
             self.assertEqual(await self.serve(b"/popular"), 200)
         self.assertEqual(await self.serve(b"/rare"), 200)
 
-    @on_virtual_time
     async def test_suspects_run_one_at_a_time(self):
         targets = [b"/%d" % number for number in range(6)]
         await self.crash(b"/crash", *targets)
@@ -188,7 +157,6 @@
         self.assertEqual(statuses, [200] * 6)
         self.assertEqual(self.server.upstream.most_running, 1)
 
-    @on_virtual_time
     async def test_request_that_ends_frees_the_others_that_are_the_same(self):
         await self.crash(b"/crash", b"/popular")
         self.server.upstream = Process()
@@ -196,7 +164,6 @@
         self.assertEqual(statuses, [200] * 8)
         self.assertEqual(self.server.upstream.most_running, 7)
 
-    @on_virtual_time
     async def test_request_that_becomes_suspected_in_the_queue_is_not_sent(self):
         for _ in range(2):
             await self.crash(b"/crash")
@@ -206,7 +173,6 @@
         self.assertEqual(len(process.received), 1)
         self.assertEqual(kinds.count(ErrorKind.REQUEST_QUARANTINED), 4)
 
-    @on_virtual_time
     async def test_same_path_with_another_body_or_caller_is_served(self):
         for _ in range(3):
             await self.crash(b"/crash", body=BytesBody(data=b"bodx"))
@@ -219,7 +185,6 @@
         bodies = [body for _, body in self.server.upstream.received]
         self.assertEqual(bodies, [b"body", b"bodx"])
 
-    @on_virtual_time
     async def test_body_that_was_compared_reaches_the_upstream_whole(self):
         size = BODY_PREFIX_BYTES // 2
         parts = [bytes([number]) * size for number in range(4)]
@@ -237,20 +202,17 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.server.upstream.received[0][1], b"".join(parts))
 
-    @on_virtual_time
     async def test_body_that_never_ends_is_not_waited_for_beyond_the_deadline(self):
         await self.crash(b"/crash", b"/slow")
         self.server.upstream = Process()
         found = await self.serve(b"/slow", body=BodyQueue())
         self.assertIs(found, ErrorKind.DEADLINE_EXPIRED)
 
-    @on_virtual_time
     async def test_crash_that_is_not_reported_here_yet_counts_as_a_round(self):
         await self.crash(b"/crash", crashes=1)
         found = await self.crash(b"/crash")
         self.assertEqual(found, [ErrorKind.REQUEST_HELD])
 
-    @on_virtual_time
     async def test_slots_are_free_while_suspects_wait(self):
         targets = [b"/%d" % number for number in range(6)]
         await self.crash(b"/crash", *targets)
