Make probes of a peer that works for long rarer, as was meant

A check at the time by which an answer was due probed again at once, so a quiet peer was probed every 0.2 s. Test: 7 probes of a request that takes 1.6 s before, at most 6 now.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -232,14 +232,20 @@
             self._probed_s = None
             self._start_timer(now + self.limits.probe_after_s)
             return
-        self.check_liveness(now)
-        if self._probed_s is not None:
-            self._start_timer(max(now, self._probed_s + self._find_reply_limit()))
-            return
-        # Probes of a peer that answers them, but not the requests yet, become rarer.
+        if self._probed_s is not None or now >= self._find_probe_time():
+            self.check_liveness(now)
+        if self._probed_s is None:
+            self._start_timer(self._find_probe_time())
+        elif not self.unresponsive:
+            self._start_timer(self._probed_s + self._find_reply_limit())
+
+    def _find_probe_time(self) -> float:
+        """Return when a peer is probed that stays quiet.
+
+        Probes of a peer that answers them, but not the requests yet, become rarer.
+        """
         pause_s = self.limits.probe_after_s * 2**self._answered_probes
-        quiet_since_s = max(self.last_received_s, self._opened_s)
-        self._start_timer(max(now, quiet_since_s + pause_s))
+        return max(self.last_received_s, self._opened_s) + pause_s
 
     def _is_owed_answers(self) -> bool:
         """Return whether a request of this node is open on the link."""
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
@@ -14,6 +15,7 @@
 from papayatack.network.bodies import BodyQueue, BytesBody, IncompleteBodyError
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.limits import PeerLimits
+from papayatack.network.links import Link
 from papayatack.network.peers import PeerNetwork
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.frames import MAX_FRAME_BYTES
@@ -290,6 +292,17 @@
         self.assertLess(loop.time() - started_s, 0.3 + NOTICE_SLACK_S)
         resume()
 
+    async def test_peer_that_works_for_long_is_probed_ever_more_rarely(self):
+        self.first.limits = PeerLimits(probe_after_s=0.1, unresponsive_after_s=0.3)
+        self.second.on_request = self.respond_late
+        send_hello = Link._send_hello
+        with mock.patch.object(
+            Link, "_send_hello", autospec=True, side_effect=send_hello
+        ) as send:
+            self.assertTrue(is_successful(await self.exchange()))
+        probes = [call for call in send.mock_calls if call.kwargs["reply_wanted"]]
+        self.assertIn(len(probes), range(3, 7))
+
     def pause_reading(self, network):
         """Pause reading on a network's links; return a function that resumes it."""
         transports = [link._transport for link in network._all_links]
