Free the objects of a request without the garbage collector

Streams between nodes, connections to upstreams and their bodies referred to each other, so that each request left 37 objects that only the collector could free; those that had outlived two of its runs stayed until a full one, which is rare by design. A body now forgets its connection when the exchange ends.

--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -138,6 +138,15 @@
         self._on_read(len(data))
         return data
 
+    def detach(self) -> None:
+        """Make no more calls, since the connection has ended the exchange.
+
+        Connection and queue refer to each other. Without this they would be freed only
+        by the garbage collector, which seldom runs in full.
+        """
+        self._on_read = _ignore_read
+        self._on_close = _ignore_close
+
     def close(self) -> None:
         """Discard the rest and call ``on_close``, once."""
         if not self.closed:
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -249,6 +249,7 @@
     def finish(self) -> None:
         """Remove the stream after its last frame is queued."""
         self._ended = True
+        self.inbound.detach()
         self._link.drop_stream(self)
 
     def abandon(self, reason: str) -> None:
@@ -285,6 +286,7 @@
     def _end(self, detail: str) -> None:
         if not self._ended:
             self._ended = True
+            self.inbound.detach()
             self._queue.clear()
             self._link.drop_stream(self)
             if self.task is not None:
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -376,6 +376,7 @@
             if kind is ErrorKind.UPSTREAM_LOST:
                 kind = ErrorKind.RESPONSE_TRUNCATED
             self._body.fail(kind=kind, detail=refusal.detail)
+            self._body.detach()
         self.abort()
 
     def _release(self) -> None:
@@ -391,6 +392,7 @@
             self.abort()
             return
         self._busy = False
+        self._body.detach()
         self._stop_tasks()
         ended = state.our_state is h11.DONE and state.their_state is h11.DONE
         if not ended or state.trailing_data[0]:
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import gc
+import re
 import unittest
 from unittest import mock
 
@@ -14,6 +16,7 @@
 from standins.upstream import UpstreamStandin
 from tests.proxy.fakes import Node, build_request, fetch, wait_until
 
+KEPT_REQUESTS = 100
 LONG_MS = 2_000
 """Work that lasts longer than a node may be unresponsive without being detected."""
 
@@ -86,6 +89,32 @@
         self.assertIn(b"HTTP/1.1 200", response)
 
 
+class MemoryTests(EngineTestCase):
+    """What requests leave behind."""
+
+    async def test_requests_leave_no_garbage_to_the_collector(self):
+        """Cycles of references would stay until its next full run."""
+        await self.request_often()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        await self.request_often()
+        self.assertLess(gc.collect(), KEPT_REQUESTS)
+
+    async def request_often(self):
+        """Send requests on one connection, through both nodes."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.entry.callers.port
+        )
+        for _ in range(KEPT_REQUESTS):
+            writer.write(b"GET /hiring/v/k1 HTTP/1.1\r\nHost: test\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = re.search(rb"content-length: (\d+)", head.lower())[1]
+            await reader.readexactly(int(size))
+        writer.close()
+        await writer.wait_closed()
+
+
 class KeylessTests(EngineTestCase):
     """Services without keys."""
 
