Log how a configuration reached a node

Record batches carry the number of nodes that they passed and the time since the log was read; the line has the source, the hops and the age.

--- a/src/papayatack/control/effects.py
+++ b/src/papayatack/control/effects.py
@@ -87,7 +87,8 @@
     @_execute.register
     def _(self, effect: SendRecords) -> None:
         recent = self._recent.get(effect.stream)
-        batch = recent.make_batch(effect.offset) if recent is not None else None
+        now = asyncio.get_running_loop().time()
+        batch = recent.make_batch(effect.offset, now) if recent is not None else None
         if batch is not None:
             self._send(effect.recipient, batch)
 
--- a/src/papayatack/control/recent.py
+++ b/src/papayatack/control/recent.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from papayatack.control.provenance import Provenance
 from papayatack.core.messages import LogBatch
 from papayatack.wire.packing import unpack_record
 
@@ -20,6 +21,9 @@
         stream: The stream's name.
         first: Offset of the first payload to be added.
         newest_only: Whether a payload replaces all earlier ones.
+
+    Attributes:
+        provenance: How the newest payload reached this node.
     """
 
     def __init__(
@@ -30,6 +34,7 @@
         self._first = first
         self._payloads: deque[bytes] = deque()
         self._size_bytes = 0
+        self.provenance = Provenance(read_s=0.0)
 
     @property
     def end(self) -> int:
@@ -45,7 +50,7 @@
         """Return the buffered record at an offset, unpacked."""
         return unpack_record(self._payloads[offset - self._first])
 
-    def add(self, offset: int, payload: bytes) -> None:
+    def add(self, offset: int, payload: bytes, provenance: Provenance) -> None:
         """Add a payload; discard the earlier ones if there is a gap before it.
 
         Payloads that were added before are ignored.
@@ -60,13 +65,14 @@
             self._payloads.clear()
             self._size_bytes = 0
             self._first = offset
+        self.provenance = provenance
         self._payloads.append(payload)
         self._size_bytes += len(payload)
         while self._size_bytes > MAX_BYTES or len(self._payloads) > MAX_RECORDS:
             self._size_bytes -= len(self._payloads.popleft())
             self._first += 1
 
-    def make_batch(self, offset: int) -> LogBatch | None:
+    def make_batch(self, offset: int, now: float) -> LogBatch | None:
         """Return records from ``offset`` on, ``None`` if that one is not buffered.
 
         The batch is limited to ``MAX_BATCH_RECORDS`` and ``MAX_BATCH_BYTES``, with at
@@ -86,4 +92,10 @@
             ):
                 break
             selected.append(payload)
-        return LogBatch(stream=self._stream, first=offset, packed=tuple(selected))
+        return LogBatch(
+            stream=self._stream,
+            first=offset,
+            packed=tuple(selected),
+            hops=self.provenance.hops + 1,
+            age_us=self.provenance.find_age_us(now),
+        )
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -12,6 +12,7 @@
 
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.interface import ConfigState
+from papayatack.control.provenance import Provenance
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import ControlMessage, LogBatch, LogUnreachable
 from papayatack.core.ownership.effects import Effect, FinishNode
@@ -33,6 +34,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+US_PER_MS = 1000
+
 
 class RecordReplicator:
     """Applies the records of both streams, and forwards those that are new.
@@ -85,7 +88,10 @@
         known = self._count_known_records(message.stream, message.first)
         payloads = message.payloads[known:]
         packed = tuple(map(pack_record, payloads))
-        await self._process(message.stream, message.first + known, payloads, packed)
+        provenance = Provenance(read_s=message.read_s)
+        await self._process(
+            message.stream, message.first + known, payloads, packed, provenance
+        )
 
     @receive_read.register
     async def _(self, message: RecordsExpired) -> None:
@@ -105,7 +111,10 @@
         except WireError as error:
             self._reject_batch(batch, sender, str(error))
             return
-        await self._process(batch.stream, batch.first + known, payloads, packed)
+        provenance = Provenance.of_batch(batch, sender, self._read_clock())
+        await self._process(
+            batch.stream, batch.first + known, payloads, packed, provenance
+        )
 
     def report_unreachable(self, now: float) -> None:
         """Tell the nodes that rely on this one if it does not reach the log."""
@@ -137,6 +146,7 @@
         first: int,
         payloads: tuple[bytes, ...],
         packed: tuple[bytes, ...],
+        provenance: Provenance,
     ) -> None:
         """Forward records that are new to this node, then apply them.
 
@@ -148,16 +158,43 @@
             first: Offset of the first record.
             payloads: The records, uncompressed.
             packed: The same records, compressed for forwarding.
+            provenance: How they reached this node.
         """
         will_apply = not self._is_gapless(stream) or (
             first == self._follower.recent[stream].end
         )
         if self._forwards and packed and will_apply:
-            batch = LogBatch(stream=stream, first=first, packed=packed)
+            batch = LogBatch(
+                stream=stream,
+                first=first,
+                packed=packed,
+                hops=provenance.hops + 1,
+                age_us=provenance.find_age_us(self._read_clock()),
+            )
             for recipient in self._list_recipients():
                 self._send(recipient, batch)
             await asyncio.sleep(0)
-        self._apply_next(stream, first, payloads, packed)
+        version = self._config.version
+        self._apply_next(stream, first, payloads, packed, provenance)
+        if self._config.version > version:
+            self._log_configuration(provenance)
+
+    def _log_configuration(self, provenance: Provenance) -> None:
+        """Log that a newer configuration is in force, and how it reached this node."""
+        age_us = provenance.find_age_us(self._read_clock())
+        log_event(
+            LOGGER,
+            Event.CONFIGURATION_IN_FORCE,
+            version=self._config.version,
+            offset=self._config.next_offset - 1,
+            routes=len(self._config.configuration.routes),
+            source=provenance.sender or "log",
+            hops=provenance.hops,
+            age_ms=age_us // US_PER_MS,
+        )
+
+    def _read_clock(self) -> float:
+        return asyncio.get_running_loop().time()
 
     def _list_recipients(self) -> list[IncarnationId]:
         """Return the nodes to which this node forwards records.
@@ -184,6 +221,7 @@
         first: int,
         payloads: tuple[bytes, ...],
         packed: tuple[bytes, ...],
+        provenance: Provenance,
     ) -> None:
         """Apply the records that are next in order.
 
@@ -194,17 +232,17 @@
         for offset, payload in enumerate(payloads, first):
             if self._is_gapless(stream) and offset != recent.end:
                 continue
-            recent.add(offset, packed[offset - first])
+            recent.add(offset, packed[offset - first], provenance)
             self._apply(stream, offset, payload)
         self._follower.skip_to(stream, recent.end)
         if stream == OWNERSHIP_STREAM:
             self._appender.observe(recent.end)
-            now = asyncio.get_running_loop().time()
+            now = self._read_clock()
             self._execute_effects(self._core.advance(now))
 
     def _apply(self, stream: str, offset: int, payload: bytes) -> None:
         record = self._decoder.decode(stream, offset, payload).record
-        now = asyncio.get_running_loop().time()
+        now = self._read_clock()
         if stream in self._checkpoint_managers:
             self._checkpoint_managers[stream].observe(record, offset=offset, now=now)
         if stream == CONFIG_STREAM:
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -200,12 +200,17 @@
         first: Offset of the first record.
         payloads: Records as stored in the log, from a node that does not compress them.
         packed: Compressed records.
+        hops: Number of nodes through which the records have passed, with the sender.
+        age_us: Time since the first of these nodes read the records from the log, in
+            microseconds, without the time of this message on its way.
     """
 
     stream: str
     first: int
     payloads: tuple[bytes, ...] = ()
     packed: tuple[bytes, ...] = ()
+    hops: int = 0
+    age_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -41,12 +41,14 @@
         first: Offset of the first payload.
         payloads: The payloads, as stored in the log.
         end: Offset of the next append at the time of the read.
+        read_s: Event loop time at which the payloads arrived.
     """
 
     stream: str
     first: int
     payloads: tuple[bytes, ...]
     end: int
+    read_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -175,6 +177,7 @@
             first=page.first + skipped,
             payloads=payloads,
             end=page.end,
+            read_s=asyncio.get_running_loop().time(),
         )
         self._offset = message.first + len(payloads)
         await self._queue.put(message)
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -1,7 +1,5 @@
 """Decodes the operators' manifest into a :class:`Configuration`."""
 
-import logging
-
 import pydantic
 from pydantic.alias_generators import to_pascal
 
@@ -17,14 +15,11 @@
 )
 from papayatack.core.records import CONFIG_STREAM
 from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
-from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.times import Duration
 
 __all__ = ["ManifestDecoder", "ManifestFold", "parse_manifest"]
 
-LOGGER = logging.getLogger(__name__)
-
 KEY_COUNT = 65_536
 SHARD_COUNT = 512
 KEY_RANGE_NAME = "keys"
@@ -205,13 +200,6 @@
         if record is None or record.version <= self.version:
             return
         self.configuration = record
-        log_event(
-            LOGGER,
-            Event.CONFIGURATION_IN_FORCE,
-            version=record.version,
-            offset=offset,
-            routes=len(record.routes),
-        )
 
 
 class ManifestDecoder(RecordDecoder):
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -28,7 +28,8 @@
 }
 struct RelayRecord { 1: binary payload }
 struct LogBatch {
-  1: string stream, 2: i64 first, 3: list<binary> payloads, 4: list<binary> packed
+  1: string stream, 2: i64 first, 3: list<binary> payloads, 4: list<binary> packed,
+  5: optional i32 hops, 6: optional i64 age_us
 }
 struct ShardLoad { 1: string shard, 2: double rate, 3: double busy }
 struct LoadReport {
