Add a failing test of configurations that are late after a fault

A fleet of control nodes on a paused clock: a fault strikes as a configuration is stored. The goal is 1 s at every node that runs and reaches the log and its peers.

--- /dev/null
+++ b/tests/control/test_config_spread.py
@@ -0,0 +1,23 @@
+"""Tests of how soon a configuration is in force on all nodes, whatever fails."""
+
+import unittest
+
+from tests.fakes.spread import FAULTS, measure_spread
+
+TARGET_S = 1.0
+NODES = 40
+SEED = 1
+
+
+class ConfigSpreadTests(unittest.TestCase):
+    """A fault strikes some nodes as a configuration is stored."""
+
+    def test_no_node_in_touch_gets_a_configuration_late_whatever_fails(self):
+        """Nodes that run and reach the log and their peers have it within 1 s."""
+        late = {}
+        for fault in FAULTS:
+            delays_s = measure_spread(fault, SEED, nodes=NODES)
+            self.assertGreaterEqual(len(delays_s), NODES // 3)
+            if max(delays_s) > TARGET_S:
+                late[fault] = max(delays_s)
+        self.assertEqual(late, {})
--- a/tests/fakes/cuts.py
+++ b/tests/fakes/cuts.py
@@ -38,6 +38,10 @@
             return _CUT
         return reading.result()
 
+    def refuse(self):
+        """Return the result of a call that did not reach the log."""
+        return _CUT
+
 
 class CutFixture(NodeFixture):
     """Nodes that can be cut off from the log, each by its address.
--- /dev/null
+++ b/tests/fakes/spread.py
@@ -0,0 +1,219 @@
+"""Fleets in which a fault strikes at the moment at which a configuration is stored."""
+
+import asyncio
+import contextvars
+import random
+
+from papayatack.core.ownership.selection import (
+    TailPolicy,
+    find_planner,
+    is_tailer,
+    list_tree_children,
+    list_tree_roots,
+    rank_planners,
+)
+from tests.fakes.clocks import PROCESS, FreezableLoop
+from tests.fakes.cuts import CutFixture, CutLog
+from tests.fakes.nodes import INVENTORY
+
+__all__ = ["FAULTS", "measure_spread"]
+
+NODES = 76
+DATA_CENTRES = 5
+STARTUP_S = 12.0
+WATCHED_S = 6.0
+LOOK_S = 0.01
+LOST_SHARE = 0.1
+POLICY = TailPolicy(small_fleet_size=2, tailers_per_data_centre=1)
+
+
+class _SilentLog(CutLog):
+    """The log as a node reaches it, on whose connections nothing may come any more."""
+
+    def __init__(self, *, silent, **options):
+        super().__init__(**options)
+        self._silent = silent
+
+    async def read(self, *args, timeout_s, **options):
+        """Read; a call on a silent connection takes all of its time and fails."""
+        if self._address not in self._silent:
+            reading = asyncio.ensure_future(
+                super().read(*args, timeout_s=timeout_s, **options)
+            )
+            while not reading.done() and self._address not in self._silent:
+                await asyncio.wait([reading], timeout=LOOK_S)
+            if self._address not in self._silent:
+                return reading.result()
+            reading.cancel()
+        await asyncio.sleep(timeout_s)
+        return self.refuse()
+
+
+class SpreadFixture(CutFixture):
+    """Nodes that can be frozen, cut off, or lose messages.
+
+    Attributes:
+        silent: Addresses whose calls to the log get no answer.
+    """
+
+    def __init__(self, *, seed, **options):
+        super().__init__(**options)
+        self.random = random.Random(seed)
+        self.silent = set()
+
+    def build_log(self, address):
+        """Return the log as a node reaches it."""
+        return _SilentLog(
+            store=self.store, address=address, cut=self.cut, silent=self.silent
+        )
+
+    def start(self, address, data_centre):
+        """Start a node as a process that can be frozen."""
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, address)
+        return context.run(super().start, address, data_centre)
+
+    def lose_messages(self):
+        """Lose some of all messages from now on."""
+
+        def deliver(*args):
+            if self.random.random() >= LOST_SHARE:
+                type(self.network).deliver(self.network, *args)
+
+        self.network.deliver = deliver
+
+    def list_forwarders(self):
+        """Return the nodes that read the log for others or forward its records."""
+        nodes = self.network.nodes
+        state = next(iter(nodes.values())).core.state
+        first = set(rank_planners(state)[:2])
+        return [
+            address
+            for address, node in nodes.items()
+            if is_tailer(state, node.core.incarnation, POLICY)
+            or list_tree_children(state, node.core.incarnation)
+            or node.core.incarnation in first
+        ]
+
+    def list_tailers(self):
+        """Return the roots of all data centres and the node that reads for all."""
+        nodes = self.network.nodes
+        state = next(iter(nodes.values())).core.state
+        reading = {*list_tree_roots(state), find_planner(state)}
+        return [a for a, node in nodes.items() if node.core.incarnation in reading]
+
+    def find_lead(self):
+        """Return the node that reads the log for all others."""
+        nodes = self.network.nodes
+        state = next(iter(nodes.values())).core.state
+        lead = find_planner(state)
+        return next(a for a, node in nodes.items() if node.core.incarnation == lead)
+
+    def choose_third(self):
+        """Return a random third of the nodes."""
+        addresses = sorted(self.network.nodes)
+        return self.random.sample(addresses, len(addresses) // 3)
+
+
+async def _kill(fixture, addresses):
+    for address in addresses:
+        await fixture.kill(address)
+
+
+async def _freeze(fixture, addresses):
+    for address in addresses:
+        asyncio.get_running_loop().freeze(address)
+
+
+async def _cut_off(fixture, addresses):
+    fixture.cut.update(addresses)
+    fixture.network.cut.update(addresses)
+
+
+async def _cut_from_log(fixture, addresses):
+    fixture.cut.update(addresses)
+
+
+async def _silence_log(fixture, addresses):
+    fixture.silent.update(addresses)
+
+
+async def _lose_messages(fixture, addresses):
+    fixture.lose_messages()
+
+
+def _list_none(fixture):
+    return []
+
+
+def _list_lead(fixture):
+    return [fixture.find_lead()]
+
+
+_LEAD, _TAILERS, _FORWARDERS, _THIRD = (
+    _list_lead,
+    SpreadFixture.list_tailers,
+    SpreadFixture.list_forwarders,
+    SpreadFixture.choose_third,
+)
+FAULTS = {
+    "nothing": (_kill, _list_none),
+    "one message in ten lost": (_lose_messages, _list_none),
+    "lead cut off from the log": (_cut_from_log, _LEAD),
+    "lead's log silent": (_silence_log, _LEAD),
+    "lead killed": (_kill, _LEAD),
+    "tailers killed": (_kill, _TAILERS),
+    "tailers frozen": (_freeze, _TAILERS),
+    "tailers cut off": (_cut_off, _TAILERS),
+    "tailers cut off from the log": (_cut_from_log, _TAILERS),
+    "tailers' log silent": (_silence_log, _TAILERS),
+    "all that forward killed": (_kill, _FORWARDERS),
+    "a third killed": (_kill, _THIRD),
+    "a third frozen": (_freeze, _THIRD),
+    "a third cut off": (_cut_off, _THIRD),
+}
+"""What strikes, and which nodes, by the name of the fault."""
+
+
+async def _measure(fault, seed, nodes, loop):
+    fixture = SpreadFixture(seed=seed, tailing=POLICY)
+    fixture.publish()
+    for number in range(nodes):
+        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
+    await asyncio.sleep(STARTUP_S + fixture.random.random())
+    strike, choose = FAULTS[fault]
+    struck = choose(fixture)
+    await strike(fixture, struck)
+    out_of_touch = set(struck)
+    left = {a: n for a, n in fixture.network.nodes.items() if a not in out_of_touch}
+    changed = INVENTORY.replace("slots = 4", "slots = 5")
+    fixture.publish(changed, base_version=1, record_id="p2")
+    stored_s = loop.time()
+    delays_s = []
+    while left and loop.time() < stored_s + WATCHED_S:
+        await asyncio.sleep(LOOK_S)
+        for address in [a for a, node in left.items() if node.config.version == 2]:
+            del left[address]
+            delays_s.append(loop.time() - stored_s)
+    delays_s.extend(WATCHED_S for _ in left)
+    for address in struck:
+        loop.thaw(address)
+    await fixture.stop()
+    return delays_s
+
+
+def measure_spread(fault, seed, *, nodes=NODES):
+    """Return the seconds until a configuration is in force, of each node in touch.
+
+    Args:
+        fault: Name of the fault in ``FAULTS`` that strikes as the configuration is
+            stored.
+        seed: Chooses names, the moment, and the nodes that are struck.
+        nodes: Size of the fleet.
+    """
+
+    async def run():
+        return await _measure(fault, seed, nodes, asyncio.get_running_loop())
+
+    with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+        return runner.run(run())
