Let a read of the stand-in's log always be cancelled

asyncio.wait_for of Python 3.11 returns instead of raising CancelledError if the awaited event comes in the same iteration as the cancellation, so that a killed node of a test followed the log for ever (seen in test_ownership_schedules: no progress, virtual time past 149,000 s). asyncio.timeout has no such race.

--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -123,7 +123,8 @@
                 return
             changed = self.get_stream(name).changed
             try:
-                await asyncio.wait_for(changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
             except TimeoutError:
                 return
 
