Bound the age of the configuration on each node

Cause: no node knew how old its configuration could be. A node whose parent in the forwarding tree was dead, frozen or cut off waited for repairs that waited for one another: 0.8 s of spread time, resends of 0.8 s, two checks of 0.5 s, a read at most each second, an idle read once a minute. Class: a belief without an age. Change: each node knows when its configuration was the newest for certain. The lead's reads (twice a second) say so to all nodes, renewals and their answers pass it on, and a node whose knowledge is too old reads the log; who learns of a newer configuration asks for it. Pushing to peers, its hold-back, the unread notice for this stream and the idle read are gone.

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -8,8 +8,10 @@
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import (
     TailPolicy,
+    compute_rendezvous_rank,
     find_planner,
     is_tailer,
+    rank_planners,
 )
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.interface import LogService
@@ -29,6 +31,19 @@
 MAX_CHECKS_BEHIND = 2
 """Consecutive checks with a peer ahead after which a node reads the log itself."""
 
+CONFIG_WAIT_S = 0.5
+"""Time for which the log waits for a new configuration before it responds to the node
+that reads it for all others, which then knows again that its own is the newest."""
+
+MAX_UPDATE_DELAY_S = 0.15
+"""Time between two updates above which the process was stalled, and messages of other
+nodes may be waiting to be processed."""
+
+STALL_GRACE_S = 0.3
+"""Time for which a stalled process may postpone a read, to process these first."""
+
+RANK_MODULUS = 1000
+
 LEAD_READ_INTERVAL_S = 0.1
 """Shortest time between two reads of the node that reads the log for all others.
 
@@ -142,9 +157,15 @@
         self._policy = policy or TailPolicy()
         self._is_forwarding = policy is not None
         self._core = core
+        self._metrics = metrics
         self._checks_behind = dict.fromkeys(STREAMS, 0)
         self._checks = 0
         self._next_check_s = float("-inf")
+        self._updated_s = now
+        self._config_due = asyncio.Event()
+        self._spread = (
+            compute_rendezvous_rank("read", core.incarnation) % RANK_MODULUS
+        ) / RANK_MODULUS
         self.is_tailer = True
         self.is_lead = False
         self._last_success_s = dict.fromkeys(STREAMS, now)
@@ -165,6 +186,7 @@
                 metrics=metrics,
                 random=random,
                 last_read_s=now if stream in loaded else None,
+                reports_end=stream == CONFIG_STREAM,
             )
             for stream, first in next_offsets.items()
         }
@@ -178,7 +200,27 @@
         self._tailers[stream].skip_to(offset)
 
     async def follow(self, stream: str) -> None:
-        """Read a stream until cancelled, continuously or at long intervals."""
+        """Read a stream until cancelled, continuously or as rarely as possible."""
+        if stream == CONFIG_STREAM and self._is_forwarding:
+            await self._follow_config()
+        else:
+            await self._follow_stream(stream)
+
+    async def _follow_config(self) -> None:
+        """Read the config stream as the lead, or if the configuration gets too old."""
+        tailer = self._tailers[CONFIG_STREAM]
+        loop = asyncio.get_running_loop()
+        while True:
+            started_s = loop.time()
+            await tailer.read_once(wait_s=CONFIG_WAIT_S if self.is_lead else 0.0)
+            interval_s = LEAD_READ_INTERVAL_S if self.is_lead else READ_INTERVAL_S
+            await asyncio.sleep(max(0.0, started_s + interval_s - loop.time()))
+            if not self.is_lead:
+                self._config_due.clear()
+                await self._config_due.wait()
+
+    async def _follow_stream(self, stream: str) -> None:
+        """Read a stream continuously or at long intervals."""
         loop = asyncio.get_running_loop()
         while True:
             started_s = loop.time()
@@ -208,9 +250,15 @@
             now: Time of the event loop in seconds.
         """
         self._update_caught_up()
+        if self._is_config_due(now):
+            self._config_due.set()
+        self._updated_s = now
         if now < self._next_check_s:
             return
         self._next_check_s = now + CHECK_INTERVAL_S
+        self._metrics.set_gauge(
+            "config_age_seconds", self._core.config_watch.find_age_s(now)
+        )
         self._checks += 1
         if self._checks % CHECKS_PER_ROLE_UPDATE == 0:
             state, local = self._core.state, self._core.incarnation
@@ -222,6 +270,23 @@
                 self._checks_behind[stream] + 1 if behind else 0
             )
 
+    def find_rank(self) -> int:
+        """Return how many nodes read the log for all others rather than this one."""
+        ranked = rank_planners(self._core.state)
+        local = self._core.incarnation
+        return ranked.index(local) if local in ranked else len(ranked)
+
+    def _is_config_due(self, now: float) -> bool:
+        """Return whether this node must look in the log for a newer configuration."""
+        watch = self._core.config_watch
+        if self.is_lead or not self._core.caught_up:
+            return True
+        is_stalled = now - self._updated_s > MAX_UPDATE_DELAY_S
+        checked_s = now - STALL_GRACE_S if is_stalled else now
+        return watch.is_aging(checked_s) and watch.must_read_log(
+            checked_s, rank=self.find_rank(), spread=self._spread
+        )
+
     def note_unreachable(self, stream: str, now: float) -> None:
         """Read a stream directly for a while: the tailer does not reach the log."""
         if stream in self._read_directly_until_s:
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -47,6 +47,7 @@
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
 from papayatack.core.messages import (
+    ConfigPosition,
     ControlMessage,
     LoadReport,
     LogBatch,
@@ -69,6 +70,7 @@
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import (
+    EndReached,
     RecordsExpired,
     RecordsRead,
     TailMessage,
@@ -86,10 +88,6 @@
 ADVANCE_INTERVAL_S = 0.05
 MAX_INBOX_ITEMS = 10_000
 REPORT_INTERVAL_PER_MEMBER_S = 0.05
-CONFIG_SPREAD_S = 0.8
-"""Time for which a new configuration is spread by the forwarding tree alone. A node
-that still lacks it afterwards gets it from peers that learn this from its messages,
-well within the time allowed for a configuration to take effect."""
 
 _Input = tuple[IncarnationId, ControlMessage] | TailMessage
 
@@ -153,9 +151,8 @@
             now=now,
             find_service=self._find_service,
             lease_s=lease_s,
-            config_spread_s=0.0 if tailing is None else CONFIG_SPREAD_S,
         )
-        self.core.set_config_offset(self._config.next_offset, now)
+        self.core.config_watch.set_offset(self._config.next_offset)
         self._loads = LoadMeter(now=now)
         self._suspension = SuspensionDetector()
         self.outcomes = OutcomeTransport(
@@ -376,7 +373,7 @@
         await self._handle_message(message, sender)
 
     @_handle_input.register
-    async def _(self, item: RecordsRead | RecordsExpired) -> None:
+    async def _(self, item: RecordsRead | RecordsExpired | EndReached) -> None:
         await self._replicator.receive_read(item)
 
     @functools.singledispatchmethod
@@ -391,6 +388,10 @@
     async def _(self, message: LogBatch, sender: IncarnationId) -> None:
         await self._replicator.receive_batch(message, sender)
 
+    @_handle_message.register
+    async def _(self, message: ConfigPosition, sender: IncarnationId) -> None:
+        self._replicator.receive_position(message, sender)
+
     @_handle_message.register
     async def _(self, message: LogUnreachable, sender: IncarnationId) -> None:
         self._follower.note_unreachable(message.stream, self._read_clock())
--- a/src/papayatack/control/provenance.py
+++ b/src/papayatack/control/provenance.py
@@ -5,7 +5,7 @@
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import LogBatch
 
-__all__ = ["Provenance"]
+__all__ = ["US_PER_S", "Provenance"]
 
 US_PER_S = 1_000_000
 
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -12,16 +12,30 @@
 
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.interface import ConfigState
-from papayatack.control.provenance import Provenance
+from papayatack.control.provenance import US_PER_S, Provenance
 from papayatack.core.identity import IncarnationId
-from papayatack.core.messages import ControlMessage, LogBatch, LogUnreachable
+from papayatack.core.messages import (
+    ConfigPosition,
+    ControlMessage,
+    LogBatch,
+    LogUnreachable,
+)
 from papayatack.core.ownership.effects import Effect, FinishNode
 from papayatack.core.ownership.node import NodeCore
-from papayatack.core.ownership.selection import list_tree_children, list_tree_roots
+from papayatack.core.ownership.selection import (
+    list_tree_children,
+    list_tree_heads,
+    list_tree_roots,
+)
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.decoding import RecordDecoder
-from papayatack.logservice.tailer import RecordsExpired, RecordsRead, TailMessage
+from papayatack.logservice.tailer import (
+    EndReached,
+    RecordsExpired,
+    RecordsRead,
+    TailMessage,
+)
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.errors import WireError
@@ -36,6 +50,12 @@
 
 US_PER_MS = 1000
 
+MAX_STAND_IN_RANK = 2
+"""Highest rank of a node that tells all data centres what it read from the log."""
+
+MIN_POSITION_GAIN_S = 0.1
+"""Least time by which a position must be newer than the last one to be forwarded."""
+
 
 class RecordReplicator:
     """Applies the records of both streams, and forwards those that are new.
@@ -77,6 +97,7 @@
         self._execute_effects = execute_effects
         self._forwards = forwards
         self._metrics = metrics
+        self._forwarded_s = float("-inf")
 
     @functools.singledispatchmethod
     async def receive_read(self, message: TailMessage) -> None:
@@ -99,6 +120,38 @@
             self._metrics.count("log_gaps", message.stream)
             self._execute_effects([FinishNode(resigned=False)])
 
+    @receive_read.register
+    async def _(self, message: EndReached) -> None:
+        self._core.config_watch.confirm(message.time_s)
+        if self._forwards:
+            self._forward_position(is_own=True)
+
+    def receive_position(self, position: ConfigPosition, sender: IncarnationId) -> None:
+        """Process and forward a message on how recent the configuration is."""
+        self._core.receive_config_position(sender, position, self._read_clock())
+        if self._forwards:
+            self._forward_position(is_own=False)
+
+    def _forward_position(self, *, is_own: bool) -> None:
+        """Tell the next nodes of the tree until when the configuration was the newest.
+
+        Args:
+            is_own: Whether this node has just read that from the log itself.
+        """
+        watch = self._core.config_watch
+        if watch.current_s < self._forwarded_s + MIN_POSITION_GAIN_S:
+            return
+        self._forwarded_s = watch.current_s
+        state, local = self._core.state, self._core.incarnation
+        recipients = dict.fromkeys(list_tree_children(state, local))
+        if is_own and self._follower.find_rank() <= MAX_STAND_IN_RANK:
+            recipients |= dict.fromkeys(list_tree_heads(state))
+        recipients.pop(local, None)
+        age_s = watch.find_age_s(self._read_clock())
+        position = ConfigPosition(offset=watch.offset, age_us=int(age_s * US_PER_S))
+        for recipient in recipients:
+            self._send(recipient, position)
+
     async def receive_batch(self, batch: LogBatch, sender: IncarnationId) -> None:
         """Process records that another node has forwarded."""
         if batch.stream not in STREAMS:
@@ -247,7 +300,7 @@
             self._checkpoint_managers[stream].observe(record, offset=offset, now=now)
         if stream == CONFIG_STREAM:
             self._config.apply(offset, record)
-            self._core.set_config_offset(self._config.next_offset, now)
+            self._core.config_watch.set_offset(self._config.next_offset)
             return
         change, effects = self._core.apply_record(offset, record, now=now)
         if not change.effective:
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -19,6 +19,7 @@
     "LeaseFenced",
     "LeaseLapsed",
     "LoadReport",
+    "ConfigPosition",
     "LogBatch",
     "LogQuery",
     "LogUnreachable",
@@ -47,6 +48,8 @@
         ownership_offset: Offset before which the holder has applied all ownership
             records.
         heard: Newest round for which the holder has received this witness's reply.
+        config_age_us: Time since the holder's configuration was the newest for certain,
+            in microseconds; ``None`` if unknown.
     """
 
     lease: LeaseId
@@ -55,6 +58,7 @@
     config_offset: int
     ownership_offset: int
     heard: int = 0
+    config_age_us: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +74,8 @@
         config_offset: Offset before which the witness has applied all config records.
         ownership_offset: Offset before which the witness has applied all ownership
             records.
+        config_age_us: Time since the witness's configuration was the newest for
+            certain, in microseconds; ``None`` if unknown.
     """
 
     lease: LeaseId
@@ -78,6 +84,7 @@
     fenced: bool
     config_offset: int
     ownership_offset: int
+    config_age_us: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,6 +149,19 @@
     stream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigPosition:
+    """Tells until when the log had no config record from an offset on.
+
+    Attributes:
+        offset: Offset after the newest config record.
+        age_us: Time since this was the newest for certain, in microseconds.
+    """
+
+    offset: int
+    age_us: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LogQuery:
     """Requests the log records from an offset on, as :class:`LogBatch` messages."""
@@ -335,6 +355,7 @@
     | FenceReply
     | Release
     | ReleaseQuery
+    | ConfigPosition
     | LogBatch
     | LoadReport
     | LeaseLapsed
--- a/src/papayatack/core/ownership/exchange.py
+++ b/src/papayatack/core/ownership/exchange.py
@@ -1,7 +1,9 @@
 """Sends log records to nodes that do not read the log themselves."""
 
+import math
 from collections.abc import Callable
 
+from papayatack.core.config_watch import ConfigWatch
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import ControlMessage, LogQuery
 from papayatack.core.ownership.context import Context
@@ -14,6 +16,8 @@
 RESEND_INTERVAL_S = 2 * RENEW_INTERVAL_S
 """Time after which the same records are sent to the same peer again."""
 
+US_PER_S = 1_000_000
+
 
 class RecordExchange:
     """Compares log offsets with other nodes and sends them the records they lack.
@@ -21,12 +25,9 @@
     Args:
         context: The node's shared state.
         deliver: Sends a message, or processes it directly if it is for this node.
-        config_spread_s: Seconds after a new configuration arrives during which this
-            node does not send it to peers. Other channels distribute it in this time,
-            so that no node receives a large configuration more than once.
 
     Attributes:
-        config_offset: All configuration records before this offset are applied.
+        config: Knows how old the configuration may be.
         peer_offsets: Highest next offset of each stream that another node reported.
     """
 
@@ -35,43 +36,47 @@
         *,
         context: Context,
         deliver: Callable[[IncarnationId, ControlMessage, float], None],
-        config_spread_s: float = 0.0,
     ) -> None:
         self._context = context
         self._deliver = deliver
-        self._config_spread_s = config_spread_s
-        self._config_updated_s = float("-inf")
-        self.config_offset = 0
+        self.config = ConfigWatch()
         self.peer_offsets = {CONFIG_STREAM: 0, OWNERSHIP_STREAM: 0}
 
-    def set_config_offset(self, offset: int, now: float) -> None:
-        """Record that all configuration records before ``offset`` have been applied."""
-        if offset > self.config_offset:
-            self.config_offset = offset
-            self._config_updated_s = now
+    def find_config_age_us(self, now: float) -> int | None:
+        """Return the time since the configuration was the newest for certain."""
+        age_s = self.config.find_age_s(now)
+        return int(age_s * US_PER_S) if math.isfinite(age_s) else None
 
-    def send_missing(
-        self, peer: IncarnationId, config_offset: int, offset: int, now: float
+    def receive_config_position(
+        self, peer: IncarnationId, offset: int, age_us: int | None, now: float
     ) -> None:
-        """Send a peer the records that it lacks and this node has."""
-        pairs = {
-            CONFIG_STREAM: (config_offset, self.config_offset),
-            OWNERSHIP_STREAM: (offset, self._context.state.next_offset),
-        }
-        for stream, (peer_offset, own_offset) in pairs.items():
-            self.peer_offsets[stream] = max(self.peer_offsets[stream], peer_offset)
-            if peer_offset >= own_offset or self._is_propagating(stream, now):
-                continue
-            key = f"{stream} for {peer} to {own_offset}"
-            if self._context.restart_if_due(key, now, RESEND_INTERVAL_S):
-                effect = SendRecords(recipient=peer, stream=stream, offset=peer_offset)
-                self._context.effects.append(effect)
-
-    def _is_propagating(self, stream: str, now: float) -> bool:
-        return (
-            stream == CONFIG_STREAM
-            and now < self._config_updated_s + self._config_spread_s
-        )
+        """Process the offset of a peer's configuration and the age of that knowledge.
+
+        The time for which the message was on its way does not count.
+        """
+        stream = CONFIG_STREAM
+        self.peer_offsets[stream] = max(self.peer_offsets[stream], offset)
+        time_s = None if age_us is None else now - max(age_us, 0) / US_PER_S
+        self.config.receive_position(peer, offset, time_s, now)
+
+    def send_missing(self, peer: IncarnationId, peer_offset: int, now: float) -> None:
+        """Send a peer the ownership records that it lacks and this node has."""
+        stream = OWNERSHIP_STREAM
+        own_offset = self._context.state.next_offset
+        self.peer_offsets[stream] = max(self.peer_offsets[stream], peer_offset)
+        if peer_offset >= own_offset:
+            return
+        key = f"{stream} for {peer} to {own_offset}"
+        if self._context.restart_if_due(key, now, RESEND_INTERVAL_S):
+            effect = SendRecords(recipient=peer, stream=stream, offset=peer_offset)
+            self._context.effects.append(effect)
+
+    def query_config(self, now: float) -> None:
+        """Ask a node that has a newer configuration for it, if that is due."""
+        informed = self.config.choose_informed(now)
+        if informed is not None:
+            query = LogQuery(stream=CONFIG_STREAM, offset=self.config.offset)
+            self._deliver(informed, query, now)
 
     def query_missing(self, now: float) -> None:
         """Query the records that a fenced holder had applied and this node lacks."""
--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -112,7 +112,13 @@
         self.last_sent_s = float("-inf")
 
     def renew(
-        self, *, now: float, floor: int, config_offset: int, ownership_offset: int
+        self,
+        *,
+        now: float,
+        floor: int,
+        config_offset: int,
+        ownership_offset: int,
+        config_age_us: int | None = None,
     ) -> Renew:
         """Begin a renewal round; use :meth:`address` for each witness's message."""
         self._round += 1
@@ -128,6 +134,7 @@
             floor=floor,
             config_offset=config_offset,
             ownership_offset=ownership_offset,
+            config_age_us=config_age_us,
         )
 
     def address(self, renewal: Renew, witness: IncarnationId) -> Renew:
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -41,8 +41,6 @@
         claims: The shards that this node claims.
         reporter: Reports fences to the log.
         suspicions: Shares suspicions of requests.
-        config_spread_s: Seconds after a new configuration arrives during which this
-            node does not send it to peers that lack it.
 
     Attributes:
         exchange: Sends records that other nodes lack, and asks for missing ones.
@@ -55,15 +53,12 @@
         claims: Claims,
         reporter: RecordReporter,
         suspicions: SuspicionExchange,
-        config_spread_s: float,
     ) -> None:
         self._context = context
         self._claims = claims
         self._reporter = reporter
         self._suspicions = suspicions
-        self.exchange = RecordExchange(
-            context=context, deliver=self.deliver, config_spread_s=config_spread_s
-        )
+        self.exchange = RecordExchange(context=context, deliver=self.deliver)
 
     def deliver(
         self, recipient: IncarnationId, message: ControlMessage, now: float
@@ -98,13 +93,12 @@
             round=message.round,
             promised_us=promised_us,
             fenced=fenced,
-            config_offset=self.exchange.config_offset,
+            config_offset=self.exchange.config.offset,
             ownership_offset=self._context.state.next_offset,
+            config_age_us=self.exchange.find_config_age_us(now),
         )
         self.deliver(sender, reply, now)
-        self.exchange.send_missing(
-            sender, message.config_offset, message.ownership_offset, now
-        )
+        self._compare_offsets(message, sender, now)
 
     @receive.register
     def _(self, message: RenewReply, sender: IncarnationId, now: float) -> None:
@@ -112,13 +106,11 @@
         if holder is None or sender not in holder.witnesses:
             self._refuse_message(message, sender, "not a witness")
             return
-        self.exchange.send_missing(
-            sender, message.config_offset, message.ownership_offset, now
-        )
+        self._compare_offsets(message, sender, now)
         was_live = holder.is_live(now)
         floor = holder.confirmed_floor
         holder.accept(
-            sender, message, now=now, config_offset=self.exchange.config_offset
+            sender, message, now=now, config_offset=self.exchange.config.offset
         )
         if holder.ended:
             self.handle_own_end(holder)
@@ -130,6 +122,15 @@
         if holder.confirmed_floor != floor:
             self._claims.recheck_blocked()
 
+    def _compare_offsets(
+        self, message: Renew | RenewReply, sender: IncarnationId, now: float
+    ) -> None:
+        """Send the sender the records that it lacks, and note those that it has."""
+        self.exchange.receive_config_position(
+            sender, message.config_offset, message.config_age_us, now
+        )
+        self.exchange.send_missing(sender, message.ownership_offset, now)
+
     def handle_own_end(self, holder: LeaseHolder) -> None:
         """Give up the shards of a lease of this node that has ended."""
         self._claims.recheck_lease(holder.lease)
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -10,10 +10,12 @@
 
 from returns.result import Failure, Result, Success
 
+from papayatack.core.config_watch import ConfigWatch
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.inventory import Service
 from papayatack.core.messages import (
+    ConfigPosition,
     ControlMessage,
 )
 from papayatack.core.ownership.claims import Claims
@@ -64,9 +66,6 @@
         now: Current time.
         find_service: Looks up a service by name; returns ``None`` if it is unknown.
         lease_s: Duration of a lease in seconds, which must be the same on all nodes.
-        config_spread_s: Seconds after a new configuration arrives during which this
-            node does not send it to peers that lack it, as other channels distribute
-            it.
     """
 
     def __init__(
@@ -77,7 +76,6 @@
         now: float,
         find_service: Callable[[str], Service | None],
         lease_s: float = LEASE_DURATION_S,
-        config_spread_s: float = 0.0,
     ) -> None:
         self._lease_s = lease_s
         self._renew_interval_s = compute_renew_interval_s(lease_s)
@@ -102,7 +100,6 @@
             claims=self.claims,
             reporter=self._reporter,
             suspicions=self._suspicions,
-            config_spread_s=config_spread_s,
         )
         self._exchange = self._messages.exchange
         self._notifier = LeaseNotifier(
@@ -123,13 +120,17 @@
         return self.context.state
 
     @property
-    def config_offset(self) -> int:
-        """Offset of the next config record to apply."""
-        return self._exchange.config_offset
+    def config_watch(self) -> ConfigWatch:
+        """Knows how old the configuration of this node may be."""
+        return self._exchange.config
 
-    def set_config_offset(self, offset: int, now: float) -> None:
-        """Record that all config records before ``offset`` have been applied."""
-        self._exchange.set_config_offset(offset, now)
+    def receive_config_position(
+        self, sender: IncarnationId, position: ConfigPosition, now: float
+    ) -> None:
+        """Process how far another node's configuration reaches, and how old that is."""
+        self._exchange.receive_config_position(
+            sender, position.offset, position.age_us, now
+        )
 
     @property
     def peer_offsets(self) -> Mapping[str, int]:
@@ -186,6 +187,7 @@
                 self._membership.advance(now)
             self._reporter.advance(now)
             self._suspicions.advance(now)
+            self._exchange.query_config(now)
             self.departure.advance(now)
         return self._complete_input(now)
 
@@ -196,6 +198,7 @@
         """
         for holder in self.context.holders.values():
             holder.discard_promises()
+        self.config_watch.forget()
         self.context.emit_event("PROMISES_FORGOTTEN", "suspended")
         return self.advance(now)
 
@@ -411,8 +414,9 @@
         message = holder.renew(
             now=now,
             floor=floor,
-            config_offset=self.config_offset,
+            config_offset=self.config_watch.offset,
             ownership_offset=self.context.state.next_offset,
+            config_age_us=self._exchange.find_config_age_us(now),
         )
         for witness in holder.witnesses:
             self.context.send(witness, holder.address(message, witness))
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import functools
+import heapq
 from collections.abc import Callable, Collection, Iterable
 
 import xxhash
@@ -23,6 +24,7 @@
     "find_planner",
     "is_tailer",
     "list_tree_children",
+    "list_tree_heads",
     "list_tree_roots",
     "rank_planners",
     "compute_rendezvous_rank",
@@ -32,6 +34,8 @@
 FAN_OUT = 4
 """Maximum number of children of a node in the forwarding tree."""
 
+HEADS_PER_TREE = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TailPolicy:
@@ -91,6 +95,22 @@
     return [root.incarnation for root in roots.values()]
 
 
+def list_tree_heads(state: OwnershipState) -> list[IncarnationId]:
+    """Return the first nodes of the tree of each data centre: its root and a stand-in.
+
+    A short message that goes to all of them gets past a root that has just failed.
+    """
+    members_by_place: dict[str, list[Member]] = {}
+    for member in state.list_live_members():
+        members_by_place.setdefault(member.data_centre, []).append(member)
+    rank = functools.partial(_rank_in_tree, state)
+    return [
+        member.incarnation
+        for members in members_by_place.values()
+        for member in heapq.nsmallest(HEADS_PER_TREE, members, key=rank)
+    ]
+
+
 def _rank_in_tree(state: OwnershipState, member: Member) -> tuple[bool, int]:
     """Return the sort key of a node in the forwarding tree of its data centre."""
     rank = compute_rendezvous_rank("tail", member.incarnation)
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -101,7 +101,7 @@
         ("lease", lease_text),
         ("shards owned", answer.shards_owned),
         ("in flight, queued", f"{answer.in_flight}, {answer.queue}"),
-        ("configuration", f"version {answer.config_version}"),
+        ("configuration", _describe_configuration(answer)),
         (
             "offsets",
             f"config {answer.config_offset}, ownership {answer.ownership_offset}",
@@ -116,6 +116,14 @@
     return f"{_format_table((), own)}\n\n{_format_table(headers, nodes)}"
 
 
+def _describe_configuration(answer: StatusAnswer) -> str:
+    """Return the version in force, and when no newer one was known for certain."""
+    text = f"version {answer.config_version}"
+    if answer.config_age_ms is None:
+        return f"{text}, not known to be the newest"
+    return f"{text}, the newest {answer.config_age_ms / 1000:.1f} s ago"
+
+
 def format_watch(report: WatchReport) -> str:
     """Return the nodes on which a version is not in force."""
     if not report.behind and not report.away:
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -1,5 +1,6 @@
 """What a node tells operators of itself and of a key."""
 
+import math
 from collections.abc import Iterable
 
 from returns.result import Success
@@ -57,6 +58,7 @@
         state=_name_state(control, me, holder, now),
         config_version=control.config.version,
         config_offset=control.config.next_offset,
+        config_age_ms=_find_config_age_ms(control, now),
         ownership_offset=state.next_offset,
         log_reachable=control.log_reachable,
         lease=_describe_lease(holder, now),
@@ -67,6 +69,12 @@
     )
 
 
+def _find_config_age_ms(control: ControlNode, now: float) -> int | None:
+    """Return how long the configuration may have been outdated, if that is known."""
+    age_s = control.core.config_watch.find_age_s(now)
+    return int(age_s * MILLISECONDS) if math.isfinite(age_s) else None
+
+
 def describe_key(control: ControlNode, service: str, key: str) -> ExplainAnswer | str:
     """Return who owns a key and why, or why there is no such key."""
     state = control.core.state
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -17,7 +17,7 @@
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 
-__all__ = ["RecordsExpired", "RecordsRead", "TailMessage", "Tailer"]
+__all__ = ["EndReached", "RecordsExpired", "RecordsRead", "TailMessage", "Tailer"]
 
 LOGGER = logging.getLogger(__name__)
 
@@ -69,7 +69,20 @@
     first: int
 
 
-TailMessage = RecordsRead | RecordsExpired
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndReached:
+    """All records that a stream had at a time have been read.
+
+    Attributes:
+        stream: The stream's name.
+        time_s: That time, on the event loop's clock.
+    """
+
+    stream: str
+    time_s: float
+
+
+TailMessage = RecordsRead | RecordsExpired | EndReached
 
 
 class Tailer:
@@ -89,6 +102,8 @@
         random: Source of the backoff's jitter.
         last_read_s: Event loop time at which the records before ``offset`` were read,
             if they have just been loaded.
+        reports_end: Whether to put an :class:`EndReached` into the queue after each
+            read that reached the end of the stream.
     """
 
     def __init__(
@@ -101,7 +116,9 @@
         metrics: Metrics,
         random: random.Random,
         last_read_s: float | None = None,
+        reports_end: bool = False,
     ) -> None:
+        self._reports_end = reports_end
         self._log = log
         self._stream = stream
         self._offset = offset
@@ -135,14 +152,19 @@
         while True:
             await self.read_once()
 
-    async def read_once(self) -> None:
+    async def read_once(self, *, wait_s: float = READ_WAIT_S) -> None:
         """Read one page, or back off after a failure.
 
         The first read does not wait for records, so that a new node learns quickly
         whether it has caught up.
+
+        Args:
+            wait_s: Time for which the service waits for new records.
         """
         offset = self._offset
-        wait_s = 0.0 if self._last_read_s is None else READ_WAIT_S
+        if self._last_read_s is None:
+            wait_s = 0.0
+        started_s = asyncio.get_running_loop().time()
         result = await self._log.read(
             self._stream,
             offset,
@@ -154,6 +176,8 @@
             case Success(page):
                 self._set_available()
                 await self._deliver_page(page)
+                if self._reports_end:
+                    await self._deliver_end(page, started_s, wait_s)
             case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
                 self._set_available()
                 await self._deliver_expiry(offset, failure)
@@ -182,6 +206,20 @@
         self._offset = message.first + len(payloads)
         await self._queue.put(message)
 
+    async def _deliver_end(
+        self, page: LogPage, started_s: float, wait_s: float
+    ) -> None:
+        """Deliver when the stream had no further record, if the read shows that.
+
+        A read that returns nothing after ``wait_s`` shows that nothing came meanwhile.
+        """
+        if page.first + len(page.payloads) < page.end:
+            return
+        now = asyncio.get_running_loop().time()
+        has_waited = not page.payloads and now - started_s >= wait_s
+        time_s = started_s + wait_s if has_waited else started_s
+        await self._queue.put(EndReached(stream=self._stream, time_s=time_s))
+
     async def _deliver_expiry(self, wanted: int, failure: LogFailure) -> None:
         self._metrics.count("log_reads", "expired")
         log_event(
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -58,6 +58,7 @@
     state: str = ""
     config_version: int = 0
     config_offset: int = 0
+    config_age_ms: int | None = None
     ownership_offset: int = 0
     log_reachable: bool = False
     lease: LeaseState | None = None
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -6,12 +6,14 @@
 /* Control: see papayatack/core/messages.py. */
 struct Renew {
   1: LeaseId lease, 2: i64 round, 3: i64 floor,
-  4: i64 config_offset, 5: i64 ownership_offset, 6: i64 heard
+  4: i64 config_offset, 5: i64 ownership_offset, 6: i64 heard,
+  7: optional i64 config_age_us
 }
 struct RenewReply {
   1: LeaseId lease, 2: i64 round, 3: i64 promised_us, 4: bool fenced,
-  5: i64 config_offset, 6: i64 ownership_offset
+  5: i64 config_offset, 6: i64 ownership_offset, 7: optional i64 config_age_us
 }
+struct ConfigPosition { 1: i64 offset, 2: i64 age_us }
 struct Fence { 1: LeaseId lease, 2: bool resigned }
 struct FenceReply {
   1: LeaseId lease, 2: bool fenced, 3: i64 floor, 4: i64 remaining_us, 5: bool drained
@@ -62,7 +64,8 @@
   18: optional LeaseLapsed lease_lapsed, 19: optional LeaseFenced lease_fenced,
   20: optional LogQuery log_query, 21: optional OutcomeQuery outcome_query,
   22: optional OutcomePart outcome_part, 23: optional RelayRecord relay_record,
-  24: optional LogUnreachable log_unreachable, 25: optional SuspectReport suspect_report
+  24: optional LogUnreachable log_unreachable, 25: optional SuspectReport suspect_report,
+  26: optional ConfigPosition config_position
 }
 
 /* Data: one request is one stream on the connection of a pair of nodes. */
--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -1,8 +1,14 @@
-"""Fleets in which a fault strikes at the moment at which a configuration is stored."""
+"""Fleets in which a fault strikes at the moment at which a configuration is stored.
+
+``python -m tests.fakes.spread 0 100`` prints what the seeds from 0 to 99 give.
+"""
 
 import asyncio
+import concurrent.futures
 import contextvars
+import functools
 import random
+import sys
 
 from papayatack.core.ownership.selection import (
     TailPolicy,
@@ -23,6 +29,7 @@
 STARTUP_S = 12.0
 WATCHED_S = 6.0
 LOOK_S = 0.01
+WORKERS = 4
 LOST_SHARE = 0.1
 POLICY = TailPolicy(small_fleet_size=2, tailers_per_data_centre=1)
 
@@ -217,3 +224,27 @@
 
     with asyncio.Runner(loop_factory=FreezableLoop) as runner:
         return runner.run(run())
+
+
+def main(argv):
+    """Print a table of all faults for seeds from the first argument to the second."""
+    first, after = map(int, argv[1:3])
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        for fault in FAULTS:
+            found = pool.map(
+                functools.partial(measure_spread, fault), range(first, after)
+            )
+            delays_s = [sorted(delays) for delays in found]
+            halves_s = [delays[len(delays) // 2] for delays in delays_s]
+            lasts_s = [delays[-1] for delays in delays_s]
+            late = sum(delay > 1 for delays in delays_s for delay in delays)
+            watched = sum(map(len, delays_s))
+            print(
+                f"| {fault} | {max(halves_s):.2f} | {max(lasts_s):.2f}"
+                f" | {late} of {watched} |",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main(sys.argv)
