Add failing tests of callers that leave while nothing is read from them

A body that fills the buffer, or a pipelined request, pauses reading; the end and the reset of the connection are not seen then.

--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import unittest
 
 from papayatack.network.bodies import BodyQueue, BytesBody
@@ -20,6 +21,9 @@
     write_timeout_s=0.05,
     buffer_bytes=2000,
 )
+READ_S = 0.02
+NOTICE_S = 0.5
+"""Time within which work for a caller that has left must end."""
 
 
 class CallerServerTestCase(unittest.IsolatedAsyncioTestCase):
@@ -154,6 +158,50 @@
         writer.close()
         await wait_until(lambda: self.cancelled)
 
+    async def leave_unread(self, data, *, resets):
+        """Send bytes of which some stay unread, then leave; wait for the cancellation.
+
+        Args:
+            data: One request or more.
+            resets: Whether to reset the connection rather than close it.
+        """
+        self.release.clear()
+        self.requests.clear()
+        before = self.cancelled
+        caller = socket.create_connection(("127.0.0.1", self.server.port))
+        caller.sendall(data)
+        await wait_until(lambda: self.requests)
+        await asyncio.sleep(READ_S)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        caller.close()
+        loop = asyncio.get_running_loop()
+        left_s = loop.time()
+        while self.cancelled == before and loop.time() < left_s + NOTICE_S:
+            await asyncio.sleep(READ_S)
+
+    async def test_caller_that_leaves_with_unread_requests_behind_is_noticed(self):
+        """Reading is paused while the first of pipelined requests is handled."""
+        data = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n" * 2
+        for resets in (False, True):
+            await self.leave_unread(data, resets=resets)
+        self.assertEqual(self.cancelled, 2)
+        self.assertEqual(len(self.requests), 1)
+
+    async def test_caller_that_leaves_with_an_unread_body_behind_is_noticed(self):
+        """Reading is paused while the handler does not read a large body."""
+        data = build_request("POST", "/a", body=b"x" * 4500)
+        for resets in (False, True):
+            await self.leave_unread(data, resets=resets)
+        self.assertEqual(self.cancelled, 2)
+
+    async def test_many_pipelined_requests_are_not_read_ahead_without_limit(self):
+        """A caller that sends more gets back-pressure, and its leaving is noticed."""
+        request = b"GET /" + b"y" * 200 + b" HTTP/1.1\r\nHost: a\r\n\r\n"
+        await self.leave_unread(request * 100, resets=False)
+        self.assertEqual(self.cancelled, 1)
+
     async def test_graceful_shutdown_finishes_requests_in_flight(self):
         """A request in flight gets its response, then its connection is closed."""
         self.release.clear()
