Notice callers that leave while nothing is read from them

Cause: reading pauses while a body fills its buffer or a pipelined request waits, and a transport that does not read reports neither end nor reset, so that the request stayed in its queue and was sent on. Class: a belief without an age. Change: pipelined requests are read ahead up to the size of a body's buffer, and connections from which nothing is read are polled for a hang-up, all with one system call each 0.1 s, none if there are no such connections. An end that is behind more bytes than the kernel's buffer holds has not arrived and is not seen.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -13,6 +13,7 @@
 from papayatack.network.bodies import BodyQueue, ExpectContinueBody, IncompleteBodyError
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
@@ -39,6 +40,7 @@
     metrics: Metrics
     draining: bool
     handler: Handler
+    hangups: HangupWatch
 
     def add_connection(self, connection: "CallerConnection") -> bool:
         """Register an open connection; return false if the limit is exceeded."""
@@ -64,6 +66,7 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._read_paused = False
+        self._descriptor: int | None = None
         self._discarding = False
         self._closing = False
         self._head_only = False
@@ -103,6 +106,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight."""
+        self._watch_hangup(watched=False)
         self._owner.drop_connection(self)
         if self._body is not None:
             self._body.fail(
@@ -137,7 +141,7 @@
         kind = self._deadline_kind
         self._deadline_s = None
         if kind is None:
-            self._transport.close()
+            self._close()
         elif self._write_paused:
             self._owner.metrics.count("caller_connections_cut", "slow-reader")
             self._reset()
@@ -151,7 +155,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, for a graceful shutdown."""
         if self._task is None:
-            self._transport.close()
+            self._close()
 
     def close_now(self) -> None:
         """Close immediately.
@@ -160,7 +164,7 @@
         a missing or partial response for a complete one.
         """
         if not self.busy or self._closing:
-            self._transport.close()
+            self._close()
             return
         self._owner.metrics.count("caller_connections_cut", "stop")
         log_event(
@@ -193,10 +197,29 @@
                 return
 
     def _pause_if_pipelined(self, event: Any) -> None:
-        """Pause reading once a pipelined request is waiting."""
-        if event is h11.PAUSED and not self._read_paused:
+        """Pause reading once many bytes of pipelined requests are waiting.
+
+        Until then reading goes on, as the caller's leaving shows at once that way.
+        """
+        waiting = len(self._h11.trailing_data[0])
+        if event is h11.PAUSED and waiting > self._limits.buffer_bytes:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._read_paused:
             self._read_paused = True
             self._transport.pause_reading()
+            self._watch_hangup(watched=True)
+
+    def _watch_hangup(self, *, watched: bool) -> None:
+        """Start or stop looking for the caller's leaving while nothing is read."""
+        sock = self._transport.get_extra_info("socket")
+        if self._descriptor is not None:
+            self._owner.hangups.remove(self._descriptor)
+            self._descriptor = None
+        if watched and sock is not None and sock.fileno() >= 0:
+            self._descriptor = sock.fileno()
+            self._owner.hangups.add(self._descriptor, self._transport.abort)
 
     def _start_request(self, event: h11.Request) -> None:
         headers = tuple(event.headers)
@@ -241,9 +264,8 @@
             return
         body.put(bytes(event.data))
         if body.buffered_bytes > self._limits.buffer_bytes and not self._read_paused:
-            self._read_paused = True
             self._deadline_s = None
-            self._transport.pause_reading()
+            self._pause_reading()
 
     def _handle_body_read(self, size: int) -> None:
         """Resume reading once the body's buffer is at most half full."""
@@ -260,6 +282,7 @@
     def _resume_reading(self) -> None:
         if self._read_paused:
             self._read_paused = False
+            self._watch_hangup(watched=False)
             self._transport.resume_reading()
 
     def _finish_body(self) -> None:
@@ -410,13 +433,13 @@
         self._closing = True
         self._deadline_s = None
         if self._h11.their_state is h11.DONE and not self._read_paused:
-            self._transport.close()
+            self._close()
             return
         self._resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         await asyncio.sleep(DISCARD_TIMEOUT_S)
-        self._transport.close()
+        self._close()
 
     def _reset(self) -> None:
         """Reset the connection, so that a partial response can't look complete."""
@@ -424,8 +447,13 @@
         sock: socket.socket | None = self._transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._watch_hangup(watched=False)
         self._transport.abort()
 
+    def _close(self) -> None:
+        self._watch_hangup(watched=False)
+        self._transport.close()
+
     def _set_deadline(self, delay_s: float, kind: ErrorKind | None) -> None:
         self._deadline_s = self._loop.time() + delay_s
         self._deadline_kind = kind
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -11,6 +11,7 @@
 import asyncio
 
 from papayatack.network.caller_connection import CallerConnection, Handler
+from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
 from papayatack.observability.metrics import Metrics
 
@@ -38,6 +39,7 @@
         self.metrics = metrics
         self.limits = limits or CallerLimits()
         self.draining = False
+        self.hangups = HangupWatch()
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
