Hold requests of a new connection until their age is known

What callers saw: nothing; an upstream got requests whose callers had left. A node that stood still while a connection was opened took what had waited on it for fresh: the delay of messages is measured against the fastest one of the connection, and all had waited alike, so that a request of which 0.2 s were left 1.3 s before was sent on. Class: a belief without an age. Change: both ends ask for a hello, and requests are handed on once an answer to one's own hello has come, which was sent after it. The first request of a connection waits for one round trip. The test that counts probes counts them on a connection in use, as the first hello of each end asks for an answer too; its range is the same.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -94,6 +94,8 @@
         retired: Whether another link to the peer has replaced this one.
         hello_received_s: Event loop time of the peer's first hello.
         unresponsive: Whether the peer has failed to answer a liveness probe.
+        knows_age: Whether it is known how long messages of the peer were on their way.
+            Requests are held until then, as they may have waited in buffers.
     """
 
     def __init__(self, *, owner: LinkOwner, address: PeerAddress | None) -> None:
@@ -103,6 +105,8 @@
         self.retired = False
         self.closed = False
         self.unresponsive = False
+        self.knows_age = False
+        self._held: list[tuple[PeerStream, Any]] = []
         self.streams: dict[int, PeerStream] = {}
         self.hello_received_s = float("inf")
         self.last_received_s = 0.0
@@ -139,7 +143,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=FLUSH_BYTES, low=WRITE_LOW_BYTES)
         self.last_received_s = self.last_used_s = self._loop.time()
-        self._send_hello(reply_wanted=False)
+        self._send_hello(reply_wanted=True)
 
     def data_received(self, data: bytes) -> None:
         """Handle all complete frames."""
@@ -328,6 +332,7 @@
         for stream in streams:
             stream.fail_lost(detail)
         self.streams.clear()
+        self._held.clear()
 
     def _log_link_event(self, event: Event, detail: str, stream_count: int) -> None:
         silence_s = self._loop.time() - self.last_received_s
@@ -395,11 +400,26 @@
         hello = frame.hello
         if not hello.incarnation:
             raise WireError("hello has no incarnation")
+        is_first = math.isinf(self.hello_received_s)
         self.hello_received_s = min(self.hello_received_s, self._loop.time())
         self._delivery_delay.measure(self._read_clock_us(), hello.sent_us)
         if hello.reply_wanted:
             self._send_hello(reply_wanted=False)
         self._owner.handle_hello(self, hello.incarnation)
+        if not is_first and not hello.reply_wanted:
+            self._release_held()
+
+    def _release_held(self) -> None:
+        """Hand on the requests that came before the peer answered a hello.
+
+        The answer was sent after this node's hello, so it shows the difference of the
+        two clocks, and the age of what came before.
+        """
+        self.knows_age = True
+        held, self._held = self._held, []
+        for stream, head in held:
+            if self.streams.get(stream.stream_id) is stream:
+                self._hand_on(stream, head)
 
     def _handle_control(self, frame: Any) -> None:
         self.last_used_s = self._loop.time()
@@ -414,8 +434,14 @@
         stream = PeerStream(link=self, stream_id=stream_id)
         self.streams[stream_id] = stream
         self.last_used_s = self._loop.time()
-        self._subtract_delay(frame.request)
-        self._owner.handle_request(stream, frame.request)
+        if self.knows_age:
+            self._hand_on(stream, frame.request)
+        else:
+            self._held.append((stream, frame.request))
+
+    def _hand_on(self, stream: PeerStream, head: Any) -> None:
+        self._subtract_delay(head)
+        self._owner.handle_request(stream, head)
 
     def _subtract_delay(self, head: Any) -> None:
         """Subtract a request's delivery delay from its remaining time."""
--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -158,3 +158,81 @@
             link.connection_lost(None)
         refusal = stream.response.result().failure()
         self.assertIs(refusal.kind, ErrorKind.PEER_UNREACHABLE)
+
+
+class RequestAgeTests(unittest.IsolatedAsyncioTestCase):
+    """A new connection, on which a request comes that may have waited in buffers."""
+
+    async def asyncSetUp(self):
+        """Accept a connection at 10 s on a simulated clock."""
+        self.now = 10.0
+        self.clock = mock.patch.object(
+            asyncio.get_running_loop(), "time", lambda: self.now
+        )
+        self.owner = mock.Mock(
+            limits=LIMITS, metrics=Metrics(), incarnation=IncarnationId("a:1#own")
+        )
+        self.transport = mock.Mock()
+        self.transport.is_closing.return_value = False
+        with self.clock:
+            self.link = Link(owner=self.owner, address=None)
+            self.link.connection_made(self.transport)
+
+    def receive(self, *frames):
+        """Deliver frames together."""
+        with self.clock:
+            self.link.data_received(b"".join(map(encode_frame, frames)))
+
+    def build_hello(self, sent_s, *, reply_wanted=False):
+        """Return a hello that the peer sent at a time of its own clock."""
+        hello = schema.Hello(
+            incarnation="b:2#other",
+            protocol=PROTOCOL_VERSION,
+            reply_wanted=reply_wanted,
+            sent_us=int(sent_s * 1e6),
+        )
+        return schema.Frame(stream=CONTROL_STREAM, hello=hello)
+
+    def build_request(self, sent_s):
+        """Return a request of which 0.2 s were left when the peer sent it."""
+        head = schema.RequestHead(deadline_us=200_000, sent_us=int(sent_s * 1e6))
+        return schema.Frame(stream=1, request=head)
+
+    def list_remaining_s(self):
+        """Return the time left to each request that was handed on."""
+        calls = self.owner.handle_request.call_args_list
+        return [call.args[1].deadline_us / 1e6 for call in calls]
+
+    async def test_request_that_waited_on_a_new_connection_is_not_taken_for_fresh(self):
+        """Its peer's hello waited with it for 1.3 s, as this node stood still."""
+        for asks in (False, True):
+            with self.subTest(asks=asks):
+                await self.asyncSetUp()
+                hello = self.build_hello(500.0, reply_wanted=asks)
+                self.receive(hello, self.build_request(500.0))
+                self.now += 0.002
+                self.receive(self.build_hello(501.301))
+                (remaining_s,) = self.list_remaining_s()
+                self.assertAlmostEqual(remaining_s, 0.2 - 1.301, places=2)
+
+    async def test_cancelled_request_of_unknown_age_is_never_handed_on(self):
+        """The cancel comes before the peer's answer to this node's hello."""
+        self.receive(self.build_hello(500.0), self.build_request(500.0))
+        cancel = schema.Cancel(reason="the caller left")
+        self.receive(schema.Frame(stream=1, cancel=cancel))
+        self.receive(self.build_hello(501.3))
+        self.assertEqual(self.list_remaining_s(), [])
+
+    async def test_requests_are_handed_on_at_once_when_the_age_is_known(self):
+        """An earlier exchange of hellos shows how the clocks compare."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        self.now += 0.5
+        self.receive(self.build_request(500.401))
+        (remaining_s,) = self.list_remaining_s()
+        self.assertAlmostEqual(remaining_s, 0.1, places=2)
+
+    async def test_probe_of_the_peer_does_not_show_how_old_its_messages_are(self):
+        """It was sent without a message of this node, and may have waited as well."""
+        hellos = self.build_hello(500.0), self.build_hello(500.0, reply_wanted=True)
+        self.receive(*hellos, self.build_request(500.0))
+        self.assertEqual(self.list_remaining_s(), [])
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -294,6 +294,7 @@
 
     async def test_peer_that_works_for_long_is_probed_ever_more_rarely(self):
         self.first.limits = PeerLimits(probe_after_s=0.1, unresponsive_after_s=0.3)
+        self.assertTrue(is_successful(await self.exchange()))
         self.second.on_request = self.respond_late
         send_hello = Link._send_hello
         with mock.patch.object(
