--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -10,6 +10,7 @@
 from papayatack.core.round_robin import WeightedRoundRobin
 from papayatack.network.exchanges import Headers, PeerRequest, Request, find_header
 from papayatack.proxy.headers import HOP_BY_HOP_HEADERS, list_connection_options
+from papayatack.proxy.route_table import RouteTable
 
 __all__ = ["HeaderNames", "RouteClassifier"]
 
@@ -39,14 +40,6 @@
     reserved: frozenset[bytes] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _SplitRoute:
-    """A route with the round robin that splits its requests between services."""
-
-    route: HostRoute
-    round_robin: WeightedRoundRobin
-
-
 class RouteClassifier:
     """Classifies requests by the routes of one configuration.
 
@@ -68,31 +61,23 @@
         self._caller_header = (fields.caller, caller_service.encode())
         self._dropped = fields.reserved | {fields.caller, fields.deadline}
         self._services = {service.name: service for service in configuration.services}
-        self._routes_by_host: dict[str, list[_SplitRoute]] = {}
-        for route in configuration.routes:
-            split_route = _SplitRoute(
-                route=route, round_robin=WeightedRoundRobin(targets=route.targets)
-            )
-            self._routes_by_host.setdefault(route.host, []).append(split_route)
-        for split_routes in self._routes_by_host.values():
-            split_routes.sort(key=lambda split_route: -len(split_route.route.prefix))
+        self._routes = RouteTable(routes=configuration.routes)
+        self._round_robins: dict[str, WeightedRoundRobin] = {}
 
     def classify(self, request: Request) -> Result[PeerRequest, Refusal]:
         """Return the request with its routing and admission attributes."""
         if not self._configured:
             detail = "no configuration has been received yet"
             return _reject(ErrorKind.CONFIG_STALE, detail, STARTUP_RETRY_AFTER_S)
-        split_route = self._find_route(request)
-        if split_route is None:
+        route = self._find_route(request)
+        if route is None:
             return _reject(
                 ErrorKind.NO_SUCH_SERVICE, "no route matches this host and path"
             )
-        service = self._services.get(split_route.round_robin.choose())
+        service = self._services.get(self._choose_service(route))
         if service is None:
             return _reject(ErrorKind.NO_OWNER, "the route refers to an unknown service")
-        remaining_s = self._read_remaining_s(
-            request.headers, split_route.route.timeout_s
-        )
+        remaining_s = self._read_remaining_s(request.headers, route.timeout_s)
         if remaining_s is None:
             return _reject(
                 ErrorKind.MALFORMED_REQUEST,
@@ -102,9 +87,7 @@
         if key is None:
             return _reject(ErrorKind.KEY_MISSING, "expected exactly one key")
         return Success(
-            self._build_peer_request(
-                request, split_route.route, service, key, remaining_s
-            )
+            self._build_peer_request(request, route, service, key, remaining_s)
         )
 
     def _build_peer_request(
@@ -146,13 +129,19 @@
         kept.append(self._caller_header)
         return tuple(kept)
 
-    def _find_route(self, request: Request) -> _SplitRoute | None:
+    def _find_route(self, request: Request) -> HostRoute | None:
         host = find_header(request.headers, b"host") or b""
-        name, path = _split_target(request.target, host)
-        for split_route in self._routes_by_host.get(name, ()):
-            if path.startswith(split_route.route.prefix):
-                return split_route
-        return None
+        return self._routes.find(*_split_target(request.target, host))
+
+    def _choose_service(self, route: HostRoute) -> str:
+        """Return the name of the service for the next request of a route."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        round_robin = self._round_robins.get(route.name)
+        if round_robin is None:
+            round_robin = WeightedRoundRobin(targets=route.targets)
+            self._round_robins[route.name] = round_robin
+        return round_robin.choose()
 
     def _read_remaining_s(self, headers: Headers, max_s: float) -> float | None:
         """Return the time left in seconds, at most ``max_s``; ``None`` if malformed."""
