Decode a large configuration in slices, and only what has changed

Tests: same result in slices as in one go; other tasks run in between; unchanged routes are not converted; an invalid version changes nothing; deeply nested or huge values are refused (in tests.platform.test_manifest).

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -285,6 +285,7 @@
             for keeper in self._checkpoint_managers.values():
                 tasks.create_task(keeper.run())
             tasks.create_task(self._effects.run())
+            tasks.create_task(self._replicator.run())
             tasks.create_task(self._writer.run())
             tasks.create_task(self._planner.run())
             tasks.create_task(self._report_loads())
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
+from papayatack.control.config_applying import ConfigApplier, StoredConfig
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.interface import ConfigState
 from papayatack.control.provenance import US_PER_S, Provenance
@@ -29,7 +30,7 @@
 )
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.appender import Appender
-from papayatack.logservice.decoding import RecordDecoder
+from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
 from papayatack.logservice.tailer import (
     EndReached,
     RecordsExpired,
@@ -98,6 +99,17 @@
         self._forwards = forwards
         self._metrics = metrics
         self._forwarded_s = float("-inf")
+        self._logged_version = config.version
+        self._applier = ConfigApplier(
+            config=config,
+            decoder=decoder,
+            on_applied=self._note_config_applied,
+            on_end=self._confirm_config,
+        )
+
+    async def run(self) -> None:
+        """Apply the records of the config stream until cancelled."""
+        await self._applier.run()
 
     @functools.singledispatchmethod
     async def receive_read(self, message: TailMessage) -> None:
@@ -122,7 +134,11 @@
 
     @receive_read.register
     async def _(self, message: EndReached) -> None:
-        self._core.config_watch.confirm(message.time_s)
+        self._applier.put(message)
+
+    def _confirm_config(self, time_s: float) -> None:
+        """Process that this node's read of the log found no newer configuration."""
+        self._core.config_watch.confirm(time_s)
         if self._forwards:
             self._forward_position(is_own=True)
 
@@ -174,7 +190,8 @@
         if not self._forwards:
             return
         for stream in self._follower.collect_unreachable(now):
-            for recipient in self._list_recipients():
+            is_lead = self._follower.is_lead
+            for recipient in self._list_recipients(tells_all=is_lead):
                 self._send(recipient, LogUnreachable(stream=stream))
 
     def _count_known_records(self, stream: str, first: int) -> int:
@@ -224,12 +241,22 @@
                 hops=provenance.hops + 1,
                 age_us=provenance.find_age_us(self._read_clock()),
             )
-            for recipient in self._list_recipients():
+            tells_all = self._follower.is_lead or (
+                stream == CONFIG_STREAM and self._stands_in(provenance)
+            )
+            for recipient in self._list_recipients(tells_all=tells_all):
                 self._send(recipient, batch)
             await asyncio.sleep(0)
-        version = self._config.version
         self._apply_next(stream, first, payloads, packed, provenance)
-        if self._config.version > version:
+
+    def _note_config_applied(
+        self, logged: LoggedRecord, provenance: Provenance
+    ) -> None:
+        """Process that a record of the config stream has been applied."""
+        self._observe(CONFIG_STREAM, logged)
+        self._core.config_watch.set_offset(self._config.next_offset)
+        if self._config.version > self._logged_version:
+            self._logged_version = self._config.version
             self._log_configuration(provenance)
 
     def _log_configuration(self, provenance: Provenance) -> None:
@@ -249,15 +276,23 @@
     def _read_clock(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def _list_recipients(self) -> list[IncarnationId]:
+    def _stands_in(self, provenance: Provenance) -> bool:
+        """Return whether this node has read records in place of the lead."""
+        is_own = provenance.hops == 0
+        return is_own and self._follower.find_rank() <= MAX_STAND_IN_RANK
+
+    def _list_recipients(self, *, tells_all: bool) -> list[IncarnationId]:
         """Return the nodes to which this node forwards records.
 
-        They are its children in the forwarding tree of its data centre and, if it reads
-        the log for the whole fleet, the roots of all trees.
+        They are its children in the forwarding tree of its data centre.
+
+        Args:
+            tells_all: Whether to add the roots of all trees, as the node does that
+                reads the log for the whole fleet.
         """
         state, local = self._core.state, self._core.incarnation
         recipients = list_tree_children(state, local)
-        if self._follower.is_lead:
+        if tells_all:
             recipients.extend(
                 root
                 for root in list_tree_roots(state)
@@ -286,23 +321,30 @@
             if self._is_gapless(stream) and offset != recent.end:
                 continue
             recent.add(offset, packed[offset - first], provenance)
-            self._apply(stream, offset, payload)
+            if stream == CONFIG_STREAM:
+                self._applier.put(
+                    StoredConfig(offset=offset, payload=payload, provenance=provenance)
+                )
+            else:
+                self._apply_ownership(offset, payload)
         self._follower.skip_to(stream, recent.end)
         if stream == OWNERSHIP_STREAM:
             self._appender.observe(recent.end)
             now = self._read_clock()
             self._execute_effects(self._core.advance(now))
 
-    def _apply(self, stream: str, offset: int, payload: bytes) -> None:
-        record = self._decoder.decode(stream, offset, payload).record
-        now = self._read_clock()
+    def _observe(self, stream: str, logged: LoggedRecord) -> None:
+        """Pass a record to the checkpoints of its stream, if there are any."""
         if stream in self._checkpoint_managers:
-            self._checkpoint_managers[stream].observe(record, offset=offset, now=now)
-        if stream == CONFIG_STREAM:
-            self._config.apply(offset, record)
-            self._core.config_watch.set_offset(self._config.next_offset)
-            return
-        change, effects = self._core.apply_record(offset, record, now=now)
+            self._checkpoint_managers[stream].observe(
+                logged.record, offset=logged.offset, now=self._read_clock()
+            )
+
+    def _apply_ownership(self, offset: int, payload: bytes) -> None:
+        logged = self._decoder.decode(OWNERSHIP_STREAM, offset, payload)
+        self._observe(OWNERSHIP_STREAM, logged)
+        now = self._read_clock()
+        change, effects = self._core.apply_record(offset, logged.record, now=now)
         if not change.effective:
             self._metrics.count("ownership_records_void", change.reason)
         self._execute_effects(effects)
--- a/src/papayatack/logservice/decoding.py
+++ b/src/papayatack/logservice/decoding.py
@@ -51,6 +51,12 @@
                 self.note_skipped(stream, offset, failure.kind.value, failure.detail)
         return LoggedRecord(offset=offset, record=None)
 
+    async def decode_in_slices(
+        self, stream: str, offset: int, payload: bytes
+    ) -> LoggedRecord:
+        """Decode a payload that may be large, letting other tasks run in between."""
+        return self.decode(stream, offset, payload)
+
     def note_skipped(self, stream: str, offset: int, reason: str, detail: str) -> None:
         """Count and log a payload that every node skips."""
         self._metrics.count("log_records_skipped", reason)
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -1,6 +1,12 @@
 """Decodes the operators' manifest into a :class:`Configuration`."""
 
+import asyncio
+import functools
+from collections.abc import Iterator, Mapping
+from typing import Any
+
 import pydantic
+import pydantic_core
 from pydantic.alias_generators import to_pascal
 
 from papayatack.core.inventory import (
@@ -18,7 +24,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.times import Duration
 
-__all__ = ["ManifestDecoder", "ManifestFold", "parse_manifest"]
+__all__ = ["ManifestDecoder", "ManifestFold", "ManifestParser"]
 
 KEY_COUNT = 65_536
 SHARD_COUNT = 512
@@ -34,7 +40,11 @@
 """Upstreams report their own number of slots; the manifest does not contain it."""
 
 DEFAULT_DEADLINE_S = 10.0
+MAX_SHARED_TARGETS = 256
 VERSION_RADIX = 16
+SLICE_ROUTES = 100
+"""Routes that are converted before other tasks may run."""
+
 MAX_URGENT_PRIORITY = 1
 """Routes with a ``Priority`` up to this value take precedence in their service."""
 
@@ -78,33 +88,88 @@
 
 class _Manifest(_Model):
     version: str
-    routes: dict[str, _Route] = {}
+    routes: dict[str, dict[str, Any]] = {}
     services: dict[str, _Service] = {}
     limits: _Limits = _Limits()
 
 
-def parse_manifest(payload: bytes, places: tuple[Place, ...]) -> Configuration:
-    """Return the configuration that a manifest describes.
+class ManifestParser:
+    """Converts manifests, each of which mostly repeats the one before.
+
+    A route whose text has not changed since the last manifest is not converted again.
 
     Args:
-        payload: The stored manifest, as JSON.
         places: All data centres, which the manifest does not list.
-
-    Raises:
-        ValueError: The payload is not a valid manifest.
     """
-    manifest = _Manifest.model_validate_json(payload)
+
+    def __init__(self, *, places: tuple[Place, ...]) -> None:
+        self._places = places
+        self._routes: Mapping[str, _KnownRoute] = {}
+
+    def parse(self, payload: bytes) -> Configuration:
+        """Return the configuration that a manifest describes.
+
+        Args:
+            payload: The stored manifest, as JSON.
+
+        Raises:
+            ValueError: The payload is not a valid manifest.
+        """
+        manifest = _read_manifest(payload)
+        return self._build(manifest, dict(self._convert_routes(manifest)))
+
+    async def parse_in_slices(self, payload: bytes) -> Configuration:
+        """Return the same as :meth:`parse`, letting other tasks run in between."""
+        manifest = _read_manifest(payload)
+        routes = {}
+        for number, (name, known) in enumerate(self._convert_routes(manifest), start=1):
+            routes[name] = known
+            if number % SLICE_ROUTES == 0:
+                await asyncio.sleep(0)
+        return self._build(manifest, routes)
+
+    def _convert_routes(
+        self, manifest: _Manifest
+    ) -> Iterator[tuple[str, "_KnownRoute"]]:
+        for name, fields in manifest.routes.items():
+            known = self._routes.get(name)
+            if known is None or known[0] != fields:
+                route = _build_route(name, _Route.model_validate(fields))
+                known = fields, route
+            yield name, known
+
+    def _build(
+        self, manifest: _Manifest, routes: Mapping[str, "_KnownRoute"]
+    ) -> Configuration:
+        converted = tuple(route for _, route in routes.values())
+        configuration = _build_configuration(manifest, converted, self._places)
+        self._routes = routes
+        return configuration
+
+
+_KnownRoute = tuple[dict[str, Any], HostRoute]
+"""A route as it was stored and as it was converted."""
+
+
+def _read_manifest(payload: bytes) -> _Manifest:
+    return _Manifest.model_validate(pydantic_core.from_json(payload))
+
+
+def _build_configuration(
+    manifest: _Manifest, routes: tuple[HostRoute, ...], places: tuple[Place, ...]
+) -> Configuration:
     limits = manifest.limits
+    deadlines_s = _find_deadlines_s(routes)
     return Configuration(
         version=int(manifest.version, VERSION_RADIX),
         services=tuple(
-            _build_service(name, service, places, _find_deadline(manifest, name))
+            _build_service(
+                name, service, places, deadlines_s.get(name, DEFAULT_DEADLINE_S)
+            )
             for name, service in manifest.services.items()
         ),
         places=places,
-        routes=tuple(
-            _build_route(name, route) for name, route in manifest.routes.items()
-        ),
+        routes=routes,
         bounds=CallerBounds(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -134,20 +199,25 @@
     )
 
 
-def _find_deadline(manifest: _Manifest, service: str) -> float:
-    """Return the longest time-out, in seconds, of the routes to a service."""
-    found = [
-        route.timeout
-        for route in manifest.routes.values()
-        if service == route.service
-        or any(part.service == service for part in route.traffic_split)
-    ]
-    return max(found, default=DEFAULT_DEADLINE_S)
+def _find_deadlines_s(routes: tuple[HostRoute, ...]) -> dict[str, float]:
+    """Return the longest timeout of the routes to each service, in seconds."""
+    found: dict[str, float] = {}
+    for route in routes:
+        for target in route.targets:
+            longest_s = found.get(target.service, 0.0)
+            found[target.service] = max(longest_s, route.timeout_s)
+    return found
+
+
+@functools.lru_cache(maxsize=MAX_SHARED_TARGETS)
+def _build_single_target(service: str) -> tuple[Target, ...]:
+    """Return the only target of many routes, which share it."""
+    return (Target(service=service),)
 
 
 def _build_targets(route: _Route) -> tuple[Target, ...]:
     if not route.traffic_split:
-        return (Target(service=route.service),)
+        return _build_single_target(route.service)
     return tuple(
         Target(service=part.service, weight=part.weight) for part in route.traffic_split
     )
@@ -212,15 +282,30 @@
 
     def __init__(self, *, places: tuple[Place, ...], metrics: Metrics) -> None:
         super().__init__(metrics=metrics)
-        self._places = places
+        self._parser = ManifestParser(places=places)
 
     def decode(self, stream: str, offset: int, payload: bytes) -> LoggedRecord:
         """Decode the record at an offset; skip and count an invalid manifest."""
         if stream != CONFIG_STREAM:
             return super().decode(stream, offset, payload)
         try:
-            record = parse_manifest(payload, self._places)
+            record = self._parser.parse(payload)
+        except ValueError as error:
+            return self._skip(offset, error)
+        return LoggedRecord(offset=offset, record=record)
+
+    async def decode_in_slices(
+        self, stream: str, offset: int, payload: bytes
+    ) -> LoggedRecord:
+        """Decode a payload, letting other tasks run while a manifest is converted."""
+        if stream != CONFIG_STREAM:
+            return await super().decode_in_slices(stream, offset, payload)
+        try:
+            record = await self._parser.parse_in_slices(payload)
         except ValueError as error:
-            self.note_skipped(stream, offset, "manifest", str(error))
-            record = None
+            return self._skip(offset, error)
         return LoggedRecord(offset=offset, record=record)
+
+    def _skip(self, offset: int, error: ValueError) -> LoggedRecord:
+        self.note_skipped(CONFIG_STREAM, offset, "manifest", str(error))
+        return LoggedRecord(offset=offset, record=None)
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -1,23 +1,28 @@
 """Tests of papayatack.platform.manifest."""
 
+import asyncio
+import json
 import unittest
 
 from papayatack.core.inventory import Configuration, RequestClass
 from papayatack.core.records import CONFIG_STREAM
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.manifest import (
+    SLICE_ROUTES,
     ManifestDecoder,
     ManifestFold,
-    parse_manifest,
+    ManifestParser,
 )
-from tests.platform.documents import PLACES, build_manifest
+from tests.platform.documents import PLACES, build_large_manifest, build_manifest
+
+ROUTES = 1000
 
 
 class ParseTests(unittest.TestCase):
     """Conversion of a manifest to the product's configuration."""
 
     def setUp(self):
-        self.configuration = parse_manifest(build_manifest(), PLACES)
+        self.configuration = ManifestParser(places=PLACES).parse(build_manifest())
 
     def test_version_is_hexadecimal(self):
         """The version is eight hexadecimal digits: 0c is 12."""
@@ -60,9 +65,63 @@
             b'{"Version":"zz"}',
             build_manifest(Routes={"r": {"Host": 3}}),
             build_manifest(Limits={"IdleTimeout": "soon"}),
+            b'{"Version":' + b"[" * 50_000,
+            b'{"Version":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+            build_manifest(Routes={"r": {"Host": "h", "MaxAttempts": 10**400}}),
         ):
             with self.subTest(payload=payload[:30]), self.assertRaises(ValueError):
-                parse_manifest(payload, PLACES)
+                ManifestParser(places=PLACES).parse(payload)
+
+
+class SliceTests(unittest.IsolatedAsyncioTestCase):
+    """Conversion of large manifests, of which most routes have not changed."""
+
+    def setUp(self):
+        self.parser = ManifestParser(places=PLACES)
+        self.payload = build_large_manifest(version="0000000c", routes=ROUTES)
+
+    async def test_result_is_the_same_as_that_of_one_go(self):
+        whole = ManifestParser(places=PLACES).parse(self.payload)
+        self.assertEqual(await self.parser.parse_in_slices(self.payload), whole)
+
+    async def test_other_tasks_run_while_a_large_manifest_is_converted(self):
+        """A second task counts the slices."""
+        turns = 0
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        task = asyncio.create_task(count_turns())
+        await self.parser.parse_in_slices(self.payload)
+        task.cancel()
+        self.assertGreaterEqual(turns, ROUTES // SLICE_ROUTES)
+
+    def test_unchanged_routes_are_not_converted_again(self):
+        """A changed one, a new one and a removed one are seen."""
+        before = {route.name: route for route in self.parser.parse(self.payload).routes}
+        document = json.loads(self.payload)
+        routes = document["Routes"]
+        changed, removed, *kept = routes
+        routes[changed]["Timeout"] = "2s"
+        del routes[removed]
+        routes["new"] = dict(routes[kept[0]], PathPrefix="/new/")
+        parsed = self.parser.parse(json.dumps(document).encode()).routes
+        after = {route.name: route for route in parsed}
+        self.assertEqual(after.keys(), before.keys() - {removed} | {"new"})
+        self.assertEqual(after[changed].timeout_s, 2.0)
+        self.assertTrue(all(after[name] is before[name] for name in kept))
+
+    def test_invalid_manifest_leaves_the_known_routes_as_they_were(self):
+        """The next one is converted as if the invalid one had not come."""
+        before = self.parser.parse(self.payload)
+        invalid = build_manifest(Routes={"r": {"Host": 3}})
+        with self.assertRaises(ValueError):
+            self.parser.parse(invalid)
+        after = self.parser.parse(self.payload)
+        self.assertIs(after.routes[0], before.routes[0])
 
 
 class FoldTests(unittest.TestCase):
@@ -71,8 +130,8 @@
     def test_only_newer_manifests_are_applied(self):
         """Neither an older manifest nor another record replaces the newest manifest."""
         fold = ManifestFold(places=PLACES)
-        newer = parse_manifest(build_manifest(version="0000000d"), PLACES)
-        older = parse_manifest(build_manifest(version="0000000c"), PLACES)
+        newer = ManifestParser(places=PLACES).parse(build_manifest(version="0000000d"))
+        older = ManifestParser(places=PLACES).parse(build_manifest(version="0000000c"))
         fold.apply(4, newer)
         for offset, record in ((5, older), (6, None), (2, Configuration(version=3))):
             fold.apply(offset, record)
--- a/tests/platform/test_placement.py
+++ b/tests/platform/test_placement.py
@@ -5,7 +5,7 @@
 
 from papayatack.core.inventory import Place
 from papayatack.platform.environment import PLACEMENT_LIMITS
-from papayatack.platform.manifest import parse_manifest
+from papayatack.platform.manifest import ManifestParser
 from tests.fakes.keyed_load import KEYS, KeyedLoadSimulation
 
 PLACES = tuple(Place(name=name, region="r") for name in ("east", "west", "south"))
@@ -27,7 +27,7 @@
 def parse_sharded_service():
     """Return the configuration of a manifest with one sharded service."""
     document = {"Version": "00000001", "Services": {"s": {"Sharded": True}}}
-    return parse_manifest(json.dumps(document).encode(), PLACES)
+    return ManifestParser(places=PLACES).parse(json.dumps(document).encode())
 
 
 class PlayedLoadTests(unittest.TestCase):
