Refuse odd entries of upstreams, and go on

A port above 65535 of a member failed the requests to it as internal errors. Change: addresses are validated at the border, durations must be finite, malformed restorations are records like any other that every node skips, and a port out of range is unreachable. Refused heartbeats are counted and logged as before.

--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -435,7 +435,7 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError, ValueError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
             self._record_connect_failure(address, loop.time())
             return None
         finally:
--- a/src/papayatack/network/probes.py
+++ b/src/papayatack/network/probes.py
@@ -30,7 +30,7 @@
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return ProbeResult.CLOSED
-    except (OSError, ValueError):
+    except (OSError, ValueError, OverflowError):
         return ProbeResult.UNRESPONSIVE
     writer.close()
     return ProbeResult.LISTENING
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -20,6 +20,7 @@
 from papayatack.network.probes import ProbeResult, probe
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.addresses import Address
 from papayatack.platform.fields import INSTANCE, LOAD
 from papayatack.platform.times import Duration
 
@@ -59,7 +60,7 @@
 
 
 class _Heartbeat(_Model):
-    address: str
+    address: Address
     info: _Info
     status: _Status
 
--- a/src/papayatack/platform/history.py
+++ b/src/papayatack/platform/history.py
@@ -21,6 +21,7 @@
     "Restoration",
 ]
 
+MAX_OFFSET = 2**53
 KEY_PREFIX = b"restored-"
 """Begins the keys of restorations; it follows the keys of all other records."""
 
@@ -76,19 +77,18 @@
     def decode(cls, key: bytes, value: bytes) -> "Restoration | None":
         """Return the restoration in a record, ``None`` if it is another record.
 
-        Raises:
-            ValueError: The record is malformed.
+        A malformed restoration counts as another record, which every node skips.
         """
         if not key.startswith(KEY_PREFIX):
             return None
-        document = json.loads(value)
         fields = [field.name for field in dataclasses.fields(cls)]
         try:
+            document = json.loads(value)
             numbers = {name: document[name] for name in fields}
-        except (KeyError, TypeError) as error:
-            raise ValueError("malformed restoration") from error
-        if not all(type(number) is int and number >= 0 for number in numbers.values()):
-            raise ValueError("malformed restoration")
+        except (KeyError, TypeError, ValueError, RecursionError):
+            return None
+        if not all(map(_is_offset, numbers.values())):
+            return None
         return cls(**numbers)
 
 
@@ -107,6 +107,10 @@
     first: int
 
 
+def _is_offset(number: object) -> bool:
+    return type(number) is int and 0 <= number <= MAX_OFFSET
+
+
 class HistoryMap:
     """Maps offsets in the store to offsets in the stream."""
 
--- a/src/papayatack/platform/times.py
+++ b/src/papayatack/platform/times.py
@@ -1,5 +1,6 @@
 """Durations in the platform's format: a number with the unit ``ms`` or ``s``."""
 
+import math
 from typing import Annotated
 
 import pydantic
@@ -13,15 +14,18 @@
     """Parse a duration and return it in seconds.
 
     Raises:
-        ValueError: The value is not a number with a unit.
+        ValueError: The value is not a finite number with a unit.
     """
     text = str(value)
+    seconds = math.inf
     if text.endswith("ms"):
-        return float(text[:-2]) / MS_PER_S
-    if text.endswith("s"):
-        return float(text[:-1])
-    message = f"{text[:20]!r} is not a duration; write it as 1500ms or 1.5s"
-    raise ValueError(message)
+        seconds = float(text[:-2]) / MS_PER_S
+    elif text.endswith("s"):
+        seconds = float(text[:-1])
+    if not math.isfinite(seconds):
+        message = f"{text[:20]!r} is not a duration; write it as 1500ms or 1.5s"
+        raise ValueError(message)
+    return seconds
 
 
 def format_ms(seconds: float) -> str:
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -421,6 +421,17 @@
         result = await self.exchange()
         self.assertEqual(result.unwrap().status, 200)
 
+    async def test_address_that_no_process_can_have_is_unreachable(self):
+        """Another writer may put any text into the log; requests fail as not run."""
+        for address in ("127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:x", "\0:1", ""):
+            with self.subTest(address=address):
+                result = await self.first.exchange(
+                    address=PeerAddress(address),
+                    peer_request=build_peer_request(),
+                    deadline_s=asyncio.get_running_loop().time() + 1.0,
+                )
+                self.assertIs(result.failure().kind, ErrorKind.PEER_UNREACHABLE)
+
     async def test_failed_connects_back_off(self):
         """Requests to an unreachable node do not each attempt to connect."""
         await self.second.abort()
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -135,6 +135,77 @@
         self.run_scenario(scenario)
 
 
+ODD_TEXT = "\ud800"
+ODD_HEARTBEATS = (
+    b"[" * 100_000,
+    b'{"Info":' * 100_000 + b"0" + b"}" * 100_000,
+    b'{"Address":"10.0.0.1:80","Info":{"Service":"desk","CapacitySlots":1},'
+    b'"Status":{"State":"ready","Seq":' + b"9" * 5000 + b"}}",
+    b'{"Address":"10.0.0.1:80","Info":{"Service":"desk","CapacitySlots":1e999},'
+    b'"Status":{"State":"ready","Seq":1}}',
+    b'{"Address":"10.0.0.1:80","Address":7,"Info":{"Service":"desk",'
+    b'"CapacitySlots":1},"Status":{"State":"ready","Seq":1}}',
+    build_heartbeat(slots=10**30),
+    build_heartbeat(slots=float("inf")),
+    {**build_heartbeat(), "Address": ODD_TEXT},
+    {**build_heartbeat(), ODD_TEXT: ODD_TEXT, "Status": ODD_TEXT},
+    *(
+        {**build_heartbeat(), "Address": address}
+        for address in (
+            "",
+            "10.0.0.1",
+            "10.0.0.1:",
+            "10.0.0.1:0",
+            "10.0.0.1:-1",
+            "10.0.0.1:65536",
+            "10.0.0.1:" + "9" * 5000,
+            "10.0.0.1:port",
+            "10.0.0.1:\uff11\uff12",
+            "upstream:80",
+            "10.0.0.1\0:80",
+        )
+    ),
+)
+
+
+class OddHeartbeatTests(unittest.IsolatedAsyncioTestCase):
+    """A writer that is no upstream, or a faulty one, sends odd heartbeats."""
+
+    async def test_odd_heartbeat_is_refused_and_the_next_one_accepted(self):
+        """None names an upstream, and the task that watches it goes on."""
+        receiver = HeartbeatReceiver(
+            metrics=Metrics(),
+            interval_s=0.01,
+            service="desk",
+            address="127.0.0.1:9",
+            find_health_path=lambda: "",
+        )
+        watcher = asyncio.ensure_future(receiver.watch())
+        self.addCleanup(watcher.cancel)
+        accepted = {}
+        for number, document in enumerate(ODD_HEARTBEATS):
+            is_raw = isinstance(document, bytes)
+            data = document if is_raw else json.dumps(document).encode()
+            request = Request(
+                method=b"POST",
+                target=b"/instances/i-odd/heartbeat",
+                body=BytesBody(data=data),
+            )
+            status = (await receiver.handle(request)).status
+            if status != 400 or not receiver._updates.empty():
+                accepted[number] = status, data[:80]
+        self.assertEqual(accepted, {})
+        request = Request(
+            method=b"POST",
+            target=b"/instances/i-1/heartbeat",
+            body=BytesBody(data=json.dumps(build_heartbeat()).encode()),
+        )
+        self.assertEqual((await receiver.handle(request)).status, 200)
+        self.assertEqual((await receiver.wait_changed()).instance, "i-1")
+        await asyncio.sleep(0.1)
+        self.assertFalse(watcher.done())
+
+
 class RestartTests(unittest.IsolatedAsyncioTestCase):
     """An upstream that restarts with the same instance id."""
 
