Go on after a late response that ends with the bytes received

What callers saw: 502 for a request whose response came. A late response to an earlier request is skipped; if nothing else had been received with it, the new parser was given an empty buffer, which stands for the end of the connection.

--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -309,7 +309,8 @@
         head = h11.Request(method=self._method, target=b"/", headers=fields)
         self._h11.send(head)
         self._h11.send(h11.EndOfMessage())
-        self._h11.receive_data(bytes(rest))
+        if rest:  # an empty buffer would stand for the end of the connection
+            self._h11.receive_data(bytes(rest))
 
     def _is_framed(self, status: int, headers: Any) -> bool:
         """Return whether the header of a response determines where its body ends.
