Believe a refusal only if it can't be that of an earlier request

It could happen here in two ways: a refusal without a request id matched any request, and an attempt sent again on the connection that had carried its first refusal has the same id. Answers to grants were not told from late ones to requests. Change: for a request that may run once, a refusal without an id on a used connection is an unknown outcome and ends the connection; a request is not sent on a connection on which the upstream has refused it; answers to grants that have a request id or a signature are skipped. What comes while no request is in flight closed the connection already.

--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connection to the local upstream."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -21,6 +22,7 @@
 WRITE_HIGH_BYTES = 64 * 1024
 """High-water mark of the write buffer, and most body bytes sent with the head."""
 BODILESS_STATUSES = (204, 304)
+MAX_REFUSED_IDS = 64
 
 
 class UpstreamOwner(Protocol):
@@ -42,12 +44,20 @@
         written: Whether any byte of the current request may have been sent.
         idle_since_s: Event loop time of the last return to the pool.
         closed: Whether the connection is closed or the upstream has sent EOF.
+        is_reused: Whether the current request is not the first on the connection. Its
+            response may then be a late one to an earlier request.
+        refused_ids: Ids of the last requests that the upstream refused here.
     """
 
     def __init__(self, *, owner: UpstreamOwner) -> None:
         self.written = False
         self.idle_since_s = 0.0
         self.closed = False
+        self.is_reused = False
+        self.refused_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_REFUSED_IDS
+        )
+        self._is_used = False
         self._owner = owner
         self._h11 = self._build_parser()
         self._loop = asyncio.get_running_loop()
@@ -92,6 +102,7 @@
                 that belongs to an earlier request is skipped.
         """
         self._busy = True
+        self.is_reused, self._is_used = self._is_used, True
         self._matches_request = matches_request
         self._skipping_response = False
         self._head_bytes = self._skipped_bytes = self._body_bytes = 0
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -92,6 +92,10 @@
             return find_header(headers, SIGNATURE) is None
         return request_id.decode("latin-1") == peer_request.request_id
 
+    def names_request(self, headers: Headers) -> bool:
+        """Return whether a response has a request id."""
+        return find_header(headers, REQUEST_ID) is not None
+
     def find_refusal(self, response: Response) -> ErrorKind | None:
         """Return why a response is not a valid result, ``None`` if it is one."""
         headers = response.headers
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -19,10 +19,12 @@
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.grant_history import GrantHistory
 from papayatack.core.shards import is_hot_shard, parse_slice
-from papayatack.network.exchanges import Response
+from papayatack.network.exchanges import Response, find_header
 from papayatack.network.grants import build_json_request
+from papayatack.network.upstream_connection import ResponseMatcher
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
+from papayatack.platform.fields import REQUEST_ID, SIGNATURE
 from papayatack.platform.ranges import (
     KeyRange,
     build_range_document,
@@ -34,7 +36,7 @@
 )
 from papayatack.proxy.buffering import buffer_response
 
-__all__ = ["RangeGrantClient"]
+__all__ = ["RangeGrantClient", "build_response_matcher"]
 
 LOGGER = logging.getLogger(__name__)
 
@@ -465,7 +467,9 @@
         request = build_json_request(pool.address, b"POST", target, data)
         sent_s = asyncio.get_running_loop().time()
         result = await connection.exchange(
-            request, deadline_s=min(deadline_s, sent_s + response_timeout_s)
+            request,
+            deadline_s=min(deadline_s, sent_s + response_timeout_s),
+            matches_request=build_response_matcher(),
         )
         if not is_successful(result):
             return None
@@ -473,6 +477,15 @@
         return buffered.unwrap() if is_successful(buffered) else None
 
 
+def build_response_matcher() -> ResponseMatcher:
+    """Return a function that tells answers to grants from late ones to requests.
+
+    Both use the same connections; only requests have ids, and signed responses.
+    """
+    names = (REQUEST_ID, SIGNATURE)
+    return lambda headers: all(find_header(headers, name) is None for name in names)
+
+
 def _log_failures(
     failed: list[tuple[KeyRange, Response | None]], remaining_s: float
 ) -> None:
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -79,6 +79,9 @@
     def matches_request(self, peer_request: PeerRequest, headers: Headers) -> bool:
         """Tell whether a response with these headers belongs to the request."""
 
+    def names_request(self, headers: Headers) -> bool:
+        """Tell whether a matching response says to which request it belongs."""
+
     def find_refusal(self, response: Response) -> ErrorKind | None:
         """Return why a response is not usable, ``None`` if it is."""
 
@@ -138,6 +141,10 @@
         """Tell whether a response with these headers belongs to the request."""
         return True
 
+    def names_request(self, headers: Headers) -> bool:
+        """Return ``True``: these upstreams send one response to each request."""
+        return True
+
     def find_refusal(self, response: Response) -> ErrorKind | None:
         """Return why the upstream refused the request, ``None`` if it did not."""
         refused = find_header(response.headers, REFUSED_HEADER)
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -14,6 +14,7 @@
 from papayatack.core.identity import ShardId
 from papayatack.core.inventory import RequestClass
 from papayatack.network.exchanges import PeerRequest, Request, Response
+from papayatack.network.upstream_connection import UpstreamConnection
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
@@ -253,7 +254,7 @@
             return _refuse(
                 ErrorKind.UPSTREAM_DRAINING, "the upstream is no longer registered"
             )
-        reserved = await upstream.reserve(deadline_s=deadline_s)
+        reserved = await self._reserve(upstream, peer_request, deadline_s)
         if not is_successful(reserved):
             return Failure(reserved.failure())
         connection = reserved.unwrap()
@@ -294,7 +295,26 @@
             return Failure(result.failure())
         if upstream is self.upstream:
             self._observe_signals(result.unwrap())
-        return await self._check_response(peer_request, result.unwrap(), use)
+        return await self._check_response(
+            peer_request, result.unwrap(), use, connection
+        )
+
+    async def _reserve(
+        self, upstream: UpstreamPool, peer_request: PeerRequest, deadline_s: float
+    ) -> Result[UpstreamConnection, Refusal]:
+        """Return a connection on which the upstream has not refused this request.
+
+        On such a one, a refusal of an earlier attempt could come once more and be taken
+        for the response to this attempt.
+        """
+        while True:
+            reserved = await upstream.reserve(deadline_s=deadline_s)
+            if not is_successful(reserved):
+                return reserved
+            connection = reserved.unwrap()
+            if peer_request.request_id not in connection.refused_ids:
+                return reserved
+            connection.abort()
 
     def _report_crash(self, pool: UpstreamPool, runs: list[Run]) -> None:
         _log_crash(pool, runs)
@@ -357,7 +377,11 @@
         return granted
 
     async def _check_response(
-        self, peer_request: PeerRequest, response: Response, use: _InFlightUse
+        self,
+        peer_request: PeerRequest,
+        response: Response,
+        use: _InFlightUse,
+        connection: UpstreamConnection,
     ) -> Result[Response, Refusal]:
         buffered = await buffer_response(response)
         if not is_successful(buffered):
@@ -366,6 +390,13 @@
         kind = self._dialect.find_refusal(response)
         if kind is not None:
             response.body.close()
+            if not self._is_certain(peer_request, response, connection):
+                connection.abort()
+                return _refuse(
+                    ErrorKind.UPSTREAM_LOST,
+                    "a refusal may be that of an earlier request on the connection",
+                )
+            connection.refused_ids.append(peer_request.request_id)
             if use.run is not None:
                 self.crashes.end(use.run)
             self._metrics.count("upstream_refusals", kind.value)
@@ -406,6 +437,22 @@
             self._metrics.count("runs_thrown_away", peer_request.service)
             self._metrics.count("run_ms_thrown_away", peer_request.service, ran_ms)
 
+    def _is_certain(
+        self,
+        peer_request: PeerRequest,
+        response: Response,
+        connection: UpstreamConnection,
+    ) -> bool:
+        """Return whether a refusal proves that this request was not run.
+
+        For a request that may run again it need not.
+        """
+        return (
+            peer_request.repeatable
+            or not connection.is_reused
+            or self._dialect.names_request(response.headers)
+        )
+
     def _log_upstream_error(
         self, peer_request: PeerRequest, status: int, use: _InFlightUse
     ) -> None:
