--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -190,8 +190,7 @@
         if not self._forwards:
             return
         for stream in self._follower.collect_unreachable(now):
-            is_lead = self._follower.is_lead
-            for recipient in self._list_recipients(tells_all=is_lead):
+            for recipient in self._list_recipients():
                 self._send(recipient, LogUnreachable(stream=stream))
 
     def _count_known_records(self, stream: str, first: int) -> int:
@@ -241,10 +240,7 @@
                 hops=provenance.hops + 1,
                 age_us=provenance.find_age_us(self._read_clock()),
             )
-            tells_all = self._follower.is_lead or (
-                stream == CONFIG_STREAM and self._stands_in(provenance)
-            )
-            for recipient in self._list_recipients(tells_all=tells_all):
+            for recipient in self._list_recipients():
                 self._send(recipient, batch)
             await asyncio.sleep(0)
         self._apply_next(stream, first, payloads, packed, provenance)
@@ -276,23 +272,15 @@
     def _read_clock(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def _stands_in(self, provenance: Provenance) -> bool:
-        """Return whether this node has read records in place of the lead."""
-        is_own = provenance.hops == 0
-        return is_own and self._follower.find_rank() <= MAX_STAND_IN_RANK
-
-    def _list_recipients(self, *, tells_all: bool) -> list[IncarnationId]:
+    def _list_recipients(self) -> list[IncarnationId]:
         """Return the nodes to which this node forwards records.
 
-        They are its children in the forwarding tree of its data centre.
-
-        Args:
-            tells_all: Whether to add the roots of all trees, as the node does that
-                reads the log for the whole fleet.
+        They are its children in the forwarding tree of its data centre and, if it reads
+        the log for the whole fleet, the roots of all trees.
         """
         state, local = self._core.state, self._core.incarnation
         recipients = list_tree_children(state, local)
-        if tells_all:
+        if self._follower.is_lead:
             recipients.extend(
                 root
                 for root in list_tree_roots(state)
