Read a slow log no more often because its answers are old

With answers of the log after 1 s, the configuration of all nodes was always too old for them, and each read the log again and again: 1,364 reads in 20 s by 76 nodes (42 before the ages were bounded). A node whose own read was slow now accepts a higher age for 10 s: 168 reads, 184 with answers after 0.3 s. A tailer no longer reports that the config stream is unreachable, as the age says that.

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -213,7 +213,11 @@
         while True:
             started_s = loop.time()
             await tailer.read_once(wait_s=CONFIG_WAIT_S if self.is_lead else 0.0)
-            interval_s = LEAD_READ_INTERVAL_S if self.is_lead else READ_INTERVAL_S
+            if self.is_lead:
+                interval_s = LEAD_READ_INTERVAL_S
+            else:
+                self._core.config_watch.record_read(started_s, loop.time())
+                interval_s = READ_INTERVAL_S
             await asyncio.sleep(max(0.0, started_s + interval_s - loop.time()))
             if not self.is_lead:
                 self._config_due.clear()
@@ -299,6 +303,8 @@
         """
         found = []
         for stream, tailer in self._tailers.items():
+            if stream == CONFIG_STREAM:
+                continue  # the age of the configuration tells the others
             if tailer.available or not self.is_tailer:
                 self._last_success_s[stream] = now
             elif now >= max(
--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -24,6 +24,16 @@
 SPREAD_S = 0.1
 """Time over which the reads of these nodes are spread."""
 
+USUAL_READ_S = 0.1
+"""Duration up to which a read of the log counts as usual."""
+
+SLOW_READ_FACTOR = 2
+SLOW_LOG_TIME_S = 10.0
+"""By how much of the excess over that a higher age is allowed, and for how long.
+
+A log that is slow for one node is slow for the lead too, and more reads would not help.
+"""
+
 
 class ConfigWatch:
     """Knows at which time the configuration of this node was the newest for certain.
@@ -48,6 +58,8 @@
         self._informed: list[IncarnationId] = []
         self._queries = 0
         self._queried_s = float("-inf")
+        self._allowance_s = 0.0
+        self._allowed_until_s = float("-inf")
 
     def find_age_s(self, now: float) -> float:
         """Return for how long the configuration may have been outdated."""
@@ -72,6 +84,12 @@
         if time_s >= self._newer_since_s:
             self._discard_reports()
 
+    def record_read(self, started_s: float, ended_s: float) -> None:
+        """Record how long a read of the log took that did not wait for records."""
+        excess_s = ended_s - started_s - USUAL_READ_S
+        self._allowance_s = SLOW_READ_FACTOR * max(excess_s, 0.0)
+        self._allowed_until_s = ended_s + SLOW_LOG_TIME_S
+
     def forget(self) -> None:
         """Discard the time of the last confirmation, after a pause the clock missed."""
         self.current_s = float("-inf")
@@ -141,12 +159,16 @@
         if self._newer_since_s <= now:
             waited_s = FORWARDING_TIME_S + MAX_QUERIES * ANSWER_TIME_S
             return now >= self._newer_since_s + waited_s
-        if rank in STAND_IN_AGES_S:
-            return self.find_age_s(now) >= STAND_IN_AGES_S[rank]
-        return self.find_age_s(now) >= MAX_AGE_S + SPREAD_S * spread
+        limit_s = STAND_IN_AGES_S.get(rank, MAX_AGE_S + SPREAD_S * spread)
+        return self._find_excess_s(now) >= limit_s
 
     def is_aging(self, now: float) -> bool:
         """Return whether any node could have to read the log by now."""
-        return self._newer_since_s <= now or self.find_age_s(now) >= min(
+        return self._newer_since_s <= now or self._find_excess_s(now) >= min(
             STAND_IN_AGES_S.values()
         )
+
+    def _find_excess_s(self, now: float) -> float:
+        """Return the age of the configuration beyond what a slow log explains."""
+        is_slow = now < self._allowed_until_s
+        return self.find_age_s(now) - (self._allowance_s if is_slow else 0.0)
--- a/tests/core/test_config_watch.py
+++ b/tests/core/test_config_watch.py
@@ -87,6 +87,21 @@
         self.assertFalse(self.must_read(100.8))
         self.assertIsNone(self.watch.choose_informed(100.8))
 
+    def test_slow_log_is_not_read_by_all_nodes_all_the_time(self):
+        """A read that took long allows a higher age, for some time."""
+        self.watch.record_read(100.0, 101.1)
+        self.assertFalse(self.must_read(102.7))
+        self.assertTrue(self.must_read(100 + MAX_AGE_S + 2.0))
+        self.watch.confirm(110.0)
+        self.assertFalse(self.must_read(111.0))
+        self.assertTrue(self.must_read(111.2))
+
+    def test_usual_read_allows_no_higher_age(self):
+        """Nor does an earlier slow one, once a read was fast again."""
+        self.watch.record_read(99.0, 100.0)
+        self.watch.record_read(100.0, 100.02)
+        self.assertTrue(self.must_read(100 + MAX_AGE_S))
+
     def test_suspended_node_does_not_know_the_age_of_its_configuration(self):
         """It reads the log as soon as it goes on."""
         self.watch.forget()
