--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -22,7 +22,7 @@
 from tests.fakes.cuts import CutFixture, CutLog
 from tests.fakes.nodes import INVENTORY
 
-__all__ = ["FAULTS", "measure_spread"]
+__all__ = ["FAULTS", "measure_spread", "measure_thaw", "measure_two_changes"]
 
 NODES = 76
 DATA_CENTRES = 5
@@ -31,6 +31,8 @@
 LOOK_S = 0.01
 WORKERS = 4
 LOST_SHARE = 0.1
+BETWEEN_S = 0.3
+FROZEN_S = 3.0
 POLICY = TailPolicy(small_fleet_size=2, tailers_per_data_centre=1)
 
 
@@ -110,11 +112,11 @@
         return [a for a, node in nodes.items() if node.core.incarnation in reading]
 
     def find_lead(self):
-        """Return the node that reads the log for all others."""
+        """Return the node that reads the log for all others, or stands in for it."""
         nodes = self.network.nodes
-        state = next(iter(nodes.values())).core.state
-        lead = find_planner(state)
-        return next(a for a, node in nodes.items() if node.core.incarnation == lead)
+        ranked = rank_planners(next(iter(nodes.values())).core.state)
+        running = [a for a, node in nodes.items() if node.core.incarnation in ranked]
+        return min(running, key=lambda a: ranked.index(nodes[a].core.incarnation))
 
     def choose_third(self):
         """Return a random third of the nodes."""
@@ -182,6 +184,83 @@
 """What strikes, and which nodes, by the name of the fault."""
 
 
+async def _watch(nodes, version):
+    """Return the seconds from now until each node has a version."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    left = dict(nodes)
+    delays_s = []
+    while left and loop.time() < started_s + WATCHED_S:
+        await asyncio.sleep(LOOK_S)
+        for address in [a for a, n in left.items() if n.config.version >= version]:
+            del left[address]
+            delays_s.append(loop.time() - started_s)
+    return delays_s + [WATCHED_S for _ in left]
+
+
+async def _measure_twice(seed, nodes):
+    fixture = SpreadFixture(seed=seed, tailing=POLICY)
+    fixture.publish()
+    for number in range(nodes):
+        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
+    await asyncio.sleep(STARTUP_S + fixture.random.random())
+    for version in (2, 3):
+        await fixture.kill(fixture.find_lead())
+        fixture.publish(
+            INVENTORY.replace("slots = 4", f"slots = {3 + version}"),
+            base_version=version - 1,
+            record_id=f"p{version}",
+        )
+        if version == 2:
+            await asyncio.sleep(BETWEEN_S)
+    fixture.start("late", "dc0")
+    delays_s = await _watch(fixture.network.nodes, 3)
+    await fixture.stop()
+    return delays_s
+
+
+async def _measure_thaw(seed, nodes, loop):
+    fixture = SpreadFixture(seed=seed, tailing=POLICY)
+    fixture.publish()
+    for number in range(nodes):
+        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
+    await asyncio.sleep(STARTUP_S + fixture.random.random())
+    frozen = fixture.choose_third()
+    await _freeze(fixture, frozen)
+    changed = INVENTORY.replace("slots = 4", "slots = 5")
+    fixture.publish(changed, base_version=1, record_id="p2")
+    await asyncio.sleep(FROZEN_S)
+    for address in frozen:
+        loop.thaw(address)
+    thawed = {address: fixture.network.nodes[address] for address in frozen}
+    delays_s = await _watch(thawed, 2)
+    await fixture.stop()
+    return delays_s
+
+
+def measure_two_changes(seed, *, nodes=NODES):
+    """Return the seconds until each node has the second of two configurations.
+
+    The node that reads the log is killed as each is stored, and a node starts with the
+    second one.
+    """
+    with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+        return runner.run(_measure_twice(seed, nodes))
+
+
+def measure_thaw(seed, *, nodes=NODES):
+    """Return the seconds from its thaw until each frozen node has a configuration.
+
+    It was stored as they were frozen.
+    """
+
+    async def run():
+        return await _measure_thaw(seed, nodes, asyncio.get_running_loop())
+
+    with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+        return runner.run(run())
+
+
 async def _measure(fault, seed, nodes, loop):
     fixture = SpreadFixture(seed=seed, tailing=POLICY)
     fixture.publish()
@@ -195,14 +274,7 @@
     left = {a: n for a, n in fixture.network.nodes.items() if a not in out_of_touch}
     changed = INVENTORY.replace("slots = 4", "slots = 5")
     fixture.publish(changed, base_version=1, record_id="p2")
-    stored_s = loop.time()
-    delays_s = []
-    while left and loop.time() < stored_s + WATCHED_S:
-        await asyncio.sleep(LOOK_S)
-        for address in [a for a, node in left.items() if node.config.version == 2]:
-            del left[address]
-            delays_s.append(loop.time() - stored_s)
-    delays_s.extend(WATCHED_S for _ in left)
+    delays_s = await _watch(left, 2)
     for address in struck:
         loop.thaw(address)
     await fixture.stop()
