--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -198,12 +198,18 @@
     return delays_s + [WATCHED_S for _ in left]
 
 
-async def _measure_twice(seed, nodes):
+async def _start_fleet(seed, nodes):
+    """Return a fleet that has settled, at a random moment."""
     fixture = SpreadFixture(seed=seed, tailing=POLICY)
     fixture.publish()
     for number in range(nodes):
         fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
     await asyncio.sleep(STARTUP_S + fixture.random.random())
+    return fixture
+
+
+async def _measure_twice(seed, nodes):
+    fixture = await _start_fleet(seed, nodes)
     for version in (2, 3):
         await fixture.kill(fixture.find_lead())
         fixture.publish(
@@ -220,11 +226,7 @@
 
 
 async def _measure_thaw(seed, nodes, loop):
-    fixture = SpreadFixture(seed=seed, tailing=POLICY)
-    fixture.publish()
-    for number in range(nodes):
-        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
-    await asyncio.sleep(STARTUP_S + fixture.random.random())
+    fixture = await _start_fleet(seed, nodes)
     frozen = fixture.choose_third()
     await _freeze(fixture, frozen)
     changed = INVENTORY.replace("slots = 4", "slots = 5")
@@ -262,11 +264,7 @@
 
 
 async def _measure(fault, seed, nodes, loop):
-    fixture = SpreadFixture(seed=seed, tailing=POLICY)
-    fixture.publish()
-    for number in range(nodes):
-        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
-    await asyncio.sleep(STARTUP_S + fixture.random.random())
+    fixture = await _start_fleet(seed, nodes)
     strike, choose = FAULTS[fault]
     struck = choose(fixture)
     await strike(fixture, struck)
