--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -21,7 +21,7 @@
 MAX_AGE_S = 0.8
 """The same for all other nodes, before the part that is spread over them."""
 
-SPREAD_S = 0.1
+SPREAD_S = 0.05
 """Time over which the reads of these nodes are spread."""
 
 USUAL_READ_S = 0.1
--- a/tests/core/test_config_watch.py
+++ b/tests/core/test_config_watch.py
@@ -7,7 +7,7 @@
 LAST_RANK = 9
 STOOD_IN_S = 0.72
 """Age at which the stand-ins must have read the log, and no other node yet."""
-MAX_AGE_S = 0.91
+MAX_AGE_S = 0.86
 QUERIED_S = 0.5
 
 
