--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -42,7 +42,8 @@
 STALL_GRACE_S = 0.3
 """Time for which a stalled process may postpone a read, to process these first."""
 
-RANK_MODULUS = 1000
+SPREAD_STEPS = 1000
+"""Number of different moments to which the nodes' reads are spread."""
 
 LEAD_READ_INTERVAL_S = 0.1
 """Shortest time between two reads of the node that reads the log for all others.
@@ -164,8 +165,8 @@
         self._updated_s = now
         self._config_due = asyncio.Event()
         self._spread = (
-            compute_rendezvous_rank("read", core.incarnation) % RANK_MODULUS
-        ) / RANK_MODULUS
+            compute_rendezvous_rank("read", core.incarnation) % SPREAD_STEPS
+        ) / SPREAD_STEPS
         self.is_tailer = True
         self.is_lead = False
         self._last_success_s = dict.fromkeys(STREAMS, now)
@@ -275,7 +276,7 @@
             )
 
     def find_rank(self) -> int:
-        """Return how many nodes read the log for all others rather than this one."""
+        """Return this node's rank as a planner; the planner has rank 0."""
         ranked = rank_planners(self._core.state)
         local = self._core.incarnation
         return ranked.index(local) if local in ranked else len(ranked)
--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -15,24 +15,26 @@
 """Nodes that are asked for a newer configuration before the log is read."""
 
 STAND_IN_AGES_S = {1: 0.65, 2: 0.7}
-"""Age of the configuration above which a node reads the log, by its rank. The node of
-rank 0 reads it for all others at any time; the next ones stand in for it."""
+"""Age of the configuration above which a node reads the log itself, by its rank as a
+planner. The planner, of rank 0, reads the log for all others at any time."""
 
 MAX_AGE_S = 0.8
-"""The same for all other nodes, before the part that is spread over them."""
+"""Age of the configuration above which any other node reads the log itself."""
 
 SPREAD_S = 0.05
-"""Time over which the reads of these nodes are spread."""
+"""Greatest addition to :data:`MAX_AGE_S`, which differs between nodes so that they do
+not all read at the same moment."""
 
 USUAL_READ_S = 0.1
 """Duration up to which a read of the log counts as usual."""
 
 SLOW_READ_FACTOR = 2
-SLOW_LOG_TIME_S = 10.0
-"""By how much of the excess over that a higher age is allowed, and for how long.
+"""How much older the configuration may be after a slow read, relative to the time by
+which the read exceeded :data:`USUAL_READ_S`. The log is slow for the planner too then,
+and more reads would not help."""
 
-A log that is slow for one node is slow for the lead too, and more reads would not help.
-"""
+SLOW_LOG_TIME_S = 10.0
+"""Time for which a slow read allows an older configuration."""
 
 
 class ConfigWatch:
@@ -150,9 +152,8 @@
 
         Args:
             now: Current time.
-            rank: Number of nodes that read the log rather than this one.
-            spread: Where in the time over which the reads of many nodes are spread this
-                node is, from 0 to 1.
+            rank: Rank of this node as a planner.
+            spread: Share of :data:`SPREAD_S` that this node adds, from 0 to 1.
         """
         if rank == 0:
             return True
--- a/src/papayatack/core/ownership/selection.py
+++ b/src/papayatack/core/ownership/selection.py
@@ -35,6 +35,7 @@
 """Maximum number of children of a node in the forwarding tree."""
 
 HEADS_PER_TREE = 2
+"""Number of nodes of each data centre to which short messages for all nodes go."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
