--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -22,13 +22,13 @@
 from papayatack.proxy.buffering import buffer_response, is_buffered
 from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.dialect import DefaultDialect, Dialect
+from papayatack.proxy.in_flight import LOSS_KINDS, InFlightUse, log_crash
 from papayatack.proxy.interface import (
     AdmissionRequest,
     Gate,
     Grant,
     NoQuarantine,
     Ownership,
-    Permit,
     Quarantine,
 )
 from papayatack.proxy.screening import ScreenedRequest, Screening
@@ -38,68 +38,12 @@
 LOGGER = logging.getLogger(__name__)
 
 MS_PER_S = 1000
-MAX_SUSPECTS_LOGGED = 32
-MAX_TARGET_LOGGED = 120
-_REPRESENTATIVE_KINDS = frozenset({None, ErrorKind.UPSTREAM_TIMEOUT})
-"""Results after which the service time measures the upstream's speed. A request that
-was refused or cancelled ended sooner for another reason."""
-
-_LOSS_KINDS = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.RESPONSE_TRUNCATED})
-_ABANDONED_KINDS = frozenset({ErrorKind.CALLER_LEFT, ErrorKind.UPSTREAM_TIMEOUT})
-"""Results after which the upstream may still work on the request."""
-
 _NEWLY_SUSPECTED = Refusal(
     kind=ErrorKind.REQUEST_HELD, detail="an upstream crashed while the request waited"
 )
 _NO_GRANT = Grant(shard=ShardId(""), token=0, remaining_s=0.0)
 
 
-@dataclasses.dataclass(slots=True)
-class _InFlightUse:
-    """The slot and grant of a request in flight, which must be released once."""
-
-    ownership: Ownership
-    permit: Permit
-    grant: Grant
-    started_s: float
-    crashes: CrashDetector
-    screening: Screening
-    run: Run | None = None
-
-    @property
-    def sent(self) -> bool:
-        """Whether a byte of the request may have reached the upstream."""
-        return self.run is not None
-
-    def read_duration_s(self) -> float:
-        """Return for how many seconds the slot has been in use."""
-        return asyncio.get_running_loop().time() - self.started_s
-
-    def end(self, kind: ErrorKind | None) -> None:
-        """Release the slot and finish the grant."""
-        service_time_s = self.read_duration_s()
-        error = None if kind is None else kind.value
-        try:
-            self.permit.release(service_time_s=service_time_s, error=error)
-        finally:
-            self._end_run(kind)
-            if self.grant.shard:
-                reported_s = service_time_s if kind in _REPRESENTATIVE_KINDS else None
-                self.ownership.finish(self.grant, service_time_s=reported_s)
-
-    def _end_run(self, kind: ErrorKind | None) -> None:
-        if self.run is None:
-            return
-        if kind in _ABANDONED_KINDS:
-            self.crashes.abandon(self.run)
-        elif kind in _LOSS_KINDS:
-            self.crashes.note_loss(self.run)
-        else:
-            self.crashes.end(self.run)
-        if kind is None:
-            self.screening.report_end(self.run)
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class IdempotentAttempt:
     """One run of a request with an idempotency key.
@@ -217,7 +161,7 @@
         admitted = await self._gate.acquire(admission_request)
         if not is_successful(admitted):
             return Failure(admitted.failure())
-        use = _InFlightUse(
+        use = InFlightUse(
             ownership=self._ownership,
             permit=admitted.unwrap(),
             grant=_NO_GRANT,
@@ -243,7 +187,7 @@
     async def _forward(
         self,
         screened: ScreenedRequest,
-        use: _InFlightUse,
+        use: InFlightUse,
         deadline_s: float,
         attempt: IdempotentAttempt | None,
     ) -> Result[Response, Refusal]:
@@ -317,17 +261,17 @@
             connection.abort()
 
     def _report_crash(self, pool: UpstreamPool, runs: list[Run]) -> None:
-        _log_crash(pool, runs)
+        log_crash(pool, runs)
         self.screening.report_crash(pool, runs)
 
     async def _name_crash(
-        self, result: Result[Response, Refusal], use: _InFlightUse
+        self, result: Result[Response, Refusal], use: InFlightUse
     ) -> Result[Response, Refusal]:
         """Return the result, with a lost connection told from a crash."""
         if is_successful(result) or use.run is None or use.run.has_ended:
             return result
         refusal = result.failure()
-        is_lost = refusal.kind in _LOSS_KINDS
+        is_lost = refusal.kind in LOSS_KINDS
         if not is_lost or not await self.crashes.check_loss(use.run):
             return result
         return _refuse(ErrorKind.UPSTREAM_CRASHED, refusal.detail)
@@ -354,7 +298,7 @@
     def _authorize(
         self,
         peer_request: PeerRequest,
-        use: _InFlightUse,
+        use: InFlightUse,
         remaining_s: float,
         attempt: IdempotentAttempt | None,
     ) -> Result[Grant, Refusal]:
@@ -380,7 +324,7 @@
         self,
         peer_request: PeerRequest,
         response: Response,
-        use: _InFlightUse,
+        use: InFlightUse,
         connection: UpstreamConnection,
     ) -> Result[Response, Refusal]:
         buffered = await buffer_response(response)
@@ -425,7 +369,7 @@
         return Success(response)
 
     def _record_end(
-        self, peer_request: PeerRequest, status: int, use: _InFlightUse
+        self, peer_request: PeerRequest, status: int, use: InFlightUse
     ) -> None:
         """Record whether a run was thrown away because one of its calls failed."""
         has_failed = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
@@ -454,7 +398,7 @@
         )
 
     def _log_upstream_error(
-        self, peer_request: PeerRequest, status: int, use: _InFlightUse
+        self, peer_request: PeerRequest, status: int, use: InFlightUse
     ) -> None:
         """Log a server error, and whether the shard may still be served."""
         shard = ShardId(peer_request.shard)
@@ -475,29 +419,8 @@
         )
 
 
-def _log_crash(pool: UpstreamPool, runs: list[Run]) -> None:
-    """Log the requests that were in flight when the upstream's process ended."""
-    requests = [run.peer_request for run in runs[:MAX_SUSPECTS_LOGGED]]
-    log_event(
-        LOGGER,
-        Event.UPSTREAM_CRASHED,
-        level=logging.WARNING,
-        upstream=pool.name,
-        address=pool.address,
-        count=len(runs),
-        requests=[request.request_id for request in requests],
-        targets=[_format_target(request) for request in requests],
-    )
-
-
-def _format_target(peer_request: PeerRequest) -> str:
-    request = peer_request.request
-    text = b"%s %s" % (request.method, request.target)
-    return text[:MAX_TARGET_LOGGED].decode("latin-1")
-
-
 def _log_cut_run(
-    peer_request: PeerRequest, use: _InFlightUse, kind: ErrorKind, detail: str
+    peer_request: PeerRequest, use: InFlightUse, kind: ErrorKind, detail: str
 ) -> None:
     """Log a request that may still run at the upstream without a receiver."""
     log_event(
