--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -370,7 +370,7 @@
     def __init__(self, process):
         self._process = process
 
-    async def exchange(self, request, *, deadline_s):
+    async def exchange(self, request, *, deadline_s, matches_request):
         """Send a call, which the upstream processes even if its caller is cancelled."""
         loop = asyncio.get_running_loop()
         document = json.loads(await request.body.read())
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -1,6 +1,7 @@
 """Tests of papayatack.wire.frames and papayatack.wire.convert."""
 
 import dataclasses
+import types
 import typing
 import unittest
 
@@ -18,6 +19,7 @@
     float: st.floats(allow_nan=False),
     bytes: st.binary(),
     bool: st.booleans(),
+    types.NoneType: st.none(),
     LeaseId: st.builds(LeaseId, st.text(), st.integers(0, 2**31 - 1)),
 }
 
@@ -33,6 +35,8 @@
         return st.builds(
             hint, **{name: _build_strategy(part) for name, part in hints.items()}
         )
+    if isinstance(hint, types.UnionType):
+        return st.one_of(*map(_build_strategy, typing.get_args(hint)))
     return _SCALARS.get(hint, st.text())
 
 
