Let a position that comes before the first read do no harm

A node that is told of a newer configuration before it has confirmed its own passed on an infinite age: OverflowError, which ends the process. The test failed before.

--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import logging
+import math
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
@@ -155,7 +156,8 @@
             is_own: Whether this node has just read that from the log itself.
         """
         watch = self._core.config_watch
-        if watch.current_s < self._forwarded_s + MIN_POSITION_GAIN_S:
+        is_known = math.isfinite(watch.current_s)
+        if not is_known or watch.current_s < self._forwarded_s + MIN_POSITION_GAIN_S:
             return
         self._forwarded_s = watch.current_s
         state, local = self._core.state, self._core.incarnation
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -3,8 +3,10 @@
 import asyncio
 import unittest
 
+from papayatack.core.messages import ConfigPosition
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.observability.events import Event
+from standins.logstore import Outage
 from tests.fakes.clocks import FreezableLoop
 from tests.fakes.nodes import INVENTORY, NodeFixture
 
@@ -52,3 +54,25 @@
         self.assertTrue(all(line.source.startswith("n") for line in forwarded))
         self.assertGreater(max(line.hops for line in forwarded), 1)
         self.assertLess(max(line.age_ms for line in forwarded), SPREAD_S * 1000)
+
+
+class EarlyPositionTests(unittest.TestCase):
+    """A node that is told of a newer configuration before it has read the log."""
+
+    def test_position_before_the_first_read_does_not_end_the_node(self):
+        """It does not know any age that it could pass on."""
+
+        async def run():
+            fixture = NodeFixture(tailing=TailPolicy(small_fleet_size=2))
+            fixture.publish()
+            fixture.store.faults.outage = Outage.HANG
+            node = fixture.start("n0", "east")
+            position = ConfigPosition(offset=7, age_us=0)
+            node.receive("n1#1", node.core.incarnation, position)
+            await asyncio.sleep(SPREAD_S)
+            has_ended = fixture.tasks["n0"].done()
+            await fixture.stop()
+            return has_ended
+
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            self.assertFalse(runner.run(run()))
