Let a witness that leaves promise for good

What callers saw: keys of an upstream that runs are refused while the log is away and other nodes are stopped one after the other. Cause: a lease whose witnesses stop as planned is over, and only the log admits another one. A stop so took the duty of a witness with it.

A node that is shutting down now makes the promises that it still gives permanent. It keeps nothing after its end, so nobody can break them; the holder counts it as if it answered each renewal at once. A holder that leaves and has too few witnesses left to fence its lease ends it itself and tells the claimants.

The specification has the step (models departing-witnesses, ...-large, -readmission and loss-after-departure) and a mutant for its guard, with a counterexample; the differential test takes it in the code.

--- a/spec/guards.py
+++ b/spec/guards.py
@@ -39,6 +39,7 @@
         stay_unreleased: A node that goes on under an older lease of its own has not
             released the shard, whatever its witnesses know.
         floor_maximum: A witness keeps the highest floor, not the last.
+        departed_promise: The promise of a witness that left does not run out.
         view_from_sending: A view counts from when the renewal was sent.
         clock_margin: A view is shortened by the bound of the clocks' rates.
     """
@@ -65,6 +66,7 @@
     lease_not_node: bool = True
     stay_unreleased: bool = True
     floor_maximum: bool = True
+    departed_promise: bool = True
     view_from_sending: bool = True
     clock_margin: bool = True
 
--- a/spec/models.py
+++ b/spec/models.py
@@ -89,6 +89,14 @@
         witnesses=(1, 1, 1),
         resigning=(A,),
     ),
+    # Witnesses of the owner leave as planned, also in a move.
+    "departing-witnesses": Setting(
+        chains=((A, B), (C,)),
+        nodes=(0, 1, 2),
+        witnesses=(3, 0, 0),
+        resigning=(A,),
+        departing=(A,),
+    ),
     # A successor loses its own lease while it takes over.
     "takeover": Setting(chains=((A, B, C),), nodes=(0, 1, 2), witnesses=(3, 3, 0)),
     # A chain of three holders, and a move.
@@ -114,6 +122,21 @@
         losing=(A,),
         resigning=(A,),
     ),
+    # Witnesses of an owner and of its successor leave.
+    "departing-witnesses-large": Setting(
+        chains=((A, B), (C,)),
+        nodes=(0, 1, 2),
+        witnesses=(3, 3, 0),
+        departing=(A, B),
+    ),
+    # The owner is admitted anew after witnesses have left.
+    "departing-witnesses-readmission": Setting(
+        chains=((A, B), (C, B)),
+        nodes=(0, 1, 0),
+        witnesses=(3, 1, 1),
+        departing=(A,),
+        resigning=(A,),
+    ),
     # A successor of a chain of three gets the shard, with activations.
     "new-successor-large": Setting(
         chains=((A, B, C), (B, D)),
@@ -162,6 +185,15 @@
         losing=(A,),
         untold=True,
     ),
+    # One witness has left, and the owner or another one is lost.
+    "loss-after-departure": Setting(
+        chains=((A, B),),
+        nodes=(0, 1),
+        witnesses=(3, 0),
+        resigning=(A,),
+        departing=(A,),
+        untold=True,
+    ),
     # The owner is admitted anew and its old lease, with a witness lost, must end first.
     "loss-in-readmission": Setting(
         chains=((A, B), (C, B)),
--- a/spec/mutants.py
+++ b/spec/mutants.py
@@ -36,6 +36,7 @@
     "death_before_supersession": "supersession",
     "lease_not_node": "readmission",
     "stay_unreleased": "readmission",
+    "departed_promise": "departing-witnesses",
     "floor_maximum": "messages",
     "view_from_sending": "messages",
     "clock_margin": "messages",
--- a/spec/protocol.py
+++ b/spec/protocol.py
@@ -78,6 +78,7 @@
         floor: Highest position that the holder has told.
         fenced: Whether the lease is fenced here.
         lost: The witness's process has ended.
+        departed: The witness has left with a promise that does not run out.
     """
 
     promise: int = 0
@@ -85,6 +86,7 @@
     floor: int = 0
     fenced: bool = False
     lost: bool = False
+    departed: bool = False
 
 
 class Lease(NamedTuple):
@@ -135,6 +137,7 @@
         superseding: Whether ended processes are superseded in the log.
         recording: Whether fences are recorded in the log.
         losing: Leases of which one witness may be lost.
+        departing: Leases whose witnesses may leave as planned.
         untold: What an ended process had not told is lost with it; for progress. Where
             safety is at stake a claimant may have learned it before.
     """
@@ -149,6 +152,7 @@
     superseding: bool = False
     recording: bool = False
     losing: tuple[int, ...] = ()
+    departing: tuple[int, ...] = ()
     untold: bool = False
 
 
@@ -258,7 +262,7 @@
     if lease in known.ended:
         ends.append(End(floor=0, confirmed=0))
     if entry.resigned and setting.nodes[lease] == setting.nodes[claimant]:
-        floors = [witness.floor for witness in entry.witnesses]
+        floors = list_floors(state, setting, lease)
         ends.append(End(floor=0, confirmed=find_confirmed(setting, floors, count)))
     elif entry.resigned:
         ends.append(End(floor=entry.word, confirmed=0))
@@ -281,7 +285,19 @@
     if not witnesses or not setting.guards.floor_before_release:
         return state.applied[node] >= since
     needed = (len(witnesses) + 1) // 2
-    return sum(witness.floor >= since for witness in witnesses) >= needed
+    return sum(floor >= since for floor in list_floors(state, setting, lease)) >= needed
+
+
+def list_floors(state: State, setting: Setting, lease: int) -> list[int]:
+    """Return the floors that a holder counts as kept by its witnesses.
+
+    A departed witness never fences, so that it counts as if it kept the newest.
+    """
+    applied = state.applied[setting.nodes[lease]]
+    return [
+        applied if witness.departed else witness.floor
+        for witness in state.leases[lease].witnesses
+    ]
 
 
 def _serves_below(setting: Setting, state: State, node: int, since: int) -> bool:
@@ -369,7 +385,7 @@
     witnesses = state.leases[lease].witnesses
     if not witnesses or not setting.guards.own_floor:
         return True
-    floors = [witness.floor for witness in witnesses]
+    floors = list_floors(state, setting, lease)
     return find_confirmed(setting, floors, len(witnesses)) >= since
 
 
@@ -460,15 +476,19 @@
 
 @functools.cache
 def _tick_lease(lease: Lease) -> Lease:
-    witnesses = (
-        witness._replace(
-            promise=max(witness.promise - 1, 0), view=max(witness.view - 1, 0)
-        )
-        for witness in lease.witnesses
-    )
+    witnesses = (_tick_witness(witness) for witness in lease.witnesses)
     return lease._replace(witnesses=tuple(sorted(witnesses)))
 
 
+def _tick_witness(witness: Witness) -> Witness:
+    """Return what a witness keeps one tick later; a departed one's promise lasts."""
+    if witness.departed:
+        return witness
+    return witness._replace(
+        promise=max(witness.promise - 1, 0), view=max(witness.view - 1, 0)
+    )
+
+
 def _list_log_steps(setting: Setting, state: State) -> Iterator[Step]:
     moves = sum(record.kind == "move" for record in state.log)
     if moves < len(setting.chains):
@@ -586,6 +606,8 @@
             yield f"renew {name}", _note_token(setting, after, lease)
         if may_fence(setting, entry, witness):
             yield f"fence {name}", fence(state, lease, index)
+        if lease in setting.departing and may_renew(setting, state, lease, witness):
+            yield f"depart {name}", depart(setting, state, lease, index)
         if any(_ends(record, lease) for record in state.log):
             yield f"learn {name}", learn_end(setting, state, lease, index)
         if may_lose:
@@ -595,7 +617,7 @@
 def may_renew(setting: Setting, state: State, lease: int, witness: Witness) -> bool:
     """Tell whether the holder asks and the witness promises."""
     entry = state.leases[lease]
-    if state.dead[setting.nodes[lease]] or entry.resigned:
+    if state.dead[setting.nodes[lease]] or entry.resigned or witness.departed:
         return False
     return not (witness.fenced and setting.guards.permanence)
 
@@ -605,6 +627,8 @@
     if witness.fenced:
         return False
     expired = witness.promise == 0 or not setting.guards.promise_expiry
+    if witness.departed and not setting.guards.departed_promise:
+        expired = True
     return expired or entry.resigned
 
 
@@ -620,6 +644,15 @@
     return _set_witness(state, lease, index, after)
 
 
+def depart(setting: Setting, state: State, lease: int, index: int) -> State:
+    """Return the state after a witness has promised for good and left."""
+    applied = state.applied[setting.nodes[lease]]
+    witness = state.leases[lease].witnesses[index]
+    floor = max(witness.floor, applied)
+    after = Witness(promise=1, view=1, floor=floor, departed=True)
+    return _set_witness(state, lease, index, after)
+
+
 def fence(state: State, lease: int, index: int) -> State:
     """Return the state after a witness has fenced a lease."""
     witness = state.leases[lease].witnesses[index]
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -76,6 +76,8 @@
             records.
         config_age_us: Time since the witness's configuration was the newest for
             certain, in microseconds; ``None`` if unknown.
+        permanent: Whether the witness is shutting down and will never fence the lease,
+            unless its holder resigns.
     """
 
     lease: LeaseId
@@ -85,6 +87,7 @@
     config_offset: int
     ownership_offset: int
     config_age_us: int | None = None
+    permanent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of a node: moves its shards away, then ends its leases."""
 
 import enum
+from collections.abc import Iterable
 
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.messages import Fence
@@ -8,6 +9,7 @@
 from papayatack.core.ownership.context import Context, find_service_name
 from papayatack.core.ownership.effects import FinishNode
 from papayatack.core.ownership.lease_holder import LeaseHolder
+from papayatack.core.ownership.lease_notifier import LeaseNotifier
 from papayatack.core.ownership.selection import extend_chain
 from papayatack.core.ownership.timing import (
     APPEND_RETRY_INTERVAL_S,
@@ -49,9 +51,12 @@
     at once.
     """
 
-    def __init__(self, *, context: Context, claims: Claims) -> None:
+    def __init__(
+        self, *, context: Context, claims: Claims, notifier: LeaseNotifier
+    ) -> None:
         self._context = context
         self._claims = claims
+        self._notifier = notifier
         self._last_progress_s = 0.0
         self._remaining_shards = 0
         self._stage_since_s = 0.0
@@ -173,9 +178,12 @@
             if len(holder.fenced_by) >= compute_fence_quorum(len(holder.witnesses)):
                 holder.end()
         late = now - self._stage_since_s > DEPARTURE_STAGE_TIMEOUT_S
+        self._end_resigned(
+            holder for holder in unended if late or not holder.can_be_fenced
+        )
+        unended = [holder for holder in unended if not holder.ended]
         if not unended or late or not any(holder.witnesses for holder in unended):
             if self._keeps_running:
-                self._end_resigned(unended)
                 self._resume(now)
             else:
                 self._enter(DepartureStage.RETIRING, now)
@@ -185,11 +193,15 @@
                     message = Fence(lease=holder.lease, resigned=True)
                     self._context.send(witness, message)
 
-    def _end_resigned(self, holders: list[LeaseHolder]) -> None:
-        """End leases that witnesses may have fenced: a successor may already serve."""
+    def _end_resigned(self, holders: Iterable[LeaseHolder]) -> None:
+        """End leases that too few witnesses fence, and tell their claimants.
+
+        Those witnesses that have fenced them may have let a successor in.
+        """
         for holder in holders:
-            if holder.witnesses:
+            if holder.witnesses and not holder.ended:
                 holder.end()
+                self._notifier.announce_end(holder.lease)
 
     def _retire(self, now: float) -> None:
         member = self._context.state.members.get(self._context.incarnation)
--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -57,6 +57,8 @@
             last extended.
         discarded_grants_until_s: Time at which the upstream's grants under discarded
             promises have expired.
+        departed: Witnesses that have left with a permanent promise: they count as if
+            they answered each renewal at once.
         lease_s: Longest promise that counts, in seconds.
     """
 
@@ -79,6 +81,7 @@
         self.sent_floor = 0
         self.extended_until_s = float("-inf")
         self.discarded_grants_until_s = float("-inf")
+        self.departed: set[IncarnationId] = set()
         self._round = 0
         self._rounds: dict[int, _Round] = {}
         self._promised_until_s: dict[IncarnationId, float] = {}
@@ -128,6 +131,9 @@
         self._rounds.pop(self._round - ROUNDS_KEPT, None)
         if not self.witnesses:
             self.confirmed_floor = max(self.confirmed_floor, floor)
+        if self.departed and not self.ended:
+            self._update_floor()
+            self._update_validity()
         return Renew(
             lease=self.lease,
             round=self._round,
@@ -142,24 +148,37 @@
         return dataclasses.replace(renewal, heard=self._acknowledged[witness])
 
     def list_unresponsive(self, rounds: int) -> set[IncarnationId]:
-        """Return the witnesses that answered none of the last ``rounds`` renewals."""
-        return {
+        """Return the witnesses that left or answered none of the last renewals.
+
+        Args:
+            rounds: Number of renewals without an answer.
+        """
+        silent = {
             witness
             for witness, heard in self._acknowledged.items()
             if self._round - heard >= rounds
         }
+        return silent | self.departed
+
+    @property
+    def can_be_fenced(self) -> bool:
+        """Whether enough witnesses are left to fence the lease."""
+        left = self.fenced_by.union(self.witnesses) - (self.departed - self.fenced_by)
+        return len(left) >= compute_fence_quorum(len(self.witnesses))
 
     def has_lost_quorum(self, now: float) -> bool:
         """Tell whether the lease can be neither renewed nor fenced.
 
         This is the case if too many witnesses are unresponsive while another one
         answers: then those witnesses are lost, and this node is not merely isolated.
+        Witnesses that departed are no loss.
         """
         if self.ended or not self.witnesses or self.may_have_grants(now):
             return False
         silent = len(self.list_unresponsive(QUORUM_LOSS_ROUNDS))
         answering = len(self.witnesses) - silent
-        return 0 < answering < compute_promise_quorum(len(self.witnesses))
+        promising = answering + len(self.departed)
+        return answering > 0 and promising < compute_promise_quorum(len(self.witnesses))
 
     def accept(
         self,
@@ -177,7 +196,9 @@
         if reply.fenced:
             self.accept_fence(witness)
             return False
-        if sent is None or reply.promised_us <= 0:
+        if reply.permanent:
+            self._accept_departure(witness)
+        if sent is None or reply.promised_us <= 0 or witness in self.departed:
             return False
         self._floors[witness] = max(self._floors.get(witness, 0), sent.floor)
         self._update_floor()
@@ -191,6 +212,19 @@
         self._update_validity()
         return True
 
+    def _accept_departure(self, witness: IncarnationId) -> None:
+        """Count on a witness that has left and will not fence the lease.
+
+        A quorum of fences is one of the remaining witnesses then. It includes one that
+        stored whatever floor the rest of a promise quorum stored.
+        """
+        self.departed.add(witness)
+        self._promised_until_s.pop(witness, None)
+        self._floors.pop(witness, None)
+        self._lagging_since_s.pop(witness, None)
+        self._update_floor()
+        self._update_validity()
+
     def accept_fence(self, witness: IncarnationId) -> None:
         """Record that a witness has fenced the lease.
 
@@ -203,14 +237,18 @@
 
     def _update_floor(self) -> None:
         needed = compute_promise_quorum(len(self.witnesses))
-        floor = find_kth_largest(list(self._floors.values()), needed, default=0)
+        floors = [*self._floors.values(), *[self.sent_floor] * len(self.departed)]
+        floor = find_kth_largest(list(floors), needed, default=0)
         self.confirmed_floor = max(self.confirmed_floor, int(floor))
 
     def _update_validity(self) -> None:
         needed = compute_promise_quorum(len(self.witnesses))
-        self.valid_until_s = find_kth_largest(
-            list(self._promised_until_s.values()), needed, default=float("-inf")
-        )
+        own_until_s = self.last_sent_s + self.lease_s * (1 - CLOCK_RATE_BOUND)
+        promised = [
+            *self._promised_until_s.values(),
+            *[own_until_s] * len(self.departed),
+        ]
+        self.valid_until_s = find_kth_largest(promised, needed, default=float("-inf"))
 
     def _is_config_fresh(
         self, witness: IncarnationId, witness_offset: int, own_offset: int, now: float
--- a/src/papayatack/core/ownership/lease_notifier.py
+++ b/src/papayatack/core/ownership/lease_notifier.py
@@ -63,7 +63,7 @@
                 and not self._context.owned_shards.has_transfers
             ):
                 holder.end()
-                self._ended_without_quorum.add(holder.lease)
+                self.announce_end(holder.lease)
                 ended.append(holder)
         for lease in list(self._ended_without_quorum):
             if not self._context.state.is_live(lease):
@@ -74,6 +74,10 @@
                 self._notify_end(lease, now)
         return ended
 
+    def announce_end(self, lease: LeaseId) -> None:
+        """Notify the claimants of an ended lease of this node that nobody can fence."""
+        self._ended_without_quorum.add(lease)
+
     def _notify_end(self, lease: LeaseId, now: float) -> None:
         owned_shards = self._context.owned_shards
         shards = self._context.state.shards_by_lease.get(lease, ())
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -96,6 +96,7 @@
             config_offset=self.exchange.config.offset,
             ownership_offset=self._context.state.next_offset,
             config_age_us=self.exchange.find_config_age_us(now),
+            permanent=promised_us > 0 and self._context.witnessing.is_leaving,
         )
         self.deliver(sender, reply, now)
         self._compare_offsets(message, sender, now)
@@ -114,7 +115,21 @@
         )
         if holder.ended:
             self.handle_own_end(holder)
-        elif holder.is_live(now) and not was_live:
+        else:
+            self.follow_renewal(holder, was_live=was_live, floor=floor, now=now)
+
+    def follow_renewal(
+        self, holder: LeaseHolder, *, was_live: bool, floor: int, now: float
+    ) -> None:
+        """Extend the grants and recheck the claims that a renewal allows.
+
+        Args:
+            holder: A lease of this node that has not ended.
+            was_live: Whether it was live before.
+            floor: Its confirmed floor before.
+            now: Time of the event loop.
+        """
+        if holder.is_live(now) and not was_live:
             self._context.owned_shards.reset_grants(holder)
             self._context.emit_event("LEASE_LIVE", subject=holder.lease)
         elif holder.is_live(now):
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -90,7 +90,6 @@
             find_service=find_service,
         )
         self.claims = Claims(context=self.context)
-        self.departure = Departure(context=self.context, claims=self.claims)
         self._membership = Membership(context=self.context, announcement=announcement)
         self._reporter = RecordReporter(context=self.context)
         self._suspicions = SuspicionExchange(context=self.context)
@@ -105,6 +104,9 @@
         self._notifier = LeaseNotifier(
             context=self.context, deliver=self._messages.deliver
         )
+        self.departure = Departure(
+            context=self.context, claims=self.claims, notifier=self._notifier
+        )
         self.caught_up = False
         for lease in state.leases:
             self._apply_lease_entry(lease, now)
@@ -203,7 +205,12 @@
         return self.advance(now)
 
     def start_departure(self, now: float) -> list[Effect]:
-        """Start a graceful shutdown, which ends with a :class:`FinishNode` effect."""
+        """Start a graceful shutdown, which ends with a :class:`FinishNode` effect.
+
+        From now on this node's promises as a witness are permanent, so that its end
+        weakens no lease.
+        """
+        self.context.witnessing.is_leaving = True
         self.departure.start(now)
         return self.advance(now)
 
@@ -411,6 +418,7 @@
         )
 
     def _renew(self, holder: LeaseHolder, floor: int, now: float) -> None:
+        was_live, confirmed = holder.is_live(now), holder.confirmed_floor
         message = holder.renew(
             now=now,
             floor=floor,
@@ -419,7 +427,12 @@
             config_age_us=self._exchange.find_config_age_us(now),
         )
         for witness in holder.witnesses:
-            self.context.send(witness, holder.address(message, witness))
+            if witness not in holder.departed:
+                self.context.send(witness, holder.address(message, witness))
+        if holder.departed:
+            self._messages.follow_renewal(
+                holder, was_live=was_live, floor=confirmed, now=now
+            )
 
     def _complete_input(self, now: float) -> list[Effect]:
         for lease in self.context.witnessing.collect_lapsed(now):
--- a/src/papayatack/core/ownership/promise.py
+++ b/src/papayatack/core/ownership/promise.py
@@ -6,7 +6,13 @@
 
 import dataclasses
 
-__all__ = ["Promise", "fence_promise", "start_promise", "renew_promise"]
+__all__ = [
+    "Promise",
+    "fence_promise",
+    "make_permanent",
+    "start_promise",
+    "renew_promise",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,6 +51,14 @@
     )
 
 
+def make_permanent(promise: Promise) -> Promise:
+    """Return the promise of a witness that shuts down: it does not expire.
+
+    The witness keeps nothing after its end, so that nobody can break the promise.
+    """
+    return dataclasses.replace(promise, expires_s=float("inf"))
+
+
 def fence_promise(promise: Promise, *, now: float, resigned: bool = False) -> Promise:
     """Return the promise after a request to fence the lease.
 
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -7,6 +7,7 @@
 from papayatack.core.ownership.promise import (
     Promise,
     fence_promise,
+    make_permanent,
     renew_promise,
     start_promise,
 )
@@ -38,6 +39,9 @@
         incarnation: Id of the local incarnation.
         state: State folded from the ownership stream.
         lease_s: Duration of a promise in seconds.
+
+    Attributes:
+        is_leaving: Whether this node is shutting down.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         self._lease_s = lease_s
         self._incarnation = incarnation
         self._state = state
+        self.is_leaving = False
         self._promises: dict[LeaseId, Promise] = {}
         self._notices: dict[LeaseId, _LapseNotice] = {}
 
@@ -87,7 +92,7 @@
             self._notices.pop(lease, None)
 
     def renew(self, message: Renew, now: float) -> tuple[int, bool]:
-        """Process a renewal.
+        """Process a renewal; the promise of a node that is leaving is permanent.
 
         Returns:
             Duration of the promise in microseconds, 0 for none, and whether the lease
@@ -101,6 +106,8 @@
         promise = renew_promise(
             promise, now=now, duration_s=self._lease_s, floor=message.floor
         )
+        if self.is_leaving and not promise.fenced:
+            promise = make_permanent(promise)
         self._promises[message.lease] = promise
         if promise.fenced:
             return 0, True
@@ -129,6 +136,7 @@
             self._notices[message.lease] = _LapseNotice(due_s=now)
         self._promises[message.lease] = fenced
         remaining_s = 0.0 if fenced.fenced else fenced.expires_s - now
+        remaining_s = min(remaining_s, self._lease_s)
         return FenceReply(
             lease=message.lease,
             fenced=fenced.fenced,
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -11,7 +11,8 @@
 }
 struct RenewReply {
   1: LeaseId lease, 2: i64 round, 3: i64 promised_us, 4: bool fenced,
-  5: i64 config_offset, 6: i64 ownership_offset, 7: optional i64 config_age_us
+  5: i64 config_offset, 6: i64 ownership_offset, 7: optional i64 config_age_us,
+  8: optional bool permanent
 }
 struct ConfigPosition { 1: i64 offset, 2: i64 age_us }
 struct Fence { 1: LeaseId lease, 2: bool resigned }
--- a/tests/spec/lease_core.py
+++ b/tests/spec/lease_core.py
@@ -112,7 +112,7 @@
         return self.leases.index(right.holder.lease), right.epoch
 
     def list_witnesses(self, lease):
-        """Return promise, floor and fence of each witness that is not lost."""
+        """Return what each witness that is not lost keeps, with its name."""
         found = []
         for name in self.witnesses[lease]:
             if name not in self.lost:
@@ -120,10 +120,15 @@
         return sorted(found)
 
     def describe_witness(self, lease, name):
-        """Return promise, floor and fence of one witness, as in the specification."""
+        """Return what one witness keeps, as in the specification.
+
+        That is its promise, floor and fence, and whether it has departed.
+        """
         promise = self._read_promise(lease, name)
         promised = promise.expires_s > self.now and not promise.fenced
-        return (int(promised), max(promise.floor - self.base, 0), promise.fenced)
+        floor = max(promise.floor - self.base, 0)
+        departed = promise.expires_s == float("inf")
+        return int(promised), floor, promise.fenced, departed
 
     def _read_promise(self, lease, name):
         witnessing = self.cores[name].context.witnessing
@@ -132,8 +137,10 @@
     # Steps.
 
     def tick(self):
-        """Let the longest promise run out."""
+        """Let the longest promise run out that does so."""
         self.now += LEASE_DURATION_S
+        for node in set(self.setting.nodes) - self.dead:
+            self._renew_at_departed(self.node(node))
 
     def append_move(self, epoch):
         """Append the record that makes an epoch."""
@@ -164,6 +171,7 @@
         offset = core.state.next_offset
         _, effects = core.apply_record(offset, self.log[offset], now=self.now)
         self._perform(core, effects)
+        self._renew_at_departed(core)
 
     def renew(self, lease, name):
         """Renew a lease at one witness."""
@@ -180,6 +188,18 @@
             if type(answer) is RenewReply:
                 self._perform(core, core.receive(name, answer, now=self.now))
 
+    def depart(self, lease, name):
+        """Let a witness begin to leave, and renew a lease at it."""
+        self.cores[name].context.witnessing.is_leaving = True
+        self.renew(lease, name)
+
+    def _renew_at_departed(self, core):
+        """Renew a node's leases at the witnesses that have left, which need no call."""
+        for holder in core.context.holders.values():
+            if holder.departed and not holder.ended:
+                core._renew(holder, core.context.owned_shards.find_floor(), self.now)
+        self.settle(core)
+
     def fence(self, lease, name, *, resigned):
         """Ask a witness to fence a lease."""
         sender = self.leases[lease].incarnation if resigned else "x"
--- a/tests/spec/test_differential.py
+++ b/tests/spec/test_differential.py
@@ -93,6 +93,8 @@
         """Take a step that concerns one witness."""
         if name == "renew":
             self.core.renew(lease, witness)
+        elif name == "depart":
+            self.core.depart(lease, witness)
         elif name == "fence":
             resigned = before.leases[lease].resigned
             self.core.fence(lease, witness, resigned=resigned)
@@ -104,7 +106,7 @@
     def find_similar_witness(self, lease, index, before):
         """Return a witness of the code, as like the specification's as there is."""
         witness = before.leases[lease].witnesses[index]
-        wanted = (witness.promise, witness.floor, witness.fenced)
+        wanted = describe(witness)
 
         def count_differences(item):
             return sum(a != b for a, b in zip(item[0], wanted, strict=True))
@@ -114,7 +116,7 @@
     def find_witness(self, lease, index, before):
         """Return a witness of the code that is as the specification's."""
         witness = before.leases[lease].witnesses[index]
-        wanted = (witness.promise, witness.floor, witness.fenced)
+        wanted = describe(witness)
         for found, name in self.core.list_witnesses(lease):
             same_view = self.has_view(lease, name) == bool(witness.view)
             if found == wanted and (same_view or self.core.holder(lease).ended):
@@ -123,8 +125,9 @@
 
     def has_view(self, lease, name):
         """Tell whether the holder counts on a witness."""
-        promised_s = self.core.holder(lease)._promised_until_s.get(name, float("-inf"))
-        return promised_s > self.core.now
+        holder = self.core.holder(lease)
+        promised_s = holder._promised_until_s.get(name, float("-inf"))
+        return name in holder.departed or promised_s > self.core.now
 
     def follow_claims(self):
         """Take the claims of the code over; the specification must allow them."""
@@ -162,9 +165,7 @@
             case.assertEqual(token, wanted, f"lease {lease}")
             kept = [found for found, _ in self.core.list_witnesses(lease)]
             specified = sorted(
-                (witness.promise, witness.floor, witness.fenced)
-                for witness in entry.witnesses
-                if not witness.lost
+                describe(witness) for witness in entry.witnesses if not witness.lost
             )
             case.assertEqual(kept, specified, f"witnesses of {lease}")
             tokens += [token] if token is not None else []
@@ -198,6 +199,11 @@
                 case.assertIsNotNone(claim, f"lease {lease} does not claim")
 
 
+def describe(witness):
+    """Return what a witness of the specification keeps."""
+    return witness.promise, witness.floor, witness.fenced, witness.departed
+
+
 class ReplayTests(unittest.TestCase):
     """The code on the orders of events that break a specification without a guard."""
 
