End leases whose witnesses are all gone through the log

What callers saw: after all nodes were lost, keys of nodes that did not come back were refused for good. Cause: their leases were live in the log, and every witness that could have fenced them had been killed as well. The node that is gone also stays the first planner by rank, so that nobody plans.

Once the log names a newer process at the address of each witness, or its retirement, no promise can be made any more; a lease duration later the first planner records the end.

--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -32,6 +32,7 @@
 from papayatack.core.ownership.lease_notifier import LeaseNotifier
 from papayatack.core.ownership.membership import Membership
 from papayatack.core.ownership.message_handler import MessageHandler
+from papayatack.core.ownership.orphaned_leases import OrphanedLeases
 from papayatack.core.ownership.owned_shards import OwnedShard, OwnedShards
 from papayatack.core.ownership.record_reporter import RecordReporter
 from papayatack.core.ownership.state import Member, OwnershipState
@@ -92,6 +93,7 @@
         self.claims = Claims(context=self.context)
         self._membership = Membership(context=self.context, announcement=announcement)
         self._reporter = RecordReporter(context=self.context)
+        self._orphaned_leases = OrphanedLeases(context=self.context, lease_s=lease_s)
         self._suspicions = SuspicionExchange(context=self.context)
         self._finished = False
         self._messages = MessageHandler(
@@ -161,6 +163,7 @@
         if change.members:
             self.context.fencing.prune()
             self.context.witnessing.prune()
+            self._orphaned_leases.note_members()
             self._check_ended()
         self.claims.recheck_blocked()
         owned_shards = self.context.owned_shards
@@ -187,6 +190,7 @@
                 self._messages.handle_own_end(holder)
             if self.caught_up:
                 self._membership.advance(now)
+                self._orphaned_leases.advance(now)
             self._reporter.advance(now)
             self._suspicions.advance(now)
             self._exchange.query_config(now)
