Log each answer that a caller does not get in full

A caller's connection whose streamed answer ended early was reset with two counters and no line: what the other node, its upstream or the connection between the nodes had done could not be told for one request.

The new test fails without the change: neither node had a line with the request's id.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -63,6 +63,9 @@
         self._task: asyncio.Task[None] | None = None
         self._body: BodyQueue | None = None
         self._body_bytes = 0
+        self._request: Request | None = None
+        self._response: Response | None = None
+        self._written_bytes = 0
         self._write_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._read_paused = False
@@ -116,6 +119,9 @@
             return
         if not self._closing:
             self._owner.metrics.count("requests_cancelled", "caller-left")
+            if self._response is not None:
+                detail = str(exc) if exc else "the caller disconnected"
+                self._log_cut(Event.ANSWER_CUT, "caller-left", detail, logging.INFO)
         self._task.cancel()
 
     def pause_writing(self) -> None:
@@ -144,6 +150,8 @@
             self._close()
         elif self._write_paused:
             self._owner.metrics.count("caller_connections_cut", "slow-reader")
+            detail = "the caller reads too slowly"
+            self._log_cut(Event.ANSWER_CUT, "slow-reader", detail, logging.WARNING)
             self._reset()
         elif self._body is not None:
             self._body.fail(
@@ -167,13 +175,23 @@
             self._close()
             return
         self._owner.metrics.count("caller_connections_cut", "stop")
+        self._log_cut(Event.CONNECTION_CUT, "stop", "the node stops", logging.ERROR)
+        self._reset()
+
+    def _log_cut(self, event: Event, reason: str, detail: str, level: int) -> None:
+        """Log a response that the caller does not get in full."""
+        unsent_bytes = self._transport.get_write_buffer_size()
         log_event(
             _logger,
-            Event.CONNECTION_CUT,
-            level=logging.ERROR,
+            event,
+            level=level,
+            request=self._request.request_id if self._request is not None else "",
+            reason=reason,
+            detail=detail,
             begun=self._h11.our_state is not h11.SEND_RESPONSE,
+            source=self._response.source if self._response is not None else "",
+            sent_bytes=max(0, self._written_bytes - unsent_bytes),
         )
-        self._reset()
 
     def _process_events(self) -> None:
         """Handle all events that are available from the parser."""
@@ -230,6 +248,9 @@
         request = Request(
             method=event.method, target=event.target, headers=headers, body=self._body
         )
+        self._request = request
+        self._response = None
+        self._written_bytes = 0
         refusal = self._check_body_headers(request)
         self._task = self._loop.create_task(self._serve_request(request, refusal))
 
@@ -331,21 +352,27 @@
                 response = build_error_response(refusal)
             else:
                 response = await self._call_handler(request)
+            self._response = response
             try:
                 await self._send_response(response)
             finally:
                 response.body.close()
         except IncompleteBodyError as error:
-            self._owner.metrics.count("answers_cut", error.kind.value)
-            self._reset()
+            self._cut_answer(error.kind.value, error.detail)
             return
-        except h11.LocalProtocolError:
-            self._owner.metrics.count("answers_cut", "invalid-answer")
-            self._reset()
+        except h11.LocalProtocolError as error:
+            self._cut_answer("invalid-answer", str(error))
             return
+        self._response = None
         body.close()
         await self._finish_request()
 
+    def _cut_answer(self, reason: str, detail: str) -> None:
+        """Reset the connection, as the rest of the response is not available."""
+        self._owner.metrics.count("answers_cut", reason)
+        self._log_cut(Event.ANSWER_CUT, reason, detail, logging.WARNING)
+        self._reset()
+
     async def _call_handler(self, request: Request) -> Response:
         try:
             return await self._owner.handler(request)
@@ -399,6 +426,7 @@
     async def _write(self, parts: list[bytes | None]) -> None:
         data = b"".join([part for part in parts if part])
         if data:
+            self._written_bytes += len(data)
             self._transport.write(data)
         while self._write_paused:
             self._write_waiter = self._loop.create_future()
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -33,12 +33,14 @@
         target: Request target.
         headers: Header fields.
         body: Body; empty if the request has none.
+        request_id: Id for the log; set by the handler of a caller's request.
     """
 
     method: bytes
     target: bytes
     headers: Headers = ()
     body: Body = dataclasses.field(default_factory=BytesBody)
+    request_id: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -50,12 +52,14 @@
         reason: Reason phrase.
         headers: Header fields.
         body: Body.
+        source: Address of the node that sent it; empty if it comes from this node.
     """
 
     status: int
     reason: bytes = b""
     headers: Headers = ()
     body: Body = dataclasses.field(default_factory=BytesBody)
+    source: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.identity import PeerAddress
 from papayatack.network.bodies import Body, BodyQueue, IncompleteBodyError
 from papayatack.network.exchanges import Response
 from papayatack.network.limits import PeerLimits
@@ -41,6 +42,7 @@
     """Interface of the link that carries a stream."""
 
     limits: PeerLimits
+    address: PeerAddress | None
 
     def send_priority(self, frame: Any) -> None:
         """Queue a frame ahead of all stream frames."""
@@ -179,6 +181,7 @@
                 reason=head.reason or b"",
                 headers=decode_headers(head.headers),
                 body=self.inbound,
+                source=self._link.address or "",
             )
             self.response.set_result(Success(response))
 
--- a/src/papayatack/proxy/body_wrappers.py
+++ b/src/papayatack/proxy/body_wrappers.py
@@ -115,12 +115,16 @@
     Args:
         body: The wrapped body.
         on_end: Receives ``None`` for a complete body, or the kind of error if the body
-            was truncated or closed early.
+            was truncated or closed early, and a description of the error.
+
+    Attributes:
+        read_bytes: Number of bytes that were read.
     """
 
     def __init__(
-        self, *, body: Body, on_end: Callable[[ErrorKind | None], None]
+        self, *, body: Body, on_end: Callable[[ErrorKind | None, str], None]
     ) -> None:
+        self.read_bytes = 0
         self._body = body
         self._on_end = on_end
         self._ended = False
@@ -135,18 +139,19 @@
         try:
             data = await self._body.read()
         except IncompleteBodyError as error:
-            self._end(error.kind)
+            self._end(error.kind, error.detail)
             raise
+        self.read_bytes += len(data)
         if not data:
-            self._end(None)
+            self._end(None, "")
         return data
 
     def close(self) -> None:
         """Close the body without reading the rest."""
-        self._end(ErrorKind.CALLER_LEFT)
+        self._end(ErrorKind.CALLER_LEFT, "the response is not wanted")
         self._body.close()
 
-    def _end(self, kind: ErrorKind | None) -> None:
+    def _end(self, kind: ErrorKind | None, detail: str) -> None:
         if not self._ended:
             self._ended = True
-            self._on_end(kind)
+            self._on_end(kind, detail)
--- a/src/papayatack/proxy/buffering.py
+++ b/src/papayatack/proxy/buffering.py
@@ -1,5 +1,7 @@
 """Buffering of short responses, which are passed on only when they are complete."""
 
+import dataclasses
+
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import Refusal
@@ -46,9 +48,4 @@
 
 
 def _replace_body(response: Response, body: Body) -> Response:
-    return Response(
-        status=response.status,
-        reason=response.reason,
-        headers=response.headers,
-        body=body,
-    )
+    return dataclasses.replace(response, body=body)
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -155,6 +155,7 @@
             )
             return self._build_error_response(refusal, "")
         peer_request = classified.unwrap()
+        request.request_id = peer_request.request_id
         parent = self._find_parent(peer_request)
         peer_request.is_call = parent is not None
         result = await self._caller_guard.run(self._run_caller_request(peer_request))
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -365,7 +365,14 @@
         if is_buffered(response):
             use.end(None)
             return buffered
-        response.body = MonitoredBody(body=response.body, on_end=use.end)
+
+        def end(kind: ErrorKind | None, detail: str) -> None:
+            use.end(kind)
+            if kind is not None:
+                _log_cut_run(peer_request, use, kind, detail, body.read_bytes)
+
+        body = MonitoredBody(body=response.body, on_end=end)
+        response.body = body
         return Success(response)
 
     def _record_end(
@@ -420,7 +427,11 @@
 
 
 def _log_cut_run(
-    peer_request: PeerRequest, use: InFlightUse, kind: ErrorKind, detail: str
+    peer_request: PeerRequest,
+    use: InFlightUse,
+    kind: ErrorKind,
+    detail: str,
+    read_bytes: int = 0,
 ) -> None:
     """Log a request that may still run at the upstream without a receiver."""
     log_event(
@@ -432,6 +443,7 @@
         reason=kind.value,
         detail=detail,
         ran_ms=int(use.read_duration_s() * MS_PER_S),
+        read_bytes=read_bytes,
     )
 
 
--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -240,6 +240,7 @@
             await self.server.stop(timeout_s=0.05)
         self.assertEqual(len(logs.output), 1)
         self.assertIn("CONNECTION_CUT", logs.output[0])
+        self.assertFalse(logs.records[0].begun)
         self.assertEqual(await idle.read(), b"")
         self.assertEqual(await response, b"")
 
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -209,6 +209,25 @@
         self.assertEqual(record.getMessage(), "RUN_CUT")
         self.assertEqual(record.reason, "caller-left")
 
+    async def test_response_cut_on_its_way_is_logged_by_both_nodes(self):
+        """Request id, reason, source and the bytes that were out say who cut it."""
+        self.upstream.behaviour.cut_after_bytes = 300_000
+        with self.assertLogs("papayatack", "WARNING") as logs:
+            await self.request(self.entry, target="/hiring/v/k1?bytes=1000000")
+        (request_id,) = self.upstream.runs
+        found = {
+            record.getMessage(): record
+            for record in logs.records
+            if getattr(record, "request", "") == request_id
+        }
+        run, answer = found["RUN_CUT"], found["ANSWER_CUT"]
+        self.assertEqual(run.reason, "response-truncated")
+        self.assertIn(run.read_bytes, range(1, 300_001))
+        self.assertEqual(answer.reason, "response-truncated")
+        self.assertEqual(answer.source, self.owner.address)
+        self.assertTrue(answer.begun)
+        self.assertGreater(answer.sent_bytes, 0)
+
     async def test_unknown_token_is_granted_again(self):
         """An upstream without its grants gets them again before the next renewal."""
         await self.owner.grant(token=2)
