Show that answers are cut on a connection between nodes that was replaced

A node that opens a second connection to another (the first was silent, or both had opened one) makes the first one retired there. The other node closes a retired connection half a second after the last request began on it, if no request is open. A request whose last bytes are only queued is not open any more.

--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -1,7 +1,9 @@
 """Tests of papayatack.network.peers on loopback."""
 
 import asyncio
+import contextlib
 import random
+import socket
 import unittest
 from unittest import mock
 
@@ -28,6 +30,14 @@
 """A request must end within this time after its deadline."""
 
 RESPONSE_DELAY_S = 1.6
+RETIREMENT_S = 1.2
+"""Time after which a replaced connection that is idle has been closed."""
+
+ANSWER_BYTES = 60_000
+"""Less than the flow-control window; two of them do not fit a connection's buffer."""
+
+SMALL_BUFFER_BYTES = 4096
+LARGE_BUFFER_BYTES = 1 << 20
 NOTICE_SLACK_S = 0.15
 """Three checks of the links; a silent peer is unresponsive after two."""
 
@@ -381,6 +391,48 @@
         lost = [result for result in results if not is_successful(result)]
         self.assertEqual(len(lost), 0)
 
+    async def test_answers_queued_on_a_replaced_connection_arrive_whole(self):
+        """The peer opens another connection while it reads slowly from this one."""
+        self.assertEqual(await self.read_from_replaced(SMALL_BUFFER_BYTES), [])
+
+    async def test_answers_in_the_buffers_of_a_replaced_connection_arrive_whole(self):
+        """The system holds all bytes, and the peer returns credit as it reads them."""
+        self.assertEqual(await self.read_from_replaced(LARGE_BUFFER_BYTES), [])
+
+    async def read_from_replaced(self, send_buffer_bytes):
+        """Return the sizes of the answers that are cut on a replaced connection."""
+        await self.exchange()
+        (link,), (served,) = self.first._all_links, self.second._all_links
+        for end, option, size in (
+            (link, socket.SO_RCVBUF, SMALL_BUFFER_BYTES),
+            (served, socket.SO_SNDBUF, send_buffer_bytes),
+        ):
+            sock = end._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, option, size)
+        resume = self.pause_reading(self.first)
+        self.body_size = ANSWER_BYTES
+        used_s = asyncio.get_running_loop().time()
+        sent = [asyncio.ensure_future(self.exchange()) for _ in range(2)]
+        await wait_until(lambda: served.last_used_s > used_s)
+        await wait_until(lambda: not self.second._serving)
+        self.first.handle_unresponsive(link)
+        await self.exchange()
+        self.assertTrue(served.retired)
+        await asyncio.sleep(RETIREMENT_S)
+        resume()
+        sizes = [await self.read_whole((await item).unwrap().body) for item in sent]
+        await wait_until(lambda: served not in self.second._all_links)
+        return [size for size in sizes if size != ANSWER_BYTES]
+
+    async def read_whole(self, body):
+        """Return the number of bytes until the end of a body, whole or not."""
+        size = 0
+        with contextlib.suppress(IncompleteBodyError):
+            while data := await body.read():
+                size += len(data)
+        body.close()
+        return size
+
     async def test_loss_of_a_connection_with_requests_is_logged(self):
         """Both nodes log the number of requests; the server's task gets the reason."""
         released = asyncio.Event()
