Send what is queued before a replaced connection between nodes is closed

Callers of a streamed answer that came through another node were reset in its middle, or before its first byte if their own connection was slow too; those of a short one got 502 or waited for a retry. A connection that another one has replaced, since its peer was silent or since both nodes had opened one, is closed half a second after the last request began on it, if none is open. But a request's stream ends when its last bytes are queued: up to 64 kB of each answer were still in the process or in the system, and closing discarded them.

A connection with unsent bytes now stays open, and one that is closed for being idle is closed in order: end of writing, read on until the peer closes.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -48,6 +48,9 @@
 """Delay of a timer above which this node itself was stalled, and bytes of the peer may
 not have been read yet."""
 
+CLOSE_TIMEOUT_S = 10.0
+"""Time after which a connection that is closed in order is closed in any case."""
+
 CONTROL_STREAM = 0
 """Stream id of frames that belong to no request."""
 
@@ -127,6 +130,7 @@
         self._ready: collections.deque[PeerStream] = collections.deque()
         self._flush_scheduled = False
         self._paused = False
+        self._write_ended = False
         self._handlers: tuple[tuple[str, Callable[[Any], None]], ...] = (
             ("request", self._handle_request),
             ("response", self._handle_response),
@@ -308,6 +312,18 @@
             self._priority or self._ready or self._transport.get_write_buffer_size()
         )
 
+    def close_in_order(self) -> None:
+        """End writing, and close once the peer has read all of it and closes too.
+
+        The system discards what it has not sent yet if bytes of the peer arrive at a
+        closed socket, so the link reads on. It handles no more requests.
+        """
+        if self._write_ended or self._transport is None:
+            return
+        self._write_ended = True
+        self._transport.write_eof()
+        self._loop.call_later(CLOSE_TIMEOUT_S, self.close)
+
     def close(self) -> None:
         """Close once the write buffer has been sent."""
         if self._transport is not None:
@@ -376,7 +392,9 @@
         Frames queued on a closing connection stay unwritten, so that their requests
         count as not sent.
         """
-        return self._transport is not None and not self._transport.is_closing()
+        if self._transport is None or self._write_ended:
+            return False
+        return not self._transport.is_closing()
 
     def _next_frame(self) -> bytes | None:
         if self._priority:
@@ -392,6 +410,8 @@
         return None
 
     def _dispatch(self, frame: Any) -> None:
+        if self._write_ended and frame.control is None:
+            return
         for name, handler in self._handlers:
             if getattr(frame, name) is not None:
                 handler(frame)
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -484,8 +484,10 @@
             for link in list(self._all_links):
                 link.check_liveness(now)
                 idle_s = SWEEP_INTERVAL_S if link.retired else self.limits.idle_s
-                if not link.streams and now - link.last_used_s > idle_s:
-                    link.close()
+                is_idle = not link.streams and now - link.last_used_s > idle_s
+                if is_idle and not link.has_unsent:
+                    self._forget_link(link)
+                    link.close_in_order()
             self._prune_backoffs(now)
 
     def _prune_backoffs(self, now: float) -> None:
