Wait at the end of a stop until other nodes have read their answers

A peer on a slow connection returned credit to a closed socket, and the reset in reply discarded the rest: its caller was reset or got 502 for a run that had ended. Connections are closed in order now, and the node waits until its peers have closed theirs, at most a second and not beyond the time at which a stop must be over.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -152,7 +152,8 @@
                 self._desk_server.stop(timeout_s=timeout_s),
                 self._endpoint_server.stop(timeout_s=timeout_s),
             )
-            await self._peers.abort()
+            until_s = asyncio.get_running_loop().time() + ENDPOINT_STOP_TIMEOUT_S
+            await self._peers.close(until_s=min(self._close_s, until_s))
 
     def _is_ready(self) -> bool:
         """Whether callers should come here."""
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -52,6 +52,8 @@
 _REQUEST_CLASS_VALUES = frozenset(item.value for item in RequestClass)
 SWEEP_INTERVAL_S = 0.5
 """Interval between checks of all links."""
+CLOSE_WAIT_S = 1.0
+"""Time for which a stopped node waits until its peers have read all and closed."""
 FLUSH_POLL_INTERVAL_S = 0.02
 """Interval between checks for unwritten bytes during a shutdown."""
 
@@ -141,7 +143,8 @@
     async def stop(self) -> None:
         """Finish requests of peers, refuse new ones, then close all links."""
         await self.finish_requests()
-        await self.abort()
+        loop = asyncio.get_running_loop()
+        await self.close(until_s=loop.time() + CLOSE_WAIT_S)
 
     async def finish_requests(self, *, until_s: float = math.inf) -> None:
         """Refuse new peer requests and wait until responses in flight are written.
@@ -165,6 +168,20 @@
                 return
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
 
+    async def close(self, *, until_s: float) -> None:
+        """Close all connections once their peers have read what was sent on them.
+
+        Args:
+            until_s: Event loop time at which to stop waiting for the peers.
+        """
+        await self._wait_flushed(until_s)
+        loop = asyncio.get_running_loop()
+        while self._all_links and loop.time() < until_s:
+            for link in list(self._all_links):
+                link.close_in_order()
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
+        await self.abort()
+
     async def abort(self) -> None:
         """Close all connections immediately."""
         if self._server is not None:
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -33,6 +33,8 @@
 RETIREMENT_S = 1.2
 """Time after which a replaced connection that is idle has been closed."""
 
+RESUME_S = 0.3
+STOP_S = 5.0
 ANSWER_BYTES = 60_000
 """Less than the flow-control window; two of them do not fit a connection's buffer."""
 
@@ -399,8 +401,39 @@
         """The system holds all bytes, and the peer returns credit as it reads them."""
         self.assertEqual(await self.read_from_replaced(LARGE_BUFFER_BYTES), [])
 
+    async def test_answers_in_the_buffers_of_a_stopped_node_arrive_whole(self):
+        """The peer returns credit to the node that has stopped."""
+        answers = await self.answer_slow_reader(LARGE_BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESUME_S, self.resume)
+        sizes = asyncio.ensure_future(self.read_sizes(answers))
+        await self.second.finish_requests(until_s=loop.time() + STOP_S)
+        await self.second.close(until_s=loop.time() + STOP_S)
+        self.assertEqual(await sizes, [ANSWER_BYTES] * 2)
+
+    async def test_silent_peer_delays_the_end_of_a_stop_by_no_more_than_allowed(self):
+        """It neither reads nor closes its connection."""
+        await self.answer_slow_reader(SMALL_BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await self.second.close(until_s=started_s + RESUME_S)
+        self.assertLess(loop.time() - started_s, RESUME_S + DEADLINE_TOLERANCE_S)
+
     async def read_from_replaced(self, send_buffer_bytes):
         """Return the sizes of the answers that are cut on a replaced connection."""
+        answers = await self.answer_slow_reader(send_buffer_bytes)
+        (link,), (served,) = self.first._all_links, self.second._all_links
+        self.first.handle_unresponsive(link)
+        await self.exchange()
+        self.assertTrue(served.retired)
+        await asyncio.sleep(RETIREMENT_S)
+        self.resume()
+        sizes = await self.read_sizes(answers)
+        await wait_until(lambda: served not in self.second._all_links)
+        return [size for size in sizes if size != ANSWER_BYTES]
+
+    async def answer_slow_reader(self, send_buffer_bytes):
+        """Have two requests answered whose sender reads nothing until ``resume``."""
         await self.exchange()
         (link,), (served,) = self.first._all_links, self.second._all_links
         for end, option, size in (
@@ -409,20 +442,17 @@
         ):
             sock = end._transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, option, size)
-        resume = self.pause_reading(self.first)
+        self.resume = self.pause_reading(self.first)
         self.body_size = ANSWER_BYTES
         used_s = asyncio.get_running_loop().time()
-        sent = [asyncio.ensure_future(self.exchange()) for _ in range(2)]
+        answers = [asyncio.ensure_future(self.exchange()) for _ in range(2)]
         await wait_until(lambda: served.last_used_s > used_s)
         await wait_until(lambda: not self.second._serving)
-        self.first.handle_unresponsive(link)
-        await self.exchange()
-        self.assertTrue(served.retired)
-        await asyncio.sleep(RETIREMENT_S)
-        resume()
-        sizes = [await self.read_whole((await item).unwrap().body) for item in sent]
-        await wait_until(lambda: served not in self.second._all_links)
-        return [size for size in sizes if size != ANSWER_BYTES]
+        return answers
+
+    async def read_sizes(self, answers):
+        """Return the numbers of bytes that arrive of answers, whole or not."""
+        return [await self.read_whole((await item).unwrap().body) for item in answers]
 
     async def read_whole(self, body):
         """Return the number of bytes until the end of a body, whole or not."""
