Relieve a node that holds far more than its share in one plan

A node with more than 1.6 times its share of the shards and of the load (the latter by three standard deviations as well) now gives, in one plan and outside that budget, what is above the mean, in the order of the keys, to nodes with room; no shard that moved in the last 2 s. Both must be exceeded: many cold shards or a few hot ones are left to the moves for load as before.

While most upstreams are cold, each counts for more (0.8 of all capacity at least), or two warm ones of nine would be due 0.53 of all keys.

--- a/src/papayatack/core/placement/limits.py
+++ b/src/papayatack/core/placement/limits.py
@@ -31,6 +31,12 @@
         hot_threshold: Load from which a key is hot, as a share of a node's mean load.
         cool_threshold: Load below which a hot key is merged back into its parent, as a
             share of a node's mean load.
+        max_concentration: Multiple of its fair share, of the shards and of the load,
+            above which a node is relieved at once, regardless of the limits on moves.
+        relief_deviations: Standard deviations of the measured utilisation that are
+            added to the bound on the load.
+        relief_cooldown_s: Time after a move in which a shard is not moved again to
+            relieve such a node, in seconds.
         move_cooldown_s: Time after a move in which a shard is not moved again to
             balance load, in seconds.
         min_hot_age_s: Minimum time for which a hot key keeps its own shard, in seconds.
@@ -50,5 +56,8 @@
     min_gain: float = 0.01
     hot_threshold: float = 0.10
     cool_threshold: float = 0.03
+    max_concentration: float = 1.6
+    relief_deviations: float = 3.0
+    relief_cooldown_s: float = 2.0
     move_cooldown_s: float = 60.0
     min_hot_age_s: float = 300.0
--- a/src/papayatack/core/placement/node_pool.py
+++ b/src/papayatack/core/placement/node_pool.py
@@ -15,6 +15,10 @@
 COLD_CAPACITY_SHARE = 0.25
 """Share of its capacity that counts for a node whose upstream has just started."""
 
+MIN_CAPACITY_SHARE = 0.8
+"""Share of the capacity of all nodes that counts at least. While many upstreams are
+cold, each counts for more, so that the few warm ones do not get most of the load."""
+
 MAX_CANDIDATES = 12
 """Maximum number of nodes that are compared as a shard's successor."""
 
@@ -77,6 +81,7 @@
         self.nodes: dict[IncarnationId, PoolNode] = {}
         self.demand = 0.0
         self.by_data_centre: dict[str, list[PoolNode]] = defaultdict(list)
+        self._full_capacities: dict[IncarnationId, float] = {}
         self._by_address: dict[str, PoolNode] = {}
         self._data_centres_of_region: dict[str, list[str]] = defaultdict(list)
         self._candidates: dict[tuple[str, frozenset[str]], Sequence[PoolNode]] = {}
@@ -88,6 +93,16 @@
         }
         for node in nodes:
             self._add(node)
+        self._raise_cold_capacities()
+
+    def _raise_cold_capacities(self) -> None:
+        full, counted = sum(self._full_capacities.values()), self.capacity
+        missing = MIN_CAPACITY_SHARE * full - counted
+        if missing <= 0:
+            return
+        for incarnation, node in self.nodes.items():
+            reduction = self._full_capacities[incarnation] - node.capacity
+            node.capacity += reduction * missing / (full - counted)
 
     def _add(self, node: PlacementNode) -> None:
         if node.leaving or node.data_centre not in self.service.places:
@@ -96,15 +111,16 @@
         if known is not None:
             known.lease = max(known.lease, node.lease)
             return
+        full_capacity = _count_usable_slots(node) * node.speed
         pool_node = PoolNode(
             lease=node.lease,
             data_centre=node.data_centre,
             region=node.region,
-            capacity=_count_usable_slots(node)
-            * node.speed
+            capacity=full_capacity
             * _warm_up_factor(node.age_s, self.service.warm_up_s),
         )
         self.nodes[node.lease.incarnation] = pool_node
+        self._full_capacities[node.lease.incarnation] = full_capacity
         self._by_address[parse_peer_address(node.lease.incarnation)] = pool_node
         self.by_data_centre[node.data_centre].append(pool_node)
         if node.data_centre not in self._data_centres_of_region[node.region]:
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -9,6 +9,7 @@
     balance_load,
     restore_locality,
 )
+from papayatack.core.placement.relief import relieve_concentration
 from papayatack.core.placement.repair import release_retired, repair_chains
 from papayatack.core.placement.speed_normalisation import normalise_speeds
 from papayatack.core.placement.view import PlacementPlan, PlacementView
@@ -34,6 +35,7 @@
     """
     builder = PlanBuilder(view=clamp_reports(normalise_speeds(view)), limits=limits)
     repair_chains(builder)
+    relieve_concentration(builder)
     split_hot_keys(builder)
     merge_cooled_keys(builder)
     _rebalance(builder)
