Give no successor and no restarted node more than its share in one plan

The plan followed chains: a lost owner's shards went to the successor, and to a new process at an old address, whatever these held. Owners are chosen first now, with what all of them already get in view: a live successor keeps what it inherits up to 1.6 times its share of shards or load, a new process up to what moves for load would leave it. All others go to the least loaded node that has fewer than 1.6 times its share of the shards; so does a slice whose neighbour's owner has them, whatever load was measured. Successors are chosen once the loads of all owners are known, anew for each new owner.

--- a/src/papayatack/core/placement/node_pool.py
+++ b/src/papayatack/core/placement/node_pool.py
@@ -9,6 +9,7 @@
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId, parse_peer_address
 from papayatack.core.inventory import Configuration, Service
 from papayatack.core.placement.view import PlacementNode
+from papayatack.core.shards import is_hot_shard
 
 __all__ = ["NodePool", "PoolNode"]
 
@@ -44,6 +45,7 @@
         capacity: Effective number of slots, reduced while the upstream warms up.
         load: Slots that the node's shards use.
         shards: Shards that the node owns, with their load in slots.
+        count: Number of these shards that are not those of hot keys.
     """
 
     lease: LeaseId
@@ -52,6 +54,7 @@
     capacity: float
     load: float = 0.0
     shards: dict[ShardId, float] = dataclasses.field(default_factory=dict)
+    count: int = 0
 
     @property
     def utilisation(self) -> float:
@@ -66,6 +69,7 @@
         nodes: The nodes, by incarnation.
         by_data_centre: The nodes, by data centre.
         demand: Slots that all shards of the service use, with or without an owner.
+        count: Number of these shards that are not those of hot keys.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self.chain_length = chain_length
         self.nodes: dict[IncarnationId, PoolNode] = {}
         self.demand = 0.0
+        self.count = 0
         self.by_data_centre: dict[str, list[PoolNode]] = defaultdict(list)
         self._full_capacities: dict[IncarnationId, float] = {}
         self._by_address: dict[str, PoolNode] = {}
@@ -149,6 +154,7 @@
         if owner is not None:
             owner.load += load
             owner.shards[shard] = load
+            owner.count += not is_hot_shard(shard)
         self._add_backup_load(chain, load)
 
     def remove_shard(
@@ -160,6 +166,7 @@
         owner = self.nodes.get(chain[0].incarnation)
         if owner is not None and owner.shards.pop(shard, None) is not None:
             owner.load -= load
+            owner.count -= not is_hot_shard(shard)
         self._add_backup_load(chain, -load)
 
     def _add_backup_load(self, chain: Sequence[LeaseId], load: float) -> None:
--- a/src/papayatack/core/placement/plan_builder.py
+++ b/src/papayatack/core/placement/plan_builder.py
@@ -8,7 +8,7 @@
 from papayatack.core.inventory import Configuration
 from papayatack.core.placement.limits import PlacementLimits
 from papayatack.core.placement.load_estimation import IDLE_UTILISATION, estimate_loads
-from papayatack.core.placement.node_pool import NodePool
+from papayatack.core.placement.node_pool import NodePool, PoolNode
 from papayatack.core.placement.view import PlacementShard, PlacementView
 from papayatack.core.records import Assignment
 from papayatack.core.shards import is_hot_shard, list_shards
@@ -39,6 +39,7 @@
         self.limits = limits
         self.assignments: list[Assignment] = []
         self._changed: set[ShardId] = set()
+        self._new_owners: list[tuple[bool, ShardId, PoolNode]] = []
         hot = (s for s, state in view.shards.items() if state.chain and is_hot_shard(s))
         self.shards = list_shards(view.configuration, hot)
         self.measured_loads = estimate_loads(view, self.shards)
@@ -61,6 +62,7 @@
         for shard, chain in self.chains.items():
             pool = self.find_pool(shard)
             pool.demand += self.loads[shard]
+            pool.count += not is_hot_shard(shard)
             pool.add_shard(shard, self.loads[shard], chain)
 
     def _add_idle_load(self) -> dict[ShardId, float]:
@@ -125,11 +127,36 @@
 
     def assign(self, shard: ShardId, chain: Sequence[LeaseId]) -> None:
         """Plan a new chain for a shard."""
+        self._replace_chain(shard, chain)
+        self.add_assignment(shard, chain)
+
+    def assign_owner(
+        self, shard: ShardId, owner: PoolNode, *, urgent: bool = False
+    ) -> None:
+        """Plan a new owner for a shard; :meth:`choose_successors` completes the chain.
+
+        Args:
+            shard: The shard.
+            owner: Its new owner.
+            urgent: Whether the shard has no holder until then.
+        """
+        self._replace_chain(shard, (owner.lease,))
+        self._changed.add(shard)
+        self._new_owners.append((not urgent, shard, owner))
+
+    def choose_successors(self) -> None:
+        """Complete the chains of all new owners, once their loads are known."""
+        self._new_owners.sort(key=lambda entry: entry[0])
+        for _, shard, owner in self._new_owners:
+            pool = self.find_pool(shard)
+            self.assign(shard, pool.build_chain(shard, self.loads[shard], owner, ()))
+        self._new_owners.clear()
+
+    def _replace_chain(self, shard: ShardId, chain: Sequence[LeaseId]) -> None:
         pool, load = self.find_pool(shard), self.loads[shard]
         pool.remove_shard(shard, load, self.chains[shard])
         pool.add_shard(shard, load, chain)
         self.chains[shard] = tuple(chain)
-        self.add_assignment(shard, chain)
 
     def add_assignment(
         self,
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -10,7 +10,11 @@
     restore_locality,
 )
 from papayatack.core.placement.relief import relieve_concentration
-from papayatack.core.placement.repair import release_retired, repair_chains
+from papayatack.core.placement.repair import (
+    release_retired,
+    repair_owners,
+    repair_successors,
+)
 from papayatack.core.placement.speed_normalisation import normalise_speeds
 from papayatack.core.placement.view import PlacementPlan, PlacementView
 
@@ -34,8 +38,10 @@
         limits: Bounds on one plan; a lower ``max_moves`` reduces churn.
     """
     builder = PlanBuilder(view=clamp_reports(normalise_speeds(view)), limits=limits)
-    repair_chains(builder)
+    repair_owners(builder)
     relieve_concentration(builder)
+    builder.choose_successors()
+    repair_successors(builder)
     split_hot_keys(builder)
     merge_cooled_keys(builder)
     _rebalance(builder)
--- a/src/papayatack/core/placement/relief.py
+++ b/src/papayatack/core/placement/relief.py
@@ -5,9 +5,9 @@
 """
 
 from papayatack.core.identity import IncarnationId, ShardId
+from papayatack.core.placement.concentration import ConcentrationBound
 from papayatack.core.placement.node_pool import NodePool, PoolNode
 from papayatack.core.placement.plan_builder import PlanBuilder
-from papayatack.core.shards import is_hot_shard
 
 __all__ = ["relieve_concentration"]
 
@@ -20,27 +20,17 @@
 
 
 class _Relief:
-    """Moves shards in their order, so that adjacent slices get the same new owner.
-
-    A node is relieved if it has too many shards and these have too much load. A node
-    with a few hot shards, or with many cold ones, is left to the moves for load.
-    """
+    """Moves shards in their order, so that adjacent slices get the same new owner."""
 
     def __init__(self, *, builder: PlanBuilder, pool: NodePool) -> None:
         self._builder = builder
         self._pool = pool
-        limits = builder.limits
-        self._mean = pool.load / pool.capacity
-        self._stop = self._mean * (1 + limits.stop_imbalance)
-        max_load = self._mean * limits.max_concentration
-        max_load += limits.relief_deviations * builder.estimate_deviation(pool)
-        counts = {name: _count_shards(node) for name, node in pool.nodes.items()}
-        max_count = limits.max_concentration * sum(counts.values()) / pool.capacity
+        self._bound = ConcentrationBound(builder=builder, pool=pool)
+        self._stop = self._bound.mean * (1 + builder.limits.stop_imbalance)
         self._sources: dict[IncarnationId, PoolNode] = {
             incarnation: node
             for incarnation, node in pool.nodes.items()
-            if node.utilisation > max_load
-            and counts[incarnation] > max_count * node.capacity
+            if self._bound.is_exceeded(node)
         }
         self._target: PoolNode | None = None
 
@@ -68,18 +58,17 @@
         if target is None or target is source:
             return
         after = (target.load + load) / target.capacity
-        if after <= self._mean or after < source.utilisation - load / source.capacity:
+        if after < source.utilisation - load / source.capacity:
             self._target = target
-            chain = self._pool.build_chain(shard, load, target, ())
-            self._builder.assign(shard, chain)
+            self._builder.assign_owner(shard, target)
 
     def _choose_target(self, load: float) -> PoolNode | None:
         """Return the target of the shard before while it has room, else another."""
         target = self._target
-        if target and (target.load + load) / target.capacity <= self._mean:
+        if target is not None and self._has_room(target, load):
             return target
-        return self._pool.find_least_loaded(None, load)
-
+        return self._bound.find_node(load)
 
-def _count_shards(node: PoolNode) -> int:
-    return sum(not is_hot_shard(shard) for shard in node.shards)
+    def _has_room(self, target: PoolNode, load: float) -> bool:
+        utilisation = (target.load + load) / target.capacity
+        return utilisation <= self._bound.mean and self._bound.has_room(target)
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -2,11 +2,12 @@
 
 import enum
 
-from papayatack.core.identity import LeaseId, ShardId
+from papayatack.core.identity import ShardId
+from papayatack.core.placement.concentration import ConcentrationBound
 from papayatack.core.placement.node_pool import NodePool, PoolNode
 from papayatack.core.placement.plan_builder import PlanBuilder
 
-__all__ = ["release_retired", "repair_chains"]
+__all__ = ["release_retired", "repair_owners", "repair_successors"]
 
 
 class _Urgency(enum.IntEnum):
@@ -17,24 +18,47 @@
     SUCCESSORS = 2
 
 
-def repair_chains(builder: PlanBuilder) -> None:
-    """Plan a new chain for each shard whose current chain is not valid."""
-    found = []
-    for number, shard in enumerate(builder.shards):
-        urgency = _find_urgency(builder, shard)
-        if urgency is not None:
-            found.append((urgency, number, shard))
-    repairs, successor_changes = 0, 0
-    for urgency, _, shard in sorted(found):
-        if urgency is _Urgency.SUCCESSORS:
-            successor_changes += 1
-            if successor_changes > builder.limits.max_successor_changes:
-                return
+def repair_owners(builder: PlanBuilder) -> None:
+    """Plan an owner for each shard that has lost its own, most urgent shards first."""
+    urgent = sorted(
+        (urgency, number, shard)
+        for urgency, number, shard in _list_defects(builder)
+        if urgency is not _Urgency.SUCCESSORS
+    )
+    repairs = urgent[: builder.limits.max_repairs]
+    bounds = {
+        name: ConcentrationBound(builder=builder, pool=pool)
+        for name, pool in builder.pools.items()
+        if pool.nodes
+    }
+    open_shards = []
+    for urgency, number, shard in repairs:
+        bound = bounds[builder.find_pool(shard).service.name]
+        holder = _find_holder(builder, shard, bound)
+        if holder is None:
+            open_shards.append((number, shard, urgency is _Urgency.NO_HOLDER))
         else:
-            repairs += 1
-            if repairs > builder.limits.max_repairs:
-                continue
-        _repair(builder, shard)
+            builder.assign_owner(shard, holder)
+    for _, shard, has_no_holder in sorted(open_shards):
+        pool = builder.find_pool(shard)
+        owner = _find_owner(builder, pool, shard, bounds[pool.service.name])
+        if owner is not None:
+            builder.assign_owner(shard, owner, urgent=has_no_holder)
+
+
+def repair_successors(builder: PlanBuilder) -> None:
+    """Plan a new chain for each shard that has lost successors only."""
+    found = [
+        shard
+        for urgency, _, shard in _list_defects(builder)
+        if urgency is _Urgency.SUCCESSORS
+    ]
+    for shard in found[: builder.limits.max_successor_changes]:
+        pool, load = builder.find_pool(shard), builder.loads[shard]
+        owner, *kept = pool.available_holders(builder.chains[shard])
+        chain = pool.build_chain(shard, load, owner, kept)
+        if chain != builder.chains[shard]:
+            builder.assign(shard, chain)
 
 
 def release_retired(builder: PlanBuilder) -> None:
@@ -57,6 +81,15 @@
             builder.add_assignment(shard, ())
 
 
+def _list_defects(builder: PlanBuilder) -> list[tuple[_Urgency, int, ShardId]]:
+    """Return the shards whose chain is not valid, with their numbers."""
+    return [
+        (urgency, number, shard)
+        for number, shard in enumerate(builder.shards)
+        if (urgency := _find_urgency(builder, shard)) is not None
+    ]
+
+
 def _find_urgency(builder: PlanBuilder, shard: ShardId) -> _Urgency | None:
     chain = builder.chains[shard]
     pool = builder.find_pool(shard)
@@ -70,33 +103,34 @@
     return None if builder.find_state(shard).moving else _Urgency.SUCCESSORS
 
 
-def _repair(builder: PlanBuilder, shard: ShardId) -> None:
-    chain = _rebuild_chain(builder, builder.find_pool(shard), shard)
-    if chain and chain != builder.chains[shard]:
-        builder.assign(shard, chain)
-
+def _find_holder(
+    builder: PlanBuilder, shard: ShardId, bound: ConcentrationBound
+) -> PoolNode | None:
+    """Return the first available holder of a shard's chain that has room for it.
 
-def _rebuild_chain(
-    builder: PlanBuilder, pool: NodePool, shard: ShardId
-) -> tuple[LeaseId, ...] | None:
-    """Keep the owner, else promote the first available successor, else choose one."""
-    kept = pool.available_holders(builder.chains[shard])
-    data_centre = pool.preferred_data_centre(shard)
-    owner = kept[0] if kept else _find_owner(builder, pool, shard, data_centre)
-    if owner is None:
-        return None
-    return pool.build_chain(shard, builder.loads[shard], owner, kept)
+    A successor takes over anyway, so that another node is chosen only if this one would
+    hold far more than its fair share. A new process at a holder's address has nothing
+    to take over yet.
+    """
+    chain, load = builder.chains[shard], builder.loads[shard]
+    live = {lease.incarnation for lease in chain}
+    for node in builder.find_pool(shard).available_holders(chain)[:1]:
+        if node.lease.incarnation in live:
+            return None if bound.is_exceeded(node, load, 1) else node
+        return node if bound.may_keep(node, load) else None
+    return None
 
 
 def _find_owner(
-    builder: PlanBuilder, pool: NodePool, shard: ShardId, data_centre: str | None
+    builder: PlanBuilder, pool: NodePool, shard: ShardId, bound: ConcentrationBound
 ) -> PoolNode | None:
     """Return a new owner, for a slice of keys preferably that of the adjacent slice."""
     load = builder.loads[shard]
+    data_centre = pool.preferred_data_centre(shard)
     if data_centre is None and shard in builder.preceding:
         neighbour = pool.find_adjacent_owner(
             builder.chains[builder.preceding[shard]], load
         )
-        if neighbour is not None:
+        if neighbour is not None and bound.has_room(neighbour):
             return neighbour
-    return pool.find_least_loaded(data_centre, load)
+    return bound.find_node(load, data_centre)
