Plan for those that are first back with a lease only when no more come

After a return of the log most owners have lost their leases and get new ones within a second. The planner waited only if most owners' processes had ended, and for a change in the number of members, among which lost processes count until they are superseded. It planned at once: two nodes with a lease got all shards.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+from collections import Counter
 from collections.abc import Callable
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
@@ -38,6 +39,8 @@
 
 DECLARE_LOST_RETRY_S = 60.0
 
+_NO_LEASE = LeaseId(IncarnationId(""), 0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlanningIntervals:
@@ -91,11 +94,12 @@
         self._owner_changes: dict[ShardId, tuple[IncarnationId | None, float]] = {}
         self._fenced_since_s: dict[IncarnationId, float] = {}
         self._unserved_since_s: float | None = None
-        self._last_node_count_change = (0, float("-inf"))
+        self._serving: frozenset[tuple[IncarnationId, bool]] = frozenset()
+        self._last_join_s = float("-inf")
         self._settling_since_s: float | None = None
         self._last_inputs = (-1, -1)
         self._ranked_planners: tuple[int, list[IncarnationId]] = (-1, [])
-        self._unserved_shards: tuple[tuple[int, int], bool] = ((-1, -1), False)
+        self._owners: tuple[int, Counter[LeaseId]] = (-1, Counter())
         self._last_plan_s = float("-inf")
 
     def receive_report(self, report: LoadReport, now: float) -> None:
@@ -119,7 +123,10 @@
         Args:
             now: Time of the event loop in seconds.
         """
-        if not self._core.caught_up or not self._should_plan(now):
+        if not self._core.caught_up:
+            return
+        settling = self._is_settling(now)
+        if not self._should_plan(now):
             return
         self._declare_lost(now)
         version = self._read_configuration().version
@@ -127,7 +134,7 @@
         unchanged = inputs == self._last_inputs
         if unchanged and now - self._last_plan_s < self._intervals.idle_interval_s:
             return
-        if self._is_settling(now):
+        if settling:
             return
         self._last_inputs = inputs
         self._last_plan_s = now
@@ -168,59 +175,63 @@
         return self._ranked_planners[1]
 
     def _has_unserved_shards(self) -> bool:
-        """Tell whether shards are unserved, determined again after each record."""
-        version = self._read_configuration().version
-        inputs = (self._core.state.next_offset, version)
-        if self._unserved_shards[0] != inputs:
-            self._unserved_shards = (inputs, self._find_unserved_shards())
-        return self._unserved_shards[1]
-
-    def _find_unserved_shards(self) -> bool:
         """Tell whether any shard, or every key, lacks an owner that can serve it."""
         if not self._core.state.shards:
             services = self._read_configuration().services
             return any(service.key_ranges for service in services)
-        return any(self._is_unserved(shard) for shard in self._core.state.shards)
+        return any(self._core.is_ended(owner) for owner in self._count_owned_shards())
+
+    def _has_mostly_unserved_shards(self) -> bool:
+        """Tell whether most shards lack an owner that can serve them, or none exist."""
+        shards = self._core.state.shards
+        owners = self._count_owned_shards()
+        unserved = sum(n for owner, n in owners.items() if self._core.is_ended(owner))
+        return not shards or unserved > len(shards) / 2
+
+    def _count_owned_shards(self) -> Counter[LeaseId]:
+        """Return the number of shards by owner, counted again after each record.
 
-    def _is_unserved(self, shard: ShardId) -> bool:
-        """Tell whether a shard has been assigned but its owner cannot serve it."""
+        A shard whose owner is in another service counts for no lease.
+        """
         state = self._core.state
-        leases = state.shards[shard].current.leases
-        if not leases:
-            return False
-        owner = state.members.get(leases[0].incarnation)
-        service = shard.partition("/")[0]
-        return owner is None or owner.ended is not None or owner.service != service
+        if self._owners[0] != state.next_offset:
+            owners: Counter[LeaseId] = Counter()
+            for shard, entry in state.shards.items():
+                if entry.current.leases:
+                    owner = entry.current.leases[0]
+                    member = state.members.get(owner.incarnation)
+                    service = member.service if member is not None else ""
+                    served = service == shard.partition("/")[0]
+                    owners[owner if served else _NO_LEASE] += 1
+            self._owners = (state.next_offset, owners)
+        return self._owners[1]
 
     def _is_settling(self, now: float) -> bool:
-        """Tell whether to wait for more nodes to join before planning.
+        """Tell whether to wait for more nodes to join or get a lease before planning.
 
-        This applies to a set of nodes that is new or was lost as a whole. Without the
-        wait, the first nodes would get all shards and those that join shortly after
-        them none.
+        This applies to a set of nodes that is new, or of which the owners of most
+        shards were lost or have lost their leases. Without the wait, the first nodes
+        would get all shards and those that are back shortly after them none.
         """
-        serving = sum(1 for m in self._core.state.list_live_members() if m.service)
-        if serving != self._last_node_count_change[0]:
-            self._last_node_count_change = (serving, now)
+        state = self._core.state
+        serving = frozenset(
+            (member.incarnation, state.find_live_lease(member.incarnation) is not None)
+            for member in state.list_live_members()
+            if member.service
+        )
+        if not serving <= self._serving:
+            self._last_join_s = now
+        self._serving = serving
         if not self._has_mostly_unserved_shards():
             self._settling_since_s = None
             return False
         if self._settling_since_s is None:
             self._settling_since_s = now
-        timed_out = (
-            now - self._settling_since_s
-            >= MAX_QUIET_PERIODS * self._intervals.quiet_period_s
-        )
-        return (
-            not timed_out
-            and now - self._last_node_count_change[1] < self._intervals.quiet_period_s
-        )
-
-    def _has_mostly_unserved_shards(self) -> bool:
-        """Tell whether most shards lack an owner that can serve them, or none exist."""
-        shards = self._core.state.shards
-        unserved = sum(self._is_unserved(shard) for shard in shards)
-        return not shards or unserved > len(shards) / 2
+        quiet_period_s = self._intervals.quiet_period_s
+        if now - self._settling_since_s >= MAX_QUIET_PERIODS * quiet_period_s:
+            return False
+        quiet_since_s = max(self._last_join_s, self._settling_since_s)
+        return now - quiet_since_s < quiet_period_s
 
     def _declare_lost(self, now: float) -> None:
         """Declare nodes lost whose lease is fenced and that acquire no new one.
