Take no keys from a node because one of its witnesses is late

A lease that lapsed at any one witness in the last 2.5 s made its holder count as leaving: the plan gave its shards to others, and new successors to all chains that named it. Such a node keeps what it has now and gets no more; it counts as gone once the end of its lease is proved or reported, which is when a successor may take over.

Chains of which only the successors or the owner's lease changed counted as moves on the way until they were confirmed, 128 a plan, so that none was left of the 48 moves. They count no longer, and do not keep a node from being relieved.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -11,7 +11,7 @@
 from papayatack.core.messages import LoadReport
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import find_planner, rank_planners
-from papayatack.core.ownership.state import Member
+from papayatack.core.ownership.state import Member, ShardEntry
 from papayatack.core.placement.view import (
     PlacementNode,
     PlacementPlan,
@@ -275,10 +275,12 @@
         for member in state.list_live_members():
             lease = self._choose_lease(member, now)
             if lease is not None:
-                unavailable = (
-                    member.incarnation in suspects or member.incarnation in leaving
+                node = dataclasses.replace(
+                    self._describe_node(member, lease, now),
+                    leaving=member.incarnation in leaving or self._has_ended(member),
+                    doubtful=member.incarnation in suspects,
                 )
-                nodes.append(self._describe_node(member, lease, unavailable, now))
+                nodes.append(node)
         return PlacementView(
             configuration=self._read_configuration(),
             nodes=tuple(nodes),
@@ -287,6 +289,7 @@
                     epoch=entry.current.epoch,
                     chain=entry.current.leases,
                     moving=not entry.active and bool(entry.current.leases),
+                    owner_kept=_keeps_owner(entry),
                     age_s=self._measure_age(shard, entry.current.leases, now),
                 )
                 for shard, entry in state.shards.items()
@@ -312,8 +315,13 @@
             return older
         return newest
 
+    def _has_ended(self, member: Member) -> bool:
+        """Tell whether the end of a member's newest lease is proved or reported."""
+        newest = self._core.state.find_live_lease(member.incarnation)
+        return newest is None or self._core.is_ended(newest)
+
     def _describe_node(
-        self, member: Member, lease: LeaseId, leaving: bool, now: float
+        self, member: Member, lease: LeaseId, now: float
     ) -> PlacementNode:
         _, report = self._reports.get(member.incarnation, (now, None))
         first = LeaseId(member.incarnation, 1)
@@ -324,7 +332,6 @@
             region=member.region,
             service=member.service,
             slots=member.slots,
-            leaving=leaving,
             age_s=now - since_s,
             max_busy=_find_max_busy(report),
         )
@@ -365,6 +372,15 @@
         }
 
 
+def _keeps_owner(entry: ShardEntry) -> bool:
+    """Return whether the newest chain has the owner of all chains before it."""
+    owners = {
+        chain.leases[0].incarnation if chain.leases else None
+        for chain in entry.list_chains()
+    }
+    return bool(entry.previous) and len(owners) == 1
+
+
 def _find_max_busy(report: LoadReport | None) -> float:
     """Return how many slots the limit that an upstream names keeps busy."""
     if report is None or report.requests_per_s <= 0 or report.service_s <= 0:
--- a/src/papayatack/core/placement/concentration.py
+++ b/src/papayatack/core/placement/concentration.py
@@ -34,14 +34,17 @@
             load: Load that is added to it.
             count: Number of shards that are added to it.
         """
-        too_many = not self.has_room(node, count)
+        too_many = not self._is_within(node, count)
         return too_many and (node.load + load) / node.capacity > self._max_load
 
-    def has_room(self, node: PoolNode, count: int = 1) -> bool:
-        """Return whether a node may get more shards, whatever their load is.
+    def has_room(self, node: PoolNode) -> bool:
+        """Return whether a node may get one more shard, whatever its load is.
 
         Loads that were measured while shards had no owner do not show what they need.
         """
+        return not node.doubtful and self._is_within(node, 1)
+
+    def _is_within(self, node: PoolNode, count: int) -> bool:
         most = self._max_concentration * self._fair_count * node.capacity
         return node.count + count <= max(1.0, most)
 
@@ -55,8 +58,6 @@
         pool = self._pool
         nodes = pool.by_data_centre[data_centre] if data_centre else pool.nodes.values()
         roomy = [node for node in nodes if self.has_room(node)]
-        return min(
-            roomy or nodes,
-            key=lambda node: (node.load + load) / node.capacity,
-            default=None,
-        )
+        if not roomy:
+            return pool.find_least_loaded(data_centre, load)
+        return min(roomy, key=lambda node: (node.load + load) / node.capacity)
--- a/src/papayatack/core/placement/node_pool.py
+++ b/src/papayatack/core/placement/node_pool.py
@@ -46,6 +46,7 @@
         load: Slots that the node's shards use.
         shards: Shards that the node owns, with their load in slots.
         count: Number of these shards that are not those of hot keys.
+        doubtful: Whether the node is to be assigned no more shards than it has.
     """
 
     lease: LeaseId
@@ -55,6 +56,7 @@
     load: float = 0.0
     shards: dict[ShardId, float] = dataclasses.field(default_factory=dict)
     count: int = 0
+    doubtful: bool = False
 
     @property
     def utilisation(self) -> float:
@@ -123,6 +125,7 @@
             region=node.region,
             capacity=full_capacity
             * _warm_up_factor(node.age_s, self.service.warm_up_s),
+            doubtful=node.doubtful,
         )
         self.nodes[node.lease.incarnation] = pool_node
         self._full_capacities[node.lease.incarnation] = full_capacity
@@ -237,7 +240,7 @@
         Adjacent slices of one owner are granted together.
         """
         owner = self.nodes.get(preceding[0].incarnation) if preceding else None
-        if owner is None:
+        if owner is None or owner.doubtful:
             return None
         fair_share = self.demand / self.capacity
         return owner if (owner.load + load) / owner.capacity <= fair_share else None
@@ -245,11 +248,14 @@
     def find_least_loaded(
         self, data_centre: str | None, load: float = 0.0
     ) -> PoolNode | None:
-        """Return the node with the lowest utilisation after ``load`` is added to it."""
+        """Return the node with the lowest utilisation after ``load`` is added to it.
+
+        A doubtful node is chosen only if there is no other.
+        """
         nodes = self.by_data_centre[data_centre] if data_centre else self.nodes.values()
         return min(
             nodes,
-            key=lambda node: (node.load + load) / node.capacity,
+            key=lambda node: (node.doubtful, (node.load + load) / node.capacity),
             default=None,
         )
 
@@ -301,12 +307,13 @@
         return min(
             sample,
             key=lambda node: (
+                node.doubtful,
                 (
                     self._backup_loads.get((lost, node.lease.incarnation), 0.0)
                     + node.load
                     + load
                 )
-                / node.capacity
+                / node.capacity,
             ),
             default=None,
         )
--- a/src/papayatack/core/placement/plan_builder.py
+++ b/src/papayatack/core/placement/plan_builder.py
@@ -118,8 +118,9 @@
     def is_relievable(self, shard: ShardId) -> bool:
         """Return whether a shard may be moved to relieve a node at once."""
         state = self.find_state(shard)
-        moving = state.moving or shard in self._changed
-        return not moving and state.age_s >= self.limits.relief_cooldown_s
+        moving = state.moving and not state.owner_kept
+        busy = moving or shard in self._changed
+        return not busy and state.age_s >= self.limits.relief_cooldown_s
 
     def is_changed(self, shard: ShardId) -> bool:
         """Return whether the plan already changes a shard."""
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -67,7 +67,9 @@
     states = builder.view.shards.values()
     moved = sum(state.age_s < HOUR_S for state in states)
     if moved < limits.max_hourly_move_share * len(builder.shards):
-        return limits.max_moves - sum(state.moving for state in states)
+        return limits.max_moves - sum(
+            state.moving and not state.owner_kept for state in states
+        )
     recent = sum(
         state.moving or state.age_s < limits.move_cooldown_s for state in states
     )
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -22,8 +22,10 @@
         region: Region of that data centre.
         service: Service of the node's upstream.
         slots: Requests that the upstream runs concurrently.
-        leaving: Whether the node drains or is suspected of being lost; it is assigned
+        leaving: Whether the node drains or its lease has ended; it is assigned
             no shards.
+        doubtful: Whether its lease has lapsed at a witness, but is not proved to have
+            ended; it keeps its shards and is assigned no more.
         age_s: Time since the node was admitted, in seconds.
         speed: Speed of the upstream, relative to the mean of its service.
         max_busy: Slots that its own limit on requests per second keeps busy.
@@ -35,6 +37,7 @@
     service: str
     slots: int
     leaving: bool = False
+    doubtful: bool = False
     age_s: float = 0.0
     speed: float = 1.0
     max_busy: float = math.inf
@@ -49,12 +52,15 @@
         chain: Leases of the holders, owner first; empty if the shard is to have no
             owner.
         moving: Whether the last assignment has not been activated yet.
+        owner_kept: Whether all assignments that have not been activated yet kept the
+            owner and changed only its lease or the successors.
         age_s: Time since the last change of owner that this node knows of, in seconds.
     """
 
     epoch: int
     chain: tuple[LeaseId, ...]
     moving: bool = False
+    owner_kept: bool = False
     age_s: float = math.inf
 
 
