Tell when few nodes hold most keys, or shards have no owner

No line, gauge or table told that two nodes held 0.70 of all keys; it had to be counted from the lines of all nodes.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -42,6 +42,7 @@
 from papayatack.control.planning import Planner, PlanningIntervals
 from papayatack.control.quarantine import QuarantineControl
 from papayatack.control.replication import RecordReplicator
+from papayatack.control.shares import ShareWatch
 from papayatack.control.suspension import SuspensionDetector
 from papayatack.control.writing import RecordWriter
 from papayatack.core.identity import IncarnationId
@@ -178,6 +179,7 @@
             append=self._writer.put,
             intervals=self._intervals,
         )
+        self.share_watch = ShareWatch(core=self.core, metrics=metrics)
         self._follower = LogFollower(
             core=self.core,
             log=log,
@@ -288,6 +290,7 @@
             tasks.create_task(self._replicator.run())
             tasks.create_task(self._writer.run())
             tasks.create_task(self._planner.run())
+            tasks.create_task(self.share_watch.run())
             tasks.create_task(self._report_loads())
             tasks.create_task(self._read_inbox())
             tasks.create_task(self._advance())
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -10,6 +10,7 @@
     ConfigAnswer,
     ExplainAnswer,
     QuarantineAnswer,
+    ShareEntry,
     StatusAnswer,
 )
 
@@ -100,6 +101,7 @@
         ("state", answer.state),
         ("lease", lease_text),
         ("shards owned", answer.shards_owned),
+        *(_describe_share(entry) for entry in answer.shares),
         ("in flight, queued", f"{answer.in_flight}, {answer.queue}"),
         ("configuration", _describe_configuration(answer)),
         (
@@ -116,6 +118,15 @@
     return f"{_format_table((), own)}\n\n{_format_table(headers, nodes)}"
 
 
+def _describe_share(entry: ShareEntry) -> tuple[str, str]:
+    """Return a row that tells which node has the largest share of the shards."""
+    largest = f"{entry.share:.2f} on {entry.node}, of the slots {entry.slot_share:.2f}"
+    return (
+        f"shards of {entry.service}",
+        f"{entry.shards}, {entry.unowned} without owner; largest share {largest}",
+    )
+
+
 def _describe_configuration(answer: StatusAnswer) -> str:
     """Return the version in force, and when no newer one was known for certain."""
     text = f"version {answer.config_version}"
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -18,6 +18,7 @@
     LeaseState,
     NodeEntry,
     QuarantineAnswer,
+    ShareEntry,
     StatusAnswer,
     SuspectEntry,
 )
@@ -63,6 +64,17 @@
         log_reachable=control.log_reachable,
         lease=_describe_lease(holder, now),
         shards_owned=len(core.context.owned_shards.owned),
+        shares=[
+            ShareEntry(
+                service=found.service,
+                shards=found.shards,
+                unowned=found.unowned,
+                node=found.node,
+                share=found.share,
+                slot_share=found.slot_share,
+            )
+            for found in control.share_watch.shares
+        ],
         nodes=[_describe_member(control, member) for member in state.members.values()],
         in_flight=in_flight,
         queue=queue,
--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -71,6 +71,7 @@
     UPSTREAM_RECOVERED = 502
     UPSTREAM_LIMITED = 503
     UPSTREAM_LIMIT_MALFORMED = 504
+    KEYS_CONCENTRATED = 601
 
 
 def log_event(
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -15,6 +15,7 @@
     "NodeEntry",
     "PublishAnswer",
     "QuarantineAnswer",
+    "ShareEntry",
     "StatusAnswer",
     "SuspectEntry",
     "VersionAnswer",
@@ -46,6 +47,17 @@
     state: str = ""
 
 
+class ShareEntry(_Answer):
+    """How the shards of a service are shared out, as far as the node knows."""
+
+    service: str
+    shards: int = 0
+    unowned: int = 0
+    node: str = ""
+    share: float = 0.0
+    slot_share: float = 0.0
+
+
 class StatusAnswer(_Answer):
     """The status of one node."""
 
@@ -63,6 +75,7 @@
     log_reachable: bool = False
     lease: LeaseState | None = None
     shards_owned: int = 0
+    shares: list[ShareEntry] = []
     nodes: list[NodeEntry] = []
     in_flight: int = 0
     queue: int = 0
