--- a/src/papayatack/core/placement/concentration.py
+++ b/src/papayatack/core/placement/concentration.py
@@ -17,25 +17,26 @@
         limits = builder.limits
         self._pool = pool
         self._max_concentration = limits.max_concentration
+        self._max_extra_shards = limits.max_extra_shards
         self.mean = pool.demand / pool.capacity
         self._max_load = self.mean * limits.max_concentration
         self._max_load += limits.relief_deviations * builder.estimate_deviation(pool)
         self._max_kept_load = self.mean * (1 + limits.start_imbalance)
         self._fair_count = pool.count / pool.capacity
 
-    def is_exceeded(self, node: PoolNode, load: float = 0.0, count: int = 0) -> bool:
-        """Return whether a node would have too many shards and too much load.
+    def is_exceeded(self, node: PoolNode) -> bool:
+        """Return whether a node has too many shards and too much load.
 
         A node with a few hot shards, or with many cold ones, is left to the moves for
         load.
-
-        Args:
-            node: A node of the pool.
-            load: Load that is added to it.
-            count: Number of shards that are added to it.
         """
-        too_many = not self._is_within(node, count)
-        return too_many and (node.load + load) / node.capacity > self._max_load
+        too_many = not self._is_within(node, -self._max_extra_shards)
+        return too_many and node.utilisation > self._max_load
+
+    def may_inherit(self, node: PoolNode, load: float) -> bool:
+        """Return whether a live successor may keep a shard that it has taken over."""
+        heavy = (node.load + load) / node.capacity > self._max_load
+        return not heavy or self._is_within(node, 1)
 
     def has_room(self, node: PoolNode) -> bool:
         """Return whether a node may get one more shard, whatever its load is.
--- a/src/papayatack/core/placement/inheritance.py
+++ b/src/papayatack/core/placement/inheritance.py
@@ -11,10 +11,6 @@
 
 __all__ = ["spread_successors"]
 
-MAX_UNEVEN_SHARDS = 4
-"""Number of shards that a node may inherit beyond the bound, so that owners of few
-shards do not change successors."""
-
 
 def spread_successors(builder: PlanBuilder) -> None:
     """Plan new successors for shards of which one node would inherit too many.
@@ -38,13 +34,14 @@
     """Return shards beyond what their first successors should inherit at most."""
     inherited: Counter[tuple[IncarnationId, IncarnationId]] = Counter()
     loads: dict[tuple[IncarnationId, IncarnationId], float] = defaultdict(float)
+    limits = builder.limits
     found = []
     for owner in pool.nodes.values():
         heirs = pool.list_heirs(owner)
         capacity = sum(node.capacity for node in heirs)
         if not capacity:
             continue
-        bound = builder.limits.max_concentration / capacity
+        bound = limits.max_concentration / capacity
         for shard, load in owner.shards.items():
             chain = builder.chains[shard]
             heir = pool.nodes.get(chain[1].incarnation) if len(chain) > 1 else None
@@ -55,7 +52,7 @@
             loads[pair] += load
             share = bound * heir.capacity
             if (
-                inherited[pair] > share * owner.count + MAX_UNEVEN_SHARDS
+                inherited[pair] > share * owner.count + limits.max_extra_shards
                 and loads[pair] > share * owner.load
             ):
                 found.append((shard, owner))
--- a/src/papayatack/core/placement/limits.py
+++ b/src/papayatack/core/placement/limits.py
@@ -33,6 +33,8 @@
             share of a node's mean load.
         max_concentration: Multiple of its fair share, of the shards and of the load,
             above which a node is relieved at once, regardless of the limits on moves.
+        max_extra_shards: Number of shards beyond this bound that a node may have, since
+            few shards cannot be shared out evenly.
         relief_deviations: Standard deviations of the measured utilisation that are
             added to the bound on the load.
         relief_cooldown_s: Time after a move in which a shard is not moved again to
@@ -57,6 +59,7 @@
     hot_threshold: float = 0.10
     cool_threshold: float = 0.03
     max_concentration: float = 1.6
+    max_extra_shards: int = 4
     relief_deviations: float = 3.0
     relief_cooldown_s: float = 2.0
     move_cooldown_s: float = 60.0
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -116,7 +116,7 @@
     live = {lease.incarnation for lease in chain}
     for node in builder.find_pool(shard).available_holders(chain)[:1]:
         if node.lease.incarnation in live:
-            return None if bound.is_exceeded(node, load, 1) else node
+            return node if bound.may_inherit(node, load) else None
         return node if bound.may_keep(node, load) else None
     return None
 
