Test requests that arrive during a stop, each 10 ms until its end

A node with keys and one without are stopped in turn, in calm. Routes with work of 0.1 to 4 s (with keys to 2 s, as longer work outlasts a grant), repeatable or not, deadlines of 1 to 9.7 s, on open and new connections and through other nodes; slow bodies, a response of 1 MB read slowly, and a second SIGTERM. No request may be cut, answered by the node while its upstream works on it, or refused late or falsely.

--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import math
+import urllib.parse
 
 from papayatack.network.bodies import BytesBody
 from papayatack.network.callers import CallerServer
@@ -32,6 +33,7 @@
 
     Attributes:
         runs: Ids of the requests that it ran, in order.
+        slots: How many requests it says that it runs at once.
         grants: What it holds, by first and last key.
         calls: Target and document of every grant and release.
         refuse_grants: Whether grants are answered with 409.
@@ -44,8 +46,10 @@
             how long work takes there in per cent of the usual.
         hangs: Whether requests are run and never answered.
         signals: Header fields that all its responses to requests have.
-        work_s: How long a request runs. One that lasts longer than the grants that
-            stood when it began ends with 500, though they were renewed meanwhile.
+        work_s: How long a request runs, unless its query has ``work`` in seconds. One
+            that lasts longer than the grants that stood when it began ends with 500,
+            though they were renewed meanwhile. The query's ``size`` is the length of
+            the response, in bytes.
         crash_target: A request whose target contains this ends the upstream; empty for
             none. It is back after ``down_s``, with another id and without grants.
         crash_after_s: How long such a request runs before.
@@ -58,6 +62,7 @@
         self.instance = instance
         self.service = service
         self.runs: list[str] = []
+        self.slots = 8
         self.grants: dict[tuple[int, int], Grant] = {}
         self.calls: list[tuple[bytes, dict]] = []
         self.callers: set[bytes] = set()
@@ -133,7 +138,7 @@
                 "Service": self.service,
                 "Version": "v1",
                 "Zone": self._place,
-                "CapacitySlots": 8,
+                "CapacitySlots": self.slots,
             },
             "Status": {"State": state, "Seq": self._sequence, "ColdRemaining": "0ms"},
         }
@@ -234,8 +239,9 @@
         if self.hangs:
             await asyncio.get_running_loop().create_future()
         left_s = until_s - asyncio.get_running_loop().time()
-        if self.work_s <= left_s:
-            await asyncio.sleep(self.work_s)
+        work_s = float(_read_query(request, "work", self.work_s))
+        if work_s <= left_s:
+            await asyncio.sleep(work_s)
             return response
         await asyncio.sleep(left_s)
         return _reply(500, fields=response.headers[:-1])
@@ -257,7 +263,15 @@
             (b"papayatack-request-id", request_id),
             (b"papayatack-response-signature", b"signed-" + request_id),
         )
-        return _reply(200, data=self.instance.encode(), fields=fields)
+        data = self.instance.encode()
+        size = int(_read_query(request, "size", len(data)))
+        return _reply(200, data=data.ljust(size, b"."), fields=fields)
+
+
+def _read_query(request: Request, name: str, default: float) -> str | float:
+    """Return a value of a request's query, or the default."""
+    query = urllib.parse.urlsplit(request.target.decode()).query
+    return urllib.parse.parse_qs(query).get(name, [default])[0]
 
 
 def _reply(
