Refuse a request whose body was not complete when its time was over

Cause: asked the clock once more after the wait for the body was over. The clock of the program counts in whole milliseconds and could still be short of the limit; the request then went to another node without the part of the body that had been read, and ended as 502 (h11: too little data) or 504, without having run.

Change: the end of the wait is the refusal. The test freezes the node's clock; it failed before (504).

--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -13,7 +13,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 
@@ -40,7 +39,7 @@
 from papayatack.proxy.idempotent import IdempotentServer
 from papayatack.proxy.interface import Gate, Ownership, Quarantine, RetryPolicy
 from papayatack.proxy.local import LocalServer, find_work_kind
-from papayatack.proxy.shutdown_guard import ShutdownGuard
+from papayatack.proxy.shutdown_guard import LATE_REFUSAL, ShutdownGuard
 
 __all__ = ["RequestEngine"]
 
@@ -259,11 +258,13 @@
         if obstacle is not None:
             return obstacle
         request = peer_request.request
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout_at(guard.limit_dispatch(deadline_s, work_s)):
                 request.body = await buffer_body(
                     request.body, limit_bytes=MAX_REPLAY_BYTES
                 )
+        except TimeoutError:
+            return LATE_REFUSAL
         now = self._now()
         peer_request.remaining_s = deadline_s - now
         if peer_request.target_s is not None:
--- a/src/papayatack/proxy/shutdown_guard.py
+++ b/src/papayatack/proxy/shutdown_guard.py
@@ -10,13 +10,15 @@
 from papayatack.core.shutdown import ShutdownPlan
 from papayatack.network.exchanges import Response
 
-__all__ = ["ShutdownGuard"]
+__all__ = ["LATE_REFUSAL", "ShutdownGuard"]
 
 _REFUSED = Refusal(kind=ErrorKind.NODE_DRAINING, detail="the node is shutting down")
-_TOO_LONG = Refusal(
+LATE_REFUSAL = Refusal(
     kind=ErrorKind.NODE_DRAINING,
     detail="the node shuts down before the request could end",
 )
+"""Refusal of a request that cannot end before the end of the drain time."""
+
 _CANCELLED = Refusal(
     kind=ErrorKind.UPSTREAM_TIMEOUT,
     detail="the node shut down before the response arrived",
@@ -102,4 +104,4 @@
         """
         if self.plan is None or now < self.plan.limit_dispatch(deadline_s, work_s):
             return None
-        return _TOO_LONG
+        return LATE_REFUSAL
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -475,6 +475,17 @@
         self.assertIn(b"HTTP/1.1 503", response)
         self.assertEqual(list(self.upstream.runs.values()), [1])
 
+    async def test_request_without_its_whole_body_is_not_run(self):
+        """The clock may still be short of the limit when the time is over."""
+        now = asyncio.get_running_loop().time()
+        plan = plan_shutdown(now, notice_s=0.5, drain_s=1.0)
+        self.entry.engine.begin_shutdown(plan)
+        data = build_request("POST", self.target, body=b"abc")[:-1]
+        with mock.patch.object(self.entry.engine, "_now", return_value=now):
+            response = await fetch(self.entry.callers.port, data)
+        self.assertIn(b"HTTP/1.1 503", response)
+        self.assertEqual(list(self.upstream.runs.values()), [1])
+
     async def test_request_whose_body_comes_in_parts_is_served(self):
         """Its body is read whole before it is sent."""
         self.begin_shutdown(notice_s=1.0, drain_s=2.0)
