--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -19,6 +19,7 @@
 from papayatack.core.inventory import Configuration, KeyRange, Place, Service
 from papayatack.core.ownership import OwnershipState, apply_record
 from papayatack.core.ownership.selection import TailPolicy
+from papayatack.core.ownership.timing import LEASE_DURATION_S
 from papayatack.core.placement import PlacementPlan, plan_placement
 from papayatack.core.records import OWNERSHIP_STREAM, Announce
 from papayatack.core.shards import is_hot_shard
@@ -68,10 +69,12 @@
     """A config stream that never changes."""
 
     is_gapless = False
-    configuration = CONFIGURATION
     version = 1
     next_offset = 0
 
+    def __init__(self, configuration):
+        self.configuration = configuration
+
     def apply(self, offset, record):
         """Ignore a record."""
 
@@ -113,9 +116,10 @@
         is_log_cut: It does not reach the log.
     """
 
-    def __init__(self, *, name, data_centre):
+    def __init__(self, *, name, data_centre, service=SERVICE):
         self.name = name
         self.data_centre = data_centre
+        self.service = service
         self.control = None
         self.sink = None
         self.life = None
@@ -131,6 +135,12 @@
 class PlatformFleet:
     """Machines, a log and links between them.
 
+    Args:
+        seed: Seed of the random latencies and requests.
+        configuration: Inventory of the nodes.
+        placement: Limits of the planner.
+        lease_s: Duration of a lease in seconds.
+
     Attributes:
         cut: Pairs of machines, from and to, whose messages are lost.
         plans: Whether the nodes' planner changes anything.
@@ -138,8 +148,18 @@
         delay_s: Longest further time that a message takes.
     """
 
-    def __init__(self, *, seed):
+    def __init__(
+        self,
+        *,
+        seed,
+        configuration=CONFIGURATION,
+        placement=QUICK_PLACEMENT,
+        lease_s=LEASE_DURATION_S,
+    ):
         self.random = random.Random(seed)
+        self.configuration = configuration
+        self.placement = placement
+        self.lease_s = lease_s
         self.checker = OwnershipChecker()
         self.store = LogStore()
         self.store.faults.delay_s = LOG_DELAY_S
@@ -155,9 +175,9 @@
         self.plans = True
         self.records = 0
 
-    def add(self, name, data_centre):
+    def add(self, name, data_centre, service=SERVICE):
         """Add a machine and start both of its processes."""
-        self.slots[name] = Slot(name=name, data_centre=data_centre)
+        self.slots[name] = Slot(name=name, data_centre=data_centre, service=service)
         self.start_upstream(name)
         self.start(name)
 
@@ -175,6 +195,7 @@
     async def _run(self, slot):
         """Run one node until cancelled; one that the log ended starts again."""
         incarnation = IncarnationId(f"{slot.name}#{slot.starts}")
+        await self.wait_loadable(slot)
         state = OwnershipState()
         for offset, payload in enumerate(self.list_payloads()):
             record = decode_record(OWNERSHIP_STREAM, payload).value_or(None)
@@ -188,7 +209,7 @@
             operator_address=slot.name,
             data_centre=slot.data_centre,
             region="r",
-            service=SERVICE if life is not None else "",
+            service=slot.service if life is not None else "",
             upstream=life.name if life is not None else "",
             slots=8,
             connections=100,
@@ -205,9 +226,10 @@
             metrics=Metrics(),
             random=random.Random(self.random.random()),
             state=state,
-            config=_Config(),
+            config=_Config(self.configuration),
             planning_intervals=PLANNING_INTERVALS,
             tailing=TailPolicy(small_fleet_size=2, tailers_per_data_centre=1),
+            lease_s=self.lease_s,
         )
         slot.desk = asyncio.Queue()
         keeper = UpstreamKeeper(
@@ -230,7 +252,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(control.run())
             tasks.create_task(keeper.run())
-            tasks.create_task(self._send_requests(slot, control, tasks))
+            tasks.create_task(self.send_requests(slot, control, tasks))
             resigned = await control.wait_finished()
             slot.control = None
             loop = asyncio.get_running_loop()
@@ -238,14 +260,17 @@
                 loop.call_later(0.1, self.start, slot.name)
             raise asyncio.CancelledError
 
+    async def wait_loadable(self, slot):
+        """Wait until a node that starts may load the records of the log: at once."""
+
     def _plan(self, view):
         if not self.plans:
             return PlacementPlan(assignments=())
-        return plan_placement(view, limits=QUICK_PLACEMENT)
+        return plan_placement(view, limits=self.placement)
 
     def _announce(self, slot, *, leaving=False):
         return AnnouncedUpstream(
-            service=SERVICE,
+            service=slot.service,
             address=slot.life.name,
             slots=8,
             connections=100,
@@ -365,7 +390,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _send_requests(self, slot, control, tasks):
+    async def send_requests(self, slot, control, tasks):
         """Send requests for keys that this node serves."""
         while True:
             await asyncio.sleep(REQUEST_EVERY_S * (0.5 + self.random.random()))
