Keep the end of a node that shuts down while the log is away

Cause: a node that is stopped while the log is away tries for 2 s to append its Retire, behind other queued records, and asks two random planners once, who drop it after 1.6 s. The log never learns that it is gone: it stays a member with a live lease, first in the order of planners.

Change: the node asks 4 members to keep its Retire as soon as an append has failed, or 0.4 s after it was due without effect, and up to 8 further ones while it still runs. Who was asked keeps it (at most 256, for an hour), tries whenever nothing else is queued, and drops it once the member has ended; the keepers go one after the other. Nodes that may have left are asked last. A variant of the outage plays, nodes stopped for good and all others killed 4 s after the log is back, has a goal that the log records the ends.

--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -1,16 +1,21 @@
 """The task that appends ownership records to the log."""
 
 import asyncio
+import collections
+import contextlib
+import dataclasses
+import math
 import random
 from collections.abc import Callable
 
 from returns.pipeline import is_successful
 
+from papayatack.control.retirements import KEEPERS, RetirementKeeper, list_keepers
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import ControlMessage, RelayRecord
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import rank_planners
-from papayatack.core.records import OWNERSHIP_STREAM, OwnershipRecord
+from papayatack.core.records import OWNERSHIP_STREAM, OwnershipRecord, Retire
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.observability.metrics import Metrics
@@ -22,16 +27,27 @@
 APPEND_DEADLINE_S = 1.6
 """Time limit of an append, including retries."""
 
+PROBE_DEADLINE_S = 1.2
+"""Time limit of an append of a record that is kept for another node."""
+
 MAX_RELAYS = 2
 """Number of nodes that are asked to append a record that this node could not."""
 
+HANDOVER_INTERVAL_S = 0.4
+"""Time for which a node's own Retire record may be without effect, after which further
+nodes are asked to keep it."""
+
+HANDOVER_ROUNDS = 3
+"""Number of times that nodes are asked to keep it."""
+
 
 class RecordWriter:
     """Appends records one after the other.
 
     A log that this node cannot append to may still serve other nodes: they are asked to
     append the record. A record that is appended twice is rejected the second
-    time.
+    time. The Retire record of a node that shuts down is handed to several nodes while
+    its own append still goes on; they keep it until it has taken effect.
 
     Args:
         core: The ownership core of the node.
@@ -58,7 +74,11 @@
         self._send = send
         self._metrics = metrics
         self._random = random
-        self._queue: asyncio.Queue[OwnershipRecord] = asyncio.Queue(MAX_QUEUED_RECORDS)
+        self._queue: collections.deque[OwnershipRecord] = collections.deque()
+        self._wakes = asyncio.Event()
+        self._retirements = RetirementKeeper(core=core)
+        self._are_appends_failing = False
+        self._handover = _Handover()
 
     def put(self, record: OwnershipRecord) -> None:
         """Queue a record without blocking.
@@ -66,10 +86,14 @@
         If the queue is full, the record is dropped; the core creates it again when it
         is next due.
         """
-        try:
-            self._queue.put_nowait(record)
-        except asyncio.QueueFull:
+        if len(self._queue) >= MAX_QUEUED_RECORDS:
             self._metrics.count("ownership_appends_dropped", type(record).__name__)
+            return
+        self._queue.append(record)
+        self._wakes.set()
+        if isinstance(record, Retire):
+            self._handover.record = record
+            self._handover.wakes.set()
 
     def receive(self, message: RelayRecord, sender: IncarnationId) -> None:
         """Queue a record that its writer, the sender, could not append itself.
@@ -77,21 +101,91 @@
         Malformed records and those of another writer are ignored.
         """
         record = self._decoder.decode(OWNERSHIP_STREAM, 0, message.payload).record
-        if record is not None and record.writer == sender:
+        if record is None or record.writer != sender:
+            return
+        if isinstance(record, Retire):
+            self._retirements.keep(record, self._read_clock())
+            self._wakes.set()
+        else:
             self.put(record)
 
     async def run(self) -> None:
         """Append queued records until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._append_queued())
+            tasks.create_task(self._hand_over_retire())
+
+    def _read_clock(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _append_queued(self) -> None:
         while True:
-            record = await self._queue.get()
-            self._metrics.count("records_written", type(record).__name__)
-            deadline_s = asyncio.get_running_loop().time() + APPEND_DEADLINE_S
-            result = await self._appender.append(record, deadline_s=deadline_s)
-            if not is_successful(result) and record.writer == self._core.incarnation:
-                self._relay(record)
+            now = self._read_clock()
+            kept = None
+            if not self._queue or not self._are_appends_failing:
+                kept = self._retirements.take_due(now)
+            if kept is not None:
+                await self._append(kept, now + PROBE_DEADLINE_S)
+            elif self._queue:
+                await self._append(self._queue.popleft(), now + APPEND_DEADLINE_S)
+            else:
+                await self._wait_for_records(now)
+
+    async def _wait_for_records(self, now: float) -> None:
+        """Wait until a record is queued or kept, or one that is kept is due."""
+        self._wakes.clear()
+        due_s = self._retirements.find_due_s(now)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(None if math.isinf(due_s) else due_s - now):
+                await self._wakes.wait()
+
+    async def _append(self, record: OwnershipRecord, deadline_s: float) -> None:
+        self._metrics.count("records_written", type(record).__name__)
+        result = await self._appender.append(record, deadline_s=deadline_s)
+        now = self._read_clock()
+        if is_successful(result):
+            if self._are_appends_failing:
+                self._retirements.note_recovered(record, now)
+            self._are_appends_failing = False
+            return
+        self._are_appends_failing = True
+        self._retirements.note_failed(now)
+        if record.writer == self._core.incarnation:
+            self._relay(record)
+
+    async def _hand_over_retire(self) -> None:
+        """Have other nodes keep the own Retire record unless it takes effect soon."""
+        handover = self._handover
+        await handover.wakes.wait()
+        if not self._are_appends_failing:
+            await asyncio.sleep(HANDOVER_INTERVAL_S)
+        while handover.rounds < HANDOVER_ROUNDS and not self._has_retired():
+            self._ask_keepers()
+            await asyncio.sleep(HANDOVER_INTERVAL_S)
+
+    def _has_retired(self) -> bool:
+        member = self._core.state.members.get(self._core.incarnation)
+        return member is None or member.ended is not None
+
+    def _ask_keepers(self) -> None:
+        """Ask the next nodes to keep the own Retire record."""
+        handover, local = self._handover, self._core.incarnation
+        if handover.record is None:
+            return
+        first = handover.rounds * KEEPERS
+        handover.rounds += 1
+        keepers = list_keepers(self._core, local, self._read_clock())
+        message = RelayRecord(payload=encode_record(handover.record))
+        for recipient in keepers[first : first + KEEPERS]:
+            self._send(recipient, message)
+        self._metrics.count("records_relayed", type(handover.record).__name__)
 
     def _relay(self, record: OwnershipRecord) -> None:
         """Ask other nodes to append a record that this node could not."""
+        if isinstance(record, Retire):
+            if not self._handover.rounds:
+                self._ask_keepers()
+            return
         self._metrics.count("records_relayed", type(record).__name__)
         others = [
             name
@@ -102,3 +196,18 @@
         message = RelayRecord(payload=encode_record(record))
         for recipient in others[:MAX_RELAYS]:
             self._send(recipient, message)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Handover:
+    """How far other nodes have been asked to keep the own Retire record.
+
+    Attributes:
+        record: The record, ``None`` while the node runs.
+        rounds: Number of times that nodes were asked.
+        wakes: Set once there is a record.
+    """
+
+    record: Retire | None = None
+    rounds: int = 0
+    wakes: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -6,7 +6,20 @@
 
 from returns.result import Failure, Success
 
-from papayatack.control.writing import MAX_QUEUED_RECORDS, RecordWriter
+from papayatack.control.retirements import (
+    KEEPERS,
+    MAX_KEPT,
+    MAX_KEPT_S,
+    RANK_DELAY_S,
+    RETRY_S,
+    RetirementKeeper,
+    list_keepers,
+)
+from papayatack.control.writing import (
+    HANDOVER_INTERVAL_S,
+    MAX_QUEUED_RECORDS,
+    RecordWriter,
+)
 from papayatack.core.identity import LeaseId
 from papayatack.core.messages import RelayRecord
 from papayatack.core.ownership.node import NodeCore
@@ -25,11 +38,14 @@
 
     def __init__(self):
         self.fails = False
+        self.hangs = False
         self.records = []
 
     async def append(self, record, *, deadline_s):
-        """Return immediately."""
+        """Return immediately, unless ``hangs`` is set."""
         self.records.append(record)
+        if self.hangs:
+            await asyncio.Event().wait()
         return Failure("append rejected") if self.fails else Success(0)
 
 
@@ -70,6 +86,20 @@
         """Return a record with the given writer."""
         return Retire(record_id="r", writer=writer, incarnation=writer)
 
+    def make_admit(self, writer):
+        """Return a record of the next lease of a node."""
+        lease = LeaseId(writer, 2)
+        return Admit(record_id="b", writer=writer, lease=lease, witnesses=())
+
+    def make_core(self, name):
+        """Return the core of another node with the same state."""
+        return NodeCore(
+            announcement=make_announcement(name=name),
+            state=self.core.state,
+            now=0.0,
+            find_service=lambda service: None,
+        )
+
     async def settle(self):
         """Let the writer task run until it waits."""
         for _ in range(5):
@@ -99,6 +129,62 @@
         self.assertEqual(self.appender.records, [record])
         self.assertEqual(self.sent, [])
 
+    async def test_retire_is_handed_over_while_an_append_hangs(self):
+        """The node ends soon, and other records may be queued before this one."""
+        self.appender.hangs = True
+        self.writer.put(self.make_admit(LOCAL))
+        self.writer.put(self.make_record())
+        await asyncio.sleep(HANDOVER_INTERVAL_S + 0.05)
+        message = RelayRecord(payload=encode_record(self.make_record()))
+        self.assertCountEqual(self.sent, [(OTHER, message), (THIRD, message)])
+
+    async def test_retire_that_took_effect_is_not_handed_over(self):
+        """The other nodes know the end from the log."""
+        self.writer.put(self.make_record())
+        await self.settle()
+        self.apply(self.make_record())
+        await asyncio.sleep(HANDOVER_INTERVAL_S + 0.05)
+        self.assertEqual(self.sent, [])
+
+    async def test_retire_of_another_node_is_kept_until_it_has_taken_effect(self):
+        """Its writer is gone, so that nobody else makes the record again."""
+        self.appender.fails = True
+        record = self.make_record(OTHER)
+        self.writer.receive(RelayRecord(payload=encode_record(record)), OTHER)
+        await asyncio.sleep(2 * RETRY_S)
+        self.assertGreater(len(self.appender.records), 1)
+        self.appender.fails = False
+        await asyncio.sleep(2 * RETRY_S)
+        self.apply(record)
+        count = len(self.appender.records)
+        await asyncio.sleep(2 * RETRY_S)
+        self.assertEqual(self.appender.records, [record] * count)
+
+    async def test_keepers_do_not_append_a_retire_at_once(self):
+        """One that comes later in the order of the keepers lets the others go first."""
+        record = self.make_record(OTHER)
+        for writer in ("127.0.0.1:9#d", "127.0.0.1:10#e"):
+            self.apply(make_announcement(writer, writer))
+        keepers = list_keepers(self.core, OTHER, 0.0)
+        self.assertEqual(keepers[0], LOCAL)
+        last = RetirementKeeper(core=self.make_core(keepers[KEEPERS - 1]))
+        last.keep(record, 0.0)
+        self.assertIsNone(last.take_due(RANK_DELAY_S))
+        self.assertEqual(last.take_due(KEEPERS * RANK_DELAY_S), record)
+
+    async def test_kept_retires_are_bounded(self):
+        """Neither their number nor their age grows without limit."""
+        keeper = RetirementKeeper(core=self.core)
+        record = self.make_record(OTHER)
+        keeper.keep(record, 0.0)
+        self.assertEqual(keeper.find_due_s(MAX_KEPT_S), float("inf"))
+        for number in range(MAX_KEPT + 1):
+            name = f"127.1.0.{number}:7#x"
+            self.apply(make_announcement(name, name))
+            keeper.keep(self.make_record(name), 1.0)
+        taken = {keeper.take_due(2.0) for _ in range(MAX_KEPT + 1)}
+        self.assertEqual(len(taken - {None}), MAX_KEPT)
+
     async def test_relayed_record_of_another_writer_is_ignored(self):
         """A node may relay only its own records."""
         payload = encode_record(self.make_record(THIRD))
--- a/tests/fakes/outages.py
+++ b/tests/fakes/outages.py
@@ -123,6 +123,7 @@
         last_stop_s: Time of the last stop, ``None`` to count from the first.
         leaving_share: Share of the upstreams with keys that leave for good.
         killed_s: Time at which all nodes are killed, ``None`` for never.
+        are_stops_final: Whether stopped nodes and their upstreams do not start again.
     """
 
     away_s: tuple[tuple[float, float], ...] = ((0.0, 8.0),)
@@ -133,6 +134,7 @@
     last_stop_s: float | None = None
     leaving_share: float = 0.0
     killed_s: float | None = None
+    are_stops_final: bool = False
 
 
 KILLED_AWAY_S = 0.3
@@ -148,6 +150,7 @@
     "back during a stop": Variant(last_stop_s=7.7),
     "back and away again": Variant(away_s=((0.0, 5.0), (6.0, 10.0))),
     "all killed": Variant(killed_s=14.0, leaving_share=0.34),
+    "stopped for good": Variant(killed_s=12.0, are_stops_final=True),
 }
 """What happens, by the name of the variant."""
 
@@ -232,6 +235,7 @@
         )
         self.busy = collections.Counter()
         self.leaving = set()
+        self.ended = set()
         self.outcomes = collections.Counter()
         keyed = max(3, round(nodes * KEYED_SHARE))
         for number in range(nodes):
@@ -331,6 +335,7 @@
         self._served_s = {}
         self._idle_since_s = {}
         self._reported = set()
+        self._logged = OwnershipState()
 
     def _has_settled(self, now):
         """Tell whether the log, and killed nodes, have been back for long enough."""
@@ -370,6 +375,7 @@
         if self._has_settled(now) and factor > MAX_SHARE_FACTOR:
             self._miss(now, "spread", factor, f"{name} has {most} shards")
         self._look_unowned(now, set(shards))
+        self._look_gone(now)
         second.idle = max(second.idle, self._look_idle(now, counts, live, len(shards)))
 
     def _look_unowned(self, now, serving):
@@ -383,6 +389,21 @@
         if self._has_settled(now) and away:
             self._miss(now, "owner", len(away), f"{len(away)} shards, e.g. {away[0]}")
 
+    def _look_gone(self, now):
+        """Look for members in the log that have been stopped for good."""
+        records = self._fleet.store.get_stream(OWNERSHIP_STREAM).records
+        for offset in range(self._logged.next_offset, len(records)):
+            record = decode_record(OWNERSHIP_STREAM, records[offset][1]).value_or(None)
+            apply_record(self._logged, offset, record)
+        last_away_s = max(end for _, end in self._variant.away_s)
+        members = {
+            member.incarnation
+            for member in self._logged.list_live_members()
+            if member.address in self._fleet.ended
+        }
+        if now > last_away_s + SETTLED_S and members:
+            self._miss(now, "gone", len(members), f"members {sorted(members)}")
+
     def _look_idle(self, now, counts, live, served):
         idle = {
             slot.name
@@ -450,7 +471,8 @@
         for number, name in enumerate(names[:count]):
             stop_s = first_s + number // variant.stops_at_once * variant.gap_s
             self._at(stop_s, self._stop, name)
-            self._at(stop_s + RESTART_S, self._restart, name)
+            later = self._end if variant.are_stops_final else self._restart
+            self._at(stop_s + RESTART_S, later, name)
         staying = [
             name for name in names[count:] if fleet.slots[name].service == SERVICE
         ]
@@ -493,6 +515,13 @@
             context.run(PROCESS.set, name)
             context.run(slot.control.start_departure)
 
+    def _end(self, name):
+        self._note(f"{name} and its upstream end")
+        self._fleet.ended.add(name)
+        self._fleet.leaving.add(name)
+        self._fleet.kill(name)
+        self._fleet.end_upstream(name)
+
     def _restart(self, name):
         self._note(f"{name} starts again")
         self._fleet.kill(name)
@@ -509,11 +538,12 @@
 
     def _kill_all(self):
         now = self._note("all nodes are killed")
-        for name in self._fleet.slots:
+        names = [name for name in self._fleet.slots if name not in self._fleet.ended]
+        for name in names:
             self._losses[name].append(now)
             self._fleet.kill(name)
         loop = asyncio.get_running_loop()
-        for name in self._fleet.slots:
+        for name in names:
             delay_s = KILLED_AWAY_S * self._random.random()
             loop.call_later(delay_s, self._fleet.start, name)
 
--- a/tests/platform/test_stops_while_log_away.py
+++ b/tests/platform/test_stops_while_log_away.py
@@ -43,6 +43,10 @@
         """While nodes are stopped in turn, that lasts no longer than 3 s."""
         self._check("idle")
 
+    def test_nodes_that_were_stopped_for_good_stay_members(self):
+        """From 2 s after the return of the log on, it records their ends."""
+        self._check("gone")
+
 
 if __name__ == "__main__":
     unittest.main()
