Have the stand-in of an upstream name the request that it refuses

Instances echo the request id in their responses (PROTOCOL.md, Instances); the stand-in left it out of 421. A node can't tell such a refusal from one of an earlier request on the connection and answers 502, which is tested elsewhere (tests.platform.test_repeated_refusals). In tests of stops on a busy machine this looked like a lost request: 5 in eight runs of tests.platform.test_late_requests, two at once beside a load of 17 on 8 cores.

--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -249,18 +249,19 @@
     def _run(self, request: Request) -> Response:
         expected = find_header(request.headers, b"papayatack-expected-instance")
         key = find_header(request.headers, b"papayatack-shard-key")
+        request_id = find_header(request.headers, b"papayatack-request-id") or b""
+        echoed = (b"papayatack-request-id", request_id)
         if expected != self.instance.encode():
-            return _reply(421)
+            return _reply(421, fields=(echoed,))
         if key is not None and not self.holds(int(key)):
-            return _reply(421, fields=((b"papayatack-not-executed", b"1"),))
-        request_id = find_header(request.headers, b"papayatack-request-id") or b""
+            return _reply(421, fields=(echoed, (b"papayatack-not-executed", b"1")))
         self.callers.add(
             find_header(request.headers, b"papayatack-caller-service") or b""
         )
         self.runs.append(request_id.decode())
         fields = (
             *self.signals,
-            (b"papayatack-request-id", request_id),
+            echoed,
             (b"papayatack-response-signature", b"signed-" + request_id),
         )
         data = self.instance.encode()
