Append what still counts, and plan once the last plan is in the state

Cause: records waited in the order in which they came, at 5 appends a second, and up to 3 assignments were queued every 0.2 s while records changed. After an outage the age from queue to append grew to 4 s; each plan was void (epoch taken) because of the one before, for good. Old assignments, also those of nodes that had ended, came first when the log was back.

Change: the queue is ordered by kind (own end and announcement; leases and their ends; the rest; assignments and activations, those of plans last) and keeps one record of each subject, the newest. Only the newest plan waits. The planner makes none until the records of its last one are in its state, were dropped or failed, 3 s at most, and then plans at its next turn (0.2 s). Assignments, admissions and activations are dropped 2 s after they were made (1 s if relayed), and their append ends by then. What the own state shows as void for good is not appended. A record that was not appended is made again at once where the core needs it (Admit, Announce).

The old test of the queue's bound put one record 37 times, which now counts as one; it puts different ones and also checks that an important one displaces another.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -177,6 +177,7 @@
             read_configuration=lambda: self._config.configuration,
             plan=plan,
             append=self._writer.put,
+            put_plan=self._writer.put_plan,
             intervals=self._intervals,
         )
         self.share_watch = ShareWatch(core=self.core, metrics=metrics)
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from papayatack.control.pending import PlanWrite
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.core.messages import LoadReport
@@ -72,6 +73,8 @@
         read_configuration: Returns the configuration in force.
         plan: Computes a placement plan; a pure function.
         append: Queues an ownership record to be appended.
+        put_plan: Queues the records of a plan; returns what becomes of them. Without
+            it they are queued one by one, and not waited for.
         intervals: Intervals of planning.
     """
 
@@ -82,6 +85,7 @@
         read_configuration: Callable[[], Configuration],
         plan: Callable[[PlacementView], PlacementPlan],
         append: Callable[[Assign | DeclareLost], None],
+        put_plan: Callable[[list[Assign]], PlanWrite] | None = None,
         intervals: PlanningIntervals | None = None,
     ) -> None:
         self._intervals = intervals or PlanningIntervals()
@@ -89,6 +93,8 @@
         self._read_configuration = read_configuration
         self._plan = plan
         self._append = append
+        self._put_plan = put_plan
+        self._write: PlanWrite | None = None
         self._reports: dict[IncarnationId, tuple[float, LoadReport]] = {}
         self._first_seen_s: dict[LeaseId, float] = {}
         self._owner_changes: dict[ShardId, tuple[IncarnationId | None, float]] = {}
@@ -128,6 +134,8 @@
         settling = self._is_settling(now)
         if not self._should_plan(now):
             return
+        if self._is_writing(now):
+            return
         self._declare_lost(now)
         version = self._read_configuration().version
         inputs = (self._core.state.next_offset, version)
@@ -139,14 +147,32 @@
         self._last_inputs = inputs
         self._last_plan_s = now
         assignments = self._plan(self.build_view(now)).assignments
-        for start in range(0, len(assignments), MAX_ASSIGNMENTS_PER_RECORD):
-            record = Assign(
+        records = [
+            Assign(
                 record_id=self._core.context.make_record_id(),
                 writer=self._core.incarnation,
                 assignments=assignments[start : start + MAX_ASSIGNMENTS_PER_RECORD],
             )
+            for start in range(0, len(assignments), MAX_ASSIGNMENTS_PER_RECORD)
+        ]
+        if self._put_plan is not None:
+            self._write = self._put_plan(records)
+            return
+        for record in records:
             self._append(record)
 
+    def _is_writing(self, now: float) -> bool:
+        """Tell whether to wait until the last plan is in the state, or has failed."""
+        write = self._write
+        if write is None:
+            return False
+        if write.is_pending(self._core.state.next_offset, now):
+            return True
+        if write.has_failed or write.unresolved:
+            self._last_inputs = (-1, -1)
+        self._write = None
+        return False
+
     def _should_plan(self, now: float) -> bool:
         """Tell whether this node is the active planner.
 
--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -1,15 +1,15 @@
 """The task that appends ownership records to the log."""
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from returns.pipeline import is_successful
 
+from papayatack.control.pending import PendingRecord, PendingRecords, PlanWrite
 from papayatack.control.retirements import KEEPERS, RetirementKeeper, list_keepers
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import ControlMessage, RelayRecord
@@ -23,7 +23,9 @@
 
 __all__ = ["RecordWriter"]
 
-MAX_QUEUED_RECORDS = 32
+PLAN_WAIT_S = 3.0
+"""Longest time for which the planner waits for the records of its last plan."""
+
 APPEND_DEADLINE_S = 1.6
 """Time limit of an append, including retries."""
 
@@ -74,7 +76,7 @@
         self._send = send
         self._metrics = metrics
         self._random = random
-        self._queue: collections.deque[OwnershipRecord] = collections.deque()
+        self._pending = PendingRecords()
         self._wakes = asyncio.Event()
         self._retirements = RetirementKeeper(core=core)
         self._are_appends_failing = False
@@ -83,18 +85,49 @@
     def put(self, record: OwnershipRecord) -> None:
         """Queue a record without blocking.
 
-        If the queue is full, the record is dropped; the core creates it again when it
-        is next due.
+        It replaces an unsent one of the same subject. If the queue is full, the least
+        important record is dropped; the core creates it again when it is next due.
         """
-        if len(self._queue) >= MAX_QUEUED_RECORDS:
-            self._metrics.count("ownership_appends_dropped", type(record).__name__)
-            return
-        self._queue.append(record)
-        self._wakes.set()
+        self._put(PendingRecord(record=record, put_s=self._read_clock()))
         if isinstance(record, Retire):
             self._handover.record = record
             self._handover.wakes.set()
 
+    def put_plan(self, records: Sequence[OwnershipRecord]) -> PlanWrite:
+        """Queue the records of a plan in place of those of earlier plans."""
+        for entry in self._pending.drop_plan():
+            self._drop(entry, "replaced")
+        now = self._read_clock()
+        ids = {record.record_id for record in records}
+        write = PlanWrite(until_s=now + PLAN_WAIT_S, unresolved=ids)
+        for record in records:
+            self._put(PendingRecord(record=record, put_s=now, plan=write))
+        return write
+
+    def _put(self, entry: PendingRecord) -> None:
+        for dropped in self._pending.put(entry):
+            self._drop(dropped, "replaced" if dropped is not entry else "full")
+        self._wakes.set()
+
+    def _drop(self, entry: PendingRecord, reason: str) -> None:
+        """Note that a record is not appended."""
+        kind = type(entry.record).__name__
+        self._metrics.count("ownership_appends_dropped", f"{kind} {reason}")
+        self._resolve(entry, None)
+        is_own = entry.record.writer == self._core.incarnation
+        if is_own and reason != "replaced":
+            self._core.note_unwritten(entry.record)
+
+    def _resolve(self, entry: PendingRecord, offset: int | None) -> None:
+        """Tell a record's plan at which offset it is, ``None`` for nowhere."""
+        if entry.plan is None:
+            return
+        entry.plan.unresolved.discard(entry.record.record_id)
+        if offset is None:
+            entry.plan.has_failed = True
+        else:
+            entry.plan.end = max(entry.plan.end, offset + 1)
+
     def receive(self, message: RelayRecord, sender: IncarnationId) -> None:
         """Queue a record that its writer, the sender, could not append itself.
 
@@ -103,11 +136,12 @@
         record = self._decoder.decode(OWNERSHIP_STREAM, 0, message.payload).record
         if record is None or record.writer != sender:
             return
+        now = self._read_clock()
         if isinstance(record, Retire):
-            self._retirements.keep(record, self._read_clock())
+            self._retirements.keep(record, now)
             self._wakes.set()
         else:
-            self.put(record)
+            self._put(PendingRecord(record=record, put_s=now, is_relayed=True))
 
     async def run(self) -> None:
         """Append queued records until cancelled."""
@@ -122,15 +156,25 @@
         while True:
             now = self._read_clock()
             kept = None
-            if not self._queue or not self._are_appends_failing:
+            if not self._pending or not self._are_appends_failing:
                 kept = self._retirements.take_due(now)
             if kept is not None:
-                await self._append(kept, now + PROBE_DEADLINE_S)
-            elif self._queue:
-                await self._append(self._queue.popleft(), now + APPEND_DEADLINE_S)
+                entry = PendingRecord(record=kept, put_s=now, is_relayed=True)
+                await self._append(entry, now + PROBE_DEADLINE_S)
+            elif self._pending:
+                await self._append_next(now)
             else:
                 await self._wait_for_records(now)
 
+    async def _append_next(self, now: float) -> None:
+        """Append the next record unless that is certain to have no effect."""
+        entry = self._pending.take()
+        obstacle = entry.find_obstacle(self._core.state, now)
+        if obstacle:
+            self._drop(entry, obstacle)
+        else:
+            await self._append(entry, min(now + APPEND_DEADLINE_S, entry.until_s))
+
     async def _wait_for_records(self, now: float) -> None:
         """Wait until a record is queued or kept, or one that is kept is due."""
         self._wakes.clear()
@@ -139,7 +183,8 @@
             async with asyncio.timeout(None if math.isinf(due_s) else due_s - now):
                 await self._wakes.wait()
 
-    async def _append(self, record: OwnershipRecord, deadline_s: float) -> None:
+    async def _append(self, entry: PendingRecord, deadline_s: float) -> None:
+        record = entry.record
         self._metrics.count("records_written", type(record).__name__)
         result = await self._appender.append(record, deadline_s=deadline_s)
         now = self._read_clock()
@@ -147,11 +192,14 @@
             if self._are_appends_failing:
                 self._retirements.note_recovered(record, now)
             self._are_appends_failing = False
+            self._resolve(entry, result.unwrap())
             return
         self._are_appends_failing = True
         self._retirements.note_failed(now)
+        self._resolve(entry, None)
         if record.writer == self._core.incarnation:
             self._relay(record)
+            self._core.note_unwritten(record)
 
     async def _hand_over_retire(self) -> None:
         """Have other nodes keep the own Retire record unless it takes effect soon."""
--- a/src/papayatack/core/ownership/membership.py
+++ b/src/papayatack/core/ownership/membership.py
@@ -24,6 +24,7 @@
     Assignment,
     Attach,
     Fenced,
+    OwnershipRecord,
 )
 
 __all__ = ["Membership"]
@@ -75,6 +76,13 @@
         self._replace_old_leases(member, now)
         self._attach(member, now)
 
+    def note_unwritten(self, record: OwnershipRecord) -> None:
+        """Let the record be made again at once: the last one has no effect."""
+        if isinstance(record, Admit):
+            self._context.due_s_by_key.pop("admit", None)
+        elif isinstance(record, Announce):
+            self._context.due_s_by_key.pop("announce", None)
+
     def set_upstream(
         self, *, service: str, upstream: str, slots: int, connections: int
     ) -> None:
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -175,6 +175,10 @@
             owned_shards.note_split(shard, parent, now)
         return change, effects
 
+    def note_unwritten(self, record: OwnershipRecord) -> None:
+        """Make a record of this node again when due: the last could not be appended."""
+        self._membership.note_unwritten(record)
+
     def receive(
         self, sender: IncarnationId, message: ControlMessage, *, now: float
     ) -> list[Effect]:
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -4,6 +4,7 @@
 import math
 import unittest
 
+from papayatack.control.pending import PlanWrite
 from papayatack.control.planning import PLANNER_FAILOVER_S, Planner, PlanningIntervals
 from papayatack.core.identity import LeaseId
 from papayatack.core.inventory import Configuration
@@ -191,6 +192,53 @@
         self.assertEqual(self.plans, 2)
 
 
+class PlanWriteTests(PlannerCase):
+    """A plan is made from a state that has the records of the last one."""
+
+    def setUp(self):
+        super().setUp()
+        self.core.caught_up = True
+        self.writes = []
+        self.planner._put_plan = self.put_plan
+        self.planner.plan_once(1.0)
+
+    def put_plan(self, records):
+        """Keep the records of a plan."""
+        self.writes.append(PlanWrite(until_s=4.0, unresolved={"p"}))
+        return self.writes[-1]
+
+    def change(self):
+        """Apply a record, so that a plan is due."""
+        name = f"127.0.0.1:{len(self.core.state.members) + 20}#x"
+        self.apply(make_announcement(name, name))
+
+    def test_no_plan_is_made_before_the_last_one_is_in_the_state(self):
+        """It would name the same versions, and be void."""
+        self.change()
+        self.planner.plan_once(1.2)
+        self.assertEqual(self.plans, 1)
+        self.writes[0].unresolved.clear()
+        self.writes[0].end = self.core.state.next_offset + 1
+        self.planner.plan_once(1.4)
+        self.assertEqual(self.plans, 1)
+        self.change()
+        self.planner.plan_once(1.6)
+        self.assertEqual(self.plans, 2)
+
+    def test_plan_that_failed_is_made_again_at_once(self):
+        """Nothing in the state tells that it is missing."""
+        self.writes[0].unresolved.clear()
+        self.writes[0].has_failed = True
+        self.planner.plan_once(1.2)
+        self.assertEqual(self.plans, 2)
+
+    def test_wait_for_a_plan_is_bounded(self):
+        """A record may be lost on its way without a word."""
+        self.change()
+        self.planner.plan_once(4.1)
+        self.assertEqual(self.plans, 2)
+
+
 class SettlingTests(PlannerCase):
     """Nodes that were all lost and rejoin one after the other."""
 
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -1,11 +1,18 @@
 """Tests of papayatack.control.writing."""
 
 import asyncio
+import dataclasses
 import random
 import unittest
 
 from returns.result import Failure, Success
 
+from papayatack.control.pending import (
+    MAX_AGE_S,
+    MAX_QUEUED_RECORDS,
+    MAX_RELAYED_AGE_S,
+    PendingRecord,
+)
 from papayatack.control.retirements import (
     KEEPERS,
     MAX_KEPT,
@@ -15,20 +22,23 @@
     RetirementKeeper,
     list_keepers,
 )
-from papayatack.control.writing import (
-    HANDOVER_INTERVAL_S,
-    MAX_QUEUED_RECORDS,
-    RecordWriter,
-)
+from papayatack.control.writing import HANDOVER_INTERVAL_S, PLAN_WAIT_S, RecordWriter
 from papayatack.core.identity import LeaseId
 from papayatack.core.messages import RelayRecord
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
-from papayatack.core.records import Admit, Retire
+from papayatack.core.records import (
+    Admit,
+    Assign,
+    Assignment,
+    DeclareLost,
+    Fenced,
+    Retire,
+)
 from papayatack.logservice.decoding import RecordDecoder
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.records import encode_record
-from tests.control.test_planning import LOCAL, OTHER, make_announcement
+from tests.control.test_planning import LOCAL, OTHER, SHARD, make_announcement
 
 THIRD = "127.0.0.1:8#c"
 
@@ -40,13 +50,20 @@
         self.fails = False
         self.hangs = False
         self.records = []
+        self.deadline_s = None
+
+    @property
+    def end(self):
+        """Offset after the last record."""
+        return len(self.records)
 
     async def append(self, record, *, deadline_s):
         """Return immediately, unless ``hangs`` is set."""
         self.records.append(record)
+        self.deadline_s = deadline_s
         if self.hangs:
             await asyncio.Event().wait()
-        return Failure("append rejected") if self.fails else Success(0)
+        return Failure("append rejected") if self.fails else Success(self.end - 1)
 
 
 class RecordWriterTests(unittest.IsolatedAsyncioTestCase):
@@ -86,10 +103,25 @@
         """Return a record with the given writer."""
         return Retire(record_id="r", writer=writer, incarnation=writer)
 
-    def make_admit(self, writer):
-        """Return a record of the next lease of a node."""
-        lease = LeaseId(writer, 2)
-        return Admit(record_id="b", writer=writer, lease=lease, witnesses=())
+    def make_admit(self):
+        """Return a record of the next lease of this node."""
+        lease = LeaseId(LOCAL, 2)
+        return Admit(record_id="b", writer=LOCAL, lease=lease, witnesses=())
+
+    def make_fenced(self, name, record_id="f"):
+        """Return a report that the lease of a node has ended."""
+        lease = LeaseId(name, 1)
+        return Fenced(record_id=record_id, writer=LOCAL, lease=lease, floor=0)
+
+    def make_report(self, record_id):
+        """Return a record that no other replaces."""
+        return DeclareLost(record_id=record_id, writer=LOCAL, incarnations=(OTHER,))
+
+    def make_assign(self, record_id, base_epoch=0, term=1):
+        """Return an assignment of one shard to the third node."""
+        lease = LeaseId(THIRD, term)
+        part = Assignment(shard=SHARD, base_epoch=base_epoch, chain=(lease,))
+        return Assign(record_id=record_id, writer=LOCAL, assignments=(part,))
 
     def make_core(self, name):
         """Return the core of another node with the same state."""
@@ -132,7 +164,8 @@
     async def test_retire_is_handed_over_while_an_append_hangs(self):
         """The node ends soon, and other records may be queued before this one."""
         self.appender.hangs = True
-        self.writer.put(self.make_admit(LOCAL))
+        self.writer.put(self.make_admit())
+        await self.settle()
         self.writer.put(self.make_record())
         await asyncio.sleep(HANDOVER_INTERVAL_S + 0.05)
         message = RelayRecord(payload=encode_record(self.make_record()))
@@ -194,8 +227,87 @@
         self.assertEqual(self.appender.records, [])
 
     async def test_queued_records_are_bounded(self):
-        """Records beyond the limit are dropped."""
+        """Records beyond the limit are dropped, the least important first."""
+        for number in range(MAX_QUEUED_RECORDS + 5):
+            self.writer.put(self.make_report(str(number)))
+        self.writer.put(self.make_record())
         for _ in range(MAX_QUEUED_RECORDS + 5):
-            self.writer.put(self.make_record())
+            await self.settle()
+        self.assertEqual(len(self.appender.records), MAX_QUEUED_RECORDS)
+        self.assertEqual(self.appender.records[0], self.make_record())
+
+    async def test_records_that_keep_the_node_a_member_precede_plans(self):
+        """A planner must not starve its own lease and the ends of others."""
+        records = [self.make_assign("p"), self.make_fenced(OTHER), self.make_admit()]
+        self.writer.put_plan(records[:1])
+        for record in (*records[1:], self.make_record()):
+            self.writer.put(record)
+        await self.settle()
+        self.assertEqual(
+            self.appender.records, [self.make_record(), *records[1:], records[0]]
+        )
+
+    async def test_new_plan_replaces_the_unsent_one(self):
+        """The older one was made from an older state."""
+        old, new = self.make_assign("old"), self.make_assign("new")
+        first = self.writer.put_plan([old])
+        self.writer.put_plan([new])
+        await self.settle()
+        self.assertEqual(self.appender.records, [new])
+        self.assertTrue(first.has_failed)
+        self.assertFalse(first.is_pending(0, asyncio.get_running_loop().time()))
+
+    async def test_plan_is_pending_until_it_is_in_the_state(self):
+        """An append alone does not change the state that the next plan is made from."""
+        write = self.writer.put_plan([self.make_assign("p")])
+        await self.settle()
+        now = asyncio.get_running_loop().time()
+        end = self.appender.end
+        self.assertTrue(write.is_pending(end - 1, now))
+        self.assertFalse(write.is_pending(end, now))
+        self.assertFalse(write.has_failed)
+        self.assertFalse(write.is_pending(end - 1, now + PLAN_WAIT_S))
+
+    async def test_plan_that_could_not_be_appended_is_not_waited_for(self):
+        """The planner makes another at once."""
+        self.appender.fails = True
+        write = self.writer.put_plan([self.make_assign("p")])
+        await self.settle()
+        self.assertTrue(write.has_failed)
+        self.assertFalse(write.is_pending(0, asyncio.get_running_loop().time()))
+
+    async def test_old_records_are_dropped(self):
+        """Assignments and admissions say what was right some time ago."""
+        for relayed, limit_s in ((False, MAX_AGE_S), (True, MAX_RELAYED_AGE_S)):
+            for record in (self.make_assign("p"), self.make_admit()):
+                entry = PendingRecord(record=record, put_s=5.0, is_relayed=relayed)
+                state = self.core.state
+                self.assertEqual(entry.find_obstacle(state, 5.0 + limit_s), "")
+                self.assertEqual(entry.find_obstacle(state, 5.1 + limit_s), "old")
+        entry = PendingRecord(record=self.make_fenced(OTHER), put_s=5.0)
+        self.assertEqual(entry.find_obstacle(self.core.state, 50.0), "")
+
+    async def test_append_of_a_record_ends_when_it_is_old(self):
+        """It must not take effect long after the state has changed."""
+        put_s = asyncio.get_running_loop().time()
+        self.writer.put(self.make_admit())
+        await self.settle()
+        self.assertLessEqual(self.appender.deadline_s, put_s + MAX_AGE_S + 0.01)
+
+    async def test_record_that_is_void_already_is_not_appended(self):
+        """Another node has reported the same end in the meantime."""
+        self.apply(self.make_fenced(OTHER, "first"))
+        self.writer.put(self.make_fenced(OTHER))
+        assigned = self.make_assign("a")
+        self.apply(assigned)
+        self.writer.put(self.make_assign("late"))
+        await self.settle()
+        self.assertEqual(self.appender.records, [])
+
+    async def test_record_ahead_of_the_state_is_appended(self):
+        """Its writer may have applied more of the log than this node."""
+        record = self.make_assign("a", base_epoch=4, term=7)
+        payload = encode_record(dataclasses.replace(record, writer=OTHER))
+        self.writer.receive(RelayRecord(payload=payload), OTHER)
         await self.settle()
-        self.assertLessEqual(len(self.appender.records), MAX_QUEUED_RECORDS)
+        self.assertEqual(len(self.appender.records), 1)
