Ask again at once for a lease if the last request had no effect

Cause: an Admit that named a witness which had ended by then is void, but READMIT_INTERVAL_S ran on: the next came 4.5 s later. Witnesses that had left were chosen again as long as the log did not record their end.

Change: a void or unwritten Admit or Announce that is still needed (the term, or the member, is not there) is made again at the next check; a repetition is not. A lease whose witnesses have ended so that it can be promised no more is replaced after 2 s, not 5 s. Members that are reported as fenced, or whose lease has ended or lapsed, are chosen as witnesses last.

--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -49,7 +49,7 @@
         find_service: Looks up a service by name; returns ``None`` if it is unknown.
         effects: Effects of the input being processed, in order.
         reported_fenced: Leases that other nodes report as fenced, without proof. Only
-            routing may rely on them.
+            routing and the choice of witnesses may rely on them.
         upstream_restarts: Number of restarts of the local upstream since this process
             started.
         record_count: Number of record ids made so far.
@@ -125,6 +125,20 @@
         kept = {key: due for key, due in self.due_s_by_key.items() if due > now}
         self.due_s_by_key = kept
 
+    def shorten_wait(self, key: str, now: float, interval_s: float) -> None:
+        """Let an action be due within an interval, unless it is due before."""
+        due_s = self.due_s_by_key.get(key, now)
+        self.due_s_by_key[key] = min(due_s, now + interval_s)
+
+    def list_departed(self, now: float) -> set[IncarnationId]:
+        """Return the members that seem to have left: they make poor witnesses."""
+        reported = {
+            lease.incarnation
+            for lease in self.reported_fenced
+            if self.state.find_live_lease(lease.incarnation) in (lease, None)
+        }
+        return reported | self.fencing.list_suspects(now)
+
     def list_claimants(self, lease: LeaseId) -> set[IncarnationId]:
         """Return the other nodes in the current chains of a lease's shards."""
         claimants = {
--- a/src/papayatack/core/ownership/membership.py
+++ b/src/papayatack/core/ownership/membership.py
@@ -77,10 +77,12 @@
         self._attach(member, now)
 
     def note_unwritten(self, record: OwnershipRecord) -> None:
-        """Let the record be made again at once: the last one has no effect."""
+        """Let a record that is still needed be made again at once."""
+        member = self._context.state.members.get(self._context.incarnation)
         if isinstance(record, Admit):
-            self._context.due_s_by_key.pop("admit", None)
-        elif isinstance(record, Announce):
+            if member is not None and record.lease.term == member.term + 1:
+                self._context.due_s_by_key.pop("admit", None)
+        elif isinstance(record, Announce) and member is None:
             self._context.due_s_by_key.pop("announce", None)
 
     def set_upstream(
@@ -151,7 +153,8 @@
             if is_first
             else unresponsive
         )
-        chosen = choose_witnesses(self._context.state, member, avoid=avoid)
+        departed = self._context.list_departed(now)
+        chosen = choose_witnesses(self._context.state, member, avoid=avoid | departed)
         if is_first:
             wanted = self._is_ready_to_admit(chosen, avoid, now)
             pause_s = FIRST_RETRY_S
@@ -159,8 +162,10 @@
             wanted = own_lease is None or self._is_better(
                 chosen, own_lease, unresponsive
             )
-            is_alone = own_lease is not None and not own_lease.witnesses
-            pause_s = APPEND_RETRY_INTERVAL_S if is_alone else READMIT_INTERVAL_S
+            pause_s = READMIT_INTERVAL_S
+            if own_lease is not None and self._lacks_witnesses(own_lease):
+                pause_s = APPEND_RETRY_INTERVAL_S
+                self._context.shorten_wait("admit", now, pause_s)
         if wanted and self._context.restart_if_due("admit", now, pause_s):
             record = Admit(
                 record_id=self._context.make_record_id(),
@@ -210,6 +215,13 @@
         members = (self._context.state.members.get(name) for name in holder.witnesses)
         return all(member is not None and member.ended is None for member in members)
 
+    def _lacks_witnesses(self, holder: LeaseHolder) -> bool:
+        """Return whether too few witnesses are members to promise the lease."""
+        state = self._context.state
+        members = (state.members.get(name) for name in holder.witnesses)
+        live = sum(1 for member in members if member and member.ended is None)
+        return live < compute_promise_quorum(len(holder.witnesses)) or not live
+
     def _list_unresponsive(
         self, holder: LeaseHolder | None, now: float
     ) -> set[IncarnationId]:
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -151,6 +151,8 @@
     ) -> tuple[ApplyResult, list[Effect]]:
         """Fold the record at ``offset``; ``None`` stands for a malformed record."""
         change = apply_record(self.context.state, offset, record)
+        if record is not None and not change.effective:
+            self.note_unwritten(record)
         for lease in change.leases:
             self._apply_lease_entry(lease, now)
         self._suspicions.note_logged(change.suspicions, now)
@@ -176,8 +178,9 @@
         return change, effects
 
     def note_unwritten(self, record: OwnershipRecord) -> None:
-        """Make a record of this node again when due: the last could not be appended."""
-        self._membership.note_unwritten(record)
+        """Process that a record was not appended, or without effect."""
+        if record.writer == self.incarnation:
+            self._membership.note_unwritten(record)
 
     def receive(
         self, sender: IncarnationId, message: ControlMessage, *, now: float
