Count the age, the drops and the verdicts of a node's own records

Cause: that a planner's records were 4 s old when they were appended, and void, showed in no counter; only the number of void records of all nodes did.

Change: gauges of the age of the last record at its append and of the queue's length; counters of dropped records and of the verdicts on a node's own records, each by kind and reason; one event when appends succeed again, APPENDS_RESUMED, with how long they failed, what waits and what was dropped.

--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -337,4 +337,7 @@
         change, effects = self._core.apply_record(offset, logged.record, now=now)
         if not change.effective:
             self._metrics.count("ownership_records_void", change.reason)
+        if logged.record is not None and logged.record.writer == self._core.incarnation:
+            verdict = f"{type(logged.record).__name__} {change.reason or 'effective'}"
+            self._metrics.count("own_ownership_records", verdict)
         self._execute_effects(effects)
--- a/src/papayatack/control/retirements.py
+++ b/src/papayatack/control/retirements.py
@@ -69,6 +69,9 @@
         self._kept_since_s: dict[IncarnationId, float] = {}
         self._due_s: dict[IncarnationId, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._kept)
+
     def keep(self, record: Retire, now: float) -> None:
         """Keep a record, unless too many are kept or the member has ended."""
         name = record.incarnation
--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -18,11 +19,15 @@
 from papayatack.core.records import OWNERSHIP_STREAM, OwnershipRecord, Retire
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.decoding import RecordDecoder
+from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.records import encode_record
 
 __all__ = ["RecordWriter"]
 
+LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
 PLAN_WAIT_S = 3.0
 """Longest time for which the planner waits for the records of its last plan."""
 
@@ -80,6 +85,8 @@
         self._wakes = asyncio.Event()
         self._retirements = RetirementKeeper(core=core)
         self._are_appends_failing = False
+        self._failing_since_s = 0.0
+        self._dropped = 0
         self._handover = _Handover()
 
     def put(self, record: OwnershipRecord) -> None:
@@ -113,6 +120,7 @@
         """Note that a record is not appended."""
         kind = type(entry.record).__name__
         self._metrics.count("ownership_appends_dropped", f"{kind} {reason}")
+        self._dropped += 1
         self._resolve(entry, None)
         is_own = entry.record.writer == self._core.incarnation
         if is_own and reason != "replaced":
@@ -185,22 +193,45 @@
 
     async def _append(self, entry: PendingRecord, deadline_s: float) -> None:
         record = entry.record
+        begun_s = self._read_clock()
         self._metrics.count("records_written", type(record).__name__)
+        self._metrics.set_gauge("ownership_append_age_seconds", begun_s - entry.put_s)
+        self._metrics.set_gauge("ownership_queue_records", len(self._pending))
         result = await self._appender.append(record, deadline_s=deadline_s)
-        now = self._read_clock()
         if is_successful(result):
-            if self._are_appends_failing:
-                self._retirements.note_recovered(record, now)
-            self._are_appends_failing = False
+            self._note_working(record)
             self._resolve(entry, result.unwrap())
             return
-        self._are_appends_failing = True
-        self._retirements.note_failed(now)
+        self._note_failing(begun_s)
         self._resolve(entry, None)
         if record.writer == self._core.incarnation:
             self._relay(record)
             self._core.note_unwritten(record)
 
+    def _note_working(self, record: OwnershipRecord) -> None:
+        """Note that a record was appended."""
+        if not self._are_appends_failing:
+            return
+        now = self._read_clock()
+        self._are_appends_failing = False
+        self._retirements.note_recovered(record, now)
+        log_event(
+            LOGGER,
+            Event.APPENDS_RESUMED,
+            away_ms=int((now - self._failing_since_s) * MS_PER_S),
+            queued=len(self._pending),
+            kept=len(self._retirements),
+            dropped=self._dropped,
+        )
+
+    def _note_failing(self, begun_s: float) -> None:
+        """Note that an append that was begun at ``begun_s`` has failed."""
+        if not self._are_appends_failing:
+            self._are_appends_failing = True
+            self._failing_since_s = begun_s
+            self._dropped = 0
+        self._retirements.note_failed(self._read_clock())
+
     async def _hand_over_retire(self) -> None:
         """Have other nodes keep the own Retire record unless it takes effect soon."""
         handover = self._handover
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -5,7 +5,9 @@
 
 from papayatack.core.messages import ConfigPosition
 from papayatack.core.ownership.selection import TailPolicy
+from papayatack.core.records import OWNERSHIP_STREAM, Retire
 from papayatack.observability.events import Event
+from papayatack.wire.records import encode_record
 from standins.logstore import Outage
 from tests.fakes.clocks import FreezableLoop
 from tests.fakes.nodes import INVENTORY, NodeFixture
@@ -56,6 +58,32 @@
         self.assertLess(max(line.age_ms for line in forwarded), SPREAD_S * 1000)
 
 
+class VerdictTests(unittest.TestCase):
+    """The counters of what became of a node's own records."""
+
+    def test_own_records_are_counted_by_kind_and_verdict(self):
+        """Void ones count with the reason; those of other nodes do not count."""
+
+        async def run():
+            fixture = NodeFixture()
+            fixture.publish()
+            node = fixture.start("n0", "east")
+            await asyncio.sleep(STARTUP_S)
+            record = Retire(record_id="r", writer=node.core.incarnation, incarnation="")
+            fixture.store.append(OWNERSHIP_STREAM, encode_record(record))
+            other = Retire(record_id="o", writer="another", incarnation="")
+            fixture.store.append(OWNERSHIP_STREAM, encode_record(other))
+            await asyncio.sleep(SPREAD_S)
+            await fixture.stop()
+            return node.metrics
+
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            metrics = runner.run(run())
+        name = "own_ownership_records"
+        self.assertEqual(metrics.read_count(name, "Announce effective"), 1)
+        self.assertEqual(metrics.read_count(name, "Retire unknown incarnation"), 1)
+
+
 class EarlyPositionTests(unittest.TestCase):
     """A node that is told of a newer configuration before it has read the log."""
 
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 import unittest
 
@@ -84,12 +85,13 @@
             self.apply(record)
         self.appender = FakeAppender()
         self.sent = []
+        self.metrics = Metrics()
         self.writer = RecordWriter(
             core=self.core,
             appender=self.appender,
             decoder=RecordDecoder(metrics=Metrics()),
             send=lambda recipient, message: self.sent.append((recipient, message)),
-            metrics=Metrics(),
+            metrics=self.metrics,
             random=random.Random(1),
         )
         running = asyncio.ensure_future(self.writer.run())
@@ -287,6 +289,33 @@
         entry = PendingRecord(record=self.make_fenced(OTHER), put_s=5.0)
         self.assertEqual(entry.find_obstacle(self.core.state, 50.0), "")
 
+    async def test_return_of_the_log_is_logged_once(self):
+        """The line tells what has gathered while appends failed."""
+        self.appender.fails = True
+        for record_id in ("a", "b"):
+            self.writer.put(self.make_report(record_id))
+        await self.settle()
+        self.appender.fails = False
+        with self.assertLogs("papayatack", logging.INFO) as logged:
+            for record_id in ("c", "d"):
+                self.writer.put(self.make_report(record_id))
+            await self.settle()
+        self.assertEqual([r.getMessage() for r in logged.records], ["APPENDS_RESUMED"])
+        self.assertEqual(logged.records[0].queued, 1)
+
+    async def test_age_and_reasons_are_counted(self):
+        """They tell whether a planner is too slow for the log."""
+        self.apply(self.make_fenced(OTHER, "first"))
+        self.writer.put(self.make_fenced(OTHER))
+        self.writer.put(self.make_report("a"))
+        await self.settle()
+        reason = "Fenced lease ended"
+        count = self.metrics.read_count("ownership_appends_dropped", reason)
+        self.assertEqual(count, 1)
+        text = self.metrics.format_text().decode()
+        self.assertIn("papayatack_ownership_append_age_seconds", text)
+        self.assertIn("papayatack_ownership_queue_records 0.0", text)
+
     async def test_append_of_a_record_ends_when_it_is_old(self):
         """It must not take effect long after the state has changed."""
         put_s = asyncio.get_running_loop().time()
