Keep a Retire only if it ends its sender

Cause: a Retire of another member, which the fold rejects, would be kept and appended again and again for an hour, since the member never ends by it.

Change: it is ignored. The test failed without the check (such a record was appended).

--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -146,8 +146,9 @@
             return
         now = self._read_clock()
         if isinstance(record, Retire):
-            self._retirements.keep(record, now)
-            self._wakes.set()
+            if record.incarnation == sender:
+                self._retirements.keep(record, now)
+                self._wakes.set()
         else:
             self._put(PendingRecord(record=record, put_s=now, is_relayed=True))
 
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -224,6 +224,9 @@
         """A node may relay only its own records."""
         payload = encode_record(self.make_record(THIRD))
         self.writer.receive(RelayRecord(payload=payload), OTHER)
+        foreign = Retire(record_id="r", writer=OTHER, incarnation=THIRD)
+        payload = encode_record(foreign)
+        self.writer.receive(RelayRecord(payload=payload), OTHER)
         self.writer.receive(RelayRecord(payload=b"{"), OTHER)
         await self.settle()
         self.assertEqual(self.appender.records, [])
