Look at the records of others before the queued ones when the log is back

Cause: when the log was back, all nodes appended their queued records at once, among them reports of ends that others had appended a moment before: 27 void ones within a second.

Change: after the first append that succeeds, a node waits until its state has that record, 0.3 s at most, so that it drops what others have appended. One of the two tests fails without this; the other holds the bound.

--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -37,6 +37,10 @@
 PROBE_DEADLINE_S = 1.2
 """Time limit of an append of a record that is kept for another node."""
 
+CATCH_UP_CHECK_S = 0.02
+CATCH_UP_CHECKS = 15
+"""Times that a node looks for the records of others after its appends have failed."""
+
 MAX_RELAYS = 2
 """Number of nodes that are asked to append a record that this node could not."""
 
@@ -200,8 +204,10 @@
         self._metrics.set_gauge("ownership_queue_records", len(self._pending))
         result = await self._appender.append(record, deadline_s=deadline_s)
         if is_successful(result):
-            self._note_working(record)
             self._resolve(entry, result.unwrap())
+            if self._are_appends_failing:
+                self._note_working(record)
+                await self._wait_for_state(result.unwrap())
             return
         self._note_failing(begun_s)
         self._resolve(entry, None)
@@ -209,10 +215,18 @@
             self._relay(record)
             self._core.note_unwritten(record)
 
+    async def _wait_for_state(self, offset: int) -> None:
+        """Wait until the state has the record at an offset, at most for a moment.
+
+        It then shows which of the queued records others have appended before.
+        """
+        for _ in range(CATCH_UP_CHECKS):
+            if self._core.state.next_offset > offset:
+                break
+            await asyncio.sleep(CATCH_UP_CHECK_S)
+
     def _note_working(self, record: OwnershipRecord) -> None:
-        """Note that a record was appended."""
-        if not self._are_appends_failing:
-            return
+        """Note that a record was appended after a failure."""
         now = self._read_clock()
         self._are_appends_failing = False
         self._retirements.note_recovered(record, now)
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -23,7 +23,13 @@
     RetirementKeeper,
     list_keepers,
 )
-from papayatack.control.writing import HANDOVER_INTERVAL_S, PLAN_WAIT_S, RecordWriter
+from papayatack.control.writing import (
+    CATCH_UP_CHECK_S,
+    CATCH_UP_CHECKS,
+    HANDOVER_INTERVAL_S,
+    PLAN_WAIT_S,
+    RecordWriter,
+)
 from papayatack.core.identity import LeaseId
 from papayatack.core.messages import RelayRecord
 from papayatack.core.ownership.node import NodeCore
@@ -306,6 +312,39 @@
         self.assertEqual([r.getMessage() for r in logged.records], ["APPENDS_RESUMED"])
         self.assertEqual(logged.records[0].queued, 1)
 
+    async def test_records_of_others_are_awaited_after_a_failure(self):
+        """Several nodes report the same end when the log is back."""
+        self.appender.fails = True
+        self.writer.put(self.make_report("a"))
+        await self.settle()
+        self.appender.fails = False
+        self.appender.records = [None] * (self.core.state.next_offset + 1)
+        first = self.make_report("b")
+        self.writer.put(first)
+        self.writer.put(self.make_assign("late"))
+        await self.settle()
+        self.assertEqual(self.appender.records[-1], first)
+        while self.core.state.next_offset < self.appender.end:
+            self.apply(self.make_assign(f"of another {self.core.state.next_offset}"))
+        await asyncio.sleep(2 * CATCH_UP_CHECK_S)
+        self.assertEqual(self.appender.records[-1], first)
+        self.writer.put(self.make_assign("next", base_epoch=1))
+        await self.settle()
+        self.assertEqual(self.appender.records[-1].record_id, "next")
+
+    async def test_wait_for_records_of_others_is_bounded(self):
+        """The state may be late for other reasons."""
+        self.appender.fails = True
+        self.writer.put(self.make_report("a"))
+        await self.settle()
+        self.appender.fails = False
+        self.appender.records = [None] * (self.core.state.next_offset + 1)
+        last = self.make_assign("p")
+        self.writer.put(self.make_report("b"))
+        self.writer.put(last)
+        await asyncio.sleep((CATCH_UP_CHECKS + 3) * CATCH_UP_CHECK_S)
+        self.assertEqual(self.appender.records[-1], last)
+
     async def test_age_and_reasons_are_counted(self):
         """They tell whether a planner is too slow for the log."""
         self.apply(self.make_fenced(OTHER, "first"))
