Give an append some time even if its record is nearly too old

Cause: the append of an assignment or admission ends when the record is 2 s old. One that waited long for its turn had less time than the pace of the appender needs (0.2 s), failed, and looked like a log that is away.

Change: 0.5 s at least, so that such a record is 2.5 s old at most.

--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -34,6 +34,10 @@
 APPEND_DEADLINE_S = 1.6
 """Time limit of an append, including retries."""
 
+MIN_APPEND_S = 0.5
+"""Time that an append has at least, also of a record that is nearly too old: a shorter
+one would fail although the log is there, since the appender paces its calls."""
+
 PROBE_DEADLINE_S = 1.2
 """Time limit of an append of a record that is kept for another node."""
 
@@ -185,8 +189,9 @@
         obstacle = entry.find_obstacle(self._core.state, now)
         if obstacle:
             self._drop(entry, obstacle)
-        else:
-            await self._append(entry, min(now + APPEND_DEADLINE_S, entry.until_s))
+            return
+        until_s = max(entry.until_s, now + MIN_APPEND_S)
+        await self._append(entry, min(now + APPEND_DEADLINE_S, until_s))
 
     async def _wait_for_records(self, now: float) -> None:
         """Wait until a record is queued or kept, or one that is kept is due."""
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -27,6 +27,7 @@
     CATCH_UP_CHECK_S,
     CATCH_UP_CHECKS,
     HANDOVER_INTERVAL_S,
+    MIN_APPEND_S,
     PLAN_WAIT_S,
     RecordWriter,
 )
@@ -365,6 +366,14 @@
         await self.settle()
         self.assertLessEqual(self.appender.deadline_s, put_s + MAX_AGE_S + 0.01)
 
+    async def test_nearly_old_record_has_time_to_be_appended(self):
+        """An append without any time would look like a log that is away."""
+        now = asyncio.get_running_loop().time()
+        put_s = now - MAX_AGE_S + 0.2
+        self.writer._put(PendingRecord(record=self.make_admit(), put_s=put_s))
+        await self.settle()
+        self.assertGreaterEqual(self.appender.deadline_s, now + MIN_APPEND_S)
+
     async def test_record_that_is_void_already_is_not_appended(self):
         """Another node has reported the same end in the meantime."""
         self.apply(self.make_fenced(OTHER, "first"))
