Let a loss beside witnesses that left end in a takeover

A review of the last changes found, each with a failing test: - a holder that was frozen or cut off from its last witness after two had left neither served nor was replaced until the log was back, since a witness that answers 'fenced' counted as one that answers; the same if the last witness was lost; - a witness that leaves reported healthy holders as lapsed, as they renew at it no more: others suspected them, and one further lapse was enough for a fence; - a holder lost within a second of the stop of two of its witnesses was never replaced, with the log up; witnesses that had retired did not count as gone once any node joined; - a retiring node appended its record once within its stage.

A holder whose staying witnesses have fenced, or are silent and too few to fence, ends its lease itself. A leaving witness gives no notice of lapses. The last witness of a lease whose others are gone fences it, and records its end a lease duration later. Retirements are remembered, and the record of a node's own end is repeated after 0.5 s.

--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -24,6 +24,9 @@
 MOVE_BATCH_SHARDS = 16
 """Largest number of shards moved by one record."""
 
+RETIRE_RETRY_INTERVAL_S = 0.5
+"""Time after which the record of the node's own end is appended again."""
+
 EVACUATION_TIMEOUT_S = 0.6
 MOVE_TIMEOUT_S = 1.0
 """Time without progress after which the log is considered unavailable, so that the
@@ -211,7 +214,7 @@
         if done or now - self._stage_since_s > DEPARTURE_STAGE_TIMEOUT_S:
             self._enter(DepartureStage.FINISHED, now)
             self._context.effects.append(FinishNode(resigned=True))
-        elif self._context.restart_if_due("retire", now, APPEND_RETRY_INTERVAL_S):
+        elif self._context.restart_if_due("retire", now, RETIRE_RETRY_INTERVAL_S):
             record = Retire(
                 record_id=self._context.make_record_id(),
                 writer=self._context.incarnation,
--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -171,16 +171,18 @@
 
         This is the case if too many witnesses are unresponsive while another one
         answers: then those witnesses are lost, and this node is not merely isolated.
-        Witnesses that departed are no loss unless all have.
+        Witnesses that departed are no loss, unless those that stay have fenced the
+        lease, or are silent and too few to do so: then nobody else can end it.
         """
         if self.ended or not self.witnesses or self.may_have_grants(now):
             return False
-        silent = len(self.list_unresponsive(QUORUM_LOSS_ROUNDS))
-        answering = len(self.witnesses) - silent
-        if len(self.departed) == len(self.witnesses):
-            return True
-        promising = answering + len(self.departed)
-        return answering > 0 and promising < compute_promise_quorum(len(self.witnesses))
+        silent = self.list_unresponsive(QUORUM_LOSS_ROUNDS)
+        answering = set(self.witnesses) - silent
+        promising = answering - self.fenced_by
+        if not answering or not promising:
+            return bool(answering) or not self.can_be_fenced
+        count = len(promising) + len(self.departed)
+        return count < compute_promise_quorum(len(self.witnesses))
 
     def accept(
         self,
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -165,7 +165,7 @@
         if change.members:
             self.context.fencing.prune()
             self.context.witnessing.prune()
-            self._orphaned_leases.note_members()
+            self._orphaned_leases.note_members(change.members)
             self._check_ended()
         self.claims.recheck_blocked()
         owned_shards = self.context.owned_shards
--- a/src/papayatack/core/ownership/orphaned_leases.py
+++ b/src/papayatack/core/ownership/orphaned_leases.py
@@ -1,6 +1,9 @@
 """Ends leases that no witness can renew or fence any more."""
 
+from collections.abc import Iterable
+
 from papayatack.core.identity import IncarnationId, LeaseId, parse_peer_address
+from papayatack.core.messages import Fence
 from papayatack.core.ownership.context import Context
 from papayatack.core.ownership.selection import rank_planners
 from papayatack.core.ownership.state import EndKind, LeaseEntry
@@ -16,12 +19,13 @@
 
 
 class OrphanedLeases:
-    """Records the end of leases whose witnesses are all gone, which nobody can fence.
+    """Records the end of leases whose witnesses are gone: nobody can fence them.
 
     A witness is gone when it has retired, or when the log names a newer process at its
     address. A holder needs a promise of a witness that has not left, so that its lease
     runs out one lease duration after the last witness is known to be gone. The record
-    of the end follows all records that the holder can have applied until then.
+    of the end follows all records that the holder can have applied until then. If this
+    node is the last witness, it fences the lease first.
 
     Args:
         context: The node's state.
@@ -32,11 +36,17 @@
         self._context = context
         self._wait_s = lease_s * (1 + CLOCK_RATE_BOUND)
         self._since_s: dict[LeaseId, float] = {}
+        self._retired: set[IncarnationId] = set()
         self._is_outdated = True
 
-    def note_members(self) -> None:
+    def note_members(self, changed: Iterable[IncarnationId]) -> None:
         """Look for orphaned leases again, after members were announced or ended."""
         self._is_outdated = True
+        self._retired.update(filter(self._has_retired, changed))
+
+    def _has_retired(self, name: IncarnationId) -> bool:
+        member = self._context.state.members.get(name)
+        return member is not None and member.ended is EndKind.RETIRED
 
     def advance(self, now: float) -> None:
         """Append the records that are due."""
@@ -48,9 +58,22 @@
         for lease, since_s in list(self._since_s.items()):
             if not self._context.state.is_live(lease):
                 del self._since_s[lease]
-            elif now >= since_s + self._wait_s + self._find_delay_s():
+            elif not self._is_fenced_here(lease, now):
+                self._since_s[lease] = now
+            elif now >= since_s + self._wait_s + self._find_delay_s(lease):
                 self._append_end(lease, now)
 
+    def _is_fenced_here(self, lease: LeaseId, now: float) -> bool:
+        """Fence a lease as its last witness; tell whether this node promises nothing.
+
+        True as well if this node is none of its witnesses.
+        """
+        own = self._context.incarnation
+        if own not in self._context.state.leases[lease].witnesses:
+            return True
+        reply = self._context.witnessing.fence(Fence(lease=lease), now)
+        return reply is not None and reply.fenced
+
     def _find(self) -> list[LeaseId]:
         return [
             lease
@@ -61,7 +84,8 @@
         ]
 
     def _is_orphaned(self, entry: LeaseEntry) -> bool:
-        return bool(entry.witnesses) and all(map(self._is_gone, entry.witnesses))
+        others = [name for name in entry.witnesses if name != self._context.incarnation]
+        return bool(others) and all(map(self._is_gone, others))
 
     def _is_gone(self, witness: IncarnationId) -> bool:
         """Tell whether a witness promises nothing any more.
@@ -72,11 +96,15 @@
         current = state.incarnation_by_address.get(parse_peer_address(witness))
         if current is not None and current != witness:
             return True
-        member = state.members.get(witness)
-        return member is not None and member.ended is EndKind.RETIRED
+        return witness in self._retired or self._has_retired(witness)
 
-    def _find_delay_s(self) -> float:
-        """Return the delay by rank among the planners whose leases are not orphaned."""
+    def _find_delay_s(self, lease: LeaseId) -> float:
+        """Return the delay by rank among the planners whose leases are not orphaned.
+
+        The last witness does not wait, since only it knows that it has fenced.
+        """
+        if self._context.incarnation in self._context.state.leases[lease].witnesses:
+            return 0.0
         orphaned = {lease.incarnation for lease in self._since_s}
         planners = rank_planners(self._context.state, avoid=orphaned)
         own = self._context.incarnation
--- a/src/papayatack/core/ownership/witnessing.py
+++ b/src/papayatack/core/ownership/witnessing.py
@@ -93,6 +93,7 @@
         ]
         for lease in kept:
             self._promises[lease] = make_permanent(self._promises[lease])
+            self._notices.pop(lease, None)
         return kept
 
     def prune(self) -> None:
@@ -123,7 +124,9 @@
         self._promises[message.lease] = promise
         if promise.fenced:
             return 0, True
-        self._notices[message.lease] = _LapseNotice(due_s=promise.expires_s)
+        self._notices.pop(message.lease, None)
+        if not promise.is_permanent:
+            self._notices[message.lease] = _LapseNotice(due_s=promise.expires_s)
         return int(self._lease_s * MICROSECONDS_PER_S), False
 
     def _has_been_dropped(self, lease: LeaseId) -> bool:
