--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -101,6 +101,7 @@
         self._fenced_since_s: dict[IncarnationId, float] = {}
         self._unserved_since_s: float | None = None
         self._serving: frozenset[tuple[IncarnationId, bool]] = frozenset()
+        self._serving_offset = -1
         self._last_join_s = float("-inf")
         self._settling_since_s: float | None = None
         self._last_inputs = (-1, -1)
@@ -239,15 +240,7 @@
         shards were lost or have lost their leases. Without the wait, the first nodes
         would get all shards and those that are back shortly after them none.
         """
-        state = self._core.state
-        serving = frozenset(
-            (member.incarnation, state.find_live_lease(member.incarnation) is not None)
-            for member in state.list_live_members()
-            if member.service
-        )
-        if not serving <= self._serving:
-            self._last_join_s = now
-        self._serving = serving
+        self._note_joins(now)
         if not self._has_mostly_unserved_shards():
             self._settling_since_s = None
             return False
@@ -259,6 +252,21 @@
         quiet_since_s = max(self._last_join_s, self._settling_since_s)
         return now - quiet_since_s < quiet_period_s
 
+    def _note_joins(self, now: float) -> None:
+        """Note the time if a node has joined or got a lease since the last record."""
+        state = self._core.state
+        if state.next_offset == self._serving_offset:
+            return
+        self._serving_offset = state.next_offset
+        serving = frozenset(
+            (member.incarnation, state.find_live_lease(member.incarnation) is not None)
+            for member in state.list_live_members()
+            if member.service
+        )
+        if not serving <= self._serving:
+            self._last_join_s = now
+        self._serving = serving
+
     def _declare_lost(self, now: float) -> None:
         """Declare nodes lost whose lease is fenced and that acquire no new one.
 
