--- a/src/papayatack/control/shares.py
+++ b/src/papayatack/control/shares.py
@@ -127,6 +127,7 @@
         self.shares: tuple[ServiceShares, ...] = ()
         self._core = core
         self._metrics = metrics
+        self._last_inputs = (-1, -1)
         self._exceeded_since_s: dict[str, float] = {}
         self._logged_s: dict[str, float] = {}
 
@@ -148,7 +149,10 @@
             now: Time of the event loop in seconds.
             is_planner: Whether this node is the planner.
         """
-        self.shares = tuple(measure_shares(self._core))
+        inputs = self._core.state.next_offset, self._core.count_reported_ends()
+        if inputs != self._last_inputs:
+            self._last_inputs = inputs
+            self.shares = tuple(measure_shares(self._core))
         self._metrics.set_gauge(
             "largest_share_ratio", max((s.ratio for s in self.shares), default=0.0)
         )
--- a/src/papayatack/core/ownership/fencing.py
+++ b/src/papayatack/core/ownership/fencing.py
@@ -56,6 +56,10 @@
         """
         return self._ends.get(lease)
 
+    def count_ends(self) -> int:
+        """Return how many leases are proved to have ended."""
+        return len(self._ends)
+
     def record_lapse(self, lease: LeaseId, witness: IncarnationId, now: float) -> bool:
         """Record that the lease expired at a witness; return whether fencing starts.
 
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -372,6 +372,10 @@
             or not self.context.state.is_live(lease)
         )
 
+    def count_reported_ends(self) -> int:
+        """Return how many ends of leases are proved or reported to this node."""
+        return len(self.context.reported_fenced) + self.context.fencing.count_ends()
+
     def _apply_lease_entry(self, lease: LeaseId, now: float) -> None:
         """Update the local protocol state from the lease's entry in the folded log."""
         entry = self.context.state.leases.get(lease)
