--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -179,8 +179,10 @@
         silent = self.list_unresponsive(QUORUM_LOSS_ROUNDS)
         answering = set(self.witnesses) - silent
         promising = answering - self.fenced_by
-        if not answering or not promising:
-            return bool(answering) or not self.can_be_fenced
+        if not answering:
+            return not self.can_be_fenced
+        if not promising:
+            return True
         count = len(promising) + len(self.departed)
         return count < compute_promise_quorum(len(self.witnesses))
 
--- a/src/papayatack/core/ownership/orphaned_leases.py
+++ b/src/papayatack/core/ownership/orphaned_leases.py
@@ -52,6 +52,7 @@
         """Append the records that are due."""
         if self._is_outdated:
             self._is_outdated = False
+            self._forget_retired()
             self._since_s = {
                 lease: self._since_s.get(lease, now) for lease in self._find()
             }
@@ -63,6 +64,11 @@
             elif now >= since_s + self._wait_s + self._find_delay_s(lease):
                 self._append_end(lease, now)
 
+    def _forget_retired(self) -> None:
+        """Forget the retired nodes that are witnesses of no known lease."""
+        leases = self._context.state.leases.values()
+        self._retired &= {name for entry in leases for name in entry.witnesses}
+
     def _is_fenced_here(self, lease: LeaseId, now: float) -> bool:
         """Fence a lease as its last witness; tell whether this node promises nothing.
 
