Use the late answer of a peer that was silent twice, and keep it

What callers saw: a download is reset in the middle of its answer. Cause: a peer that becomes unresponsive twice before it answers was added twice to the late responses of the request. Its answer took one entry; when the request had its response, the other entry cancelled the stream in use.

An attempt is added once. tests.proxy.test_late_responses failed before; tests.proxy. test_engine and tests.network.test_peers pass.

--- a/src/papayatack/proxy/late_responses.py
+++ b/src/papayatack/proxy/late_responses.py
@@ -36,7 +36,12 @@
         self._failure: _ResponseResult | None = None
 
     def add(self, stream: PeerStream) -> None:
-        """Add an attempt whose response may still arrive."""
+        """Add an attempt whose response may still arrive, unless it was added before.
+
+        A peer may become unresponsive more than once before it responds.
+        """
+        if stream in self._streams:
+            return
         self._streams.append(stream)
         self.added_count += 1
 
