--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.bodies import BodyQueue, ExpectContinueBody, IncompleteBodyError
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response, find_header
@@ -41,6 +42,7 @@
     draining: bool
     handler: Handler
     hangups: HangupWatch
+    arrivals: ArrivalCheck
 
     def add_connection(self, connection: "CallerConnection") -> bool:
         """Register an open connection; return false if the limit is exceeded."""
@@ -252,8 +254,15 @@
         self._response = None
         self._written_bytes = 0
         refusal = self._check_body_headers(request)
+        self._check_arrival()
         self._task = self._loop.create_task(self._serve_request(request, refusal))
 
+    def _check_arrival(self) -> None:
+        """Have it checked whether the caller has hung up behind its request."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            self._owner.arrivals.add(sock.fileno(), lambda: None)
+
     def _check_body_headers(self, request: Request) -> Refusal | None:
         """Return the refusal of a request whose body headers are not acceptable."""
         length = find_header(request.headers, b"content-length")
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -86,6 +86,7 @@
         route: Name of the route that matched; not forwarded, empty if there is none.
         target_s: Seconds until the response-time target, negative once it has passed;
             a response before it has the highest value. ``None`` if there is no target.
+        delay_s: For how many seconds it was on its way from the node that sent it.
     """
 
     request: Request
@@ -106,3 +107,4 @@
     max_attempts: int = 0
     route: str = ""
     target_s: float | None = None
+    delay_s: float = 0.0
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -51,6 +51,11 @@
 CLOSE_TIMEOUT_S = 10.0
 """Time after which a connection that is closed in order is closed in any case."""
 
+LATE_S = 0.25
+"""Time on the way from which a request counts as late."""
+
+LATE_LOG_INTERVAL_S = 1.0
+
 CONTROL_STREAM = 0
 """Stream id of frames that belong to no request."""
 
@@ -131,6 +136,7 @@
         self._flush_scheduled = False
         self._paused = False
         self._write_ended = False
+        self._late_logged_s = -math.inf
         self._handlers: tuple[tuple[str, Callable[[Any], None]], ...] = (
             ("request", self._handle_request),
             ("response", self._handle_response),
@@ -460,15 +466,34 @@
             self._held.append((stream, frame.request))
 
     def _hand_on(self, stream: PeerStream, head: Any) -> None:
-        self._subtract_delay(head)
+        self._subtract_delay(stream, head)
         self._owner.handle_request(stream, head)
 
-    def _subtract_delay(self, head: Any) -> None:
+    def _subtract_delay(self, stream: PeerStream, head: Any) -> None:
         """Subtract a request's delivery delay from its remaining time."""
         delay_us = self._delivery_delay.measure(self._read_clock_us(), head.sent_us)
         head.deadline_us = (head.deadline_us or 0) - delay_us
         if head.target_us is not None:
             head.target_us -= delay_us
+        stream.delay_s = delay_us / US_PER_S
+        if stream.delay_s >= LATE_S:
+            self._report_late(stream)
+
+    def _report_late(self, stream: PeerStream) -> None:
+        """Count a late request, and log one of them per interval."""
+        self._owner.metrics.count("peer_requests_late")
+        now = self._loop.time()
+        if now < self._late_logged_s + LATE_LOG_INTERVAL_S:
+            return
+        self._late_logged_s = now
+        log_event(
+            _logger,
+            Event.REQUESTS_LATE,
+            level=logging.WARNING,
+            peer=self.address or "",
+            delay_ms=int(stream.delay_s * MS_PER_S),
+            streams=len(self.streams),
+        )
 
     def _read_clock_us(self) -> int:
         return int(self._loop.time() * US_PER_S)
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -379,7 +379,9 @@
             self.metrics.count("peer_requests_refused", refusal.kind.value)
             stream.send_failure(refusal)
             return
-        result = await self.on_request(decode_request_head(stream.inbound, head))
+        peer_request = decode_request_head(stream.inbound, head)
+        peer_request.delay_s = stream.delay_s
+        result = await self.on_request(peer_request)
         if is_successful(result):
             await self._send_response(stream, result.unwrap())
         else:
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -66,6 +66,7 @@
         on_unresponsive: Receives the stream if the peer becomes unresponsive before it
             responds. If ``None``, the response is awaited until the deadline.
         deadline_s: Event loop time at which the stream of an unresponsive peer ends.
+        delay_s: For how many seconds the peer's request was on its way.
     """
 
     def __init__(self, *, link: StreamOwner, stream_id: int) -> None:
@@ -80,6 +81,7 @@
         self.task: asyncio.Task[None] | None = None
         self.on_unresponsive: Callable[[PeerStream], None] | None = None
         self.deadline_s = math.inf
+        self.delay_s = 0.0
         self._link = link
         self._queue: collections.deque[bytes] = collections.deque()
         self._credit = link.limits.window_bytes
--- a/src/papayatack/proxy/in_flight.py
+++ b/src/papayatack/proxy/in_flight.py
@@ -31,7 +31,11 @@
 
 @dataclasses.dataclass(slots=True)
 class InFlightUse:
-    """The slot and grant of a request in flight, which must be released once."""
+    """The slot and grant of a request in flight, which must be released once.
+
+    Attributes:
+        left_s: Seconds until the request's deadline when it was sent.
+    """
 
     ownership: Ownership
     permit: Permit
@@ -40,6 +44,7 @@
     crashes: CrashDetector
     screening: Screening
     run: Run | None = None
+    left_s: float = 0.0
 
     @property
     def sent(self) -> bool:
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -237,6 +237,7 @@
             pool=upstream,
         )
         self.crashes.start(use.run)
+        use.left_s = deadline_s - now
         if attempt is not None:
             attempt.sent = True
         result = await connection.exchange(
@@ -457,6 +458,8 @@
         reason=kind.value,
         detail=detail,
         ran_ms=int(use.read_duration_s() * MS_PER_S),
+        delay_ms=int(peer_request.delay_s * MS_PER_S),
+        left_ms=int(use.left_s * MS_PER_S),
         read_bytes=read_bytes,
     )
 
--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -193,10 +193,10 @@
         )
         return schema.Frame(stream=CONTROL_STREAM, hello=hello)
 
-    def build_request(self, sent_s):
+    def build_request(self, sent_s, *, stream=1):
         """Return a request of which 0.2 s were left when the peer sent it."""
         head = schema.RequestHead(deadline_us=200_000, sent_us=int(sent_s * 1e6))
-        return schema.Frame(stream=1, request=head)
+        return schema.Frame(stream=stream, request=head)
 
     def list_remaining_s(self):
         """Return the time left to each request that was handed on."""
@@ -236,3 +236,15 @@
         hellos = self.build_hello(500.0), self.build_hello(500.0, reply_wanted=True)
         self.receive(*hellos, self.build_request(500.0))
         self.assertEqual(self.list_remaining_s(), [])
+
+    async def test_late_requests_are_counted_and_logged_once_a_second(self):
+        """The line tells for how long the first of them was on its way."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        self.now += 1.3
+        with self.assertLogs("papayatack.network.links", "WARNING") as logs:
+            self.receive(self.build_request(500.3), self.build_request(500.4, stream=3))
+        (record,) = logs.records
+        self.assertEqual(
+            (record.getMessage(), record.delay_ms), ("REQUESTS_LATE", 1000)
+        )
+        self.assertEqual(self.owner.metrics.read_count("peer_requests_late"), 2)
