--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -193,9 +193,11 @@
         )
         return schema.Frame(stream=CONTROL_STREAM, hello=hello)
 
-    def build_request(self, sent_s, *, stream=1):
-        """Return a request of which 0.2 s were left when the peer sent it."""
-        head = schema.RequestHead(deadline_us=200_000, sent_us=int(sent_s * 1e6))
+    def build_request(self, sent_s, *, stream=1, deadline_s=0.2):
+        """Return a request of which so much time was left when the peer sent it."""
+        head = schema.RequestHead(
+            deadline_us=int(deadline_s * 1e6), sent_us=int(sent_s * 1e6)
+        )
         return schema.Frame(stream=stream, request=head)
 
     def list_remaining_s(self):
@@ -248,3 +250,53 @@
             (record.getMessage(), record.delay_ms), ("REQUESTS_LATE", 1000)
         )
         self.assertEqual(self.owner.metrics.read_count("peer_requests_late"), 2)
+
+    async def test_request_on_a_connection_that_was_late_from_the_start_is_not_fresh(
+        self,
+    ):
+        """Each way has taken a second, the hello and its answer too."""
+        self.now = 11.0
+        self.receive(self.build_hello(500.0))
+        self.now = 11.9
+        self.receive(self.build_request(500.9))
+        self.now = 12.0
+        self.receive(self.build_hello(501.0))
+        self.answer_later_hellos()
+        self.assertTrue(all(left_s <= 0.2 - 1.1 for left_s in self.list_remaining_s()))
+
+    async def test_delay_that_lasts_is_not_taken_for_none(self):
+        """All messages of 20 s are late by as much."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        for second in range(20):
+            self.now = 11.2 + second
+            self.receive(self.build_hello(500.0 + second, reply_wanted=True))
+        self.now = 31.2
+        self.receive(self.build_request(520.0))
+        self.answer_later_hellos()
+        (remaining_s,) = self.list_remaining_s()
+        self.assertAlmostEqual(remaining_s, 0.2 - 1.2, places=1)
+
+    async def test_late_request_whose_cancel_is_read_next_is_never_handed_on(self):
+        """The buffers of a node that stood still are read in two turns."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        self.now += 1.2
+        self.receive(self.build_request(500.1, deadline_s=5.0))
+        cancel = schema.Cancel(reason="the caller left")
+        self.receive(schema.Frame(stream=1, cancel=cancel))
+        self.answer_later_hellos()
+        self.assertEqual(self.list_remaining_s(), [])
+
+    async def test_late_request_is_handed_on_once_nothing_older_can_follow(self):
+        """The peer has answered a hello since, and no cancel came before that."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        self.now += 1.2
+        self.receive(self.build_request(500.1, deadline_s=5.0))
+        self.answer_later_hellos()
+        (remaining_s,) = self.list_remaining_s()
+        self.assertAlmostEqual(remaining_s, 5.0 - 1.1, places=1)
+
+    def answer_later_hellos(self):
+        """Answer what the link has asked since the last hello, 2 ms later each."""
+        for _ in range(3):
+            self.now += 0.002
+            self.receive(self.build_hello(self.now + 490.0))
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -34,6 +34,7 @@
 """Time after which a replaced connection that is idle has been closed."""
 
 RESUME_S = 0.3
+CONNECT_S = 0.4
 STOP_S = 5.0
 ANSWER_BYTES = 60_000
 """Less than the flow-control window; two of them do not fit a connection's buffer."""
@@ -46,7 +47,7 @@
 MESSAGE = Fence(lease=LeaseId(IncarnationId("x"), 1))
 
 
-def build_peer_request(body=b"", recipient=""):
+def build_peer_request(body=b"", recipient="", target_s=None):
     """Build a request from one node to another."""
     return PeerRequest(
         request=Request(method=b"GET", target=b"/", body=BytesBody(data=body)),
@@ -60,6 +61,7 @@
         repeatable=True,
         request_id="r",
         recipient=recipient,
+        target_s=target_s,
     )
 
 
@@ -119,6 +121,26 @@
         await sent
         self.assertLessEqual(left[0], 5.0 - 0.28)
 
+    async def test_time_spent_connecting_is_subtracted_from_the_remaining_time(self):
+        """The target time comes nearer by as much."""
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+        received = []
+
+        async def connect_slowly(*args, **kwargs):
+            await asyncio.sleep(CONNECT_S)
+            return await connect(*args, **kwargs)
+
+        async def record(peer_request):
+            received.append(peer_request)
+            return await self.respond(peer_request)
+
+        self.second.on_request = record
+        with mock.patch.object(loop, "create_connection", connect_slowly):
+            await self.exchange(target_s=1.0)
+        self.assertLessEqual(received[0].remaining_s, 5.0 - CONNECT_S)
+        self.assertLessEqual(received[0].target_s, 1.0 - CONNECT_S)
+
     async def exchange(self, **kwargs):
         """Send a request from the first node to the second."""
         return await self.first.exchange(
--- /dev/null
+++ b/tests/proxy/test_standstill.py
@@ -0,0 +1,120 @@
+"""Tests of requests that wait in sockets while a node's event loop stands still."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+from standins.upstream import UpstreamStandin
+from tests.proxy.fakes import Node, build_request, fetch
+
+CALLERS = 15
+STAND_S = 0.6
+LEAVE_S = 0.2
+"""Time after the requests at which the callers leave."""
+SETTLE_S = 0.4
+REQUEST = b"GET /hiring/v/k1 HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class StandstillTests(unittest.IsolatedAsyncioTestCase):
+    """An entry node, whose loop stands still, and the owner of the key."""
+
+    async def asyncSetUp(self):
+        """Start an upstream and the nodes, and connect them."""
+        self.upstream = UpstreamStandin()
+        await self.upstream.start()
+        self.owner = await Node(name="owner").start(self.upstream.port)
+        self.entry = await Node(name="entry").start()
+        self.owner.ownership.route = self.owner.build_route(local=True)
+        self.entry.ownership.route = self.owner.build_route(local=False)
+        await self.owner.grant()
+        await fetch(self.entry.callers.port, build_request("GET", "/hiring/v/k1"))
+        exchange = mock.patch.object(
+            self.entry.network, "exchange", wraps=self.entry.network.exchange
+        )
+        self.forwarded = exchange.start()
+        self.addCleanup(exchange.stop)
+        self.owner.ownership.authorized = 0
+
+    async def asyncTearDown(self):
+        """Stop the nodes and the upstream."""
+        await self.entry.stop()
+        await self.owner.stop()
+        await self.upstream.stop(timeout_s=0)
+
+    def connect(self, node):
+        """Return a connection of a caller to a node."""
+        caller = socket.create_connection(("127.0.0.1", node.callers.port))
+        self.addCleanup(caller.close)
+        return caller
+
+    async def stand_still(self, action):
+        """Run blocking code in a thread while the event loop does nothing."""
+        thread = threading.Thread(target=action)
+        thread.start()
+        asyncio.get_running_loop().call_soon(time.sleep, STAND_S)
+        await asyncio.sleep(STAND_S + SETTLE_S)
+        thread.join()
+
+    async def send_and_leave(self, callers, data=REQUEST):
+        """Send requests in a standstill, and close their connections."""
+
+        def send_and_leave():
+            for caller in callers:
+                caller.sendall(data)
+            time.sleep(LEAVE_S)
+            for caller in callers:
+                caller.close()
+
+        await self.stand_still(send_and_leave)
+
+    def assert_handed_on(self, *, forwarded, run):
+        """Check how many requests were sent to the owner and to the upstream."""
+        counts = self.forwarded.call_count, self.owner.ownership.authorized
+        self.assertEqual(counts, (forwarded, run))
+
+    async def test_callers_that_left_are_not_served_by_another_node(self):
+        """Their connections were open before."""
+        callers = [self.connect(self.entry) for _ in range(CALLERS)]
+        await asyncio.sleep(0.05)
+        await self.send_and_leave(callers)
+        self.assert_handed_on(forwarded=0, run=0)
+
+    async def test_callers_that_left_are_not_served_by_the_local_upstream(self):
+        """The node that stood still owns the key."""
+        callers = [self.connect(self.owner) for _ in range(CALLERS)]
+        await asyncio.sleep(0.05)
+        await self.send_and_leave(callers)
+        self.assert_handed_on(forwarded=0, run=0)
+
+    async def test_callers_that_left_new_connections_are_not_served(self):
+        """They connected while the node stood still."""
+        callers = [self.connect(self.entry) for _ in range(CALLERS)]
+        await self.send_and_leave(callers)
+        self.assert_handed_on(forwarded=0, run=0)
+
+    async def test_callers_that_left_pipelined_requests_are_not_served(self):
+        """Several requests wait on each connection."""
+        callers = [self.connect(self.entry) for _ in range(CALLERS)]
+        await asyncio.sleep(0.05)
+        await self.send_and_leave(callers, REQUEST * 3)
+        self.assert_handed_on(forwarded=0, run=0)
+
+    async def test_callers_that_stay_are_served(self):
+        """Every second caller leaves in the standstill."""
+        callers = [self.connect(self.entry) for _ in range(CALLERS)]
+        await asyncio.sleep(0.05)
+
+        def send():
+            for caller in callers:
+                caller.sendall(REQUEST)
+            for caller in callers[::2]:
+                caller.close()
+
+        await self.stand_still(send)
+        stayed = len(callers[1::2])
+        self.assert_handed_on(forwarded=stayed, run=stayed)
+        for caller in callers[1::2]:
+            self.assertIn(b" 200 ", caller.recv(1000))
