Do not send on requests whose callers hung up before they were read

Cause: the loop reads a request in one turn and the end of its connection in the next. The task that serves the request runs in between, so that everything that had waited in the sockets is sent on, and is cancelled only after that.

Fix: before a task that serves a request runs, the kernel is asked which of the connections that were read in this turn have been closed at the other end; one call of poll() a turn. Their requests end there. It holds for any standstill, and needs no measure of it.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -261,7 +261,13 @@
         """Have it checked whether the caller has hung up behind its request."""
         sock = self._transport.get_extra_info("socket")
         if sock is not None and sock.fileno() >= 0:
-            self._owner.arrivals.add(sock.fileno(), lambda: None)
+            self._owner.arrivals.add(sock.fileno(), self._leave_at_once)
+
+    def _leave_at_once(self) -> None:
+        """End a request that no task has begun to serve, as its caller has hung up."""
+        if self._task is not None:
+            self._task.cancel()
+        self._transport.abort()
 
     def _check_body_headers(self, request: Request) -> Refusal | None:
         """Return the refusal of a request whose body headers are not acceptable."""
