Take the time of connecting to another node from what that node gets

Cause: the time left was computed before the wait for a connection, and the time of sending stamped after it. Fix: the wait is subtracted from the deadline and the target.

Evidence: tests.network.test_peers, test_time_spent_connecting...: 5.0 s left after 0.4 s of connecting before, now at most 4.6; all of test_peers and test_engine pass (68).

--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -108,3 +108,9 @@
     route: str = ""
     target_s: float | None = None
     delay_s: float = 0.0
+
+    def subtract_time(self, elapsed_s: float) -> None:
+        """Subtract seconds that have passed from the times that are left."""
+        self.remaining_s -= elapsed_s
+        if self.target_s is not None:
+            self.target_s -= elapsed_s
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -232,7 +232,8 @@
 
         Args:
             address: Address on which the node listens for peers.
-            peer_request: The request, including the time left to the node.
+            peer_request: The request, including the time left to the node. Time spent
+                connecting is subtracted from it.
             deadline_s: Event loop time at which the request expires.
             on_unresponsive: Receives the request's stream if the node becomes
                 unresponsive; the request then fails as lost, though a response may
@@ -241,11 +242,14 @@
         """
         link = self._find_link(address)
         if link is None:
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
             try:
                 async with asyncio.timeout_at(deadline_s):
                     link = await self._connect(address)
             except TimeoutError:
                 return Failure(Refusal(kind=ErrorKind.DEADLINE_EXPIRED))
+            peer_request.subtract_time(loop.time() - started_s)
         if link is None:
             detail = f"could not connect to {address}"
             return Failure(Refusal(kind=ErrorKind.PEER_UNREACHABLE, detail=detail))
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -266,9 +266,7 @@
         except TimeoutError:
             return LATE_REFUSAL
         now = self._now()
-        peer_request.remaining_s = deadline_s - now
-        if peer_request.target_s is not None:
-            peer_request.target_s -= now - arrived_s
+        peer_request.subtract_time(now - arrived_s)
         return guard.find_dispatch_obstacle(now, deadline_s, work_s)
 
     def _find_classifier(self) -> RequestClassifier:
