Measure how old requests of other nodes are by the answers of their senders

What callers saw: nothing by itself.

Cause: the fastest message of the last 5 to 10 s was taken as not delayed. Fix: the answer to a question bounds the difference of the two clocks from the other side too. The delay is what a message took by that bound: never too short, too long by a round trip at most. A first answer that took over 0.1 s is followed by a second question; a connection that is used asks once a minute; bounds that contradict an answer (a VM was suspended) are dropped at once, after up to 10 s before. No field of the protocol changes.

--- a/src/papayatack/network/delivery_delay.py
+++ b/src/papayatack/network/delivery_delay.py
@@ -1,27 +1,77 @@
-"""Estimate of how long messages from another process were delayed in delivery."""
+"""Estimate of how long messages from another process were on their way."""
+
+import math
 
 __all__ = ["DeliveryDelay"]
 
-EXPIRY_PERIOD_US = 5_000_000
-"""Measurements expire after one to two periods, because the clocks drift apart."""
+MESSAGE_PERIOD_US = 5_000_000
+ANSWER_PERIOD_US = 60_000_000
+"""Bounds expire after one to two periods, because the clocks drift apart. Every message
+gives an upper bound, but only an answer a lower one."""
+
+MAX_UNCERTAINTY_US = 100_000
+
+
+class _Extreme:
+    """The largest of the values of the last one to two periods."""
+
+    def __init__(self, *, period_us: int) -> None:
+        self._period_us = period_us
+        self._period_start_us = -math.inf
+        self._current = -math.inf
+        self._previous = -math.inf
+
+    @property
+    def value(self) -> float:
+        """The largest value; negative infinity if there is none."""
+        return max(self._current, self._previous)
+
+    def add(self, now_us: int, value: float) -> None:
+        """Record a value."""
+        self.expire(now_us)
+        self._current = max(self._current, value)
+
+    def expire(self, now_us: int) -> None:
+        """Start a new period if one has passed."""
+        if now_us - self._period_start_us < self._period_us:
+            return
+        self._period_start_us = now_us
+        if not math.isinf(self._current):
+            self._previous, self._current = self._current, -math.inf
+
+    def reset(self) -> None:
+        """Forget all values."""
+        self._current = self._previous = -math.inf
 
 
 class DeliveryDelay:
     """Estimates delivery delays on one connection from the clocks of its two ends.
 
-    The clocks have unrelated origins, so the difference between receive and send time
-    is the clock offset plus the transit time. The smallest recent difference serves as
-    the baseline, and the excess over it is the message's delay. This detects messages
-    that waited in buffers while a process was paused or overloaded.
+    The clocks have unrelated origins. How far the local clock is ahead of the sender's
+    is bounded from both sides: a message is received after it was sent, and the answer
+    to a question was sent after the question. The delay is what a message took by the
+    lower of these bounds. It is never too short, and too long by at most the shortest
+    round trip. Without an answer, the fastest message counts as not delayed.
     """
 
     def __init__(self) -> None:
-        self._period_start_us: int | None = None
-        self._minimum_us: int | None = None
-        self._previous_minimum_us: int | None = None
+        self._lower_us = _Extreme(period_us=ANSWER_PERIOD_US)
+        self._negative_upper_us = _Extreme(period_us=MESSAGE_PERIOD_US)
+        self._answered_us = -math.inf
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether the bounds are close to each other."""
+        return self._find_uncertainty() <= MAX_UNCERTAINTY_US
+
+    def needs_answer(self, now_us: int) -> bool:
+        """Return whether a question to the sender would improve the estimate."""
+        if math.isinf(self._lower_us.value):
+            return True
+        return now_us - self._answered_us >= ANSWER_PERIOD_US
 
     def measure(self, now_us: int, sent_us: int | None) -> int:
-        """Return a message's delay relative to the fastest one, in microseconds.
+        """Return a message's delay in microseconds.
 
         Args:
             now_us: Receive time by the local clock, in microseconds.
@@ -30,25 +80,38 @@
         """
         if sent_us is None:
             return 0
-        self._rotate_period(now_us)
-        offset_us = now_us - sent_us
-        minimums = [
-            minimum_us
-            for minimum_us in (self._minimum_us, self._previous_minimum_us)
-            if minimum_us is not None
-        ]
-        if self._minimum_us is None or offset_us < self._minimum_us:
-            self._minimum_us = offset_us
-        return max(0, offset_us - min(minimums, default=offset_us))
-
-    def _rotate_period(self, now_us: int) -> None:
-        """Start a new period if due, keeping the minimum of the previous one."""
-        if (
-            self._period_start_us is not None
-            and now_us - self._period_start_us < EXPIRY_PERIOD_US
-        ):
+        difference_us = now_us - sent_us
+        earlier_us = -self._negative_upper_us.value
+        self._negative_upper_us.add(now_us, -difference_us)
+        if self._find_uncertainty() < 0:
+            self._lower_us.reset()
+        lower_us = self._lower_us.value
+        if math.isinf(lower_us):
+            lower_us = min(earlier_us, difference_us)
+        return int(difference_us - lower_us)
+
+    def measure_answer(self, now_us: int, sent_us: int | None, asked_us: int) -> None:
+        """Improve the estimate by the answer to a question.
+
+        Bounds that contradict it are dropped: a clock has stood still.
+
+        Args:
+            now_us: Receive time by the local clock, in microseconds.
+            sent_us: Send time by the sender's clock, in microseconds, or ``None``.
+            asked_us: Time of the question by the local clock, in microseconds.
+        """
+        self._answered_us = now_us
+        if sent_us is None:
             return
-        self._period_start_us = now_us
-        if self._minimum_us is not None:
-            self._previous_minimum_us = self._minimum_us
-            self._minimum_us = None
+        difference_us = now_us - sent_us
+        lower_us = asked_us - sent_us
+        if lower_us > -self._negative_upper_us.value:
+            self._negative_upper_us.reset()
+        if difference_us < self._lower_us.value:
+            self._lower_us.reset()
+        self._negative_upper_us.add(now_us, -difference_us)
+        self._lower_us.add(now_us, lower_us)
+
+    def _find_uncertainty(self) -> float:
+        """Return the difference of the two bounds, infinite if one is missing."""
+        return -self._negative_upper_us.value - self._lower_us.value
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
 import math
 from collections.abc import Callable
@@ -54,12 +55,30 @@
 LATE_S = 0.25
 """Time on the way from which a request counts as late."""
 
+MAX_FIRST_QUESTIONS = 2
+"""Questions on a new connection whose answers are waited for, if they are slow."""
+
 LATE_LOG_INTERVAL_S = 1.0
 
 CONTROL_STREAM = 0
 """Stream id of frames that belong to no request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _HeldRequest:
+    """A request that is not handed on before the peer has answered a hello.
+
+    Attributes:
+        stream: Its stream.
+        head: Its head.
+        hello_number: Number of the hello, among those that this node sent.
+    """
+
+    stream: PeerStream
+    head: Any
+    hello_number: int
+
+
 def parse_peer_address(incarnation: IncarnationId) -> PeerAddress:
     """Return the address on which an incarnation listens for peers."""
     return PeerAddress(incarnation.partition("#")[0])
@@ -114,7 +133,9 @@
         self.closed = False
         self.unresponsive = False
         self.knows_age = False
-        self._held: list[tuple[PeerStream, Any]] = []
+        self._held: collections.deque[_HeldRequest] = collections.deque()
+        self._asked_us: collections.deque[int] = collections.deque()
+        self._answer_count = 0
         self.streams: dict[int, PeerStream] = {}
         self.hello_received_s = float("inf")
         self.last_received_s = 0.0
@@ -432,20 +453,35 @@
         if hello.reply_wanted:
             self._send_hello(reply_wanted=False)
         self._owner.handle_hello(self, hello.incarnation)
-        if not is_first and not hello.reply_wanted:
-            self._release_held()
+        if not is_first and not hello.reply_wanted and self._asked_us:
+            self._handle_answer(hello)
 
-    def _release_held(self) -> None:
-        """Hand on the requests that came before the peer answered a hello.
+    def _handle_answer(self, hello: Any) -> None:
+        """Measure by an answer of the peer, and release requests that waited for it.
 
-        The answer was sent after this node's hello, so it shows the difference of the
-        two clocks, and the age of what came before.
+        A first answer that took long leaves open how old the messages are, so the peer
+        is asked again.
         """
-        self.knows_age = True
-        held, self._held = self._held, []
-        for stream, head in held:
-            if self.streams.get(stream.stream_id) is stream:
-                self._hand_on(stream, head)
+        asked_us = self._asked_us.popleft()
+        self._answer_count += 1
+        delay = self._delivery_delay
+        delay.measure_answer(self._read_clock_us(), hello.sent_us, asked_us)
+        if not self.knows_age:
+            is_enough = delay.is_certain or self._answer_count >= MAX_FIRST_QUESTIONS
+            if not is_enough and hello.sent_us is not None:
+                self._ask()
+                return
+            self.knows_age = True
+        self._release_held()
+
+    def _release_held(self) -> None:
+        """Hand on the requests whose hello the peer has answered."""
+        while self._held and self._held[0].hello_number <= self._answer_count:
+            held = self._held.popleft()
+            if self.streams.get(held.stream.stream_id) is held.stream:
+                self._hand_on(held.stream, held.head)
+            else:
+                self._owner.metrics.count("peer_requests_withdrawn")
 
     def _handle_control(self, frame: Any) -> None:
         self.last_used_s = self._loop.time()
@@ -460,10 +496,26 @@
         stream = PeerStream(link=self, stream_id=stream_id)
         self.streams[stream_id] = stream
         self.last_used_s = self._loop.time()
+        self._refresh_estimate()
         if self.knows_age:
             self._hand_on(stream, frame.request)
-        else:
-            self._held.append((stream, frame.request))
+            return
+        self._ask()
+        number = self._answer_count + len(self._asked_us)
+        self._held.append(
+            _HeldRequest(stream=stream, head=frame.request, hello_number=number)
+        )
+
+    def _refresh_estimate(self) -> None:
+        """Ask the peer if its last answer is too old to measure by."""
+        if self._delivery_delay.needs_answer(self._read_clock_us()):
+            self._ask()
+
+    def _ask(self) -> None:
+        """Send a hello that the peer answers, unless the answer to one is due."""
+        oldest_us = self._read_clock_us() - LATE_S * US_PER_S
+        if not self._asked_us or self._asked_us[-1] < oldest_us:
+            self._send_hello(reply_wanted=True)
 
     def _hand_on(self, stream: PeerStream, head: Any) -> None:
         self._subtract_delay(stream, head)
@@ -524,6 +576,8 @@
             stream.abandon(frame.cancel.reason or "")
 
     def _send_hello(self, *, reply_wanted: bool) -> None:
+        if reply_wanted:
+            self._asked_us.append(self._read_clock_us())
         hello = schema.Hello(
             incarnation=self._owner.incarnation,
             protocol=PROTOCOL_VERSION,
