Hold late requests of other nodes until their cancels have come

Cause: a node that stood still, or whose link did, reads what waited in several turns. A request that is handed on in the first one is begun before its cancel is read in the next. Fix: a request that was on its way for 0.25 s or more waits until the peer has answered a hello, which comes behind all that it had written before, and at most 0.1 s. Requests held when a node stops are refused at once as not run.

--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -53,10 +53,12 @@
 """Time after which a connection that is closed in order is closed in any case."""
 
 LATE_S = 0.25
-"""Time on the way from which a request counts as late."""
+"""Time on the way from which a request counts as late. Its cancel may then wait in the
+same buffers."""
 
-MAX_FIRST_QUESTIONS = 2
-"""Questions on a new connection whose answers are waited for, if they are slow."""
+MAX_HOLD_S = 0.1
+"""Longest time for which a late request is held. A peer that answers no sooner has not
+read its callers' connections either."""
 
 LATE_LOG_INTERVAL_S = 1.0
 
@@ -71,7 +73,7 @@
     Attributes:
         stream: Its stream.
         head: Its head.
-        hello_number: Number of the hello, among those that this node sent.
+        hello_number: Number of the hello among those of this node on the connection.
     """
 
     stream: PeerStream
@@ -122,7 +124,8 @@
         hello_received_s: Event loop time of the peer's first hello.
         unresponsive: Whether the peer has failed to answer a liveness probe.
         knows_age: Whether it is known how long messages of the peer were on their way.
-            Requests are held until then, as they may have waited in buffers.
+            Requests are held until then, as they may have waited in buffers. Late ones
+            are held until nothing that the peer wrote before can still arrive.
     """
 
     def __init__(self, *, owner: LinkOwner, address: PeerAddress | None) -> None:
@@ -136,6 +139,7 @@
         self._held: collections.deque[_HeldRequest] = collections.deque()
         self._asked_us: collections.deque[int] = collections.deque()
         self._answer_count = 0
+        self._is_holding = True
         self.streams: dict[int, PeerStream] = {}
         self.hello_received_s = float("inf")
         self.last_received_s = 0.0
@@ -467,16 +471,25 @@
         delay = self._delivery_delay
         delay.measure_answer(self._read_clock_us(), hello.sent_us, asked_us)
         if not self.knows_age:
-            is_enough = delay.is_certain or self._answer_count >= MAX_FIRST_QUESTIONS
-            if not is_enough and hello.sent_us is not None:
-                self._ask()
-                return
             self.knows_age = True
-        self._release_held()
-
-    def _release_held(self) -> None:
-        """Hand on the requests whose hello the peer has answered."""
-        while self._held and self._held[0].hello_number <= self._answer_count:
+            if not delay.is_certain and hello.sent_us is not None:
+                self._hold_longer()
+        self._release_held(self._answer_count)
+
+    def _hold_longer(self) -> None:
+        """Hold all requests until the peer has answered once more."""
+        number = self._ask_in_time()
+        held = [dataclasses.replace(item, hello_number=number) for item in self._held]
+        self._held = collections.deque(held)
+
+    def stop_holding(self) -> None:
+        """Hand on all requests at once, since the node refuses them."""
+        self._is_holding = False
+        self._release_held(math.inf)
+
+    def _release_held(self, hello_number: float) -> None:
+        """Hand on the requests that waited for the answers up to this one."""
+        while self._held and self._held[0].hello_number <= hello_number:
             held = self._held.popleft()
             if self.streams.get(held.stream.stream_id) is held.stream:
                 self._hand_on(held.stream, held.head)
@@ -496,20 +509,32 @@
         stream = PeerStream(link=self, stream_id=stream_id)
         self.streams[stream_id] = stream
         self.last_used_s = self._loop.time()
-        self._refresh_estimate()
-        if self.knows_age:
+        is_fresh = self.knows_age and not self._is_late(frame.request)
+        if is_fresh or not self._is_holding:
             self._hand_on(stream, frame.request)
             return
-        self._ask()
-        number = self._answer_count + len(self._asked_us)
+        number = self._ask_in_time() if self.knows_age else self._answer_count + 1
         self._held.append(
             _HeldRequest(stream=stream, head=frame.request, hello_number=number)
         )
 
-    def _refresh_estimate(self) -> None:
-        """Ask the peer if its last answer is too old to measure by."""
-        if self._delivery_delay.needs_answer(self._read_clock_us()):
+    def _is_late(self, head: Any) -> bool:
+        """Return whether a request was on its way for a long time."""
+        now_us = self._read_clock_us()
+        if self._delivery_delay.needs_answer(now_us):
             self._ask()
+        return self._delivery_delay.measure(now_us, head.sent_us) >= LATE_S * US_PER_S
+
+    def _ask_in_time(self) -> int:
+        """Ask the peer, and release the requests that wait for its answer in any case.
+
+        Returns:
+            Number of the hello whose answer is waited for.
+        """
+        self._ask()
+        number = self._answer_count + len(self._asked_us)
+        self._loop.call_later(MAX_HOLD_S, self._release_held, number)
+        return number
 
     def _ask(self) -> None:
         """Send a hello that the peer answers, unless the answer to one is due."""
--- a/tests/network/test_links.py
+++ b/tests/network/test_links.py
@@ -300,3 +300,17 @@
         for _ in range(3):
             self.now += 0.002
             self.receive(self.build_hello(self.now + 490.0))
+
+    async def test_late_request_is_held_only_shortly_if_the_peer_does_not_answer(self):
+        """It is handed on after 0.1 s, with what is left then."""
+        self.receive(self.build_hello(500.0), self.build_hello(500.001))
+        self.now += 1.2
+        with mock.patch.object(asyncio.get_running_loop(), "call_later") as call_later:
+            self.receive(self.build_request(500.1, deadline_s=5.0))
+        self.assertEqual(self.list_remaining_s(), [])
+        (delay_s, release, number), _ = call_later.call_args
+        self.now += delay_s
+        with self.clock:
+            release(number)
+        (remaining_s,) = self.list_remaining_s()
+        self.assertAlmostEqual(remaining_s, 5.0 - 1.2, places=1)
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -15,6 +15,7 @@
 from papayatack.core.inventory import RequestClass
 from papayatack.core.messages import Fence
 from papayatack.network.bodies import BodyQueue, BytesBody, IncompleteBodyError
+from papayatack.network.delivery_delay import DeliveryDelay
 from papayatack.network.exchanges import PeerRequest, Request, Response
 from papayatack.network.limits import PeerLimits
 from papayatack.network.links import Link
@@ -405,6 +406,7 @@
             lambda: (
                 any(link._ready for link in self.second._all_links)
                 and not self.second._serving
+                and not self.count_held(self.second)
             )
         )
         asyncio.get_running_loop().call_later(0.1, resume)
@@ -415,6 +417,25 @@
         lost = [result for result in results if not is_successful(result)]
         self.assertEqual(len(lost), 0)
 
+    async def test_requests_held_on_a_link_are_refused_in_a_stop(self):
+        """They were late, and the peer does not answer before the stop."""
+        await self.exchange()
+        delay = mock.patch.object(DeliveryDelay, "measure", return_value=1_000_000)
+        with delay:
+            resume = self.pause_reading(self.first)
+            sent = [asyncio.ensure_future(self.exchange()) for _ in range(5)]
+            await wait_until(lambda: self.count_held(self.second) == len(sent))
+            asyncio.get_running_loop().call_later(0.1, resume)
+            until_s = asyncio.get_running_loop().time() + 2.0
+            await self.second.finish_requests(until_s=until_s)
+            results = await asyncio.gather(*sent)
+        kinds = {result.failure().kind for result in results}
+        self.assertEqual(kinds, {ErrorKind.NODE_DRAINING})
+
+    def count_held(self, network):
+        """Return how many requests wait for an answer of their sender."""
+        return sum(len(link._held) for link in network._all_links)
+
     async def test_answers_queued_on_a_replaced_connection_arrive_whole(self):
         """The peer opens another connection while it reads slowly from this one."""
         self.assertEqual(await self.read_from_replaced(SMALL_BUFFER_BYTES), [])
