Give later attempts at a request what is left until its target

What callers saw: a request that had waited for an owner or failed at a node came to the next one with its whole target time, and took a slot from requests that could still be in time.

Cause: only the deadline was kept as a moment; the target stayed as it was on arrival. Fix: the moment of the target is kept, and each attempt gets what is left until then.

Evidence: tests.proxy.test_attempts failed before (1.0 s left after 0.21 s). test_engine, test_attempts, test_screening, test_late_responses: 50 passed.

--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -55,6 +55,7 @@
         body: Its body, kept for further attempts as far as that is possible.
         started_s: Event loop time of the first attempt.
         deadline_s: Event loop time after which the response is of no use.
+        target_at_s: Event loop time of its target, ``None`` if it has none.
         is_suspected: Whether it was in flight at the crash of an upstream.
         state: For how long it has waited for an owner.
         late: Responses that may still come from nodes that became unresponsive.
@@ -69,6 +70,7 @@
     body: RewindableBody
     started_s: float
     deadline_s: float
+    target_at_s: float | None
     is_suspected: bool
     late: LateResponses
     state: BackoffState = dataclasses.field(default_factory=BackoffState)
@@ -95,10 +97,15 @@
         A refusal with a retry time serves the caller better than a response that is
         certain to miss its target time.
         """
-        target_s = self.peer_request.target_s
-        if target_s is None or target_s <= 0:
+        if self.target_at_s is None or self.target_at_s <= self.started_s:
             return self.deadline_s
-        return min(self.deadline_s, self.started_s + target_s)
+        return min(self.deadline_s, self.target_at_s)
+
+    def build_attempt(self, now: float) -> PeerRequest:
+        """Return the request with the time that is left until its target now."""
+        if self.target_at_s is None or now <= self.started_s:
+            return self.peer_request
+        return dataclasses.replace(self.peer_request, target_s=self.target_at_s - now)
 
     async def find_result(self, refusal: Refusal) -> _Result:
         """Return the result if no further attempt is made after a refusal.
@@ -265,7 +272,7 @@
             response.body = MonitoredBody(body=response.body, on_end=record)
 
     async def _send(self, series: _Series) -> _Result:
-        peer_request = series.peer_request
+        peer_request = series.build_attempt(_read_clock())
         routed = self._find_route(series)
         series.state.subject = _find_outage_subject(peer_request, routed)
         if not is_successful(routed):
@@ -323,11 +330,13 @@
     peer_request = screened.peer_request
     body = RewindableBody(body=peer_request.request.body, limit_bytes=MAX_REPLAY_BYTES)
     peer_request.request.body = body
+    target_s = peer_request.target_s
     return _Series(
         peer_request=peer_request,
         body=body,
         started_s=now,
         deadline_s=deadline_s,
+        target_at_s=None if target_s is None else now + target_s,
         is_suspected=screened.is_suspected,
         late=LateResponses(),
     )
