--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -42,8 +42,8 @@
 """Time limit of an append of a record that is kept for another node."""
 
 CATCH_UP_CHECK_S = 0.02
-CATCH_UP_CHECKS = 15
-"""Times that a node looks for the records of others after its appends have failed."""
+CATCH_UP_S = 0.3
+"""Time for which the records of others are awaited after appends have failed."""
 
 MAX_RELAYS = 2
 """Number of nodes that are asked to append a record that this node could not."""
@@ -225,7 +225,8 @@
 
         It then shows which of the queued records others have appended before.
         """
-        for _ in range(CATCH_UP_CHECKS):
+        until_s = self._read_clock() + CATCH_UP_S
+        while self._read_clock() < until_s:
             if self._core.state.next_offset > offset:
                 break
             await asyncio.sleep(CATCH_UP_CHECK_S)
--- a/tests/control/test_writing.py
+++ b/tests/control/test_writing.py
@@ -25,7 +25,7 @@
 )
 from papayatack.control.writing import (
     CATCH_UP_CHECK_S,
-    CATCH_UP_CHECKS,
+    CATCH_UP_S,
     HANDOVER_INTERVAL_S,
     MIN_APPEND_S,
     PLAN_WAIT_S,
@@ -343,7 +343,7 @@
         last = self.make_assign("p")
         self.writer.put(self.make_report("b"))
         self.writer.put(last)
-        await asyncio.sleep((CATCH_UP_CHECKS + 3) * CATCH_UP_CHECK_S)
+        await asyncio.sleep(CATCH_UP_S + 3 * CATCH_UP_CHECK_S)
         self.assertEqual(self.appender.records[-1], last)
 
     async def test_age_and_reasons_are_counted(self):
