--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import logging
 import math
 from collections.abc import Callable
@@ -13,8 +12,8 @@
 
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.messages import ControlMessage
-from papayatack.network.delivery_delay import DeliveryDelay
 from papayatack.network.limits import PeerLimits
+from papayatack.network.request_hold import LATE_S, RequestHold
 from papayatack.network.streams import US_PER_S, PeerStream
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
@@ -52,35 +51,12 @@
 CLOSE_TIMEOUT_S = 10.0
 """Time after which a connection that is closed in order is closed in any case."""
 
-LATE_S = 0.25
-"""Time on the way from which a request counts as late. Its cancel may then wait in the
-same buffers."""
-
-MAX_HOLD_S = 0.1
-"""Longest time for which a late request is held. A peer that answers no sooner has not
-read its callers' connections either."""
-
 LATE_LOG_INTERVAL_S = 1.0
 
 CONTROL_STREAM = 0
 """Stream id of frames that belong to no request."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _HeldRequest:
-    """A request that is not handed on before the peer has answered a hello.
-
-    Attributes:
-        stream: Its stream.
-        head: Its head.
-        hello_number: Number of the hello among those of this node on the connection.
-    """
-
-    stream: PeerStream
-    head: Any
-    hello_number: int
-
-
 def parse_peer_address(incarnation: IncarnationId) -> PeerAddress:
     """Return the address on which an incarnation listens for peers."""
     return PeerAddress(incarnation.partition("#")[0])
@@ -123,9 +99,7 @@
         retired: Whether another link to the peer has replaced this one.
         hello_received_s: Event loop time of the peer's first hello.
         unresponsive: Whether the peer has failed to answer a liveness probe.
-        knows_age: Whether it is known how long messages of the peer were on their way.
-            Requests are held until then, as they may have waited in buffers. Late ones
-            are held until nothing that the peer wrote before can still arrive.
+        hold: Requests of the peer that are not handed on yet.
     """
 
     def __init__(self, *, owner: LinkOwner, address: PeerAddress | None) -> None:
@@ -135,11 +109,7 @@
         self.retired = False
         self.closed = False
         self.unresponsive = False
-        self.knows_age = False
-        self._held: collections.deque[_HeldRequest] = collections.deque()
-        self._asked_us: collections.deque[int] = collections.deque()
-        self._answer_count = 0
-        self._is_holding = True
+        self.hold = RequestHold(ask=self._ask_peer, hand_on=self._hand_on)
         self.streams: dict[int, PeerStream] = {}
         self.hello_received_s = float("inf")
         self.last_received_s = 0.0
@@ -152,7 +122,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._owner = owner
         self._reader = FrameReader()
-        self._delivery_delay = DeliveryDelay()
         self._next_id = 1 if self.opener else 2
         self._transport: Any = None
         self._loop = asyncio.get_running_loop()
@@ -379,7 +348,7 @@
         for stream in streams:
             stream.fail_lost(detail)
         self.streams.clear()
-        self._held.clear()
+        self.hold.clear()
 
     def _log_link_event(self, event: Event, detail: str, stream_count: int) -> None:
         silence_s = self._loop.time() - self.last_received_s
@@ -453,48 +422,12 @@
             raise WireError("hello has no incarnation")
         is_first = math.isinf(self.hello_received_s)
         self.hello_received_s = min(self.hello_received_s, self._loop.time())
-        self._delivery_delay.measure(self._read_clock_us(), hello.sent_us)
+        self.hold.measure(hello.sent_us)
         if hello.reply_wanted:
             self._send_hello(reply_wanted=False)
         self._owner.handle_hello(self, hello.incarnation)
-        if not is_first and not hello.reply_wanted and self._asked_us:
-            self._handle_answer(hello)
-
-    def _handle_answer(self, hello: Any) -> None:
-        """Measure by an answer of the peer, and release requests that waited for it.
-
-        A first answer that took long leaves open how old the messages are, so the peer
-        is asked again.
-        """
-        asked_us = self._asked_us.popleft()
-        self._answer_count += 1
-        delay = self._delivery_delay
-        delay.measure_answer(self._read_clock_us(), hello.sent_us, asked_us)
-        if not self.knows_age:
-            self.knows_age = True
-            if not delay.is_certain and hello.sent_us is not None:
-                self._hold_longer()
-        self._release_held(self._answer_count)
-
-    def _hold_longer(self) -> None:
-        """Hold all requests until the peer has answered once more."""
-        number = self._ask_in_time()
-        held = [dataclasses.replace(item, hello_number=number) for item in self._held]
-        self._held = collections.deque(held)
-
-    def stop_holding(self) -> None:
-        """Hand on all requests at once, since the node refuses them."""
-        self._is_holding = False
-        self._release_held(math.inf)
-
-    def _release_held(self, hello_number: float) -> None:
-        """Hand on the requests that waited for the answers up to this one."""
-        while self._held and self._held[0].hello_number <= hello_number:
-            held = self._held.popleft()
-            if self.streams.get(held.stream.stream_id) is held.stream:
-                self._hand_on(held.stream, held.head)
-            else:
-                self._owner.metrics.count("peer_requests_withdrawn")
+        if not is_first and not hello.reply_wanted:
+            self.hold.handle_answer(hello.sent_us)
 
     def _handle_control(self, frame: Any) -> None:
         self.last_used_s = self._loop.time()
@@ -509,46 +442,19 @@
         stream = PeerStream(link=self, stream_id=stream_id)
         self.streams[stream_id] = stream
         self.last_used_s = self._loop.time()
-        is_fresh = self.knows_age and not self._is_late(frame.request)
-        if is_fresh or not self._is_holding:
-            self._hand_on(stream, frame.request)
-            return
-        number = self._ask_in_time() if self.knows_age else self._answer_count + 1
-        self._held.append(
-            _HeldRequest(stream=stream, head=frame.request, hello_number=number)
-        )
-
-    def _is_late(self, head: Any) -> bool:
-        """Return whether a request was on its way for a long time."""
-        now_us = self._read_clock_us()
-        if self._delivery_delay.needs_answer(now_us):
-            self._ask()
-        return self._delivery_delay.measure(now_us, head.sent_us) >= LATE_S * US_PER_S
-
-    def _ask_in_time(self) -> int:
-        """Ask the peer, and release the requests that wait for its answer in any case.
-
-        Returns:
-            Number of the hello whose answer is waited for.
-        """
-        self._ask()
-        number = self._answer_count + len(self._asked_us)
-        self._loop.call_later(MAX_HOLD_S, self._release_held, number)
-        return number
-
-    def _ask(self) -> None:
-        """Send a hello that the peer answers, unless the answer to one is due."""
-        oldest_us = self._read_clock_us() - LATE_S * US_PER_S
-        if not self._asked_us or self._asked_us[-1] < oldest_us:
-            self._send_hello(reply_wanted=True)
+        self.hold.add(stream, frame.request)
 
     def _hand_on(self, stream: PeerStream, head: Any) -> None:
+        """Serve a request unless it was cancelled while it was held."""
+        if self.streams.get(stream.stream_id) is not stream:
+            self._owner.metrics.count("peer_requests_withdrawn")
+            return
         self._subtract_delay(stream, head)
         self._owner.handle_request(stream, head)
 
     def _subtract_delay(self, stream: PeerStream, head: Any) -> None:
         """Subtract a request's delivery delay from its remaining time."""
-        delay_us = self._delivery_delay.measure(self._read_clock_us(), head.sent_us)
+        delay_us = self.hold.measure(head.sent_us)
         head.deadline_us = (head.deadline_us or 0) - delay_us
         if head.target_us is not None:
             head.target_us -= delay_us
@@ -572,9 +478,6 @@
             streams=len(self.streams),
         )
 
-    def _read_clock_us(self) -> int:
-        return int(self._loop.time() * US_PER_S)
-
     def _handle_response(self, frame: Any) -> None:
         stream = self.streams.get(frame.stream)
         if stream is not None:
@@ -600,13 +503,17 @@
         if stream is not None:
             stream.abandon(frame.cancel.reason or "")
 
+    def _ask_peer(self) -> None:
+        """Send a hello that the peer answers."""
+        self._send_hello(reply_wanted=True)
+
     def _send_hello(self, *, reply_wanted: bool) -> None:
         if reply_wanted:
-            self._asked_us.append(self._read_clock_us())
+            self.hold.note_question()
         hello = schema.Hello(
             incarnation=self._owner.incarnation,
             protocol=PROTOCOL_VERSION,
             reply_wanted=reply_wanted,
-            sent_us=self._read_clock_us(),
+            sent_us=int(self._loop.time() * US_PER_S),
         )
         self.send_priority(schema.Frame(stream=CONTROL_STREAM, hello=hello))
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -156,7 +156,7 @@
         if self._server is not None:
             self._server.close()
         for link in list(self._all_links):
-            link.stop_holding()
+            link.hold.stop()
         loop = asyncio.get_running_loop()
         while self._serving and (left_s := until_s - loop.time()) > 0:
             timeout_s = left_s if math.isfinite(left_s) else None
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -434,7 +434,7 @@
 
     def count_held(self, network):
         """Return how many requests wait for an answer of their sender."""
-        return sum(len(link._held) for link in network._all_links)
+        return sum(len(link.hold) for link in network._all_links)
 
     async def test_answers_queued_on_a_replaced_connection_arrive_whole(self):
         """The peer opens another connection while it reads slowly from this one."""
