Test leaves during an outage with nodes that keep the records of others

Two listed tests played the core alone, where nobody can know that a node has left while the log was away: the writer of a whole node has others keep its Retire record (control/retirements.py), and the fake fleet had no such writer. The fleet of these two tests hands the records to the product's own keeper now; checks and bounds stay.

--- a/tests/core/ownership/test_losses_beside_leaves.py
+++ b/tests/core/ownership/test_losses_beside_leaves.py
@@ -11,7 +11,7 @@
     make_fleet,
     measure_outage,
 )
-from tests.fakes.fleet import Fleet
+from tests.fakes.keeping_fleet import KeepingFleet
 
 PLAN_S = 1.0
 """Longest wait for a plan."""
@@ -185,7 +185,7 @@
     def test_last_owner_that_left_while_the_log_was_away_is_replaced(self):
         """All claimants and two witnesses had left before it; three nodes are up."""
         for seed in range(4):
-            fleet = Fleet(seed=seed, shards=3)
+            fleet = KeepingFleet(seed=seed, shards=3)
             for number, name in enumerate("abcde"):
                 fleet.add(name, str(number % 3 + 1))
             fleet.run_until(fleet.all_served, 20)
@@ -204,7 +204,7 @@
 
     def test_planner_without_shards_that_left_while_the_log_was_away_is_replaced(self):
         """Two of its witnesses left before it; nobody claims anything of its lease."""
-        fleet = Fleet(seed=1, shards=24)
+        fleet = KeepingFleet(seed=1, shards=24)
         fleet.add("y", "1", service="other")
         fleet.run(0.3)
         for name, data_centre in DATA_CENTRES.items():
