--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -13,6 +13,7 @@
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.messages import ControlMessage
 from papayatack.network.limits import PeerLimits
+from papayatack.network.peer_probe import PeerProbe
 from papayatack.network.request_hold import LATE_S, RequestHold
 from papayatack.network.streams import US_PER_S, PeerStream
 from papayatack.observability.events import Event, log_event
@@ -32,22 +33,6 @@
 """Bytes written per flush, and high-water mark of the write buffer."""
 WRITE_LOW_BYTES = 16 * 1024
 """Low-water mark of the write buffer."""
-MAX_REPLY_S = 0.6
-"""Longest time for which the answer to a probe is waited for, however slow the peer's
-earlier answers were."""
-
-REPLY_SMOOTHING = 0.25
-REPLY_DEVIATIONS = 4.0
-"""Weight of a new sample in the mean time of the peer's answers, and the number of mean
-deviations from it that are allowed."""
-
-MAX_PROBE_DOUBLINGS = 2
-"""How often the pause between probes of a quiet peer is doubled."""
-
-MAX_TIMER_DELAY_S = 0.05
-"""Delay of a timer above which this node itself was stalled, and bytes of the peer may
-not have been read yet."""
-
 CLOSE_TIMEOUT_S = 10.0
 """Time after which a connection that is closed in order is closed in any case."""
 
@@ -109,18 +94,12 @@
         self.retired = False
         self.closed = False
         self.unresponsive = False
-        self.hold = RequestHold(ask=self._ask_peer, hand_on=self._hand_on)
+        self.hold = RequestHold(ask=self.send_probe, hand_on=self._hand_on)
         self.streams: dict[int, PeerStream] = {}
         self.hello_received_s = float("inf")
-        self.last_received_s = 0.0
         self.last_used_s = 0.0
-        self._probed_s: float | None = None
-        self._reply_s = 0.0
-        self._reply_deviation_s = 0.0
-        self._answered_probes = 0
-        self._opened_s = 0.0
-        self._timer: asyncio.TimerHandle | None = None
         self._owner = owner
+        self._probe = PeerProbe(link=self)
         self._reader = FrameReader()
         self._next_id = 1 if self.opener else 2
         self._transport: Any = None
@@ -146,15 +125,13 @@
         """Send this node's hello."""
         self._transport = transport
         transport.set_write_buffer_limits(high=FLUSH_BYTES, low=WRITE_LOW_BYTES)
-        self.last_received_s = self.last_used_s = self._loop.time()
+        self.last_used_s = self._loop.time()
+        self._probe.note_received(self.last_used_s)
         self._send_hello(reply_wanted=True)
 
     def data_received(self, data: bytes) -> None:
         """Handle all complete frames."""
-        self.last_received_s = self._loop.time()
-        if self._probed_s is not None:
-            self._record_reply(self.last_received_s - self._probed_s)
-        self._probed_s = None
+        self._probe.note_received(self._loop.time())
         self.unresponsive = False
         try:
             for frame in self._reader.feed(data):
@@ -183,9 +160,8 @@
         stream = PeerStream(link=self, stream_id=self._next_id)
         self._next_id += 2
         self.streams[stream.stream_id] = stream
-        self.last_used_s = self._opened_s = self._loop.time()
-        self._answered_probes = 0
-        self._start_timer(self._opened_s + self.limits.probe_after_s)
+        self.last_used_s = self._loop.time()
+        self._probe.note_request(self.last_used_s)
         return stream
 
     def drop_stream(self, stream: PeerStream) -> None:
@@ -217,64 +193,20 @@
         An unresponsive peer may still be running its requests, so the connection stays
         open for their responses.
         """
-        if not self.streams or now - self.last_received_s < self.limits.probe_after_s:
-            return
-        if self._probed_s is None:
-            self._probed_s = now
-            self._send_hello(reply_wanted=True)
-        elif now - self._probed_s >= self._find_reply_limit():
-            self._mark_unresponsive()
-
-    def _start_timer(self, due_s: float) -> None:
-        """Check the peer at a time, unless a check is due already."""
-        if self._timer is None and not self.closed:
-            self._timer = self._loop.call_at(due_s, self._check_due, due_s)
-
-    def _check_due(self, due_s: float) -> None:
-        """Check a peer that owes answers, and start the timer of the next check."""
-        self._timer = None
-        if self.closed or self.unresponsive or not self._is_owed_answers():
-            return
-        now = self._loop.time()
-        if now - due_s > MAX_TIMER_DELAY_S:
-            self._probed_s = None
-            self._start_timer(now + self.limits.probe_after_s)
-            return
-        if self._probed_s is not None or now >= self._find_probe_time():
-            self.check_liveness(now)
-        if self._probed_s is None:
-            self._start_timer(self._find_probe_time())
-        elif not self.unresponsive:
-            self._start_timer(self._probed_s + self._find_reply_limit())
+        if self.streams:
+            self._probe.check(now)
 
-    def _find_probe_time(self) -> float:
-        """Return when a peer is probed that stays quiet.
+    @property
+    def owes_answers(self) -> bool:
+        """Whether the peer owes answers and is not known to be unresponsive."""
+        is_owed = any(map(self._is_local, self.streams.values()))
+        return is_owed and not self.closed and not self.unresponsive
 
-        Probes of a peer that answers them, but not the requests yet, become rarer.
-        """
-        pause_s = self.limits.probe_after_s * 2**self._answered_probes
-        return max(self.last_received_s, self._opened_s) + pause_s
-
-    def _is_owed_answers(self) -> bool:
-        """Return whether a request of this node is open on the link."""
-        return any(map(self._is_local, self.streams.values()))
-
-    def _find_reply_limit(self) -> float:
-        """Return for how many seconds the answer to a probe is waited for."""
-        usual_s = self._reply_s + REPLY_DEVIATIONS * self._reply_deviation_s
-        least_s = self.limits.unresponsive_after_s - self.limits.probe_after_s
-        return max(least_s, min(usual_s, MAX_REPLY_S))
-
-    def _record_reply(self, reply_s: float) -> None:
-        """Update the usual time of the peer's answers to probes."""
-        difference_s = reply_s - self._reply_s
-        self._answered_probes = min(self._answered_probes + 1, MAX_PROBE_DOUBLINGS)
-        self._reply_s += REPLY_SMOOTHING * difference_s
-        self._reply_deviation_s += REPLY_SMOOTHING * (
-            abs(difference_s) - self._reply_deviation_s
-        )
+    def send_probe(self) -> None:
+        """Send a hello that the peer answers."""
+        self._send_hello(reply_wanted=True)
 
-    def _mark_unresponsive(self) -> None:
+    def mark_unresponsive(self) -> None:
         """End streams at their deadlines, and let requests be retried elsewhere."""
         if not self.unresponsive:
             self.unresponsive = True
@@ -351,7 +283,7 @@
         self.hold.clear()
 
     def _log_link_event(self, event: Event, detail: str, stream_count: int) -> None:
-        silence_s = self._loop.time() - self.last_received_s
+        silence_s = self._loop.time() - self._probe.last_received_s
         log_event(
             _logger,
             event,
@@ -503,10 +435,6 @@
         if stream is not None:
             stream.abandon(frame.cancel.reason or "")
 
-    def _ask_peer(self) -> None:
-        """Send a hello that the peer answers."""
-        self._send_hello(reply_wanted=True)
-
     def _send_hello(self, *, reply_wanted: bool) -> None:
         if reply_wanted:
             self.hold.note_question()
