Begin a few requests in a turn, and read hang-ups in between

Cause: all requests of a turn are begun before the loop polls again, and with more work than time each turn is longer than the one before.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -10,7 +10,7 @@
 import h11
 
 from papayatack.core.errors import ErrorKind, Refusal
-from papayatack.network.arrivals import ArrivalCheck
+from papayatack.network.arrivals import ArrivalQueue
 from papayatack.network.bodies import BodyQueue, ExpectContinueBody, IncompleteBodyError
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response, find_header
@@ -42,7 +42,7 @@
     draining: bool
     handler: Handler
     hangups: HangupWatch
-    arrivals: ArrivalCheck
+    arrivals: ArrivalQueue
 
     def add_connection(self, connection: "CallerConnection") -> bool:
         """Register an open connection; return false if the limit is exceeded."""
@@ -389,6 +389,7 @@
         self._reset()
 
     async def _call_handler(self, request: Request) -> Response:
+        await self._owner.arrivals.wait_turn()
         try:
             return await self._owner.handler(request)
         except IncompleteBodyError as error:
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -10,7 +10,7 @@
 
 import asyncio
 
-from papayatack.network.arrivals import ArrivalCheck
+from papayatack.network.arrivals import ArrivalQueue
 from papayatack.network.caller_connection import CallerConnection, Handler
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
@@ -41,7 +41,7 @@
         self.limits = limits or CallerLimits()
         self.draining = False
         self.hangups = HangupWatch()
-        self.arrivals = ArrivalCheck()
+        self.arrivals = ArrivalQueue()
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
--- a/tests/network/test_arrivals.py
+++ b/tests/network/test_arrivals.py
@@ -2,18 +2,34 @@
 
 import asyncio
 import socket
+import threading
+import time
 import unittest
 
-from papayatack.network.arrivals import ArrivalCheck
+from papayatack.network.arrivals import ArrivalQueue
+from papayatack.network.bodies import BytesBody
+from papayatack.network.callers import CallerServer
+from papayatack.network.exchanges import Response
+from papayatack.observability.metrics import Metrics
 
 LOGGER = "papayatack.network.arrivals"
+CALLERS = 150
+WORK_S = 0.006
+"""Processor time that each request takes; together more than the callers wait."""
 
+PATIENCE_S = 0.3
+NOTICE_S = 0.2
+"""Time of four turns in which as many requests are begun as a turn allows."""
 
-class ArrivalCheckTests(unittest.IsolatedAsyncioTestCase):
+SETTLE_S = 0.2
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class ArrivalQueueTests(unittest.IsolatedAsyncioTestCase):
     """Connected sockets, on each of which a request waits."""
 
     def setUp(self):
-        self.check = ArrivalCheck()
+        self.check = ArrivalQueue()
         self.left = []
 
     def connect(self, name):
@@ -55,3 +71,48 @@
     async def list_left(self):
         """Return the peers found so far."""
         return list(self.left)
+
+
+class OverloadTests(unittest.IsolatedAsyncioTestCase):
+    """More requests come at once than the process can serve before callers leave."""
+
+    async def asyncSetUp(self):
+        """Start a server whose handler keeps the processor busy."""
+        self.handled_s = []
+        self.server = CallerServer(
+            host="127.0.0.1", port=0, handler=self.handle, metrics=Metrics()
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop, timeout_s=0)
+
+    async def handle(self, request):
+        """Work without a pause, then respond."""
+        self.handled_s.append(time.monotonic())
+        time.sleep(WORK_S)  # noqa: ASYNC251
+        return Response(status=200, body=BytesBody())
+
+    async def test_requests_whose_callers_left_in_the_meantime_are_not_begun(self):
+        """The process looks for hang-ups between the requests that it begins."""
+        address = ("127.0.0.1", self.server.port)
+        callers = [
+            await asyncio.to_thread(socket.create_connection, address)
+            for _ in range(CALLERS)
+        ]
+        await asyncio.sleep(SETTLE_S)
+        left_s = []
+
+        def leave():
+            time.sleep(PATIENCE_S)
+            left_s.append(time.monotonic())
+            for caller in callers:
+                caller.close()
+
+        for caller in callers:
+            caller.sendall(REQUEST)
+        thread = threading.Thread(target=leave)
+        thread.start()
+        await asyncio.sleep(CALLERS * WORK_S + PATIENCE_S + SETTLE_S)
+        thread.join()
+        late = [begun_s for begun_s in self.handled_s if begun_s > left_s[0] + NOTICE_S]
+        self.assertEqual(late, [])
+        self.assertGreater(len(self.handled_s), PATIENCE_S / WORK_S / 4)
