--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -10,12 +10,13 @@
 import h11
 
 from papayatack.core.errors import ErrorKind, Refusal
-from papayatack.network.arrivals import ArrivalQueue
+from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.bodies import BodyQueue, ExpectContinueBody, IncompleteBodyError
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response, find_header
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
+from papayatack.network.start_limiter import StartLimiter
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 
@@ -42,7 +43,8 @@
     draining: bool
     handler: Handler
     hangups: HangupWatch
-    arrivals: ArrivalQueue
+    arrivals: ArrivalCheck
+    starts: StartLimiter
 
     def add_connection(self, connection: "CallerConnection") -> bool:
         """Register an open connection; return false if the limit is exceeded."""
@@ -389,7 +391,7 @@
         self._reset()
 
     async def _call_handler(self, request: Request) -> Response:
-        await self._owner.arrivals.wait_turn()
+        await self._owner.starts.wait()
         try:
             return await self._owner.handler(request)
         except IncompleteBodyError as error:
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -10,10 +10,11 @@
 
 import asyncio
 
-from papayatack.network.arrivals import ArrivalQueue
+from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.caller_connection import CallerConnection, Handler
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
+from papayatack.network.start_limiter import StartLimiter
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["CallerServer"]
@@ -41,7 +42,8 @@
         self.limits = limits or CallerLimits()
         self.draining = False
         self.hangups = HangupWatch()
-        self.arrivals = ArrivalQueue()
+        self.arrivals = ArrivalCheck()
+        self.starts = StartLimiter()
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -33,6 +33,7 @@
 from papayatack.network.limits import PeerLimits
 from papayatack.network.links import Link, parse_peer_address
 from papayatack.network.request_heads import decode_request_head, encode_request_head
+from papayatack.network.start_limiter import StartLimiter
 from papayatack.network.streams import (
     US_PER_S,
     PeerStream,
@@ -121,6 +122,7 @@
         self._backoffs: dict[PeerAddress, _Backoff] = {}
         self._pending_control: dict[PeerAddress, list[Any]] = {}
         self._serving: set[asyncio.Task[None]] = set()
+        self._starts = StartLimiter()
 
     @property
     def port(self) -> int:
@@ -370,6 +372,7 @@
             del self._links[link.address]
 
     async def _serve(self, stream: PeerStream, head: Any) -> None:
+        await self._starts.wait()
         try:
             await self._handle_peer_request(stream, head)
         except Exception as error:  # an error in one request must not close the link
--- a/tests/network/test_arrivals.py
+++ b/tests/network/test_arrivals.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from papayatack.network.arrivals import ArrivalQueue
+from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.bodies import BytesBody
 from papayatack.network.callers import CallerServer
 from papayatack.network.exchanges import Response
@@ -25,11 +25,11 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-class ArrivalQueueTests(unittest.IsolatedAsyncioTestCase):
+class ArrivalCheckTests(unittest.IsolatedAsyncioTestCase):
     """Connected sockets, on each of which a request waits."""
 
     def setUp(self):
-        self.check = ArrivalQueue()
+        self.check = ArrivalCheck()
         self.left = []
 
     def connect(self, name):
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -45,6 +46,15 @@
 NOTICE_SLACK_S = 0.15
 """Three checks of the links; a silent peer is unresponsive after two."""
 
+BURST = 150
+WORK_S = 0.006
+"""Processor time that each request of a burst takes."""
+
+PATIENCE_S = 0.3
+WITHDRAW_S = 0.3
+"""Time of six turns in which as many requests are begun as a turn allows: a cancel is
+written, read and handled in turns of their own."""
+
 MESSAGE = Fence(lease=LeaseId(IncarnationId("x"), 1))
 
 
@@ -417,6 +427,28 @@
         lost = [result for result in results if not is_successful(result)]
         self.assertEqual(len(lost), 0)
 
+    async def test_requests_withdrawn_while_others_are_begun_are_not_begun(self):
+        """The node has less time than all of them take."""
+        begun_s = []
+
+        async def work(peer_request):
+            begun_s.append(time.monotonic())
+            time.sleep(WORK_S)  # noqa: ASYNC251
+            return await self.respond(peer_request)
+
+        await self.exchange()
+        self.second.on_request = work
+        sent = [asyncio.ensure_future(self.exchange()) for _ in range(BURST)]
+        await asyncio.sleep(PATIENCE_S)
+        left_s = time.monotonic()
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
+        await asyncio.sleep(BURST * WORK_S)
+        late = [at_s for at_s in begun_s if at_s > left_s + WITHDRAW_S]
+        self.assertEqual(late, [])
+        self.assertLess(left_s, begun_s[0] + 2 * PATIENCE_S)
+
     async def test_requests_held_on_a_link_are_refused_in_a_stop(self):
         """They were late, and the peer does not answer before the stop."""
         await self.exchange()
