Subtract the time until a request begins from what it has left

The limit of requests begun in a turn made some wait after they were read, and their deadlines counted from the end of that wait: the fault of the connections that are opened, once more. The wait is subtracted for callers' requests and for those of other nodes.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -68,6 +68,7 @@
         self._body: BodyQueue | None = None
         self._body_bytes = 0
         self._request: Request | None = None
+        self._request_read_s = 0.0
         self._response: Response | None = None
         self._written_bytes = 0
         self._write_waiter: asyncio.Future[None] | None = None
@@ -257,6 +258,7 @@
         self._written_bytes = 0
         refusal = self._check_body_headers(request)
         self._check_arrival()
+        self._request_read_s = self._loop.time()
         self._task = self._loop.create_task(self._serve_request(request, refusal))
 
     def _check_arrival(self) -> None:
@@ -392,6 +394,7 @@
 
     async def _call_handler(self, request: Request) -> Response:
         await self._owner.starts.wait()
+        request.waited_s = self._loop.time() - self._request_read_s
         try:
             return await self._owner.handler(request)
         except IncompleteBodyError as error:
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -34,6 +34,7 @@
         headers: Header fields.
         body: Body; empty if the request has none.
         request_id: Id for the log; set by the handler of a caller's request.
+        waited_s: For how many seconds it has waited since it was read.
     """
 
     method: bytes
@@ -41,6 +42,7 @@
     headers: Headers = ()
     body: Body = dataclasses.field(default_factory=BytesBody)
     request_id: str = ""
+    waited_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -356,8 +356,9 @@
     def handle_request(self, stream: PeerStream, head: Any) -> None:
         """Start a task that serves a peer's request."""
         loop = asyncio.get_running_loop()
-        stream.deadline_s = loop.time() + (head.deadline_us or 0) / US_PER_S
-        task = loop.create_task(self._serve(stream, head))
+        now = loop.time()
+        stream.deadline_s = now + (head.deadline_us or 0) / US_PER_S
+        task = loop.create_task(self._serve(stream, head, now))
         stream.task = task
         self._serving.add(task)
         task.add_done_callback(self._serving.discard)
@@ -371,10 +372,11 @@
         if link.address is not None and self._links.get(link.address) is link:
             del self._links[link.address]
 
-    async def _serve(self, stream: PeerStream, head: Any) -> None:
+    async def _serve(self, stream: PeerStream, head: Any, received_s: float) -> None:
+        loop = asyncio.get_running_loop()
         await self._starts.wait()
         try:
-            await self._handle_peer_request(stream, head)
+            await self._handle_peer_request(stream, head, loop.time() - received_s)
         except Exception as error:  # an error in one request must not close the link
             log_event(
                 _logger, Event.REQUEST_FAILED, level=logging.ERROR, error=repr(error)
@@ -382,7 +384,9 @@
             stream.send_failure(Refusal(kind=ErrorKind.INTERNAL))
         stream.finish()
 
-    async def _handle_peer_request(self, stream: PeerStream, head: Any) -> None:
+    async def _handle_peer_request(
+        self, stream: PeerStream, head: Any, waited_s: float
+    ) -> None:
         refusal = self._check_head(stream, head)
         if refusal is not None:
             self.metrics.count("peer_requests_refused", refusal.kind.value)
@@ -390,6 +394,7 @@
             return
         peer_request = decode_request_head(stream.inbound, head)
         peer_request.delay_s = stream.delay_s
+        peer_request.subtract_time(waited_s)
         result = await self.on_request(peer_request)
         if is_successful(result):
             await self._send_response(stream, result.unwrap())
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -160,6 +160,7 @@
             )
             return self._build_error_response(refusal, "")
         peer_request = classified.unwrap()
+        peer_request.subtract_time(request.waited_s)
         request.request_id = peer_request.request_id
         parent = self._find_parent(peer_request)
         peer_request.is_call = parent is not None
--- a/tests/network/test_arrivals.py
+++ b/tests/network/test_arrivals.py
@@ -79,6 +79,7 @@
     async def asyncSetUp(self):
         """Start a server whose handler keeps the processor busy."""
         self.handled_s = []
+        self.waited_s = []
         self.server = CallerServer(
             host="127.0.0.1", port=0, handler=self.handle, metrics=Metrics()
         )
@@ -88,6 +89,7 @@
     async def handle(self, request):
         """Work without a pause, then respond."""
         self.handled_s.append(time.monotonic())
+        self.waited_s.append(request.waited_s)
         time.sleep(WORK_S)  # noqa: ASYNC251
         return Response(status=200, body=BytesBody())
 
@@ -113,6 +115,7 @@
         thread.start()
         await asyncio.sleep(CALLERS * WORK_S + PATIENCE_S + SETTLE_S)
         thread.join()
+        self.assertAlmostEqual(max(self.waited_s), PATIENCE_S, delta=NOTICE_S)
         late = [begun_s for begun_s in self.handled_s if begun_s > left_s[0] + NOTICE_S]
         self.assertEqual(late, [])
         self.assertGreater(len(self.handled_s), PATIENCE_S / WORK_S / 4)
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -427,6 +427,30 @@
         lost = [result for result in results if not is_successful(result)]
         self.assertEqual(len(lost), 0)
 
+    async def test_time_until_a_request_begins_is_subtracted_from_what_it_has_left(
+        self,
+    ):
+        """More come at once than begin in one turn."""
+        loop = asyncio.get_running_loop()
+        left = []
+
+        async def work(peer_request):
+            left.append((loop.time(), peer_request.remaining_s))
+            time.sleep(WORK_S)  # noqa: ASYNC251
+            return await self.respond(peer_request)
+
+        await self.exchange()
+        self.second.on_request = work
+        sent = []
+
+        async def send():
+            sent.append(loop.time())
+            await self.exchange()
+
+        await asyncio.gather(*(send() for _ in range(BURST)))
+        for sent_s, (begun_s, remaining_s) in zip(sent, left, strict=True):
+            self.assertAlmostEqual(remaining_s, 5.0 - (begun_s - sent_s), delta=0.1)
+
     async def test_requests_withdrawn_while_others_are_begun_are_not_begun(self):
         """The node has less time than all of them take."""
         begun_s = []
