Share the test case of two nodes

Four test modules started the same two nodes and upstream. No check changes. test_engine, test_left_while_waiting, test_standstill and test_idempotent pass.

--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -4,7 +4,6 @@
 import dataclasses
 import gc
 import re
-import unittest
 from unittest import mock
 
 from returns.pipeline import is_successful
@@ -15,8 +14,8 @@
 from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import Response
 from papayatack.network.limits import PeerLimits
-from standins.upstream import UpstreamStandin
-from tests.proxy.fakes import Node, build_peer_request, build_request, fetch, wait_until
+from tests.proxy.fakes import build_peer_request, build_request, fetch, wait_until
+from tests.proxy.two_nodes import TwoNodesTestCase
 
 KEPT_REQUESTS = 100
 WORK_MS = 300
@@ -24,25 +23,9 @@
 """Work that lasts longer than a node may be unresponsive without being detected."""
 
 
-class EngineTestCase(unittest.IsolatedAsyncioTestCase):
+class EngineTestCase(TwoNodesTestCase):
     """Two nodes; the second owns the shard."""
 
-    async def asyncSetUp(self):
-        """Start an upstream and two nodes."""
-        self.upstream = UpstreamStandin()
-        await self.upstream.start()
-        self.owner = await Node(name="owner").start(self.upstream.port)
-        self.entry = await Node(name="entry").start()
-        self.owner.ownership.route = self.owner.build_route(local=True)
-        self.entry.ownership.route = self.owner.build_route(local=False)
-        await self.owner.grant()
-
-    async def asyncTearDown(self):
-        """Stop the nodes and the upstream."""
-        await self.entry.stop()
-        await self.owner.stop()
-        await self.upstream.stop(timeout_s=0)
-
     async def request(self, node, method="GET", target="/hiring/v/k1", **kwargs):
         """Send one request and return the raw response."""
         data = build_request(method, target, **kwargs)
--- a/tests/proxy/test_idempotent.py
+++ b/tests/proxy/test_idempotent.py
@@ -2,21 +2,19 @@
 
 import asyncio
 import dataclasses
-import unittest
 
 from returns.result import Success
 
 from papayatack.core.idempotency import Tenure
-from standins.upstream import UpstreamStandin
 from tests.proxy.fakes import (
     HOT_SHARD,
     SHARD,
     FakePermit,
-    Node,
     build_request,
     fetch,
     wait_until,
 )
+from tests.proxy.two_nodes import TwoNodesTestCase
 
 TARGET = "/hiring/v/k1"
 
@@ -53,30 +51,9 @@
         return Success(FakePermit(self))
 
 
-class IdempotentTestCase(unittest.IsolatedAsyncioTestCase):
+class IdempotentTestCase(TwoNodesTestCase):
     """Two nodes; the second owns the shard in the shard's first tenure."""
 
-    gate = None
-
-    async def asyncSetUp(self):
-        """Start an upstream and two nodes."""
-        self.upstream = UpstreamStandin()
-        await self.upstream.start()
-        owner = Node(name="owner")
-        if self.gate is not None:
-            owner.gate = self.gate()
-        self.owner = await owner.start(self.upstream.port)
-        self.entry = await Node(name="entry").start()
-        self.owner.ownership.route = self.owner.build_route(local=True)
-        self.entry.ownership.route = self.owner.build_route(local=False)
-        await self.owner.grant()
-
-    async def asyncTearDown(self):
-        """Stop the nodes and the upstream."""
-        await self.entry.stop()
-        await self.owner.stop()
-        await self.upstream.stop(timeout_s=0)
-
     async def post(self, *, key="a", body=b"x", target=TARGET, node=None, more=()):
         """Send one order with an idempotency key and return the raw response."""
         headers = (f"Idempotency-Key: {key}", *more)
--- a/tests/proxy/test_left_while_waiting.py
+++ b/tests/proxy/test_left_while_waiting.py
@@ -1,11 +1,10 @@
 """Tests of callers that leave while their requests wait somewhere on the way."""
 
 import asyncio
-import unittest
 
 from papayatack.core.identity import PeerAddress
-from standins.upstream import UpstreamStandin
-from tests.proxy.fakes import Node, build_request, fetch, wait_until
+from tests.proxy.fakes import build_request, fetch, wait_until
+from tests.proxy.two_nodes import TwoNodesTestCase
 
 BUSY_MS = 600
 LONG_MS = 3000
@@ -14,27 +13,17 @@
 SETTLE_S = 0.3
 
 
-class LeftWhileWaitingTests(unittest.IsolatedAsyncioTestCase):
+class LeftWhileWaitingTests(TwoNodesTestCase):
     """Two nodes; the second owns the shard and has one connection to its upstream."""
 
+    connections = 1
+
     async def asyncSetUp(self):
-        """Start an upstream and the nodes, and connect them."""
-        self.upstream = UpstreamStandin()
-        await self.upstream.start()
-        self.owner = await Node(name="owner", connections=1).start(self.upstream.port)
-        self.entry = await Node(name="entry").start()
-        self.owner.ownership.route = self.owner.build_route(local=True)
-        self.entry.ownership.route = self.owner.build_route(local=False)
-        await self.owner.grant()
+        """Start the nodes, and connect them."""
+        await super().asyncSetUp()
         await fetch(self.entry.callers.port, build_request("GET", "/hiring/v/k1"))
         self.upstream.runs.clear()
 
-    async def asyncTearDown(self):
-        """Stop the nodes and the upstream."""
-        await self.entry.stop()
-        await self.owner.stop()
-        await self.upstream.stop(timeout_s=0)
-
     def count_runs(self):
         """Return how many requests have reached the upstream."""
         return sum(self.upstream.runs.values())
--- a/tests/proxy/test_standstill.py
+++ b/tests/proxy/test_standstill.py
@@ -7,8 +7,8 @@
 import unittest
 from unittest import mock
 
-from standins.upstream import UpstreamStandin
 from tests.proxy.fakes import Node, build_request, fetch
+from tests.proxy.two_nodes import TwoNodesTestCase
 
 CALLERS = 15
 STAND_S = 0.6
@@ -21,18 +21,12 @@
 REQUEST = b"GET /hiring/v/k1 HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-class StandstillTests(unittest.IsolatedAsyncioTestCase):
+class StandstillTests(TwoNodesTestCase):
     """An entry node, whose loop stands still, and the owner of the key."""
 
     async def asyncSetUp(self):
-        """Start an upstream and the nodes, and connect them."""
-        self.upstream = UpstreamStandin()
-        await self.upstream.start()
-        self.owner = await Node(name="owner").start(self.upstream.port)
-        self.entry = await Node(name="entry").start()
-        self.owner.ownership.route = self.owner.build_route(local=True)
-        self.entry.ownership.route = self.owner.build_route(local=False)
-        await self.owner.grant()
+        """Start the nodes, connect them, and count what is handed on."""
+        await super().asyncSetUp()
         await fetch(self.entry.callers.port, build_request("GET", "/hiring/v/k1"))
         exchange = mock.patch.object(
             self.entry.network, "exchange", wraps=self.entry.network.exchange
@@ -41,12 +35,6 @@
         self.addCleanup(exchange.stop)
         self.owner.ownership.authorized = 0
 
-    async def asyncTearDown(self):
-        """Stop the nodes and the upstream."""
-        await self.entry.stop()
-        await self.owner.stop()
-        await self.upstream.stop(timeout_s=0)
-
     def connect(self, node):
         """Return a connection of a caller to a node."""
         caller = socket.create_connection(("127.0.0.1", node.callers.port))
