--- a/tests/running.py
+++ b/tests/running.py
@@ -35,6 +35,15 @@
 """Tests with real sockets or processes. They run one after the other once the others,
 which run on virtual time, have ended: no other test takes the time that they need."""
 
+SLOWEST_FIRST = (
+    "tests.platform.test_stops_while_log_away",
+    "tests.control.test_config_spread",
+    "tests.platform.test_history",
+    "tests.platform.test_ownership_schedules",
+    "tests.control.test_node",
+)
+"""Modules that begin before the others, so that none of them is left at the end."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Report:
@@ -102,6 +111,12 @@
     return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
 
 
+def sort_slowest_first(modules):
+    """Return the modules, those of ``SLOWEST_FIRST`` before the others."""
+    slow = [module for module in SLOWEST_FIRST if module in modules]
+    return slow + [module for module in modules if module not in SLOWEST_FIRST]
+
+
 def is_real_time(module):
     """Return whether a module is among those of ``REAL_TIME``."""
     return any(module == name or module.startswith(f"{name}.") for name in REAL_TIME)
@@ -133,6 +148,7 @@
     modules = list_modules()
     real = [module for module in modules if is_real_time(module)]
     virtual = [module for module in modules if not is_real_time(module)]
+    virtual = sort_slowest_first(virtual)
     total = Report()
     with concurrent.futures.ProcessPoolExecutor(
         os.cpu_count(), multiprocessing.get_context("spawn")
