--- a/tests/running.py
+++ b/tests/running.py
@@ -20,6 +20,7 @@
     "tests.network",
     "tests.platform.test_departures",
     "tests.platform.test_grants",
+    "tests.platform.test_heartbeats",
     "tests.platform.test_late_requests",
     "tests.platform.test_operations",
     "tests.platform.test_process",
