--- a/src/papayatack/network/delivery_delay.py
+++ b/src/papayatack/network/delivery_delay.py
@@ -12,7 +12,7 @@
 MAX_UNCERTAINTY_US = 100_000
 
 
-class _Extreme:
+class _RecentMaximum:
     """The largest of the values of the last one to two periods."""
 
     def __init__(self, *, period_us: int) -> None:
@@ -28,21 +28,21 @@
 
     def add(self, now_us: int, value: float) -> None:
         """Record a value."""
-        self.expire(now_us)
+        self._rotate_period(now_us)
         self._current = max(self._current, value)
 
-    def expire(self, now_us: int) -> None:
-        """Start a new period if one has passed."""
+    def reset(self) -> None:
+        """Forget all values."""
+        self._current = self._previous = -math.inf
+
+    def _rotate_period(self, now_us: int) -> None:
+        """Start a new period if due, keeping the maximum of the previous one."""
         if now_us - self._period_start_us < self._period_us:
             return
         self._period_start_us = now_us
         if not math.isinf(self._current):
             self._previous, self._current = self._current, -math.inf
 
-    def reset(self) -> None:
-        """Forget all values."""
-        self._current = self._previous = -math.inf
-
 
 class DeliveryDelay:
     """Estimates delivery delays on one connection from the clocks of its two ends.
@@ -55,18 +55,18 @@
     """
 
     def __init__(self) -> None:
-        self._lower_us = _Extreme(period_us=ANSWER_PERIOD_US)
-        self._negative_upper_us = _Extreme(period_us=MESSAGE_PERIOD_US)
+        self._lower = _RecentMaximum(period_us=ANSWER_PERIOD_US)
+        self._negated_upper = _RecentMaximum(period_us=MESSAGE_PERIOD_US)
         self._answered_us = -math.inf
 
     @property
     def is_certain(self) -> bool:
         """Whether the bounds are close to each other."""
-        return self._find_uncertainty() <= MAX_UNCERTAINTY_US
+        return self._upper_us - self._lower.value <= MAX_UNCERTAINTY_US
 
     def needs_answer(self, now_us: int) -> bool:
         """Return whether a question to the sender would improve the estimate."""
-        if math.isinf(self._lower_us.value):
+        if math.isinf(self._lower.value):
             return True
         return now_us - self._answered_us >= ANSWER_PERIOD_US
 
@@ -81,13 +81,13 @@
         if sent_us is None:
             return 0
         difference_us = now_us - sent_us
-        earlier_us = -self._negative_upper_us.value
-        self._negative_upper_us.add(now_us, -difference_us)
-        if self._find_uncertainty() < 0:
-            self._lower_us.reset()
-        lower_us = self._lower_us.value
+        earlier_upper_us = self._upper_us
+        self._negated_upper.add(now_us, -difference_us)
+        if self._upper_us < self._lower.value:
+            self._lower.reset()
+        lower_us = self._lower.value
         if math.isinf(lower_us):
-            lower_us = min(earlier_us, difference_us)
+            lower_us = min(earlier_upper_us, difference_us)
         return int(difference_us - lower_us)
 
     def measure_answer(self, now_us: int, sent_us: int | None, asked_us: int) -> None:
@@ -105,13 +105,14 @@
             return
         difference_us = now_us - sent_us
         lower_us = asked_us - sent_us
-        if lower_us > -self._negative_upper_us.value:
-            self._negative_upper_us.reset()
-        if difference_us < self._lower_us.value:
-            self._lower_us.reset()
-        self._negative_upper_us.add(now_us, -difference_us)
-        self._lower_us.add(now_us, lower_us)
-
-    def _find_uncertainty(self) -> float:
-        """Return the difference of the two bounds, infinite if one is missing."""
-        return -self._negative_upper_us.value - self._lower_us.value
+        if lower_us > self._upper_us:
+            self._negated_upper.reset()
+        if difference_us < self._lower.value:
+            self._lower.reset()
+        self._negated_upper.add(now_us, -difference_us)
+        self._lower.add(now_us, lower_us)
+
+    @property
+    def _upper_us(self) -> float:
+        """Upper bound of the clocks' difference; infinite if there is none."""
+        return -self._negated_upper.value
