--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -15,6 +15,7 @@
 from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress
 from papayatack.core.inventory import RequestClass
 from papayatack.core.messages import Fence
+from papayatack.network import request_hold
 from papayatack.network.bodies import BodyQueue, BytesBody, IncompleteBodyError
 from papayatack.network.delivery_delay import DeliveryDelay
 from papayatack.network.exchanges import PeerRequest, Request, Response
@@ -477,13 +478,16 @@
         """They were late, and the peer does not answer before the stop."""
         await self.exchange()
         delay = mock.patch.object(DeliveryDelay, "measure", return_value=1_000_000)
-        with delay:
+        with delay, mock.patch.object(request_hold, "MAX_HOLD_S", DEADLINE_S):
             resume = self.pause_reading(self.first)
             sent = [asyncio.ensure_future(self.exchange()) for _ in range(5)]
             await wait_until(lambda: self.count_held(self.second) == len(sent))
-            asyncio.get_running_loop().call_later(0.1, resume)
             until_s = asyncio.get_running_loop().time() + 2.0
-            await self.second.finish_requests(until_s=until_s)
+            stop = asyncio.ensure_future(self.second.finish_requests(until_s=until_s))
+            await asyncio.sleep(0)
+            self.assertEqual(self.count_held(self.second), 0)
+            resume()
+            await stop
             results = await asyncio.gather(*sent)
         kinds = {result.failure().kind for result in results}
         self.assertEqual(kinds, {ErrorKind.NODE_DRAINING})
