Add review case 5: kept connections stay under the older limits

A connection of a consumer keeps the limits with which it was opened. The script raises MaxBodyBytes and places longer orders 5 s later on open connections.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/5/play.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -554,6 +554,7 @@
     Attributes:
         runs: What ran, by request id.
         work_s: How long a request works at an instance.
+        body_bytes: Longest body that the next manifest allows.
     """
 
     def __init__(self, folder: pathlib.Path, layout: list[tuple[str, str]]) -> None:
@@ -563,6 +564,7 @@
         self.services = {"desk": {"Sharded": True}, "papers": {"Sharded": False}}
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.work_s = 0.04
+        self.body_bytes = 67_108_864
         self.version = 7
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))
         role = deploy["roles"]["node"]
@@ -651,7 +653,7 @@
             },
             "Limits": {
                 "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 67108864,
+                "MaxBodyBytes": self.body_bytes,
                 "HeaderTimeout": "3000ms",
                 "IdleTimeout": "15000ms",
             },
@@ -745,12 +747,17 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(folder: pathlib.Path, layout, play) -> None:
-    """Play a case and exit with 1 if the rule was broken, 0 if not, 2 if not run."""
+def run_case(folder: pathlib.Path, layout, play, prepare=None) -> None:
+    """Play a case and exit with 1 if the rule was broken, 0 if not, 2 if not run.
+
+    ``prepare`` may change the fleet before it starts.
+    """
 
     async def play_all() -> int:
         fleet = Fleet(folder, layout)
         try:
+            if prepare is not None:
+                prepare(fleet)
             await fleet.start()
             broken, text = await play(fleet)
             fleet.record.note(f"RESULT {'broken' if broken else 'held'}: {text}")
