Add review case 1: requests that wait during a crash lose their body

A request that is screened a second time is screened from the object whose body the first screening has read. The script lets instances crash one at a time while orders wait.

The other cases move behind it; the case of limits on kept connections, which breaks DENIED and loses nothing that was accepted, gives its place.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,81 +1,117 @@
-"""Two instances hold the same keys after the node of the last machine was killed."""
+"""Requests that wait while an instance crashes are run with an empty body."""
 
 import asyncio
+import contextlib
+import itertools
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness import KEYS, has_trouble, now, run_case
+from harness import HOST, LOOPBACK, has_trouble, now, read_body, read_head, run_case
 
-LAYOUT = [("desk", "bq-norte"), ("desk", "bq-centro"), ("desk", "bq-puerto")]
-STEP_KEYS = 128
-POLL_S = 0.05
-LIMIT_S = 0.5
-WATCHED_S = 15.0
+LAYOUT = [
+    ("papers", "bq-norte"),
+    ("papers", "bq-centro"),
+    ("papers", "bq-puerto"),
+    ("papers", "bq-norte"),
+]
+WORK_S = 0.4
+SLOTS = 4
+STEP_S = 0.015
+SENT_S = 38.0
+DOWN_S = 1.5
+CRASHES = 10
+PAUSE_S = 2.0
+POPULAR = b'{"berth": "deck", "port": "bq-puerto", "from": "2026-12-05"}'
+NUMBERS = itertools.count(1)
 
 
-def list_shared(machines):
-    """Return the keys that two instances hold at this moment."""
-    return [
-        key
-        for key in range(0, KEYS, STEP_KEYS)
-        if sum(machine.instance.holds(key) for machine in machines) > 1
-    ]
+def build_body(number):
+    """Return the body of a request; two of three are the popular one."""
+    return POPULAR if number % 3 else b'{"berth": "%d"}' % number
+
 
+async def send(fleet, machine, sent):
+    """Send a request with a body in chunks; return the status, 0 for no answer."""
+    number = next(NUMBERS)
+    request_id = f"b{number:06x}"
+    body = build_body(number)
+    sent[request_id] = body
+    lines = (
+        "POST /book/berths HTTP/1.1",
+        f"Host: {HOST}",
+        f"Papayatack-Request-Id: {request_id}",
+        "Papayatack-Deadline-Ms: 3000",
+        "Transfer-Encoding: chunked",
+    )
+    fleet.record.note(f"consumer sends {request_id}, {len(body)} B")
+    status = 0
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(3.5):
+            reader, writer = await asyncio.open_connection(LOOPBACK, machine.outbound)
+            chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + chunks)
+            answer = await read_head(reader)
+            if answer is not None:
+                await read_body(reader, answer, reply=True)
+                status = int(answer.first[1])
+            writer.transport.abort()
+    fleet.record.note(f"consumer gets {status} for {request_id}")
+    return status
 
-async def watch(fleet, machines, longest):
-    """Record for how long each key has two holders, without a break."""
-    since: dict[int, float] = {}
-    until_s = now() + WATCHED_S
+
+async def send_for(fleet, seconds, sent):
+    """Send requests to all machines in turn."""
+    tasks = []
+    until_s = now() + seconds
     while now() < until_s:
-        shared = set(list_shared(machines))
-        for key in list(since):
-            if key not in shared:
-                del since[key]
-        for key in shared:
-            begun_s = since.setdefault(key, now())
-            longest[key] = max(longest.get(key, 0.0), now() - begun_s)
-        await asyncio.sleep(POLL_S)
-    fleet.record.note(f"keys with two holders: {len(longest)}")
-
-
-async def ask_all(fleet, machines, stopping):
-    """Ask for keys all over the range."""
-    number = 0
-    while not stopping.is_set():
-        machine = machines[number % len(machines)]
-        number += 1
-        await fleet.ask(machine, f"/list/{number}", key=number * 4_099 % KEYS)
-        await asyncio.sleep(POLL_S)
+        machine = fleet.machines[len(tasks) % len(fleet.machines)]
+        tasks.append(asyncio.ensure_future(send(fleet, machine, sent)))
+        await asyncio.sleep(STEP_S)
+    return await asyncio.gather(*tasks)
+
+
+async def crash(machine):
+    """Let the instance of a machine crash, and start again."""
+    await machine.instance.end()
+    await asyncio.sleep(DOWN_S)
+    await machine.start_instance()
 
 
 async def play(fleet):
-    """Take two machines away, kill the last node, and add a machine."""
-    last, second, third = fleet.machines
-    await asyncio.gather(second.remove(), third.remove())
-    fleet.record.note("one machine is left")
-    for key in range(0, KEYS, 8_192):
-        await fleet.ask(last, "/list/a", key=key)
-    second.renew_ports()
-    if has_trouble():
-        await last.kill_node()
-        await asyncio.sleep(0.5)
-        await last.start_node()
-    await second.start_node()
-    await second.start_instance()
-    longest: dict[int, float] = {}
-    stopping = asyncio.Event()
-    asking = asyncio.ensure_future(ask_all(fleet, [last, second], stopping))
-    await watch(fleet, [last, second], longest)
-    stopping.set()
-    await asking
-    long = {key: time_s for key, time_s in longest.items() if time_s > LIMIT_S}
+    """Let instances crash one after the other while requests wait."""
+    fleet.work_s = WORK_S
+    sent = {}
+    sending = asyncio.ensure_future(send_for(fleet, SENT_S, sent))
+    for number in range(CRASHES):
+        machine = fleet.machines[number % len(fleet.machines)]
+        await asyncio.sleep(PAUSE_S)
+        if has_trouble():
+            await crash(machine)
+    answers = await sending
+    changed = [
+        run
+        for request_id, body in sent.items()
+        for run in fleet.runs.get(request_id, ())
+        if run.body != body
+    ]
+    for run in changed[:50]:
+        fleet.record.note(
+            f"{run.instance} ran {run.request_id} with {len(run.body)} B of "
+            f"{len(sent[run.request_id])} B"
+        )
+    ran = sum(1 for request_id in sent if fleet.runs.get(request_id))
     text = (
-        f"{len(long)} of {KEYS // STEP_KEYS} keys that were looked at had two "
-        f"holders for over {LIMIT_S} s, at most {max(longest.values(), default=0):.1f}"
+        f"{len(changed)} of {ran} requests that ran were run with another body; "
+        f"{answers.count(200)} of {len(answers)} were answered 200"
     )
-    return bool(long), text
+    return bool(changed), text
+
+
+def prepare(fleet):
+    """Give the instances few slots, so that requests wait."""
+    fleet.slots = SLOTS
 
 
-run_case(pathlib.Path(__file__).resolve().parent, LAYOUT, play)
+run_case(pathlib.Path(__file__).resolve().parent, LAYOUT, play, prepare)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""Half of the machines are lost for good; the others never serve a key again."""
+"""Two instances hold the same keys after the node of the last machine was killed."""
 
 import asyncio
 import pathlib
@@ -8,56 +8,74 @@
 
 from harness import KEYS, has_trouble, now, run_case
 
-LAYOUT = [
-    ("desk", "bq-norte"),
-    ("desk", "bq-centro"),
-    ("desk", "bq-puerto"),
-    ("desk", "bq-norte"),
-]
-RECOVERY_S = 15.0
-COUNTED_S = 15.0
-BEFORE_S = 6.0
-BETWEEN_S = 5.0
-SHARE = 0.25
-STEP_S = 0.1
-
-
-async def send_for(fleet, machines, seconds):
-    """Send requests for some time; return the share that is served."""
-    tasks, number = [], 0
-    until_s = now() + seconds
+LAYOUT = [("desk", "bq-norte"), ("desk", "bq-centro"), ("desk", "bq-puerto")]
+STEP_KEYS = 128
+POLL_S = 0.05
+LIMIT_S = 0.5
+WATCHED_S = 15.0
+
+
+def list_shared(machines):
+    """Return the keys that two instances hold at this moment."""
+    return [
+        key
+        for key in range(0, KEYS, STEP_KEYS)
+        if sum(machine.instance.holds(key) for machine in machines) > 1
+    ]
+
+
+async def watch(fleet, machines, longest):
+    """Record for how long each key has two holders, without a break."""
+    since: dict[int, float] = {}
+    until_s = now() + WATCHED_S
     while now() < until_s:
+        shared = set(list_shared(machines))
+        for key in list(since):
+            if key not in shared:
+                del since[key]
+        for key in shared:
+            begun_s = since.setdefault(key, now())
+            longest[key] = max(longest.get(key, 0.0), now() - begun_s)
+        await asyncio.sleep(POLL_S)
+    fleet.record.note(f"keys with two holders: {len(longest)}")
+
+
+async def ask_all(fleet, machines, stopping):
+    """Ask for keys all over the range."""
+    number = 0
+    while not stopping.is_set():
+        machine = machines[number % len(machines)]
         number += 1
-        call = fleet.ask(
-            machines[number % len(machines)],
-            f"/list/{number}",
-            key=number * 4_099 % KEYS,
-        )
-        tasks.append(asyncio.ensure_future(call))
-        await asyncio.sleep(STEP_S)
-    statuses = await asyncio.gather(*tasks)
-    share = statuses.count(200) / len(statuses)
-    fleet.record.note(f"served {share:.2f} of {len(statuses)} requests")
-    return share
+        await fleet.ask(machine, f"/list/{number}", key=number * 4_099 % KEYS)
+        await asyncio.sleep(POLL_S)
 
 
 async def play(fleet):
-    """Lose two machines of four, then kill all processes that are left."""
-    kept, lost = fleet.machines[:2], fleet.machines[2:]
-    before = await send_for(fleet, fleet.machines, BEFORE_S)
+    """Take two machines away, kill the last node, and add a machine."""
+    last, second, third = fleet.machines
+    await asyncio.gather(second.remove(), third.remove())
+    fleet.record.note("one machine is left")
+    for key in range(0, KEYS, 8_192):
+        await fleet.ask(last, "/list/a", key=key)
+    second.renew_ports()
     if has_trouble():
-        await asyncio.gather(*(machine.lose() for machine in lost))
-        fleet.record.note("two machines are lost")
-        await send_for(fleet, kept, BETWEEN_S)
-        await asyncio.gather(*(machine.kill_node() for machine in kept))
-        await asyncio.sleep(1)
-        for machine in kept:
-            await machine.start_node()
-    back_s = now()
-    await send_for(fleet, kept, back_s + RECOVERY_S - now())
-    after = await send_for(fleet, kept, COUNTED_S)
-    text = f"served before: {before:.2f}; later than Recovery: {after:.2f}"
-    return before >= SHARE > after, text
+        await last.kill_node()
+        await asyncio.sleep(0.5)
+        await last.start_node()
+    await second.start_node()
+    await second.start_instance()
+    longest: dict[int, float] = {}
+    stopping = asyncio.Event()
+    asking = asyncio.ensure_future(ask_all(fleet, [last, second], stopping))
+    await watch(fleet, [last, second], longest)
+    stopping.set()
+    await asking
+    long = {key: time_s for key, time_s in longest.items() if time_s > LIMIT_S}
+    text = (
+        f"{len(long)} of {KEYS // STEP_KEYS} keys that were looked at had two "
+        f"holders for over {LIMIT_S} s, at most {max(longest.values(), default=0):.1f}"
+    )
+    return bool(long), text
 
 
 run_case(pathlib.Path(__file__).resolve().parent, LAYOUT, play)
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,4 +1,4 @@
-"""Orders that the new manifest allows are refused with 413 on kept connections."""
+"""An instance that has deregistered gets new requests after its node was restarted."""
 
 import asyncio
 import pathlib
@@ -6,102 +6,78 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness import (
-    HOST,
-    KEYS,
-    KNOWN_IDS,
-    LOOPBACK,
-    has_trouble,
-    read_body,
-    read_head,
-    run_case,
-)
+from harness import DRAIN_S, STABLE_S, has_trouble, now, run_case
 
-LAYOUT = [("desk", "bq-norte"), ("desk", "bq-centro"), ("desk", "bq-puerto")]
-CONSUMERS = 30
-OLD_LIMIT_BYTES = 1_000
-NEW_LIMIT_BYTES = 100_000
-SHORT_BYTES = 300
-LONG_BYTES = 5_000
-PAUSE_S = 2.0
-SETTLED_S = 5.0
-"""Time after the ack of the manifest; ConfigApply and 3 s."""
+LAYOUT = [
+    ("desk", "bq-norte"),
+    ("desk", "bq-centro"),
+    ("papers", "bq-norte"),
+    ("papers", "bq-centro"),
+]
+LATE_S = 3.0
+"""Time for which the last heartbeat is on its way."""
 
-ALLOWED = 5
-SHARE = 500
+STAYS_S = 16.0
+"""Time for which the instance serves after the ack of its leaving."""
 
+STEP_S = 0.05
+WORK_S = 0.3
 
-class Consumer:
-    """A consumer that keeps its connection as long as the node does."""
 
-    def __init__(self, fleet, machine):
-        self.fleet = fleet
-        self.machine = machine
-        self.streams = None
-
-    async def order(self, size):
-        """Place an order; return the status, 0 for no answer."""
-        if self.streams is None:
-            self.streams = await asyncio.open_connection(
-                LOOPBACK, self.machine.outbound
-            )
-        reader, writer = self.streams
-        number = next(KNOWN_IDS)
-        request_id = f"q{number:06x}"
-        lines = (
-            f"POST /orders/{number} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Papayatack-Request-Id: {request_id}",
-            "Papayatack-Deadline-Ms: 2000",
-            f"Papayatack-Shard-Key: {number * 4_099 % KEYS}",
-            f"Content-Length: {size}",
-        )
-        node = self.machine.number
-        self.fleet.record.note(f"consumer orders {request_id}, {size} B, node {node}")
-        status = 0
-        try:
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + b"x" * size)
-            answer = await read_head(reader)
-            if answer is not None:
-                await read_body(reader, answer, reply=True)
-                status = int(answer.first[1])
-        except OSError:
-            answer = None
-        self.fleet.record.note(f"consumer gets {status} for {request_id}")
-        if answer is None or answer.fields.get("connection") == "close":
-            writer.transport.abort()
-            self.streams = None
-        return status
-
-
-def prepare(fleet):
-    """Begin with a low limit, unless nothing is to be changed."""
-    fleet.body_bytes = OLD_LIMIT_BYTES if has_trouble() else NEW_LIMIT_BYTES
+async def send_requests(fleet, stopping):
+    """Send bookings to the machines whose nodes are not disturbed."""
+    senders = [fleet.machines[0], fleet.machines[1], fleet.machines[3]]
+    tasks, number = [], 0
+    while not stopping.is_set():
+        machine = senders[number % len(senders)]
+        number += 1
+        call = fleet.ask(machine, f"/book/{number}", method="POST", body=b"x" * 300)
+        tasks.append(asyncio.ensure_future(call))
+        await asyncio.sleep(STEP_S)
+    return await asyncio.gather(*tasks)
 
 
 async def play(fleet):
-    """Raise the limit of bodies, and place longer orders on open connections."""
-    consumers = [
-        Consumer(fleet, fleet.machines[number % len(fleet.machines)])
-        for number in range(CONSUMERS)
-    ]
-    statuses = []
-    for _ in range(3):
-        found = (consumer.order(SHORT_BYTES) for consumer in consumers)
-        statuses.extend(await asyncio.gather(*found))
-        await asyncio.sleep(PAUSE_S)
+    """Let an instance deregister, restart its node, and deliver its last heartbeat."""
+    machine = fleet.machines[2]
+    leaver = machine.instance
+    fleet.work_s = WORK_S
+    stopping = asyncio.Event()
+    sending = asyncio.ensure_future(send_requests(fleet, stopping))
+    await asyncio.sleep(3)
+    leaver.stop_beating()
+    late_beat = leaver.build_beat("ready")
+    beat_s = now()
+    leaver.leaving = True
+    status = await leaver.post(machine.control, "deregister")
+    acked_s = now()
+    fleet.record.note(f"{leaver.name} deregisters: {status}")
+    if status != 200:
+        raise RuntimeError("the leaving was not acknowledged")
     if has_trouble():
-        fleet.body_bytes = NEW_LIMIT_BYTES
-        await fleet.store.put("keyed.op", b"config", fleet.build_manifest())
-        fleet.record.note("a manifest with a higher limit is acknowledged")
-    await asyncio.sleep(SETTLED_S)
-    for _ in range(3):
-        found = (consumer.order(LONG_BYTES) for consumer in consumers)
-        statuses.extend(await asyncio.gather(*found))
-        await asyncio.sleep(PAUSE_S)
-    denied = statuses.count(413)
-    text = f"{denied} of {len(statuses)} orders were refused with 413"
-    return denied > ALLOWED + len(statuses) / SHARE, text
+        await asyncio.sleep(0.2)
+        await machine.kill_node()
+        await asyncio.sleep(0.5)
+        await machine.start_node()
+    await asyncio.sleep(beat_s + LATE_S - now())
+    status = await leaver.post(machine.control, "heartbeat", late_beat)
+    fleet.record.note(f"a late heartbeat of {leaver.name} arrives: {status}")
+    await asyncio.sleep(acked_s + STAYS_S - now())
+    await leaver.end()
+    await asyncio.sleep(1)
+    stopping.set()
+    answers = await sending
+    in_touch_s = max(acked_s + DRAIN_S, machine.started_s + STABLE_S)
+    if not has_trouble():
+        in_touch_s = acked_s + DRAIN_S
+    late = [item for item in leaver.arrivals if item[0] > in_touch_s]
+    late_runs = [item for item in late if item[2] == "run"]
+    lost = sum(1 for status in answers if status in (0, 502))
+    text = (
+        f"{len(late_runs)} requests reached the instance later than Drain after the "
+        f"ack, by machines in touch; {lost} of {len(answers)} bookings were lost"
+    )
+    return bool(late_runs), text
 
 
-run_case(pathlib.Path(__file__).resolve().parent, LAYOUT, play, prepare)
+run_case(pathlib.Path(__file__).resolve().parent, LAYOUT, play)
--- a/review/harness.py
+++ b/review/harness.py
@@ -255,7 +255,7 @@
         self.service = service
         self.zone = zone
         self.port = port
-        self.slots = 13
+        self.slots = fleet.slots
         self.sharded = fleet.services[service]["Sharded"]
         self.leaving = False
         self.beats = 0
@@ -554,6 +554,7 @@
     Attributes:
         runs: What ran, by request id.
         work_s: How long a request works at an instance.
+        slots: Capacity of the instances that start from now on.
         body_bytes: Longest body that the next manifest allows.
     """
 
@@ -564,6 +565,7 @@
         self.services = {"desk": {"Sharded": True}, "papers": {"Sharded": False}}
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.work_s = 0.04
+        self.slots = 13
         self.body_bytes = 67_108_864
         self.version = 7
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))
