--- a/review/1/play.py
+++ b/review/1/play.py
@@ -8,7 +8,15 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness import HOST, LOOPBACK, has_trouble, now, read_body, read_head, run_case
+from harness import (
+    HOST,
+    has_trouble,
+    now,
+    read_body,
+    read_head,
+    run_case,
+    split_address,
+)
 
 LAYOUT = [
     ("papers", "bq-norte"),
@@ -49,7 +57,9 @@
     status = 0
     with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(3.5):
-            reader, writer = await asyncio.open_connection(LOOPBACK, machine.outbound)
+            reader, writer = await asyncio.open_connection(
+                *split_address(machine.outbound)
+            )
             chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + chunks)
             answer = await read_head(reader)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -57,7 +57,7 @@
     fleet.record.note("one machine is left")
     for key in range(0, KEYS, 8_192):
         await fleet.ask(last, "/list/a", key=key)
-    second.renew_ports()
+    second.renew_address()
     if has_trouble():
         await last.kill_node()
         await asyncio.sleep(0.5)
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import math
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -28,7 +29,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "ficu95.example"
-LOOPBACK = "127.0.0.1"
+STORE_HOST = "127.0.0.1"
+APP_PORT, OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8145, 8147, 8141, 8144
+PEERS_PORT, OPERATORS_PORT = 7380, 7395
 HEARTBEAT_S = 0.87
 QUEUE = 52
 DRAIN_S = 2.0
@@ -54,15 +57,22 @@
     return time.monotonic()
 
 
-def pick_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((LOOPBACK, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+def split_address(address: str) -> tuple[str, int]:
+    """Return the parts of ``<ip>:<port>``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def is_free(ip: str) -> bool:
+    """Tell whether nothing listens at the ports of a machine."""
+    ports = (APP_PORT, OUTBOUND_PORT, READY_PORT, CONTROL_PORT)
+    for port in (*ports, PEERS_PORT, OPERATORS_PORT):
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,13 +153,13 @@
             list
         )
         self.grown = asyncio.Condition()
-        self.port = 0
+        self.address = ""
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, STORE_HOST, 0)
+        self.address = f"{STORE_HOST}:{self._server.sockets[0].getsockname()[1]}"
 
     async def put(self, topic: str, key: bytes, value: bytes) -> None:
         """Append a record of the operator."""
@@ -249,12 +259,14 @@
 class Instance:
     """One lifetime of an instance at an address."""
 
-    def __init__(self, fleet, *, name: str, service: str, zone: str, port: int) -> None:
+    def __init__(
+        self, fleet, *, name: str, service: str, zone: str, address: str
+    ) -> None:
         self.fleet = fleet
         self.name = name
         self.service = service
         self.zone = zone
-        self.port = port
+        self.address = address
         self.slots = fleet.slots
         self.sharded = fleet.services[service]["Sharded"]
         self.leaving = False
@@ -267,12 +279,12 @@
         self._server: asyncio.Server | None = None
         self._beating: asyncio.Task | None = None
 
-    async def start(self, control_port: int) -> None:
+    async def start(self, control: str) -> None:
         """Listen, and send heartbeats to the node beside it."""
         self._server = await asyncio.start_server(
-            self._serve, LOOPBACK, self.port, reuse_address=True
+            self._serve, *split_address(self.address), reuse_address=True
         )
-        self._beating = asyncio.ensure_future(self._beat(control_port))
+        self._beating = asyncio.ensure_future(self._beat(control))
         self.fleet.record.note(f"instance {self.name} of {self.service} started")
 
     def stop_beating(self) -> None:
@@ -295,7 +307,7 @@
         """Return the body of the next heartbeat."""
         self.beats += 1
         document = {
-            "Address": f"{LOOPBACK}:{self.port}",
+            "Address": self.address,
             "Info": {
                 "Service": self.service,
                 "Version": "v1",
@@ -306,20 +318,20 @@
         }
         return json.dumps(document).encode()
 
-    async def post(self, control_port: int, call: str, body: bytes = b"") -> int:
+    async def post(self, control: str, call: str, body: bytes = b"") -> int:
         """Send a call to the node's Control address; return the status, 0 for none."""
         target = f"/instances/{self.name}/{call}"
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(1.0):
-                found = await exchange(control_port, "POST", target, {}, body)
+                found = await exchange(control, "POST", target, {}, body)
                 if found is not None:
                     return int(found.first[1])
         return 0
 
-    async def _beat(self, control_port: int) -> None:
+    async def _beat(self, control: str) -> None:
         while True:
             state = "draining" if self.leaving else "ready"
-            await self.post(control_port, "heartbeat", self.build_beat(state))
+            await self.post(control, "heartbeat", self.build_beat(state))
             await asyncio.sleep(HEARTBEAT_S)
 
     def holds(self, key: int) -> bool:
@@ -442,14 +454,14 @@
 
 
 async def exchange(
-    port: int, method: str, target: str, fields: dict, body: bytes = b""
+    address: str, method: str, target: str, fields: dict, body: bytes = b""
 ) -> Message | None:
     """Send a request on a new connection; return the response, ``None`` for none."""
-    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    reader, writer = await asyncio.open_connection(*split_address(address))
     try:
         lines = [f"{method} {target} HTTP/1.1"]
         if "Host" not in fields:
-            lines.append(f"Host: {LOOPBACK}:{port}")
+            lines.append(f"Host: {address}")
         lines.extend(f"{name}: {value}" for name, value in fields.items())
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
@@ -470,17 +482,20 @@
         self.number = number
         self.service = service
         self.zone = zone
-        self.renew_ports()
+        self.renew_address()
         self.lives = 0
         self.instance: Instance | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.started_s = math.inf
 
-    def renew_ports(self) -> None:
+    def renew_address(self) -> None:
         """Give the machine a new address, as to one that is added."""
-        ports = pick_ports(6)
-        self.control, self.outbound, self.ready, self.peers, self.operators = ports[:5]
-        self.app_port = ports[5]
+        ip = self.fleet.pick_ip()
+        self.ip = ip
+        self.app = f"{ip}:{APP_PORT}"
+        self.outbound = f"{ip}:{OUTBOUND_PORT}"
+        self.ready = f"{ip}:{READY_PORT}"
+        self.control = f"{ip}:{CONTROL_PORT}"
 
     async def start_instance(self) -> Instance:
         """Start a new lifetime of the instance."""
@@ -491,7 +506,7 @@
             name=name,
             service=self.service,
             zone=self.zone,
-            port=self.app_port,
+            address=self.app,
         )
         await self.instance.start(self.control)
         return self.instance
@@ -571,28 +586,38 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))
         role = deploy["roles"]["node"]
         self.command = [sys.executable, *shlex.split(role["run"])[1:]]
+        self._net = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        self._last_ip = 0
         self.template = (ROOT / role["template"]).read_text("utf-8")
         self.machines = [
             Machine(self, number=number, service=service, zone=zone)
             for number, (service, zone) in enumerate(layout)
         ]
 
+    def pick_ip(self) -> str:
+        """Return a loopback address for a machine; all machines use the same ports."""
+        while True:
+            self._last_ip += 1
+            ip = f"{self._net}.{self._last_ip}"
+            if is_free(ip):
+                return ip
+
     def render(self, machine: Machine) -> str:
         """Fill in the settings template."""
         values = {
             "NodeName": f"sidecar-{machine.number}",
             "Zone": machine.zone,
             "Region": "barranquilla",
-            "Ip": LOOPBACK,
-            "Listen.Outbound": f"{LOOPBACK}:{machine.outbound}",
-            "Listen.Control": f"{LOOPBACK}:{machine.control}",
-            "Listen.Ready": f"{LOOPBACK}:{machine.ready}",
-            "InternalPortRange.0": str(machine.peers),
-            "InternalPortRange.1": str(machine.operators),
+            "Ip": machine.ip,
+            "Listen.Outbound": machine.outbound,
+            "Listen.Control": machine.control,
+            "Listen.Ready": machine.ready,
+            "InternalPortRange.0": str(PEERS_PORT),
+            "InternalPortRange.1": str(OPERATORS_PORT),
             "Service": machine.service,
-            "AppAddr": f"{LOOPBACK}:{machine.app_port}",
+            "AppAddr": machine.app,
             "Heartbeat": "870ms",
-            "Platform.Address": f"{LOOPBACK}:{self.store.port}",
+            "Platform.Address": self.store.address,
             "Platform.keep": "300s",
             **{f"Bounds.{name}": value for name, value in BOUNDS.items()},
         }
