--- a/review/harness.py
+++ b/review/harness.py
@@ -18,6 +18,7 @@
 import random
 import re
 import shlex
+import shutil
 import signal
 import socket
 import struct
@@ -795,6 +796,8 @@
             if machine.instance is not None:
                 await machine.instance.end()
         self.record.close()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def has_trouble() -> bool:
