--- a/review/harness.py
+++ b/review/harness.py
@@ -38,6 +38,9 @@
 DRAIN_S = 2.0
 STABLE_S = 3.0
 LISTENING_S = 20.0
+LIMIT_S = 110.0
+"""Time after which a case counts as one that could not run."""
+
 KEYS = 65_536
 MAX_HOLD_S = 10.0
 ZONES = ("bq-norte", "bq-centro", "bq-puerto")
@@ -816,12 +819,15 @@
         try:
             if prepare is not None:
                 prepare(fleet)
-            await fleet.start()
-            broken, text = await play(fleet)
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+            async with asyncio.timeout(LIMIT_S):
+                await fleet.start()
+                broken, text = await play(fleet)
             fleet.record.note(f"RESULT {'broken' if broken else 'held'}: {text}")
             print(f"{'BROKEN' if broken else 'held'}: {text}")
             return 1 if broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.record.note(f"RESULT not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
