Bound the lease and the grants of a node that is left alone

Callers of a lone node got 500 for each refusal of its upstream.

Cause: a lease without witnesses had no end. control/grants.py made a grant of 3,600 s of that (MaxHold is 10 s), while who takes over after a supersession waits for one lease; int(inf) raised OverflowError in the log lines of proxy/local.py.

Change: such a lease lasts as long as any other; its holder renews it alone with each round and extends its grants with it. A successor's wait of one lease is enough again, with no special case left anywhere. The driver of the differential tests renews these leases when it moves the clock, as it did for those whose witnesses have left: in the specification they never lapse.

--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -26,10 +26,6 @@
 TRANSIT_MARGIN_S = 0.02
 """Time allowed for a grant to reach the upstream, deducted from its duration."""
 
-MAX_GRANT_S = 3600.0
-"""Duration of a grant under a lease without witnesses, which does not expire while the
-node runs."""
-
 GrantEffect = GrantShards | ExtendLease | RevokeShards
 
 Confirm = Callable[[GrantEffect, bool, Mapping[ShardId, str]], None]
@@ -182,6 +178,4 @@
 
 def _compute_remaining_us(remaining_s: float, waited_s: float) -> int:
     """Return the microseconds that remain when the grant reaches the upstream."""
-    if remaining_s == float("inf"):
-        remaining_s = MAX_GRANT_S
     return int((remaining_s - waited_s - TRANSIT_MARGIN_S) * MICROSECONDS)
--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -39,7 +39,8 @@
 
     Args:
         lease: The lease.
-        witnesses: Witnesses of the lease; without any it is valid until it is ended.
+        witnesses: Witnesses of the lease. Without any, only the log can end the lease,
+            and the holder renews it alone.
         now: Time of the holder's clock in seconds.
         lease_s: Longest promise that counts, in seconds.
 
@@ -73,7 +74,7 @@
         self.lease_s = lease_s
         self.lease = lease
         self.witnesses = witnesses
-        self.valid_until_s = now if witnesses else float("inf")
+        self.valid_until_s = now if witnesses else self._find_own_end(now)
         self.confirmed_floor = 0
         self.ended = False
         self.fenced_by: set[IncarnationId] = set()
@@ -104,7 +105,7 @@
 
     def discard_promises(self) -> None:
         """Stop serving until promises are renewed, after a pause the clock missed."""
-        if self.ended or not self.witnesses:
+        if self.ended:
             return
         self.discarded_grants_until_s = max(
             self.discarded_grants_until_s, self.valid_until_s
@@ -129,9 +130,7 @@
         self.sent_floor = floor
         self._rounds[self._round] = _Round(sent_s=now, floor=floor)
         self._rounds.pop(self._round - ROUNDS_KEPT, None)
-        if not self.witnesses:
-            self.confirmed_floor = max(self.confirmed_floor, floor)
-        if self.departed and not self.ended:
+        if not self.ended and self.renews_alone:
             self._update_floor()
             self._update_validity()
         return Renew(
@@ -143,6 +142,15 @@
             config_age_us=config_age_us,
         )
 
+    @property
+    def renews_alone(self) -> bool:
+        """Whether a renewal has an effect before any witness has answered it."""
+        return bool(self.departed) or not self.witnesses
+
+    def _find_own_end(self, sent_s: float) -> float:
+        """Return the end of a promise that counts from a renewal sent at ``sent_s``."""
+        return sent_s + self.lease_s * (1 - CLOCK_RATE_BOUND)
+
     def address(self, renewal: Renew, witness: IncarnationId) -> Renew:
         """Return a renewal as it is sent to one witness."""
         return dataclasses.replace(renewal, heard=self._acknowledged[witness])
@@ -241,14 +249,20 @@
             self.end()
 
     def _update_floor(self) -> None:
+        if not self.witnesses:
+            self.confirmed_floor = max(self.confirmed_floor, self.sent_floor)
+            return
         needed = compute_promise_quorum(len(self.witnesses))
         floors = [*self._floors.values(), *[self.sent_floor] * len(self.departed)]
         floor = find_kth_largest(list(floors), needed, default=0)
         self.confirmed_floor = max(self.confirmed_floor, int(floor))
 
     def _update_validity(self) -> None:
+        own_until_s = self._find_own_end(self.last_sent_s)
+        if not self.witnesses:
+            self.valid_until_s = own_until_s
+            return
         needed = compute_promise_quorum(len(self.witnesses))
-        own_until_s = self.last_sent_s + self.lease_s * (1 - CLOCK_RATE_BOUND)
         promised = [
             own_until_s if witness in self.departed else until_s
             for witness, until_s in self._promised_until_s.items()
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -444,7 +444,7 @@
         for witness in holder.witnesses:
             if witness not in holder.departed:
                 self.context.send(witness, holder.address(message, witness))
-        if holder.departed:
+        if holder.renews_alone:
             self._messages.follow_renewal(
                 holder, was_live=was_live, floor=confirmed, now=now
             )
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -172,7 +172,7 @@
     return LeaseState(
         id=f"{holder.lease.incarnation}/{holder.lease.term}",
         term=holder.lease.term,
-        remaining_ms=min(remaining_ms, float(2**53)),
+        remaining_ms=remaining_ms,
         witnesses=list(holder.witnesses),
     )
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -158,15 +158,15 @@
     layout = (("east", "desk"), ("west", "desk"), ("south", "desk"), ("east", "papers"))
 
     async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
         self.store = StoreServer()
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         self.machines = []
         for number, (place, service) in enumerate(self.layout):
             machine = Machine(
-                folder=folder.name,
+                folder=self.folder.name,
                 place=place,
                 service=service,
                 store_port=self.store.port,
--- a/tests/running.py
+++ b/tests/running.py
@@ -22,6 +22,7 @@
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
     "tests.platform.test_late_requests",
+    "tests.platform.test_lone_node",
     "tests.platform.test_operations",
     "tests.platform.test_process",
     "tests.platform.test_start",
--- a/tests/spec/lease_core.py
+++ b/tests/spec/lease_core.py
@@ -79,6 +79,8 @@
             for _ in range(len(self.log)):
                 self.apply(core)
         self.now = 10 * LEASE_DURATION_S
+        for node in set(setting.nodes):
+            self._renew_alone(self.node(node))
 
     # What the specification asks of it.
 
@@ -146,7 +148,7 @@
         """Let the longest promise run out that does so."""
         self.now += LEASE_DURATION_S
         for node in set(self.setting.nodes) - self.dead:
-            self._renew_at_departed(self.node(node))
+            self._renew_alone(self.node(node))
 
     def append_move(self, epoch):
         """Append the record that makes an epoch."""
@@ -198,10 +200,14 @@
         self.cores[name].context.witnessing.is_leaving = True
         self.renew(lease, name)
 
-    def _renew_at_departed(self, core):
-        """Renew a node's leases at the witnesses that have left, which need no call."""
+    def _renew_alone(self, core):
+        """Renew a node's leases that need no witness's answer for it.
+
+        These are the leases of which a witness has left, and those without witnesses,
+        which never lapse in the specification as their holders renew them in time.
+        """
         for holder in core.context.holders.values():
-            if holder.departed and not holder.ended:
+            if holder.renews_alone and not holder.ended:
                 core._renew(holder, holder.sent_floor, self.now)
         self.settle(core)
 
