Ask the address which lifetime of the upstream runs, and whether it leaves

Cause: a process believes the reports of lifetimes that it does not know in the order of their arrival; who has left was known to one process only, and who was displaced was listed as ended for good.

Change: platform/lifetimes.py decides in one place. A report of another lifetime than the running one makes it a candidate; the health check of its address names who runs there and whether it is ready. Where that is wrong or silent, an unbroken series of reports of 6 s decides, which is longer than reports are late.

The tests of HeartbeatReceiver had no health check and expected the first report to be believed, which was the fault. They have one now; the updates that they check are the same, and RestartTests has a real upstream where it had exchanged a private address.

--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -16,7 +16,14 @@
 from papayatack.proxy.interface import Grant
 from papayatack.proxy.route_classifier import HeaderNames
 
-__all__ = ["REQUEST_FIELDS", "HANDOVER", "INSTANCE", "LOAD", "PlatformDialect"]
+__all__ = [
+    "REQUEST_FIELDS",
+    "HANDOVER",
+    "INSTANCE",
+    "LOAD",
+    "NOT_EXECUTED",
+    "PlatformDialect",
+]
 
 MS_PER_S = 1000
 REQUEST_ID = b"papayatack-request-id"
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -2,26 +2,29 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import http
 import logging
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Annotated, Literal
 
-import h11
 import pydantic
 from pydantic.alias_generators import to_pascal
 
 from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
 from papayatack.daemon.replies import read_json, reply_json
-from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
-from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.exchanges import Request, Response
 from papayatack.network.probes import ProbeResult, probe
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.addresses import Address
-from papayatack.platform.fields import INSTANCE, LOAD
+from papayatack.platform.health_check import check_health
+from papayatack.platform.lifetimes import (
+    Identity,
+    Lifetime,
+    Lifetimes,
+    ReportResult,
+)
 from papayatack.platform.times import Duration
 
 __all__ = ["HeartbeatReceiver"]
@@ -29,13 +32,10 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_SLOTS = 100_000
-SLOTS_FIELD = 2
-"""Position of the slots in a reported load."""
 UNLIMITED_CONNECTIONS = 1_000_000
 """Heartbeats do not contain the upstream's connection limit."""
 
 HEARTBEAT_TIMEOUT_INTERVALS = 1.7
-PROBE_TIMEOUT_S = 0.3
 PROBE_ATTEMPTS = 2
 PROBE_INTERVAL_S = 0.05
 HEALTH_PATH_POLL_S = 0.02
@@ -74,6 +74,7 @@
         service: Service of the local upstream.
         address: Address of the local upstream.
         find_health_path: Returns the path of its health check, empty while unknown.
+        check: Asks the health check at an address and path.
     """
 
     def __init__(
@@ -84,19 +85,21 @@
         service: str,
         address: str,
         find_health_path: Callable[[], str],
+        check: Callable[[str, str], Awaitable[Identity | None]] = check_health,
     ) -> None:
         self._find_health_path = find_health_path
+        self._check = check
         self._metrics = metrics
-        self._service = service
-        self._address = address
         self._heartbeat_timeout_s = interval_s * HEARTBEAT_TIMEOUT_INTERVALS
         self._updates: asyncio.Queue[AnnouncedUpstream | UpstreamGone] = asyncio.Queue()
-        self._suspected = asyncio.Event()
-        self._latest: AnnouncedUpstream | None = None
-        self._sequences: dict[str, int] = {}
-        self._ended_instances: set[str] = set()
-        self._last_seen_s = 0.0
-        self._restart_suspected = False
+        self._wakeup = asyncio.Event()
+        self._is_suspected = False
+        self._lifetimes = Lifetimes(
+            service=service,
+            address=address,
+            report_timeout_s=self._heartbeat_timeout_s,
+        )
+        self._published: Lifetime | None = None
 
     async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
         """Wait for the next change of the upstream's state."""
@@ -104,15 +107,13 @@
 
     def suspect(self) -> None:
         """Have the upstream probed at once, since it accepts no connections."""
-        self._suspected.set()
+        self._is_suspected = True
+        self._wakeup.set()
 
     def note_leaving(self, instance: str) -> None:
         """Record that an upstream is leaving; it still serves for a while."""
-        latest = self._latest
-        self._ended_instances.add(instance)
-        if latest is not None and latest.instance == instance and not latest.leaving:
-            self._latest = dataclasses.replace(latest, leaving=True)
-            self._updates.put_nowait(self._latest)
+        self._lifetimes.note_departure(instance, _read_clock())
+        self._publish()
 
     async def handle(self, request: Request) -> Response:
         """Handle one call of the upstream."""
@@ -121,7 +122,9 @@
             return reply_json(http.HTTPStatus.NOT_FOUND, {"Error": "no such call"})
         instance = found[1].decode("latin-1")
         if found[2] == b"deregister":
-            return self._handle_deregistration(instance)
+            self._metrics.count("heartbeats", "leave")
+            self.note_leaving(instance)
+            return reply_json(http.HTTPStatus.OK, {})
         try:
             heartbeat = _Heartbeat.model_validate(await read_json(request))
         except ValueError as error:
@@ -137,141 +140,103 @@
         self._handle_heartbeat(instance, heartbeat)
         return reply_json(http.HTTPStatus.OK, {})
 
+    def _handle_heartbeat(self, instance: str, heartbeat: _Heartbeat) -> None:
+        lifetime = Lifetime(
+            instance=instance,
+            service=heartbeat.info.service,
+            address=heartbeat.address,
+            slots=heartbeat.info.capacity_slots,
+            leaving=heartbeat.status.state == "draining",
+        )
+        result = self._lifetimes.note_report(
+            lifetime, heartbeat.status.seq, _read_clock()
+        )
+        self._metrics.count("heartbeats", result.value)
+        if result is not ReportResult.TAKEN:
+            self._wakeup.set()
+        self._publish()
+
     async def watch(self) -> None:
-        """Detect an upstream that stopped without deregistering, until cancelled.
+        """Identify the running upstream, and detect its end, until cancelled.
 
         An upstream that already runs when this node starts is identified by its health
         check, so that it can be used before its next heartbeat.
         """
-        await self._discover_running()
+        await self._wait_health_path()
         while True:
+            await self._identify()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(WATCH_INTERVAL_S):
-                    await self._suspected.wait()
-            is_suspected = self._suspected.is_set()
-            self._suspected.clear()
-            if self._restart_suspected:
-                self._restart_suspected = False
-                await self._discover_running()
-            latest = self._latest
-            now = asyncio.get_running_loop().time()
-            is_late = now - self._last_seen_s >= self._heartbeat_timeout_s
-            if latest is None or not (is_late or is_suspected):
-                continue
-            result = await _probe_repeatedly(latest.address)
-            self._suspected.clear()
-            if result is ProbeResult.LISTENING:
-                self._last_seen_s = now
-            elif self._latest is latest:
-                self._report_gone(latest, result)
-
-    async def _discover_running(self) -> None:
-        path = await self._wait_health_path()
-        if not path or not self._address or self._latest is not None:
-            return
-        ended_before = frozenset(self._ended_instances)
-        host, _, port = self._address.rpartition(":")
-        caller = HttpClient(host=host, port=int(port))
-        call = HttpCall(method="GET", target=path)
-        try:
-            status, _, headers = await caller.call_with_headers(
-                call, timeout_s=PROBE_TIMEOUT_S
-            )
-        except (OSError, h11.ProtocolError, ResponseError):
+                    await self._wakeup.wait()
+            self._wakeup.clear()
+            await self._check_listening()
+
+    async def _wait_health_path(self) -> None:
+        """Wait a short time for the manifest, which has the path."""
+        for _ in range(HEALTH_PATH_POLLS):
+            if self._find_health_path():
+                return
+            await asyncio.sleep(HEALTH_PATH_POLL_S)
+
+    async def _identify(self) -> None:
+        """Ask the health check which lifetime runs, if that is in doubt."""
+        path, asked_s = self._find_health_path(), _read_clock()
+        address = self._lifetimes.find_unidentified(asked_s)
+        if not path or not address:
             return
-        finally:
-            await caller.close()
-        instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
-        slots = _read_slots(find_header(headers, LOAD) or b"")
-        known = (
-            self._latest is not None or instance in self._ended_instances - ended_before
+        identity = await self._check(address, path)
+        self._lifetimes.note_identity(
+            identity, address=address, asked_s=asked_s, now=_read_clock()
         )
-        if status != http.HTTPStatus.OK or not instance or not slots or known:
+        self._publish()
+
+    async def _check_listening(self) -> None:
+        """Probe the upstream if it is suspected or its heartbeat is late."""
+        running = self._lifetimes.running
+        is_late = _read_clock() - self._lifetimes.heard_s >= self._heartbeat_timeout_s
+        is_suspected, self._is_suspected = self._is_suspected, False
+        if running is None or not (is_late or is_suspected):
             return
-        self._last_seen_s = asyncio.get_running_loop().time()
-        self._ended_instances.discard(instance)
-        self._sequences.clear()
-        self._latest = AnnouncedUpstream(
-            service=self._service,
-            address=self._address,
-            slots=slots,
-            connections=UNLIMITED_CONNECTIONS,
-            instance=instance,
+        result = await _probe_repeatedly(running.address)
+        self._is_suspected = False
+        if result is ProbeResult.LISTENING:
+            self._lifetimes.note_listening(_read_clock())
+        elif self._lifetimes.running == running:
+            self._report_gone(running, result)
+
+    def _report_gone(self, upstream: Lifetime, result: ProbeResult) -> None:
+        log_event(
+            LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason=result.value
         )
-        self._updates.put_nowait(self._latest)
+        self._lifetimes.note_end()
+        self._publish(is_end_certain=result is ProbeResult.CLOSED)
 
-    async def _wait_health_path(self) -> str:
-        """Wait for the manifest and return the path of the upstream's health check.
+    def _publish(self, *, is_end_certain: bool = True) -> None:
+        """Announce the running lifetime if it has changed.
 
-        Returns an empty path if the manifest does not arrive in time.
+        Args:
+            is_end_certain: Whether the last one has ended if none runs now.
         """
-        for _ in range(HEALTH_PATH_POLLS):
-            path = self._find_health_path()
-            if path:
-                return path
-            await asyncio.sleep(HEALTH_PATH_POLL_S)
-        return ""
-
-    def _handle_heartbeat(self, instance: str, heartbeat: _Heartbeat) -> None:
-        """Process a heartbeat unless it is out of order.
-
-        A heartbeat that seems out of order may come from an upstream that restarted
-        with the same id. If no upstream is known to run, the health check at the
-        address is queried for its id.
-        """
-        status = heartbeat.status
-        known = self._sequences.get(instance)
-        late = known is not None and status.seq <= known
-        if late or instance in self._ended_instances:
-            self._metrics.count("heartbeats", "late")
-            if self._latest is None:
-                self._restart_suspected = True
-                self._suspected.set()
+        running = self._lifetimes.running
+        if running == self._published:
+            return
+        self._published = running
+        if running is None:
+            self._updates.put_nowait(UpstreamGone(is_certain=is_end_certain))
             return
-        self._metrics.count("heartbeats", "taken")
-        self._sequences = {instance: status.seq}
-        self._last_seen_s = asyncio.get_running_loop().time()
         upstream = AnnouncedUpstream(
-            service=heartbeat.info.service,
-            address=heartbeat.address,
-            slots=heartbeat.info.capacity_slots,
+            service=running.service,
+            address=running.address,
+            slots=running.slots,
             connections=UNLIMITED_CONNECTIONS,
-            instance=instance,
-            leaving=status.state == "draining",
+            instance=running.instance,
+            leaving=running.leaving,
         )
-        if upstream != self._latest:
-            if self._latest is not None and self._latest.instance != instance:
-                self._ended_instances.add(self._latest.instance)
-            self._latest = upstream
-            self._updates.put_nowait(upstream)
-
-    def _handle_deregistration(self, instance: str) -> Response:
-        """Record the deregistration of an upstream."""
-        self._metrics.count("heartbeats", "leave")
-        self.note_leaving(instance)
-        return reply_json(http.HTTPStatus.OK, {})
-
-    def _report_gone(self, upstream: AnnouncedUpstream, result: ProbeResult) -> None:
-        self._latest = None
-        reason = result.value
-        log_event(
-            LOGGER, Event.UPSTREAM_LEFT, upstream=upstream.instance, reason=reason
-        )
-        is_certain = result is ProbeResult.CLOSED
-        self._updates.put_nowait(UpstreamGone(is_certain=is_certain))
+        self._updates.put_nowait(upstream)
 
 
-def _read_slots(load: bytes) -> int:
-    """Return the number of slots in a reported load, 0 if it is malformed.
-
-    A load has the numbers of running and waiting requests, the slots, and in some
-    installations the present speed of the machine.
-    """
-    fields = load.split(b",")
-    if len(fields) <= SLOTS_FIELD or not fields[SLOTS_FIELD].isdigit():
-        return 0
-    slots = int(fields[SLOTS_FIELD])
-    return slots if slots <= MAX_SLOTS else 0
+def _read_clock() -> float:
+    return asyncio.get_running_loop().time()
 
 
 async def _probe_repeatedly(address: str) -> ProbeResult:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -11,6 +11,7 @@
 from papayatack.network.exchanges import Request
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.heartbeats import HeartbeatReceiver
+from papayatack.platform.lifetimes import CONFIRMATION_S, Identity
 from standins.platformupstream import PlatformUpstream
 from tests.platform.documents import build_heartbeat
 
@@ -28,11 +29,24 @@
         return await super().wait()
 
 
+NOBODY_S = 1.0
+"""Time in which no update must come."""
+
+
 class HeartbeatTests(unittest.TestCase):
     """Updates that follow from the upstream's calls."""
 
     def run_scenario(self, scenario):
-        """Run a scenario with a receiver on a simulated clock."""
+        """Run a scenario with a receiver on a simulated clock.
+
+        The health check answers with ``self.identity``.
+        """
+        self.identity = None
+        self.checks = 0
+
+        async def check(address, path):
+            self.checks += 1
+            return self.identity
 
         async def run():
             receiver = HeartbeatReceiver(
@@ -40,13 +54,32 @@
                 interval_s=0.87,
                 service="desk",
                 address="127.0.0.1:9",
-                find_health_path=lambda: "",
+                find_health_path=lambda: "/health",
+                check=check,
             )
+            watcher = asyncio.ensure_future(receiver.watch())
             await scenario(receiver)
+            self.assertFalse(watcher.done())
+            watcher.cancel()
 
         with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
             runner.run(run())
 
+    def name(self, instance, *, is_ready=True, slots=0):
+        """Let the health check name a lifetime."""
+        self.identity = Identity(instance=instance, is_ready=is_ready, slots=slots)
+
+    async def start(self, receiver, instance, seq=1):
+        """Put a lifetime into service; return its update."""
+        self.name(instance)
+        await self.send(receiver, instance, build_heartbeat(seq=seq))
+        return await receiver.wait_changed()
+
+    async def check_no_update(self, receiver):
+        """Fail if an update comes soon."""
+        await asyncio.sleep(NOBODY_S)
+        self.assertTrue(receiver._updates.empty())
+
     async def send(self, receiver, instance, document, call="heartbeat"):
         """Send a call and return its status."""
         data = document if isinstance(document, bytes) else json.dumps(document)
@@ -61,6 +94,7 @@
         """The upstream is ready, drains and ends; a repeated heartbeat is no update."""
 
         async def scenario(receiver):
+            self.name("i-1")
             self.assertEqual(await self.send(receiver, "i-1", build_heartbeat()), 200)
             await self.send(receiver, "i-1", build_heartbeat(seq=2))
             first = await receiver.wait_changed()
@@ -68,10 +102,8 @@
             await self.send(receiver, "i-1", build_heartbeat(state="draining", seq=3))
             self.assertTrue((await receiver.wait_changed()).leaving)
             self.assertEqual(await self.send(receiver, "i-1", b"", "deregister"), 200)
-            watcher = asyncio.ensure_future(receiver.watch())
             gone = await receiver.wait_changed()
             self.assertEqual(gone, UpstreamGone(is_certain=True))
-            watcher.cancel()
 
         self.run_scenario(scenario)
 
@@ -79,14 +111,85 @@
         """Older ones of the same process and ones of a previous process."""
 
         async def scenario(receiver):
-            await self.send(receiver, "i-1", build_heartbeat(seq=5))
+            first = await self.start(receiver, "i-1", seq=5)
+            self.assertEqual((first.instance, first.leaving), ("i-1", False))
             await self.send(receiver, "i-1", build_heartbeat(state="draining", seq=4))
-            await self.send(receiver, "i-2", build_heartbeat(seq=1))
+            news = await self.start(receiver, "i-2")
+            self.assertEqual((news.instance, news.leaving), ("i-2", False))
             await self.send(receiver, "i-1", build_heartbeat(seq=6))
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_late_heartbeat_of_an_ended_process_does_not_displace_the_running_one(self):
+        """This node has not heard of either process before its own start."""
+
+        async def scenario(receiver):
+            await self.start(receiver, "i-2")
+            for seq in (55, 56, 57):
+                await self.send(receiver, "i-1", build_heartbeat(seq=seq))
+                await self.check_no_update(receiver)
+                await self.send(receiver, "i-2", build_heartbeat(seq=seq))
+            await self.send(receiver, "i-1", build_heartbeat(state="draining", seq=58))
+            await self.send(receiver, "i-1", b"", "deregister")
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_late_heartbeat_of_a_leaving_upstream_does_not_put_it_into_service(self):
+        """It has deregistered at an earlier process of this node."""
+
+        async def scenario(receiver):
+            self.name("i-1", is_ready=False, slots=8)
+            for seq in (5, 6):
+                await self.send(receiver, "i-1", build_heartbeat(seq=seq))
+                await self.check_no_update(receiver)
+            await asyncio.sleep(CONFIRMATION_S)
+            await self.send(receiver, "i-1", build_heartbeat(seq=7))
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_upstream_whose_health_check_is_wrong_is_announced_after_a_time(self):
+        """Its heartbeats go on for longer than any is delayed."""
+
+        async def scenario(receiver):
+            self.name("i-1", is_ready=False)
+            for seq in range(1, 7):
+                await self.send(receiver, "i-1", build_heartbeat(seq=seq))
+                await self.check_no_update(receiver)
+            await self.send(receiver, "i-1", build_heartbeat(seq=7))
             self.assertEqual((await receiver.wait_changed()).instance, "i-1")
-            news = await receiver.wait_changed()
-            self.assertEqual((news.instance, news.leaving), ("i-2", False))
-            self.assertTrue(receiver._updates.empty())
+
+        self.run_scenario(scenario)
+
+    def test_upstream_that_leaves_while_its_health_check_is_under_way_is_not_announced(
+        self,
+    ):
+        async def scenario(receiver):
+            answered = asyncio.Event()
+
+            async def check(address, path):
+                await answered.wait()
+                return Identity(instance="i-1", is_ready=True, slots=8)
+
+            receiver._check = check
+            await self.send(receiver, "i-1", build_heartbeat())
+            await asyncio.sleep(0.1)
+            await self.send(receiver, "i-1", b"", "deregister")
+            answered.set()
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_draining_upstream_is_announced_as_leaving_to_a_new_process(self):
+        async def scenario(receiver):
+            self.name("i-1", is_ready=False)
+            await self.send(receiver, "i-1", build_heartbeat(seq=9))
+            await self.send(receiver, "i-1", build_heartbeat(state="draining", seq=11))
+            self.assertTrue((await receiver.wait_changed()).leaving)
+            await self.send(receiver, "i-1", build_heartbeat(seq=10))
+            await self.check_no_update(receiver)
 
         self.run_scenario(scenario)
 
@@ -94,13 +197,20 @@
         """Connection attempts in flight may still fail once the upstream has ended."""
 
         async def scenario(receiver):
-            receiver._suspected = CountedEvent()
-            watcher = asyncio.ensure_future(receiver.watch())
+            receiver._wakeup = CountedEvent()
             await asyncio.sleep(3.0)
             receiver.suspect()
             await asyncio.sleep(1.0)
-            self.assertFalse(watcher.done())
-            watcher.cancel()
+
+        self.run_scenario(scenario)
+
+    def test_health_check_that_does_not_answer_is_not_asked_without_end(self):
+        """A late heartbeat of an ended process is the last of it."""
+
+        async def scenario(receiver):
+            await self.send(receiver, "i-1", build_heartbeat())
+            await asyncio.sleep(30.0)
+            self.assertLess(self.checks, 12)
 
         self.run_scenario(scenario)
 
@@ -108,8 +218,7 @@
         """A deregistration counts as a request to drain."""
 
         async def scenario(receiver):
-            await self.send(receiver, "i-1", build_heartbeat())
-            await receiver.wait_changed()
+            await self.start(receiver, "i-1")
             await self.send(receiver, "i-1", b"", "deregister")
             self.assertTrue((await receiver.wait_changed()).leaving)
 
@@ -168,6 +277,11 @@
 )
 
 
+async def name_first(address, path):
+    """Answer a health check as the first upstream."""
+    return Identity(instance="i-1", is_ready=True)
+
+
 class OddHeartbeatTests(unittest.IsolatedAsyncioTestCase):
     """A writer that is no upstream, or a faulty one, sends odd heartbeats."""
 
@@ -178,7 +292,8 @@
             interval_s=0.01,
             service="desk",
             address="127.0.0.1:9",
-            find_health_path=lambda: "",
+            find_health_path=lambda: "/health",
+            check=name_first,
         )
         watcher = asyncio.ensure_future(receiver.watch())
         self.addCleanup(watcher.cancel)
@@ -210,49 +325,61 @@
     """An upstream that restarts with the same instance id."""
 
     async def asyncSetUp(self):
-        self.path = "/health"
+        self.upstream = PlatformUpstream(instance="i-1", service="desk", place="east")
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        self.upstream.load = b""
         self.receiver = HeartbeatReceiver(
             metrics=Metrics(),
             interval_s=0.87,
             service="desk",
-            address="127.0.0.1:9",
-            find_health_path=lambda: self.path,
+            address=self.upstream.address,
+            find_health_path=lambda: "/health",
         )
         watcher = asyncio.ensure_future(self.receiver.watch())
         self.addCleanup(watcher.cancel)
 
     async def send(self, seq):
         """Send a heartbeat."""
+        document = {**build_heartbeat(seq=seq), "Address": self.upstream.address}
         request = Request(
             method=b"POST",
             target=b"/instances/i-1/heartbeat",
-            body=BytesBody(data=json.dumps(build_heartbeat(seq=seq)).encode()),
+            body=BytesBody(data=json.dumps(document).encode()),
         )
         await self.receiver.handle(request)
 
+    async def wait_changed(self):
+        """Return the next update."""
+        return await asyncio.wait_for(self.receiver.wait_changed(), timeout=5.0)
+
     async def end_abruptly(self):
         """End an upstream that sent many heartbeats, without a deregistration."""
         await self.send(57)
-        await self.receiver.wait_changed()
+        self.assertEqual((await self.wait_changed()).instance, "i-1")
+        self.upstream.crash()
+        await asyncio.sleep(0.1)
         self.receiver.suspect()
-        gone = await asyncio.wait_for(self.receiver.wait_changed(), timeout=5.0)
-        self.assertEqual(gone, UpstreamGone(is_certain=True))
+        self.assertEqual(await self.wait_changed(), UpstreamGone(is_certain=True))
 
     async def test_restarted_upstream_is_announced_again(self):
         """Its sequence numbers start at one again; the health check confirms its id."""
+        self.upstream.down_s = 0.5
         await self.end_abruptly()
-        upstream = PlatformUpstream(instance="i-1", service="desk", place="east")
-        await upstream.start()
-        self.addAsyncCleanup(upstream.stop)
-        self.receiver._address = upstream.address
+        await asyncio.sleep(0.6)
+        self.upstream.instance = "i-1"
         await self.send(1)
-        found = await asyncio.wait_for(self.receiver.wait_changed(), timeout=5.0)
+        await asyncio.sleep(0.2)
+        await self.send(2)
+        found = await self.wait_changed()
         self.assertEqual((found.instance, found.leaving), ("i-1", False))
 
     async def test_late_heartbeat_of_an_ended_process_is_ignored(self):
         """No process listens at the address: the heartbeat was delayed."""
+        self.upstream.down_s = 60.0
         await self.end_abruptly()
         await self.send(56)
+        await self.send(58)
         await asyncio.sleep(1.0)
         self.assertTrue(self.receiver._updates.empty())
 
@@ -267,11 +394,12 @@
         upstream.load = load
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
+        self.address = upstream.address
         receiver = HeartbeatReceiver(
             metrics=Metrics(),
             interval_s=0.87,
             service="desk",
-            address=upstream.address,
+            address=self.address,
             find_health_path=lambda: "/health",
         )
         watcher = asyncio.ensure_future(receiver.watch())
@@ -302,3 +430,30 @@
         receiver = await self.start(draining=True)
         await asyncio.sleep(0.3)
         self.assertTrue(receiver._updates.empty())
+
+    async def send_late(self, receiver, instance, address):
+        """Deliver a heartbeat that was sent before this node started."""
+        document = build_heartbeat(seq=40, address=address)
+        request = Request(
+            method=b"POST",
+            target=f"/instances/{instance}/heartbeat".encode(),
+            body=BytesBody(data=json.dumps(document).encode()),
+        )
+        await receiver.handle(request)
+
+    async def test_late_heartbeat_does_not_put_a_leaving_upstream_into_service(self):
+        """It has deregistered at the process that was killed."""
+        receiver = await self.start(draining=True)
+        await asyncio.sleep(0.3)
+        await self.send_late(receiver, "i-7", self.address)
+        await asyncio.sleep(0.5)
+        self.assertTrue(receiver._updates.empty())
+
+    async def test_late_heartbeat_of_another_lifetime_does_not_take_its_place(self):
+        """All nodes have lost power, and all upstreams run in new lifetimes."""
+        receiver = await self.start()
+        first = await asyncio.wait_for(receiver.wait_changed(), timeout=0.5)
+        self.assertEqual(first.instance, "i-7")
+        await self.send_late(receiver, "i-6", first.address)
+        await asyncio.sleep(0.5)
+        self.assertTrue(receiver._updates.empty())
