Screen a request again with the body that was read from it

Cause: screening reads the body of a request whose head is known and puts it back into a copy. A request that became suspected while it waited was screened again from the original, whose body had been read: empty, it fitted no suspicion.

Change: the second screening gets what the first returned.

Failed before: tests.proxy.test_screening, test_request_that_becomes_ suspected_in_the_queue_keeps_its_body, for each of three sizes.

--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -117,31 +117,20 @@
             The response, or why there is none.
         """
         while True:
-            result = await self._serve_screened(peer_request, deadline_s, attempt)
+            admitted = await self.screening.admit(peer_request, deadline_s)
+            if not is_successful(admitted):
+                return Failure(admitted.failure())
+            screened = admitted.unwrap()
+            try:
+                result = await self._serve_admitted(screened, deadline_s, attempt)
+            finally:
+                self.screening.release(screened)
             match result:
                 case Failure(refusal) if refusal is _NEWLY_SUSPECTED:
-                    continue
-            return result
-
-    async def _serve_screened(
-        self,
-        peer_request: PeerRequest,
-        deadline_s: float,
-        attempt: IdempotentAttempt | None,
-    ) -> Result[Response, Refusal]:
-        """Serve a request if it is not suspected of crashing upstreams.
-
-        Fails with ``_NEWLY_SUSPECTED``, before it is sent, if it is suspected only
-        since it waited.
-        """
-        admitted = await self.screening.admit(peer_request, deadline_s)
-        if not is_successful(admitted):
-            return Failure(admitted.failure())
-        screened = admitted.unwrap()
-        try:
-            return await self._serve_admitted(screened, deadline_s, attempt)
-        finally:
-            self.screening.release(screened)
+                    # Its body has been read and put back into the screened request.
+                    peer_request = screened.peer_request
+                case _:
+                    return result
 
     async def _serve_admitted(
         self,
@@ -197,7 +186,11 @@
         deadline_s: float,
         attempt: IdempotentAttempt | None,
     ) -> Result[Response, Refusal]:
-        """Reserve a connection first, so that no wait follows the authorization."""
+        """Reserve a connection first, so that no wait follows the authorization.
+
+        Fails with ``_NEWLY_SUSPECTED``, before the request is sent, if it is suspected
+        of crashing upstreams only since it waited.
+        """
         peer_request = screened.peer_request
         upstream = self.upstream
         if upstream is None:
--- a/tests/proxy/test_screening.py
+++ b/tests/proxy/test_screening.py
@@ -204,6 +204,34 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.server.upstream.received[0][1], b"".join(parts))
 
+    async def test_request_that_becomes_suspected_in_the_queue_keeps_its_body(self):
+        """It is compared twice: when it arrives, and again after the crash."""
+        for size in (4, BODY_PREFIX_BYTES // 2, BODY_PREFIX_BYTES + 1):
+            with self.subTest(size=size):
+                await self.check_body_after_wait(b"b" * size)
+
+    async def check_body_after_wait(self, data):
+        """Fail if a request that waits during a crash is sent with another body."""
+        await self.crash(b"/crash", body=BytesBody(data=b"other"))
+        acquire, freed = self.gate.acquire, asyncio.Event()
+
+        async def wait_for_slot(request):
+            await freed.wait()
+            return await acquire(request)
+
+        self.gate.acquire = wait_for_slot
+        waiting = asyncio.ensure_future(
+            self.serve(b"/crash", body=BytesBody(data=data))
+        )
+        await asyncio.sleep(0)
+        self.gate.acquire = acquire
+        await self.crash(b"/crash", body=BytesBody(data=data))
+        process = self.server.upstream = Process()
+        freed.set()
+        await waiting
+        self.assertEqual([len(body) for _, body in process.received], [len(data)])
+        await asyncio.sleep(HOLD_S)
+
     async def test_body_that_never_ends_is_not_waited_for_beyond_the_deadline(self):
         await self.crash(b"/crash", b"/slow")
         self.server.upstream = Process()
