Never pass a body on that is not as long as the caller's

Whatever takes bytes away from a body would change the request.

Cause: nothing compared what is sent with what was received. The parser raised when a body ended early, in the middle of UpstreamConnection.exchange, and the connection stayed busy until its deadline.

Change: a request names the queue in which its body was received, and the body that is sent to an upstream or to another node is counted against it. If the lengths differ its end is not written: body-lost (503, not run) if nothing was, upstream-lost (502, unknown) if a part was. exchange() ends its connection on whatever error.

Failed before: tests.network.test_upstreams, test_body_of_another_length_ than_declared_ends_as_not_run (LocalProtocolError). The other new tests use the new field. Now tests.network.test_upstreams, test_peers, tests.proxy. test_error_response_table, test_screening: 60 passed; tests.proxy and tests.wire: 172 passed.

--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -39,6 +39,7 @@
     HEADER_TOO_LARGE = "header-too-large"
     BODY_TOO_LARGE = "body-too-large"
     SLOW_CALLER = "slow-caller"
+    BODY_LOST = "body-lost"
     CONNECTION_LIMIT = "connection-limit"
     NO_SUCH_SERVICE = "no-such-service"
     KEY_MISSING = "key-missing"
@@ -109,6 +110,7 @@
     ErrorKind.HEADER_TOO_LARGE: _not_run(431, "Send fewer or shorter header fields."),
     ErrorKind.BODY_TOO_LARGE: _not_run(413, "Send a smaller body."),
     ErrorKind.SLOW_CALLER: _not_run(408, "Send the request without long pauses."),
+    ErrorKind.BODY_LOST: _not_run(503, _RETRY_REMEDY),
     ErrorKind.CONNECTION_LIMIT: _not_run(503, "Reuse open connections."),
     ErrorKind.NO_SUCH_SERVICE: _not_run(404, "Use a path of a published service."),
     ErrorKind.KEY_MISSING: _not_run(400, "Put the key where the inventory says."),
--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -13,6 +13,7 @@
     "BodyQueue",
     "BytesBody",
     "ExpectContinueBody",
+    "LengthCheckedBody",
     "PrefixedBody",
 ]
 
@@ -83,6 +84,12 @@
 
     The queue itself is unbounded: the connection limits what it puts by the sizes that
     ``on_read`` reports as read.
+
+    Attributes:
+        received_bytes: Number of bytes that were put, also those that were discarded.
+        buffered_bytes: Number of bytes that are still to be read.
+        finished: Whether the body is complete.
+        closed: Whether the reader has closed the body.
     """
 
     def __init__(
@@ -96,6 +103,7 @@
         self._error: IncompleteBodyError | None = None
         self._on_read = on_read
         self._on_close = on_close
+        self.received_bytes = 0
         self.buffered_bytes = 0
         self.finished = False
         self.closed = False
@@ -107,6 +115,7 @@
 
     def put(self, data: bytes) -> None:
         """Add bytes; discard them if the reader has closed the body."""
+        self.received_bytes += len(data)
         if self.closed or not data:
             return
         self._chunks.append(data)
@@ -185,6 +194,53 @@
         self._rest.close()
 
 
+class LengthCheckedBody:
+    """A body that must be as long as what was received of it when it ends.
+
+    A body that is read in part and put back elsewhere would be passed on without that
+    part, as a shorter one that looks complete.
+
+    Args:
+        body: The body that is passed on.
+        received: The queue in which it was received.
+    """
+
+    def __init__(self, *, body: Body, received: BodyQueue) -> None:
+        self._body = body
+        self._received = received
+        self._read_bytes = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return self._body.ready
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of a complete body.
+
+        Raises:
+            IncompleteBodyError: If the body ends early, or has another length.
+        """
+        data = await self._body.read()
+        self._read_bytes += len(data)
+        if not self._is_plausible(has_ended=not data):
+            raise IncompleteBodyError(
+                kind=ErrorKind.BODY_LOST,
+                detail=f"{self._read_bytes} bytes of {self._received.received_bytes}",
+            )
+        return data
+
+    def _is_plausible(self, *, has_ended: bool) -> bool:
+        expected_bytes = self._received.received_bytes
+        if not has_ended:
+            return self._read_bytes <= expected_bytes
+        return self._received.finished and self._read_bytes == expected_bytes
+
+    def close(self) -> None:
+        """Discard the rest."""
+        self._body.close()
+
+
 class ExpectContinueBody:
     """A body whose sender waits for ``100 Continue``, sent on the first read."""
 
--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -251,7 +251,11 @@
         self._body_bytes = 0
         self._set_deadline(self._limits.body_timeout_s, ErrorKind.SLOW_CALLER)
         request = Request(
-            method=event.method, target=event.target, headers=headers, body=self._body
+            method=event.method,
+            target=event.target,
+            headers=headers,
+            body=self._body,
+            received=self._body,
         )
         self._request = request
         self._response = None
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from papayatack.core.inventory import RequestClass
-from papayatack.network.bodies import Body, BytesBody
+from papayatack.network.bodies import Body, BodyQueue, BytesBody, LengthCheckedBody
 
 __all__ = ["Headers", "PeerRequest", "Request", "Response", "find_header"]
 
@@ -35,6 +35,8 @@
         body: Body; empty if the request has none.
         request_id: Id for the log; set by the handler of a caller's request.
         waited_s: For how many seconds it has waited since it was read.
+        received: The queue in which the body was received, whatever holds it since;
+            ``None`` if it comes from no connection.
     """
 
     method: bytes
@@ -43,6 +45,13 @@
     body: Body = dataclasses.field(default_factory=BytesBody)
     request_id: str = ""
     waited_s: float = 0.0
+    received: BodyQueue | None = None
+
+    def build_sent_body(self) -> Body:
+        """Return the body as it is sent on: whole, or ended with an error."""
+        if self.received is None:
+            return self.body
+        return LengthCheckedBody(body=self.body, received=self.received)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -290,7 +290,7 @@
         self, stream: PeerStream, frame: Any, peer_request: PeerRequest
     ) -> None:
         try:
-            await stream.send(frame, peer_request.request.body)
+            await stream.send(frame, peer_request.request.build_sent_body())
         except IncompleteBodyError as error:
             refusal = build_body_refusal(error, written=stream.written)
             stream.cancel("the request body was cut")
--- a/src/papayatack/network/request_heads.py
+++ b/src/papayatack/network/request_heads.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from papayatack.core.inventory import RequestClass
-from papayatack.network.bodies import Body
+from papayatack.network.bodies import BodyQueue
 from papayatack.network.exchanges import PeerRequest, Request
 from papayatack.network.streams import US_PER_S, decode_headers, encode_headers
 from papayatack.wire.schema import schema
@@ -42,13 +42,14 @@
     )
 
 
-def decode_request_head(body: Body, head: Any) -> PeerRequest:
+def decode_request_head(body: BodyQueue, head: Any) -> PeerRequest:
     """Decode a ``RequestHead`` struct to a request with the given body."""
     request = Request(
         method=head.method or b"",
         target=head.target or b"",
         headers=decode_headers(head.headers),
         body=body,
+        received=body,
     )
     return PeerRequest(
         request=request,
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -304,5 +304,8 @@
     If part of the request was written, another process may have run it, so the
     outcome is unknown.
     """
-    kind = ErrorKind.CALLER_LEFT if written else error.kind
+    if not written:
+        return Refusal(kind=error.kind, detail=error.detail)
+    is_lost = error.kind is ErrorKind.BODY_LOST
+    kind = ErrorKind.UPSTREAM_LOST if is_lost else ErrorKind.CALLER_LEFT
     return Refusal(kind=kind, detail=error.detail)
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -118,7 +118,7 @@
         try:
             await self._send_request(request)
             return await self._response_head
-        except asyncio.CancelledError:
+        except BaseException:
             self.abort()
             raise
 
@@ -128,12 +128,15 @@
             method=request.method, target=request.target, headers=list(request.headers)
         )
         parts = [self._h11.send(head)]
-        body = request.body
+        body = request.build_sent_body()
         try:
             complete = await self._collect_ready_body(parts, body)
         except IncompleteBodyError as error:
             self._fail(build_body_refusal(error, written=False))
             return
+        except h11.LocalProtocolError as error:
+            self._fail(Refusal(kind=ErrorKind.BODY_LOST, detail=str(error)))
+            return
         if not self._busy:
             return
         self._write(parts)
--- a/src/papayatack/proxy/classification.py
+++ b/src/papayatack/proxy/classification.py
@@ -117,6 +117,7 @@
                 target=request.target,
                 headers=clean_request_headers(request.headers),
                 body=request.body,
+                received=request.received,
             ),
             service=service.name,
             shard="",
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -222,6 +222,7 @@
                 peer_request, granted.unwrap(), deadline_s - now
             ),
             body=body,
+            received=peer_request.request.received,
         )
         use.run = Run(
             peer_request=peer_request,
--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -105,6 +105,7 @@
                 target=request.target,
                 headers=self._clean(request.headers),
                 body=request.body,
+                received=request.received,
             ),
             service=service.name,
             shard="",
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -258,6 +258,34 @@
         small.unwrap().body.close()
         await wait_until(lambda: not self.second._serving)
 
+    async def test_body_that_was_lost_in_part_does_not_arrive_as_a_whole_one(self):
+        """Its end is not sent, so that no other node passes it on."""
+        arrived = []
+
+        async def read(peer_request):
+            data = b""
+            while chunk := await peer_request.request.body.read():
+                data += chunk
+            arrived.append(data)
+            return await self.respond(peer_request)
+
+        self.second.on_request = read
+        for data in (b"", b"bod", b"x" * 200_000):
+            received = BodyQueue()
+            received.put(b"body")
+            received.finish()
+            peer_request = build_peer_request(data)
+            peer_request.request.received = received
+            result = await self.first.exchange(
+                address=PeerAddress(f"127.0.0.1:{self.second.port}"),
+                peer_request=peer_request,
+                deadline_s=asyncio.get_running_loop().time() + 2.0,
+            )
+            kinds = (ErrorKind.BODY_LOST, ErrorKind.UPSTREAM_LOST)
+            self.assertIn(result.failure().kind, kinds)
+        await asyncio.sleep(0.05)
+        self.assertEqual(arrived, [])
+
     async def test_refusal_is_transmitted_with_its_retry_time(self):
         """Kind, detail and retry time arrive unchanged."""
         refusal = Refusal(kind=ErrorKind.QUEUE_FULL, detail="full", retry_after_s=1.5)
--- a/tests/network/test_upstreams.py
+++ b/tests/network/test_upstreams.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 
 from papayatack.core.errors import ErrorKind
-from papayatack.network.bodies import IncompleteBodyError
+from papayatack.network.bodies import BodyQueue, IncompleteBodyError
 from papayatack.network.exchanges import Request
 from papayatack.network.limits import UpstreamLimits
 from papayatack.network.upstreams import UpstreamPool
@@ -97,6 +97,60 @@
         result = await self.exchange()
         self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_UNREACHABLE)
 
+    async def send_body(self, data, *framing, received=b"", delay_s=0.0):
+        """Send a request whose body is ``data`` although ``received`` was received."""
+        queue = BodyQueue()
+        queue.put(received)
+        queue.finish()
+        body = BodyQueue()
+        body.put(data)
+        asyncio.get_running_loop().call_later(delay_s, body.finish)
+        if not delay_s:
+            body.finish()
+        headers = ((b"host", b"a"), framing)
+        request = Request(
+            method=b"POST", target=b"/", headers=headers, body=body, received=queue
+        )
+        deadline_s = asyncio.get_running_loop().time() + 5.0
+        return await self.pool.exchange(request, deadline_s=deadline_s)
+
+    async def test_body_that_was_lost_in_part_is_not_sent_as_a_whole_one(self):
+        """Nothing of it is written, and the connections are free again."""
+        self.responses = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"] * 9
+        for data in (b"", b"bod", b"bodybody"):
+            for framing in (
+                (b"transfer-encoding", b"chunked"),
+                (b"content-length", b"4"),
+            ):
+                with self.subTest(data=data, framing=framing):
+                    result = await self.send_body(data, *framing, received=b"body")
+                    self.assertIs(result.failure().kind, ErrorKind.BODY_LOST)
+        self.assertEqual(len(self.responses), 9)
+        framing = (b"content-length", b"4")
+        result = await self.send_body(b"body", *framing, received=b"body")
+        self.assertEqual(await self.read(result), b"ok")
+
+    async def test_end_of_a_body_that_was_lost_in_part_is_not_written(self):
+        """The head and the first bytes were written; the request may have begun."""
+        self.responses = [b""]
+        framing = (b"transfer-encoding", b"chunked")
+        result = await self.send_body(b"bo", *framing, received=b"body", delay_s=0.1)
+        self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_LOST)
+
+    async def test_body_of_another_length_than_declared_ends_as_not_run(self):
+        """It ended in an exception, and the connection was busy until the deadline."""
+        request = Request(
+            method=b"POST",
+            target=b"/",
+            headers=((b"host", b"a"), (b"content-length", b"4")),
+        )
+        deadline_s = asyncio.get_running_loop().time() + 5.0
+        for _ in range(3):
+            result = await self.pool.exchange(request, deadline_s=deadline_s)
+            self.assertIs(result.failure().kind, ErrorKind.BODY_LOST)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.pool.open_connections, 0)
+
     async def test_connection_limit_is_enforced(self):
         """A third request waits, and expires without being sent."""
         self.responses = [b""] * 2
