Limit what is kept of a health check, a heartbeat and a store's response

Cause here: the health check was read with the client of the store, which keeps up to 64 MiB, has no limit for interim responses, and reads what is buffered without a turn for other tasks, so that its timeout could not fire. Heartbeats were read up to 4 MiB on each connection.

Change: HttpClient has a limit of the content that its user chooses (16 KiB for a health check, 8 MiB for the platform's store), one of 64 KiB up to the head of the response, and a turn for other tasks after each 8 KiB.

--- a/src/papayatack/daemon/replies.py
+++ b/src/papayatack/daemon/replies.py
@@ -8,19 +8,20 @@
 __all__ = ["MAX_BODY_BYTES", "read_json", "reply_json", "reply_text"]
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Default for the maximum size of a document."""
 
 
-async def read_json(request: Request) -> object:
+async def read_json(request: Request, *, max_bytes: int = MAX_BODY_BYTES) -> object:
     """Return the document in a request's body.
 
     Raises:
-        ValueError: The body is no JSON document, or too large.
+        ValueError: The body is no JSON document, or longer than ``max_bytes``.
     """
     data = bytearray()
     while chunk := await request.body.read():
         data += chunk
-        if len(data) > MAX_BODY_BYTES:
-            raise ValueError(f"the body is larger than {MAX_BODY_BYTES} bytes")
+        if len(data) > max_bytes:
+            raise ValueError(f"the body is larger than {max_bytes} bytes")
     try:
         return json.loads(bytes(data))
     except (UnicodeDecodeError, RecursionError) as error:
--- a/src/papayatack/logservice/calls.py
+++ b/src/papayatack/logservice/calls.py
@@ -9,11 +9,15 @@
 
 __all__ = ["ResponseError", "HttpCall", "HttpClient"]
 
-READ_BYTES = 64 * 1024
-"""Maximum number of bytes per read from a socket."""
+READ_BYTES = 8 * 1024
+"""Maximum number of bytes that are parsed before other tasks get their turn. A parser
+takes long for bytes that are many small messages or chunks."""
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum number of bytes up to the head of a response, with the interim responses."""
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-"""Maximum size of a response's content."""
+"""Default for the maximum size of a response's content."""
 
 MAX_IDLE_CONNECTIONS = 4
 CONTENT_TYPE = "application/octet-stream"
@@ -62,6 +66,7 @@
         port: Port of the service.
         connect_timeout_s: Timeout for opening a connection, in seconds.
         content_type: Media type of the request bodies.
+        max_response_bytes: Maximum size of a response's content.
     """
 
     def __init__(
@@ -71,11 +76,13 @@
         port: int,
         connect_timeout_s: float = 1.0,
         content_type: str = CONTENT_TYPE,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         self._host = host
         self._port = port
         self._connect_timeout_s = connect_timeout_s
         self._content_type = content_type
+        self._max_response_bytes = max_response_bytes
         self._idle: list[_Connection] = []
 
     async def close(self) -> None:
@@ -114,15 +121,32 @@
     async def _call(self, call: HttpCall) -> tuple[int, bytes, Headers]:
         connection = await self._acquire_connection()
         try:
-            response = await _exchange(
-                connection, call, host=self._host, content_type=self._content_type
-            )
+            await self._send(connection, call)
+            response = await _receive_response(connection, self._max_response_bytes)
         except BaseException:
             connection.writer.close()
             raise
         self._release_connection(connection)
         return response
 
+    async def _send(self, connection: _Connection, call: HttpCall) -> None:
+        request = h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=[
+                ("Host", self._host),
+                ("Content-Type", self._content_type),
+                ("Content-Length", str(len(call.body))),
+            ],
+        )
+        protocol = connection.protocol
+        data = protocol.send(request)
+        data += protocol.send(h11.Data(data=call.body))
+        data += protocol.send(h11.EndOfMessage())
+        call.sent = True
+        connection.writer.write(data)
+        await connection.writer.drain()
+
     def _retire_idle(self) -> None:
         while self._idle:
             self._idle.pop().writer.close()
@@ -148,43 +172,29 @@
             connection.writer.close()
 
 
-async def _exchange(
-    connection: _Connection, call: HttpCall, *, host: str, content_type: str
+async def _receive_response(
+    connection: _Connection, max_content_bytes: int
 ) -> tuple[int, bytes, Headers]:
-    protocol = connection.protocol
-    request = h11.Request(
-        method=call.method,
-        target=call.target,
-        headers=[
-            ("Host", host),
-            ("Content-Type", content_type),
-            ("Content-Length", str(len(call.body))),
-        ],
-    )
-    data = protocol.send(request)
-    data += protocol.send(h11.Data(data=call.body))
-    data += protocol.send(h11.EndOfMessage())
-    call.sent = True
-    connection.writer.write(data)
-    await connection.writer.drain()
-    return await _receive_response(connection)
-
-
-async def _receive_response(connection: _Connection) -> tuple[int, bytes, Headers]:
     status = 0
+    head_bytes = 0
     headers: Headers = ()
     content = bytearray()
     while True:
         event = connection.protocol.next_event()
         if event is h11.NEED_DATA:
+            # A read of buffered bytes does not wait.
+            await asyncio.sleep(0)
             data = await connection.reader.read(READ_BYTES)
             connection.protocol.receive_data(data)
+            head_bytes += 0 if status else len(data)
+            if head_bytes > MAX_HEAD_BYTES:
+                raise ResponseError("no response within the size limit of its head")
         elif type(event) is h11.Response:
             status = event.status_code
             headers = tuple(event.headers)
         elif type(event) is h11.Data:
             content += event.data
-            if len(content) > MAX_RESPONSE_BYTES:
+            if len(content) > max_content_bytes:
                 raise ResponseError("response exceeds the size limit")
         elif type(event) is h11.EndOfMessage:
             return status, bytes(content), headers
--- a/src/papayatack/platform/health_check.py
+++ b/src/papayatack/platform/health_check.py
@@ -12,6 +12,7 @@
 __all__ = ["check_health"]
 
 TIMEOUT_S = 0.3
+MAX_RESPONSE_BYTES = 16 * 1024
 MAX_SLOTS = 100_000
 SLOTS_FIELD = 2
 """Position of the slots in a reported load."""
@@ -25,7 +26,9 @@
         like any other request.
     """
     host, _, port = address.rpartition(":")
-    client = HttpClient(host=host, port=int(port))
+    client = HttpClient(
+        host=host, port=int(port), max_response_bytes=MAX_RESPONSE_BYTES
+    )
     call = HttpCall(method="GET", target=path)
     try:
         status, _, headers = await client.call_with_headers(call, timeout_s=TIMEOUT_S)
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -32,6 +32,7 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_SLOTS = 100_000
+MAX_HEARTBEAT_BYTES = 16 * 1024
 UNLIMITED_CONNECTIONS = 1_000_000
 """Heartbeats do not contain the upstream's connection limit."""
 
@@ -126,7 +127,8 @@
             self.note_leaving(instance)
             return reply_json(http.HTTPStatus.OK, {})
         try:
-            heartbeat = _Heartbeat.model_validate(await read_json(request))
+            document = await read_json(request, max_bytes=MAX_HEARTBEAT_BYTES)
+            heartbeat = _Heartbeat.model_validate(document)
         except ValueError as error:
             self._metrics.count("heartbeats", "invalid")
             log_event(
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -32,6 +32,7 @@
 
 PARTITION = 0
 MAX_READ_KB = 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 _STREAMS = {topic: stream for stream, topic in TOPICS.items()}
@@ -107,7 +108,9 @@
 
     def __init__(self, *, host: str, port: int, metrics: Metrics) -> None:
         self.eras = EraTracker(metrics=metrics)
-        self._caller = HttpClient(host=host, port=port)
+        self._caller = HttpClient(
+            host=host, port=port, max_response_bytes=MAX_RESPONSE_BYTES
+        )
         self._metrics = metrics
 
     async def close(self) -> None:
--- a/tests/logservice/test_calls.py
+++ b/tests/logservice/test_calls.py
@@ -4,7 +4,15 @@
 import time
 import unittest
 
-from papayatack.logservice.calls import HttpCall, HttpClient
+import h11
+
+from papayatack.logservice.calls import (
+    HttpCall,
+    HttpClient,
+    ResponseError,
+    _Connection,
+    _receive_response,
+)
 
 TIMEOUT_S = 0.2
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -99,3 +107,61 @@
         self.server.hold_answers(False)
         self.assertTrue(await self.call())
         self.assertEqual(self.server.connections, 3)
+
+
+ENDLESS_TIMEOUT_S = 5.0
+WRITTEN_BYTES = 1_000_000
+MIN_TURNS = 50
+"""Turns that other tasks get at least while so many bytes are read."""
+
+
+class EndlessResponseTests(unittest.IsolatedAsyncioTestCase):
+    """A service whose responses are many small parts, or do not end."""
+
+    async def start(self, start, rest):
+        """Return a client of a server that goes on to write ``rest``."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            try:
+                while True:
+                    writer.write(rest)
+                    await writer.drain()
+            except ConnectionError:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def test_interim_responses_without_end_are_an_error(self):
+        """They end the call before its timeout."""
+        client = await self.start(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50)
+        call = HttpCall(method="GET", target="/")
+        with self.assertRaises(ResponseError):
+            await client.call(call, timeout_s=ENDLESS_TIMEOUT_S)
+
+    async def test_other_tasks_get_their_turn_while_many_small_chunks_are_read(self):
+        turns = 0
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        reader.feed_data(b"1\r\nx\r\n" * (WRITTEN_BYTES // 6) + b"0\r\n\r\n")
+        protocol = h11.Connection(our_role=h11.CLIENT)
+        protocol.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+        protocol.send(h11.EndOfMessage())
+        connection = _Connection(reader=reader, writer=None, protocol=protocol)
+        counting = asyncio.ensure_future(count_turns())
+        _, content, _ = await _receive_response(connection, WRITTEN_BYTES)
+        counting.cancel()
+        self.assertEqual(len(content), WRITTEN_BYTES // 6)
+        self.assertGreater(turns, MIN_TURNS)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -246,6 +246,7 @@
 
 ODD_TEXT = "\ud800"
 ODD_HEARTBEATS = (
+    json.dumps({**build_heartbeat(), "More": "x" * 20_000}).encode(),
     b"[" * 100_000,
     b'{"Info":' * 100_000 + b"0" + b"}" * 100_000,
     b'{"Address":"10.0.0.1:80","Info":{"Service":"desk","CapacitySlots":1},'
