Give other connections their turn while an upstream sends many small chunks

Cause: a connection to the upstream handled all parser events of what it had read in one turn of the event loop.

Change: at most 256 events a turn; reading is paused until the rest has been handled.

Failed before: tests.network.test_endless_responses.SmallChunkTests (shown by handling any number of events: reading was never paused).

--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -23,6 +23,9 @@
 """High-water mark of the write buffer, and most body bytes sent with the head."""
 BODILESS_STATUSES = (204, 304)
 MAX_REFUSED_IDS = 64
+MAX_EVENTS_PER_TURN = 256
+"""Maximum number of parser events in a turn of the event loop. A response may be many
+small chunks, which must not keep other connections waiting."""
 
 
 class UpstreamOwner(Protocol):
@@ -73,7 +76,9 @@
         self._head_bytes = 0
         self._skipped_bytes = 0
         self._body_bytes = 0
-        self._read_paused = False
+        self._is_reading_paused = False
+        self._is_buffer_full = False
+        self._has_deferred_events = False
         self._write_paused = False
         self._write_waiter: asyncio.Future[None] | None = None
 
@@ -235,10 +240,13 @@
             self._transport.abort()
 
     def _parse(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+        self._parse_received()
+        self._limit_bytes_without_response(len(data))
+
+    def _parse_received(self) -> None:
         try:
-            self._h11.receive_data(data)
             self._process_events()
-            self._limit_bytes_without_response(len(data))
         except h11.RemoteProtocolError as error:
             self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=str(error)))
 
@@ -263,23 +271,40 @@
             self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
 
     def _process_events(self) -> None:
-        """Handle all events that are available from the parser."""
-        while self._busy:
-            event = self._h11.next_event()
-            kind = type(event)
-            if self._skipping_response and kind in (h11.Data, h11.EndOfMessage):
-                if kind is h11.EndOfMessage:
-                    self._finish_skipped_response()
-            elif kind is h11.Data:
-                self._handle_data(event)
-            elif kind is h11.Response:
-                self._handle_response(event)
-            elif kind is h11.EndOfMessage:
-                assert self._body is not None
-                self._body.finish()
-                self._release()
-            elif kind is not h11.InformationalResponse:
+        """Handle the events that the parser has, the rest in the next turns."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._busy or not self._process_event():
                 return
+        if self._busy:
+            self._has_deferred_events = True
+            self._update_reading()
+            self._loop.call_soon(self._process_deferred_events)
+
+    def _process_deferred_events(self) -> None:
+        if not self._has_deferred_events or self.closed:
+            return
+        self._has_deferred_events = False
+        self._parse_received()
+        self._update_reading()
+
+    def _process_event(self) -> bool:
+        """Handle the next event; return whether there may be more."""
+        event = self._h11.next_event()
+        kind = type(event)
+        if self._skipping_response and kind in (h11.Data, h11.EndOfMessage):
+            if kind is h11.EndOfMessage:
+                self._finish_skipped_response()
+        elif kind is h11.Data:
+            self._handle_data(event)
+        elif kind is h11.Response:
+            self._handle_response(event)
+        elif kind is h11.EndOfMessage:
+            assert self._body is not None
+            self._body.finish()
+            self._release()
+        elif kind is not h11.InformationalResponse:
+            return False
+        return True
 
     def _handle_response(self, event: h11.Response) -> None:
         headers = tuple(event.headers)
@@ -349,19 +374,26 @@
             return
         body.put(bytes(event.data))
         limit = self._owner.limits.buffer_bytes
-        if body.buffered_bytes > limit and not self._read_paused:
-            self._read_paused = True
-            self._transport.pause_reading()
+        if body.buffered_bytes > limit:
+            self._is_buffer_full = True
+            self._update_reading()
 
     def _handle_body_read(self, size: int) -> None:
         body = self._body
         limit = self._owner.limits.buffer_bytes
-        if self._read_paused and body and body.buffered_bytes <= limit // 2:
-            self._resume_reading()
-
-    def _resume_reading(self) -> None:
-        if self._read_paused and not self.closed:
-            self._read_paused = False
+        if self._is_buffer_full and body and body.buffered_bytes <= limit // 2:
+            self._is_buffer_full = False
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause reading while bytes that were read are still to be handled."""
+        is_paused = self._is_buffer_full or self._has_deferred_events
+        if self.closed or is_paused == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def _handle_body_close(self, body: BodyQueue) -> None:
@@ -414,7 +446,8 @@
             self.abort()
             return
         state.start_next_cycle()
-        self._resume_reading()
+        self._is_buffer_full = self._has_deferred_events = False
+        self._update_reading()
         if not self.closed:
             self._owner.return_connection(self)
 
--- a/tests/network/test_endless_responses.py
+++ b/tests/network/test_endless_responses.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
+import h11
 from returns.pipeline import is_successful
 
 from papayatack.core.errors import ErrorKind, Outcome, get_error_response
 from papayatack.network.bodies import IncompleteBodyError
 from papayatack.network.exchanges import Request, find_header
 from papayatack.network.limits import UpstreamLimits
+from papayatack.network.upstream_connection import (
+    MAX_EVENTS_PER_TURN,
+    UpstreamConnection,
+)
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.buffering import buffer_response
@@ -54,6 +60,61 @@
     return find_header(headers, b"x-id") == b"1"
 
 
+class FakeOwner:
+    """A pool of one connection."""
+
+    limits = LIMITS
+
+    def return_connection(self, connection):
+        """Take the connection back."""
+
+    def drop_connection(self, connection):
+        """Remove the connection."""
+
+
+class SmallChunkTests(unittest.IsolatedAsyncioTestCase):
+    """A response that arrives at once and is many small chunks."""
+
+    async def asyncSetUp(self):
+        self.transport = unittest.mock.Mock()
+        self.connection = UpstreamConnection(owner=FakeOwner())
+        self.connection.connection_made(self.transport)
+        request = Request(method=b"GET", target=b"/", headers=((b"host", b"a"),))
+        deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
+        self.exchange = asyncio.ensure_future(
+            self.connection.exchange(request, deadline_s=deadline_s)
+        )
+        await asyncio.sleep(0)
+
+    async def test_other_connections_get_their_turn_between_small_chunks(self):
+        """Reading is paused meanwhile, and the body arrives whole."""
+        count = 20 * MAX_EVENTS_PER_TURN
+        start = HEAD % b"1" + b"Transfer-Encoding: chunked\r\n\r\n"
+        data = start + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+        self.connection.data_received(data)
+        self.transport.pause_reading.assert_called_once()
+        response = (await self.exchange).unwrap()
+        self.assertLessEqual(response.body.buffered_bytes, 2 * MAX_EVENTS_PER_TURN)
+        turns = 0
+        while not response.body.finished:
+            turns += 1
+            await asyncio.sleep(0)
+        self.assertGreater(turns, 15)
+        self.assertEqual(response.body.buffered_bytes, count)
+        self.transport.resume_reading.assert_called_once()
+
+    async def test_interim_responses_that_arrive_at_once_are_not_all_parsed(self):
+        """They exceed the limit of a head, which ends the connection."""
+        with unittest.mock.patch.object(h11.Connection, "next_event") as next_event:
+            next_event.return_value = h11.InformationalResponse(
+                status_code=103, headers=[]
+            )
+            self.connection.data_received(b"x" * 256 * KIB)
+        self.assertLessEqual(next_event.call_count, MAX_EVENTS_PER_TURN)
+        kind = (await self.exchange).failure().kind
+        self.assertIs(kind, ErrorKind.UPSTREAM_LOST)
+
+
 class EndlessResponseTests(unittest.IsolatedAsyncioTestCase):
     """A server whose response to ``/endless`` does not end until it is closed."""
 
