Apply changed limits to the open connections of callers

Cause: a connection took the limits of its server once, when it was opened.

Change: it takes the present ones between two requests; the idle timeout of a connection that is idle follows as well. A request that is being read keeps its limits.

Failed before: tests.network.test_callers, two of three new tests (413 for 200; an idle connection closed too early).

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -59,9 +59,7 @@
     def __init__(self, *, owner: CallerOwner) -> None:
         self._owner = owner
         self._limits = owner.limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes
-        )
+        self._h11 = self._build_parser()
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
@@ -80,6 +78,12 @@
         self._head_only = False
         self._deadline_s: float | None = None
         self._deadline_kind: ErrorKind | None = None
+        self._idle_since_s = 0.0
+
+    def _build_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
 
     @property
     def busy(self) -> bool:
@@ -93,13 +97,14 @@
         if not self._owner.add_connection(self):
             self._reject(ErrorKind.CONNECTION_LIMIT, "too many open connections")
             return
-        self._set_deadline(self._limits.idle_timeout_s, None)
+        self._start_idle()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
         if self._discarding:
             return
         if self._task is None and not self._h11.trailing_data[0]:
+            self._adopt_limits()
             self._set_deadline(self._limits.header_timeout_s, ErrorKind.SLOW_CALLER)
         try:
             self._h11.receive_data(data)
@@ -146,7 +151,12 @@
             self._write_waiter.set_result(None)
 
     def check_deadline(self, now: float) -> None:
-        """Close the connection or fail the request if its deadline has passed."""
+        """Close the connection or fail the request if its deadline has passed.
+
+        The limits of the server may have changed since the connection became idle.
+        """
+        if self._task is None and self._deadline_kind is None:
+            self._deadline_s = self._idle_since_s + self._owner.limits.idle_timeout_s
         if self._deadline_s is None or now < self._deadline_s:
             return
         kind = self._deadline_kind
@@ -471,11 +481,30 @@
         state.start_next_cycle()
         self._body = None
         self._task = None
-        self._set_deadline(self._limits.idle_timeout_s, None)
+        self._adopt_limits()
+        self._start_idle()
         self._resume_reading()
-        if state.trailing_data[0]:
+        if self._h11.trailing_data[0]:
             self._process_events()
 
+    def _start_idle(self) -> None:
+        """Wait for the next request, at most for the idle timeout."""
+        self._idle_since_s = self._loop.time()
+        self._set_deadline(self._limits.idle_timeout_s, None)
+
+    def _adopt_limits(self) -> None:
+        """Apply the present limits of the server to the requests that follow.
+
+        Called between two requests; what has been read of the next one is kept.
+        """
+        if self._limits == self._owner.limits:
+            return
+        self._limits = self._owner.limits
+        received, has_ended = self._h11.trailing_data
+        self._h11 = self._build_parser()
+        if received or has_ended:
+            self._h11.receive_data(received)
+
     async def _close_lingering(self) -> None:
         """Close after reading for :data:`DISCARD_TIMEOUT_S`.
 
--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -1,6 +1,8 @@
 """Tests of papayatack.network.callers on loopback."""
 
 import asyncio
+import dataclasses
+import re
 import socket
 import struct
 import unittest
@@ -128,6 +130,55 @@
 class LimitTests(CallerServerTestCase):
     """Slow callers, connection limits, disconnects and shutdown."""
 
+    async def ask_on(self, reader, writer, body, *, field=b""):
+        """Send a request on an open connection; return its status."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\nX: %s\r\n\r\n"
+        writer.write(head % (len(body), field) + body)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        length = re.search(rb"(?i)content-length: (\d+)", answer)
+        await reader.readexactly(int(length[1]))
+        return int(answer.split()[1])
+
+    async def test_open_connections_do_not_stay_under_the_limits_at_their_start(self):
+        """A configuration raises the limits, then another one lowers them."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self.ask_on(reader, writer, b"x" * 4_000), 200)
+        self.server.limits = dataclasses.replace(
+            LIMITS, body_bytes=20_000, header_bytes=9_000
+        )
+        self.assertEqual(await self.ask_on(reader, writer, b"x" * 9_000), 200)
+        found = await self.ask_on(reader, writer, b"", field=b"y" * 5_000)
+        self.assertEqual(found, 200)
+        self.server.limits = dataclasses.replace(LIMITS, body_bytes=100)
+        self.assertEqual(await self.ask_on(reader, writer, b"x" * 101), 413)
+
+    async def test_request_that_is_being_read_keeps_its_limits(self):
+        """Its body goes on under those under which its head was read."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(b"100\r\n" + b"x" * 256 + b"\r\n")
+        await asyncio.sleep(READ_S)
+        self.server.limits = dataclasses.replace(LIMITS, body_bytes=100)
+        writer.write(b"0\r\n\r\n")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", answer)
+
+    async def test_idle_connections_follow_the_limits(self):
+        """Raised while they are idle, the idle timeout closes them later."""
+        self.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=0.1)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        await asyncio.sleep(READ_S)
+        self.server.limits = LIMITS
+        await asyncio.sleep(0.5)
+        self.assertEqual(await self.ask_on(reader, writer, b""), 200)
+        self.server.limits = dataclasses.replace(LIMITS, idle_timeout_s=0.1)
+        self.assertEqual(await asyncio.wait_for(reader.read(), 2.0), b"")
+
     async def test_connections_over_the_limit_are_refused(self):
         """The excess connection gets an error response; the others keep working."""
         opened = [
