Give other connections their turn while a caller sends many small chunks

Cause: as at connections to the upstream, all parser events of what had been read were handled in one turn of the event loop.

Change: at most 256 events a turn; reading is paused meanwhile, and the caller's leaving is noticed as in any other pause.

Failed before: tests.network.test_callers, test_other_connections_get_their_ turn_between_small_chunks (shown by handling any number of events). Now test_callers, test_hangups and test_arrivals: 26 passed.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -28,6 +28,10 @@
 """High-water mark of the transport's write buffer."""
 DISCARD_TIMEOUT_S = 2.0
 """Time for which a lingering close discards the caller's bytes."""
+MAX_EVENTS_PER_TURN = 256
+"""Maximum number of parser events in a turn of the event loop. A body may be many small
+chunks, which must not keep other connections waiting."""
+
 STATUS_HEADER_TOO_LARGE = 431
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -72,6 +76,7 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._read_paused = False
+        self._has_deferred_events = False
         self._descriptor: int | None = None
         self._discarding = False
         self._closing = False
@@ -209,25 +214,45 @@
         )
 
     def _process_events(self) -> None:
-        """Handle all events that are available from the parser."""
-        while not self._discarding:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                self._handle_protocol_error(error)
-                return
-            kind = type(event)
-            if kind is h11.Data:
-                self._handle_data(event)
-            elif kind is h11.Request:
-                self._start_request(event)
-            elif kind is h11.EndOfMessage:
-                self._finish_body()
-                if not self._h11.trailing_data[0]:
-                    return
-            else:
-                self._pause_if_pipelined(event)
+        """Handle the events that the parser has, the rest in the next turns."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self._discarding or not self._process_event():
                 return
+        self._has_deferred_events = True
+        self._pause_reading()
+        self._loop.call_soon(self._process_deferred_events)
+
+    def _process_deferred_events(self) -> None:
+        self._has_deferred_events = False
+        if self._discarding or self._transport.is_closing():
+            return
+        self._process_events()
+        is_full = self._body is not None and self._is_buffer_full(self._body)
+        if not self._has_deferred_events and not is_full:
+            self._resume_reading()
+
+    def _is_buffer_full(self, body: BodyQueue) -> bool:
+        return body.buffered_bytes > self._limits.buffer_bytes
+
+    def _process_event(self) -> bool:
+        """Handle the next event; return whether there may be more."""
+        try:
+            event = self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            self._handle_protocol_error(error)
+            return False
+        kind = type(event)
+        if kind is h11.Data:
+            self._handle_data(event)
+        elif kind is h11.Request:
+            self._start_request(event)
+        elif kind is h11.EndOfMessage:
+            self._finish_body()
+            return bool(self._h11.trailing_data[0])
+        else:
+            self._pause_if_pipelined(event)
+            return False
+        return True
 
     def _pause_if_pipelined(self, event: Any) -> None:
         """Pause reading once many bytes of pipelined requests are waiting.
@@ -317,7 +342,7 @@
             )
             return
         body.put(bytes(event.data))
-        if body.buffered_bytes > self._limits.buffer_bytes and not self._read_paused:
+        if self._is_buffer_full(body) and not self._read_paused:
             self._deadline_s = None
             self._pause_reading()
 
@@ -326,6 +351,7 @@
         body = self._body
         if (
             self._read_paused
+            and not self._has_deferred_events
             and body is not None
             and body.buffered_bytes <= self._limits.buffer_bytes // 2
         ):
--- a/tests/network/test_callers.py
+++ b/tests/network/test_callers.py
@@ -6,8 +6,13 @@
 import socket
 import struct
 import unittest
+import unittest.mock
 
 from papayatack.network.bodies import BodyQueue, BytesBody
+from papayatack.network.caller_connection import (
+    MAX_EVENTS_PER_TURN,
+    CallerConnection,
+)
 from papayatack.network.callers import CallerServer
 from papayatack.network.exchanges import Response
 from papayatack.network.limits import CallerLimits
@@ -295,6 +300,28 @@
         self.assertEqual(await idle.read(), b"")
         self.assertEqual(await response, b"")
 
+    async def test_other_connections_get_their_turn_between_small_chunks(self):
+        """All bytes arrive at once; the body is read whole."""
+        self.server.limits = dataclasses.replace(
+            LIMITS, body_bytes=20_000, buffer_bytes=20_000
+        )
+        transport = unittest.mock.Mock()
+        transport.get_extra_info.return_value = None
+        transport.is_closing.return_value = False
+        connection = CallerConnection(owner=self.server)
+        connection.connection_made(transport)
+        count = 20 * MAX_EVENTS_PER_TURN
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.data_received(head + b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+        transport.pause_reading.assert_called_once()
+        turns = 0
+        while not transport.write.called:
+            turns += 1
+            await asyncio.sleep(0)
+        self.assertGreater(turns, 15)
+        self.assertIn(b"/ %d" % count, transport.write.call_args[0][0])
+        transport.resume_reading.assert_called_once()
+
     async def test_unread_body_pauses_reading(self):
         """Bytes that the handler does not read are not buffered without limit."""
         self.release.clear()
