--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -35,7 +35,7 @@
     server = None
     rng = random.Random(0)
 
-    def __init__(self, *, host, port):
+    def __init__(self, *, host, port, max_response_bytes):
         self.is_cut = False
 
     async def close(self):
