Do not believe a health check that names an upstream as ready that has left

Cause: a health check may be wrong. One that was asked after a departure put the upstream into service again, at the process that had acknowledged the departure but did not serve through that upstream, as after a restart.

Change: a lifetime that has said that it leaves is started again only once its end was seen, or after 60 s; then its id is that of a restarted process.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -182,14 +182,12 @@
 
     async def _identify(self) -> None:
         """Ask the health check which lifetime runs, if that is in doubt."""
-        path, asked_s = self._find_health_path(), _read_clock()
-        address = self._lifetimes.find_unidentified(asked_s)
+        path = self._find_health_path()
+        address = self._lifetimes.find_unidentified(_read_clock())
         if not path or not address:
             return
         identity = await self._check(address, path)
-        self._lifetimes.note_identity(
-            identity, address=address, asked_s=asked_s, now=_read_clock()
-        )
+        self._lifetimes.note_identity(identity, address=address, now=_read_clock())
         self._publish()
 
     async def _check_listening(self) -> None:
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -19,6 +19,10 @@
 """Time for which a candidate reports until it is believed without its health check,
 longer than a report is delayed."""
 
+MAX_LEAVING_S = 60.0
+"""Time after a departure for which its lifetime may still run, unless its end was seen.
+After that the same id is that of a restarted process."""
+
 MAX_KNOWN = 64
 """Maximum number of lifetimes that are remembered."""
 
@@ -178,18 +182,20 @@
 
     def note_end(self) -> None:
         """Record that the running lifetime can't be reached any more."""
+        if self.running is not None:
+            self._departed_s.pop(self.running.instance, None)
         self.running = None
 
     def note_identity(
-        self, identity: Identity | None, *, address: str, asked_s: float, now: float
+        self, identity: Identity | None, *, address: str, now: float
     ) -> None:
         """Process the answer to a health check.
 
+        It may be wrong about a lifetime that has said that it leaves.
+
         Args:
             identity: The answer, ``None`` if there is none that names a lifetime.
             address: Address that was asked.
-            asked_s: Time at which the health check was sent. What the lifetime said of
-                itself since then is newer.
             now: Event loop time.
         """
         self._is_identity_wanted = False
@@ -200,7 +206,7 @@
         self._candidates = {named: candidate} if candidate is not None else {}
         if self.running is not None and self.running.instance == named:
             self.heard_s = self._confirmed_s = now
-        elif self._departed_s.get(named, float("-inf")) >= asked_s:
+        elif now - self._departed_s.get(named, float("-inf")) < MAX_LEAVING_S:
             return
         elif identity.is_ready:
             self._start_named(identity, candidate, now)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -182,6 +182,36 @@
 
         self.run_scenario(scenario)
 
+    def test_health_check_that_is_wrong_does_not_revive_an_upstream_that_leaves(self):
+        """It deregisters at a node that has just started, and heartbeats are late."""
+
+        async def scenario(receiver):
+            await asyncio.sleep(1.0)
+            await self.send(receiver, "i-1", b"", "deregister")
+            self.name("i-1", slots=8)
+            for seq in (5, 4, 6):
+                await self.send(receiver, "i-1", build_heartbeat(seq=seq))
+                await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_upstream_that_restarts_with_its_id_after_it_left_is_announced(self):
+        """Its end was seen: nothing listened at its address."""
+
+        async def scenario(receiver):
+            await self.start(receiver, "i-1", seq=9)
+            await self.send(receiver, "i-1", b"", "deregister")
+            self.assertTrue((await receiver.wait_changed()).leaving)
+            gone = await receiver.wait_changed()
+            self.assertEqual(gone, UpstreamGone(is_certain=True))
+            await self.send(receiver, "i-1", build_heartbeat(seq=1))
+            await asyncio.sleep(0.1)
+            await self.send(receiver, "i-1", build_heartbeat(seq=2))
+            found = await receiver.wait_changed()
+            self.assertEqual((found.instance, found.leaving), ("i-1", False))
+
+        self.run_scenario(scenario)
+
     def test_draining_upstream_is_announced_as_leaving_to_a_new_process(self):
         async def scenario(receiver):
             self.name("i-1", is_ready=False)
--- a/tests/platform/test_lifetimes.py
+++ b/tests/platform/test_lifetimes.py
@@ -101,9 +101,7 @@
             self.lifetimes.note_report(lifetime, seq, self.now)
         address = self.lifetimes.find_unidentified(self.now)
         if address is not None:
-            self.lifetimes.note_identity(
-                self.ask(), address=address, asked_s=self.now, now=self.now
-            )
+            self.lifetimes.note_identity(self.ask(), address=address, now=self.now)
         self.probe()
 
     def report(self, upstream, *, is_late):
