--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -155,12 +155,18 @@
         if self._write_waiter is not None and not self._write_waiter.done():
             self._write_waiter.set_result(None)
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether the connection waits for the first byte of a request."""
+        has_deadline = self._deadline_s is not None
+        return has_deadline and self._deadline_kind is None and self._task is None
+
     def check_deadline(self, now: float) -> None:
         """Close the connection or fail the request if its deadline has passed.
 
         The limits of the server may have changed since the connection became idle.
         """
-        if self._task is None and self._deadline_kind is None:
+        if self._is_idle:
             self._deadline_s = self._idle_since_s + self._owner.limits.idle_timeout_s
         if self._deadline_s is None or now < self._deadline_s:
             return
@@ -526,9 +532,9 @@
         if self._limits == self._owner.limits:
             return
         self._limits = self._owner.limits
-        received, has_ended = self._h11.trailing_data
+        received = bytes(self._h11.trailing_data[0])
         self._h11 = self._build_parser()
-        if received or has_ended:
+        if received:  # no bytes would stand for the end of the connection
             self._h11.receive_data(received)
 
     async def _close_lingering(self) -> None:
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -183,7 +183,7 @@
     async def _identify(self) -> None:
         """Ask the health check which lifetime runs, if that is in doubt."""
         path = self._find_health_path()
-        address = self._lifetimes.find_unidentified(_read_clock())
+        address = self._lifetimes.find_address_to_check(_read_clock())
         if not path or not address:
             return
         identity = await self._check(address, path)
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -119,7 +119,7 @@
         self._confirmed_s = float("-inf")
         self._is_identity_wanted = True
 
-    def find_unidentified(self, now: float) -> str | None:
+    def find_address_to_check(self, now: float) -> str | None:
         """Return the address whose health check is to be asked now, if any is."""
         for candidate in list(self._candidates.values()):
             if now - candidate.reported_s > self._report_timeout_s:
--- a/tests/platform/test_lifetimes.py
+++ b/tests/platform/test_lifetimes.py
@@ -99,7 +99,7 @@
         self.on_way = [item for item in self.on_way if item[0] > self.now]
         for _, lifetime, seq in arrived:
             self.lifetimes.note_report(lifetime, seq, self.now)
-        address = self.lifetimes.find_unidentified(self.now)
+        address = self.lifetimes.find_address_to_check(self.now)
         if address is not None:
             self.lifetimes.note_identity(self.ask(), address=address, now=self.now)
         self.probe()
