Identify the upstream as soon as the manifest with its health path is there

Cause: an upstream that reports before the manifest waits for the path of its health check. The node looked for it every 0.25 s, after 40 polls.

Change: each new manifest has the node look at once; the polls are gone.

--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -134,7 +134,9 @@
         for logged in owned.records:
             apply_record(owned.state, logged.offset, logged.record)
         self._state = owned.state
-        self._fold = ManifestFold(places=self._settings.all_places)
+        self._fold = ManifestFold(
+            places=self._settings.all_places, notify_change=self.desk.note_manifest
+        )
         return Success((owned.state, self._fold))
 
     def note_upstream(self, upstream: AnnouncedUpstream) -> None:
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -39,8 +39,6 @@
 HEARTBEAT_TIMEOUT_INTERVALS = 1.7
 PROBE_ATTEMPTS = 2
 PROBE_INTERVAL_S = 0.05
-HEALTH_PATH_POLL_S = 0.02
-HEALTH_PATH_POLLS = 40
 WATCH_INTERVAL_S = 0.25
 _CALL_PATH = re.compile(rb"/instances/([^/?]{1,200})/(heartbeat|deregister)")
 
@@ -102,6 +100,10 @@
         )
         self._published: Lifetime | None = None
 
+    def note_manifest(self) -> None:
+        """Look for the path of the health check in a new manifest."""
+        self._wakeup.set()
+
     async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
         """Wait for the next change of the upstream's state."""
         return await self._updates.get()
@@ -164,7 +166,6 @@
         An upstream that already runs when this node starts is identified by its health
         check, so that it can be used before its next heartbeat.
         """
-        await self._wait_health_path()
         while True:
             await self._identify()
             with contextlib.suppress(TimeoutError):
@@ -173,13 +174,6 @@
             self._wakeup.clear()
             await self._check_listening()
 
-    async def _wait_health_path(self) -> None:
-        """Wait a short time for the manifest, which has the path."""
-        for _ in range(HEALTH_PATH_POLLS):
-            if self._find_health_path():
-                return
-            await asyncio.sleep(HEALTH_PATH_POLL_S)
-
     async def _identify(self) -> None:
         """Ask the health check which lifetime runs, if that is in doubt."""
         path = self._find_health_path()
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import pydantic
@@ -251,13 +251,20 @@
 
     Args:
         places: All data centres, each described by a :class:`Place`.
+        notify_change: Called after each change of the configuration.
     """
 
     is_gapless = False
 
-    def __init__(self, *, places: tuple[Place, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        places: tuple[Place, ...],
+        notify_change: Callable[[], None] = lambda: None,
+    ) -> None:
         self.configuration = Configuration(places=places)
         self.next_offset = 0
+        self._notify_change = notify_change
 
     @property
     def version(self) -> int:
@@ -270,6 +277,7 @@
         if record is None or record.version <= self.version:
             return
         self.configuration = record
+        self._notify_change()
 
 
 class ManifestDecoder(RecordDecoder):
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -173,7 +173,7 @@
         if request.target in (b"/grant", b"/release"):
             self.calls.append((request.target, json.loads(body)))
         match request.target:
-            case b"/health":
+            case b"/health" | b"/healthy":
                 fields = (
                     (b"papayatack-instance-id", self.instance.encode()),
                     (b"papayatack-server-load", self.load),
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -42,6 +42,7 @@
         The health check answers with ``self.identity``.
         """
         self.identity = None
+        self.path = "/health"
         self.checks = 0
 
         async def check(address, path):
@@ -54,7 +55,7 @@
                 interval_s=0.87,
                 service="desk",
                 address="127.0.0.1:9",
-                find_health_path=lambda: "/health",
+                find_health_path=lambda: self.path,
                 check=check,
             )
             watcher = asyncio.ensure_future(receiver.watch())
@@ -223,6 +224,26 @@
 
         self.run_scenario(scenario)
 
+    def test_upstream_that_reports_before_the_manifest_is_announced_at_once_with_it(
+        self,
+    ):
+        """The path of its health check stands in the manifest."""
+
+        async def scenario(receiver):
+            self.path = ""
+            self.name("i-1")
+            await self.send(receiver, "i-1", build_heartbeat())
+            await self.check_no_update(receiver)
+            await self.send(receiver, "i-1", build_heartbeat(seq=2))
+            await asyncio.sleep(0.01)
+            self.path = "/health"
+            receiver.note_manifest()
+            async with asyncio.timeout(0.01):
+                found = await receiver.wait_changed()
+            self.assertEqual(found.instance, "i-1")
+
+        self.run_scenario(scenario)
+
     def test_suspect_without_an_upstream_does_not_spin(self):
         """Connection attempts in flight may still fail once the upstream has ended."""
 
