--- a/src/papayatack/core/inventory.py
+++ b/src/papayatack/core/inventory.py
@@ -120,6 +120,9 @@
             the upstream sheds load.
         shares: Guaranteed share of an upstream's slots for each class; empty for the
             default shares.
+        cold_start_s: Seconds after its start in which an upstream is cold.
+        cold_requests_per_s: Requests per second that a cold upstream takes; 0 if the
+            service sets no limit.
     """
 
     name: str
@@ -137,6 +140,8 @@
     health_path: str = ""
     least_share: float = 0.0
     shares: Mapping[RequestClass, float] = dataclasses.field(default_factory=dict)
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -167,6 +172,7 @@
         target_latency_s: Latency up to which a response has its full value, in
             seconds.
         max_attempts: Maximum number of upstreams to which one request may be sent.
+        rank: Precedence of the requests; 0 is the highest.
     """
 
     name: str
@@ -178,6 +184,7 @@
     timeout_s: float
     target_latency_s: float
     max_attempts: int = 1
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -251,6 +258,7 @@
         localities: Locality rules.
         routes: Routes by host and path; if empty, services are selected by prefix.
         bounds: Limits on callers' requests; ``None`` if the publication sets none.
+        evacuated: Names of the data centres whose upstreams get no requests.
     """
 
     version: int = 0
@@ -261,3 +269,4 @@
     localities: tuple[LocalityRule, ...] = ()
     routes: tuple[HostRoute, ...] = ()
     bounds: CallerBounds | None = None
+    evacuated: frozenset[str] = frozenset()
--- a/src/papayatack/network/exchanges.py
+++ b/src/papayatack/network/exchanges.py
@@ -98,6 +98,8 @@
         target_s: Seconds until the response-time target, negative once it has passed;
             a response before it has the highest value. ``None`` if there is no target.
         delay_s: For how many seconds it was on its way from the node that sent it.
+        rank: Its precedence; 0 is the highest. A call has that of the request that
+            waits for it.
     """
 
     request: Request
@@ -119,6 +121,7 @@
     route: str = ""
     target_s: float | None = None
     delay_s: float = 0.0
+    rank: int = 0
 
     def subtract_time(self, elapsed_s: float) -> None:
         """Subtract seconds that have passed from the times that are left."""
--- a/src/papayatack/network/request_heads.py
+++ b/src/papayatack/network/request_heads.py
@@ -39,6 +39,7 @@
         sent_us=sent_us,
         crashes=peer_request.crashes,
         is_call=peer_request.is_call,
+        rank=peer_request.rank,
     )
 
 
@@ -64,6 +65,7 @@
         request_id=head.request_id or "",
         idempotency_key=head.idempotency_key or "",
         is_call=bool(head.is_call),
+        rank=max(0, head.rank or 0),
         crashes=max(0, head.crashes or 0),
         hops=head.hops or 0,
         recipient=head.recipient or "",
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -77,6 +77,8 @@
     sharded: bool = False
     health_path: str = ""
     warmup: Duration = 3.0
+    cold_start: Duration = 0.0
+    cold_per_s: float = pydantic.Field(default=0.0, ge=0)
 
 
 class _Limits(_Model):
@@ -196,6 +198,8 @@
         health_path=service.health_path,
         shares=REQUEST_CLASS_SHARES,
         least_share=MIN_SHARE,
+        cold_start_s=service.cold_start,
+        cold_requests_per_s=service.cold_per_s,
     )
 
 
@@ -234,6 +238,7 @@
         timeout_s=route.timeout,
         target_latency_s=route.target_latency,
         max_attempts=route.max_attempts,
+        rank=route.priority,
     )
 
 
--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -73,6 +73,9 @@
     retry_window: Duration = 10.0
     retry_reserve: float = 50.0
     longest_hold: Duration = 10.0
+    cold_overrun: float | None = None
+    cold_slack: float = 0.0
+    evacuation: Duration | None = None
 
 
 class PlatformSettings(_Section):
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -117,6 +117,7 @@
         deadline_s: Event loop time after which the response is of no use.
         repeatable: Whether the request may run more than once.
         target_s: Event loop time by which the response is worth most, if there is one.
+        rank: Its precedence; 0 is the highest.
     """
 
     partner: str
@@ -125,6 +126,7 @@
     deadline_s: float
     repeatable: bool = False
     target_s: float | None = None
+    rank: int = 0
 
 
 class Permit(Protocol):
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -152,6 +152,7 @@
             deadline_s=deadline_s,
             repeatable=peer_request.repeatable,
             target_s=_find_target(peer_request),
+            rank=peer_request.rank,
         )
         admitted = await self._gate.acquire(admission_request)
         if not is_successful(admitted):
--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -119,6 +119,7 @@
             max_attempts=route.max_attempts,
             route=route.name,
             target_s=route.target_latency_s - (route.timeout_s - remaining_s),
+            rank=route.rank,
         )
 
     def _clean(self, headers: Headers) -> Headers:
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -77,7 +77,7 @@
   9: string request_class, 10: double cost, 11: bool repeatable, 12: string request_id,
   13: string idempotency_key, 14: i32 hops, 15: string recipient,
   16: optional i64 target_us, 17: optional i64 sent_us, 18: optional i32 crashes,
-  19: optional bool is_call
+  19: optional bool is_call, 20: optional i32 rank
 }
 struct ResponseHead { 1: i32 status, 2: binary reason, 3: list<Header> headers }
 struct Body { 1: binary data, 2: bool final }
