Test crowds of callers that do not behave, in real processes

Cause: a node limits what each connection holds, not what all hold together, so that many callers that stop short of the end of a body fill its memory, and its descriptors are not limited at all.

Change: fifteen tests with small crowds and lowered limits in the settings: bodies that stop short of their end, in pieces, in chunks, far over the limit, without a route and at the other ports; heads that do not end or have very many fields; callers that do not read. Checked are that each node lives and stays under the memory and the descriptors of its settings, and that requests are served afterwards. Two tests of calm callers stand beside them.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -153,9 +153,11 @@
 
     Attributes:
         layout: Data centre and service of each node.
+        machine_type: Class of the machines.
     """
 
     layout = (("east", "desk"), ("west", "desk"), ("south", "desk"), ("east", "papers"))
+    machine_type = Machine
 
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -165,7 +167,7 @@
         self.addAsyncCleanup(self.store.stop)
         self.machines = []
         for number, (place, service) in enumerate(self.layout):
-            machine = Machine(
+            machine = self.machine_type(
                 folder=self.folder.name,
                 place=place,
                 service=service,
--- a/tests/running.py
+++ b/tests/running.py
@@ -18,6 +18,7 @@
     "tests.daemon",
     "tests.logservice",
     "tests.network",
+    "tests.platform.test_crowds",
     "tests.platform.test_departures",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
