Serve requests sent ahead on a connection side by side

A caller's connection served one request at a time: five reads of 0.4 s that were sent together were answered after 0.40, 0.81, 1.21, 1.62 and 2.02 s.

Requests that only read and may be repeated, as their route says, now run side by side, up to pipelined_requests (16) of a connection and until pipelined_bytes (256 KiB) of responses wait for their turn; others run alone, in their turn.

--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -39,6 +39,8 @@
         connections=settings.caller_connections,
         header_timeout_s=settings.header_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
+        pipelined_requests=settings.pipelined_requests,
+        pipelined_bytes=settings.pipelined_bytes,
     )
     bounds = configuration.bounds if configuration is not None else None
     if bounds is None:
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -251,6 +251,7 @@
             for task in tasks:
                 stack.push_async_callback(_cancel, task)
             self._callers.handler = engine.handle
+            self._callers.is_repeatable = engine.is_repeatable
             self._control = control
             self._note_started()
             ending = await self._wait_ending(control, tasks)
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -104,6 +104,8 @@
         caller_connections: Callers' connections at once.
         idle_timeout_s: Seconds for which a quiet connection is kept.
         header_timeout_s: Seconds within which a request's header must arrive.
+        pipelined_requests: Requests of one connection in flight at once.
+        pipelined_bytes: Bytes of one connection's responses that wait for their turn.
         drain_timeout_s: Seconds of a graceful shutdown, after its notice, in which
             what is in flight may end.
         drain_notice_s: Seconds at its beginning in which callers are served as ever.
@@ -115,6 +117,8 @@
     caller_connections: int = pydantic.Field(default=2_000, ge=1)
     idle_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     header_timeout_s: float = pydantic.Field(default=10.0, gt=0)
+    pipelined_requests: int = pydantic.Field(default=16, ge=1, le=1_024)
+    pipelined_bytes: int = pydantic.Field(default=262_144, ge=1)
     drain_timeout_s: float = pydantic.Field(default=30.0, gt=0)
     drain_notice_s: float = pydantic.Field(default=0.0, ge=0)
     upstream_drain_s: float = pydantic.Field(default=2.0, ge=0)
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -9,9 +9,11 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.caller_connection import CallerConnection, Handler
+from papayatack.network.exchanges import Request
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
 from papayatack.network.start_limiter import StartLimiter
@@ -23,10 +25,18 @@
 """Interval between checks of the connections' deadlines."""
 STOP_POLL_INTERVAL_S = 0.02
 """Interval between checks for open connections during a shutdown."""
+MAX_AHEAD = 1_024
+"""Requests of all connections that are in flight ahead of their turn."""
 
 
 class CallerServer:
-    """Accepts connections of callers and enforces their limits."""
+    """Accepts connections of callers and enforces their limits.
+
+    Attributes:
+        is_repeatable: Tells whether a request that only reads, as its method says, may
+            be run more than once. Others are not run beside those of their connection.
+        ahead: Number of requests in flight ahead of their turn.
+    """
 
     def __init__(
         self,
@@ -44,6 +54,8 @@
         self.hangups = HangupWatch()
         self.arrivals = ArrivalCheck()
         self.starts = StartLimiter()
+        self.is_repeatable: Callable[[Request], bool] = _is_repeatable
+        self.ahead = 0
         self._host = host
         self._port = port
         self._server: asyncio.Server | None = None
@@ -55,6 +67,11 @@
         """Port on which callers are accepted."""
         return self._port
 
+    @property
+    def has_room_ahead(self) -> bool:
+        """Whether one more request may be started ahead of its turn."""
+        return self.ahead < MAX_AHEAD
+
     async def start(self) -> None:
         """Start listening for callers."""
         loop = asyncio.get_running_loop()
@@ -107,3 +124,8 @@
             now = loop.time()
             for connection in list(self._connections):
                 connection.check_deadline(now)
+
+
+def _is_repeatable(request: Request) -> bool:
+    """Go by the method alone, which has been looked at."""
+    return True
--- a/src/papayatack/network/limits.py
+++ b/src/papayatack/network/limits.py
@@ -21,6 +21,10 @@
         idle_timeout_s: Longest pause between requests.
         write_timeout_s: Longest pause of writing because the write buffer is full.
         buffer_bytes: Buffered body bytes above which reading from the socket pauses.
+        pipelined_requests: Most requests of one connection in flight; 1 serves those
+            that are sent ahead one at a time.
+        pipelined_bytes: Bytes of one connection's responses waiting for their turn at
+            which no more of them is read, and no further request.
     """
 
     header_bytes: int = 16 * KIB
@@ -31,6 +35,8 @@
     idle_timeout_s: float = 60.0
     write_timeout_s: float = 20.0
     buffer_bytes: int = 64 * KIB
+    pipelined_requests: int = 1
+    pipelined_bytes: int = 256 * KIB
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/proxy/classification.py
+++ b/src/papayatack/proxy/classification.py
@@ -76,6 +76,9 @@
     def classify(self, request: Request) -> Result[PeerRequest, Refusal]:
         """Return the request with its routing and admission attributes."""
 
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether the request may run more than once."""
+
 
 class Classifier:
     """Classifies requests by path prefix according to one configuration.
@@ -101,6 +104,16 @@
         except _ClassificationError as error:
             return Failure(error.refusal)
 
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether the request may run more than once."""
+        try:
+            path, _ = _split_target(request.target)
+            compiled = self._find_service(path)
+        except _ClassificationError:
+            return False
+        subpath = path[len(compiled.prefix) :]
+        return compiled.find_rule(request.method, subpath).repeatable
+
     def _classify(self, request: Request) -> PeerRequest:
         path, query = _split_target(request.target)
         compiled = self._find_service(path)
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -186,6 +186,10 @@
         )
         return response
 
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether a caller's request may run more than once."""
+        return self._find_classifier().is_repeatable(request)
+
     def _find_parent(self, peer_request: PeerRequest) -> Run | None:
         """Return the run at the local upstream that waits for a request, if any.
 
--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -90,6 +90,11 @@
             self._build_peer_request(request, route, service, key, remaining_s)
         )
 
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether the request may run more than once."""
+        route = self._find_route(request)
+        return route is not None and route.repeatable
+
     def _build_peer_request(
         self,
         request: Request,
--- a/tests/proxy/test_classification.py
+++ b/tests/proxy/test_classification.py
@@ -75,6 +75,21 @@
         """The default rule is the strictest one."""
         self.assertFalse(classify(b"/records/x").unwrap().repeatable)
 
+    def test_repeatability_is_told_without_the_rest(self):
+        """As the whole classification says; what is refused is not repeatable."""
+        classifier = Classifier(configuration=CONFIGURATION)
+        cases = (
+            (b"GET", b"/hiring/v/a", True),
+            (b"POST", b"/hiring/v/a", False),
+            (b"GET", b"/records/x", False),
+            (b"GET", b"/nowhere", False),
+            (b"GET", b"/hiring/../x", False),
+        )
+        for method, target, expected in cases:
+            with self.subTest(method=method, target=target):
+                request = Request(method=method, target=target)
+                self.assertIs(classifier.is_repeatable(request), expected)
+
     def test_unknown_partner_is_classified_as_no_partner(self):
         """All unknown partners share the weight of one."""
         for name, expected in ((b"caribe", "caribe"), (b"other", "")):
--- a/tests/proxy/test_route_classifier.py
+++ b/tests/proxy/test_route_classifier.py
@@ -84,6 +84,33 @@
                 peer_request = self.classify(path, key, host=b"H.Example:80").unwrap()
                 self.assertEqual(peer_request.service, service)
 
+    def test_repeatability_is_told_without_the_rest(self):
+        """As the route says; a request without a route is not repeatable."""
+        routes = (
+            make_route("reads", "h.example", "/", "plain"),
+            make_route("orders", "h.example", "/orders/", "plain", repeatable=False),
+        )
+        classifier = RouteClassifier(
+            configuration=Configuration(
+                version=1,
+                services=(Service(name="plain", prefix=""),),
+                routes=routes,
+            ),
+            fields=FIELDS,
+            caller_service="",
+        )
+        cases = (
+            (b"h.example", b"/x", True),
+            (b"h.example", b"/orders/x", False),
+            (b"other", b"/x", False),
+        )
+        for host, target, expected in cases:
+            with self.subTest(host=host, target=target):
+                request = Request(
+                    method=b"GET", target=target, headers=((b"host", host),)
+                )
+                self.assertIs(classifier.is_repeatable(request), expected)
+
     def test_refusal_has_the_kind_of_its_cause(self):
         """Before the first configuration, no request is refused with status 404."""
         for result, kind in (
--- a/tests/running.py
+++ b/tests/running.py
@@ -31,6 +31,7 @@
     "tests.platform.test_store",
     "tests.platform.test_store_return",
     "tests.proxy.test_left_while_waiting",
+    "tests.proxy.test_pipelining",
     "tests.proxy.test_standstill",
     "tests.standins",
 )
