--- a/src/papayatack/core/pipeline.py
+++ b/src/papayatack/core/pipeline.py
@@ -13,6 +13,8 @@
 import enum
 from collections.abc import Callable
 
+from papayatack.core.byte_budget import ByteBudget
+
 __all__ = ["Obstacle", "Pipeline", "PipelineLimits"]
 
 
@@ -50,6 +52,9 @@
 class Pipeline:
     """The requests of one connection that have no whole response yet.
 
+    Args:
+        budget: The node's budget for what is held for callers; ``None`` for no limit.
+
     Attributes:
         in_flight: Number of requests that have started and are not answered.
         is_waiting: Whether one that was read waits until those are answered.
@@ -57,9 +62,10 @@
         is_ended: Whether no further request is read.
     """
 
-    __slots__ = ("held_bytes", "in_flight", "is_ended", "is_waiting")
+    __slots__ = ("_budget", "held_bytes", "in_flight", "is_ended", "is_waiting")
 
-    def __init__(self) -> None:
+    def __init__(self, *, budget: ByteBudget | None = None) -> None:
+        self._budget = budget
         self.in_flight = 0
         self.is_waiting = False
         self.held_bytes = 0
@@ -126,12 +132,17 @@
 
     def may_hold(self, max_bytes: int) -> bool:
         """Return whether more of a response that waits for its turn may be read."""
-        return self.held_bytes < max_bytes
+        has_room = self._budget is None or self._budget.has_room
+        return has_room and self.held_bytes < max_bytes
 
     def hold(self, size: int) -> None:
         """Count bytes of a response that waits for its turn."""
         self.held_bytes += size
+        if self._budget is not None:
+            self._budget.add(size)
 
     def release(self, size: int) -> None:
         """Count bytes of such a response as written or discarded."""
         self.held_bytes -= size
+        if self._budget is not None:
+            self._budget.subtract(size)
--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -13,7 +13,12 @@
 from papayatack.network.limits import CallerLimits
 from papayatack.proxy.gate import AdmissionGate
 
-__all__ = ["build_caller_limits", "find_admission_limits", "follow_limits"]
+__all__ = [
+    "build_caller_limits",
+    "build_side_limits",
+    "find_admission_limits",
+    "follow_limits",
+]
 
 FOLLOW_INTERVAL_S = 0.25
 SPARE_CONNECTIONS = 4
@@ -54,6 +59,11 @@
     )
 
 
+def build_side_limits(settings: LimitSettings) -> CallerLimits:
+    """Return the limits at the ports for the upstream, readiness and operators."""
+    return CallerLimits(connections=settings.side_connections)
+
+
 def find_admission_limits(
     configuration: Configuration, upstream: AnnouncedUpstream
 ) -> AdmissionLimits:
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -16,6 +16,7 @@
 from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.node import ControlNode
 from papayatack.core.admission import AdmissionController, AdmissionLimits
+from papayatack.core.byte_budget import ByteBudget
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.handover import HandoverBackoff
 from papayatack.core.identity import IncarnationId, PeerAddress
@@ -30,17 +31,21 @@
     StandaloneEnvironment,
     split_address,
 )
-from papayatack.daemon.limits import build_caller_limits, follow_limits
+from papayatack.daemon.limits import (
+    build_caller_limits,
+    build_side_limits,
+    follow_limits,
+)
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
 from papayatack.daemon.readiness import ReadinessEndpoint
-from papayatack.daemon.settings import LimitSettings, Settings
+from papayatack.daemon.settings import Settings
 from papayatack.daemon.stop import PlannedStop
 from papayatack.daemon.upstreams import UpstreamKeeper
 from papayatack.logservice.appender import Appender
 from papayatack.network.caller_connection import Handler
 from papayatack.network.callers import CallerServer
 from papayatack.network.exchanges import Request, Response
-from papayatack.network.limits import UpstreamLimits
+from papayatack.network.limits import CallerLimits, UpstreamLimits
 from papayatack.network.peers import PeerNetwork
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
@@ -109,6 +114,9 @@
         self._endpoint = OperatorEndpoint(
             metrics=self._metrics, start_drain=self.start_drain
         )
+        self._budget = ByteBudget(
+            limit_bytes=settings.limits.held_bytes, count=self._metrics.count
+        )
         listen = settings.listen
         self._desk_server = self._build_server(
             listen.upstream, self._environment.desk.handle
@@ -123,7 +131,9 @@
                 listen.readiness, readiness.handle
             )
         self._callers = self._build_server(
-            listen.callers, self._refuse_starting, settings.limits
+            listen.callers,
+            self._refuse_starting,
+            build_caller_limits(settings.limits),
         )
 
     def start_drain(self) -> None:
@@ -393,15 +403,17 @@
         )
 
     def _build_server(
-        self, address: str, handler: Handler, limits: LimitSettings | None = None
+        self, address: str, handler: Handler, limits: CallerLimits | None = None
     ) -> CallerServer:
+        limits = limits or build_side_limits(self._settings.limits)
         host, port = split_address(address)
         return CallerServer(
             host=host,
             port=port,
             handler=handler,
             metrics=self._metrics,
-            limits=build_caller_limits(limits) if limits else None,
+            limits=limits,
+            budget=self._budget,
         )
 
     def _note_failed(self, task: asyncio.Future[None]) -> None:
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -102,6 +102,8 @@
         header_bytes: Longest request header.
         body_bytes: Longest request body.
         caller_connections: Callers' connections at once.
+        side_connections: Connections at once at each of the other ports for HTTP.
+        held_bytes: Bytes of request bodies that are held for all callers together.
         idle_timeout_s: Seconds for which a quiet connection is kept.
         header_timeout_s: Seconds within which a request's header must arrive.
         pipelined_requests: Requests of one connection in flight at once.
@@ -115,6 +117,8 @@
     header_bytes: int = pydantic.Field(default=16_384, ge=1_024, le=1_048_576)
     body_bytes: int = pydantic.Field(default=67_108_864, ge=0)
     caller_connections: int = pydantic.Field(default=2_000, ge=1)
+    side_connections: int = pydantic.Field(default=200, ge=1)
+    held_bytes: int = pydantic.Field(default=67_108_864, ge=1_048_576)
     idle_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     header_timeout_s: float = pydantic.Field(default=10.0, gt=0)
     pipelined_requests: int = pydantic.Field(default=16, ge=1, le=1_024)
--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from papayatack.core.byte_budget import Holder
 from papayatack.core.errors import ErrorKind, PapayatackError
 
 __all__ = [
@@ -79,6 +80,11 @@
     """Default close callback; does nothing."""
 
 
+def _accept_keep(size: int) -> bool:
+    """Default callback for bytes that are kept; there is room for all."""
+    return True
+
+
 class BodyQueue:
     """A queue of body chunks that a connection fills and one task reads.
 
@@ -90,6 +96,7 @@
         buffered_bytes: Number of bytes that are still to be read.
         finished: Whether the body is complete.
         closed: Whether the reader has closed the body.
+        holder: What its bytes are charged to, ``None`` if to nothing.
     """
 
     def __init__(
@@ -97,7 +104,9 @@
         *,
         on_read: Callable[[int], None] = _ignore_read,
         on_close: Callable[[], None] = _ignore_close,
+        on_keep: Callable[[int], bool] = _accept_keep,
     ) -> None:
+        self._on_keep = on_keep
         self._chunks: collections.deque[bytes] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
         self._error: IncompleteBodyError | None = None
@@ -107,6 +116,7 @@
         self.buffered_bytes = 0
         self.finished = False
         self.closed = False
+        self.holder: Holder | None = None
 
     @property
     def ready(self) -> bool:
@@ -147,6 +157,13 @@
         self._on_read(len(data))
         return data
 
+    def keep(self, size: int) -> bool:
+        """Ask whether bytes that were read may be kept until the body is closed.
+
+        A negative size gives some of them back.
+        """
+        return self._on_keep(size)
+
     def detach(self) -> None:
         """Make no more calls, since the connection has ended the exchange.
 
@@ -155,6 +172,7 @@
         """
         self._on_read = _ignore_read
         self._on_close = _ignore_close
+        self._on_keep = _accept_keep
 
     def close(self) -> None:
         """Discard the rest and call ``on_close``, once."""
@@ -162,7 +180,9 @@
             self.closed = True
             self._chunks.clear()
             self.buffered_bytes = 0
-            self._on_close()
+            on_close = self._on_close
+            self.detach()
+            on_close()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -7,11 +7,13 @@
 
 import h11
 
+from papayatack.core.byte_budget import ByteBudget
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.pipeline import Obstacle, Pipeline, PipelineLimits
 from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.bodies import ExpectContinueBody, IncompleteBodyError
 from papayatack.network.caller_exchange import CallerExchange
+from papayatack.network.connection_admission import Admission, Rest
 from papayatack.network.connection_ends import ConnectionEnd
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response, find_header
@@ -40,14 +42,15 @@
     hangups: HangupWatch
     arrivals: ArrivalCheck
     starts: StartLimiter
+    budget: ByteBudget
     ahead: int
 
     @property
     def has_room_ahead(self) -> bool:
         """Whether one more request may be started ahead of its turn."""
 
-    def add_connection(self, connection: "CallerConnection") -> bool:
-        """Register an open connection; return false if the limit is exceeded."""
+    def add_connection(self, connection: "CallerConnection") -> Admission:
+        """Register an open connection, and decide what becomes of it."""
 
     def drop_connection(self, connection: "CallerConnection") -> None:
         """Remove a closed connection."""
@@ -61,6 +64,7 @@
         "_deadline_s",
         "_end",
         "_exchanges",
+        "_has_served",
         "_idle_since_s",
         "_loop",
         "_obstacle",
@@ -82,11 +86,12 @@
         self._owner = owner
         self._loop = asyncio.get_running_loop()
         self._exchanges: list[CallerExchange] = []
-        self._pipeline = Pipeline()
+        self._pipeline = Pipeline(budget=owner.budget)
         self._obstacle: Obstacle | None = None
         self._deadline_s: float | None = None
         self._deadline_kind: ErrorKind | None = None
         self._idle_since_s = 0.0
+        self._has_served = False
 
     @property
     def busy(self) -> bool:
@@ -108,12 +113,15 @@
             transport=transport,
             pause=self._pause,
             limits=self._owner.limits,
+            budget=self._owner.budget,
         )
-        if not self._owner.add_connection(self):
-            detail = "too many open connections"
-            self.reject(self._reader.parser, ErrorKind.CONNECTION_LIMIT, detail)
-            return
         self._start_idle()
+        match self._owner.add_connection(self):
+            case Admission.REJECTED:
+                detail = "too many open connections"
+                self.reject(self._reader.parser, ErrorKind.CONNECTION_LIMIT, detail)
+            case Admission.CLOSED:
+                self._end.reset()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
@@ -211,6 +219,18 @@
             )
         self._end.reset()
 
+    @property
+    def rest(self) -> Rest | None:
+        """How long it has waited for a request; ``None`` with one in flight."""
+        if self._exchanges or self._end.begun:
+            return None
+        return Rest(has_served=self._has_served, since_s=self._idle_since_s)
+
+    def close_at_rest(self) -> None:
+        """Close a connection without a request in flight, to make room for another."""
+        self._owner.metrics.count("caller_connections_cut", "limit")
+        self._end.close()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, for a graceful shutdown."""
         if not self._exchanges:
@@ -448,6 +468,7 @@
             exchange.body.fail(
                 kind=ErrorKind.CALLER_LEFT, detail="the caller disconnected"
             )
+            exchange.body.close()
         if exchange.task is not None:
             exchange.task.cancel()
 
@@ -466,6 +487,7 @@
             await self._close_lingering()
             return
         self._exchanges.pop(0)
+        self._has_served = True
         starts_next = self._pipeline.end_first()
         if self._exchanges:
             self._begin_turn(self._exchanges[0], starts=starts_next)
--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -11,8 +11,10 @@
 import asyncio
 from collections.abc import Callable
 
+from papayatack.core.byte_budget import ByteBudget
 from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.caller_connection import CallerConnection, Handler
+from papayatack.network.connection_admission import Admission, ConnectionTable
 from papayatack.network.exchanges import Request
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
@@ -25,6 +27,10 @@
 """Interval between checks of the connections' deadlines."""
 STOP_POLL_INTERVAL_S = 0.02
 """Interval between checks for open connections during a shutdown."""
+DEFAULT_HELD_BYTES = 64 * 1024 * 1024
+"""Bytes of request bodies that a server without a budget holds."""
+BYTES_PER_REQUEST = 64 * 1024
+"""Bytes that other layers may hold of a response that waits for its turn."""
 MAX_AHEAD = 1_024
 """Requests of all connections that are in flight ahead of their turn."""
 
@@ -46,7 +52,9 @@
         handler: Handler,
         metrics: Metrics,
         limits: CallerLimits | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self.budget = budget or ByteBudget(limit_bytes=DEFAULT_HELD_BYTES)
         self.handler = handler
         self.metrics = metrics
         self.limits = limits or CallerLimits()
@@ -60,7 +68,7 @@
         self._port = port
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
-        self._connections: set[CallerConnection] = set()
+        self._connections = ConnectionTable()
 
     @property
     def port(self) -> int:
@@ -70,7 +78,8 @@
     @property
     def has_room_ahead(self) -> bool:
         """Whether one more request may be started ahead of its turn."""
-        return self.ahead < MAX_AHEAD
+        max_ahead = min(MAX_AHEAD, self.budget.limit_bytes // BYTES_PER_REQUEST)
+        return self.ahead < max_ahead and self.budget.has_room
 
     async def start(self) -> None:
         """Start listening for callers."""
@@ -97,21 +106,21 @@
         if self._server is not None:
             self._server.close()
         while self._connections and loop.time() < deadline_s:
-            for connection in list(self._connections):
+            for connection in self._connections:
                 connection.close_if_idle()
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         if self._connections and timeout_s > 0:
             # Let an event loop that was blocked write the responses already due.
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.close_now()
         if self._sweeper is not None:
             self._sweeper.cancel()
 
-    def add_connection(self, connection: CallerConnection) -> bool:
-        """Register an open connection; return false if the limit is exceeded."""
-        self._connections.add(connection)
-        return len(self._connections) <= self.limits.connections
+    def add_connection(self, connection: CallerConnection) -> Admission:
+        """Register an open connection, and decide what becomes of it."""
+        now = asyncio.get_running_loop().time()
+        return self._connections.add(now, connection, self.limits.connections)
 
     def drop_connection(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
@@ -122,7 +131,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = loop.time()
-            for connection in list(self._connections):
+            for connection in self._connections:
                 connection.check_deadline(now)
 
 
--- a/src/papayatack/network/request_reader.py
+++ b/src/papayatack/network/request_reader.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from papayatack.core.byte_budget import ByteBudget
 from papayatack.core.errors import ErrorKind
 from papayatack.network.arrival_times import ArrivalTimes
 from papayatack.network.bodies import BodyQueue
@@ -55,6 +56,7 @@
         "_arrived_s",
         "_body",
         "_body_bytes",
+        "_budget",
         "_is_deferred",
         "_is_held",
         "_is_reading_body",
@@ -75,7 +77,9 @@
         transport: Any,
         pause: ReadPause,
         limits: CallerLimits,
+        budget: ByteBudget,
     ) -> None:
+        self._budget = budget
         self._sink = sink
         self._transport = transport
         self._pause = pause
@@ -249,7 +253,7 @@
             self._pause.begin()
 
     def _begin_request(self, event: h11.Request) -> None:
-        self._body = BodyQueue(on_read=self._handle_body_read)
+        self._body = self._build_body()
         self._body_bytes = 0
         self._is_reading_body = True
         request = Request(
@@ -268,6 +272,34 @@
         )
         self._is_held = not self._sink.take_request(exchange)
 
+    def _build_body(self) -> BodyQueue:
+        """Return a body whose bytes are charged to the budget once there are any."""
+        body = BodyQueue(
+            on_read=lambda size: self._handle_body_read(body, size),
+            on_close=lambda: self._close_holder(body),
+            on_keep=lambda size: self._keep(body, size),
+        )
+        return body
+
+    def _charge(self, body: BodyQueue, size: int) -> bool:
+        """Charge bytes of a body; return whether there is room for them."""
+        if body.holder is None:
+            body.holder = self._budget.open(
+                self._loop.time(), end=lambda: _end_resting(body)
+            )
+        return self._budget.charge(self._loop.time(), body.holder, size)
+
+    def _keep(self, body: BodyQueue, size: int) -> bool:
+        """Charge bytes that are kept for a retry; a negative size gives them back."""
+        if size < 0 and body.holder is not None:
+            self._budget.release(body.holder, -size)
+            return True
+        return self._charge(body, size)
+
+    def _close_holder(self, body: BodyQueue) -> None:
+        if body.holder is not None:
+            self._budget.close(body.holder)
+
     def _find_arrival(self) -> float:
         """Return when the last byte of the head that was just parsed arrived."""
         if self._arrivals is None:
@@ -285,18 +317,25 @@
                 detail="the request body exceeds the size limit",
             )
             return
+        if not body.closed and not self._charge(body, len(event.data)):
+            body.fail(
+                kind=ErrorKind.QUEUE_FULL,
+                detail="the bodies of too many requests are under way",
+            )
+            return
         body.put(bytes(event.data))
         if self._is_buffer_full(body) and not self._pause.active:
             self._sink.expect_body(expected=False)
             self._pause.begin()
 
-    def _handle_body_read(self, size: int) -> None:
+    def _handle_body_read(self, body: BodyQueue, size: int) -> None:
         """Resume reading once the body's buffer is at most half full."""
-        body = self._body
+        if body.holder is not None:
+            self._budget.release(body.holder, size)
         if (
             self._pause.active
             and not self._is_deferred
-            and body is not None
+            and body is self._body
             and body.buffered_bytes <= self.limits.buffer_bytes // 2
         ):
             if not body.finished:
@@ -324,3 +363,11 @@
             self.discarding = True
         else:
             self._sink.reject(self.parser, kind, str(error))
+
+
+def _end_resting(body: BodyQueue) -> None:
+    """End a body that makes no progress while others need its memory."""
+    body.fail(
+        kind=ErrorKind.SLOW_CALLER,
+        detail="the request body makes no progress, and others need the memory",
+    )
--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -32,7 +32,22 @@
 """Maximum fraction of the drain period that the notice may take."""
 
 UPSTREAM_DRAIN_MARGIN_S = 0.4
-CALLER_CONNECTIONS = 3_000
+MAX_CALLER_CONNECTIONS = 3_000
+CALLER_CONNECTIONS_SHARE = 0.7
+"""Share of the VM's descriptors that callers' connections may use."""
+
+MIN_SIDE_CONNECTIONS = 16
+MAX_SIDE_CONNECTIONS = 200
+SIDE_CONNECTIONS_SHARE = 0.04
+"""Share of the VM's descriptors for each other port for HTTP."""
+
+HELD_BYTES_SHARE = 1 / 12
+"""Share of the VM's memory for request bodies that are held for callers. What a node
+holds of them in other forms, and at other nodes, is several times as much."""
+
+MIB = 1024 * 1024
+DEFAULT_MEMORY_MIB = 300
+DEFAULT_DESCRIPTORS = 4_300
 
 
 class _Section(pydantic.BaseModel):
@@ -78,6 +93,25 @@
     evacuation: Duration | None = None
 
 
+class _Limits(_Section):
+    """Limits of the VM: memory in MiB, and open descriptors of a process."""
+
+    memory: float = pydantic.Field(default=DEFAULT_MEMORY_MIB, ge=64)
+    descriptors: int = pydantic.Field(default=DEFAULT_DESCRIPTORS, ge=100)
+
+    @property
+    def caller_connections(self) -> int:
+        """Return the number of connections for callers."""
+        share = int(self.descriptors * CALLER_CONNECTIONS_SHARE)
+        return min(MAX_CALLER_CONNECTIONS, share)
+
+    @property
+    def side_connections(self) -> int:
+        """Return the number of connections for each other port for HTTP."""
+        share = int(self.descriptors * SIDE_CONNECTIONS_SHARE)
+        return min(max(share, MIN_SIDE_CONNECTIONS), MAX_SIDE_CONNECTIONS)
+
+
 class PlatformSettings(_Section):
     """The settings file with all its sections."""
 
@@ -86,6 +120,7 @@
     upstream: _Upstream = _Upstream()
     store: _Store
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     places: dict[str, str]
 
     @property
@@ -113,7 +148,9 @@
             ),
             log=LogServiceSettings(address=self.store.address),
             limits=LimitSettings(
-                caller_connections=CALLER_CONNECTIONS,
+                caller_connections=self.limits.caller_connections,
+                side_connections=self.limits.side_connections,
+                held_bytes=int(self.limits.memory * MIB * HELD_BYTES_SHARE),
                 drain_timeout_s=drain_s - notice_s,
                 drain_notice_s=notice_s,
                 upstream_drain_s=max(bounds.drain - UPSTREAM_DRAIN_MARGIN_S, 0.1),
--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -328,7 +328,12 @@
 
 def _start_series(screened: ScreenedRequest, now: float, deadline_s: float) -> _Series:
     peer_request = screened.peer_request
-    body = RewindableBody(body=peer_request.request.body, limit_bytes=MAX_REPLAY_BYTES)
+    received = peer_request.request.received
+    body = RewindableBody(
+        body=peer_request.request.body,
+        limit_bytes=MAX_REPLAY_BYTES,
+        may_keep=received.keep if received is not None else lambda size: True,
+    )
     peer_request.request.body = body
     target_s = peer_request.target_s
     return _Series(
--- a/src/papayatack/proxy/body_wrappers.py
+++ b/src/papayatack/proxy/body_wrappers.py
@@ -15,12 +15,20 @@
     Args:
         body: The wrapped body.
         limit_bytes: Longest body that is buffered.
+        may_keep: Asked whether so many more bytes may be buffered.
 
     Attributes:
         rewindable: Whether all bytes that were read are still buffered.
     """
 
-    def __init__(self, *, body: Body, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        body: Body,
+        limit_bytes: int,
+        may_keep: Callable[[int], bool] = lambda size: True,
+    ) -> None:
+        self._may_keep = may_keep
         self._body = body
         self._limit_bytes = limit_bytes
         self._chunks: list[bytes] = []
@@ -51,12 +59,14 @@
         """Leave the wrapped body open, since a retry may read it."""
 
     def _buffer(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > self._limit_bytes:
+        size = self._size + len(data)
+        if size > self._limit_bytes or not self._may_keep(len(data)):
             self.rewindable = False
             self._chunks.clear()
             self._position = 0
+            self._may_keep(-self._size)
             return
+        self._size = size
         self._chunks.append(data)
         self._position += 1
 
