--- a/src/papayatack/network/request_reader.py
+++ b/src/papayatack/network/request_reader.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from papayatack.core.byte_budget import ByteBudget
 from papayatack.core.errors import ErrorKind
 from papayatack.network.arrival_times import ArrivalTimes
 from papayatack.network.bodies import BodyQueue
@@ -19,6 +20,7 @@
 """Maximum number of parser events in a turn of the event loop. A body may be many small
 chunks, which must not keep other connections waiting."""
 
+HEAD_END = b"\r\n\r\n"
 STATUS_HEADER_TOO_LARGE = 431
 
 
@@ -55,6 +57,7 @@
         "_arrived_s",
         "_body",
         "_body_bytes",
+        "_budget",
         "_is_deferred",
         "_is_held",
         "_is_reading_body",
@@ -63,6 +66,7 @@
         "_pause",
         "_sink",
         "_transport",
+        "_unparsed",
         "discarding",
         "limits",
         "parser",
@@ -75,7 +79,9 @@
         transport: Any,
         pause: ReadPause,
         limits: CallerLimits,
+        budget: ByteBudget,
     ) -> None:
+        self._budget = budget
         self._sink = sink
         self._transport = transport
         self._pause = pause
@@ -88,6 +94,7 @@
         self._is_read_whole = False
         self._is_held = False
         self._is_deferred = False
+        self._unparsed = bytearray()
         self.discarding = False
         self.limits = limits
         self.parser = self._build_parser()
@@ -100,7 +107,12 @@
     @property
     def has_rest(self) -> bool:
         """Whether there are bytes that have not been parsed."""
-        return bool(self.parser.trailing_data[0])
+        return bool(self._unparsed) or bool(self.parser.trailing_data[0])
+
+    @property
+    def _rest_bytes(self) -> int:
+        """Number of bytes that have not been parsed."""
+        return len(self._unparsed) + len(self.parser.trailing_data[0])
 
     def receive(self, data: bytes, now: float, *, has_rest: bool) -> None:
         """Parse bytes from the caller.
@@ -115,15 +127,40 @@
         else:
             self._arrivals = None
             self._arrived_s = now
-        self.parser.receive_data(data)
+        if self._unparsed or self._is_read_whole or self._is_held:
+            self._unparsed += data
+        else:
+            self._feed(data)
         self._process_events()
 
+    def _feed(self, data: bytes) -> None:
+        """Give bytes to the parser, at most up to the end of a head.
+
+        What comes behind may be further requests. A parser that ends with its request
+        must not keep them.
+        """
+        end = len(data) if self._is_reading_body else _find_head_end(data)
+        if end == len(data):
+            self.parser.receive_data(data)
+            return
+        self.parser.receive_data(data[:end])
+        self._unparsed += data[end:]
+
+    def _feed_rest(self) -> bool:
+        """Give the parser what waits for it; return whether there was anything."""
+        if not self._unparsed or self._is_read_whole:
+            return False
+        rest = self._unparsed
+        end = len(rest) if self._is_reading_body else _find_head_end(rest)
+        self.parser.receive_data(bytes(rest[:end]))
+        del rest[:end]
+        return True
+
     def _note_arrival(self, size: int, now: float) -> None:
         """Note when bytes arrived behind some that have not been parsed."""
         if self._arrivals is None:
             self._arrivals = ArrivalTimes()
-            rest = self.parser.trailing_data[0]
-            self._arrivals.add(len(rest), self._arrived_s)
+            self._arrivals.add(self._rest_bytes, self._arrived_s)
         self._arrivals.add(size, now)
 
     def go_on(self) -> None:
@@ -171,7 +208,7 @@
 
     @property
     def _has_large_rest(self) -> bool:
-        return len(self.parser.trailing_data[0]) > self.limits.buffer_bytes
+        return self._rest_bytes > self.limits.buffer_bytes
 
     def _is_buffer_full(self, body: BodyQueue) -> bool:
         return body.buffered_bytes > self.limits.buffer_bytes
@@ -211,7 +248,9 @@
             self._begin_request(event)
         elif kind is h11.EndOfMessage:
             self._finish_body()
-            return bool(self.parser.trailing_data[0])
+            return self.has_rest
+        elif event is h11.NEED_DATA and self._feed_rest():
+            return True
         else:
             self._expect_body()
             return False
@@ -229,15 +268,18 @@
 
     def _begin_ahead(self) -> bool:
         """Parse the next request while others are in flight, if that is allowed."""
-        rest = self.parser.trailing_data[0]
-        if not rest:
+        if not self.has_rest:
             return False
         if self.parser.their_state is not h11.DONE or not self._sink.may_read_ahead():
             self._pause_if_large()
             return False
+        rest = self.parser.trailing_data[0]
         self.parser = self._build_parser()
-        self.parser.receive_data(rest)
         self._is_read_whole = False
+        if rest:
+            self.parser.receive_data(rest)
+        else:
+            self._feed_rest()
         return True
 
     def _pause_if_large(self) -> None:
@@ -249,7 +291,7 @@
             self._pause.begin()
 
     def _begin_request(self, event: h11.Request) -> None:
-        self._body = BodyQueue(on_read=self._handle_body_read)
+        self._body = self._build_body()
         self._body_bytes = 0
         self._is_reading_body = True
         request = Request(
@@ -268,11 +310,39 @@
         )
         self._is_held = not self._sink.take_request(exchange)
 
+    def _build_body(self) -> BodyQueue:
+        """Return a body whose bytes are charged to the budget once there are any."""
+        body = BodyQueue(
+            on_read=lambda size: self._handle_body_read(body, size),
+            on_close=lambda: self._close_holder(body),
+            on_keep=lambda size: self._keep(body, size),
+        )
+        return body
+
+    def _charge(self, body: BodyQueue, size: int) -> bool:
+        """Charge bytes of a body; return whether there is room for them."""
+        if body.holder is None:
+            body.holder = self._budget.open(
+                self._loop.time(), end=lambda: _end_resting(body)
+            )
+        return self._budget.charge(self._loop.time(), body.holder, size)
+
+    def _keep(self, body: BodyQueue, size: int) -> bool:
+        """Charge bytes that are kept for a retry; a negative size gives them back."""
+        if size < 0 and body.holder is not None:
+            self._budget.release(body.holder, -size)
+            return True
+        return self._charge(body, size)
+
+    def _close_holder(self, body: BodyQueue) -> None:
+        if body.holder is not None:
+            self._budget.close(body.holder)
+
     def _find_arrival(self) -> float:
         """Return when the last byte of the head that was just parsed arrived."""
         if self._arrivals is None:
             return self._arrived_s
-        return self._arrivals.keep(len(self.parser.trailing_data[0]))
+        return self._arrivals.keep(self._rest_bytes)
 
     def _handle_data(self, event: h11.Data) -> None:
         body = self._body
@@ -285,18 +355,25 @@
                 detail="the request body exceeds the size limit",
             )
             return
+        if not body.closed and not self._charge(body, len(event.data)):
+            body.fail(
+                kind=ErrorKind.QUEUE_FULL,
+                detail="the bodies of too many requests are under way",
+            )
+            return
         body.put(bytes(event.data))
         if self._is_buffer_full(body) and not self._pause.active:
             self._sink.expect_body(expected=False)
             self._pause.begin()
 
-    def _handle_body_read(self, size: int) -> None:
+    def _handle_body_read(self, body: BodyQueue, size: int) -> None:
         """Resume reading once the body's buffer is at most half full."""
-        body = self._body
+        if body.holder is not None:
+            self._budget.release(body.holder, size)
         if (
             self._pause.active
             and not self._is_deferred
-            and body is not None
+            and body is self._body
             and body.buffered_bytes <= self.limits.buffer_bytes // 2
         ):
             if not body.finished:
@@ -324,3 +401,17 @@
             self.discarding = True
         else:
             self._sink.reject(self.parser, kind, str(error))
+
+
+def _find_head_end(data: bytes | bytearray) -> int:
+    """Return the position behind the first head that ends, or that of the last byte."""
+    end = data.find(HEAD_END)
+    return len(data) if end < 0 else end + len(HEAD_END)
+
+
+def _end_resting(body: BodyQueue) -> None:
+    """End a body that makes no progress while others need its memory."""
+    body.fail(
+        kind=ErrorKind.SLOW_CALLER,
+        detail="the request body makes no progress, and others need the memory",
+    )
