Serve urgent requests first, and give calls the rank of what waits for them

Cause: routes have ranks, but admission knew only classes, so a request of rank 0 waited or was refused beside less urgent ones, the patience of one kind set the queue of all, and a call competed by its route instead of by the request that waits for it.

Change: the node beside the calling upstream gives a call the rank of the run that makes it; a call of no known parent gets no better rank than known calls of its route had. Admission keeps its classes for each rank. The expected wait counts what goes before a request; what can no longer start gives way at once. With one rank nothing changes. REQUEST_REFUSED has the rank, admissions and refusals are counted by rank. The latest starts moved to a module of their own.

A fleet: not measured.

--- a/src/papayatack/core/admission/class_state.py
+++ b/src/papayatack/core/admission/class_state.py
@@ -1,12 +1,13 @@
-"""Queue and service-time estimate of one request class."""
+"""Queue and service-time estimate of one request class of one rank."""
 
 import dataclasses
 from collections.abc import Mapping
 
 from papayatack.core.admission.fair_queue import FairQueue
 from papayatack.core.admission.wait_limit import WaitLimit
+from papayatack.core.inventory import RequestClass
 
-__all__ = ["ClassState"]
+__all__ = ["WORK_MEMORY_S", "ClassState"]
 
 SERVICE_TIME_SMOOTHING = 0.05
 """Weight of a new sample in the moving averages of the service time."""
@@ -14,15 +15,20 @@
 DEVIATION_MARGIN = 2.0
 """Mean deviations that the time allowed for a request includes."""
 
+WORK_MEMORY_S = 3.0
+"""Time constant in seconds of the decided and started work."""
+
 PRIOR_SECONDS_PER_COST = 0.02
 """Service time in seconds that is assumed for a cost of 1 before the first sample."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ClassState:
-    """Queue, slots in use and measured service time of one class.
+    """Queue, slots in use and measured service time of one class of one rank.
 
     Attributes:
+        request_class: The class.
+        rank: Precedence of its requests; 0 is the highest.
         share: Share of the slots that is guaranteed to the class.
         queue: Queued requests of the class.
         in_use: Slots that the class holds.
@@ -30,14 +36,33 @@
         seconds_per_cost: Mean service time for a cost of 1 in seconds, or ``None``
             before the first sample.
         deviation: Mean absolute deviation of the service time for a cost of 1.
+        decided_work: Expected slot-seconds of the requests that got a slot, were
+            refused or left; older ones count less.
+        started_work: The same of those that got a slot.
+        precedence: Orders the classes of all ranks. The calls of a rank come before its
+            other requests, since the requests that wait for them hold slots.
     """
 
+    request_class: RequestClass
+    rank: int
     share: float
     queue: FairQueue
     in_use: int = 0
     wait_limits: dict[str, WaitLimit] = dataclasses.field(default_factory=dict)
     seconds_per_cost: float | None = None
     deviation: float = 0.0
+    decided_work: float = 0.0
+    started_work: float = 0.0
+    precedence: int = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        is_call = self.request_class is RequestClass.CALL
+        self.precedence = 2 * self.rank + (0 if is_call else 1)
+
+    @property
+    def load(self) -> float:
+        """Return the mean number of slots that the started requests use."""
+        return self.started_work / WORK_MEMORY_S
 
     @property
     def demand(self) -> int:
--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -1,8 +1,7 @@
 """Admission control for one upstream: which request runs next, which is refused."""
 
-import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from papayatack.core.admission.class_state import ClassState
 from papayatack.core.admission.concurrency_limit import (
@@ -18,7 +17,14 @@
 )
 from papayatack.core.admission.fair_queue import FairQueue
 from papayatack.core.admission.headroom import Headroom
+from papayatack.core.admission.latest_start import find_late_wait, find_latest_start
 from papayatack.core.admission.limits import AdmissionLimits
+from papayatack.core.admission.rank_lanes import RankLanes
+from papayatack.core.admission.rank_order import (
+    estimate_ranked_wait,
+    estimate_room,
+    select_first,
+)
 from papayatack.core.admission.rate_limit import RateLimit
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.heap import KeyedHeap
@@ -32,10 +38,6 @@
 MIN_COST = 0.001
 """Lower bound on the declared cost of a request."""
 
-MIN_LATE_WAIT_S = 0.03
-"""Lower bound, in seconds, on the wait of a request that misses its target anyway; it
-is the mean service time if that is longer."""
-
 
 class AdmissionController:
     """Shares an upstream's slots among request classes and partners.
@@ -72,18 +74,8 @@
         self._outbox: list[AdmissionDecision] = []
         self._in_use = 0
         self._last_number = 0
-        weights = _list_weights(partners)
-        self._classes: Mapping[RequestClass, ClassState] = {
-            request_class: ClassState(
-                share=limits.class_shares[request_class],
-                queue=FairQueue(weights=weights),
-            )
-            for request_class in RequestClass
-        }
-        self._order = self._classes[RequestClass.ORDER]
-        self._browse = self._classes[RequestClass.BROWSE]
-        self._download = self._classes[RequestClass.DOWNLOAD]
-        self._call = self._classes[RequestClass.CALL]
+        self._weights = _list_weights(partners)
+        self._lanes = RankLanes(build=self._build_state)
 
     @property
     def in_use(self) -> int:
@@ -104,9 +96,9 @@
         """Record the limit that a response of the upstream names, if any."""
         self._rate_limit.observe(now, requests_per_s)
 
-    def get_class_state(self, request_class: RequestClass) -> ClassState:
-        """Return the state of a class, for metrics."""
-        return self._classes[request_class]
+    def get_class_state(self, request_class: RequestClass, rank: int = 0) -> ClassState:
+        """Return the state of a class of a rank, for metrics."""
+        return self._lanes.get_state(rank, request_class)
 
     def current_limit(self, now: float) -> int:
         """Return the number of slots that may be in use now."""
@@ -120,10 +112,10 @@
         self._concurrency_limit.resize(limits.usable_slots)
         self._concurrency_limit.ramp_s = limits.ramp_s
         self._concurrency_limit.least_share = limits.least_share
-        weights = _list_weights(partners)
-        for request_class, state in self._classes.items():
-            state.share = limits.class_shares[request_class]
-            state.set_weights(weights)
+        self._weights = _list_weights(partners)
+        for state in self._lanes:
+            state.share = limits.class_shares[state.request_class]
+            state.set_weights(self._weights)
 
     def restart(self, now: float) -> None:
         """Begin a new slow start, because the upstream was restarted and is cold."""
@@ -139,6 +131,7 @@
         cost: float,
         deadline_s: float,
         target_s: float | None = None,
+        rank: int = 0,
     ) -> QueueEntry:
         """Submit a request for a slot; :meth:`poll` returns the decision.
 
@@ -147,7 +140,7 @@
         next response late as well.
         """
         self._record_load(now)
-        state = self._classes[request_class]
+        state = self._lanes.get_state(rank, request_class)
         cost = max(cost, MIN_COST)
         self._last_number += 1
         entry = QueueEntry(
@@ -159,9 +152,10 @@
             charge=state.estimate_charge(cost),
             queue_deadline_s=min(
                 deadline_s - state.estimate_service_time(cost),
-                _find_queue_deadline(now, state, cost, target_s),
+                find_latest_start(now, state, cost, target_s),
             ),
             offered_s=now,
+            rank=state.rank,
         )
         self._enqueue_or_refuse(now, state, entry)
         return entry
@@ -173,6 +167,7 @@
         elif entry.state is EntryState.QUEUED:
             self._record_load(now)
             self._remove_queued(entry)
+            self._lanes.record_refusal(self._find_state(entry), entry.charge)
 
     def release(
         self,
@@ -196,7 +191,7 @@
             return
         self._record_load(now)
         entry.state = EntryState.ENDED
-        state = self._classes[entry.request_class]
+        state = self._find_state(entry)
         state.in_use -= 1
         if error is ErrorKind.UPSTREAM_SHED:
             self._concurrency_limit.record_shed(now, self._in_use)
@@ -218,7 +213,7 @@
         self._refuse_expired(now)
         limit = self._concurrency_limit.current_limit(now)
         while self._in_use < limit and self._rate_limit.allows(now):
-            state = self._choose_class(limit)
+            state = self._choose_state(limit)
             if state is None:
                 break
             self._start_next(now, state)
@@ -254,7 +249,7 @@
         else:
             slots = self._count_usable_slots(now, state)
             wait_s = max(
-                _estimate_wait(state, entry.flow, slots),
+                self._estimate_wait(now, state, entry.flow, slots),
                 self._rate_limit.find_next(now) - now,
             )
             max_wait_s = entry.queue_deadline_s - now
@@ -276,9 +271,10 @@
             # The bound is proportional to the slots that the class can use, so that a
             # full queue means the same wait whether or not the other classes are busy.
             if len(state.queue) >= slots * self.limits.queue_per_slot:
-                self._drop_from_longest_queue(state, entry, slots)
+                self._drop_from_longest_queue(now, state, entry, slots)
                 if entry.state is EntryState.ENDED:
                     return
+            self._make_way(now, state)
         state.queue.push(entry)
         self._queue_deadlines.put(entry, entry.queue_deadline_s)
 
@@ -290,9 +286,9 @@
         Calls need not wait alike: those that permit little are of requests that have
         little time left.
         """
-        if state is self._call:
+        if state.request_class is RequestClass.CALL:
             return max_wait_s
-        return _find_late_wait(state, entry.cost)
+        return find_late_wait(state, entry.cost)
 
     def _has_free_slot(self, now: float, state: ClassState) -> bool:
         limit = self._concurrency_limit.current_limit(now)
@@ -300,11 +296,28 @@
             not len(state.queue)
             and self._in_use < limit
             and self._rate_limit.allows(now)
-            and state.in_use < self._max_class_slots(state, limit)
+            and self._may_use_slot(state, limit)
         )
 
+    def _make_way(self, now: float, state: ClassState) -> None:
+        """Refuse a request of a worse rank that can no longer expect to start in time.
+
+        At most one is refused for each request that begins to wait.
+        """
+        for other in self._lanes.list_worse(state.rank):
+            victim = other.queue.find_drop_candidate()
+            if victim is None:
+                continue
+            slots = self._count_usable_slots(now, other)
+            wait_s = self._estimate_wait(now, other, victim.flow, slots)
+            if wait_s - victim.charge / slots > victim.queue_deadline_s - now:
+                self._remove_queued(victim)
+                detail = "requests of a better rank go first"
+                self._refuse(victim, ErrorKind.DEADLINE_UNREACHABLE, detail, wait_s)
+                return
+
     def _drop_from_longest_queue(
-        self, state: ClassState, entry: QueueEntry, slots: float
+        self, now: float, state: ClassState, entry: QueueEntry, slots: float
     ) -> None:
         """Refuse the newest request of the flow with the longest weighted queue."""
         victim = state.queue.find_drop_candidate()
@@ -313,37 +326,78 @@
             victim = entry
         else:
             self._remove_queued(victim)
-        wait_s = _estimate_wait(state, victim.flow, slots)
+        wait_s = self._estimate_wait(now, state, victim.flow, slots)
         self._refuse(victim, ErrorKind.QUEUE_FULL, "the queue is full", wait_s)
 
     def _count_usable_slots(self, now: float, state: ClassState) -> float:
         """Return the number of slots that a class gets under the present demand."""
         limit = self._concurrency_limit.current_limit(now)
+        service_s = state.seconds_per_cost or 0.0
+        if self._lanes.compete(state.rank):
+            room = estimate_room(
+                self._lanes, state, self._rate_limit.scale_slots(limit, service_s)
+            )
+            return min(room, self._count_shared_slots(now, state))
         active = state.share
-        for other in self._classes.values():
+        for other in self._lanes.list_rank(state.rank):
             if other is not state and other.demand:
                 active += other.share
         share = state.share / active
         others = self._in_use - state.in_use
         slots = max(limit * share, float(limit - others))
         slots = max(1.0, min(slots, self._max_class_slots(state, limit)))
-        service_s = state.seconds_per_cost or 0.0
         return self._rate_limit.scale_slots(slots, share * service_s)
 
+    def _estimate_wait(
+        self, now: float, state: ClassState, flow: str, slots: float
+    ) -> float:
+        """Return the expected wait of a new request in seconds, 0 if not known.
+
+        Args:
+            now: The current time.
+            state: Class of the request.
+            flow: Flow of the request.
+            slots: Slots that the class gets.
+        """
+        if state.seconds_per_cost is None:
+            return 0.0
+        if not self._lanes.compete(state.rank):
+            return state.queue.estimate_wait(flow, slots)
+        shared = self._count_shared_slots(now, state)
+        return estimate_ranked_wait(self._lanes, state, flow, room=slots, slots=shared)
+
+    def _count_shared_slots(self, now: float, state: ClassState) -> float:
+        """Return how many slots a class would get if no other class wanted any."""
+        limit = self._concurrency_limit.current_limit(now)
+        most = self._max_class_slots(state, limit)
+        return self._rate_limit.scale_slots(most, state.seconds_per_cost or 0.0)
+
     def _max_class_slots(self, state: ClassState, limit: int) -> int:
         """Return the maximum number of slots that a class may hold."""
-        if state is not self._download:
+        if state.request_class is not RequestClass.DOWNLOAD:
             return limit
         guaranteed = self.limits.guarantee_slots(RequestClass.DOWNLOAD)
         return max(min(guaranteed, limit), limit - self._headroom.required_slots())
 
-    def _choose_class(self, limit: int) -> ClassState | None:
-        """Return the class with queued requests that uses its share the least."""
+    def _may_use_slot(self, state: ClassState, limit: int) -> bool:
+        """Return whether a class may hold one more slot, if one is free."""
+        if state.request_class is not RequestClass.DOWNLOAD:
+            return True
+        in_use = self._lanes.count_downloads()
+        return in_use < self._max_class_slots(state, limit)
+
+    def _choose_state(self, limit: int) -> ClassState | None:
+        """Return the class whose request is served next, if any waits that may be.
+
+        It is the one that uses its share the least, of those that have precedence.
+        """
         waiting = [
             state
-            for state in self._classes.values()
-            if len(state.queue) and state.in_use < self._max_class_slots(state, limit)
+            for state in self._lanes
+            if len(state.queue) and self._may_use_slot(state, limit)
         ]
+        if waiting and self._lanes.compete(waiting[0].rank):
+            waiting = select_first(self._lanes, waiting)
         return min(waiting, key=self._rank_class, default=None)
 
     def _rank_class(self, state: ClassState) -> float:
@@ -361,6 +415,7 @@
         self._queue_deadlines.remove(entry)
         entry.state = EntryState.RUNNING
         entry.started_s = now
+        self._lanes.record_start(state, entry.charge)
         state.in_use += 1
         self._in_use += 1
         self._rate_limit.take(now)
@@ -371,9 +426,9 @@
         while (head := self._queue_deadlines.peek()) is not None and head[0] <= now:
             entry = head[1]
             self._remove_queued(entry)
-            state = self._classes[entry.request_class]
+            state = self._find_state(entry)
             slots = self._count_usable_slots(now, state)
-            wait_s = _estimate_wait(state, entry.flow, slots)
+            wait_s = self._estimate_wait(now, state, entry.flow, slots)
             self._refuse(
                 entry,
                 ErrorKind.DEADLINE_UNREACHABLE,
@@ -383,7 +438,7 @@
 
     def _remove_queued(self, entry: QueueEntry) -> None:
         entry.state = EntryState.ENDED
-        self._classes[entry.request_class].queue.remove(entry)
+        self._find_state(entry).queue.remove(entry)
         self._queue_deadlines.remove(entry)
 
     def _refuse(
@@ -396,6 +451,7 @@
         entry.state = EntryState.ENDED
         retry_after_s = None
         if wait_s is not None:
+            self._lanes.record_refusal(self._find_state(entry), entry.charge)
             retry_after_s = max(wait_s, MIN_RETRY_AFTER_S) * self._rng.uniform(1.0, 2.0)
         refusal = Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s)
         self._outbox.append(Refused(entry=entry, refusal=refusal))
@@ -404,31 +460,21 @@
         """Record the load of the classes of short requests up to now."""
         if now <= self._headroom.updated_s:
             return
-        load = self._order.demand + self._browse.demand + self._call.demand
+        self._lanes.fade(now)
+        load = self._lanes.count_short_demand()
         self._headroom.record(now, min(load, self._concurrency_limit.slots))
 
+    def _build_state(self, request_class: RequestClass, rank: int) -> ClassState:
+        return ClassState(
+            request_class=request_class,
+            rank=rank,
+            share=self.limits.class_shares[request_class],
+            queue=FairQueue(weights=self._weights),
+        )
 
-def _find_queue_deadline(
-    now: float, state: ClassState, cost: float, target_s: float | None
-) -> float:
-    """Return the latest start with which a request is expected to meet its target."""
-    if target_s is None:
-        return math.inf
-    mean_s = cost * (state.seconds_per_cost or 0.0)
-    return max(target_s - mean_s, now + _find_late_wait(state, cost))
-
-
-def _find_late_wait(state: ClassState, cost: float) -> float:
-    """Return for how many seconds a request waits that misses its target anyway."""
-    return max(cost * (state.seconds_per_cost or 0.0), MIN_LATE_WAIT_S)
+    def _find_state(self, entry: QueueEntry) -> ClassState:
+        return self._lanes.get_state(entry.rank, entry.request_class)
 
 
 def _list_weights(partners: Iterable[Partner]) -> dict[str, float]:
     return {partner.name: partner.weight for partner in partners}
-
-
-def _estimate_wait(state: ClassState, flow: str, slots: float) -> float:
-    """Return the expected wait of a new request in seconds, 0 if not known."""
-    if state.seconds_per_cost is None:
-        return 0.0
-    return state.queue.estimate_wait(flow, slots)
--- a/src/papayatack/core/admission/entry.py
+++ b/src/papayatack/core/admission/entry.py
@@ -34,6 +34,7 @@
         work_ahead: Charges queued in its flow on submission, in slot-seconds.
         state: Current stage.
         started_s: Time at which the request got its slot.
+        rank: Its precedence; 0 is the highest.
     """
 
     number: int
@@ -47,6 +48,7 @@
     work_ahead: float = 0.0
     state: EntryState = EntryState.QUEUED
     started_s: float = 0.0
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/admission/fair_queue.py
+++ b/src/papayatack/core/admission/fair_queue.py
@@ -83,6 +83,11 @@
         """Number of flows held in memory."""
         return len(self._flows)
 
+    @property
+    def backlog(self) -> float:
+        """Queued work, in slot-seconds."""
+        return self._backlog
+
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Apply new weights; queued requests keep their positions."""
         self._weights = {SHARED_FLOW: 1.0, **weights}
--- a/src/papayatack/proxy/decisions.py
+++ b/src/papayatack/proxy/decisions.py
@@ -68,6 +68,7 @@
             route=request.route if request is not None else "",
             remaining_ms=_to_ms(request.remaining_s) if request is not None else None,
             target_ms=_read_target_ms(request),
+            rank=request.rank if request is not None else None,
             reason=refusal.kind.value,
             detail=refusal.detail,
             outcome=error_response.outcome.value,
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -31,6 +31,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.attempts import MAX_REPLAY_BYTES, AttemptRunner
 from papayatack.proxy.buffering import buffer_body
+from papayatack.proxy.call_ranks import CallRanks
 from papayatack.proxy.classification import Classifier, RequestClassifier
 from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.decisions import RequestLog
@@ -90,6 +91,7 @@
         )
         self._forwarder = Forwarder(idempotent=self._idempotent, peers=peers)
         self._decisions = RequestLog()
+        self._call_ranks = CallRanks()
         self._work_times = WorkTimes()
         self._attempts = AttemptRunner(
             ownership=ownership,
@@ -189,10 +191,18 @@
     def _find_parent(self, peer_request: PeerRequest) -> Run | None:
         """Return the run at the local upstream that waits for a request, if any.
 
-        An id that only looks like that of a call finds none.
+        The request then has the rank of that run. An id that only looks like that of a
+        call finds none.
         """
         parent_id = self._dialect.read_parent_id(peer_request.request_id)
-        return self._local.crashes.find_run(parent_id) if parent_id else None
+        if not parent_id:
+            return None
+        parent = self._local.crashes.find_run(parent_id)
+        if parent is None:
+            self._call_ranks.limit(peer_request)
+        else:
+            self._call_ranks.apply(peer_request, parent.peer_request)
+        return parent
 
     def _note_call(
         self, parent: Run, call: PeerRequest, result: Result[Response, Refusal]
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -115,6 +115,7 @@
             cost=admission_request.cost,
             deadline_s=admission_request.deadline_s,
             target_s=admission_request.target_s,
+            rank=admission_request.rank,
         )
         waiter: asyncio.Future[Result[Permit, Refusal]] = loop.create_future()
         self._waiters[entry] = waiter
@@ -304,11 +305,13 @@
 @_count_decision.register
 def _count_admission(decision: Admitted, metrics: Metrics) -> None:
     metrics.count("admissions", decision.entry.request_class)
+    metrics.count("admissions_by_rank", str(decision.entry.rank))
 
 
 @_count_decision.register
 def _count_refusal(decision: Refused, metrics: Metrics) -> None:
     metrics.count("admission_refusals", decision.refusal.kind)
+    metrics.count("admission_refusals_by_rank", str(decision.entry.rank))
 
 
 def _parse_error(error: str) -> ErrorKind:
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -42,6 +42,10 @@
         self.assertEqual(fields["route"], "r-desk")
         self.assertEqual((fields["remaining_ms"], fields["target_ms"]), (2000, 300))
 
+    def test_line_has_rank(self):
+        self.assertEqual(self.log_refusal(build_request(rank=2))["rank"], 2)
+        self.assertIsNone(self.log_refusal(None)["rank"])
+
     def test_request_without_target_or_route(self):
         fields = self.log_refusal(build_request())
         self.assertEqual((fields["route"], fields["target_ms"]), ("", None))
--- a/tests/proxy/test_gate.py
+++ b/tests/proxy/test_gate.py
@@ -188,6 +188,8 @@
             self.assertEqual(
                 metrics.read_count("admission_refusals", "deadline-expired"), 1
             )
+            self.assertEqual(metrics.read_count("admissions_by_rank", "0"), 1)
+            self.assertEqual(metrics.read_count("admission_refusals_by_rank", "0"), 1)
 
         run(scenario())
 
