--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from papayatack.core.admission.class_state import ClassState
+from papayatack.core.admission.cold_limit import ColdLimit
 from papayatack.core.admission.concurrency_limit import (
     POLL_INTERVAL_S,
     ConcurrencyLimit,
@@ -48,6 +49,10 @@
         limits: Capacity of the upstream.
         partners: Partners of the inventory with their weights.
         rng: Source of the jitter of suggested retry delays.
+
+    Attributes:
+        limits: Capacity of the upstream.
+        cold_limit: Limit on the requests that the upstream gets while it is cold.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
             least_share=limits.least_share,
         )
         self._rate_limit = RateLimit()
+        self.cold_limit = ColdLimit(now=now)
         self._headroom = Headroom(updated_s=now)
         self._queue_deadlines: KeyedHeap[QueueEntry] = KeyedHeap()
         self._outbox: list[AdmissionDecision] = []
@@ -104,6 +110,11 @@
         """Record the limit that a response of the upstream names, if any."""
         self._rate_limit.observe(now, requests_per_s)
 
+    def find_rate(self, now: float) -> float | None:
+        """Return the requests per second that the upstream takes, if it has a limit."""
+        limits = (self._rate_limit.requests_per_s, self.cold_limit.find_rate(now))
+        return min((limit for limit in limits if limit is not None), default=None)
+
     def get_class_state(self, request_class: RequestClass) -> ClassState:
         """Return the state of a class, for metrics."""
         return self._classes[request_class]
@@ -129,6 +140,7 @@
         """Begin a new slow start, because the upstream was restarted and is cold."""
         self._concurrency_limit.restart(now)
         self._rate_limit.clear()
+        self.cold_limit.restart(now)
 
     def offer(
         self,
@@ -196,6 +208,8 @@
             return
         self._record_load(now)
         entry.state = EntryState.ENDED
+        if not entry.is_sent:
+            self.cold_limit.give_back()
         state = self._classes[entry.request_class]
         state.in_use -= 1
         if error is ErrorKind.UPSTREAM_SHED:
@@ -206,6 +220,23 @@
         self._in_use -= 1
         state.queue.adjust(entry, (service_time_s or 0.0) - entry.charge)
 
+    def record_sent(self, now: float, entry: QueueEntry) -> None:
+        """Record that the request of an admitted entry is sent to the upstream."""
+        if entry.state is EntryState.RUNNING and not entry.is_sent:
+            entry.is_sent = True
+            self.cold_limit.record_sent(now)
+
+    def refuse_unreachable(self, now: float) -> None:
+        """Refuse the queued requests for which a cold upstream has no room in time."""
+        ahead = 0
+        for entry in self._queue_deadlines.list_keys():
+            room_s = self.cold_limit.find_room(now, ahead=ahead)
+            if room_s <= entry.queue_deadline_s:
+                ahead += 1
+                continue
+            self._remove_queued(entry)
+            self._refuse_cold(entry, room_s - now)
+
     def refuse_queued(self, refusal: Refusal) -> None:
         """Refuse all queued requests with the given refusal."""
         while (head := self._queue_deadlines.peek()) is not None:
@@ -217,7 +248,7 @@
         self._record_load(now)
         self._refuse_expired(now)
         limit = self._concurrency_limit.current_limit(now)
-        while self._in_use < limit and self._rate_limit.allows(now):
+        while self._in_use < limit and self._may_send(now):
             state = self._choose_class(limit)
             if state is None:
                 break
@@ -232,8 +263,8 @@
         if head is None:
             return None
         limit = self._concurrency_limit.current_limit(now)
-        if self._in_use < limit and not self._rate_limit.allows(now):
-            return min(head[0], self._rate_limit.find_next(now))
+        if self._in_use < limit and not self._may_send(now):
+            return min(head[0], self._find_next_send(now))
         if self._concurrency_limit.is_ramping(now) or self._in_use < limit:
             return min(head[0], now + POLL_INTERVAL_S)
         return head[0]
@@ -253,9 +284,11 @@
             entry.queue_deadline_s = entry.deadline_s
         else:
             slots = self._count_usable_slots(now, state)
+            cold_wait_s = self.cold_limit.find_room(now, ahead=self.queued) - now
             wait_s = max(
                 _estimate_wait(state, entry.flow, slots),
                 self._rate_limit.find_next(now) - now,
+                cold_wait_s,
             )
             max_wait_s = entry.queue_deadline_s - now
             wait_limit = state.get_wait_limit(entry.flow)
@@ -265,6 +298,9 @@
                 max_wait_s=max_wait_s,
                 min_limit_s=self._find_least_limit(state, entry, max_wait_s),
             ):
+                if wait_s == cold_wait_s > 0:
+                    self._refuse_cold(entry, wait_s)
+                    return
                 self._refuse(
                     entry,
                     ErrorKind.DEADLINE_UNREACHABLE,
@@ -299,10 +335,17 @@
         return (
             not len(state.queue)
             and self._in_use < limit
-            and self._rate_limit.allows(now)
+            and self._may_send(now)
             and state.in_use < self._max_class_slots(state, limit)
         )
 
+    def _may_send(self, now: float) -> bool:
+        return self._rate_limit.allows(now) and self.cold_limit.allows(now)
+
+    def _find_next_send(self, now: float) -> float:
+        """Return the time at which the limits permit the next request."""
+        return max(self._rate_limit.find_next(now), self.cold_limit.find_room(now))
+
     def _drop_from_longest_queue(
         self, state: ClassState, entry: QueueEntry, slots: float
     ) -> None:
@@ -364,6 +407,7 @@
         state.in_use += 1
         self._in_use += 1
         self._rate_limit.take(now)
+        self.cold_limit.reserve()
         self._outbox.append(Admitted(entry=entry))
 
     def _refuse_expired(self, now: float) -> None:
@@ -371,6 +415,10 @@
         while (head := self._queue_deadlines.peek()) is not None and head[0] <= now:
             entry = head[1]
             self._remove_queued(entry)
+            if not self.cold_limit.allows(now):
+                room_s = self.cold_limit.find_room(now, ahead=self.queued)
+                self._refuse_cold(entry, room_s - now)
+                continue
             state = self._classes[entry.request_class]
             slots = self._count_usable_slots(now, state)
             wait_s = _estimate_wait(state, entry.flow, slots)
@@ -386,6 +434,10 @@
         self._classes[entry.request_class].queue.remove(entry)
         self._queue_deadlines.remove(entry)
 
+    def _refuse_cold(self, entry: QueueEntry, wait_s: float) -> None:
+        detail = f"the limit for cold upstreams has room in {wait_s:.3f} s"
+        self._refuse(entry, ErrorKind.UPSTREAM_COLD, detail, wait_s)
+
     def _refuse(
         self,
         entry: QueueEntry,
--- a/src/papayatack/core/admission/entry.py
+++ b/src/papayatack/core/admission/entry.py
@@ -34,6 +34,7 @@
         work_ahead: Charges queued in its flow on submission, in slot-seconds.
         state: Current stage.
         started_s: Time at which the request got its slot.
+        is_sent: Whether the request was sent to the upstream.
     """
 
     number: int
@@ -47,6 +48,7 @@
     work_ahead: float = 0.0
     state: EntryState = EntryState.QUEUED
     started_s: float = 0.0
+    is_sent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from papayatack.core.admission.cold_limit import ColdBounds
 from papayatack.core.inventory import RequestClass
 
 __all__ = ["DEFAULT_CLASS_SHARES", "AdmissionLimits"]
@@ -36,6 +37,7 @@
         ramp_s: Duration of the slow start after the upstream starts, in seconds.
         least_share: Minimum share of the slots that remain usable, however many
             requests the upstream sheds.
+        cold: What the upstream bears while it is cold; ``None`` if that is not limited.
     """
 
     slots: int = 14
@@ -46,6 +48,7 @@
     queue_per_slot: int = QUEUE_PER_SLOT
     ramp_s: float = RAMP_S
     least_share: float = 0.0
+    cold: ColdBounds | None = None
 
     @property
     def usable_slots(self) -> int:
--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -56,6 +56,7 @@
     UPSTREAM_DRAINING = "upstream-draining"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_EJECTED = "upstream-ejected"
+    UPSTREAM_COLD = "upstream-cold"
     GRANT_REFUSED = "grant-refused"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_LOST = "peer-lost"
@@ -127,6 +128,7 @@
     ErrorKind.UPSTREAM_DRAINING: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_EJECTED: _not_run(503, _RETRY_REMEDY, retryable=True),
+    ErrorKind.UPSTREAM_COLD: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.GRANT_REFUSED: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_LOST: _unknown(502, _CHECK_REMEDY),
--- a/src/papayatack/core/heap.py
+++ b/src/papayatack/core/heap.py
@@ -49,6 +49,10 @@
         """Remove ``key`` if it is present."""
         self._entries.pop(key, None)
 
+    def list_keys(self) -> list[Key]:
+        """Return all keys, in the order in which they were added."""
+        return list(self._entries)
+
     def peek(self) -> tuple[float, Key] | None:
         """Return the smallest priority and its key, or ``None`` if empty."""
         while self._heap:
--- a/src/papayatack/core/load_balancer.py
+++ b/src/papayatack/core/load_balancer.py
@@ -41,6 +41,9 @@
 DEFAULT_LATENCY_S = 0.01
 """Latency in seconds that is assumed before any measurement."""
 
+MAX_PAUSE_S = 2.0
+"""Longest time in seconds for which a node is avoided because its upstream is cold."""
+
 MAX_DRAWS = 4
 """Random draws to find two usable nodes, before all nodes are compared."""
 
@@ -48,6 +51,7 @@
     ErrorKind.UPSTREAM_SHED,
     ErrorKind.QUEUE_FULL,
     ErrorKind.DEADLINE_UNREACHABLE,
+    ErrorKind.UPSTREAM_COLD,
 }
 """Errors that temporarily make a node less likely to be chosen."""
 
@@ -63,6 +67,7 @@
     error_rate_updated_s: float = 0.0
     reported_load: float = 0.0
     reported_s: float = float("-inf")
+    paused_until_s: float = float("-inf")
 
     def decayed_error_rate(self, now: float) -> float:
         """Return the share of recent requests that were refused or failed."""
@@ -110,7 +115,7 @@
             health: Determines which nodes are usable.
             repeatable: Whether the request may be run more than once.
             excluded: Nodes that have already been tried for this request; used only if
-                there is no other.
+                there is no other, like those whose upstream is cold.
         """
 
         def is_usable(node: Node) -> bool:
@@ -118,7 +123,12 @@
                 now, node, repeatable=repeatable
             )
 
-        node = self._pick(now, local_nodes, remote_nodes, is_usable)
+        def is_preferred(node: Node) -> bool:
+            return not self.is_paused(now, node) and is_usable(node)
+
+        node = self._pick(now, local_nodes, remote_nodes, is_preferred)
+        if node is None:
+            node = self._pick(now, local_nodes, remote_nodes, is_usable)
         if node is None and excluded:
             tried = [node for node in (*local_nodes, *remote_nodes) if node in excluded]
             return self.choose(
@@ -134,15 +144,36 @@
         """Record that a request was sent to the node."""
         self._find_stats(node).in_flight += 1
 
+    def is_paused(self, now: float, node: Node) -> bool:
+        """Return whether the node had no room for requests to its cold upstream."""
+        stats = self._stats.get(node)
+        return stats is not None and now < stats.paused_until_s
+
     def finish_request(
-        self, now: float, node: Node, *, latency_s: float, error: ErrorKind | None
+        self,
+        now: float,
+        node: Node,
+        *,
+        latency_s: float,
+        error: ErrorKind | None,
+        retry_after_s: float | None = None,
     ) -> None:
-        """Record the result of a request to the node."""
+        """Record the result of a request to the node.
+
+        Args:
+            now: The current time.
+            node: The node.
+            latency_s: How long the request took.
+            error: Why it failed, ``None`` if it did not.
+            retry_after_s: Seconds after which a refused request may succeed.
+        """
         stats = self._find_stats(node)
         stats.in_flight = max(0, stats.in_flight - 1)
         if error is ErrorKind.CALLER_LEFT:
             return
         self._record_error(now, stats, 1.0 if error in PENALISED_ERRORS else 0.0)
+        if error is ErrorKind.UPSTREAM_COLD:
+            stats.paused_until_s = now + min(retry_after_s or 0.0, MAX_PAUSE_S)
         if error is None:
             self._record_latency(now, stats, latency_s)
 
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -7,6 +7,7 @@
 
 from papayatack.ctl.watch import WatchReport
 from papayatack.wire.answers import (
+    ColdnessEntry,
     ConfigAnswer,
     ExplainAnswer,
     QuarantineAnswer,
@@ -103,6 +104,7 @@
         ("shards owned", answer.shards_owned),
         *(_describe_share(entry) for entry in answer.shares),
         ("in flight, queued", f"{answer.in_flight}, {answer.queue}"),
+        *_describe_coldness(answer.coldness),
         ("configuration", _describe_configuration(answer)),
         (
             "offsets",
@@ -127,6 +129,17 @@
     )
 
 
+def _describe_coldness(entry: ColdnessEntry | None) -> list[tuple[str, str]]:
+    """Return a row that tells whether the upstream is cold, if that matters."""
+    if entry is None:
+        return []
+    text = "warm"
+    if entry.is_cold:
+        text = f"cold for {entry.remaining_ms / 1000:.1f} s more"
+    news = f"{entry.source} {entry.age_ms / 1000:.1f} s ago"
+    return [("upstream", f"{text} ({news}), room for {entry.room} requests")]
+
+
 def _describe_configuration(answer: StatusAnswer) -> str:
     """Return the version in force, and when no newer one was known for certain."""
     text = f"version {answer.config_version}"
--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -5,7 +5,11 @@
 from typing import Protocol
 
 from papayatack.control.node import ControlNode
-from papayatack.core.admission import DEFAULT_CLASS_SHARES, AdmissionLimits
+from papayatack.core.admission import (
+    DEFAULT_CLASS_SHARES,
+    AdmissionLimits,
+    ColdBounds,
+)
 from papayatack.core.inventory import Configuration, Service
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.settings import LimitSettings
@@ -13,9 +17,17 @@
 from papayatack.network.limits import CallerLimits
 from papayatack.proxy.gate import AdmissionGate
 
-__all__ = ["build_caller_limits", "find_admission_limits", "follow_limits"]
+__all__ = [
+    "apply_admission_limits",
+    "build_caller_limits",
+    "find_admission_limits",
+    "follow_limits",
+]
 
 FOLLOW_INTERVAL_S = 0.25
+START_INTERVAL_S = 0.05
+"""Interval in seconds while the service of the upstream is not yet known."""
+
 SPARE_CONNECTIONS = 4
 """Left for whoever else asks the upstream how it is."""
 
@@ -53,7 +65,7 @@
 
 
 def find_admission_limits(
-    configuration: Configuration, upstream: AnnouncedUpstream
+    configuration: Configuration, upstream: AnnouncedUpstream, settings: LimitSettings
 ) -> AdmissionLimits:
     """Return the tighter of what the inventory and the upstream say."""
     service = _find_service(configuration, upstream.service)
@@ -65,9 +77,22 @@
         ramp_s=service.ramp_s,
         least_share=service.least_share,
         class_shares=service.shares or DEFAULT_CLASS_SHARES,
+        cold=_find_cold_bounds(service, settings),
     )
 
 
+def apply_admission_limits(
+    configuration: Configuration,
+    gate: AdmissionGate,
+    upstream: AnnouncedUpstream,
+    settings: LimitSettings,
+) -> AdmissionLimits:
+    """Put the limits of an upstream in force, and return them."""
+    limits = find_admission_limits(configuration, upstream, settings)
+    gate.configure(limits=limits, partners=configuration.partners)
+    return limits
+
+
 async def follow_limits(
     control: ControlNode,
     gate: AdmissionGate,
@@ -84,10 +109,25 @@
             seen = now
             callers.limits = build_caller_limits(settings, configuration)
             if holder.current is not None:
-                limits = find_admission_limits(configuration, holder.current)
-                gate.configure(limits=limits, partners=configuration.partners)
+                limits = apply_admission_limits(
+                    configuration, gate, holder.current, settings
+                )
                 holder.limit_connections(max(1, limits.connections - SPARE_CONNECTIONS))
-        await asyncio.sleep(FOLLOW_INTERVAL_S)
+        is_known = holder.current is not None and _find_service(
+            configuration, holder.current.service
+        )
+        await asyncio.sleep(FOLLOW_INTERVAL_S if is_known else START_INTERVAL_S)
+
+
+def _find_cold_bounds(service: Service, settings: LimitSettings) -> ColdBounds | None:
+    if not service.cold_requests_per_s:
+        return None
+    return ColdBounds(
+        requests_per_s=service.cold_requests_per_s,
+        start_s=service.cold_start_s,
+        overrun=settings.cold_overrun,
+        slack=settings.cold_slack,
+    )
 
 
 def _find_service(configuration: Configuration, name: str) -> Service | None:
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -30,7 +30,11 @@
     StandaloneEnvironment,
     split_address,
 )
-from papayatack.daemon.limits import build_caller_limits, follow_limits
+from papayatack.daemon.limits import (
+    apply_admission_limits,
+    build_caller_limits,
+    follow_limits,
+)
 from papayatack.daemon.operators import OperatorEndpoint, ServingParts
 from papayatack.daemon.readiness import ReadinessEndpoint
 from papayatack.daemon.settings import LimitSettings, Settings
@@ -213,7 +217,9 @@
             metrics=self._metrics,
             ejects_upstream=self._environment.ejects_upstream,
         )
-        control.read_limit = lambda: admission.requests_per_s
+        control.read_limit = lambda: admission.find_rate(
+            asyncio.get_running_loop().time()
+        )
         engine = self._build_engine(control, gate)
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
@@ -226,8 +232,11 @@
             sink=sink,
             build_pool=self._build_pool,
             drain_s=self._settings.limits.upstream_drain_s,
+            limit=lambda upstream: apply_admission_limits(
+                control.config.configuration, gate, upstream, self._settings.limits
+            ),
         )
-        self._endpoint.parts = self._build_parts(announcement, control, admission)
+        self._endpoint.parts = self._build_parts(announcement, control, admission, gate)
         works = (
             control.run(),
             keeper.run(),
@@ -376,6 +385,7 @@
         announcement: Announce,
         control: ControlNode,
         admission: AdmissionController,
+        gate: AdmissionGate,
     ) -> ServingParts:
         declarer = Appender(
             log=self._environment.log,
@@ -389,6 +399,7 @@
             publisher=self._environment.build_publisher(control, self._incarnation),
             declarer=declarer,
             read_load=lambda: (admission.in_use, admission.queued),
+            describe_coldness=gate.cold.describe,
         )
 
     def _build_server(
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.control.node import ControlNode
+from papayatack.core.admission import ColdState
 from papayatack.core.identity import IncarnationId
 from papayatack.core.records import Announce, DeclareLost
 from papayatack.daemon.publication_answer import PublicationStatus
@@ -61,6 +62,7 @@
         publisher: Appends publications, ``None`` if they are made elsewhere.
         declarer: Appends to the ownership stream.
         read_load: Returns the requests in flight and those that wait.
+        describe_coldness: Returns whether the upstream is cold.
     """
 
     announcement: Announce
@@ -68,6 +70,7 @@
     publisher: "Publisher | None"
     declarer: Appender
     read_load: Callable[[], tuple[int, int]]
+    describe_coldness: Callable[[], ColdState]
 
 
 class _PublishRequest(pydantic.BaseModel, defer_build=True):
@@ -153,6 +156,7 @@
             now=asyncio.get_running_loop().time(),
             in_flight=in_flight,
             queue=queue,
+            coldness=parts.describe_coldness(),
         )
         return reply_json(200, status.model_dump())
 
--- a/src/papayatack/daemon/settings.py
+++ b/src/papayatack/daemon/settings.py
@@ -108,6 +108,9 @@
             what is in flight may end.
         drain_notice_s: Seconds at its beginning in which callers are served as ever.
         upstream_drain_s: Seconds for which a leaving upstream still gets requests.
+        cold_overrun: Ratio of the requests that a cold upstream may get in any second
+            to those that its service names.
+        cold_slack: Requests that it may get in any second beyond that.
     """
 
     header_bytes: int = pydantic.Field(default=16_384, ge=1_024, le=1_048_576)
@@ -118,6 +121,8 @@
     drain_timeout_s: float = pydantic.Field(default=30.0, gt=0)
     drain_notice_s: float = pydantic.Field(default=0.0, ge=0)
     upstream_drain_s: float = pydantic.Field(default=2.0, ge=0)
+    cold_overrun: float = pydantic.Field(default=1.0, gt=0)
+    cold_slack: float = pydantic.Field(default=0.0, ge=0)
 
 
 class LoggingSettings(_Section):
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from papayatack.control.node import ControlNode
+from papayatack.core.admission import ColdState
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.lease_holder import LeaseHolder
 from papayatack.core.ownership.state import Chain, Member, OwnershipState
@@ -13,6 +14,7 @@
 from papayatack.core.records import Announce
 from papayatack.core.shards import locate_shard
 from papayatack.wire.answers import (
+    ColdnessEntry,
     ExplainAnswer,
     Holder,
     LeaseState,
@@ -35,6 +37,7 @@
     now: float,
     in_flight: int,
     queue: int,
+    coldness: ColdState,
 ) -> StatusAnswer:
     """Return the state of this node.
 
@@ -44,6 +47,7 @@
         now: Event loop time, in seconds.
         in_flight: Requests that its upstream runs now.
         queue: Requests that wait for a slot.
+        coldness: Whether its upstream is cold.
     """
     core = control.core
     state = core.state
@@ -78,6 +82,19 @@
         nodes=[_describe_member(control, member) for member in state.members.values()],
         in_flight=in_flight,
         queue=queue,
+        coldness=_describe_coldness(coldness),
+    )
+
+
+def _describe_coldness(state: ColdState) -> ColdnessEntry | None:
+    if not state.is_limited:
+        return None
+    return ColdnessEntry(
+        is_cold=state.is_cold,
+        source=state.source.value,
+        remaining_ms=int(state.remaining_s * MILLISECONDS),
+        age_ms=int(state.age_s * MILLISECONDS),
+        room=state.room,
     )
 
 
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -34,6 +34,7 @@
         sink: Tells it its grants.
         build_pool: Returns connections to an upstream.
         drain_s: Seconds for which a leaving upstream still gets requests.
+        limit: Puts the limits of an upstream in force before it gets requests.
 
     Attributes:
         current: The upstream in service, ``None`` while there is none.
@@ -49,6 +50,7 @@
         sink: GrantSink,
         build_pool: Callable[[AnnouncedUpstream], UpstreamPool],
         drain_s: float,
+        limit: Callable[[AnnouncedUpstream], object] | None = None,
     ) -> None:
         self.current: AnnouncedUpstream | None = None
         self._granted: AnnouncedUpstream | None = None
@@ -59,6 +61,7 @@
         self._sink = sink
         self._build_pool = build_pool
         self._drain_s = drain_s
+        self._limit = limit
         self._cut: asyncio.TimerHandle | None = None
 
     def limit_connections(self, connections: int) -> None:
@@ -109,6 +112,9 @@
 
     def _connect(self, upstream: AnnouncedUpstream) -> None:
         self._retire_pool(has_ended=True)
+        if self._limit is not None:
+            self._limit(upstream)
+        self._gate.restart()
         last, self._granted = self._granted, upstream
         if last is not None:
             is_reborn = last.instance != upstream.instance
@@ -122,7 +128,6 @@
         self._engine.notify_leaving(
             functools.partial(self._environment.desk.note_leaving, upstream.instance)
         )
-        self._gate.restart()
         self._control.handle_upstream_restart()
 
     def _start_leaving(self, upstream: AnnouncedUpstream) -> None:
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -20,6 +20,7 @@
 from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
 from papayatack.network.limits import PeerLimits, UpstreamLimits
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.coldness import ColdnessChecker
 from papayatack.platform.fields import REQUEST_FIELDS, PlatformDialect
 from papayatack.platform.grants import RangeGrantClient
 from papayatack.platform.heartbeats import HeartbeatReceiver
@@ -146,11 +147,13 @@
     def follow(self, control: ControlNode, gate: AdmissionGate) -> list[Awaitable]:
         """Return the tasks to run beside the node.
 
-        There are none, because heartbeats report the state of the upstream. The store
-        can restore its history from the node's records from now on.
+        The store can restore its history from the node's records from now on.
         """
         self.log.serve_history(control.applied_records)
-        return []
+        checker = ColdnessChecker(
+            watch=gate.cold, desk=self.desk, find_health_path=self._find_health_path
+        )
+        return [checker.run()]
 
     def _find_health_path(self) -> str:
         """Return the path of the upstream's health check, empty while unknown."""
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -17,12 +17,14 @@
 from papayatack.proxy.route_classifier import HeaderNames
 
 __all__ = [
+    "COLD",
     "REQUEST_FIELDS",
     "HANDOVER",
     "INSTANCE",
     "LOAD",
     "NOT_EXECUTED",
     "PlatformDialect",
+    "parse_ms",
 ]
 
 MS_PER_S = 1000
@@ -37,6 +39,7 @@
 LEAVING = b"1"
 INSTANCE = b"papayatack-instance-id"
 HANDOVER = b"papayatack-handover"
+COLD = b"papayatack-cold-ms"
 CONTENT_ENCODING = b"content-encoding"
 
 REQUEST_FIELDS = HeaderNames(
@@ -47,7 +50,7 @@
     reserved=frozenset({EXPECTED_INSTANCE}),
 )
 _SIGNAL_NAMES = frozenset({*LIMIT_NAMES, *LEAVING_NAMES})
-_INTERNAL_HEADERS = _SIGNAL_NAMES | {LOAD, INSTANCE, NOT_EXECUTED, HANDOVER}
+_INTERNAL_HEADERS = _SIGNAL_NAMES | {LOAD, INSTANCE, NOT_EXECUTED, HANDOVER, COLD}
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _NO_SIGNALS = UpstreamSignals()
 
@@ -151,6 +154,13 @@
         return response
 
 
+def parse_ms(value: bytes | None) -> float | None:
+    """Return milliseconds as seconds, ``None`` if absent or malformed."""
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return float(value) / MS_PER_S
+
+
 def _parse_limit(value: bytes) -> float | None:
     """Return a limit in requests per second, ``None`` if malformed."""
     number = float(value) if _DECIMAL.fullmatch(value) else 0.0
--- a/src/papayatack/platform/health_check.py
+++ b/src/papayatack/platform/health_check.py
@@ -1,15 +1,16 @@
-"""Asks the upstream's health check which lifetime answers, and whether it is ready."""
+"""Asks the upstream's health check which lifetime answers, and how it is."""
 
+import asyncio
 import http
 
 import h11
 
 from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
 from papayatack.network.exchanges import Headers, find_header
-from papayatack.platform.fields import INSTANCE, LOAD, NOT_EXECUTED
+from papayatack.platform.fields import COLD, INSTANCE, LOAD, NOT_EXECUTED, parse_ms
 from papayatack.platform.lifetimes import Identity
 
-__all__ = ["check_health"]
+__all__ = ["HealthClient", "check_health"]
 
 TIMEOUT_S = 0.3
 MAX_RESPONSE_BYTES = 16 * 1024
@@ -17,6 +18,9 @@
 SLOTS_FIELD = 2
 """Position of the slots in a reported load."""
 
+REUSE_S = 1.5
+"""Time in seconds for which an unused connection is kept: upstreams close idle ones."""
+
 
 async def check_health(address: str, path: str) -> Identity | None:
     """Return what the health check at ``<ip>:<port>`` says.
@@ -25,18 +29,46 @@
         ``None`` if there is no answer, or if it names no lifetime or refuses the check
         like any other request.
     """
-    host, _, port = address.rpartition(":")
-    client = HttpClient(
-        host=host, port=int(port), max_response_bytes=MAX_RESPONSE_BYTES
-    )
-    call = HttpCall(method="GET", target=path)
+    client = HealthClient(address=address)
     try:
-        status, _, headers = await client.call_with_headers(call, timeout_s=TIMEOUT_S)
-    except (OSError, h11.ProtocolError, ResponseError):
-        return None
+        return await client.check(path)
     finally:
         await client.close()
-    return _read_identity(status, headers)
+
+
+class HealthClient:
+    """Asks one upstream's health check repeatedly, on a connection that is kept.
+
+    Args:
+        address: ``<ip>:<port>`` of the upstream.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._client = HttpClient(
+            host=host, port=int(port), max_response_bytes=MAX_RESPONSE_BYTES
+        )
+        self._used_s = float("-inf")
+
+    async def check(self, path: str) -> Identity | None:
+        """Return what the health check says, as :func:`check_health` does."""
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._used_s >= REUSE_S:
+            await self._client.close()
+        call = HttpCall(method="GET", target=path)
+        try:
+            status, _, headers = await self._client.call_with_headers(
+                call, timeout_s=TIMEOUT_S
+            )
+        except (OSError, h11.ProtocolError, ResponseError):
+            return None
+        self._used_s = loop.time()
+        return _read_identity(status, headers)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
 
 
 def _read_identity(status: int, headers: Headers) -> Identity | None:
@@ -47,6 +79,7 @@
         instance=instance,
         is_ready=status == http.HTTPStatus.OK,
         slots=_read_slots(find_header(headers, LOAD) or b""),
+        cold_s=parse_ms(find_header(headers, COLD)),
     )
 
 
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -74,6 +74,11 @@
         address: Address of the local upstream.
         find_health_path: Returns the path of its health check, empty while unknown.
         check: Asks the health check at an address and path.
+
+    Attributes:
+        on_report: Called with the seconds for which the running upstream says in a
+            heartbeat that it stays cold.
+        on_suspicion: Called when the upstream does not accept a connection.
     """
 
     def __init__(
@@ -86,6 +91,8 @@
         find_health_path: Callable[[], str],
         check: Callable[[str, str], Awaitable[Identity | None]] = check_health,
     ) -> None:
+        self.on_report: Callable[[float], None] | None = None
+        self.on_suspicion: Callable[[], None] | None = None
         self._find_health_path = find_health_path
         self._check = check
         self._metrics = metrics
@@ -100,6 +107,11 @@
         )
         self._published: Lifetime | None = None
 
+    @property
+    def running(self) -> Lifetime | None:
+        """The lifetime in service, ``None`` while none is known."""
+        return self._lifetimes.running
+
     def note_manifest(self) -> None:
         """Look for the path of the health check in a new manifest."""
         self._wakeup.set()
@@ -112,6 +124,8 @@
         """Have the upstream probed at once, since it accepts no connections."""
         self._is_suspected = True
         self._wakeup.set()
+        if self.on_suspicion is not None:
+            self.on_suspicion()
 
     def note_leaving(self, instance: str) -> None:
         """Record that an upstream is leaving; it still serves for a while."""
@@ -158,6 +172,8 @@
         self._metrics.count("heartbeats", result.value)
         if result is not ReportResult.TAKEN:
             self._wakeup.set()
+        elif self.on_report is not None:
+            self.on_report(heartbeat.status.cold_remaining)
         self._publish()
 
     async def watch(self) -> None:
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -54,11 +54,13 @@
         instance: Its id.
         is_ready: Whether it considers itself healthy and does not leave.
         slots: Requests that it runs at once, 0 if it does not say so.
+        cold_s: Seconds for which it stays cold, ``None`` if it does not say so.
     """
 
     instance: str
     is_ready: bool
     slots: int = 0
+    cold_s: float | None = None
 
 
 class ReportResult(enum.Enum):
--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -117,6 +117,8 @@
                 drain_timeout_s=drain_s - notice_s,
                 drain_notice_s=notice_s,
                 upstream_drain_s=max(bounds.drain - UPSTREAM_DRAIN_MARGIN_S, 0.1),
+                cold_overrun=bounds.cold_overrun or 1.0,
+                cold_slack=max(bounds.cold_slack, 0.0),
             ),
             logging=LoggingSettings(),
         )
--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -300,13 +300,17 @@
             _read_clock(), peer_request.service, route.incarnation
         )
         error: ErrorKind | None = ErrorKind.CALLER_LEFT
+        retry_after_s: float | None = None
         try:
             result = await self._forwarder.forward(
                 peer_request, route, deadline_s, late
             )
-            error = None if is_successful(result) else result.failure().kind
+            error = None
+            if not is_successful(result):
+                error = result.failure().kind
+                retry_after_s = result.failure().retry_after_s
         finally:
-            use.finish(_read_clock(), error)
+            use.finish(_read_clock(), error, retry_after_s=retry_after_s)
         return result
 
     def _find_route(self, series: _Series) -> Result[Route, Refusal]:
@@ -358,6 +362,8 @@
     peer_request = series.peer_request
     if _is_unknown(refusal) and not peer_request.repeatable:
         return "not-repeatable"
+    if refusal.kind is ErrorKind.UPSTREAM_COLD and peer_request.key:
+        return "owner-cold"
     if peer_request.crashes > MAX_CRASHES:
         return "upstream-crashed"
     if not series.body.rewindable:
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -21,6 +21,7 @@
 from papayatack.core.inventory import Partner
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
+from papayatack.proxy.cold_watch import ColdWatch
 from papayatack.proxy.interface import AdmissionRequest, Permit
 
 __all__ = ["AdmissionGate"]
@@ -44,6 +45,10 @@
         self._entry = entry
         self._attempt = attempt
 
+    def record_sent(self) -> None:
+        """Record that the request is sent to the upstream now."""
+        self._gate.record_sent(self._entry)
+
     def release(self, *, service_time_s: float, error: str | None = None) -> None:
         """Release the slot and report the service time and error of the request."""
         kind = None if error is None else _parse_error(error)
@@ -64,6 +69,9 @@
         rng: Adds jitter to the times of probes.
         ejects_upstream: Whether the gate ejects a failing upstream. Otherwise this is
             left to the component that monitors the upstream's heartbeats.
+
+    Attributes:
+        cold: Follows whether the upstream is cold.
     """
 
     def __init__(
@@ -88,6 +96,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s = 0.0
         self._closed = False
+        self.cold = ColdWatch(
+            limit=admission.cold_limit, metrics=metrics, on_change=self._apply_news
+        )
 
     async def acquire(
         self, admission_request: AdmissionRequest
@@ -129,6 +140,10 @@
             self._abandon(entry, waiter)
             raise
 
+    def record_sent(self, entry: QueueEntry) -> None:
+        """Record that the request of an admitted entry is sent to the upstream."""
+        self._admission.record_sent(asyncio.get_running_loop().time(), entry)
+
     def release(
         self,
         entry: QueueEntry,
@@ -172,12 +187,16 @@
         self, *, limits: AdmissionLimits, partners: Iterable[Partner]
     ) -> None:
         """Apply the limits and partners of a changed inventory."""
+        now = asyncio.get_running_loop().time()
         self._admission.configure(limits=limits, partners=partners)
-        self._process_queue(asyncio.get_running_loop().time())
+        self._admission.cold_limit.configure(now, limits.cold)
+        self._process_queue(now)
 
     def restart(self) -> None:
         """Begin a slow start, since the upstream has restarted and is cold."""
-        self._admission.restart(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._admission.restart(now)
+        self._process_queue(now)
 
     def close(self) -> None:
         """Refuse all queued and later requests, since the node is shutting down."""
@@ -204,9 +223,12 @@
         """Deliver admission decisions and set the timer for the next one."""
         if self._ejects_upstream:
             self._update_health(now)
+        if self.cold.update(now):
+            self._admission.refuse_unreachable(now)
         while decisions := self._admission.poll(now):
             for decision in decisions:
                 self._deliver(now, decision)
+        self.cold.ask_if_wanted(now)
         check_s = self._health.next_check() if self._ejects_upstream else None
         times_s = (self._admission.next_wakeup(now), check_s)
         wakeup_s = min((at_s for at_s in times_s if at_s is not None), default=None)
@@ -251,6 +273,9 @@
 
     def _wake(self) -> None:
         self._timer = None
+        self._apply_news()
+
+    def _apply_news(self) -> None:
         self._process_queue(asyncio.get_running_loop().time())
 
     def _refuse_waiting(self, refusal: Refusal) -> None:
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -132,6 +132,9 @@
 class Permit(Protocol):
     """A slot in use."""
 
+    def record_sent(self) -> None:
+        """Record that the request is sent to the upstream now."""
+
     def release(self, *, service_time_s: float, error: str | None = None) -> None:
         """Release the slot and report the service time and error of the request."""
 
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -232,6 +232,7 @@
             pool=upstream,
         )
         self.crashes.start(use.run)
+        use.permit.record_sent()
         use.left_s = deadline_s - now
         if attempt is not None:
             attempt.sent = True
--- a/src/papayatack/proxy/node_selector.py
+++ b/src/papayatack/proxy/node_selector.py
@@ -38,6 +38,8 @@
             return None
         route = self.last_choice[1]
         allowed = self.health.allows(now, route.incarnation, repeatable=repeatable)
+        if self.balancer.is_paused(now, route.incarnation):
+            return None
         return route if route in self.routes and allowed else None
 
     def update_routes(self, routes: tuple[Route, ...]) -> None:
@@ -70,12 +72,19 @@
     started_s: float
     finished: bool = False
 
-    def finish(self, now: float, error: ErrorKind | None) -> None:
+    def finish(
+        self,
+        now: float,
+        error: ErrorKind | None,
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
         """Record the outcome of the attempt; calls after the first have no effect.
 
         Args:
             now: The current time, in seconds.
             error: Why the attempt failed, ``None`` if it succeeded.
+            retry_after_s: Seconds after which a refused attempt may succeed.
         """
         if self.finished:
             return
@@ -85,7 +94,11 @@
         )
         latency_s = now - self.started_s
         self.nodes.balancer.finish_request(
-            now, self.incarnation, latency_s=latency_s, error=error
+            now,
+            self.incarnation,
+            latency_s=latency_s,
+            error=error,
+            retry_after_s=retry_after_s,
         )
 
 
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -7,6 +7,7 @@
 import pydantic
 
 __all__ = [
+    "ColdnessEntry",
     "ConfigAnswer",
     "ExplainAnswer",
     "Holder",
@@ -58,6 +59,16 @@
     slot_share: float = 0.0
 
 
+class ColdnessEntry(_Answer):
+    """Whether the upstream of a node is cold, if its service has a limit for that."""
+
+    is_cold: bool = False
+    source: str = ""
+    remaining_ms: int = 0
+    age_ms: int = 0
+    room: int = 0
+
+
 class StatusAnswer(_Answer):
     """The status of one node."""
 
@@ -79,6 +90,7 @@
     nodes: list[NodeEntry] = []
     in_flight: int = 0
     queue: int = 0
+    coldness: ColdnessEntry | None = None
 
 
 class VersionAnswer(_Answer):
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -56,6 +56,11 @@
         down_s: How long the upstream is away after a crash.
         crashes_s: Event loop times of its crashes.
         crashing_runs_s: Event loop times at which such requests began to run.
+        cold_start_s: How long it is cold after a start.
+        cold_until_s: Event loop time until which it says that it is cold.
+        reports_coldness: Whether heartbeats say so; the health check always does.
+        arrivals_s: Event loop times at which requests arrived and were not refused with
+            421, those of the health check included.
     """
 
     def __init__(self, *, instance: str, service: str, place: str) -> None:
@@ -80,6 +85,10 @@
         self.down_s = 1.5
         self.crashes_s: list[float] = []
         self.crashing_runs_s: list[float] = []
+        self.cold_start_s = 0.0
+        self.cold_until_s = -math.inf
+        self.reports_coldness = True
+        self.arrivals_s: list[float] = []
         self._restart: asyncio.Task[None] | None = None
         self.signals: tuple[tuple[bytes, bytes], ...] = ()
         self._place = place
@@ -99,8 +108,18 @@
 
     async def start(self) -> None:
         """Listen."""
+        self.become_cold(self.cold_start_s)
         await self._server.start()
 
+    def become_cold(self, duration_s: float) -> None:
+        """Be cold for some time."""
+        self.cold_until_s = asyncio.get_running_loop().time() + duration_s
+
+    def find_cold_ms(self) -> int:
+        """Return for how many milliseconds it stays cold."""
+        left_s = self.cold_until_s - asyncio.get_running_loop().time()
+        return max(0, math.ceil(left_s * MS_PER_S)) if left_s > 0 else 0
+
     async def stop(self) -> None:
         """Stop at once."""
         if self._restart is not None:
@@ -120,6 +139,7 @@
         await asyncio.sleep(self.down_s)
         self.instance = f"{self._first_instance}-{len(self.crashes_s)}"
         self._server = self._build_server(port)
+        self.become_cold(self.cold_start_s)
         await self._server.start()
 
     async def report(self, control_port: int) -> None:
@@ -132,6 +152,7 @@
     async def send_heartbeat(self, control_port: int, state: str) -> int:
         """Send one heartbeat; return the status."""
         self._sequence += 1
+        cold_ms = self.find_cold_ms() if self.reports_coldness else 0
         document = {
             "Address": self.address,
             "Info": {
@@ -140,7 +161,11 @@
                 "Zone": self._place,
                 "CapacitySlots": self.slots,
             },
-            "Status": {"State": state, "Seq": self._sequence, "ColdRemaining": "0ms"},
+            "Status": {
+                "State": state,
+                "Seq": self._sequence,
+                "ColdRemaining": f"{cold_ms}ms",
+            },
         }
         status, _ = await call(
             control_port,
@@ -174,9 +199,11 @@
             self.calls.append((request.target, json.loads(body)))
         match request.target:
             case b"/health" | b"/healthy":
+                self._note_arrival()
                 fields = (
                     (b"papayatack-instance-id", self.instance.encode()),
                     (b"papayatack-server-load", self.load),
+                    (b"papayatack-cold-ms", b"%d" % self.find_cold_ms()),
                 )
                 return _reply(200 if self.healthy else 503, fields=fields)
             case b"/grant":
@@ -246,6 +273,9 @@
         await asyncio.sleep(left_s)
         return _reply(500, fields=response.headers[:-1])
 
+    def _note_arrival(self) -> None:
+        self.arrivals_s.append(asyncio.get_running_loop().time())
+
     def _run(self, request: Request) -> Response:
         expected = find_header(request.headers, b"papayatack-expected-instance")
         key = find_header(request.headers, b"papayatack-shard-key")
@@ -259,6 +289,7 @@
             find_header(request.headers, b"papayatack-caller-service") or b""
         )
         self.runs.append(request_id.decode())
+        self._note_arrival()
         fields = (
             *self.signals,
             echoed,
--- a/tests/core/admission/test_controller.py
+++ b/tests/core/admission/test_controller.py
@@ -7,8 +7,10 @@
     AdmissionController,
     AdmissionLimits,
     Admitted,
+    ColdBounds,
     Refused,
 )
+from papayatack.core.admission.cold_limit import WINDOW_S
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.inventory import Partner, RequestClass
 
@@ -446,3 +448,75 @@
         offer(admission, now, within_s=1.0)
         ((_, kind),) = list_refused(admission.poll(now))
         self.assertIs(kind, ErrorKind.DEADLINE_UNREACHABLE)
+
+
+class ColdTests(unittest.TestCase):
+    """An upstream that takes few requests while it is cold."""
+
+    def setUp(self):
+        self.admission = build_admission(slots=20)
+        self.limit = self.admission.cold_limit
+        bounds = ColdBounds(requests_per_s=6.0, start_s=6.0, overrun=1.5, slack=8.0)
+        self.limit.configure(RAMPED_S, bounds)
+        self.answer(RAMPED_S, 60.0)
+
+    def answer(self, now, remaining_s):
+        """Ask the health check, which answers at once."""
+        self.limit.record_question(now)
+        self.limit.record_answer(now, asked_s=now, remaining_s=remaining_s)
+
+    def run_all(self, now, count, **fields):
+        """Offer requests; send those that are admitted. Return them."""
+        for _ in range(count):
+            offer(self.admission, now, **fields)
+        admitted = list_admitted(self.admission.poll(now))
+        for entry in admitted:
+            self.admission.record_sent(now, entry)
+        return admitted
+
+    def test_no_more_are_admitted_than_the_window_has_room_for(self):
+        now = RAMPED_S + 10.0
+        admitted = self.run_all(now, 15)
+        self.assertEqual(len(admitted), 9)
+        self.assertEqual(self.admission.queued, 6)
+        for entry in admitted:
+            self.admission.release(now + 0.1, entry, service_time_s=0.1)
+        self.assertEqual(self.admission.poll(now + 1.0), ())
+        wakeup_s = self.admission.next_wakeup(now + 1.0)
+        self.assertAlmostEqual(wakeup_s, now + WINDOW_S)
+        self.assertEqual(len(self.admission.poll(wakeup_s + 0.001)), 6)
+
+    def test_request_without_room_in_time_is_refused_at_once(self):
+        now = RAMPED_S + 10.0
+        self.run_all(now, 9)
+        offer(self.admission, now + 0.2, within_s=0.5)
+        (decision,) = self.admission.poll(now + 0.2)
+        self.assertIs(decision.refusal.kind, ErrorKind.UPSTREAM_COLD)
+        self.assertGreaterEqual(decision.refusal.retry_after_s, WINDOW_S - 0.2)
+        self.assertLessEqual(decision.refusal.retry_after_s, 2 * WINDOW_S)
+
+    def test_queue_that_has_no_room_is_refused_when_the_news_come(self):
+        now = RAMPED_S + 10.0
+        self.answer(now, 0.0)
+        admitted = self.run_all(now, 40, within_s=0.6)
+        self.assertEqual(len(admitted), 14)
+        self.answer(now + 0.1, 6.0)
+        self.admission.refuse_unreachable(now + 0.1)
+        refused = list_refused(self.admission.poll(now + 0.1))
+        kinds = {kind for _, kind in refused}
+        self.assertEqual(kinds, {ErrorKind.UPSTREAM_COLD})
+        self.assertEqual(self.admission.queued, 0)
+
+    def test_slot_that_is_released_unsent_gives_its_room_back(self):
+        now = RAMPED_S + 10.0
+        offer(self.admission, now)
+        (entry,) = list_admitted(self.admission.poll(now))
+        self.assertEqual(self.limit.count_room(now), 8)
+        self.admission.release(now, entry, service_time_s=None)
+        self.assertEqual(self.limit.count_room(now), 9)
+
+    def test_rate_for_the_planner_is_the_lower_one(self):
+        now = RAMPED_S + 10.0
+        self.assertEqual(self.admission.find_rate(now), 6.0)
+        self.admission.observe_limit(now, 3.0)
+        self.assertEqual(self.admission.find_rate(now), 3.0)
--- a/tests/core/test_load_balancer.py
+++ b/tests/core/test_load_balancer.py
@@ -125,3 +125,51 @@
         latencies_s = {"a": 0.02, "b": 0.02, "c": 0.02}
         wrong = serve(latencies_s, reports={"a": 0.0, "b": 0.0, "c": 1.0})
         self.assertGreater(wrong["c"], 0.8 * 4000 / 3)
+
+
+class ColdNodeTests(unittest.TestCase):
+    """Nodes that refuse requests because their upstream is cold."""
+
+    def setUp(self):
+        self.balancer = LoadBalancer(rng=random.Random(1))
+        self.health = HealthTracker(nodes="ab")
+
+    def choose(self, now, nodes="ab"):
+        """Return the node that is chosen."""
+        return self.balancer.choose(
+            now, local_nodes=nodes, remote_nodes=(), health=self.health
+        )
+
+    def refuse(self, now, node, retry_after_s):
+        """Let a node refuse a request."""
+        self.balancer.start_request(node)
+        self.balancer.finish_request(
+            now,
+            node,
+            latency_s=0.001,
+            error=ErrorKind.UPSTREAM_COLD,
+            retry_after_s=retry_after_s,
+        )
+
+    def test_node_is_not_chosen_before_it_has_room(self):
+        self.refuse(0.0, "a", 1.0)
+        chosen = [self.choose(step / 100) for step in range(100)]
+        self.assertEqual(set(chosen), {"b"})
+        chosen = [self.choose(10.0 + step / 100) for step in range(100)]
+        self.assertEqual(set(chosen), {"a", "b"})
+
+    def test_node_is_chosen_if_there_is_no_other(self):
+        self.refuse(0.0, "a", 1.0)
+        self.assertEqual(self.choose(0.1, "a"), "a")
+
+    def test_pause_is_bounded(self):
+        self.refuse(0.0, "a", 1e9)
+        chosen = [self.choose(60.0 + step / 100) for step in range(100)]
+        self.assertIn("a", chosen)
+
+    def test_far_node_goes_before_a_near_cold_one(self):
+        self.refuse(0.0, "a", 1.0)
+        node = self.balancer.choose(
+            0.1, local_nodes="a", remote_nodes="b", health=self.health
+        )
+        self.assertEqual(node, "b")
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -101,6 +101,25 @@
         self.assertEqual(status, ExitStatus.DONE)
         self.assertIn("shards owned", stdout)
 
+    def test_status_tells_whether_the_upstream_is_cold(self):
+        """Only for services with a limit for cold upstreams."""
+        document = make_status(self.endpoint.address)
+        self.endpoint.answer("GET", "/status", (200, document))
+        _, stdout, _ = self.run_command("status")
+        self.assertNotIn("cold", stdout)
+        document["coldness"] = {
+            "is_cold": True,
+            "source": "health-check",
+            "remaining_ms": 4200,
+            "age_ms": 1800,
+            "room": 3,
+        }
+        self.endpoint.answer("GET", "/status", (200, document))
+        _, stdout, _ = self.run_command("status")
+        self.assertIn(
+            "cold for 4.2 s more (health-check 1.8 s ago), room for 3 requests", stdout
+        )
+
     def test_not_a_node(self):
         """An endpoint of another program is named as such."""
         self.endpoint.answer("GET", "/status", (200, "<html>"))
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -6,7 +6,11 @@
 import unittest
 from unittest import mock
 
+from papayatack.core.admission import ColdBounds
+from papayatack.core.inventory import Configuration, Service
 from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
+from papayatack.daemon.limits import find_admission_limits
+from papayatack.daemon.settings import LimitSettings
 from papayatack.daemon.upstreams import UpstreamKeeper
 from papayatack.platform.grants import RangeGrantClient
 
@@ -17,6 +21,35 @@
 REBORN = dataclasses.replace(FIRST, instance="i-3")
 
 
+class StartTests(unittest.IsolatedAsyncioTestCase):
+    """An upstream that is put into service."""
+
+    async def test_limits_are_in_force_before_it_gets_requests(self):
+        """They are known when it counts as started, which is before it is reached."""
+        calls = []
+        queue = asyncio.Queue()
+        queue.put_nowait(FIRST)
+        engine = mock.Mock(upstream=None)
+        gate = mock.Mock()
+        gate.restart = lambda: calls.append(("start", engine.upstream))
+        desk = types.SimpleNamespace(
+            wait_changed=queue.get, suspect=None, note_leaving=mock.Mock()
+        )
+        keeper = UpstreamKeeper(
+            environment=mock.Mock(desk=desk),
+            control=mock.Mock(),
+            engine=engine,
+            gate=gate,
+            sink=RangeGrantClient(list_hot=list),
+            build_pool=lambda upstream: mock.Mock(),
+            drain_s=1.0,
+            limit=lambda upstream: calls.append((upstream, engine.upstream)),
+        )
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(keeper.run(), 0.05)
+        self.assertEqual(calls, [(FIRST, None), ("start", None)])
+
+
 class UpstreamKeeperTests(unittest.IsolatedAsyncioTestCase):
     """What is kept of an upstream's grants when another follows it."""
 
@@ -81,3 +114,23 @@
         self.assertEqual(await self.list_forgotten(FIRST, gone, SECOND), [{}])
         self.pools[0].retire.assert_called_once_with()
         self.pools[1].retire.assert_not_called()
+
+
+class ColdLimitTests(unittest.TestCase):
+    """Limits for cold upstreams, from the inventory and the settings."""
+
+    def find_limits(self, **fields):
+        """Return the limits of an upstream of a service."""
+        service = Service(name="desk", prefix="/desk", **fields)
+        settings = LimitSettings(cold_overrun=1.5, cold_slack=8.0)
+        return find_admission_limits(
+            Configuration(services=(service,)), FIRST, settings
+        )
+
+    def test_service_without_a_limit_has_no_bounds(self):
+        self.assertIsNone(self.find_limits(cold_start_s=6.0).cold)
+
+    def test_bounds_are_those_of_service_and_settings(self):
+        limits = self.find_limits(cold_start_s=6.0, cold_requests_per_s=6.0)
+        expected = ColdBounds(requests_per_s=6.0, start_s=6.0, overrun=1.5, slack=8.0)
+        self.assertEqual(limits.cold, expected)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -46,6 +46,8 @@
 [bounds]
 drain = 2000ms
 grace = 6s
+cold_overrun = 1.5
+cold_slack = 8
 [places]
 east = r
 west = r
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -119,6 +119,9 @@
     def __init__(self, gate):
         self._gate = gate
 
+    def record_sent(self):
+        """Ignore that the request is sent."""
+
     def release(self, *, service_time_s, error=None):
         """Count the release and record the error."""
         self._gate.released += 1
--- a/tests/running.py
+++ b/tests/running.py
@@ -18,6 +18,8 @@
     "tests.daemon",
     "tests.logservice",
     "tests.network",
+    "tests.platform.test_cold_process",
+    "tests.platform.test_coldness",
     "tests.platform.test_departures",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
