Count the limit of an upstream that has served nothing yet

A report without a service time said nothing of how many slots a limit on the requests per second keeps busy, so that an upstream that had just started cold counted with all its slots. Now the mean of its service is used.

Result: tests.control.test_planning; the effect on a fleet is not measured.

--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 from papayatack.control.pending import PlanWrite
@@ -305,12 +305,15 @@
         leaving = {
             name for name, (_, report) in self._reports.items() if report.leaving
         }
+        usual_s = self._find_service_times()
         nodes = []
         for member in state.list_live_members():
             lease = self._choose_lease(member, now)
             if lease is not None:
                 node = dataclasses.replace(
-                    self._describe_node(member, lease, now),
+                    self._describe_node(
+                        member, lease, now, usual_s.get(member.service, 0.0)
+                    ),
                     leaving=member.incarnation in leaving or self._has_ended(member),
                     doubtful=member.incarnation in suspects,
                 )
@@ -354,8 +357,17 @@
         newest = self._core.state.find_live_lease(member.incarnation)
         return newest is None or self._core.is_ended(newest)
 
+    def _find_service_times(self) -> dict[str, float]:
+        """Return the mean service time that the nodes of each service report."""
+        times: defaultdict[str, list[float]] = defaultdict(list)
+        for name, (_, report) in self._reports.items():
+            member = self._core.state.members.get(name)
+            if member is not None and report.service_s > 0:
+                times[member.service].append(report.service_s)
+        return {service: sum(found) / len(found) for service, found in times.items()}
+
     def _describe_node(
-        self, member: Member, lease: LeaseId, now: float
+        self, member: Member, lease: LeaseId, now: float, usual_s: float
     ) -> PlacementNode:
         _, report = self._reports.get(member.incarnation, (now, None))
         first = LeaseId(member.incarnation, 1)
@@ -367,7 +379,7 @@
             service=member.service,
             slots=member.slots,
             age_s=now - since_s,
-            max_busy=_find_max_busy(report),
+            max_busy=_find_max_busy(report, usual_s),
         )
 
     def _measure_age(
@@ -415,8 +427,14 @@
     return bool(entry.previous) and len(owners) == 1
 
 
-def _find_max_busy(report: LoadReport | None) -> float:
-    """Return how many slots the limit that an upstream names keeps busy."""
-    if report is None or report.requests_per_s <= 0 or report.service_s <= 0:
+def _find_max_busy(report: LoadReport | None, usual_s: float) -> float:
+    """Return how many slots the limit of an upstream keeps busy.
+
+    Args:
+        report: The node's report, if there is one.
+        usual_s: Service time at other nodes, for an upstream that has served nothing.
+    """
+    if report is None or report.requests_per_s <= 0:
         return math.inf
-    return report.requests_per_s * report.service_s
+    service_s = report.service_s if report.service_s > 0 else usual_s
+    return report.requests_per_s * service_s if service_s > 0 else math.inf
--- a/tests/control/test_planning.py
+++ b/tests/control/test_planning.py
@@ -8,6 +8,7 @@
 from papayatack.control.planning import PLANNER_FAILOVER_S, Planner, PlanningIntervals
 from papayatack.core.identity import LeaseId
 from papayatack.core.inventory import Configuration
+from papayatack.core.messages import LoadReport
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.state import OwnershipState
 from papayatack.core.placement.view import PlacementPlan
@@ -172,6 +173,47 @@
         self.assertEqual(self.read_term(0.5), 2)
 
 
+class UpstreamLimitTests(PlannerCase):
+    """How many slots of an upstream a limit on its requests per second leaves."""
+
+    def find_max_busy(self, *, requests_per_s, service_s):
+        """Return it for a report of this node."""
+        report = LoadReport(
+            incarnation=LOCAL,
+            busy=0.0,
+            shards=(),
+            hot_keys=(),
+            requests_per_s=requests_per_s,
+            service_s=service_s,
+        )
+        self.planner.receive_report(report, 0.0)
+        (node,) = [
+            node
+            for node in self.planner.build_view(0.0).nodes
+            if node.lease.incarnation == LOCAL
+        ]
+        return node.max_busy
+
+    def test_limit_times_service_time(self):
+        self.assertEqual(
+            self.find_max_busy(requests_per_s=0.0, service_s=0.2), math.inf
+        )
+        busy = self.find_max_busy(requests_per_s=6.0, service_s=0.2)
+        self.assertAlmostEqual(busy, 1.2)
+
+    def test_upstream_that_has_served_nothing_has_the_usual_service_time(self):
+        """It has just started, and its limit counts all the same."""
+        busy = self.find_max_busy(requests_per_s=6.0, service_s=0.0)
+        self.assertEqual(busy, math.inf)
+        self.apply(make_announcement("other", OTHER))
+        other = LoadReport(
+            incarnation=OTHER, busy=0.0, shards=(), hot_keys=(), service_s=0.1
+        )
+        self.planner.receive_report(other, 0.0)
+        busy = self.find_max_busy(requests_per_s=6.0, service_s=0.0)
+        self.assertAlmostEqual(busy, 0.6)
+
+
 class PlanOnceTests(PlannerCase):
     """The conditions under which a plan is due."""
 
