--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -263,7 +263,8 @@
         leaving: Whether the node is shutting down: it hands over its shards and accepts
             no others.
         service_s: Mean service time of its upstream in seconds; 0 if unknown.
-        requests_per_s: Limit that its upstream names; 0 if it names none.
+        requests_per_s: Limit that its upstream names, or bears while it is cold; 0 if
+            there is none.
     """
 
     incarnation: IncarnationId
--- a/src/papayatack/daemon/limits.py
+++ b/src/papayatack/daemon/limits.py
@@ -113,10 +113,11 @@
                     configuration, gate, holder.current, settings
                 )
                 holder.limit_connections(max(1, limits.connections - SPARE_CONNECTIONS))
-        is_known = holder.current is not None and _find_service(
-            configuration, holder.current.service
+        is_unknown = (
+            holder.current is not None
+            and _find_service(configuration, holder.current.service) is None
         )
-        await asyncio.sleep(FOLLOW_INTERVAL_S if is_known else START_INTERVAL_S)
+        await asyncio.sleep(START_INTERVAL_S if is_unknown else FOLLOW_INTERVAL_S)
 
 
 def _find_cold_bounds(service: Service, settings: LimitSettings) -> ColdBounds | None:
