--- a/src/papayatack/core/admission/entry.py
+++ b/src/papayatack/core/admission/entry.py
@@ -35,6 +35,7 @@
         state: Current stage.
         started_s: Time at which the request got its slot.
         rank: Its precedence; 0 is the highest.
+        is_sent: Whether the request was sent to the upstream.
     """
 
     number: int
@@ -49,6 +50,7 @@
     state: EntryState = EntryState.QUEUED
     started_s: float = 0.0
     rank: int = 0
+    is_sent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/running.py
+++ b/tests/running.py
@@ -19,6 +19,8 @@
     "tests.logservice",
     "tests.network",
     "tests.platform.test_crowds",
+    "tests.platform.test_cold_process",
+    "tests.platform.test_coldness",
     "tests.platform.test_departures",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
