--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -299,8 +299,18 @@
     def _start(self, exchange: CallerExchange) -> None:
         """Have a request handled."""
         self._check_arrival()
+        if exchange.parser.they_are_waiting_for_100_continue:
+            self._ask_on_read(exchange)
         exchange.task = self._loop.create_task(self._serve(exchange))
 
+    def _ask_on_read(self, exchange: CallerExchange) -> None:
+        """Ask for a body whose sender waits for that once the handler reads it."""
+        request = exchange.request
+        assert request is not None
+        request.body = ExpectContinueBody(
+            body=request.body, send=lambda: self._writer.send_continue(exchange)
+        )
+
     def expect_body(self, *, expected: bool) -> None:
         """Start or stop the timeout for the next bytes of a request body."""
         if expected:
@@ -354,7 +364,8 @@
         """Respond to one request, then continue with the next or close."""
         try:
             if exchange.refusal is None:
-                response = await self._call_handler(exchange)
+                await self._owner.starts.wait()
+                response = await call_handler(self._owner.handler, exchange)
             else:
                 response = self._refuse(exchange.refusal)
             exchange.response = response
@@ -384,18 +395,6 @@
         self._owner.metrics.count("requests_refused", refusal.kind.value)
         return build_error_response(refusal)
 
-    async def _call_handler(self, exchange: CallerExchange) -> Response:
-        request = exchange.request
-        assert request is not None
-        if exchange.parser.they_are_waiting_for_100_continue:
-            request.body = ExpectContinueBody(
-                body=request.body, send=lambda: self._writer.send_continue(exchange)
-            )
-        await self._owner.starts.wait()
-        return await call_handler(
-            self._owner.handler, request, arrived_s=exchange.arrived_s
-        )
-
     async def _wait_turn(self, exchange: CallerExchange, response: Response) -> None:
         """Wait until all earlier responses are written, and read ahead meanwhile."""
         if exchange.head_only:
--- a/src/papayatack/network/request_handling.py
+++ b/src/papayatack/network/request_handling.py
@@ -6,6 +6,7 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.bodies import IncompleteBodyError
+from papayatack.network.caller_exchange import CallerExchange
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import Request, Response
 from papayatack.observability.events import Event, log_event
@@ -18,17 +19,11 @@
 """Handles one request; raises nothing but ``CancelledError``."""
 
 
-async def call_handler(
-    handler: Handler, request: Request, *, arrived_s: float
-) -> Response:
-    """Return the handler's response, or one that says why there is none.
-
-    Args:
-        handler: The handler.
-        request: The request.
-        arrived_s: When the last byte of its head arrived.
-    """
-    request.waited_s = asyncio.get_running_loop().time() - arrived_s
+async def call_handler(handler: Handler, exchange: CallerExchange) -> Response:
+    """Return the handler's response, or one that says why there is none."""
+    request = exchange.request
+    assert request is not None
+    request.waited_s = asyncio.get_running_loop().time() - exchange.arrived_s
     try:
         return await handler(request)
     except IncompleteBodyError as error:
