Recognise an upstream that restarts under the id that it had

Cause: an upstream may start again with its id. It then knows nothing of before and counts its heartbeats anew. If the node did not notice the restart, its heartbeats counted as late: a leaving upstream went on getting requests, and grants that it had lost were not sent again until it refused requests.

Change: heartbeats tell the time of the start (born). A later one than that known for the id ends the running lifetime, so that the next is announced like any other start; an earlier one is late. A restart that the health check has shown first is not announced twice.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -62,6 +62,7 @@
     address: Address
     info: _Info
     status: _Status
+    born: Annotated[int, pydantic.Field(alias="born", ge=0)] = 0
 
 
 class HeartbeatReceiver:
@@ -165,6 +166,7 @@
             address=heartbeat.address,
             slots=heartbeat.info.capacity_slots,
             leaving=heartbeat.status.state == "draining",
+            born_ms=heartbeat.born,
         )
         result = self._lifetimes.note_report(
             lifetime, heartbeat.status.seq, _read_clock()
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -37,6 +37,8 @@
         address: Where it takes requests: ``<ip>:<port>``.
         slots: Requests that it runs at once.
         leaving: Whether it ends soon and gets no new work.
+        born_ms: Unix time of its start in milliseconds, 0 if it does not say so. It
+            tells lifetimes with the same id apart.
     """
 
     instance: str
@@ -44,6 +46,7 @@
     address: str
     slots: int
     leaving: bool = False
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +120,8 @@
         self._report_timeout_s = report_timeout_s
         self._candidates: dict[str, _Candidate] = {}
         self._sequences: dict[str, int] = {}
+        self._births_ms: dict[str, int] = {}
+        self._named_anew: str | None = None
         self._departed_s: dict[str, float] = {}
         self._confirmed_s = float("-inf")
         self._is_identity_wanted = True
@@ -136,7 +141,8 @@
     ) -> ReportResult:
         """Process a report; the sequence number orders those of one lifetime."""
         instance = lifetime.instance
-        if not self._is_newest(instance, sequence):
+        is_of_last_life = self._note_birth(instance, lifetime.born_ms)
+        if not is_of_last_life or not self._is_newest(instance, sequence):
             self._is_identity_wanted |= self.running is None
             return ReportResult.LATE
         if self.running is not None and self.running.instance == instance:
@@ -149,6 +155,23 @@
         self._start(lifetime, now)
         return ReportResult.TAKEN
 
+    def _note_birth(self, instance: str, born_ms: int) -> bool:
+        """Return whether a report is of the last known life with its id.
+
+        A report of a newer life ends the running one, unless the health check has shown
+        the restart before.
+        """
+        known_ms = self._births_ms.get(instance, born_ms)
+        _remember(self._births_ms, instance, max(born_ms, known_ms))
+        if born_ms > known_ms and self._named_anew != instance:
+            self._sequences.pop(instance, None)
+            self._departed_s.pop(instance, None)
+            if self.running is not None and self.running.instance == instance:
+                self.running = None
+        if born_ms > known_ms:
+            self._named_anew = None
+        return born_ms >= known_ms
+
     def _is_newest(self, instance: str, sequence: int) -> bool:
         """Record a sequence number; tell whether the report is still of interest."""
         known = self._sequences.get(instance)
@@ -228,6 +251,7 @@
             self._start(candidate.lifetime, now)
             return
         self._sequences.pop(identity.instance, None)
+        self._named_anew = identity.instance
         if identity.slots:
             lifetime = Lifetime(
                 instance=identity.instance,
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -82,9 +82,11 @@
     )
 
 
-def build_heartbeat(*, state="ready", seq=1, address="127.0.0.1:8080", slots=13):
+def build_heartbeat(
+    *, state="ready", seq=1, address="127.0.0.1:8080", slots=13, born=None
+):
     """Return the document of a heartbeat."""
-    return {
+    document = {
         "Address": address,
         "Info": {
             "Service": "desk",
@@ -94,3 +96,4 @@
         },
         "Status": {"State": state, "Seq": seq, "ColdRemaining": "0ms"},
     }
+    return document if born is None else {**document, "born": born}
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -213,6 +213,71 @@
 
         self.run_scenario(scenario)
 
+    async def wait_update(self, receiver):
+        """Return the next update; fail if there is none for long."""
+        async with asyncio.timeout(CONFIRMATION_S):
+            return await receiver.wait_changed()
+
+    async def restart_with_its_id(self, receiver):
+        """Let an upstream restart with the id that it had, unnoticed so far."""
+        self.name("i-1")
+        await self.send(receiver, "i-1", build_heartbeat(seq=50, born=1_000))
+        await self.wait_update(receiver)
+        await self.send(receiver, "i-1", build_heartbeat(seq=1, born=9_000))
+
+    def test_upstream_that_restarts_with_its_id_unnoticed_is_announced_again(self):
+        """It holds no grants any more."""
+
+        async def scenario(receiver):
+            await self.restart_with_its_id(receiver)
+            gone = await self.wait_update(receiver)
+            self.assertEqual(gone, UpstreamGone(is_certain=True))
+            self.assertEqual((await self.wait_update(receiver)).instance, "i-1")
+            await self.send(receiver, "i-1", build_heartbeat(seq=2, born=9_000))
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_leaving_of_an_upstream_that_restarted_with_its_id_is_not_late(self):
+        """Its sequence numbers start anew."""
+
+        async def scenario(receiver):
+            await self.restart_with_its_id(receiver)
+            await self.wait_update(receiver)
+            await self.wait_update(receiver)
+            document = build_heartbeat(state="draining", seq=2, born=9_000)
+            await self.send(receiver, "i-1", document)
+            self.assertTrue((await self.wait_update(receiver)).leaving)
+
+        self.run_scenario(scenario)
+
+    def test_late_heartbeat_of_an_earlier_life_with_the_same_id_is_ignored(self):
+        async def scenario(receiver):
+            await self.restart_with_its_id(receiver)
+            await self.wait_update(receiver)
+            await self.wait_update(receiver)
+            document = build_heartbeat(state="draining", seq=51, born=1_000)
+            await self.send(receiver, "i-1", document)
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
+    def test_restart_that_the_health_check_has_shown_is_not_announced_twice(self):
+        async def scenario(receiver):
+            self.name("i-1", slots=13)
+            await self.send(receiver, "i-1", build_heartbeat(seq=50, born=1_000))
+            await self.wait_update(receiver)
+            receiver._lifetimes.note_end()
+            receiver._lifetimes.note_identity(
+                self.identity, address="127.0.0.1:9", now=0.0
+            )
+            await self.send(receiver, "i-1", build_heartbeat(seq=1, born=9_000))
+            while not receiver._updates.empty():
+                update = await self.wait_update(receiver)
+                self.assertNotIsInstance(update, UpstreamGone)
+
+        self.run_scenario(scenario)
+
     def test_draining_upstream_is_announced_as_leaving_to_a_new_process(self):
         async def scenario(receiver):
             self.name("i-1", is_ready=False)
