Choose nodes by the room and the work left that they tell

Cause: upstreams of a service differ in speed and slow down for moments. Own requests under way and a latency that is seconds old say little of them where there are many senders.

--- a/src/papayatack/core/admission/class_state.py
+++ b/src/papayatack/core/admission/class_state.py
@@ -27,17 +27,31 @@
         queue: Queued requests of the class.
         in_use: Slots that the class holds.
         wait_limits: Limits on the expected wait, by the name of the flow.
-        seconds_per_cost: Mean service time for a cost of 1 in seconds, or ``None``
-            before the first sample.
-        deviation: Mean absolute deviation of the service time for a cost of 1.
+        usual_seconds_per_cost: Mean service time for a cost of 1 at the usual pace, in
+            seconds; ``None`` before the first sample.
+        usual_deviation: Mean absolute deviation of that service time.
+        pace: How long work takes at the upstream now, relative to usual.
     """
 
     share: float
     queue: FairQueue
     in_use: int = 0
     wait_limits: dict[str, WaitLimit] = dataclasses.field(default_factory=dict)
-    seconds_per_cost: float | None = None
-    deviation: float = 0.0
+    usual_seconds_per_cost: float | None = None
+    usual_deviation: float = 0.0
+    pace: float = 1.0
+
+    @property
+    def seconds_per_cost(self) -> float | None:
+        """Mean service time for a cost of 1 now, ``None`` before the first sample."""
+        if self.usual_seconds_per_cost is None:
+            return None
+        return self.usual_seconds_per_cost * self.pace
+
+    @property
+    def deviation(self) -> float:
+        """Mean absolute deviation of the service time for a cost of 1 now."""
+        return self.usual_deviation * self.pace
 
     @property
     def demand(self) -> int:
@@ -59,6 +73,10 @@
         """Return the expected use of a slot by a request, in slot-seconds."""
         return cost * (self.seconds_per_cost or PRIOR_SECONDS_PER_COST)
 
+    def estimate_cost(self, charge: float) -> float:
+        """Return the cost to which an expected use of slot-seconds corresponds."""
+        return charge / (self.seconds_per_cost or PRIOR_SECONDS_PER_COST)
+
     def estimate_service_time(self, cost: float) -> float:
         """Return the time to allow for a request, 0 before the first sample.
 
@@ -71,10 +89,11 @@
 
     def record_service(self, cost: float, service_time_s: float) -> None:
         """Update the estimate with the service time of an answered request."""
-        sample = service_time_s / cost
-        if self.seconds_per_cost is None:
-            self.seconds_per_cost = sample
+        sample = service_time_s / (cost * self.pace)
+        if self.usual_seconds_per_cost is None:
+            self.usual_seconds_per_cost = sample
             return
-        difference = sample - self.seconds_per_cost
-        self.seconds_per_cost += SERVICE_TIME_SMOOTHING * difference
-        self.deviation += SERVICE_TIME_SMOOTHING * (abs(difference) - self.deviation)
+        difference = sample - self.usual_seconds_per_cost
+        deviation = abs(difference) - self.usual_deviation
+        self.usual_seconds_per_cost += SERVICE_TIME_SMOOTHING * difference
+        self.usual_deviation += SERVICE_TIME_SMOOTHING * deviation
--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -104,6 +104,11 @@
         """Record the limit that a response of the upstream names, if any."""
         self._rate_limit.observe(now, requests_per_s)
 
+    def set_pace(self, pace: float) -> None:
+        """Set how long work takes at the upstream now, relative to usual."""
+        for state in self._classes.values():
+            state.pace = pace
+
     def get_class_state(self, request_class: RequestClass) -> ClassState:
         """Return the state of a class, for metrics."""
         return self._classes[request_class]
--- a/src/papayatack/core/admission/fair_queue.py
+++ b/src/papayatack/core/admission/fair_queue.py
@@ -78,6 +78,11 @@
     def __len__(self) -> int:
         return self._length
 
+    @property
+    def backlog_s(self) -> float:
+        """Expected use of slots by the queued requests, in slot-seconds."""
+        return self._backlog
+
     @property
     def flow_count(self) -> int:
         """Number of flows held in memory."""
