Read reported load, and tell other nodes the room left

Cause: of what upstreams report only the slots were read, from the health check.

Change: the platform's adapter parses the load in responses, malformed ones are counted; the gate keeps it for the life of the upstream process, and tells the room and the work left with responses and refusals to other nodes; the senders pass it to the choice of a node. The local node reads its own gate. Status, gauges, an event and the operators' pages tell the pace. Where upstreams report nothing, nothing is sent and nothing changes.

Not measured on a fleet.

--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -103,6 +103,7 @@
         ("shards owned", answer.shards_owned),
         *(_describe_share(entry) for entry in answer.shares),
         ("in flight, queued", f"{answer.in_flight}, {answer.queue}"),
+        *_describe_pace(answer),
         ("configuration", _describe_configuration(answer)),
         (
             "offsets",
@@ -127,6 +128,15 @@
     )
 
 
+def _describe_pace(answer: StatusAnswer) -> list[tuple[str, str]]:
+    """Return a row on how long work takes at the upstream, if it reports its load."""
+    if answer.upstream_pace is None or answer.upstream_load_age_s is None:
+        return []
+    age = f"reported {answer.upstream_load_age_s:.1f} s ago"
+    text = f"work takes {answer.upstream_pace:.2f} times as long as usual, {age}"
+    return [("upstream's pace", text)]
+
+
 def _describe_configuration(answer: StatusAnswer) -> str:
     """Return the version in force, and when no newer one was known for certain."""
     text = f"version {answer.config_version}"
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -218,6 +218,8 @@
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
+        self._peers.read_load = gate.read_load
+        self._peers.on_load = engine.record_load
         keeper = UpstreamKeeper(
             environment=self._environment,
             control=control,
@@ -227,7 +229,7 @@
             build_pool=self._build_pool,
             drain_s=self._settings.limits.upstream_drain_s,
         )
-        self._endpoint.parts = self._build_parts(announcement, control, admission)
+        self._endpoint.parts = self._build_parts(announcement, control, admission, gate)
         works = (
             control.run(),
             keeper.run(),
@@ -376,6 +378,7 @@
         announcement: Announce,
         control: ControlNode,
         admission: AdmissionController,
+        gate: AdmissionGate,
     ) -> ServingParts:
         declarer = Appender(
             log=self._environment.log,
@@ -389,6 +392,7 @@
             publisher=self._environment.build_publisher(control, self._incarnation),
             declarer=declarer,
             read_load=lambda: (admission.in_use, admission.queued),
+            read_pace=gate.read_pace,
         )
 
     def _build_server(
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -61,6 +61,8 @@
         publisher: Appends publications, ``None`` if they are made elsewhere.
         declarer: Appends to the ownership stream.
         read_load: Returns the requests in flight and those that wait.
+        read_pace: Returns how long work takes at the upstream now, relative to usual,
+            and the age of its last report; ``None`` if it reports no load.
     """
 
     announcement: Announce
@@ -68,6 +70,7 @@
     publisher: "Publisher | None"
     declarer: Appender
     read_load: Callable[[], tuple[int, int]]
+    read_pace: Callable[[], tuple[float, float] | None]
 
 
 class _PublishRequest(pydantic.BaseModel, defer_build=True):
@@ -153,6 +156,7 @@
             now=asyncio.get_running_loop().time(),
             in_flight=in_flight,
             queue=queue,
+            pace=parts.read_pace(),
         )
         return reply_json(200, status.model_dump())
 
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -35,6 +35,7 @@
     now: float,
     in_flight: int,
     queue: int,
+    pace: tuple[float, float] | None = None,
 ) -> StatusAnswer:
     """Return the state of this node.
 
@@ -44,6 +45,8 @@
         now: Event loop time, in seconds.
         in_flight: Requests that its upstream runs now.
         queue: Requests that wait for a slot.
+        pace: How long work takes at its upstream now, relative to usual, and the age of
+            the last report in seconds; ``None`` if it reports no load.
     """
     core = control.core
     state = core.state
@@ -78,6 +81,8 @@
         nodes=[_describe_member(control, member) for member in state.members.values()],
         in_flight=in_flight,
         queue=queue,
+        upstream_pace=None if pace is None else pace[0],
+        upstream_load_age_s=None if pace is None else pace[1],
     )
 
 
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -67,6 +67,9 @@
             responds. If ``None``, the response is awaited until the deadline.
         deadline_s: Event loop time at which the stream of an unresponsive peer ends.
         delay_s: For how many seconds the peer's request was on its way.
+        on_load: Receives what the peer tells of its load with its response, ``None`` if
+            it tells nothing.
+        read_load: Returns the struct that tells the peer the load of this node.
     """
 
     def __init__(self, *, link: StreamOwner, stream_id: int) -> None:
@@ -82,6 +85,8 @@
         self.on_unresponsive: Callable[[PeerStream], None] | None = None
         self.deadline_s = math.inf
         self.delay_s = 0.0
+        self.on_load: Callable[[Any], None] | None = None
+        self.read_load: Callable[[], Any] = lambda: None
         self._link = link
         self._queue: collections.deque[bytes] = collections.deque()
         self._credit = link.limits.window_bytes
@@ -177,6 +182,8 @@
 
     def receive_response(self, head: Any) -> None:
         """Handle the head of the response."""
+        if self.on_load is not None:
+            self.on_load(head.load)
         if not self.response.done():
             response = Response(
                 status=head.status,
@@ -189,6 +196,8 @@
 
     def receive_failure(self, failure: Any) -> None:
         """Handle a failure: the peer sends no complete response."""
+        if self.on_load is not None and failure.load is not None:
+            self.on_load(failure.load)
         try:
             kind = ErrorKind(failure.kind)
         except ValueError:
@@ -241,6 +250,7 @@
             detail=refusal.detail,
             retry_after_us=int(delay_s * US_PER_S) if delay_s else 0,
             key_token=refusal.key_token,
+            load=self.read_load(),
         )
         self.queue_frame(schema.Frame(stream=self.stream_id, failure=failure))
 
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -4,6 +4,7 @@
 import re
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.reported_load import ReportedLoad
 from papayatack.network.error_responses import build_error_response
 from papayatack.network.exchanges import (
     Headers,
@@ -46,9 +47,15 @@
     caller=b"papayatack-caller-service",
     reserved=frozenset({EXPECTED_INSTANCE}),
 )
-_SIGNAL_NAMES = frozenset({*LIMIT_NAMES, *LEAVING_NAMES})
-_INTERNAL_HEADERS = _SIGNAL_NAMES | {LOAD, INSTANCE, NOT_EXECUTED, HANDOVER}
+_SIGNAL_NAMES = frozenset({*LIMIT_NAMES, *LEAVING_NAMES, LOAD})
+_INTERNAL_HEADERS = _SIGNAL_NAMES | {INSTANCE, NOT_EXECUTED, HANDOVER}
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_LOAD = re.compile(rb"(\d{1,6}), ?(\d{1,6}), ?(\d{1,6})(?:, ?(\d{1,5}(?:\.\d{1,3})?))?")
+"""Requests running and waiting, slots, and how long work takes in percent of usual."""
+MAX_LOAD_BYTES = 64
+MIN_PACE = 0.01
+MAX_PACE = 100.0
+PERCENT = 100
 _NO_SIGNALS = UpstreamSignals()
 
 
@@ -118,17 +125,20 @@
         return None
 
     def read_signals(self, headers: Headers) -> UpstreamSignals:
-        """Return the limit that an upstream names, and whether it leaves."""
+        """Return the limit and the load that an upstream names, and if it leaves."""
         found = {name: value for name, value in headers if name in _SIGNAL_NAMES}
         if not found:
             return _NO_SIGNALS
         limit = next((found[name] for name in LIMIT_NAMES if name in found), None)
         requests_per_s = None if limit is None else _parse_limit(limit)
         is_malformed = limit is not None and requests_per_s is None
+        load = _parse_load(found[LOAD]) if LOAD in found else None
         return UpstreamSignals(
             requests_per_s=requests_per_s,
             malformed_limit=repr(limit) if is_malformed else "",
             is_leaving=any(found.get(name) == LEAVING for name in LEAVING_NAMES),
+            load=load,
+            has_malformed_load=LOAD in found and load is None,
         )
 
     def clean_response(self, headers: Headers) -> Headers:
@@ -155,3 +165,17 @@
     """Return a limit in requests per second, ``None`` if malformed."""
     number = float(value) if _DECIMAL.fullmatch(value) else 0.0
     return number or None
+
+
+def _parse_load(value: bytes) -> ReportedLoad | None:
+    """Return a reported load, ``None`` if malformed."""
+    match = _LOAD.fullmatch(value) if len(value) <= MAX_LOAD_BYTES else None
+    if match is None:
+        return None
+    running, waiting, slots, percent = match.groups()
+    pace = None if percent is None else float(percent) / PERCENT
+    if int(slots) == 0 or (pace is not None and not MIN_PACE <= pace <= MAX_PACE):
+        return None
+    return ReportedLoad(
+        running=int(running), waiting=int(waiting), slots=int(slots), pace=pace
+    )
--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http
 import random
+from collections.abc import Callable
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -16,6 +17,7 @@
     HandoverReason,
 )
 from papayatack.core.identity import IncarnationId
+from papayatack.core.node_load import NodeLoad
 from papayatack.core.ownership.selection import compute_rendezvous_rank
 from papayatack.core.quarantine import RequestIdentity, compute_head_digest
 from papayatack.core.work_times import WorkTimes
@@ -137,6 +139,7 @@
         decisions: Logs attempts that are retried.
         retry: Decides whether a failed request is attempted again.
         handover: Decides how long a request waits for an owner.
+        read_local_load: Returns the room and the work left at the local upstream.
     """
 
     def __init__(
@@ -151,6 +154,7 @@
         decisions: RequestLog,
         retry: RetryPolicy,
         handover: HandoverBackoff,
+        read_local_load: Callable[[], NodeLoad | None],
     ) -> None:
         self._ownership = ownership
         self._forwarder = forwarder
@@ -161,7 +165,15 @@
         self._decisions = decisions
         self._retry = retry
         self._handover = handover
-        self._node_selector = NodeSelector(rng=random.Random(), count=metrics.count)
+        self._node_selector = NodeSelector(
+            rng=random.Random(), count=metrics.count, read_local_load=read_local_load
+        )
+
+    def record_load(
+        self, service: str, incarnation: IncarnationId, load: NodeLoad | None
+    ) -> None:
+        """Record what another node tells of its load with a response."""
+        self._node_selector.record_load(_read_clock(), service, incarnation, load)
 
     async def run(self, peer_request: PeerRequest) -> _Result:
         """Attempt a request until it succeeds or no further attempt is allowed."""
--- a/src/papayatack/proxy/dialect.py
+++ b/src/papayatack/proxy/dialect.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from papayatack.core.errors import ErrorKind, Outcome, Refusal
+from papayatack.core.reported_load import ReportedLoad
 from papayatack.network.error_responses import OUTCOME_HEADER, build_error_response
 from papayatack.network.exchanges import (
     Headers,
@@ -43,11 +44,15 @@
         requests_per_s: Requests per second that it takes; ``None`` if not named.
         malformed_limit: A limit that is no positive number; empty if there is none.
         is_leaving: Whether it stops soon and wants no new work.
+        load: The load that it reports; ``None`` if it reports none.
+        has_malformed_load: Whether it reports a load that cannot be used.
     """
 
     requests_per_s: float | None = None
     malformed_limit: str = ""
     is_leaving: bool = False
+    load: ReportedLoad | None = None
+    has_malformed_load: bool = False
 
 
 class Dialect(Protocol):
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -24,6 +24,7 @@
 from papayatack.core.idempotency import OutcomeExchange
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Configuration
+from papayatack.core.node_load import NodeLoad
 from papayatack.core.shutdown import ShutdownPlan
 from papayatack.core.work_times import WorkTimes
 from papayatack.network.exchanges import PeerRequest, Request, Response
@@ -101,6 +102,7 @@
             decisions=self._decisions,
             retry=retry,
             handover=self._handover,
+            read_local_load=gate.read_load,
         )
         self._classifier_configuration = Configuration()
         self._classifier = build_classifier(
@@ -126,6 +128,12 @@
         """Follows the requests in flight at the upstream."""
         return self._local.crashes
 
+    def record_load(
+        self, service: str, incarnation: IncarnationId, load: NodeLoad | None
+    ) -> None:
+        """Record what another node tells of its load with a response."""
+        self._attempts.record_load(service, incarnation, load)
+
     def notify_leaving(self, callback: Callable[[], None]) -> None:
         """Have ``callback`` called for responses that say that the upstream leaves."""
         self._local.on_upstream_leaving = callback
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -16,9 +16,17 @@
     QueueEntry,
     Refused,
 )
+from papayatack.core.admission.entry import EntryState
+from papayatack.core.admission.room import RoomMeter
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.health import Attempt, HealthState, HealthTracker
 from papayatack.core.inventory import Partner
+from papayatack.core.node_load import NodeLoad
+from papayatack.core.reported_load import (
+    USUAL_PACE,
+    ReportedLoad,
+    UpstreamReports,
+)
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.interface import AdmissionRequest, Permit
@@ -84,6 +92,8 @@
             count=metrics.count,
         )
         self._state = HealthState.HEALTHY
+        self._reports = UpstreamReports()
+        self._room = RoomMeter()
         self._waiters: dict[QueueEntry, asyncio.Future[Result[Permit, Refusal]]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_s = 0.0
@@ -108,6 +118,7 @@
         if not self._accepts(now, admission_request):
             self._metrics.count("admission_refusals", ErrorKind.UPSTREAM_EJECTED)
             return Failure(self._build_ejection_refusal(now))
+        self._update_pace(now)
         entry = self._admission.offer(
             now,
             partner=admission_request.partner,
@@ -140,6 +151,13 @@
         """Release the slot of a queue entry and record how its request ended."""
         now = asyncio.get_running_loop().time()
         self._health.finish_attempt(now, LOCAL_UPSTREAM, attempt, error=error)
+        self._update_pace(now)
+        if entry.state is EntryState.RUNNING:
+            self._room.finish(
+                entry,
+                service_time_s=service_time_s if error is None else None,
+                pace=self._reports.pace.read(now),
+            )
         self._admission.release(now, entry, service_time_s=service_time_s, error=error)
         self._process_queue(now)
 
@@ -149,6 +167,7 @@
         attempt = self._health.start_attempt(
             now, LOCAL_UPSTREAM, kind=entry.request_class
         )
+        self._room.start(entry)
         return _SlotPermit(gate=self, entry=entry, attempt=attempt)
 
     def observe_limit(self, requests_per_s: float | None) -> None:
@@ -163,6 +182,33 @@
             log_event(logger, Event.UPSTREAM_LIMITED, requests_per_s=after)
             self._process_queue(now)
 
+    def observe_load(self, load: ReportedLoad) -> None:
+        """Record the load that a response of the upstream reports."""
+        now = asyncio.get_running_loop().time()
+        if not self._reports.is_reported(now):
+            log_event(logger, Event.UPSTREAM_REPORTS_LOAD, slots=load.slots)
+        self._reports.record(now, load)
+        self._update_pace(now)
+
+    def read_load(self) -> NodeLoad | None:
+        """Return the room and the work left, ``None`` if no load is reported."""
+        now = asyncio.get_running_loop().time()
+        if not self._reports.is_reported(now):
+            return None
+        pace = self._reports.pace.read(now)
+        return self._room.read(now, self._admission, pace=pace)
+
+    def read_pace(self) -> tuple[float, float] | None:
+        """Return the present pace of the upstream and the age of its last report.
+
+        Returns:
+            ``None`` if the upstream has reported no load.
+        """
+        if self._reports.last is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return self._reports.pace.read(now), self._reports.find_age_s(now)
+
     def report_health(self, *, healthy: bool) -> None:
         """Record the result of the upstream's health endpoint, which is only a hint."""
         now = asyncio.get_running_loop().time()
@@ -178,6 +224,9 @@
     def restart(self) -> None:
         """Begin a slow start, since the upstream has restarted and is cold."""
         self._admission.restart(asyncio.get_running_loop().time())
+        self._admission.set_pace(USUAL_PACE)
+        self._reports.clear()
+        self._room.clear_service()
 
     def close(self) -> None:
         """Refuse all queued and later requests, since the node is shutting down."""
@@ -217,6 +266,16 @@
         self._timer_s = wakeup_s
         self._timer = asyncio.get_running_loop().call_at(wakeup_s, self._wake)
 
+    def _update_pace(self, now: float) -> None:
+        """Let admission expect the service times of this moment."""
+        if self._reports.last is None:
+            return
+        pace = self._reports.pace.read(now)
+        self._admission.set_pace(pace)
+        self._metrics.set_gauge("upstream_pace", pace)
+        age_s = self._reports.find_age_s(now)
+        self._metrics.set_gauge("upstream_load_age_seconds", age_s)
+
     def _update_health(self, now: float) -> None:
         """Log a change of the upstream's health; on ejection refuse queued requests."""
         self._health.check(now)
--- a/src/papayatack/proxy/interface.py
+++ b/src/papayatack/proxy/interface.py
@@ -15,8 +15,10 @@
 from papayatack.core.idempotency import KeyTenure
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
 from papayatack.core.inventory import Configuration, RequestClass
+from papayatack.core.node_load import NodeLoad
 from papayatack.core.ownership.suspicions import Standing, Suspect
 from papayatack.core.quarantine import Fingerprints, Verdict, VerdictKind
+from papayatack.core.reported_load import ReportedLoad
 
 __all__ = [
     "Gate",
@@ -147,6 +149,12 @@
     def observe_limit(self, requests_per_s: float | None) -> None:
         """Record the limit that a response of the upstream names, if any."""
 
+    def observe_load(self, load: ReportedLoad) -> None:
+        """Record the load that a response of the upstream reports."""
+
+    def read_load(self) -> NodeLoad | None:
+        """Return the room and the work left, ``None`` if no load is reported."""
+
 
 class Quarantine(Protocol):
     """The requests that were in flight when upstreams crashed."""
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -287,6 +287,10 @@
         """Apply what the upstream says of itself in a response."""
         signals = self._dialect.read_signals(response.headers)
         self._gate.observe_limit(signals.requests_per_s)
+        if signals.load is not None:
+            self._gate.observe_load(signals.load)
+        elif signals.has_malformed_load:
+            self._metrics.count("reported_loads_malformed")
         if signals.is_leaving and self.on_upstream_leaving is not None:
             self.on_upstream_leaving()
         malformed = signals.malformed_limit
--- a/src/papayatack/proxy/node_selector.py
+++ b/src/papayatack/proxy/node_selector.py
@@ -10,6 +10,7 @@
 from papayatack.core.health import Attempt, HealthTracker
 from papayatack.core.identity import IncarnationId
 from papayatack.core.load_balancer import LoadBalancer
+from papayatack.core.node_load import NodeLoad
 from papayatack.network.exchanges import PeerRequest
 from papayatack.proxy.interface import Route
 
@@ -26,6 +27,10 @@
     balancer: LoadBalancer[IncarnationId]
     health: HealthTracker[IncarnationId]
     routes: tuple[Route, ...] = ()
+    near: list[IncarnationId] = dataclasses.field(default_factory=list)
+    far: list[IncarnationId] = dataclasses.field(default_factory=list)
+    by_incarnation: dict[IncarnationId, Route] = dataclasses.field(default_factory=dict)
+    local: IncarnationId | None = None
     last_choice: tuple[float, Route] | None = None
 
     def find_recent(self, now: float, *, repeatable: bool) -> Route | None:
@@ -50,6 +55,14 @@
                 self.balancer.remove_node(route.incarnation)
         self.health.set_nodes(incarnations)
         self.routes = routes
+        self.by_incarnation = {route.incarnation: route for route in routes}
+        self.near, self.far = [], []
+        self.local = None
+        for route in routes:
+            nodes = self.near if route.in_local_data_centre else self.far
+            nodes.append(route.incarnation)
+            if route.local:
+                self.local = route.incarnation
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -95,11 +108,18 @@
     Args:
         rng: Source of randomness for sampling nodes and for the jitter of probes.
         count: Called with the name of a counter and a reason.
+        read_local_load: Returns the room and the work left at the local upstream,
+            ``None`` if it reports no load.
     """
 
     def __init__(
-        self, *, rng: random.Random, count: Callable[[str, str], None] | None = None
+        self,
+        *,
+        rng: random.Random,
+        count: Callable[[str, str], None] | None = None,
+        read_local_load: Callable[[], NodeLoad | None] = lambda: None,
     ) -> None:
+        self._read_local_load = read_local_load
         self._rng = rng
         self._count = count
         self._services: dict[str, _ServiceNodes] = {}
@@ -129,30 +149,47 @@
         recent = nodes.find_recent(now, repeatable=peer_request.repeatable)
         if recent is not None and not tried:
             return Success(recent)
+        if nodes.local is not None:
+            nodes.balancer.record_told_load(now, nodes.local, self._read_local_load())
         chosen = nodes.balancer.choose(
             now,
-            local_nodes=[
-                route.incarnation for route in routes if route.in_local_data_centre
-            ],
-            remote_nodes=[
-                route.incarnation for route in routes if not route.in_local_data_centre
-            ],
+            local_nodes=nodes.near,
+            remote_nodes=nodes.far,
             health=nodes.health,
             repeatable=peer_request.repeatable,
             excluded=tried,
         )
-        for route in routes:
-            if route.incarnation == chosen:
-                nodes.last_choice = (now, route)
-                return Success(route)
-        return Failure(_build_refusal(routes))
+        if chosen is None:
+            return Failure(_build_refusal(routes))
+        route = nodes.by_incarnation[chosen]
+        nodes.last_choice = (now, route)
+        return Success(route)
+
+    def record_load(
+        self,
+        now: float,
+        service: str,
+        incarnation: IncarnationId,
+        load: NodeLoad | None,
+    ) -> None:
+        """Record what a node tells of its load with the response to a request.
+
+        Args:
+            now: The current time, in seconds.
+            service: The service of the request.
+            incarnation: The node.
+            load: What it tells, ``None`` if nothing.
+        """
+        nodes = self._services.get(service)
+        if nodes is not None:
+            nodes.balancer.record_told_load(now, incarnation, load, ended=1)
 
     def start_attempt(
         self, now: float, service: str, incarnation: IncarnationId
     ) -> NodeAttempt:
         """Record that a request is sent to the selected node."""
         nodes = self._get_nodes(service)
-        nodes.balancer.start_request(incarnation)
+        nodes.balancer.start_request(incarnation, now)
         attempt = nodes.health.start_attempt(now, incarnation)
         return NodeAttempt(
             nodes=nodes, incarnation=incarnation, attempt=attempt, started_s=now
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -79,6 +79,8 @@
     nodes: list[NodeEntry] = []
     in_flight: int = 0
     queue: int = 0
+    upstream_pace: float | None = None
+    upstream_load_age_s: float | None = None
 
 
 class VersionAnswer(_Answer):
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -79,11 +79,18 @@
   16: optional i64 target_us, 17: optional i64 sent_us, 18: optional i32 crashes,
   19: optional bool is_call, 20: optional i32 rank
 }
-struct ResponseHead { 1: i32 status, 2: binary reason, 3: list<Header> headers }
+struct NodeLoad {
+  1: i32 wait_us, 2: i64 work_us, 3: i32 slots, 4: i32 service_us,
+  5: optional i32 pace_permille, 6: optional i64 requests_per_1000_s
+}
+struct ResponseHead {
+  1: i32 status, 2: binary reason, 3: list<Header> headers, 4: optional NodeLoad load
+}
 struct Body { 1: binary data, 2: bool final }
 struct Window { 1: i32 bytes }
 struct Failure {
-  1: string kind, 2: string detail, 3: i64 retry_after_us, 4: string key_token
+  1: string kind, 2: string detail, 3: i64 retry_after_us, 4: string key_token,
+  5: optional NodeLoad load
 }
 struct Cancel { 1: string reason }
 struct Hello {
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -15,6 +15,7 @@
 from papayatack.core.identity import IncarnationId, LeaseId, PeerAddress
 from papayatack.core.inventory import RequestClass
 from papayatack.core.messages import Fence
+from papayatack.core.node_load import NodeLoad
 from papayatack.network import request_hold
 from papayatack.network.bodies import BodyQueue, BytesBody, IncompleteBodyError
 from papayatack.network.delivery_delay import DeliveryDelay
@@ -297,6 +298,36 @@
         result = await self.exchange()
         self.assertEqual(result.failure(), refusal)
 
+    async def test_load_is_told_with_responses_and_refusals(self):
+        """The node that sent a request hears of the load of the one that served it."""
+        told = []
+        load = NodeLoad(wait_s=0.5, work_s=2.0, slots=8, service_s=0.2, pace=2.5)
+        self.first.on_load = lambda *news: told.append(news)
+        await self.exchange(recipient=self.second.incarnation)
+        self.second.read_load = lambda: load
+        await self.exchange(recipient=self.second.incarnation)
+
+        async def refuse(peer_request):
+            return Failure(Refusal(kind=ErrorKind.QUEUE_FULL))
+
+        self.second.on_request = refuse
+        await self.exchange(recipient=self.second.incarnation)
+        node = self.second.incarnation
+        expected = [("hiring", node, news) for news in (None, load, load)]
+        self.assertEqual(told, expected)
+
+    async def test_absurd_load_counts_as_none_and_is_counted(self):
+        """A response with a load out of its bounds is a response all the same."""
+        told = []
+        self.first.on_load = lambda *news: told.append(news[-1])
+        self.second.read_load = lambda: NodeLoad(
+            wait_s=0.0, work_s=1.0, slots=0, service_s=0.2
+        )
+        result = await self.exchange(recipient=self.second.incarnation)
+        self.assertEqual(result.unwrap().status, 200)
+        self.assertEqual(told, [None])
+        self.assertEqual(self.first.metrics.read_count("told_loads_malformed"), 1)
+
     async def test_exception_in_a_handler_is_an_internal_error(self):
         """The request fails with an internal error, which is logged."""
 
--- a/tests/platform/test_fields.py
+++ b/tests/platform/test_fields.py
@@ -5,6 +5,7 @@
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import ShardId
 from papayatack.core.inventory import RequestClass
+from papayatack.core.reported_load import ReportedLoad
 from papayatack.network.exchanges import PeerRequest, Request, Response, find_header
 from papayatack.platform.fields import PlatformDialect
 from papayatack.proxy.interface import Grant
@@ -30,6 +31,63 @@
     )
 
 
+class ReportedLoadTests(unittest.TestCase):
+    """The load that an upstream reports in its responses."""
+
+    def read(self, value):
+        """Return the signals of a response with this load."""
+        headers = ((b"papayatack-server-load", value),)
+        return PlatformDialect().read_signals(headers)
+
+    def test_load_is_read_with_and_without_its_pace(self):
+        """The fourth figure is optional; 250 means two and a half times as long."""
+        for value, pace in (
+            (b"3,1,8", None),
+            (b"3,1,8,250", 2.5),
+            (b"3, 1, 8, 80", 0.8),
+        ):
+            signals = self.read(value)
+            expected = ReportedLoad(running=3, waiting=1, slots=8, pace=pace)
+            self.assertEqual(signals.load, expected)
+            self.assertFalse(signals.has_malformed_load)
+
+    def test_malformed_loads_say_nothing(self):
+        """Values that cannot be a load are no load, whatever they look like."""
+        for value in (
+            b"",
+            b"3,1",
+            b"3,1,8,100,7",
+            b"-3,1,8,100",
+            b"3,1,8,-100",
+            b"3,1,8,nan",
+            b"3,1,8,inf",
+            b"3,1,8,1e3",
+            b"3,1,8,0",
+            b"3,1,8,99999",
+            b"3,1,8,",
+            b"3,1,0,100",
+            b"3,1,99999999,100",
+            b"x,1,8,100",
+            "3,1,٨,100".encode(),
+            b"3,1,8," + b"1" * 10_000,
+            b"1," * 5_000,
+        ):
+            signals = self.read(value)
+            with self.subTest(value=value[:20]):
+                self.assertIsNone(signals.load)
+                self.assertTrue(signals.has_malformed_load)
+
+    def test_malformed_load_leaves_the_other_signals(self):
+        """The limit and the word of leaving count beside a load that is nonsense."""
+        headers = (
+            (b"papayatack-server-load", b"nonsense"),
+            (b"papayatack-server-limit", b"12.5"),
+            (b"papayatack-server-leaving", b"1"),
+        )
+        signals = PlatformDialect().read_signals(headers)
+        self.assertEqual((signals.requests_per_s, signals.is_leaving), (12.5, True))
+
+
 class DialectTests(unittest.TestCase):
     """Headers sent to the upstream, and the interpretation of its responses."""
 
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -137,6 +137,9 @@
     def observe_limit(self, requests_per_s):
         """Ignore a limit."""
 
+    def read_load(self):
+        """Return no load."""
+
     async def acquire(self, admission_request):
         """Return a permit or the refusal."""
         if self.refusal is not None:
--- a/tests/proxy/test_idempotent.py
+++ b/tests/proxy/test_idempotent.py
@@ -38,6 +38,9 @@
     def observe_limit(self, requests_per_s):
         """Ignore a limit."""
 
+    def read_load(self):
+        """Return no load."""
+
     async def acquire(self, ticket):
         """Wait until the gate is open; count waits and cancellations."""
         self.waiting += 1
--- a/tests/proxy/test_node_selector.py
+++ b/tests/proxy/test_node_selector.py
@@ -4,18 +4,21 @@
 import unittest
 
 from papayatack.core.identity import IncarnationId, PeerAddress, ShardId
+from papayatack.core.node_load import NodeLoad
 from papayatack.proxy.interface import Route
 from papayatack.proxy.node_selector import NodeSelector
 from tests.network.test_peers import build_peer_request
 
 NO_NODES = frozenset()
+IDLE = NodeLoad(wait_s=0.0, work_s=0.0, slots=4, service_s=0.1)
+FULL = NodeLoad(wait_s=0.5, work_s=2.0, slots=4, service_s=0.1)
 
 
-def make_route(number):
+def make_route(number, *, local=False):
     """Return a route to a node of the service."""
     return Route(
         shard=ShardId(""),
-        local=False,
+        local=local,
         incarnation=IncarnationId(f"127.0.0.1:{number}#x"),
         address=PeerAddress(f"127.0.0.1:{number}"),
     )
@@ -59,3 +62,55 @@
         first = self.choose(1.0)
         remaining = tuple(route for route in self.routes if route is not first)
         self.assertIsNot(self.choose(1.0, routes=remaining), first)
+
+
+class ToldLoadTests(unittest.TestCase):
+    """Node selection by the load that nodes tell."""
+
+    def select(self, *, told=None, local_load=None):
+        """Return how often each of three nodes was selected.
+
+        Args:
+            told: What the two other nodes tell with each response; ``None`` if no
+                handler hears of it.
+            local_load: What the local gate says.
+        """
+        routes = (make_route(0, local=True), make_route(1), make_route(2))
+        selector = NodeSelector(
+            rng=random.Random(1), read_local_load=lambda: local_load
+        )
+        counts = [0, 0, 0]
+        for moment in range(600):
+            now = moment * 0.01
+            request = build_peer_request()
+            route = selector.choose(now, request, routes, NO_NODES).unwrap()
+            number = routes.index(route)
+            counts[number] += 1
+            attempt = selector.start_attempt(now, request.service, route.incarnation)
+            if number and told is not None:
+                selector.record_load(
+                    now + 0.005, request.service, route.incarnation, told[number - 1]
+                )
+            attempt.finish(now + 0.005, None)
+        return counts
+
+    def test_full_nodes_get_few_requests(self):
+        """A node that tells that it has room gets nearly all."""
+        counts = self.select(told=(FULL, IDLE), local_load=FULL)
+        self.assertGreater(counts[2], 400)
+        self.assertLess(max(counts[:2]), 100)
+
+    def test_local_node_is_read_directly(self):
+        """The local node tells without any response."""
+        counts = self.select(told=(FULL, FULL), local_load=IDLE)
+        self.assertGreater(counts[0], 400)
+
+    def test_selection_without_told_loads_is_as_before(self):
+        """Responses that tell nothing leave the selection as it is."""
+        self.assertEqual(self.select(told=(None, None)), self.select())
+
+    def test_news_of_an_unknown_service_or_node_is_dropped(self):
+        """No state is made for what was never selected."""
+        selector = NodeSelector(rng=random.Random(1))
+        selector.record_load(0.0, "other", make_route(0).incarnation, IDLE)
+        self.assertEqual(selector._services, {})
