Keep the locality of nodes in a repeated choice, and told loads in a module

Cause: in a second choice among nodes already tried, remote ones were noted as local, and could be compared as such later; network/peers.py had grown by a second job.

Change: that choice goes by own measurements alone, as before; network/told_loads.py encodes and passes on what nodes tell.

Measured: the tests of the choice and of the peers pass; nothing else measured.

--- a/src/papayatack/core/load_balancer.py
+++ b/src/papayatack/core/load_balancer.py
@@ -153,21 +153,16 @@
                 there is no other.
         """
 
+        def is_allowed(node: Node) -> bool:
+            return health.allows(now, node, repeatable=repeatable)
+
         def is_usable(node: Node) -> bool:
-            return node not in excluded and health.allows(
-                now, node, repeatable=repeatable
-            )
+            return node not in excluded and is_allowed(node)
 
         node = self._pick(now, local_nodes, remote_nodes, is_usable)
         if node is None and excluded:
             tried = [node for node in (*local_nodes, *remote_nodes) if node in excluded]
-            return self.choose(
-                now,
-                local_nodes=tried,
-                remote_nodes=(),
-                health=health,
-                repeatable=repeatable,
-            )
+            return self._find_lowest(now, self._draw_two(tried, is_allowed))
         return node
 
     def start_request(self, node: Node, now: float = -math.inf) -> None:
@@ -280,7 +275,7 @@
             if self._is_fresh(now, node) and is_usable(node)
         ]
         if len(fresh) < min(2, len(drawn)):
-            best = min(drawn, key=lambda node: self._score(now, node), default=None)
+            best = self._find_lowest(now, drawn)
         else:
             picked = dict.fromkeys((*drawn, *fresh))
             best = self._find_first_end(now, list(picked))
@@ -290,6 +285,10 @@
             stats.expected_s = self._estimate_told(now, stats)
         return best
 
+    def _find_lowest(self, now: float, nodes: list[Node]) -> Node | None:
+        """Return the node with the lowest score by own measurements."""
+        return min(nodes, key=lambda node: self._score(now, node), default=None)
+
     def _find_first_end(self, now: float, nodes: list[Node]) -> Node | None:
         """Return the node at which a request is expected to end first.
 
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -218,8 +218,8 @@
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
-        self._peers.read_load = gate.read_load
-        self._peers.on_load = engine.record_load
+        self._peers.loads.read = gate.read_load
+        self._peers.loads.on_news = engine.record_load
         keeper = UpstreamKeeper(
             environment=self._environment,
             control=control,
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -29,7 +29,6 @@
 from papayatack.core.identity import IncarnationId, PeerAddress
 from papayatack.core.inventory import RequestClass
 from papayatack.core.messages import ControlMessage
-from papayatack.core.node_load import NodeLoad
 from papayatack.network.bodies import IncompleteBodyError
 from papayatack.network.exchanges import PeerRequest, Response
 from papayatack.network.limits import PeerLimits
@@ -42,11 +41,11 @@
     build_body_refusal,
     encode_headers,
 )
+from papayatack.network.told_loads import LoadExchange
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.convert import encode_control
 from papayatack.wire.errors import WireError
-from papayatack.wire.node_loads import decode_node_load, encode_node_load
 from papayatack.wire.schema import schema
 
 __all__ = ["PeerNetwork"]
@@ -64,7 +63,6 @@
 RequestHandler = Callable[[PeerRequest], Awaitable[Result[Response, Refusal]]]
 UnresponsiveHandler = Callable[[PeerStream], None]
 ControlHandler = Callable[[IncarnationId, IncarnationId, ControlMessage], None]
-LoadHandler = Callable[[str, IncarnationId, NodeLoad | None], None]
 
 
 async def _refuse_request(request: PeerRequest) -> Result[Response, Refusal]:
@@ -81,14 +79,6 @@
     """Discard messages received before a control handler is set."""
 
 
-def _read_no_load() -> None:
-    """Return the load of a node that tells none."""
-
-
-def _drop_load(service: str, incarnation: IncarnationId, load: NodeLoad | None) -> None:
-    """Discard what nodes tell of their load before a handler is set."""
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Backoff:
     """Connect backoff of one address.
@@ -106,10 +96,7 @@
     """Manages links to peers, keyed by the address on which each peer listens.
 
     Attributes:
-        read_load: Returns what this node tells of its load with each response and
-            refusal, ``None`` for nothing.
-        on_load: Called with the service and the incarnation to which a request was sent
-            and what that node told with its response.
+        loads: What nodes tell each other of their load.
     """
 
     def __init__(
@@ -129,8 +116,7 @@
         self.limits = limits or PeerLimits()
         self.on_control = on_control
         self.on_request = on_request
-        self.read_load: Callable[[], NodeLoad | None] = _read_no_load
-        self.on_load: LoadHandler = _drop_load
+        self.loads = LoadExchange(metrics=metrics)
         self._address = parse_peer_address(incarnation)
         self._host = host
         self._port = port
@@ -291,7 +277,7 @@
         stream.on_unresponsive = on_unresponsive
         stream.deadline_s = deadline_s
         stream.on_load = functools.partial(
-            self._receive_load,
+            self.loads.receive,
             peer_request.service,
             IncarnationId(peer_request.recipient),
         )
@@ -333,22 +319,6 @@
             Refusal(kind=kind, detail="the peer did not respond before the deadline")
         )
 
-    def _receive_load(
-        self, service: str, incarnation: IncarnationId, struct: Any
-    ) -> None:
-        """Pass on what a node told; values out of their bounds count as nothing."""
-        load = None
-        if struct is not None:
-            try:
-                load = decode_node_load(struct)
-            except WireError:
-                self.metrics.count("told_loads_malformed")
-        self.on_load(service, incarnation, load)
-
-    def _encode_load(self) -> Any:
-        load = self.read_load()
-        return None if load is None else encode_node_load(load)
-
     def handle_hello(self, link: Link, incarnation: IncarnationId) -> None:
         """Use an accepted link for outgoing requests too.
 
@@ -434,7 +404,7 @@
             self.metrics.count("peer_requests_refused", refusal.kind.value)
             stream.send_failure(refusal)
             return
-        stream.read_load = self._encode_load
+        stream.read_load = self.loads.encode
         peer_request = decode_request_head(stream.inbound, head)
         peer_request.delay_s = stream.delay_s
         peer_request.subtract_time(waited_s)
@@ -449,7 +419,7 @@
             status=response.status,
             reason=response.reason,
             headers=encode_headers(response.headers),
-            load=self._encode_load(),
+            load=self.loads.encode(),
         )
         frame = schema.Frame(stream=stream.stream_id, response=head)
         try:
--- a/tests/network/test_peers.py
+++ b/tests/network/test_peers.py
@@ -302,9 +302,9 @@
         """The node that sent a request hears of the load of the one that served it."""
         told = []
         load = NodeLoad(wait_s=0.5, work_s=2.0, slots=8, service_s=0.2, pace=2.5)
-        self.first.on_load = lambda *news: told.append(news)
+        self.first.loads.on_news = lambda *news: told.append(news)
         await self.exchange(recipient=self.second.incarnation)
-        self.second.read_load = lambda: load
+        self.second.loads.read = lambda: load
         await self.exchange(recipient=self.second.incarnation)
 
         async def refuse(peer_request):
@@ -319,8 +319,8 @@
     async def test_absurd_load_counts_as_none_and_is_counted(self):
         """A response with a load out of its bounds is a response all the same."""
         told = []
-        self.first.on_load = lambda *news: told.append(news[-1])
-        self.second.read_load = lambda: NodeLoad(
+        self.first.loads.on_news = lambda *news: told.append(news[-1])
+        self.second.loads.read = lambda: NodeLoad(
             wait_s=0.0, work_s=1.0, slots=0, service_s=0.2
         )
         result = await self.exchange(recipient=self.second.incarnation)
