Test told loads between nodes with real sockets

Cause: the way from the response of one node to the choice of another was tested in parts.

Change: tests.proxy.test_told_loads: a full node gets few requests, is tried again once its news has lapsed, and absurd loads steer nothing.

--- a/tests/running.py
+++ b/tests/running.py
@@ -32,6 +32,7 @@
     "tests.platform.test_store_return",
     "tests.proxy.test_left_while_waiting",
     "tests.proxy.test_standstill",
+    "tests.proxy.test_told_loads",
     "tests.standins",
 )
 """Tests with real sockets or processes. They run one after the other once the others,
