--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -107,10 +107,18 @@
         limits = (self._rate_limit.requests_per_s, self.cold_limit.find_rate(now))
         return min((limit for limit in limits if limit is not None), default=None)
 
+    def set_pace(self, pace: float) -> None:
+        """Set how long work takes at the upstream now, relative to usual."""
+        self._lanes.set_pace(pace)
+
     def get_class_state(self, request_class: RequestClass, rank: int = 0) -> ClassState:
         """Return the state of a class of a rank, for metrics."""
         return self._lanes.get_state(rank, request_class)
 
+    def list_class_states(self, request_class: RequestClass) -> list[ClassState]:
+        """Return the states of a class of all ranks that were seen."""
+        return [state for state in self._lanes if state.request_class is request_class]
+
     def current_limit(self, now: float) -> int:
         """Return the number of slots that may be in use now."""
         return self._concurrency_limit.current_limit(now)
--- a/src/papayatack/core/admission/rank_lanes.py
+++ b/src/papayatack/core/admission/rank_lanes.py
@@ -34,6 +34,13 @@
         self._updated_s = 0.0
         self._decided_work = 0.0
         self._started_work = 0.0
+        self._pace = 1.0
+
+    def set_pace(self, pace: float) -> None:
+        """Set how long work takes at the upstream now, relative to usual."""
+        self._pace = pace
+        for state in self._states:
+            state.pace = pace
 
     def __iter__(self) -> Iterator[ClassState]:
         """Iterate over the states by their ranks and classes."""
@@ -47,6 +54,7 @@
         if not 0 <= rank <= MAX_RANK:
             return self.get_state(max(0, min(rank, MAX_RANK)), request_class)
         state = self._build(request_class, rank)
+        state.pace = self._pace
         self._by_class[rank, request_class] = state
         self._states = tuple(sorted(self._by_class.values(), key=_find_position))
         self._has_several = self._states[0].rank != self._states[-1].rank
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -231,6 +231,8 @@
         control.outcomes.exchange = engine.outcomes
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
+        self._peers.loads.read = gate.read_load
+        self._peers.loads.on_news = engine.record_load
         keeper = UpstreamKeeper(
             environment=self._environment,
             control=control,
@@ -408,6 +410,7 @@
             declarer=declarer,
             read_load=lambda: (admission.in_use, admission.queued),
             describe_coldness=gate.cold.describe,
+            read_pace=gate.read_pace,
         )
 
     def _build_server(
--- a/src/papayatack/daemon/operators.py
+++ b/src/papayatack/daemon/operators.py
@@ -63,6 +63,8 @@
         declarer: Appends to the ownership stream.
         read_load: Returns the requests in flight and those that wait.
         describe_coldness: Returns whether the upstream is cold.
+        read_pace: Returns how long work takes at the upstream now, relative to usual,
+            and the age of its last report; ``None`` if it reports no load.
     """
 
     announcement: Announce
@@ -71,6 +73,7 @@
     declarer: Appender
     read_load: Callable[[], tuple[int, int]]
     describe_coldness: Callable[[], ColdState]
+    read_pace: Callable[[], tuple[float, float] | None]
 
 
 class _PublishRequest(pydantic.BaseModel, defer_build=True):
@@ -157,6 +160,7 @@
             in_flight=in_flight,
             queue=queue,
             coldness=parts.describe_coldness(),
+            pace=parts.read_pace(),
         )
         return reply_json(200, status.model_dump())
 
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -38,6 +38,7 @@
     in_flight: int,
     queue: int,
     coldness: ColdState,
+    pace: tuple[float, float] | None = None,
 ) -> StatusAnswer:
     """Return the state of this node.
 
@@ -48,6 +49,8 @@
         in_flight: Requests that its upstream runs now.
         queue: Requests that wait for a slot.
         coldness: Whether its upstream is cold.
+        pace: How long work takes at its upstream now, relative to usual, and the age of
+            the last report in seconds; ``None`` if it reports no load.
     """
     core = control.core
     state = core.state
@@ -83,6 +86,8 @@
         in_flight=in_flight,
         queue=queue,
         coldness=_describe_coldness(coldness),
+        upstream_pace=None if pace is None else pace[0],
+        upstream_load_age_s=None if pace is None else pace[1],
     )
 
 
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import math
 import random
@@ -40,6 +41,7 @@
     build_body_refusal,
     encode_headers,
 )
+from papayatack.network.told_loads import LoadExchange
 from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.convert import encode_control
@@ -91,7 +93,11 @@
 
 
 class PeerNetwork:
-    """Manages links to peers, keyed by the address on which each peer listens."""
+    """Manages links to peers, keyed by the address on which each peer listens.
+
+    Attributes:
+        loads: What nodes tell each other of their load.
+    """
 
     def __init__(
         self,
@@ -110,6 +116,7 @@
         self.limits = limits or PeerLimits()
         self.on_control = on_control
         self.on_request = on_request
+        self.loads = LoadExchange(metrics=metrics)
         self._address = parse_peer_address(incarnation)
         self._host = host
         self._port = port
@@ -269,6 +276,11 @@
         stream = link.open_stream()
         stream.on_unresponsive = on_unresponsive
         stream.deadline_s = deadline_s
+        stream.on_load = functools.partial(
+            self.loads.receive,
+            peer_request.service,
+            IncarnationId(peer_request.recipient),
+        )
         loop = asyncio.get_running_loop()
         head = encode_request_head(peer_request, sent_us=int(loop.time() * US_PER_S))
         frame = schema.Frame(stream=stream.stream_id, request=head)
@@ -392,6 +404,7 @@
             self.metrics.count("peer_requests_refused", refusal.kind.value)
             stream.send_failure(refusal)
             return
+        stream.read_load = self.loads.encode
         peer_request = decode_request_head(stream.inbound, head)
         peer_request.delay_s = stream.delay_s
         peer_request.subtract_time(waited_s)
@@ -406,6 +419,7 @@
             status=response.status,
             reason=response.reason,
             headers=encode_headers(response.headers),
+            load=self.loads.encode(),
         )
         frame = schema.Frame(stream=stream.stream_id, response=head)
         try:
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -91,6 +91,8 @@
     in_flight: int = 0
     queue: int = 0
     coldness: ColdnessEntry | None = None
+    upstream_pace: float | None = None
+    upstream_load_age_s: float | None = None
 
 
 class VersionAnswer(_Answer):
