Let evacuations travel with the configuration

The operators' orders to evacuate a data centre were not read. The config record is now composed from the newest manifest and the set of evacuated data centres; without an order it is the manifest, byte for byte. The fold takes the manifest by its version and the set by the offset of its record.

A change costs the node that follows the store one call, as before.

--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -1,6 +1,7 @@
 """Decodes the operators' manifest into a :class:`Configuration`."""
 
 import asyncio
+import dataclasses
 import functools
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -22,6 +23,7 @@
 from papayatack.core.records import CONFIG_STREAM
 from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.evacuations import EVACUATED_FIELD
 from papayatack.platform.times import Duration
 
 __all__ = ["ManifestDecoder", "ManifestFold", "ManifestParser"]
@@ -93,6 +95,9 @@
     routes: dict[str, dict[str, Any]] = {}
     services: dict[str, _Service] = {}
     limits: _Limits = _Limits()
+    evacuated: frozenset[str] = pydantic.Field(
+        default=frozenset(), alias=EVACUATED_FIELD
+    )
 
 
 class ManifestParser:
@@ -102,10 +107,18 @@
 
     Args:
         places: All data centres, which the manifest does not list.
+        count: Counts ``evacuations_ignored`` by reason.
     """
 
-    def __init__(self, *, places: tuple[Place, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        places: tuple[Place, ...],
+        count: Callable[[str, str], None] = lambda name, reason: None,
+    ) -> None:
         self._places = places
+        self._names = frozenset(place.name for place in places)
+        self._count = count
         self._routes: Mapping[str, _KnownRoute] = {}
 
     def parse(self, payload: bytes) -> Configuration:
@@ -143,6 +156,8 @@
     def _build(
         self, manifest: _Manifest, routes: Mapping[str, "_KnownRoute"]
     ) -> Configuration:
+        for _ in manifest.evacuated - self._names:
+            self._count("evacuations_ignored", "unknown")
         converted = tuple(route for _, route in routes.values())
         configuration = _build_configuration(manifest, converted, self._places)
         self._routes = routes
@@ -178,6 +193,7 @@
             header_timeout_s=limits.header_timeout,
             idle_timeout_s=limits.idle_timeout,
         ),
+        evacuated=manifest.evacuated & {place.name for place in places},
     )
 
 
@@ -254,6 +270,9 @@
 class ManifestFold:
     """Holds the current configuration, which each newer manifest replaces entirely.
 
+    The set of evacuated data centres goes by the offset of its record instead, since it
+    changes without a newer manifest.
+
     Args:
         places: All data centres, each described by a :class:`Place`.
         notify_change: Called after each change of the configuration.
@@ -277,11 +296,18 @@
         return self.configuration.version
 
     def apply(self, offset: int, record: Configuration | None) -> None:
-        """Apply the record at ``offset``; ignore one that is not newer."""
+        """Apply the record at ``offset``; ignore what is not newer."""
+        is_newest = offset >= self.next_offset
         self.next_offset = max(self.next_offset, offset + 1)
-        if record is None or record.version <= self.version:
+        if record is None:
+            return
+        evacuated = record.evacuated if is_newest else self.configuration.evacuated
+        newest = record if record.version > self.version else self.configuration
+        if evacuated != newest.evacuated:
+            newest = dataclasses.replace(newest, evacuated=evacuated)
+        if newest is self.configuration:
             return
-        self.configuration = record
+        self.configuration = newest
         self._notify_change()
 
 
@@ -295,7 +321,7 @@
 
     def __init__(self, *, places: tuple[Place, ...], metrics: Metrics) -> None:
         super().__init__(metrics=metrics)
-        self._parser = ManifestParser(places=places)
+        self._parser = ManifestParser(places=places, count=metrics.count)
 
     def decode(self, stream: str, offset: int, payload: bytes) -> LoggedRecord:
         """Decode the record at an offset; skip and count an invalid manifest."""
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -2,7 +2,8 @@
 
 The ownership stream is a topic that retains the newest record of each key for ever.
 Each record has a unique key, so that the whole stream is retained. The config stream is
-the operators' topic, of which only the newest manifest is used.
+the operators' topic, of which only the newest manifest and the orders to evacuate data
+centres are used (see :mod:`papayatack.platform.evacuations`).
 
 The store may return from an older copy, in a higher era. Offsets of the config stream
 contain the era, since a newer manifest replaces all earlier ones. Those of the
@@ -19,6 +20,7 @@
 from papayatack.logservice.calls import HttpCall, ResponseError
 from papayatack.logservice.interface import LogFailure, LogFailureKind, LogPage
 from papayatack.observability.metrics import Metrics
+from papayatack.platform.evacuations import ConfigComposer
 from papayatack.platform.history import HistoryLostError, HistorySource, Restoration
 from papayatack.platform.restoration import HistoryKeeper
 from papayatack.platform.store_calls import (
@@ -31,7 +33,6 @@
 
 __all__ = ["PlatformStore"]
 
-MANIFEST_KEY = b"config"
 ERA_SHIFT = 40
 """Bits of an offset of the config stream below its era."""
 
@@ -63,6 +64,7 @@
         )
         self._scanned_offset = 0
         self._scanned_era = 0
+        self._composer = ConfigComposer(metrics=metrics)
 
     def serve_history(self, source: HistorySource) -> None:
         """Restore lost records from those that the node has applied."""
@@ -108,7 +110,7 @@
         """Read records from ``offset`` on, waiting up to ``wait_s`` for the first."""
         try:
             if stream == CONFIG_STREAM:
-                return Success(await self._read_manifest(offset, wait_s, timeout_s))
+                return Success(await self._read_config(offset, wait_s, timeout_s))
             return await self._read_records(offset, limit, wait_s, timeout_s)
         except HistoryLostError:
             return Failure(self._report_lost(offset))
@@ -119,32 +121,56 @@
         """Close the idle connections."""
         await self._calls.close()
 
-    async def _read_manifest(
+    async def _read_config(
         self, offset: int, wait_s: float, timeout_s: float
     ) -> LogPage:
-        """Return a page with the newest manifest, without any other records."""
+        """Return a page with the newest config record, without any other records."""
         topic = TOPICS[CONFIG_STREAM]
         era = self._calls.eras.era or 0
+        is_known = self._scanned_era == era
         if offset >> ERA_SHIFT == era:
-            is_scanned = self._scanned_era == era
-            start = max(offset & _OFFSET_MASK, self._scanned_offset * is_scanned)
+            start = max(offset & _OFFSET_MASK, self._scanned_offset * is_known)
             found = await self._calls.read(
                 topic, start, wait_s=wait_s, timeout_s=timeout_s
             )
+            is_known = is_known and self._composer.end >= start
+            is_changed = any(map(self._composer.is_relevant, found.records))
+            if is_changed and not is_known and found.newest is None:
+                found = await self._calls.read_newest(topic, 0, timeout_s=timeout_s)
         else:
             found = await self._calls.read_newest(topic, 0, timeout_s=timeout_s)
         if (self._calls.eras.era or 0) != era:
             raise ResponseError("the era of the store has changed")
-        if found.records:
+        return self._build_config_page(found, era, is_known=is_known)
+
+    def _build_config_page(
+        self, found: TopicPage, era: int, *, is_known: bool
+    ) -> LogPage:
+        """Return the config record that follows from the records of a page.
+
+        Args:
+            found: The page.
+            era: The present era of the store.
+            is_known: Whether all records before the page are taken in.
+        """
+        if not is_known:
+            self._composer.end = -1
+        newest = None
+        if found.newest is not None:
+            newest = self._composer.load(found)
+            self._scanned_offset = self._composer.end
+        elif is_known:
+            newest = self._composer.add(found.records)
+        if found.records and found.newest is None:
             self._scanned_offset = found.records[-1].offset + 1
+        if found.records or found.newest is not None:
             self._scanned_era = era
         start = era << ERA_SHIFT
-        manifests = [item for item in found.records if item.key == MANIFEST_KEY]
-        end = start + found.end
-        if not manifests:
+        end = start + max(found.end, self._scanned_offset)
+        payload = self._composer.compose() if newest is not None else b""
+        if not payload:
             return LogPage(first=end, payloads=(), end=end)
-        newest = manifests[-1]
-        return LogPage(first=start + newest.offset, payloads=(newest.value,), end=end)
+        return LogPage(first=start + newest, payloads=(payload,), end=end)
 
     async def _read_records(
         self, offset: int, limit: int, wait_s: float, timeout_s: float
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -75,10 +75,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TopicPage:
-    """Records of a topic in order of their offsets, and the end offset of the topic."""
+    """Records of a topic in order of their offsets.
+
+    Attributes:
+        records: The records.
+        end: End offset of the topic.
+        newest: The newest record of each key, if the page was read that way.
+        end_before: End offset of the topic before the first of these was read.
+    """
 
     records: tuple[StoreRecord, ...]
     end: int
+    newest: tuple[StoreRecord, ...] | None = None
+    end_before: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -177,19 +186,27 @@
         found = await self.read_keys(topic, after="", timeout_s=timeout_s)
         kept = tuple(record for record in found.records if record.offset >= offset)
         end = max([found.end, *(record.offset + 1 for record in kept)])
-        return TopicPage(records=kept, end=end)
+        return dataclasses.replace(found, records=kept, end=end)
 
     async def read_keys(self, topic: str, *, after: str, timeout_s: float) -> TopicPage:
         """Read the newest record of each key that follows ``after``."""
         records: list[StoreRecord] = []
+        end_before: int | None = None
         while True:
             response = await self._read_newest_page(topic, after, timeout_s)
+            if end_before is None:
+                end_before = response.end_offset
             records.extend(map(_parse_item, response.items))
             if not response.has_more or not response.items:
                 break
             after = response.items[-1].key
         records.sort(key=lambda record: record.offset)
-        return TopicPage(records=tuple(records), end=response.end_offset)
+        return TopicPage(
+            records=tuple(records),
+            end=response.end_offset,
+            newest=tuple(records),
+            end_before=end_before,
+        )
 
     async def _read_newest_page(
         self, topic: str, after: str, timeout_s: float
--- a/tests/running.py
+++ b/tests/running.py
@@ -19,6 +19,8 @@
     "tests.logservice",
     "tests.network",
     "tests.platform.test_departures",
+    "tests.platform.test_evacuation_process",
+    "tests.platform.test_evacuation_records",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
     "tests.platform.test_late_requests",
