--- a/src/papayatack/control/directory.py
+++ b/src/papayatack/control/directory.py
@@ -82,13 +82,21 @@
         return Success(_make_route(shard, owner, local=local))
 
     def list_nodes(self, service: str) -> tuple[Route, ...]:
-        """Return the live nodes of an unsharded service, nearest first."""
+        """Return the live nodes of an unsharded service, nearest first.
+
+        Those in evacuated data centres are left out if there are others.
+        """
         local_member = self._core.state.members.get(self._core.incarnation)
         members = [
             member
             for member in self._core.state.list_live_members()
             if member.service == service and self._is_routable(member)
         ]
+        evacuated = self.configuration.evacuated
+        if evacuated:
+            outside = [m for m in members if m.data_centre not in evacuated]
+            # If there are none, the nodes themselves know until when they serve.
+            members = outside or members
         members.sort(key=lambda member: _rank_distance(member, local_member))
         return tuple(
             _make_route(
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -35,16 +35,19 @@
 
 from papayatack.control.directory import Directory
 from papayatack.control.effects import EffectExecutor
+from papayatack.control.evacuation import EvacuationControl
 from papayatack.control.following import STREAMS, AppliedRecords, LogFollower
 from papayatack.control.interface import ConfigState, GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeTransport
 from papayatack.control.planning import Planner, PlanningIntervals
+from papayatack.control.provenance import Provenance
 from papayatack.control.quarantine import QuarantineControl
 from papayatack.control.replication import RecordReplicator
 from papayatack.control.shares import ShareWatch
 from papayatack.control.suspension import SuspensionDetector
 from papayatack.control.writing import RecordWriter
+from papayatack.core.evacuation import EVACUATION_S
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
 from papayatack.core.messages import (
@@ -114,8 +117,11 @@
         tailing: Chooses the nodes that read the log directly. New records are passed
             along the forwarding tree only if it is given.
         lease_s: Duration of a lease in seconds, the same on all nodes.
+        evacuation_s: Time after the acknowledgement of an order to evacuate a data
+            centre from which no request may reach an upstream there, in seconds.
 
     Attributes:
+        evacuation: Whether the local upstream may be used, and until when.
         quarantine: Requests that were in flight when upstreams crashed.
         read_limit: Returns the limit in requests per second that the local upstream
             names, ``None`` if it names none.
@@ -138,6 +144,7 @@
         planning_intervals: PlanningIntervals | None = None,
         tailing: TailPolicy | None = None,
         lease_s: float = LEASE_DURATION_S,
+        evacuation_s: float = EVACUATION_S,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.metrics = metrics
@@ -172,6 +179,20 @@
             metrics=metrics,
             random=random,
         )
+        self.evacuation = EvacuationControl(
+            core=self.core,
+            data_centre=announcement.data_centre,
+            bound_s=evacuation_s,
+            execute_effects=lambda effects: self._effects.execute(effects),
+            check_suspension=self._check_suspension,
+            metrics=metrics,
+        )
+        if self._config.configuration.evacuated:
+            self.evacuation.note_configuration(
+                self._config.configuration.evacuated,
+                Provenance(read_s=now),
+                float("-inf"),
+            )
         self._planner = Planner(
             core=self.core,
             read_configuration=lambda: self._config.configuration,
@@ -179,6 +200,7 @@
             append=self._writer.put,
             put_plan=self._writer.put_plan,
             intervals=self._intervals,
+            evacuations=self.evacuation.evacuations,
         )
         self.share_watch = ShareWatch(core=self.core, metrics=metrics)
         self._follower = LogFollower(
@@ -229,6 +251,7 @@
             execute_effects=self._effects.execute,
             forwards=tailing is not None,
             metrics=metrics,
+            note_evacuations=self.evacuation.note_configuration,
         )
 
     def _build_checkpoint_managers(
@@ -347,6 +370,7 @@
 
     def _check_suspension(self) -> None:
         if self._suspension.detect():
+            self.evacuation.expire()
             self._effects.execute(self.core.handle_suspension(self._read_clock()))
 
     def _find_service(self, name: str) -> Service | None:
@@ -361,6 +385,7 @@
             self._follower.update(self._read_clock())
             self._replicator.report_unreachable(self._read_clock())
             self._effects.execute(self.core.advance(self._read_clock()))
+            self.evacuation.advance(self._read_clock())
             self.outcomes.send_queries(self._read_clock())
             await asyncio.sleep(ADVANCE_INTERVAL_S)
 
--- a/src/papayatack/control/planning.py
+++ b/src/papayatack/control/planning.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from papayatack.control.pending import PlanWrite
+from papayatack.core.evacuation import Evacuations
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.core.inventory import Configuration
 from papayatack.core.messages import LoadReport
@@ -76,6 +77,7 @@
         put_plan: Queues the records of a plan; returns what becomes of them. Without
             it they are queued one by one, and not waited for.
         intervals: Intervals of planning.
+        evacuations: The evacuated data centres, whose nodes are to have no shards.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         append: Callable[[Assign | DeclareLost], None],
         put_plan: Callable[[list[Assign]], PlanWrite] | None = None,
         intervals: PlanningIntervals | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._intervals = intervals or PlanningIntervals()
         self._core = core
         self._read_configuration = read_configuration
@@ -104,7 +108,7 @@
         self._serving_offset = -1
         self._last_join_s = float("-inf")
         self._settling_since_s: float | None = None
-        self._last_inputs = (-1, -1)
+        self._last_inputs: tuple[int, int, frozenset[str]] | None = None
         self._ranked_planners: tuple[int, list[IncarnationId]] = (-1, [])
         self._owners: tuple[int, Counter[LeaseId]] = (-1, Counter())
         self._last_plan_s = float("-inf")
@@ -139,7 +143,8 @@
             return
         self._declare_lost(now)
         version = self._read_configuration().version
-        inputs = (self._core.state.next_offset, version)
+        moving = self._evacuations.list_moving(now)
+        inputs = (self._core.state.next_offset, version, moving)
         unchanged = inputs == self._last_inputs
         if unchanged and now - self._last_plan_s < self._intervals.idle_interval_s:
             return
@@ -170,7 +175,7 @@
         if write.is_pending(self._core.state.next_offset, now):
             return True
         if write.has_failed or write.unresolved:
-            self._last_inputs = (-1, -1)
+            self._last_inputs = None
         self._write = None
         return False
 
@@ -305,13 +310,17 @@
         leaving = {
             name for name, (_, report) in self._reports.items() if report.leaving
         }
+        moving = self._evacuations.list_moving(now)
         nodes = []
         for member in state.list_live_members():
             lease = self._choose_lease(member, now)
             if lease is not None:
+                is_lost = member.incarnation in leaving or self._has_ended(member)
+                is_evacuated = member.data_centre in moving
                 node = dataclasses.replace(
                     self._describe_node(member, lease, now),
-                    leaving=member.incarnation in leaving or self._has_ended(member),
+                    leaving=is_lost or is_evacuated,
+                    evacuated=is_evacuated and not is_lost,
                     doubtful=member.incarnation in suspects,
                 )
                 nodes.append(node)
@@ -360,13 +369,14 @@
         _, report = self._reports.get(member.incarnation, (now, None))
         first = LeaseId(member.incarnation, 1)
         since_s = self._first_seen_s.setdefault(first, now)
+        returned_s = self._evacuations.find_returned_s(member.data_centre)
         return PlacementNode(
             lease=lease,
             data_centre=member.data_centre,
             region=member.region,
             service=member.service,
             slots=member.slots,
-            age_s=now - since_s,
+            age_s=now - max(since_s, returned_s),
             max_busy=_find_max_busy(report),
         )
 
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -73,6 +73,9 @@
         execute_effects: Executes the core's effects.
         forwards: Whether to forward records along the forwarding tree.
         metrics: Counts void, skipped and malformed records.
+        note_evacuations: Called with the evacuated data centres of each configuration
+            that is applied, how it reached this node, and the time at which the one
+            before it was the newest for certain.
     """
 
     def __init__(
@@ -88,7 +91,11 @@
         execute_effects: Callable[[list[Effect]], None],
         forwards: bool,
         metrics: Metrics,
+        note_evacuations: Callable[
+            [frozenset[str], Provenance, float], None
+        ] = lambda evacuated, provenance, current_s: None,
     ) -> None:
+        self._note_evacuations = note_evacuations
         self._core = core
         self._config = config
         self._follower = follower
@@ -252,6 +259,11 @@
     ) -> None:
         """Process that a record of the config stream has been applied."""
         self._observe(CONFIG_STREAM, logged)
+        self._note_evacuations(
+            self._config.configuration.evacuated,
+            provenance,
+            self._core.config_watch.current_s,
+        )
         self._core.config_watch.set_offset(self._config.next_offset)
         if self._config.version > self._logged_version:
             self._logged_version = self._config.version
--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -56,6 +56,8 @@
     UPSTREAM_DRAINING = "upstream-draining"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_EJECTED = "upstream-ejected"
+    DATA_CENTRE_EVACUATED = "data-centre-evacuated"
+    SERVICE_EVACUATED = "service-evacuated"
     GRANT_REFUSED = "grant-refused"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_LOST = "peer-lost"
@@ -127,6 +129,8 @@
     ErrorKind.UPSTREAM_DRAINING: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_EJECTED: _not_run(503, _RETRY_REMEDY, retryable=True),
+    ErrorKind.DATA_CENTRE_EVACUATED: _not_run(503, _RETRY_REMEDY, retryable=True),
+    ErrorKind.SERVICE_EVACUATED: _not_run(503, _RETRY_REMEDY),
     ErrorKind.GRANT_REFUSED: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_LOST: _unknown(502, _CHECK_REMEDY),
--- a/src/papayatack/core/evacuation.py
+++ b/src/papayatack/core/evacuation.py
@@ -16,10 +16,10 @@
 SETTLE_S = 0.8
 """Time for which an order must be known before the planner moves shards away."""
 
-OWN_MOVE_DELAY_S = 1.8
+OWN_MOVE_DELAY_S = 2.4
 """Time after which a node whose shards the planner has not moved moves them itself."""
 
-OWN_MOVE_NOTICE_S = 2.4
+OWN_MOVE_NOTICE_S = 1.6
 """Least time before the end at which it does so, however late it knew of the order."""
 
 STOP_NOTICE_S = 0.9
@@ -123,5 +123,5 @@
         )
 
     def find_returned_s(self, data_centre: str) -> float:
-        """Return when the data centre was last taken back, negative infinity if never."""
+        """Return when the data centre was last taken back; ``-inf`` if never."""
         return self._returned_s.get(data_centre, -math.inf)
--- a/src/papayatack/core/handover.py
+++ b/src/papayatack/core/handover.py
@@ -35,6 +35,7 @@
         ErrorKind.CONFIG_STALE,
         ErrorKind.PEER_UNREACHABLE,
         ErrorKind.UPSTREAM_DRAINING,
+        ErrorKind.DATA_CENTRE_EVACUATED,
     }
 )
 """Refusals that are expected to stop once the key has an owner."""
--- a/src/papayatack/core/ownership/context.py
+++ b/src/papayatack/core/ownership/context.py
@@ -54,6 +54,7 @@
             started.
         record_count: Number of record ids made so far.
         due_s_by_key: Time at which the next action of each key is due.
+        evacuated: Names of the data centres whose nodes are to get no shards.
     """
 
     incarnation: IncarnationId
@@ -69,6 +70,7 @@
     upstream_restarts: int = 0
     record_count: int = 0
     due_s_by_key: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
     def find_deadline_s(self, service: str) -> float:
         """Return the longest duration of a request to a service, in seconds."""
@@ -139,6 +141,25 @@
         }
         return reported | self.fencing.list_suspects(now)
 
+    def list_evacuated_nodes(self) -> set[IncarnationId]:
+        """Return the members in evacuated data centres."""
+        if not self.evacuated:
+            return set()
+        return {
+            member.incarnation
+            for member in self.state.members.values()
+            if member.data_centre in self.evacuated
+        }
+
+    def has_nodes_outside(self, service: str) -> bool:
+        """Return whether a service has a live node in no evacuated data centre."""
+        return any(
+            member.service == service
+            and member.data_centre not in self.evacuated
+            and self.state.find_live_lease(member.incarnation) is not None
+            for member in self.state.list_live_members()
+        )
+
     def list_claimants(self, lease: LeaseId) -> set[IncarnationId]:
         """Return the other nodes in the current chains of a lease's shards."""
         claimants = {
--- a/src/papayatack/core/ownership/departure.py
+++ b/src/papayatack/core/ownership/departure.py
@@ -82,6 +82,13 @@
         elif not keeps_running:
             self._keeps_running = False
 
+    def stop_serving(self, now: float) -> None:
+        """Serve the shards that have not moved no longer, and end the leases."""
+        if self.stage is DepartureStage.SERVING:
+            self._keeps_running = True
+        if self.stage in (DepartureStage.SERVING, DepartureStage.MOVING):
+            self._enter(DepartureStage.DRAINING, now)
+
     @property
     def is_shutting_down(self) -> bool:
         """Whether the node is shutting down for good."""
@@ -147,14 +154,13 @@
         state = self._context.state
         current = state.shards[shard].current
         suspects = self._context.fencing.list_suspects(self._last_progress_s)
+        avoid: set[IncarnationId] = {self._context.incarnation, *suspects}
+        avoid |= self._context.list_evacuated_nodes()
         kept = tuple(
             other
             for other in current.leases
-            if other.incarnation != self._context.incarnation
-            and other.incarnation not in suspects
-            and state.is_live(other)
+            if other.incarnation not in avoid and state.is_live(other)
         )
-        avoid: set[IncarnationId] = {self._context.incarnation, *suspects}
         chain = extend_chain(state, shard, find_service_name(shard), kept, avoid=avoid)
         if not chain:
             return None
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -248,6 +248,11 @@
         self.departure.start(now, keeps_running=True)
         return self.advance(now)
 
+    def stop_serving(self, now: float) -> list[Effect]:
+        """Stop serving the shards that are left; their successors take over."""
+        self.departure.stop_serving(now)
+        return self.advance(now)
+
     def handle_upstream_restart(self, now: float) -> list[Effect]:
         """Grant all shards anew to an upstream that lost its grants in a restart.
 
--- a/src/papayatack/core/placement/limits.py
+++ b/src/papayatack/core/placement/limits.py
@@ -16,6 +16,8 @@
         max_successor_changes: Maximum number of chains in which one plan changes only
             the successors.
         max_moves: Maximum number of shards that are moving at once to balance load.
+        evacuation_share: Share of all shards that may be moving at once out of
+            evacuated data centres, if that is more than ``max_moves``.
         max_hourly_move_share: Share of all shards that may have moved within the last
             hour before moves for load are throttled.
         max_throttled_moves: Maximum number of moves for load within
@@ -48,6 +50,7 @@
     max_repairs: int = 1_000
     max_successor_changes: int = 128
     max_moves: int = 32
+    evacuation_share: float = 0.125
     max_hourly_move_share: float = 0.5
     max_throttled_moves: int = 2
     max_hot_shards: int = 64
--- a/src/papayatack/core/placement/plan_builder.py
+++ b/src/papayatack/core/placement/plan_builder.py
@@ -39,6 +39,9 @@
         self.limits = limits
         self.assignments: list[Assignment] = []
         self._changed: set[ShardId] = set()
+        self._evacuated = {
+            node.lease.incarnation for node in view.nodes if node.evacuated
+        }
         self._new_owners: list[tuple[bool, ShardId, PoolNode]] = []
         hot = (s for s, state in view.shards.items() if state.chain and is_hot_shard(s))
         self.shards = list_shards(view.configuration, hot)
@@ -122,6 +125,18 @@
         busy = moving or shard in self._changed
         return not busy and state.age_s >= self.limits.relief_cooldown_s
 
+    def is_evacuating(self, shard: ShardId) -> bool:
+        """Return whether a shard's owner leaves it, but still serves it."""
+        chain = self.chains[shard]
+        return bool(chain) and chain[0].incarnation in self._evacuated
+
+    def count_allowed_evacuations(self) -> int:
+        """Return how many further shards may be moved out of evacuated data centres."""
+        states = self.view.shards.values()
+        moving = sum(state.moving and not state.owner_kept for state in states)
+        share = math.ceil(self.limits.evacuation_share * len(self.shards))
+        return max(max(self.limits.max_moves, share) - moving, 0)
+
     def is_changed(self, shard: ShardId) -> bool:
         """Return whether the plan already changes a shard."""
         return shard in self._changed
--- a/src/papayatack/core/placement/repair.py
+++ b/src/papayatack/core/placement/repair.py
@@ -25,7 +25,7 @@
         for urgency, number, shard in _list_defects(builder)
         if urgency is not _Urgency.SUCCESSORS
     )
-    repairs = urgent[: builder.limits.max_repairs]
+    repairs = _hold_back(builder, urgent)[: builder.limits.max_repairs]
     bounds = {
         name: ConcentrationBound(builder=builder, pool=pool)
         for name, pool in builder.pools.items()
@@ -46,6 +46,20 @@
             builder.assign_owner(shard, owner, urgent=has_no_holder)
 
 
+def _hold_back(
+    builder: PlanBuilder, found: list[tuple[_Urgency, int, ShardId]]
+) -> list[tuple[_Urgency, int, ShardId]]:
+    """Return the repairs without those of shards that are still served for a while.
+
+    Shards that move at the same time are without an owner for longer.
+    """
+    waiting = [entry for entry in found if builder.is_evacuating(entry[2])]
+    if not waiting:
+        return found
+    held_back = set(waiting[builder.count_allowed_evacuations() :])
+    return [entry for entry in found if entry not in held_back]
+
+
 def repair_successors(builder: PlanBuilder) -> None:
     """Plan a new chain for each shard that has lost successors only."""
     found = [
--- a/src/papayatack/core/placement/view.py
+++ b/src/papayatack/core/placement/view.py
@@ -26,6 +26,8 @@
             no shards.
         doubtful: Whether its lease has lapsed at a witness, but is not proved to have
             ended; it keeps its shards and is assigned no more.
+        evacuated: Whether it leaves its shards while it still serves, so that they are
+            moved a few at a time.
         age_s: Time since the node was admitted, in seconds.
         speed: Speed of the upstream, relative to the mean of its service.
         max_busy: Slots that its own limit on requests per second keeps busy.
@@ -38,6 +40,7 @@
     slots: int
     leaving: bool = False
     doubtful: bool = False
+    evacuated: bool = False
     age_s: float = 0.0
     speed: float = 1.0
     max_busy: float = math.inf
--- a/src/papayatack/ctl/tables.py
+++ b/src/papayatack/ctl/tables.py
@@ -110,6 +110,8 @@
         ),
         ("log", "reachable" if answer.log_reachable else "away"),
     ]
+    if answer.evacuated:
+        own.append(("evacuated", _describe_evacuation(answer)))
     nodes = [
         (n.incarnation, n.operator_address, n.service, n.data_centre, n.state)
         for n in answer.nodes
@@ -127,6 +129,15 @@
     )
 
 
+def _describe_evacuation(answer: StatusAnswer) -> str:
+    """Return the evacuated data centres, and whether the local upstream is used."""
+    text = ", ".join(answer.evacuated)
+    if answer.data_centre not in answer.evacuated:
+        return text
+    is_used = answer.sends_to_upstream
+    return f"{text}; the upstream here {'is still used' if is_used else 'gets nothing'}"
+
+
 def _describe_configuration(answer: StatusAnswer) -> str:
     """Return the version in force, and when no newer one was known for certain."""
     text = f"version {answer.config_version}"
--- a/src/papayatack/daemon/environment.py
+++ b/src/papayatack/daemon/environment.py
@@ -9,6 +9,7 @@
 from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.node import ControlNode
 from papayatack.control.planning import PlanningIntervals
+from papayatack.core.evacuation import EVACUATION_S
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Configuration
 from papayatack.core.ownership import OwnershipState
@@ -77,6 +78,8 @@
         tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
         lease_s: Length of a node's lease. Where an upstream ends the work that
             outlasts the grant under which it began, a lease lasts as long as work.
+        evacuation_s: Seconds after an order to evacuate a data centre from which no
+            request may reach an upstream there.
         ejects_upstream: Whether the gate takes an upstream that fails out of use.
         retry_share: Further attempts allowed for each request.
     """
@@ -92,6 +95,7 @@
     placement: PlacementLimits
     tailing: TailPolicy | None
     lease_s: float
+    evacuation_s: float
     ejects_upstream: bool
     retry_share: float
 
@@ -145,6 +149,7 @@
         self.placement = PlacementLimits()
         self.tailing: TailPolicy | None = None
         self.lease_s = LEASE_DURATION_S
+        self.evacuation_s = EVACUATION_S
         self.ejects_upstream = True
         self.retry_share = RETRY_BUDGET_RATIO
         self._sink = GrantClient()
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -216,6 +216,9 @@
         control.read_limit = lambda: admission.requests_per_s
         engine = self._build_engine(control, gate)
         control.outcomes.exchange = engine.outcomes
+        engine.check_evacuation(control.evacuation.find_obstacle)
+        control.evacuation.on_end = gate.refuse_waiting
+        control.evacuation.on_return = gate.note_return
         self._peers.on_control = control.receive
         self._peers.on_request = engine.serve_peer
         keeper = UpstreamKeeper(
@@ -349,6 +352,7 @@
             planning_intervals=self._environment.pace,
             tailing=self._environment.tailing,
             lease_s=self._environment.lease_s,
+            evacuation_s=self._environment.evacuation_s,
             metrics=self._metrics,
             random=self._random,
         )
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -78,6 +78,8 @@
         nodes=[_describe_member(control, member) for member in state.members.values()],
         in_flight=in_flight,
         queue=queue,
+        evacuated=sorted(control.evacuation.evacuations.data_centres),
+        sends_to_upstream=control.evacuation.may_send(now),
     )
 
 
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -9,6 +9,7 @@
 from papayatack.control.interface import ConfigState, GrantSink
 from papayatack.control.node import ControlNode
 from papayatack.control.planning import PlanningIntervals
+from papayatack.core.evacuation import EVACUATION_S
 from papayatack.core.identity import IncarnationId, ShardId
 from papayatack.core.ownership import OwnershipState, apply_record, load_state
 from papayatack.core.ownership.selection import TailPolicy
@@ -99,6 +100,7 @@
         self.lease_s = min(
             LEASE_DRAIN_RATIO * settings.bounds.drain, settings.bounds.longest_hold
         )
+        self.evacuation_s = settings.bounds.evacuation or EVACUATION_S
         self.ejects_upstream = False
         self.retry_share = settings.bounds.retry_share * LOCAL_RETRY_SHARE
         self.build_classifier = functools.partial(
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -130,6 +130,10 @@
         """Have ``callback`` called for responses that say that the upstream leaves."""
         self._local.on_upstream_leaving = callback
 
+    def check_evacuation(self, find_evacuation: Callable[[], Refusal | None]) -> None:
+        """Have each request checked directly before it is sent to the upstream."""
+        self._local.find_evacuation = find_evacuation
+
     @property
     def in_flight(self) -> tuple[int, int]:
         """Number of unanswered requests: from callers, and from other nodes."""
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -179,10 +179,19 @@
         """Begin a slow start, since the upstream has restarted and is cold."""
         self._admission.restart(asyncio.get_running_loop().time())
 
+    def note_return(self) -> None:
+        """Begin slowly: an upstream that got no requests for a while may be cold."""
+        self.restart()
+
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse all queued requests."""
+        self._admission.refuse_queued(refusal)
+        self._process_queue(asyncio.get_running_loop().time())
+
     def close(self) -> None:
         """Refuse all queued and later requests, since the node is shutting down."""
         self._closed = True
-        self._refuse_waiting(_CLOSED)
+        self.refuse_waiting(_CLOSED)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -253,10 +262,6 @@
         self._timer = None
         self._process_queue(asyncio.get_running_loop().time())
 
-    def _refuse_waiting(self, refusal: Refusal) -> None:
-        self._admission.refuse_queued(refusal)
-        self._process_queue(asyncio.get_running_loop().time())
-
     def _build_ejection_refusal(self, now: float) -> Refusal:
         return Refusal(
             kind=ErrorKind.UPSTREAM_EJECTED,
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -70,6 +70,8 @@
         screening: Keeps requests that crash upstreams from the upstream.
         crashes: Follows the requests in flight at the upstream.
         work_times: Estimates how long the upstream takes, by kind of request.
+        find_evacuation: Returns why nothing may be sent to the upstream now, ``None``
+            if its data centre is not evacuated.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.work_times = WorkTimes()
         self._guard = guard or ShutdownGuard()
         self.on_upstream_leaving: Callable[[], None] | None = None
+        self.find_evacuation: Callable[[], Refusal | None] = lambda: None
         self._dialect = dialect or DefaultDialect()
         self._ownership = ownership
         self._gate = gate
@@ -141,6 +144,9 @@
         peer_request = screened.peer_request
         if self.upstream is None:
             return _refuse(ErrorKind.UPSTREAM_DRAINING, "no upstream runs here")
+        evacuation = self.find_evacuation()
+        if evacuation is not None:
+            return Failure(evacuation)
         shard = ShardId(peer_request.shard)
         obstacle = self._ownership.find_obstacle(shard) if shard else None
         if obstacle is not None:
@@ -208,6 +214,7 @@
         now = asyncio.get_running_loop().time()
         work_s = self.work_times.estimate(find_work_kind(peer_request))
         obstacle = self._guard.find_dispatch_obstacle(now, deadline_s, work_s)
+        obstacle = obstacle or self.find_evacuation()
         if obstacle is not None:
             upstream.return_connection(connection)
             return Failure(obstacle)
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -79,6 +79,8 @@
     nodes: list[NodeEntry] = []
     in_flight: int = 0
     queue: int = 0
+    evacuated: list[str] = []
+    sends_to_upstream: bool = True
 
 
 class VersionAnswer(_Answer):
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -33,6 +33,7 @@
 
     Attributes:
         runs: Ids of the requests that it ran, in order.
+        reached_s: Event loop times at which they reached it.
         slots: How many requests it says that it runs at once.
         grants: What it holds, by first and last key.
         calls: Target and document of every grant and release.
@@ -62,6 +63,7 @@
         self.instance = instance
         self.service = service
         self.runs: list[str] = []
+        self.reached_s: list[float] = []
         self.slots = 8
         self.grants: dict[tuple[int, int], Grant] = {}
         self.calls: list[tuple[bytes, dict]] = []
@@ -259,6 +261,7 @@
             find_header(request.headers, b"papayatack-caller-service") or b""
         )
         self.runs.append(request_id.decode())
+        self.reached_s.append(asyncio.get_running_loop().time())
         fields = (
             *self.signals,
             echoed,
--- a/tests/core/test_evacuation.py
+++ b/tests/core/test_evacuation.py
@@ -3,8 +3,7 @@
 import math
 import unittest
 
-from hypothesis import given
-from hypothesis import strategies as st
+from hypothesis import given, strategies as st
 
 from papayatack.core.evacuation import (
     EVACUATION_S,
--- a/tests/platform/test_evacuation_records.py
+++ b/tests/platform/test_evacuation_records.py
@@ -281,8 +281,7 @@
             for _ in range(3):
                 await reader.read()
             self.assertEqual(reader.evacuated, expected)
-        manifest = dict(
-            (key, value) for key, value, _ in self.store.list_newest(TOPIC)
-        )[b"config"]
+        newest = {key: value for key, value, _ in self.store.list_newest(TOPIC)}
+        manifest = newest[b"config"]
         version = int(json.loads(manifest)["Version"], 16)
         self.assertTrue(all(reader.fold.version >= version for reader in readers))
