--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -101,6 +101,15 @@
         self.assertEqual(status, ExitStatus.DONE)
         self.assertIn("shards owned", stdout)
 
+    def test_status_shows_evacuations(self):
+        """Also whether the node's own upstream is still used."""
+        for is_used, expected in ((True, "is still used"), (False, "gets nothing")):
+            changes = {"evacuated": ["narva"], "sends_to_upstream": is_used}
+            document = make_status(self.endpoint.address) | changes
+            self.endpoint.answer("GET", "/status", (200, document))
+            _, stdout, _ = self.run_command("status")
+            self.assertIn(f"narva; the upstream here {expected}", stdout)
+
     def test_not_a_node(self):
         """An endpoint of another program is named as such."""
         self.endpoint.answer("GET", "/status", (200, "<html>"))
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -146,6 +146,7 @@
         plans: Whether the nodes' planner changes anything.
         drop: Part of the messages that are lost.
         delay_s: Longest further time that a message takes.
+        long_share: Part of the requests that may run until their deadline.
     """
 
     def __init__(
@@ -158,6 +159,7 @@
     ):
         self.random = random.Random(seed)
         self.configuration = configuration
+        self.keys = configuration.services[0].key_ranges[0].numbers
         self.placement = placement
         self.lease_s = lease_s
         self.checker = OwnershipChecker()
@@ -171,6 +173,7 @@
         self.stall = 0.0
         self.slow_s = 0.0
         self.hot_keys = (0,)
+        self.long_share = 0.1
         self.served = 0
         self.plans = True
         self.records = 0
@@ -226,7 +229,8 @@
             metrics=Metrics(),
             random=random.Random(self.random.random()),
             state=state,
-            config=_Config(self.configuration),
+            config=self.build_config(),
+            decoder=self.build_decoder(),
             planning_intervals=PLANNING_INTERVALS,
             tailing=TailPolicy(small_fleet_size=2, tailers_per_data_centre=1),
             lease_s=self.lease_s,
@@ -260,6 +264,17 @@
                 loop.call_later(0.1, self.start, slot.name)
             raise asyncio.CancelledError
 
+    def build_config(self):
+        """Return the config state of a node that starts."""
+        return _Config(self.configuration)
+
+    def build_decoder(self):
+        """Return the decoder of a node's records, ``None`` for the usual one."""
+
+    def may_send(self, slot, control):
+        """Return whether a request may be sent to the upstream of a machine now."""
+        return True
+
     async def wait_loadable(self, slot):
         """Wait until a node that starts may load the records of the log: at once."""
 
@@ -397,7 +412,7 @@
             if self.random.random() < 0.4:
                 key = self.random.choice(self.hot_keys)
             else:
-                key = self.random.randrange(KEYS)
+                key = self.random.randrange(self.keys)
             tasks.create_task(self._request(slot, control, key))
 
     async def _request(self, slot, control, key):
@@ -409,7 +424,10 @@
         if not is_successful(granted) or life is None:
             return
         grant = granted.unwrap()
-        longest_s = DEADLINE_S if self.random.random() < 0.1 else 0.2
+        if not self.may_send(slot, control):
+            control.ownership.finish(grant, service_time_s=None)
+            return
+        longest_s = DEADLINE_S if self.random.random() < self.long_share else 0.2
         duration_s = self.random.random() * longest_s
         begun = await life.run(key, duration_s)
         control.ownership.finish(grant, service_time_s=duration_s)
