Move shards out of evacuated data centres without other work beside it

Under starved processors each round of moves took twice as long, since the planner changed the successors of all other shards at the same time, and the nodes began to move shards that the planner was about to move. While shards are moved out, nothing else that can wait is planned; a node moves its own shards only if none has moved for 1 s, or 1.2 s before the end.

--- a/src/papayatack/control/evacuation.py
+++ b/src/papayatack/control/evacuation.py
@@ -76,6 +76,8 @@
         self._metrics = metrics
         self._has_ended = False
         self._is_nowhere = False
+        self._owned_count = 0
+        self._moved_s = -math.inf
 
     @property
     def is_evacuated(self) -> bool:
@@ -160,14 +162,18 @@
 
     def _move_shards(self, now: float) -> None:
         """Move shards that the planner has left here, or stop serving them."""
-        if not self._core.context.owned_shards.owned:
+        count = len(self._core.context.owned_shards.owned)
+        if count < self._owned_count:
+            self._moved_s = now
+        self._owned_count = count
+        if not count:
             return
         stage = self._core.departure.stage
         if self.evacuations.must_stop_serving(self._data_centre, now):
             if stage in (DepartureStage.SERVING, DepartureStage.MOVING):
                 self._execute_effects(self._core.stop_serving(now))
         elif (
-            self.evacuations.must_move_own(self._data_centre, now)
+            self.evacuations.must_move_own(self._data_centre, self._moved_s, now)
             and stage is DepartureStage.SERVING
         ):
             self._execute_effects(self._core.evacuate_shards(now))
--- a/src/papayatack/core/evacuation.py
+++ b/src/papayatack/core/evacuation.py
@@ -16,11 +16,14 @@
 SETTLE_S = 0.8
 """Time for which an order must be known before the planner moves shards away."""
 
-OWN_MOVE_DELAY_S = 2.4
-"""Time after which a node whose shards the planner has not moved moves them itself."""
+OWN_MOVE_DELAY_S = 2.2
+"""Time after which a node whose shards the planner does not move moves them itself."""
 
-OWN_MOVE_NOTICE_S = 1.6
-"""Least time before the end at which it does so, however late it knew of the order."""
+STALLED_S = 1.0
+"""Time without a move after which that is so."""
+
+OWN_MOVE_NOTICE_S = 1.2
+"""Least time before the end at which it moves them anyway, however late it knew."""
 
 STOP_NOTICE_S = 0.9
 """Time before the bound from which it no longer serves the shards that are left."""
@@ -105,12 +108,18 @@
         notice_s = STOP_NOTICE_S - SEND_MARGIN_S
         return now >= self.find_end_s(data_centre) - notice_s
 
-    def must_move_own(self, data_centre: str, now: float) -> bool:
-        """Return whether a node there has to move its shards itself."""
+    def must_move_own(self, data_centre: str, moved_s: float, now: float) -> bool:
+        """Return whether a node there has to move its shards itself.
+
+        Args:
+            data_centre: The data centre.
+            moved_s: Time of the last move of one of them.
+            now: Current time.
+        """
         order = self._orders.get(data_centre)
         if order is None:
             return False
-        due_s = order.known_s + OWN_MOVE_DELAY_S
+        due_s = max(order.known_s + OWN_MOVE_DELAY_S, moved_s + STALLED_S)
         latest_s = self.find_end_s(data_centre) - OWN_MOVE_NOTICE_S
         return now >= min(due_s, latest_s)
 
--- a/src/papayatack/core/placement/plan_builder.py
+++ b/src/papayatack/core/placement/plan_builder.py
@@ -130,6 +130,14 @@
         chain = self.chains[shard]
         return bool(chain) and chain[0].incarnation in self._evacuated
 
+    @property
+    def has_evacuating_shards(self) -> bool:
+        """Whether any shard is still to be moved out of an evacuated data centre."""
+        return bool(self._evacuated) and any(
+            self.is_evacuating(shard) and self.find_pool(shard).nodes
+            for shard in self.shards
+        )
+
     def count_allowed_evacuations(self) -> int:
         """Return how many further shards may be moved out of evacuated data centres."""
         states = self.view.shards.values()
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -40,6 +40,11 @@
     """
     builder = PlanBuilder(view=clamp_reports(normalise_speeds(view)), limits=limits)
     repair_owners(builder)
+    if builder.has_evacuating_shards:
+        # Nothing that can wait takes the time of the upstreams and nodes meanwhile.
+        builder.choose_successors()
+        release_retired(builder)
+        return PlacementPlan(assignments=tuple(builder.assignments))
     relieve_concentration(builder)
     builder.choose_successors()
     repair_successors(builder)
--- a/tests/core/test_evacuation.py
+++ b/tests/core/test_evacuation.py
@@ -30,7 +30,7 @@
         """No data centre has an end."""
         self.assertTrue(self.evacuations.may_send("east", 1e9))
         self.assertFalse(self.evacuations.must_stop_serving("east", 1e9))
-        self.assertFalse(self.evacuations.must_move_own("east", 1e9))
+        self.assertFalse(self.evacuations.must_move_own("east", -math.inf, 1e9))
         self.assertEqual(self.evacuations.list_moving(1e9), frozenset())
 
     def test_only_the_ordered_data_centre_ends(self):
@@ -43,7 +43,7 @@
     def test_node_that_learned_late_has_less_time(self):
         """Its time counts from its last certain knowledge, and it moves sooner."""
         self.order("east", current_s=10.0, now=13.5)
-        self.assertTrue(self.evacuations.must_move_own("east", 13.5))
+        self.assertTrue(self.evacuations.must_move_own("east", 13.5, 13.5))
         self.assertTrue(self.evacuations.may_send("east", 13.6))
         self.order("east", "west", current_s=-math.inf, now=20.0)
         self.assertFalse(self.evacuations.may_send("west", 20.0))
@@ -99,10 +99,12 @@
         evacuations.update({"east"}, current_s=now - age_s, now=now)
         moving_s, own_s = now + SETTLE_S, now + OWN_MOVE_DELAY_S
         self.assertEqual(evacuations.list_moving(moving_s + 1e-6), {"east"})
-        self.assertFalse(evacuations.must_move_own("east", moving_s))
-        self.assertTrue(evacuations.must_move_own("east", own_s + 1e-6))
+        self.assertFalse(evacuations.must_move_own("east", now, moving_s))
+        self.assertTrue(evacuations.must_move_own("east", now, own_s + 1e-6))
+        self.assertFalse(evacuations.must_move_own("east", own_s, own_s + 1e-6))
         self.assertFalse(evacuations.must_stop_serving("east", own_s))
         end_s = evacuations.find_end_s("east")
+        self.assertTrue(evacuations.must_move_own("east", end_s, end_s - 1.0))
         self.assertTrue(evacuations.must_stop_serving("east", end_s - 1e-6))
         self.assertTrue(evacuations.may_send("east", end_s - 1e-6))
         self.assertFalse(evacuations.may_send("east", end_s))
--- a/tests/platform/test_evacuation_process.py
+++ b/tests/platform/test_evacuation_process.py
@@ -1,7 +1,9 @@
 """Tests of real processes whose data centres are evacuated under a light load."""
 
 import asyncio
+import contextlib
 import dataclasses
+import itertools
 import json
 import random
 
@@ -17,9 +19,13 @@
 WORK_S = 0.03
 DEADLINE_MS = 1500
 LIMIT_S = 3.0
-LOAD_S = 8.0
+EVACUATED_S = 8.0
 RETURN_S = 4.0
 KEYS = 65_536
+SLICE_KEYS = 128
+FEW_SLICES = 16
+SETTLED_S = 2.0
+LIMIT_SETTLE_S = 40.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,6 +57,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.answers = []
+        self.has_ended = asyncio.Event()
         self.rng = random.Random(1)
         self.store.store.append(TOPIC, b"config", build_routes())
         await self.wait_for(self.is_served)
@@ -66,23 +73,50 @@
                 return False
         return True
 
+    async def wait_settled(self):
+        """Wait until the first moves of a new fleet are over."""
+        loop = asyncio.get_running_loop()
+        last, since_s = [], loop.time()
+        async with asyncio.timeout(LIMIT_SETTLE_S):
+            while loop.time() < since_s + SETTLED_S:
+                held = self.list_held()
+                changed = sum(len(a ^ b) for a, b in zip(held, last, strict=False))
+                if changed > FEW_SLICES or not all(held) or not last:
+                    last, since_s = held, loop.time()
+                await asyncio.sleep(APART_S)
+
+    def list_held(self):
+        """Return the slices of keys that each upstream with keys holds."""
+        return [
+            {key for key in range(0, KEYS, SLICE_KEYS) if machine.upstream.holds(key)}
+            for machine, (_, service) in zip(self.machines, self.layout, strict=True)
+            if service == "desk"
+        ]
+
     def order(self, name, value=b"{}"):
         """Write an order and return the time of its acknowledgement."""
         self.store.store.append(TOPIC, b"evacuate/" + name.encode(), value)
         return asyncio.get_running_loop().time()
 
-    async def send_load(self, duration_s):
-        """Send requests to all nodes for a time, and wait for their ends."""
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + duration_s
+    async def send_load(self):
+        """Send requests to all nodes until told to stop, and wait for their ends."""
         async with asyncio.TaskGroup() as tasks:
-            number = 0
-            while loop.time() < until_s:
-                number += 1
+            for number in itertools.count():
+                if self.has_ended.is_set():
+                    break
                 machine = self.machines[number % len(self.machines)]
                 tasks.create_task(self.send(machine, number))
                 await asyncio.sleep(APART_S)
 
+    @contextlib.asynccontextmanager
+    async def loaded(self):
+        """Send the load meanwhile; begin once the fleet has settled under it."""
+        load = asyncio.ensure_future(self.send_load())
+        await self.wait_settled()
+        yield
+        self.has_ended.set()
+        await load
+
     async def send(self, machine, number):
         """Send one request of the load."""
         sent_s = asyncio.get_running_loop().time()
@@ -157,11 +191,14 @@
 
     async def test_evacuated_data_centre_gets_nothing_and_callers_are_served(self):
         """From the bound on, until the order is taken back; then it serves again."""
-        load = asyncio.ensure_future(self.send_load(LOAD_S))
-        await asyncio.sleep(0.5)
-        ordered_s = self.order("east")
-        await load
-        returned_s = self.order("east", b"")
+        async with self.loaded():
+            ordered_s = self.order("east")
+            await asyncio.sleep(EVACUATED_S)
+            await self.check_nodes_there()
+            returned_s = self.order("east", b"")
+            await self.wait_for(lambda: self.holds_keys(self.machines[0].upstream))
+            await asyncio.sleep(RETURN_S)
+            now = asyncio.get_running_loop().time()
         last_s = max(self.list_reached_s("east", ordered_s, returned_s), default=0.0)
         late = self.list_reached_s("east", ordered_s + BOUND_S, returned_s)
         share = self.check_served(ordered_s + SERVED_FROM_S, returned_s)
@@ -170,8 +207,7 @@
             f" served {share:.4f} from {SERVED_FROM_S} s on"
         )
         self.assertEqual(late, [])
-        await self.check_nodes_there()
-        await self.check_return(returned_s)
+        self.check_return(returned_s, now)
 
     async def check_nodes_there(self):
         """The nodes there are ready and their heartbeats are acknowledged."""
@@ -184,13 +220,9 @@
                 )
                 self.assertEqual(status, 200)
 
-    async def check_return(self, returned_s):
+    def check_return(self, returned_s, now):
         """Both upstreams there get requests again, and callers are served."""
-        await self.send_load(RETURN_S)
-        now = asyncio.get_running_loop().time()
         self.check_served(returned_s, now)
-        await self.wait_for(lambda: self.holds_keys(self.machines[0].upstream))
-        await self.send_load(RETURN_S)
         for machine, (place, _) in zip(self.machines, self.layout, strict=True):
             if place == "east":
                 self.assertGreater(machine.upstream.reached_s[-1], returned_s)
@@ -203,10 +235,10 @@
 
     async def test_service_without_another_data_centre_is_refused_at_once(self):
         """After the bound, until the return; the other service is served elsewhere."""
-        load = asyncio.ensure_future(self.send_load(LOAD_S))
-        ordered_s = self.order("east")
-        await load
-        now = asyncio.get_running_loop().time()
+        async with self.loaded():
+            ordered_s = self.order("east")
+            await asyncio.sleep(EVACUATED_S)
+            now = asyncio.get_running_loop().time()
         self.assertEqual(self.list_reached_s("east", ordered_s + BOUND_S, now), [])
         self.check_served(ordered_s + SERVED_FROM_S, now, "desk")
         refused = self.list_answers(ordered_s + BOUND_S, now, "papers")
