--- a/tests/running.py
+++ b/tests/running.py
@@ -40,6 +40,7 @@
 which run on virtual time, have ended: no other test takes the time that they need."""
 
 SLOWEST_FIRST = (
+    "tests.platform.test_evacuation_moves",
     "tests.platform.test_evacuation",
     "tests.platform.test_stops_while_log_away",
     "tests.control.test_config_spread",
