--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -58,6 +58,8 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_EJECTED = "upstream-ejected"
     UPSTREAM_COLD = "upstream-cold"
+    DATA_CENTRE_EVACUATED = "data-centre-evacuated"
+    SERVICE_EVACUATED = "service-evacuated"
     GRANT_REFUSED = "grant-refused"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_LOST = "peer-lost"
@@ -131,6 +133,8 @@
     ErrorKind.UPSTREAM_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_EJECTED: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_COLD: _not_run(503, _RETRY_REMEDY, retryable=True),
+    ErrorKind.DATA_CENTRE_EVACUATED: _not_run(503, _RETRY_REMEDY, retryable=True),
+    ErrorKind.SERVICE_EVACUATED: _not_run(503, _RETRY_REMEDY),
     ErrorKind.GRANT_REFUSED: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_UNREACHABLE: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.PEER_LOST: _unknown(502, _CHECK_REMEDY),
--- a/src/papayatack/daemon/status.py
+++ b/src/papayatack/daemon/status.py
@@ -88,6 +88,8 @@
         coldness=_describe_coldness(coldness),
         upstream_pace=None if pace is None else pace[0],
         upstream_load_age_s=None if pace is None else pace[1],
+        evacuated=sorted(control.evacuation.evacuations.data_centres),
+        sends_to_upstream=control.evacuation.may_send(now),
     )
 
 
--- a/src/papayatack/wire/answers.py
+++ b/src/papayatack/wire/answers.py
@@ -93,6 +93,8 @@
     coldness: ColdnessEntry | None = None
     upstream_pace: float | None = None
     upstream_load_age_s: float | None = None
+    evacuated: list[str] = []
+    sends_to_upstream: bool = True
 
 
 class VersionAnswer(_Answer):
--- a/tests/running.py
+++ b/tests/running.py
@@ -22,6 +22,8 @@
     "tests.platform.test_cold_process",
     "tests.platform.test_coldness",
     "tests.platform.test_departures",
+    "tests.platform.test_evacuation_process",
+    "tests.platform.test_evacuation_records",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
     "tests.platform.test_late_requests",
@@ -43,6 +45,8 @@
 which run on virtual time, have ended: no other test takes the time that they need."""
 
 SLOWEST_FIRST = (
+    "tests.platform.test_evacuation_moves",
+    "tests.platform.test_evacuation",
     "tests.platform.test_stops_while_log_away",
     "tests.control.test_config_spread",
     "tests.platform.test_history",
