Begin requests again whose calls may find no room

Cause: refusing them by the share of runs that lose a call served fewer requests on a fleet. Its called service shed at random for 8.5 s, whatever its load: refusing first requests made no room there, and they were refused for nothing.

Whether the load is one of room or of random sheds must be told first.

--- a/src/papayatack/core/errors.py
+++ b/src/papayatack/core/errors.py
@@ -51,7 +51,6 @@
     QUEUE_FULL = "queue-full"
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     DEADLINE_EXPIRED = "deadline-expired"
-    CALLS_UNREACHABLE = "calls-unreachable"
     NODE_DRAINING = "node-draining"
     UPSTREAM_SHED = "upstream-shed"
     UPSTREAM_DRAINING = "upstream-draining"
@@ -126,7 +125,6 @@
     ErrorKind.QUEUE_FULL: _not_run(503, _RETRY_REMEDY),
     ErrorKind.DEADLINE_UNREACHABLE: _not_run(503, _RETRY_REMEDY),
     ErrorKind.DEADLINE_EXPIRED: _not_run(504, "Allow the request more time."),
-    ErrorKind.CALLS_UNREACHABLE: _not_run(503, _RETRY_REMEDY),
     ErrorKind.NODE_DRAINING: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_SHED: _not_run(503, _RETRY_REMEDY, retryable=True),
     ErrorKind.UPSTREAM_DRAINING: _not_run(503, _RETRY_REMEDY, retryable=True),
--- a/src/papayatack/proxy/crashes.py
+++ b/src/papayatack/proxy/crashes.py
@@ -45,7 +45,6 @@
             before.
         has_ended: Whether the upstream has answered it.
         failed_call: Id of a call of this request that got no answer, empty if none.
-        is_call_refused: Whether such a call was not run.
     """
 
     peer_request: PeerRequest
@@ -55,7 +54,6 @@
     lost_s: float = math.inf
     has_ended: bool = False
     failed_call: str = ""
-    is_call_refused: bool = False
 
 
 class CrashDetector:
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -227,11 +227,8 @@
         if is_successful(result):
             self._metrics.count("calls", Outcome.ANSWERED.value)
             return
-        kind = result.failure().kind
-        self._metrics.count("calls", kind.value)
+        self._metrics.count("calls", result.failure().kind.value)
         parent.failed_call = call.request_id
-        if get_error_response(kind).outcome is Outcome.NOT_RUN:
-            parent.is_call_refused = True
 
     async def serve_peer(self, peer_request: PeerRequest) -> Result[Response, Refusal]:
         """Serve a request that another node forwarded, or forward it to the owner.
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -10,7 +10,6 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from papayatack.core.admission.call_throttle import CallThrottle
 from papayatack.core.errors import ErrorKind, Outcome, Refusal, get_error_response
 from papayatack.core.identity import ShardId
 from papayatack.core.inventory import RequestClass
@@ -96,7 +95,6 @@
         self._gate = gate
         self._metrics = metrics
         self._last_malformed_limit = ""
-        self._call_throttle = CallThrottle()
         self.screening = Screening(
             quarantine=quarantine or NoQuarantine(),
             dialect=self._dialect,
@@ -162,9 +160,6 @@
             target_s=_find_target(peer_request),
             rank=peer_request.rank,
         )
-        refusal = self._find_call_refusal(peer_request)
-        if refusal is not None:
-            return Failure(refusal)
         admitted = await self._gate.acquire(admission_request)
         if not is_successful(admitted):
             return Failure(admitted.failure())
@@ -191,25 +186,6 @@
                 _log_cut_run(peer_request, use, refusal.kind, refusal.detail)
         return result
 
-    def _find_call_refusal(self, peer_request: PeerRequest) -> Refusal | None:
-        """Return why a request may not begin, if its calls would find no room.
-
-        A call is let through: its refusal would waste the run that waits for it.
-        """
-        if peer_request.is_call:
-            return None
-        now = asyncio.get_running_loop().time()
-        kind = find_work_kind(peer_request)
-        retry_after_s = self._call_throttle.decide(now, kind)
-        if retry_after_s is None:
-            return None
-        self._metrics.count("calls_unreachable", peer_request.service)
-        return Refusal(
-            kind=ErrorKind.CALLS_UNREACHABLE,
-            detail="the calls of such requests are refused",
-            retry_after_s=retry_after_s,
-        )
-
     async def _forward(
         self,
         screened: ScreenedRequest,
@@ -426,12 +402,6 @@
     ) -> None:
         """Record whether a run was thrown away because one of its calls failed."""
         has_failed = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-        if use.run is not None:
-            self._call_throttle.record_run(
-                asyncio.get_running_loop().time(),
-                find_work_kind(peer_request),
-                lost_call=has_failed and use.run.is_call_refused,
-            )
         is_thrown_away = (
             has_failed and use.run is not None and bool(use.run.failed_call)
         )
--- a/tests/proxy/test_parents.py
+++ b/tests/proxy/test_parents.py
@@ -73,13 +73,6 @@
         await self.handle("parent.1")
         self.assertEqual(self.run.failed_call, "parent.1")
         self.assertEqual(self.metrics.read_count("calls", "deadline-unreachable"), 1)
-        self.assertTrue(self.run.is_call_refused)
-
-    async def test_call_that_failed_otherwise_is_not_recorded_as_refused(self):
-        self.outcome = Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST))
-        await self.handle("parent.1")
-        self.assertEqual(self.run.failed_call, "parent.1")
-        self.assertFalse(self.run.is_call_refused)
 
     async def test_call_has_the_rank_of_its_parent(self):
         """Whether that is better or worse than the rank of its route."""
