--- a/src/papayatack/platform/settings.py
+++ b/src/papayatack/platform/settings.py
@@ -1,5 +1,8 @@
 """Settings of a node, from the INI file that the platform renders from a template."""
 
+import os
+from collections.abc import Mapping
+
 import pydantic
 
 from papayatack.core.errors import SettingsError
@@ -45,6 +48,15 @@
 """Share of the VM's memory for request bodies that are held for callers. What a node
 holds of them in other forms, and at other nodes, is several times as much."""
 
+OPTIONAL_SETTINGS = (
+    ("bounds", "cold_overrun"),
+    ("bounds", "cold_slack"),
+    ("bounds", "evacuation"),
+    ("limits", "memory"),
+    ("limits", "descriptors"),
+)
+"""Settings, by section and key, that may come from the environment."""
+
 MIB = 1024 * 1024
 DEFAULT_MEMORY_MIB = 300
 DEFAULT_DESCRIPTORS = 4_300
@@ -161,17 +173,28 @@
         )
 
 
-def read_platform_settings(path: str) -> PlatformSettings:
+def read_platform_settings(
+    path: str, environment: Mapping[str, str] = os.environ
+) -> PlatformSettings:
     """Read and validate the settings file.
 
+    Args:
+        path: Path of the file.
+        environment: Has values of settings that only some installations know, such as
+            ``PAPAYATACK_LIMITS_MEMORY``. The file goes before it.
+
     Raises:
         SettingsError: The file is missing or invalid; the message lists all errors.
     """
-    return parse_platform_settings(read_file(path), source=path)
+    return parse_platform_settings(
+        read_file(path), source=path, environment=environment
+    )
 
 
-def parse_platform_settings(text: str, *, source: str) -> PlatformSettings:
-    """Validate the text of a settings file.
+def parse_platform_settings(
+    text: str, *, source: str, environment: Mapping[str, str] | None = None
+) -> PlatformSettings:
+    """Validate the text of a settings file, completed from the environment.
 
     Raises:
         SettingsError: The text is invalid; the message lists all errors.
@@ -180,6 +203,10 @@
         name: {key: value for key, value in section.items() if value}
         for name, section in split_sections(text, source=source).items()
     }
+    for section, key in OPTIONAL_SETTINGS:
+        value = (environment or {}).get(f"PAPAYATACK_{section}_{key}".upper())
+        if value:
+            document.setdefault(section, {}).setdefault(key, value)
     try:
         return PlatformSettings.model_validate(document)
     except pydantic.ValidationError as error:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,30 @@
         self.assertLess(longest_s + CLOSE_GRACE_S, grace_s)
         self.assertLess(limits.upstream_drain_s, settings.bounds.drain)
 
+    def test_optional_settings_come_from_the_environment_if_the_file_has_none(self):
+        environment = {
+            "PAPAYATACK_BOUNDS_COLD_OVERRUN": "1.5",
+            "PAPAYATACK_BOUNDS_EVACUATION": "",
+            "PAPAYATACK_LIMITS_MEMORY": "200",
+            "PAPAYATACK_BOUNDS_GRACE": "9s",
+        }
+        text = TEXT + "[limits]\ndescriptors = 500\n"
+        settings = parse_platform_settings(text, source="s", environment=environment)
+        self.assertEqual(settings.bounds.cold_overrun, 1.5)
+        self.assertIsNone(settings.bounds.evacuation)
+        self.assertEqual(settings.limits.memory, 200)
+        self.assertEqual(settings.limits.descriptors, 500)
+        self.assertEqual(settings.bounds.grace, 6.0)
+        environment["PAPAYATACK_LIMITS_DESCRIPTORS"] = "many"
+        self.assertEqual(
+            parse_platform_settings(
+                text, source="s", environment=environment
+            ).limits.descriptors,
+            500,
+        )
+        with self.assertRaises(SettingsError):
+            parse_platform_settings(TEXT, source="s", environment=environment)
+
     def test_all_errors_are_listed(self):
         """The message names the key of each error."""
         broken = TEXT.replace("870ms", "soon").replace("127.0.0.1:6", "store:6")
