Log how old the configuration of a node is when it refuses and when it reads

The line of a refusal now has the configuration's age and whether a newer one is known, CONFIGURATION_AGED says that a node begins to read the log for itself, and OLD_CONFIGURATION_ACCEPTED that a slow read made it accept a greater age, for how long and why. No logic is changed.

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -1,10 +1,12 @@
 """Decides how often a node reads the log directly."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Collection, Mapping
 
 from papayatack.control.recent import RecentRecords
+from papayatack.core.config_watch import SLOW_LOG_TIME_S
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import (
     TailPolicy,
@@ -16,10 +18,14 @@
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.interface import LogService
 from papayatack.logservice.tailer import RecordsExpired, Tailer
+from papayatack.observability.events import Event, log_event
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["STREAMS", "AppliedRecords", "LogFollower"]
 
+LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
 STREAMS = (CONFIG_STREAM, OWNERSHIP_STREAM)
 CHECK_INTERVAL_S = 0.5
 CHECKS_PER_IDLE_READ = 120
@@ -164,6 +170,7 @@
         self._next_check_s = float("-inf")
         self._updated_s = now
         self._config_due = asyncio.Event()
+        self._is_aged = False
         self._spread = (
             compute_rendezvous_rank("read", core.incarnation) % SPREAD_STEPS
         ) / SPREAD_STEPS
@@ -217,13 +224,27 @@
             if self.is_lead:
                 interval_s = LEAD_READ_INTERVAL_S
             else:
-                self._core.config_watch.record_read(started_s, loop.time())
+                self._record_read(started_s, loop.time())
                 interval_s = READ_INTERVAL_S
             await asyncio.sleep(max(0.0, started_s + interval_s - loop.time()))
             if not self.is_lead:
                 self._config_due.clear()
                 await self._config_due.wait()
 
+    def _record_read(self, started_s: float, ended_s: float) -> None:
+        """Record how long a read took, and log if older configurations are accepted."""
+        watch = self._core.config_watch
+        allowed_s = watch.find_allowance_s(ended_s)
+        watch.record_read(started_s, ended_s)
+        if watch.find_allowance_s(ended_s) > allowed_s:
+            log_event(
+                LOGGER,
+                Event.OLD_CONFIGURATION_ACCEPTED,
+                read_ms=int((ended_s - started_s) * MS_PER_S),
+                allowed_ms=int(watch.find_allowance_s(ended_s) * MS_PER_S),
+                for_ms=int(SLOW_LOG_TIME_S * MS_PER_S),
+            )
+
     async def _follow_stream(self, stream: str) -> None:
         """Read a stream continuously or at long intervals."""
         loop = asyncio.get_running_loop()
@@ -255,8 +276,10 @@
             now: Time of the event loop in seconds.
         """
         self._update_caught_up()
-        if self._is_config_due(now):
+        is_due = self._is_config_due(now)
+        if is_due:
             self._config_due.set()
+        self._note_aged(is_due and not self.is_lead and self._core.caught_up, now)
         self._updated_s = now
         if now < self._next_check_s:
             return
@@ -292,6 +315,21 @@
             checked_s, rank=self.find_rank(), spread=self._spread
         )
 
+    def _note_aged(self, is_aged: bool, now: float) -> None:
+        """Log that this node begins to read the log for a newer configuration."""
+        if is_aged and not self._is_aged:
+            watch = self._core.config_watch
+            age = watch.describe_age(now)
+            log_event(
+                LOGGER,
+                Event.CONFIGURATION_AGED,
+                age_ms=None if age.age_s is None else int(age.age_s * MS_PER_S),
+                superseded=age.is_superseded,
+                rank=self.find_rank(),
+                allowed_ms=int(watch.find_allowance_s(now) * MS_PER_S),
+            )
+        self._is_aged = is_aged
+
     def note_unreachable(self, stream: str, now: float) -> None:
         """Read a stream directly for a while: the tailer does not reach the log."""
         if stream in self._read_directly_until_s:
--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -47,6 +47,7 @@
 from papayatack.control.shares import ShareWatch
 from papayatack.control.suspension import SuspensionDetector
 from papayatack.control.writing import RecordWriter
+from papayatack.core.config_age import ConfigAge
 from papayatack.core.evacuation import EVACUATION_S
 from papayatack.core.identity import IncarnationId
 from papayatack.core.inventory import Service
@@ -286,6 +287,10 @@
         """State built from the config stream; callers must not modify it."""
         return self._config
 
+    def read_config_age(self) -> ConfigAge:
+        """Return how old the configuration in force may be."""
+        return self.core.config_watch.describe_age(self._read_clock())
+
     @property
     def applied_records(self) -> AppliedRecords:
         """The newest ownership records that this node has applied."""
--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -1,5 +1,8 @@
 """Decides when a node must look for a newer configuration, and where."""
 
+import math
+
+from papayatack.core.config_age import ConfigAge
 from papayatack.core.identity import IncarnationId
 
 __all__ = ["ConfigWatch"]
@@ -67,6 +70,14 @@
         """Return for how long the configuration may have been outdated."""
         return max(now - self.current_s, 0.0)
 
+    def describe_age(self, now: float) -> ConfigAge:
+        """Return how old the configuration may be."""
+        age_s = self.find_age_s(now)
+        return ConfigAge(
+            age_s=age_s if math.isfinite(age_s) else None,
+            is_superseded=self._newer_since_s <= now,
+        )
+
     def set_offset(self, offset: int) -> None:
         """Record that all records before ``offset`` are applied."""
         if offset <= self.offset:
@@ -92,6 +103,10 @@
         self._allowance_s = SLOW_READ_FACTOR * max(excess_s, 0.0)
         self._allowed_until_s = ended_s + SLOW_LOG_TIME_S
 
+    def find_allowance_s(self, now: float) -> float:
+        """Return how much older the configuration may be after a slow read."""
+        return self._allowance_s if now < self._allowed_until_s else 0.0
+
     def forget(self) -> None:
         """Discard the time of the last confirmation, after a pause the clock missed."""
         self.current_s = float("-inf")
@@ -171,5 +186,4 @@
 
     def _find_excess_s(self, now: float) -> float:
         """Return the age of the configuration beyond what a slow log explains."""
-        is_slow = now < self._allowed_until_s
-        return self.find_age_s(now) - (self._allowance_s if is_slow else 0.0)
+        return self.find_age_s(now) - self.find_allowance_s(now)
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -392,6 +392,7 @@
             dialect=self._environment.dialect,
             build_classifier=self._environment.build_classifier,
             quarantine=control.quarantine,
+            read_config_age=control.read_config_age,
         )
 
     def _build_parts(
--- a/src/papayatack/proxy/decisions.py
+++ b/src/papayatack/proxy/decisions.py
@@ -5,7 +5,9 @@
 """
 
 import logging
+from collections.abc import Callable
 
+from papayatack.core.config_age import ConfigAge
 from papayatack.core.errors import Refusal, get_error_response
 from papayatack.network.exchanges import PeerRequest
 from papayatack.observability.events import Event, log_event
@@ -23,10 +25,17 @@
     The field ``held_ms`` is the time from the arrival of a request to its end, in
     milliseconds; ``remaining_ms`` and ``target_ms`` are the times that it had left on
     arrival until its deadline and its target.
+
+    Args:
+        read_config_age: Returns how old the configuration may be, ``None`` if this node
+            does not follow one.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, read_config_age: Callable[[], ConfigAge | None] = lambda: None
+    ) -> None:
         self._requests_until_sample = SUCCESS_SAMPLE_INTERVAL
+        self._read_config_age = read_config_age
 
     def log_response(
         self, request: PeerRequest, *, status: int, elapsed_s: float, version: int
@@ -58,6 +67,7 @@
     ) -> None:
         """Log why a caller did not get a response of an upstream."""
         error_response = get_error_response(refusal.kind)
+        config_age = self._read_config_age() or ConfigAge()
         log_event(
             LOGGER,
             Event.REQUEST_REFUSED,
@@ -76,6 +86,8 @@
             retry_after_s=refusal.retry_after_s,
             held_ms=_to_ms(elapsed_s),
             config=version,
+            config_age_ms=_to_ms_if_known(config_age.age_s),
+            config_superseded=config_age.is_superseded,
         )
 
     def log_attempt(
@@ -102,5 +114,9 @@
     return _to_ms(request.target_s)
 
 
+def _to_ms_if_known(seconds: float | None) -> int | None:
+    return None if seconds is None else _to_ms(seconds)
+
+
 def _to_ms(seconds: float) -> int:
     return int(seconds * 1000)
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -19,6 +19,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
+from papayatack.core.config_age import ConfigAge
 from papayatack.core.errors import ErrorKind, Outcome, Refusal, get_error_response
 from papayatack.core.handover import HandoverBackoff
 from papayatack.core.idempotency import OutcomeExchange
@@ -70,6 +71,7 @@
         dialect: Dialect | None = None,
         build_classifier: Callable[[Configuration], RequestClassifier] = Classifier,
         quarantine: Quarantine | None = None,
+        read_config_age: Callable[[], ConfigAge | None] = lambda: None,
     ) -> None:
         self._incarnation = incarnation
         self._ownership = ownership
@@ -91,7 +93,7 @@
             local=self._local, ownership=ownership, metrics=metrics
         )
         self._forwarder = Forwarder(idempotent=self._idempotent, peers=peers)
-        self._decisions = RequestLog()
+        self._decisions = RequestLog(read_config_age=read_config_age)
         self._call_ranks = CallRanks()
         self._work_times = WorkTimes()
         self._attempts = AttemptRunner(
--- a/tests/control/test_following.py
+++ b/tests/control/test_following.py
@@ -5,12 +5,17 @@
 
 import looptime
 
+from papayatack.control import following
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from tests.fakes.cuts import CutFixture
 from tests.fakes.nodes import INVENTORY, NodeFixture
 
 SETTLE_S = 5.0
+AGED_S = 1.0
+MIN_AGED_MS = 600
+SLOW_READ_S = 1.0
+MS_PER_S = 1000
 CUT_S = 3.0
 POLICY = TailPolicy(small_fleet_size=1, tailers_per_data_centre=1)
 QUICK_S = 0.1
@@ -76,6 +81,55 @@
         self.run_nodes(scenario)
 
 
+class AgedConfigurationLineTests(unittest.TestCase):
+    """Lines of nodes that look for a newer configuration themselves."""
+
+    def collect_lines(self, scenario):
+        """Return the fields of the lines that three nodes log in a scenario."""
+
+        async def run():
+            fixture = CutFixture(tailing=POLICY)
+            fixture.publish()
+            for address, place in PLACES.items():
+                fixture.start(address, place)
+            await asyncio.sleep(SETTLE_S)
+            with self.assertLogs(following.LOGGER) as logs:
+                await scenario(fixture)
+            await fixture.stop()
+            return [record.__dict__ for record in logs.records]
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            return runner.run(run())
+
+    def test_line_says_that_the_configuration_is_too_old(self):
+        """One line each of the nodes that read the log in place of the lead."""
+
+        async def scenario(fixture):
+            leads = [a for a, n in fixture.network.nodes.items() if n._follower.is_lead]
+            fixture.cut.update(leads)
+            await asyncio.sleep(AGED_S)
+
+        lines = self.collect_lines(scenario)
+        aged = [line for line in lines if line["msg"] == "CONFIGURATION_AGED"]
+        self.assertTrue(aged)
+        self.assertTrue(all(line["age_ms"] >= MIN_AGED_MS for line in aged))
+        self.assertTrue(all(line["rank"] > 0 for line in aged))
+
+    def test_line_says_that_an_older_configuration_is_accepted(self):
+        """It names the duration of the slow read."""
+
+        async def scenario(fixture):
+            fixture.store.faults.delay_s = SLOW_READ_S
+            await asyncio.sleep(SETTLE_S)
+
+        lines = self.collect_lines(scenario)
+        accepted = [
+            line for line in lines if line["msg"] == "OLD_CONFIGURATION_ACCEPTED"
+        ]
+        self.assertTrue(accepted)
+        self.assertGreaterEqual(accepted[0]["read_ms"], SLOW_READ_S * MS_PER_S)
+
+
 class DirectReadTests(unittest.TestCase):
     """Nodes that do not forward records to each other."""
 
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from papayatack.core.config_age import ConfigAge
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.inventory import RequestClass
 from papayatack.network.exchanges import PeerRequest, Request
@@ -50,6 +51,21 @@
         fields = self.log_refusal(build_request())
         self.assertEqual((fields["route"], fields["target_ms"]), ("", None))
 
+    def test_line_has_the_age_of_the_configuration(self):
+        """So that a refusal by an old configuration can be told from a right one."""
+        age = ConfigAge(age_s=2.5, is_superseded=True)
+        log = decisions.RequestLog(read_config_age=lambda: age)
+        refusal = Refusal(kind=ErrorKind.NO_SUCH_SERVICE)
+        with self.assertLogs(decisions.LOGGER) as logs:
+            log.log_refusal(None, refusal, elapsed_s=0.0, version=3)
+        fields = logs.records[0].__dict__
+        self.assertEqual(fields["config_age_ms"], 2500)
+        self.assertTrue(fields["config_superseded"])
+
+    def test_unknown_age_is_empty(self):
+        fields = self.log_refusal(None)
+        self.assertIsNone(fields["config_age_ms"])
+
     def test_request_that_could_not_be_classified(self):
         fields = self.log_refusal(None)
         self.assertEqual((fields["route"], fields["remaining_ms"]), ("", None))
