Do not serve old manifests of a long history at the start of a node

Callers of a node that had just started got 404 for a route that had been there for long, and handling by older versions, for a second or more. The operators' topic keeps its history for a while; a node read it from the beginning in pages of 1 MB, took the newest manifest of each page for the newest one and served by it, then read the next page 0.4 s later. Manifests with 1,400 routes have 279 KB, so four of them fill a page. A reader that fell behind by more than a page (a node with offset 1 and twelve manifests since) did the same.

Class: a page of a history taken for its end.

Now the first page is small, and wherever a page does not reach the end of the topic, the newest record of each key is read instead. Small histories still take one call.

The stand-in of the store keeps to MaxKb now, as the store does.

--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -25,6 +25,7 @@
 from papayatack.platform.restoration import HistoryKeeper
 from papayatack.platform.store_calls import (
     CALL_ERRORS,
+    MAX_READ_KB,
     TOPICS,
     AppendedRecords,
     StoreCalls,
@@ -36,6 +37,9 @@
 ERA_SHIFT = 40
 """Bits of an offset of the config stream below its era."""
 
+MAX_FIRST_READ_KB = 256
+"""Size of the first page of the operators' topic, whose history may be long."""
+
 _OFFSET_MASK = (1 << ERA_SHIFT) - 1
 _NOT_RESTORED = "the history of the store is not restored yet"
 
@@ -124,18 +128,28 @@
     async def _read_config(
         self, offset: int, wait_s: float, timeout_s: float
     ) -> LogPage:
-        """Return a page with the newest config record, without any other records."""
+        """Return a page with the newest config record, without any other records.
+
+        If the topic has more than fits into a page, the newest record of each key is
+        read instead, so that no older manifest is taken for the newest.
+        """
         topic = TOPICS[CONFIG_STREAM]
         era = self._calls.eras.era or 0
         is_known = self._scanned_era == era
         if offset >> ERA_SHIFT == era:
             start = max(offset & _OFFSET_MASK, self._scanned_offset * is_known)
             found = await self._calls.read(
-                topic, start, wait_s=wait_s, timeout_s=timeout_s
+                topic,
+                start,
+                wait_s=wait_s,
+                timeout_s=timeout_s,
+                max_kb=MAX_READ_KB if start else MAX_FIRST_READ_KB,
             )
             is_known = is_known and self._composer.end >= start
             is_changed = any(map(self._composer.is_relevant, found.records))
-            if is_changed and not is_known and found.newest is None:
+            has_more = start + len(found.records) < found.end
+            needs_newest = has_more or (is_changed and not is_known)
+            if needs_newest and found.newest is None:
                 found = await self._calls.read_newest(topic, 0, timeout_s=timeout_s)
         else:
             found = await self._calls.read_newest(topic, 0, timeout_s=timeout_s)
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "CALL_ERRORS",
+    "MAX_READ_KB",
     "TOPICS",
     "AppendedRecords",
     "StoreCalls",
@@ -32,6 +33,8 @@
 
 PARTITION = 0
 MAX_READ_KB = 1024
+"""Size up to which the store returns records in one response."""
+
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -157,15 +160,29 @@
         return AppendedRecords(status=status, offset=response.offset)
 
     async def read(
-        self, topic: str, offset: int, *, wait_s: float, timeout_s: float
+        self,
+        topic: str,
+        offset: int,
+        *,
+        wait_s: float,
+        timeout_s: float,
+        max_kb: int = MAX_READ_KB,
     ) -> TopicPage:
-        """Read records from ``offset`` on, waiting up to ``wait_s`` for the first."""
+        """Read records from ``offset`` on.
+
+        Args:
+            topic: The topic.
+            offset: Offset of the first record.
+            wait_s: Longest time for which the store waits for the first record.
+            timeout_s: Time limit in seconds.
+            max_kb: Size up to which the store returns records.
+        """
         query = urllib.parse.urlencode(
             {
                 "Topic": topic,
                 "part": PARTITION,
                 "From": offset,
-                "MaxKb": MAX_READ_KB,
+                "MaxKb": max_kb,
                 "WaitMs": int(wait_s * 1000),
             }
         )
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import struct
+from collections.abc import Iterator
 from urllib.parse import parse_qs, urlsplit
 
 from papayatack.network.bodies import BytesBody
@@ -19,6 +20,7 @@
 __all__ = ["KeyedStore", "StoreServer"]
 
 PAGE_ITEMS = 500
+MAX_READ_KB = 1024
 WAIT_STEP_S = 0.01
 LENGTH = struct.Struct(">I")
 POSITIONS = struct.Struct(">QQ")
@@ -173,11 +175,10 @@
             await asyncio.sleep(WAIT_STEP_S)
         if start < topic.first or start > len(topic.records):
             return _reply(410, json.dumps({"FirstOffset": topic.first}).encode())
-        content = [POSITIONS.pack(len(topic.records), topic.first)]
-        for key, value in topic.records[start:]:
-            record = bytes([len(key)]) + key + value
-            content.append(LENGTH.pack(len(record)) + record)
-        return _reply(200, b"".join(content))
+        content = POSITIONS.pack(len(topic.records), topic.first)
+        limit_bytes = int(query.get("MaxKb", MAX_READ_KB)) * 1024
+        content += b"".join(_list_page(topic.records[start:], limit_bytes))
+        return _reply(200, content)
 
     def _read_newest(self, query: dict[str, str]) -> Response:
         newest = self.store.list_newest(query["Topic"])
@@ -198,6 +199,17 @@
         return _reply(200, json.dumps(document).encode())
 
 
+def _list_page(records: list[tuple[bytes, bytes]], limit_bytes: int) -> Iterator[bytes]:
+    """Yield the first records up to a size, and at least one."""
+    size = 0
+    for key, value in records:
+        record = bytes([len(key)]) + key + value
+        size += LENGTH.size + len(record)
+        if size > limit_bytes and size > LENGTH.size + len(record):
+            break
+        yield LENGTH.pack(len(record)) + record
+
+
 def _reply(status: int, data: bytes) -> Response:
     headers = ((b"content-length", b"%d" % len(data)),)
     return Response(status=status, headers=headers, body=BytesBody(data=data))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,7 @@
 from standins.platformstore import StoreServer
 
 TIMEOUT_S = 1.0
+MANIFEST_BYTES = 330_000
 
 
 class PlatformStoreTests(unittest.IsolatedAsyncioTestCase):
@@ -88,6 +89,28 @@
         page = (await self.read(CONFIG_STREAM, 3)).unwrap()
         self.assertEqual((page.first, page.payloads), (4, (b"three",)))
 
+    def append_manifests(self, count, size):
+        """Append manifests of a size, each of which begins with its number."""
+        for number in range(count):
+            content = b"%d" % number
+            self.server.store.append("keyed.op", b"config", content.ljust(size))
+
+    async def test_start_beside_a_long_history_reads_no_old_manifest(self):
+        """The first page of the history does not reach the newest one."""
+        self.append_manifests(12, MANIFEST_BYTES)
+        page = (await self.read(CONFIG_STREAM, 0)).unwrap()
+        self.assertEqual((page.first, page.end), (11, 12))
+        self.assertEqual(page.payloads[0].strip(), b"11")
+
+    async def test_reader_that_fell_behind_reads_no_old_manifest(self):
+        """More manifests have come since than one page holds."""
+        self.append_manifests(1, MANIFEST_BYTES)
+        await self.read(CONFIG_STREAM, 0)
+        self.append_manifests(12, MANIFEST_BYTES)
+        page = (await self.read(CONFIG_STREAM, 1)).unwrap()
+        self.assertEqual((page.first, page.end), (12, 13))
+        self.assertEqual(page.payloads[0].strip(), b"11")
+
     async def test_refused_and_unknown_appends_are_distinguished(self):
         """Status 429 or 503 means no effect; after a lost response it is unknown."""
         for status in (429, 503):
--- a/tests/running.py
+++ b/tests/running.py
@@ -31,6 +31,7 @@
     "tests.platform.test_operations",
     "tests.platform.test_process",
     "tests.platform.test_start",
+    "tests.platform.test_starting_node",
     "tests.platform.test_stop_ends",
     "tests.platform.test_stops",
     "tests.platform.test_store",
