Keep a valid configuration in force if a malformed one follows it at once

A node that got two config records at once, of which the newer was malformed, applied neither: the older was skipped as replaced before the newer was decoded. Its version stayed old until the next change, while nodes that got the two one after the other had the first; offsets and ages were the same on both, so that nobody noticed.

Class: something is given up for a replacement that is not known to be good.

Now the skipped records are kept until the newest one is decoded; if that is malformed, the newest valid one of them is applied first. The order of offsets stays.

--- a/src/papayatack/control/config_applying.py
+++ b/src/papayatack/control/config_applying.py
@@ -36,7 +36,8 @@
 class ConfigApplier:
     """Decodes records of the config stream and applies them in order.
 
-    A record that a later one has replaced before its turn came is skipped.
+    A record that a later one has replaced before its turn came is skipped, unless that
+    one turns out to be malformed.
 
     Args:
         config: The state to which the records are applied.
@@ -60,6 +61,7 @@
         self._on_end = on_end
         self._queue: asyncio.Queue[StoredConfig | EndReached] = asyncio.Queue()
         self._newest_offset = 0
+        self._replaced: list[StoredConfig] = []
 
     def put(self, item: StoredConfig | EndReached) -> None:
         """Queue a record, or the message that all records have been read."""
@@ -79,13 +81,31 @@
     @_handle.register
     async def _(self, item: StoredConfig) -> None:
         if not self._config.is_gapless and item.offset < self._newest_offset:
+            self._replaced.append(item)
             return
-        logged = await self._decoder.decode_in_slices(
-            CONFIG_STREAM, item.offset, item.payload
-        )
-        self._config.apply(item.offset, logged.record)
-        self._on_applied(logged, item.provenance)
+        logged = await self._decode(item)
+        if logged.record is None:
+            await self._apply_replaced()
+        self._replaced.clear()
+        self._apply(logged, item.provenance)
 
     @_handle.register
     async def _(self, item: EndReached) -> None:
         self._on_end(item.time_s)
+
+    async def _apply_replaced(self) -> None:
+        """Apply the newest valid record of those that were skipped, if there is one."""
+        for item in reversed(self._replaced):
+            logged = await self._decode(item)
+            if logged.record is not None:
+                self._apply(logged, item.provenance)
+                return
+
+    async def _decode(self, item: StoredConfig) -> LoggedRecord:
+        return await self._decoder.decode_in_slices(
+            CONFIG_STREAM, item.offset, item.payload
+        )
+
+    def _apply(self, logged: LoggedRecord, provenance: Provenance) -> None:
+        self._config.apply(logged.offset, logged.record)
+        self._on_applied(logged, provenance)
