Confirm a configuration only once all records before are applied

A node that had read records and, before it had decoded them, got a newer one, noted and told other nodes that its configuration was the newest at the time of the read, though it had not applied what it had read. Peers with the same offset took it for young, and looked for a newer one up to 0.8 s later. The end of the stream was handled in its turn, but the record before it was skipped, as a later one replaces it.

Class: a confirmation overtakes what it confirms.

Now an end that follows skipped records waits until the one that replaces them is applied.

Evidence: test_record_that_is_not_applied_is_not_confirmed found the end of 10.0 confirmed at offset 0 before the fix. No caller was seen to be harmed; found by reading.

--- a/src/papayatack/control/config_applying.py
+++ b/src/papayatack/control/config_applying.py
@@ -62,6 +62,7 @@
         self._queue: asyncio.Queue[StoredConfig | EndReached] = asyncio.Queue()
         self._newest_offset = 0
         self._replaced: list[StoredConfig] = []
+        self._end_s: float | None = None
 
     def put(self, item: StoredConfig | EndReached) -> None:
         """Queue a record, or the message that all records have been read."""
@@ -88,10 +89,19 @@
             await self._apply_replaced()
         self._replaced.clear()
         self._apply(logged, item.provenance)
+        self._report_end()
 
     @_handle.register
     async def _(self, item: EndReached) -> None:
-        self._on_end(item.time_s)
+        self._end_s = item.time_s
+        if not self._replaced:
+            self._report_end()
+
+    def _report_end(self) -> None:
+        """Report the newest end that was reached, now that all records are applied."""
+        if self._end_s is not None:
+            self._on_end(self._end_s)
+            self._end_s = None
 
     async def _apply_replaced(self) -> None:
         """Apply the newest valid record of those that were skipped, if there is one."""
--- a/tests/control/test_config_applying.py
+++ b/tests/control/test_config_applying.py
@@ -75,6 +75,16 @@
         self.assertEqual((self.config.version, self.config.next_offset), (3, 9))
         self.assertEqual(self.applied, [6, 8])
 
+    async def test_record_that_is_not_applied_is_not_confirmed(self):
+        """The end that was read before a newer record waits for that one."""
+        self.put_version(5, 2)
+        self.put_end(10.0)
+        self.put_version(6, 3)
+        await asyncio.sleep(0.5 * DECODE_S)
+        self.assertEqual(self.confirmed, [])
+        await asyncio.sleep(DECODE_S)
+        self.assertEqual(self.confirmed, [(10.0, 7)])
+
     async def test_end_after_malformed_records_is_confirmed(self):
         """Nothing newer that can be applied was there."""
         self.put_version(5, 2)
