Keep the newest configuration of a process when its node joins anew

A process that had served by one version answered 404 as an older version says: the store had returned from an older copy, the node's records were not part of it any more, and the node joined anew in the same process, with no configuration. It then took the manifest of the copy.

Class: what was promised for the life of a process is kept for the life of a part of it.

Now the newest configuration of the process outlives the node: until the new node has read the store it answers 503 as before, then the newer of the two versions is in force. Evacuations are those that the store names.

--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -11,6 +11,7 @@
 from papayatack.control.planning import PlanningIntervals
 from papayatack.core.evacuation import EVACUATION_S
 from papayatack.core.identity import IncarnationId, ShardId
+from papayatack.core.inventory import Configuration
 from papayatack.core.ownership import OwnershipState, apply_record, load_state
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.placement import PlacementLimits
@@ -69,15 +70,23 @@
     Args:
         settings: Platform settings of the node.
         metrics: Counters of the process.
+        earlier: Configuration that was in force before in this process, if any.
     """
 
-    def __init__(self, *, settings: PlatformSettings, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        settings: PlatformSettings,
+        metrics: Metrics,
+        earlier: Configuration | None = None,
+    ) -> None:
         host, port = split_address(settings.store.address)
         self._settings = settings
         self._metrics = metrics
         self._hot_shards: tuple[int, Collection[ShardId]] = (-1, ())
         self._state: OwnershipState | None = None
         self._fold: ManifestFold | None = None
+        self._earlier = earlier
         self.log = PlatformStore(host=host, port=port, metrics=metrics)
         self.dialect = PlatformDialect()
         self.desk = HeartbeatReceiver(
@@ -110,6 +119,13 @@
             caller_service=settings.upstream.service,
         )
 
+    @property
+    def newest(self) -> Configuration | None:
+        """The newest configuration that was in force in this process, if any."""
+        if self._fold is None or not self._fold.version:
+            return self._earlier
+        return self._fold.configuration
+
     def build_sink(self) -> GrantSink:
         """Return the client that sends grants to the upstream."""
         return RangeGrantClient(list_hot=self._list_hot_shards)
@@ -138,7 +154,9 @@
             apply_record(owned.state, logged.offset, logged.record)
         self._state = owned.state
         self._fold = ManifestFold(
-            places=self._settings.all_places, notify_change=self.desk.note_manifest
+            places=self._settings.all_places,
+            earlier=self._earlier,
+            notify_change=self.desk.note_manifest,
         )
         return Success((owned.state, self._fold))
 
--- a/src/papayatack/platform/manifest.py
+++ b/src/papayatack/platform/manifest.py
@@ -285,6 +285,8 @@
 
     Args:
         places: All data centres, each described by a :class:`Place`.
+        earlier: Configuration that was in force before in this process, if any. An
+            older manifest does not replace it.
         notify_change: Called after each change of the configuration.
     """
 
@@ -294,9 +296,11 @@
         self,
         *,
         places: tuple[Place, ...],
+        earlier: Configuration | None = None,
         notify_change: Callable[[], None] = lambda: None,
     ) -> None:
         self.configuration = Configuration(places=places)
+        self._earlier = earlier or self.configuration
         self.next_offset = 0
         self._notify_change = notify_change
 
@@ -312,7 +316,9 @@
         if record is None:
             return
         evacuated = record.evacuated if is_newest else self.configuration.evacuated
-        newest = record if record.version > self.version else self.configuration
+        newest = max(
+            self.configuration, self._earlier, record, key=lambda known: known.version
+        )
         if evacuated != newest.evacuated:
             newest = dataclasses.replace(newest, evacuated=evacuated)
         if newest is self.configuration:
--- a/src/papayatack/platform/program.py
+++ b/src/papayatack/platform/program.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from papayatack.core.errors import SettingsError
+from papayatack.core.inventory import Configuration
 from papayatack.daemon.node import Ending, Node
 from papayatack.network.garbage_collection import shorten_collector_pauses
 from papayatack.observability.events import Event, log_event
@@ -54,10 +55,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _check_settings, path, settings)
+    newest: Configuration | None = None
     while True:
+        environment = PlatformEnvironment(
+            settings=settings, metrics=metrics, earlier=newest
+        )
         node = Node(
             settings=settings.build_settings(),
-            environment=PlatformEnvironment(settings=settings, metrics=metrics),
+            environment=environment,
             metrics=metrics,
         )
         ending = await _run_node(node, stopping)
@@ -65,6 +70,7 @@
             return EXIT_OK
         if ending is Ending.FAILED:
             return EXIT_FAILURE
+        newest = environment.newest
 
 
 async def _run_node(node: Node, stopping: asyncio.Event) -> Ending:
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -155,6 +155,19 @@
         self.assertIs(fold.configuration, newer)
         self.assertEqual(fold.next_offset, 7)
 
+    def test_manifest_older_than_that_of_the_process_before_is_not_in_force(self):
+        """The node has joined anew; the evacuations are those of the store."""
+        parser = ManifestParser(places=PLACES)
+        earlier = parser.parse(build_manifest(version="0000000d"))
+        fold = ManifestFold(places=PLACES, earlier=earlier)
+        self.assertEqual(fold.version, 0)
+        fold.apply(3, Configuration(version=12, evacuated=frozenset({"east"})))
+        self.assertEqual((fold.version, fold.next_offset), (13, 4))
+        self.assertEqual(fold.configuration.routes, earlier.routes)
+        self.assertEqual(fold.configuration.evacuated, {"east"})
+        fold.apply(4, Configuration(version=14))
+        self.assertEqual(fold.version, 14)
+
     def test_invalid_manifest_is_counted_and_skipped(self):
         """The decoder logs a warning and increments the counter."""
         metrics = Metrics()
