Test how soon a configuration is in force where messages take a while

An age that is told does not count that, and a node that gets its own age back through another takes it for younger. So the age of the fleet grows more slowly than time, or not at all, and no node looks for the newer configuration after the node that reads for all is lost. The store is well all the while.

--- /dev/null
+++ b/tests/control/test_config_delays.py
@@ -0,0 +1,60 @@
+"""Tests of how soon a configuration is in force where nodes get too little time."""
+
+import unittest
+
+from papayatack.core.config_watch import ConfigWatch
+from tests.fakes.stalls import measure_delayed_spread, measure_stalled_spread
+
+CONFIG_APPLY_S = 2.0
+SEEDS = range(3)
+LAST_RANK = 9
+DELAY_S = 0.2
+STORED_S = 100.0
+
+
+class ConfigDelayTests(unittest.TestCase):
+    """The lead is lost as a configuration is stored."""
+
+    def list_late(self, measure, *shape):
+        """Return the longest delay of each seed with one that is too long."""
+        longest_s = {seed: max(measure(*shape, seed)) for seed in SEEDS}
+        return {
+            seed: delay for seed, delay in longest_s.items() if delay > CONFIG_APPLY_S
+        }
+
+    def test_no_configuration_is_late_where_each_message_takes_a_fifth_of_a_second(
+        self,
+    ):
+        """Every node reads the log itself if nobody tells it in time."""
+        self.assertEqual(self.list_late(measure_delayed_spread, 0.2, 0.2), {})
+
+    def test_no_configuration_is_late_where_messages_overtake_each_other(self):
+        """Each takes up to 0.4 s."""
+        self.assertEqual(self.list_late(measure_delayed_spread, 0.0, 0.4), {})
+
+    def test_no_configuration_is_late_where_nodes_stand_still_again_and_again(self):
+        """Each node runs for 0.1 s of each 0.3 s."""
+        self.assertEqual(self.list_late(measure_stalled_spread, 0.2, 0.1), {})
+
+
+class ExchangedAgeTests(unittest.TestCase):
+    """Two nodes tell each other when their configuration was the newest for certain."""
+
+    def test_age_grows_though_two_nodes_tell_each_other_late(self):
+        """Nobody reads the log; each message takes a while."""
+        watches = [ConfigWatch(), ConfigWatch()]
+        for watch in watches:
+            watch.set_offset(5)
+            watch.confirm(STORED_S)
+        now = STORED_S
+        for turn in range(20):
+            sender, recipient = watches[turn % 2], watches[1 - turn % 2]
+            age_s = sender.find_age_s(now)
+            now += DELAY_S
+            recipient.receive_position("peer", 5, now - age_s, now)
+        self.assertTrue(
+            all(
+                watch.must_read_log(now, rank=LAST_RANK, spread=1.0)
+                for watch in watches
+            )
+        )
