Test how soon a configuration is in force after trouble of the log

The log takes 1.2 s a call for 4 s, or gives no answer for 6 s; some seconds later a change is stored, and the node that reads the log for all is cut off, all tailers are killed, or a third of the nodes freezes.

--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -22,7 +22,14 @@
 from tests.fakes.cuts import CutFixture, CutLog
 from tests.fakes.nodes import INVENTORY
 
-__all__ = ["FAULTS", "measure_spread", "measure_thaw", "measure_two_changes"]
+__all__ = [
+    "FAULTS",
+    "LOG_TROUBLES",
+    "measure_spread",
+    "measure_spread_after",
+    "measure_thaw",
+    "measure_two_changes",
+]
 
 NODES = 76
 DATA_CENTRES = 5
@@ -32,6 +39,9 @@
 WORKERS = 4
 LOST_SHARE = 0.1
 BETWEEN_S = 0.3
+SLOW_DELAY_S = 1.2
+SLOW_TIME_S = 4.0
+SILENT_TIME_S = 6.0
 FROZEN_S = 3.0
 POLICY = TailPolicy(small_fleet_size=2, tailers_per_data_centre=1)
 
@@ -184,6 +194,25 @@
 """What strikes, and which nodes, by the name of the fault."""
 
 
+async def _slow_log_down(fixture):
+    fixture.store.faults.delay_s = SLOW_DELAY_S
+    await asyncio.sleep(SLOW_TIME_S)
+    fixture.store.faults.delay_s = 0.0
+
+
+async def _silence_log_for_all(fixture):
+    fixture.silent.update(fixture.network.nodes)
+    await asyncio.sleep(SILENT_TIME_S)
+    fixture.silent.clear()
+
+
+LOG_TROUBLES = {
+    "slow": _slow_log_down,
+    "silent": _silence_log_for_all,
+}
+"""What befalls the log and is over before a fault strikes, by the trouble's name."""
+
+
 async def _watch(nodes, version):
     """Return the seconds from now until each node has a version."""
     loop = asyncio.get_running_loop()
@@ -263,8 +292,11 @@
         return runner.run(run())
 
 
-async def _measure(fault, seed, nodes, loop):
+async def _measure(fault, seed, nodes, loop, trouble=None, pause_s=0.0):
     fixture = await _start_fleet(seed, nodes)
+    if trouble is not None:
+        await LOG_TROUBLES[trouble](fixture)
+        await asyncio.sleep(pause_s)
     strike, choose = FAULTS[fault]
     struck = choose(fixture)
     await strike(fixture, struck)
@@ -296,6 +328,25 @@
         return runner.run(run())
 
 
+def measure_spread_after(trouble, pause_s, fault, seed, *, nodes=NODES):
+    """Return the same where the log was in trouble some time before the fault.
+
+    Args:
+        trouble: Name of the trouble in ``LOG_TROUBLES``.
+        pause_s: Time in seconds from the end of the trouble to the fault.
+        fault: Name of the fault in ``FAULTS``.
+        seed: Chooses names, the moment, and the nodes that are struck.
+        nodes: Size of the fleet.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        return await _measure(fault, seed, nodes, loop, trouble, pause_s)
+
+    with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+        return runner.run(run())
+
+
 def main(argv):
     """Print a table of all faults for seeds from the first argument to the second."""
     first, after = map(int, argv[1:3])
--- a/tests/running.py
+++ b/tests/running.py
@@ -48,6 +48,7 @@
     "tests.platform.test_evacuation_moves",
     "tests.platform.test_evacuation",
     "tests.platform.test_stops_while_log_away",
+    "tests.control.test_config_spread_after_trouble",
     "tests.control.test_config_spread",
     "tests.platform.test_history",
     "tests.platform.test_ownership_schedules",
