Look for a newer configuration after the same time however slow the log was

Cause: after a read of the log that took long, a node accepted a configuration that was older by twice the excess, for 10 s, without a bound. Failed reads, the pause after them, a full queue and the node's own standstill counted as well. When the node that reads the log for all was lost within these 10 s, the log being well again, nobody looked. The class is a bound that widens itself by a measurement.

Change: the age is a promise and does not grow with a measurement. Nodes learn how long the log took for its newest answer, by own reads or from whoever tells them their position. While it is slow they read one after the other by rank, and who reads tells all data centres. A fast answer to any node ends this, and so do 2 s without news. Failures, pauses, standstills and intended waits are no measurement. The event OLD_CONFIGURATION_ACCEPTED gives way to LOG_SPEED_CHANGED.

tests.core.test_config_watch had a test that asked for the allowance itself (no read at an age of 2.7 s after a read of 1.1 s); the tests in its place ask that few nodes read a slow log, that nothing is accepted longer than 2 s without news, and that a fast answer to any node ends the wait.

--- a/src/papayatack/control/config_applying.py
+++ b/src/papayatack/control/config_applying.py
@@ -43,7 +43,7 @@
         decoder: Decodes the records.
         on_applied: Called with each record that was applied, and how it came.
         on_end: Called when all records that the stream had at a time are applied, with
-            that time on the event loop's clock.
+            the message that said so.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         config: ConfigState,
         decoder: RecordDecoder,
         on_applied: Callable[[LoggedRecord, Provenance], None],
-        on_end: Callable[[float], None],
+        on_end: Callable[[EndReached], None],
     ) -> None:
         self._config = config
         self._decoder = decoder
@@ -88,4 +88,4 @@
 
     @_handle.register
     async def _(self, item: EndReached) -> None:
-        self._on_end(item.time_s)
+        self._on_end(item)
--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -6,7 +6,6 @@
 from collections.abc import Collection, Mapping
 
 from papayatack.control.recent import RecentRecords
-from papayatack.core.config_watch import SLOW_LOG_TIME_S
 from papayatack.core.ownership.node import NodeCore
 from papayatack.core.ownership.selection import (
     TailPolicy,
@@ -169,6 +168,8 @@
         self._checks = 0
         self._next_check_s = float("-inf")
         self._updated_s = now
+        self._stalled_s = float("-inf")
+        self._is_slow = False
         self._config_due = asyncio.Event()
         self._is_aged = False
         self._spread = (
@@ -221,30 +222,12 @@
         while True:
             started_s = loop.time()
             await tailer.read_once(wait_s=CONFIG_WAIT_S if self.is_lead else 0.0)
-            if self.is_lead:
-                interval_s = LEAD_READ_INTERVAL_S
-            else:
-                self._record_read(started_s, loop.time())
-                interval_s = READ_INTERVAL_S
+            interval_s = LEAD_READ_INTERVAL_S if self.is_lead else READ_INTERVAL_S
             await asyncio.sleep(max(0.0, started_s + interval_s - loop.time()))
             if not self.is_lead:
                 self._config_due.clear()
                 await self._config_due.wait()
 
-    def _record_read(self, started_s: float, ended_s: float) -> None:
-        """Record how long a read took, and log if older configurations are accepted."""
-        watch = self._core.config_watch
-        allowed_s = watch.find_allowance_s(ended_s)
-        watch.record_read(started_s, ended_s)
-        if watch.find_allowance_s(ended_s) > allowed_s:
-            log_event(
-                LOGGER,
-                Event.OLD_CONFIGURATION_ACCEPTED,
-                read_ms=int((ended_s - started_s) * MS_PER_S),
-                allowed_ms=int(watch.find_allowance_s(ended_s) * MS_PER_S),
-                for_ms=int(SLOW_LOG_TIME_S * MS_PER_S),
-            )
-
     async def _follow_stream(self, stream: str) -> None:
         """Read a stream continuously or at long intervals."""
         loop = asyncio.get_running_loop()
@@ -280,7 +263,7 @@
         if is_due:
             self._config_due.set()
         self._note_aged(is_due and not self.is_lead and self._core.caught_up, now)
-        self._updated_s = now
+        self._note_updated(now)
         if now < self._next_check_s:
             return
         self._next_check_s = now + CHECK_INTERVAL_S
@@ -326,10 +309,31 @@
                 age_ms=None if age.age_s is None else int(age.age_s * MS_PER_S),
                 superseded=age.is_superseded,
                 rank=self.find_rank(),
-                allowed_ms=int(watch.find_allowance_s(now) * MS_PER_S),
+                log_slow=watch.speed.is_slow(now),
             )
         self._is_aged = is_aged
 
+    def _note_updated(self, now: float) -> None:
+        """Note a stall of the process, and log if the log has become slow or fast."""
+        if now - self._updated_s > MAX_UPDATE_DELAY_S:
+            self._stalled_s = now
+        self._updated_s = now
+        speed = self._core.config_watch.speed
+        if speed.is_slow(now) != self._is_slow:
+            self._is_slow = not self._is_slow
+            log_event(
+                LOGGER,
+                Event.LOG_SPEED_CHANGED,
+                slow=self._is_slow,
+                response_ms=int((speed.response_s or 0.0) * MS_PER_S),
+            )
+
+    def has_stalled(self, since_s: float) -> bool:
+        """Return whether the process stood still for a while since a time."""
+        now = asyncio.get_running_loop().time()
+        is_stalled = now - self._updated_s > MAX_UPDATE_DELAY_S
+        return is_stalled or self._stalled_s > since_s
+
     def note_unreachable(self, stream: str, now: float) -> None:
         """Read a stream directly for a while: the tailer does not reach the log."""
         if stream in self._read_directly_until_s:
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -14,7 +14,7 @@
 from papayatack.control.config_applying import ConfigApplier, StoredConfig
 from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.interface import ConfigState
-from papayatack.control.provenance import US_PER_S, Provenance
+from papayatack.control.provenance import Provenance
 from papayatack.core.identity import IncarnationId
 from papayatack.core.messages import (
     ConfigPosition,
@@ -144,9 +144,12 @@
     async def _(self, message: EndReached) -> None:
         self._applier.put(message)
 
-    def _confirm_config(self, time_s: float) -> None:
+    def _confirm_config(self, end: EndReached) -> None:
         """Process that this node's read of the log found no newer configuration."""
-        self._core.config_watch.confirm(time_s)
+        watch = self._core.config_watch
+        watch.confirm(end.time_s)
+        if end.response_s is not None and not self._follower.has_stalled(end.time_s):
+            watch.speed.note_answer(end.time_s, end.response_s, self._read_clock())
         if self._forwards:
             self._forward_position(is_own=True)
 
@@ -169,14 +172,21 @@
         self._forwarded_s = watch.current_s
         state, local = self._core.state, self._core.incarnation
         recipients = dict.fromkeys(list_tree_children(state, local))
-        if is_own and self._follower.find_rank() <= MAX_STAND_IN_RANK:
+        if is_own and self._tells_all():
             recipients |= dict.fromkeys(list_tree_heads(state))
         recipients.pop(local, None)
-        age_s = watch.find_age_s(self._read_clock())
-        position = ConfigPosition(offset=watch.offset, age_us=int(age_s * US_PER_S))
+        position = watch.make_position(self._read_clock())
         for recipient in recipients:
             self._send(recipient, position)
 
+    def _tells_all(self) -> bool:
+        """Return whether this node tells all data centres what it reads.
+
+        While the log is slow, whoever reads it does, as few nodes do.
+        """
+        is_slow = self._core.config_watch.speed.is_slow(self._read_clock())
+        return is_slow or self._follower.find_rank() <= MAX_STAND_IN_RANK
+
     async def receive_batch(self, batch: LogBatch, sender: IncarnationId) -> None:
         """Process records that another node has forwarded."""
         if batch.stream not in STREAMS:
--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -4,9 +4,13 @@
 
 from papayatack.core.config_age import ConfigAge
 from papayatack.core.identity import IncarnationId
+from papayatack.core.log_speed import LogSpeed
+from papayatack.core.messages import ConfigPosition
 
 __all__ = ["ConfigWatch"]
 
+US_PER_S = 1_000_000
+
 FORWARDING_TIME_S = 0.2
 """Time for which a node that learns of a newer configuration waits for it to be
 forwarded, before it asks another node for it."""
@@ -28,16 +32,9 @@
 """Greatest addition to :data:`MAX_AGE_S`, which differs between nodes so that they do
 not all read at the same moment."""
 
-USUAL_READ_S = 0.1
-"""Duration up to which a read of the log counts as usual."""
-
-SLOW_READ_FACTOR = 2
-"""How much older the configuration may be after a slow read, relative to the time by
-which the read exceeded :data:`USUAL_READ_S`. The log is slow for the planner too then,
-and more reads would not help."""
-
-SLOW_LOG_TIME_S = 10.0
-"""Time for which a slow read allows an older configuration."""
+SLOW_LOG_STEP_S = 0.2
+"""Addition to the age for each rank while the log is slow: few nodes read it at a time
+then, as more reads would not make the configuration any younger."""
 
 
 class ConfigWatch:
@@ -52,19 +49,19 @@
     Attributes:
         offset: Offset of the next config record to apply.
         current_s: Time at which the log had no record from ``offset`` on.
+        speed: Whether the log answers slowly, from this node's reads and others'.
     """
 
     def __init__(self) -> None:
         self.offset = 0
         self.current_s = float("-inf")
+        self.speed = LogSpeed()
         self._reported_offset = 0
         self._reported_s = float("-inf")
         self._newer_since_s = float("inf")
         self._informed: list[IncarnationId] = []
         self._queries = 0
         self._queried_s = float("-inf")
-        self._allowance_s = 0.0
-        self._allowed_until_s = float("-inf")
 
     def find_age_s(self, now: float) -> float:
         """Return for how long the configuration may have been outdated."""
@@ -97,20 +94,20 @@
         if time_s >= self._newer_since_s:
             self._discard_reports()
 
-    def record_read(self, started_s: float, ended_s: float) -> None:
-        """Record how long a read of the log took that did not wait for records."""
-        excess_s = ended_s - started_s - USUAL_READ_S
-        self._allowance_s = SLOW_READ_FACTOR * max(excess_s, 0.0)
-        self._allowed_until_s = ended_s + SLOW_LOG_TIME_S
-
-    def find_allowance_s(self, now: float) -> float:
-        """Return how much older the configuration may be after a slow read."""
-        return self._allowance_s if now < self._allowed_until_s else 0.0
-
     def forget(self) -> None:
         """Discard the time of the last confirmation, after a pause the clock missed."""
         self.current_s = float("-inf")
 
+    def make_position(self, now: float) -> ConfigPosition:
+        """Return what other nodes are told; the time of the newest must be known."""
+        is_from_answer = self.speed.read_s >= self.current_s
+        response_s = self.speed.response_s if is_from_answer else None
+        return ConfigPosition(
+            offset=self.offset,
+            age_us=int(self.find_age_s(now) * US_PER_S),
+            response_us=None if response_s is None else int(response_s * US_PER_S),
+        )
+
     def receive_position(
         self, sender: IncarnationId, offset: int, time_s: float | None, now: float
     ) -> None:
@@ -129,6 +126,13 @@
         elif offset > self.offset:
             self._note_newer(sender, offset, time_s, now)
 
+    def receive_speed(self, position: ConfigPosition, now: float) -> None:
+        """Process how long the log took for the answer that another node tells of."""
+        if position.response_us is None:
+            return
+        read_s = now - max(position.age_us, 0) / US_PER_S
+        self.speed.note_answer(read_s, position.response_us / US_PER_S, now)
+
     def _note_newer(
         self, sender: IncarnationId, offset: int, time_s: float, now: float
     ) -> None:
@@ -176,14 +180,12 @@
             waited_s = FORWARDING_TIME_S + MAX_QUERIES * ANSWER_TIME_S
             return now >= self._newer_since_s + waited_s
         limit_s = STAND_IN_AGES_S.get(rank, MAX_AGE_S + SPREAD_S * spread)
-        return self._find_excess_s(now) >= limit_s
+        if self.speed.is_slow(now):
+            limit_s += SLOW_LOG_STEP_S * rank
+        return self.find_age_s(now) >= limit_s
 
     def is_aging(self, now: float) -> bool:
         """Return whether any node could have to read the log by now."""
-        return self._newer_since_s <= now or self._find_excess_s(now) >= min(
+        return self._newer_since_s <= now or self.find_age_s(now) >= min(
             STAND_IN_AGES_S.values()
         )
-
-    def _find_excess_s(self, now: float) -> float:
-        """Return the age of the configuration beyond what a slow log explains."""
-        return self.find_age_s(now) - self.find_allowance_s(now)
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -158,10 +158,13 @@
     Attributes:
         offset: Offset after the newest config record.
         age_us: Time since this was the newest for certain, in microseconds.
+        response_us: How long the log took for the answer that showed this, in
+            microseconds; ``None`` if that is unknown.
     """
 
     offset: int
     age_us: int
+    response_us: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -135,6 +135,7 @@
         self._exchange.receive_config_position(
             sender, position.offset, position.age_us, now
         )
+        self.config_watch.receive_speed(position, now)
 
     @property
     def peer_offsets(self) -> Mapping[str, int]:
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -76,10 +76,14 @@
     Attributes:
         stream: The stream's name.
         time_s: That time, on the event loop's clock.
+        response_s: How long the service took to answer, in seconds, without the time
+            for which it was to wait for records; ``None`` if that is unknown, as the
+            records came while it waited.
     """
 
     stream: str
     time_s: float
+    response_s: float | None
 
 
 TailMessage = RecordsRead | RecordsExpired | EndReached
@@ -172,12 +176,13 @@
             wait_s=wait_s,
             timeout_s=READ_TIMEOUT_S,
         )
+        spent_s = asyncio.get_running_loop().time() - started_s
         match result:
             case Success(page):
                 self._set_available()
                 await self._deliver_page(page)
                 if self._reports_end:
-                    await self._deliver_end(page, started_s, wait_s)
+                    await self._deliver_end(page, started_s, spent_s, wait_s)
             case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
                 self._set_available()
                 await self._deliver_expiry(offset, failure)
@@ -207,18 +212,27 @@
         await self._queue.put(message)
 
     async def _deliver_end(
-        self, page: LogPage, started_s: float, wait_s: float
+        self, page: LogPage, started_s: float, spent_s: float, wait_s: float
     ) -> None:
         """Deliver when the stream had no further record, if the read shows that.
 
         A read that returns nothing after ``wait_s`` shows that nothing came meanwhile.
+
+        Args:
+            page: What the read returned.
+            started_s: Time at which it began.
+            spent_s: How long it took.
+            wait_s: Time for which it was to wait for records.
         """
         if page.first + len(page.payloads) < page.end:
             return
-        now = asyncio.get_running_loop().time()
-        has_waited = not page.payloads and now - started_s >= wait_s
-        time_s = started_s + wait_s if has_waited else started_s
-        await self._queue.put(EndReached(stream=self._stream, time_s=time_s))
+        has_waited = not page.payloads and spent_s >= wait_s
+        message = EndReached(
+            stream=self._stream,
+            time_s=started_s + wait_s if has_waited else started_s,
+            response_s=spent_s - wait_s if has_waited or not wait_s else None,
+        )
+        await self._queue.put(message)
 
     async def _deliver_expiry(self, wanted: int, failure: LogFailure) -> None:
         self._metrics.count("log_reads", "expired")
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -14,7 +14,9 @@
   5: i64 config_offset, 6: i64 ownership_offset, 7: optional i64 config_age_us,
   8: optional bool permanent
 }
-struct ConfigPosition { 1: i64 offset, 2: i64 age_us }
+struct ConfigPosition {
+  1: i64 offset, 2: i64 age_us, 3: optional i64 response_us
+}
 struct Fence { 1: LeaseId lease, 2: bool resigned }
 struct FenceReply {
   1: LeaseId lease, 2: bool fenced, 3: i64 floor, 4: i64 remaining_us, 5: bool drained
--- a/tests/control/test_following.py
+++ b/tests/control/test_following.py
@@ -8,14 +8,19 @@
 from papayatack.control import following
 from papayatack.core.ownership.selection import TailPolicy
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
+from tests.fakes.clocks import FreezableLoop
 from tests.fakes.cuts import CutFixture
 from tests.fakes.nodes import INVENTORY, NodeFixture
+from tests.fakes.spread import SpreadFixture
 
 SETTLE_S = 5.0
 AGED_S = 1.0
 MIN_AGED_MS = 600
 SLOW_READ_S = 1.0
 MS_PER_S = 1000
+STANDSTILLS = 20
+STANDSTILL_S = 0.5
+BETWEEN_S = 0.37
 CUT_S = 3.0
 POLICY = TailPolicy(small_fleet_size=1, tailers_per_data_centre=1)
 QUICK_S = 0.1
@@ -115,19 +120,48 @@
         self.assertTrue(all(line["age_ms"] >= MIN_AGED_MS for line in aged))
         self.assertTrue(all(line["rank"] > 0 for line in aged))
 
-    def test_line_says_that_an_older_configuration_is_accepted(self):
-        """It names the duration of the slow read."""
+    def test_line_says_that_the_log_has_become_slow_and_fast_again(self):
+        """It names the time that the log took for an answer."""
 
         async def scenario(fixture):
             fixture.store.faults.delay_s = SLOW_READ_S
             await asyncio.sleep(SETTLE_S)
+            fixture.store.faults.delay_s = 0.0
+            await asyncio.sleep(SETTLE_S)
 
         lines = self.collect_lines(scenario)
-        accepted = [
-            line for line in lines if line["msg"] == "OLD_CONFIGURATION_ACCEPTED"
-        ]
-        self.assertTrue(accepted)
-        self.assertGreaterEqual(accepted[0]["read_ms"], SLOW_READ_S * MS_PER_S)
+        speeds = [line for line in lines if line["msg"] == "LOG_SPEED_CHANGED"]
+        self.assertEqual({line["slow"] for line in speeds}, {True, False})
+        self.assertGreaterEqual(speeds[0]["response_ms"], SLOW_READ_S * MS_PER_S)
+        self.assertFalse(speeds[-1]["slow"])
+
+
+class StalledReaderTests(unittest.TestCase):
+    """Nodes of which the one that reads the log for all stands still for a while."""
+
+    def test_standstill_of_a_node_does_not_pass_for_a_slow_log(self):
+        """The log answers at once; the node hears it late."""
+
+        async def run(loop):
+            fixture = SpreadFixture(seed=1, tailing=POLICY)
+            fixture.publish()
+            for address, place in PLACES.items():
+                fixture.start(address, place)
+            await asyncio.sleep(SETTLE_S)
+            with self.assertLogs(following.LOGGER) as logs:
+                following.LOGGER.info("begun")
+                for _ in range(STANDSTILLS):
+                    lead = fixture.find_lead()
+                    loop.freeze(lead)
+                    await asyncio.sleep(STANDSTILL_S)
+                    loop.thaw(lead)
+                    await asyncio.sleep(BETWEEN_S)
+            await fixture.stop()
+            return {record.msg for record in logs.records}
+
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            messages = runner.run(run(runner.get_loop()))
+        self.assertNotIn("LOG_SPEED_CHANGED", messages)
 
 
 class DirectReadTests(unittest.TestCase):
--- a/tests/core/test_config_watch.py
+++ b/tests/core/test_config_watch.py
@@ -3,12 +3,14 @@
 import unittest
 
 from papayatack.core.config_watch import ConfigWatch
+from papayatack.core.messages import ConfigPosition
 
 LAST_RANK = 9
 STOOD_IN_S = 0.72
 """Age at which the stand-ins must have read the log, and no other node yet."""
 MAX_AGE_S = 0.86
 QUERIED_S = 0.5
+READ_MARGIN_S = 0.01
 
 
 class ConfigWatchTests(unittest.TestCase):
@@ -87,21 +89,41 @@
         self.assertFalse(self.must_read(100.8))
         self.assertIsNone(self.watch.choose_informed(100.8))
 
-    def test_slow_log_is_not_read_by_all_nodes_all_the_time(self):
-        """A read that took long allows a higher age, for some time."""
-        self.watch.record_read(100.0, 101.1)
-        self.assertFalse(self.must_read(102.7))
-        self.assertTrue(self.must_read(100 + MAX_AGE_S + 2.0))
-        self.watch.confirm(110.0)
-        self.assertFalse(self.must_read(111.0))
-        self.assertTrue(self.must_read(111.2))
-
-    def test_usual_read_allows_no_higher_age(self):
-        """Nor does an earlier slow one, once a read was fast again."""
-        self.watch.record_read(99.0, 100.0)
-        self.watch.record_read(100.0, 100.02)
+    def test_slow_log_is_read_by_few_nodes_at_a_time(self):
+        """The others wait longer the lower their precedence is."""
+        self.watch.speed.note_answer(99.0, 1.0, 100.0)
+        self.assertFalse(self.must_read(100.8, rank=1))
+        self.assertTrue(self.must_read(100.86, rank=1))
+        self.assertFalse(self.must_read(101.9))
+
+    def test_old_configuration_is_accepted_no_longer_once_nothing_is_heard(self):
+        """However long an answer took, and however low the node's precedence is."""
+        self.watch.speed.note_answer(99.0, 60.0, 100.0)
+        self.assertTrue(self.must_read(102.0 + READ_MARGIN_S, rank=1000))
+
+    def test_fast_answer_to_any_node_ends_the_wait(self):
+        """A node need not have read the log itself to learn that it is fast."""
+        self.watch.speed.note_answer(99.0, 1.0, 100.0)
+        self.watch.receive_speed(
+            ConfigPosition(offset=5, age_us=200_000, response_us=4_000), 100.3
+        )
         self.assertTrue(self.must_read(100 + MAX_AGE_S))
 
+    def test_news_of_an_older_answer_changes_nothing(self):
+        """It comes by way of another node."""
+        self.watch.speed.note_answer(100.0, 0.01, 100.0)
+        self.watch.receive_speed(
+            ConfigPosition(offset=5, age_us=900_000, response_us=1_000_000), 100.3
+        )
+        self.assertTrue(self.must_read(100 + MAX_AGE_S))
+
+    def test_position_names_the_answer_that_it_comes_from_only(self):
+        """What another node confirmed without an answer says nothing of the log."""
+        self.watch.speed.note_answer(100.0, 0.5, 100.5)
+        self.assertEqual(self.watch.make_position(100.5).response_us, 500_000)
+        self.watch.receive_position("b", 5, 100.6, 100.7)
+        self.assertIsNone(self.watch.make_position(100.7).response_us)
+
     def test_suspended_node_does_not_know_the_age_of_its_configuration(self):
         """It reads the log as soon as it goes on."""
         self.watch.forget()
--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -25,6 +25,7 @@
 __all__ = [
     "FAULTS",
     "LOG_TROUBLES",
+    "SpreadFixture",
     "measure_spread",
     "measure_spread_after",
     "measure_thaw",
--- a/tests/logservice/test_tailer.py
+++ b/tests/logservice/test_tailer.py
@@ -5,13 +5,22 @@
 import random
 
 from papayatack.core.records import OWNERSHIP_STREAM
-from papayatack.logservice.tailer import RecordsExpired, RecordsRead, Tailer
+from papayatack.logservice.tailer import (
+    EndReached,
+    RecordsExpired,
+    RecordsRead,
+    Tailer,
+)
 from standins.logstore import Outage
 from tests.logservice.helpers import LogFixture, VirtualTimeTestCase
 
+SLOW_S = 1.2
+WHILE_IT_WAITS_S = 2.0
+LONG_S = 20.0
+
 
 @contextlib.asynccontextmanager
-async def follow(fixture, *, offset=0, maxsize=0):
+async def follow(fixture, *, offset=0, maxsize=0, reports_end=False):
     """Run a tailer and yield it with its queue."""
     queue = asyncio.Queue(maxsize=maxsize)
     tailer = Tailer(
@@ -21,6 +30,7 @@
         queue=queue,
         metrics=fixture.metrics,
         random=random.Random(1),
+        reports_end=reports_end,
     )
     task = asyncio.create_task(tailer.run())
     yield tailer, queue
@@ -47,6 +57,39 @@
 
         self.run_virtually(check())
 
+    def test_time_for_an_answer_does_not_include_the_wait_for_records(self):
+        """It is unknown if records came meanwhile."""
+
+        async def check():
+            fixture = LogFixture()
+            fixture.store.faults.delay_s = SLOW_S
+            async with follow(fixture, reports_end=True) as (_, queue):
+                self.assertAlmostEqual((await queue.get()).response_s, SLOW_S)
+                self.assertAlmostEqual((await queue.get()).response_s, SLOW_S)
+                await asyncio.sleep(WHILE_IT_WAITS_S)
+                fixture.store.append(OWNERSHIP_STREAM, b"a")
+                self.assertIsInstance(await queue.get(), RecordsRead)
+                self.assertIsNone((await queue.get()).response_s)
+
+        self.run_virtually(check())
+
+    def test_time_for_an_answer_includes_no_failure_and_no_full_queue(self):
+        """Neither shows how fast the service is."""
+
+        async def check():
+            fixture = LogFixture()
+            fixture.store.faults.outage = Outage.HANG
+            async with follow(fixture, maxsize=1, reports_end=True) as (_, queue):
+                await asyncio.sleep(LONG_S)
+                fixture.store.faults.outage = Outage.NONE
+                fixture.store.append(OWNERSHIP_STREAM, b"a")
+                await asyncio.sleep(LONG_S)
+                while not isinstance(message := await queue.get(), EndReached):
+                    pass
+                self.assertAlmostEqual(message.response_s or 0.0, 0.0)
+
+        self.run_virtually(check())
+
     def test_resumes_after_outages(self):
         """After each kind of outage, reading resumes without a gap."""
 
