Log late grants, and the configuration that a node has when it grants

GRANT_LATE says how long ago a grant or an extension was decided when it is called, and for how long the upstream may hold keys beyond the end that the node reckons with, once its answer is late by 0.1 s. GRANTS_CONFIRMED, GRANT_REFUSED and SHARDS_REVOKED have the position in the configuration. No logic is changed.

--- a/src/papayatack/control/effects.py
+++ b/src/papayatack/control/effects.py
@@ -31,6 +31,7 @@
 LOGGER = logging.getLogger(__name__)
 
 MAX_SHARDS_LOGGED = 4
+MS_PER_S = 1000
 
 
 class EffectExecutor:
@@ -135,16 +136,24 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         if done:
-            _log_granted(effect)
+            _log_granted(effect, self._describe_decision(effect, now))
         else:
             self._metrics.count("grants_refused")
-            _log_refused(effect)
+            _log_refused(effect, self._describe_decision(effect, now))
         self.execute(
             self._core.confirm_grant(
                 effect.lease, dict(effect.tokens), done=done, now=now
             )
         )
 
+    def _describe_decision(self, effect: GrantShards, now: float) -> dict[str, int]:
+        """Return how long ago a grant was decided, and the configuration now."""
+        return {
+            "decided_ms": int((now - effect.decided_s) * MS_PER_S),
+            "left_ms": int((effect.decided_s + effect.remaining_s - now) * MS_PER_S),
+            "config_offset": self._core.config_watch.offset,
+        }
+
     @_confirm_effect.register
     def _(
         self, effect: RevokeShards, done: bool, handovers: Mapping[ShardId, str]
@@ -157,6 +166,7 @@
             shards=list(effect.shards)[:MAX_SHARDS_LOGGED],
             count=len(effect.shards),
             done=done,
+            config_offset=self._core.config_watch.offset,
         )
         effects = self._core.confirm_revoke(
             effect.revocation_id,
@@ -168,7 +178,7 @@
         self.execute(effects)
 
 
-def _log_granted(effect: GrantShards) -> None:
+def _log_granted(effect: GrantShards, decision: Mapping[str, int]) -> None:
     log_event(
         LOGGER,
         Event.GRANTS_CONFIRMED,
@@ -176,10 +186,11 @@
         shards=list(effect.tokens)[:MAX_SHARDS_LOGGED],
         tokens=list(effect.tokens.values())[:MAX_SHARDS_LOGGED],
         count=len(effect.tokens),
+        **decision,
     )
 
 
-def _log_refused(effect: GrantShards) -> None:
+def _log_refused(effect: GrantShards, decision: Mapping[str, int]) -> None:
     log_event(
         LOGGER,
         Event.GRANT_REFUSED,
@@ -187,4 +198,5 @@
         lease=str(effect.lease),
         shards=list(effect.tokens)[:MAX_SHARDS_LOGGED],
         count=len(effect.tokens),
+        **decision,
     )
--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import logging
 from collections.abc import Callable, Mapping
 
 from returns.pipeline import is_successful
@@ -10,10 +11,17 @@
 from papayatack.control.interface import GrantSink
 from papayatack.core.identity import ShardId
 from papayatack.core.ownership.effects import ExtendLease, GrantShards, RevokeShards
+from papayatack.observability.events import Event, log_event
 
 __all__ = ["GrantEffect", "GrantTask"]
 
+LOGGER = logging.getLogger(__name__)
+
 MICROSECONDS = 1_000_000
+MS_PER_S = 1000
+LATE_S = 0.1
+"""Time from the decision on a grant to its call from which it is logged as late."""
+
 CALL_TIMEOUT_S = 0.5
 """Timeout of a grant or an extension."""
 
@@ -135,6 +143,7 @@
         self, effect: GrantShards, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
         remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
+        _log_lateness(effect, waited_s, remaining_us)
         if remaining_us <= 0:
             return False, {}
         result = await self._sink.grant(
@@ -147,6 +156,7 @@
         self, effect: ExtendLease, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
         remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
+        _log_lateness(effect, waited_s, remaining_us)
         if remaining_us > 0:
             await self._sink.extend(effect.lease, remaining_us)
         return True, {}
@@ -179,3 +189,22 @@
 def _compute_remaining_us(remaining_s: float, waited_s: float) -> int:
     """Return the microseconds that remain when the grant reaches the upstream."""
     return int((remaining_s - waited_s - TRANSIT_MARGIN_S) * MICROSECONDS)
+
+
+def _log_lateness(
+    effect: GrantShards | ExtendLease, waited_s: float, remaining_us: int
+) -> None:
+    """Log a grant or an extension that was decided long before its call."""
+    decided_ago_s = asyncio.get_running_loop().time() - effect.decided_s
+    if decided_ago_s < LATE_S:
+        return
+    log_event(
+        LOGGER,
+        Event.GRANT_LATE,
+        level=logging.WARNING,
+        reason="decided",
+        lease=str(effect.lease),
+        decided_ms=int(decided_ago_s * MS_PER_S),
+        queued_ms=int(waited_s * MS_PER_S),
+        left_ms=remaining_us * MS_PER_S // MICROSECONDS,
+    )
--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -55,6 +55,7 @@
         lease: Lease under which the shards are granted.
         tokens: Fencing token by shard.
         remaining_s: Seconds until the grants expire.
+        decided_s: Event loop time at which this was decided.
         handovers: By shard, the handover with which the upstream takes the shard over
             warm; shards without one are absent.
     """
@@ -62,15 +63,23 @@
     lease: LeaseId
     tokens: Mapping[ShardId, int]
     remaining_s: float
+    decided_s: float
     handovers: Mapping[ShardId, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExtendLease:
-    """Extend the grants of a lease to end ``remaining_s`` seconds from now."""
+    """Extend the grants of a lease.
+
+    Attributes:
+        lease: The lease.
+        remaining_s: Seconds until the grants are to expire.
+        decided_s: Event loop time at which this was decided.
+    """
 
     lease: LeaseId
     remaining_s: float
+    decided_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -171,7 +171,11 @@
             return
         holder.extended_until_s = holder.valid_until_s
         self._context.effects.append(
-            ExtendLease(lease=holder.lease, remaining_s=holder.valid_until_s - now)
+            ExtendLease(
+                lease=holder.lease,
+                remaining_s=holder.valid_until_s - now,
+                decided_s=now,
+            )
         )
 
     @receive.register
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -479,6 +479,7 @@
                     lease=lease,
                     tokens=tokens,
                     remaining_s=remaining_s,
+                    decided_s=now,
                     handovers={
                         shard: owned_shards[shard].handover
                         for shard in tokens
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -63,6 +63,9 @@
 run under the released grant."""
 
 MAX_RANGES_LOGGED = 4
+LATE_ANSWER_S = 0.1
+"""Time from sending a grant to its answer from which it is logged as late."""
+
 RENEWAL_MARGIN_S = 0.3
 OK = 200
 NOT_SENT = Response(status=0)
@@ -389,6 +392,8 @@
         keys may have got a higher one in the meantime.
         """
 
+        sent: list[tuple[float, float]] = []
+
         def build_document() -> Mapping[str, object] | None:
             now = asyncio.get_running_loop().time()
             first, last, token = key_range.first, key_range.last, key_range.token
@@ -398,6 +403,7 @@
             if process.ended.is_set() or hold_s < MIN_HOLD_S or not is_accepted:
                 return None
             self._history.note_sent(first, last, token, end_s)
+            sent.append((now, hold_s))
             return build_range_document(key_range, hold_s)
 
         response_timeout_s = FIRST_RESPONSE_TIMEOUT_S
@@ -409,6 +415,7 @@
                     process, b"/grant", build_document, end_s, response_timeout_s
                 )
             if response is not None:
+                _log_late_answer(key_range, sent, end_s)
                 return previous if response is NOT_SENT else response
             self._record_unanswered(process, key_range, end_s)
             response_timeout_s *= 2
@@ -486,6 +493,37 @@
     return lambda headers: all(find_header(headers, name) is None for name in names)
 
 
+def _log_late_answer(
+    key_range: KeyRange, sent: list[tuple[float, float]], end_s: float
+) -> None:
+    """Log a grant that was answered late, and for how long it may outlast its lease.
+
+    Args:
+        key_range: The keys.
+        sent: Event loop time and duration of each call.
+        end_s: End that the node reckons with.
+    """
+    now = asyncio.get_running_loop().time()
+    if not sent or now - sent[0][0] < LATE_ANSWER_S:
+        return
+    first_s, _ = sent[0]
+    last_s, hold_s = sent[-1]
+    log_event(
+        LOGGER,
+        Event.GRANT_LATE,
+        level=logging.WARNING,
+        reason="answered",
+        keys=f"{key_range.first}-{key_range.last}",
+        token=key_range.token,
+        calls=len(sent),
+        first_ms=int((now - first_s) * MS_PER_S),
+        answer_ms=int((now - last_s) * MS_PER_S),
+        hold_ms=int(hold_s * MS_PER_S),
+        left_ms=int((end_s - now) * MS_PER_S),
+        over_ms=int((now + hold_s / (1 - MAX_CLOCK_RATE_ERROR) - end_s) * MS_PER_S),
+    )
+
+
 def _log_failures(
     failed: list[tuple[KeyRange, Response | None]], remaining_s: float
 ) -> None:
--- a/tests/control/test_grants.py
+++ b/tests/control/test_grants.py
@@ -65,17 +65,29 @@
         """Grants of other shards and extensions are sent while a revocation runs."""
         calls = self.run_effects(
             RevokeShards(revocation_id=1, lease=LEASE, shards=(FIRST,)),
-            GrantShards(lease=LEASE, tokens={SECOND: 7}, remaining_s=1.0),
-            ExtendLease(lease=LEASE, remaining_s=1.0),
+            GrantShards(
+                lease=LEASE, tokens={SECOND: 7}, remaining_s=1.0, decided_s=0.0
+            ),
+            ExtendLease(lease=LEASE, remaining_s=1.0, decided_s=0.0),
             wait_s=SLOW_S / 3,
         )
         self.assertCountEqual(calls, [("grant", SECOND), ("extend",)])
 
+    def test_grant_decided_long_ago_is_logged(self):
+        """Also if it was not queued for long."""
+        with self.assertLogs("papayatack.control.grants", "WARNING") as logs:
+            self.run_effects(
+                ExtendLease(lease=LEASE, remaining_s=1.0, decided_s=-0.3), wait_s=0.1
+            )
+        (line,) = logs.records
+        self.assertEqual((line.name_of_event, line.reason), ("GRANT_LATE", "decided"))
+        self.assertEqual((line.decided_ms, line.queued_ms), (300, 0))
+
     def test_shard_is_granted_only_after_its_revocation(self):
         """A revocation that overtakes a later grant would end it."""
         calls = self.run_effects(
             RevokeShards(revocation_id=1, lease=LEASE, shards=(FIRST,)),
-            GrantShards(lease=LEASE, tokens={FIRST: 8}, remaining_s=9.0),
+            GrantShards(lease=LEASE, tokens={FIRST: 8}, remaining_s=9.0, decided_s=0.0),
             wait_s=2 * SLOW_S,
         )
         self.assertEqual(calls, [("revoke", FIRST), ("grant", FIRST)])
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -106,6 +106,16 @@
         self.assertEqual(len(ends_s), len(shards))
         self.assertLessEqual(max(ends_s), end_s)
 
+    async def test_late_answer_is_logged_with_what_may_outlast_the_lease(self):
+        """The grant's time counts from an arrival that only the answer bounds."""
+        self.upstream.grant_delay_s = 0.15
+        with self.assertLogs("papayatack.platform.grants", "WARNING") as logs:
+            await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        (line,) = logs.records
+        self.assertEqual((line.name_of_event, line.reason), ("GRANT_LATE", "answered"))
+        self.assertGreaterEqual(line.over_ms, 149)
+        self.assertLess(line.over_ms, line.answer_ms + 5)
+
     async def test_too_short_grant_is_not_sent(self):
         """It would expire before its first request."""
         result = await self.grants.grant(LEASE, {name(0, 255): 7}, 15_000)
