Test that an extension decided before a stall outlasts no lease

Fails: GrantShards and ExtendLease have the seconds that are left when the core decides, and the task that sends them counts them from when it gets them. A node that gets no processor in between lets its upstream hold the keys for as much longer. Random schedules have such stalls from now on.

--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -114,6 +114,8 @@
         is_frozen: The node is frozen.
         thawed_s: When it was thawed last.
         is_log_cut: It does not reach the log.
+        find_stall_s: Returns for how long the node gets no processor between its
+            decision on effects and their execution.
     """
 
     def __init__(self, *, name, data_centre, service=SERVICE):
@@ -127,6 +129,7 @@
         self.is_frozen = False
         self.thawed_s = float("-inf")
         self.is_log_cut = False
+        self.find_stall_s = lambda effects: 0.0
         self.starts = 0
         self.lives = 0
         self.tasks = []
@@ -235,6 +238,7 @@
             tailing=TailPolicy(small_fleet_size=2, tailers_per_data_centre=1),
             lease_s=self.lease_s,
         )
+        self._stall_decisions(slot, control._effects)
         slot.desk = asyncio.Queue()
         keeper = UpstreamKeeper(
             environment=types.SimpleNamespace(
@@ -264,6 +268,19 @@
                 loop.call_later(0.1, self.start, slot.name)
             raise asyncio.CancelledError
 
+    def _stall_decisions(self, slot, executor):
+        """Let time pass between the decisions of a node and their execution."""
+        execute = executor.execute
+
+        def execute_later(effects):
+            stall_s = slot.find_stall_s(effects)
+            if stall_s:
+                self.checker.record_event(f"{slot.name} stalls for {stall_s:.3f} s")
+                asyncio.get_running_loop().pass_time(stall_s)
+            execute(effects)
+
+        executor.execute = execute_later
+
     def build_config(self):
         """Return the config state of a node that starts."""
         return _Config(self.configuration)
--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -13,6 +13,7 @@
 import unittest
 
 from papayatack.core.identity import LeaseId
+from papayatack.core.ownership.effects import ExtendLease, GrantShards
 from papayatack.core.records import Admit, Assign, Assignment
 from papayatack.core.shards import format_hot_shard_id, is_hot_shard
 from standins.logstore import Outage
@@ -278,6 +279,21 @@
         self.fleet.slow_s = self.random.choice([0.0, 0.1, 0.3, 0.8])
         self.fleet.spread_faults()
 
+    def stall_decisions(self):
+        """Let some nodes lose the processor between a decision and its execution."""
+        share = self.random.choice([0.02, 0.1, 0.5])
+        longest_s = self.random.choice([0.05, 0.3, 1.0])
+        slot = self._choose_slot()
+
+        def find_stall_s(effects):
+            grants = any(isinstance(one, GrantShards | ExtendLease) for one in effects)
+            if not grants or self.random.random() > share:
+                return 0.0
+            return self.random.random() * longest_s
+
+        slot.find_stall_s = find_stall_s
+        self._later(setattr, slot, "find_stall_s", lambda effects: 0.0)
+
     def heal_grants(self):
         """Stop all faults of grant calls."""
         self.fleet.lose = self.fleet.stall = 0.0
@@ -301,6 +317,7 @@
     Schedule.disturb_log,
     Schedule.disturb_network,
     Schedule.disturb_grants,
+    Schedule.stall_decisions,
     Schedule.heal_grants,
 ]
 
@@ -392,6 +409,44 @@
         )
         self.assertEqual(fleet.checker.violations, [])
 
+    def test_extension_decided_before_a_stall_outlasts_no_lease(self):
+        """The node is cut off meanwhile, and killed once it has sent it."""
+        fleet = None
+
+        async def run():
+            nonlocal fleet
+            fleet = PlatformFleet(seed=1)
+            for name, place in PLACES.items():
+                fleet.add(name, place)
+            watching = asyncio.create_task(fleet.watch())
+            await asyncio.sleep(SETTLE_S)
+            fleet.plans = False
+            await asyncio.sleep(2.0)
+            slot, stalled = fleet.slots["a"], asyncio.Event()
+            others = sorted(PLACES.keys() - {"a"})
+
+            def find_stall_s(effects):
+                if not any(isinstance(one, ExtendLease) for one in effects):
+                    return 0.0
+                slot.find_stall_s = lambda effects: 0.0
+                fleet.cut |= {("a", other) for other in others}
+                stalled.set()
+                return 0.7
+
+            slot.find_stall_s = find_stall_s
+            await stalled.wait()
+            await asyncio.sleep(0.02)
+            fleet.kill("a")
+            await asyncio.sleep(3.0)
+            watching.cancel()
+            await fleet.stop()
+
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            runner.run(run())
+        self.assertEqual(fleet.checker.violations, [])
+
     def test_readmitted_node_continues_to_serve(self):
         """Its keys change leases without a release, which would lose the warm state."""
         fleet, longest_s = None, 0.0
