End a grant when its lease ends, however late it is sent

Two upstreams held the same keys: a node whose loop lost the processor between deciding a grant or an extension and sending it let its upstream hold the keys beyond the lease, by as long as it stood still, while the next owner already had them.

Cause: the core gave the seconds that were left when it decided, by a time read at the begin of the input; the task that sends counted them from when it got them, and the sink once more from when it was called. What passed in between was added to the grant: on a machine with little processor time most of all, as long decisions (many shards at once) are where a process is interrupted. Class: a duration that is handed on between steps instead of a point in time. An effect now has the time at which the lease ends, and only the call itself turns it into a duration, once a connection is there. The same was so in the other client of upstreams (network/grants.py).

--- a/src/papayatack/control/effects.py
+++ b/src/papayatack/control/effects.py
@@ -150,7 +150,7 @@
         """Return how long ago a grant was decided, and the configuration now."""
         return {
             "decided_ms": int((now - effect.decided_s) * MS_PER_S),
-            "left_ms": int((effect.decided_s + effect.remaining_s - now) * MS_PER_S),
+            "left_ms": int((effect.until_s - now) * MS_PER_S),
             "config_offset": self._core.config_watch.offset,
         }
 
--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -17,7 +17,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-MICROSECONDS = 1_000_000
 MS_PER_S = 1000
 LATE_S = 0.1
 """Time from the decision on a grant to its call from which it is logged as late."""
@@ -32,7 +31,7 @@
 """Delay before a failure is reported, and so before the core tries again."""
 
 TRANSIT_MARGIN_S = 0.02
-"""Time allowed for a grant to reach the upstream, deducted from its duration."""
+"""Time allowed for a grant to reach the upstream, which counts from its arrival."""
 
 GrantEffect = GrantShards | ExtendLease | RevokeShards
 
@@ -47,8 +46,8 @@
     must not delay other calls. Of the queued extensions of a lease, only the newest is
     sent.
 
-    The upstream measures the duration of a grant from its arrival. The remaining time
-    is therefore reduced by the time in the queue and by ``TRANSIT_MARGIN_S``.
+    A grant ends at a point in time, which its lease has set. The sink turns it into a
+    duration when it sends the call, so that no wait before that prolongs the grant.
 
     Args:
         sink: Sends the calls to the local upstream.
@@ -142,12 +141,12 @@
     async def _(
         self, effect: GrantShards, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
-        remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
-        _log_lateness(effect, waited_s, remaining_us)
-        if remaining_us <= 0:
+        _log_lateness(effect, waited_s)
+        until_s = effect.until_s - TRANSIT_MARGIN_S
+        if until_s <= asyncio.get_running_loop().time():
             return False, {}
         result = await self._sink.grant(
-            effect.lease, effect.tokens, remaining_us, effect.handovers
+            effect.lease, effect.tokens, until_s, effect.handovers
         )
         return is_successful(result), {}
 
@@ -155,10 +154,10 @@
     async def _(
         self, effect: ExtendLease, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
-        remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
-        _log_lateness(effect, waited_s, remaining_us)
-        if remaining_us > 0:
-            await self._sink.extend(effect.lease, remaining_us)
+        _log_lateness(effect, waited_s)
+        until_s = effect.until_s - TRANSIT_MARGIN_S
+        if until_s > asyncio.get_running_loop().time():
+            await self._sink.extend(effect.lease, until_s)
         return True, {}
 
     @_call_upstream.register
@@ -186,16 +185,10 @@
     return frozenset(effect.shards)
 
 
-def _compute_remaining_us(remaining_s: float, waited_s: float) -> int:
-    """Return the microseconds that remain when the grant reaches the upstream."""
-    return int((remaining_s - waited_s - TRANSIT_MARGIN_S) * MICROSECONDS)
-
-
-def _log_lateness(
-    effect: GrantShards | ExtendLease, waited_s: float, remaining_us: int
-) -> None:
+def _log_lateness(effect: GrantShards | ExtendLease, waited_s: float) -> None:
     """Log a grant or an extension that was decided long before its call."""
-    decided_ago_s = asyncio.get_running_loop().time() - effect.decided_s
+    now = asyncio.get_running_loop().time()
+    decided_ago_s = now - effect.decided_s
     if decided_ago_s < LATE_S:
         return
     log_event(
@@ -206,5 +199,5 @@
         lease=str(effect.lease),
         decided_ms=int(decided_ago_s * MS_PER_S),
         queued_ms=int(waited_s * MS_PER_S),
-        left_ms=remaining_us * MS_PER_S // MICROSECONDS,
+        left_ms=int((effect.until_s - now) * MS_PER_S),
     )
--- a/src/papayatack/control/interface.py
+++ b/src/papayatack/control/interface.py
@@ -70,7 +70,7 @@
         self,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
-        remaining_us: int,
+        until_s: float,
         handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before their first request.
@@ -78,13 +78,13 @@
         Args:
             lease: The lease under which they are granted.
             tokens: The shards with their tokens.
-            remaining_us: Microseconds for which the grant is valid.
+            until_s: Event loop time at which the grants expire.
             handovers: Handover data, by shard, with which the upstream can take over
                 a shard with warm state.
         """
 
-    async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
-        """Extend all grants of a lease to ``remaining_us`` microseconds from now."""
+    async def extend(self, lease: LeaseId, until_s: float) -> Result[None, Refusal]:
+        """Extend all grants of a lease to the event loop time ``until_s``."""
 
     async def revoke(
         self, lease: LeaseId, shards: tuple[ShardId, ...]
--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -54,15 +54,15 @@
     Attributes:
         lease: Lease under which the shards are granted.
         tokens: Fencing token by shard.
-        remaining_s: Seconds until the grants expire.
-        decided_s: Event loop time at which this was decided.
+        until_s: Time of the node's clock at which the grants expire.
+        decided_s: Time of the same clock at which this was decided.
         handovers: By shard, the handover with which the upstream takes the shard over
             warm; shards without one are absent.
     """
 
     lease: LeaseId
     tokens: Mapping[ShardId, int]
-    remaining_s: float
+    until_s: float
     decided_s: float
     handovers: Mapping[ShardId, str] = dataclasses.field(default_factory=dict)
 
@@ -73,12 +73,12 @@
 
     Attributes:
         lease: The lease.
-        remaining_s: Seconds until the grants are to expire.
-        decided_s: Event loop time at which this was decided.
+        until_s: Time of the node's clock at which the grants are to expire.
+        decided_s: Time of the same clock at which this was decided.
     """
 
     lease: LeaseId
-    remaining_s: float
+    until_s: float
     decided_s: float
 
 
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -173,7 +173,7 @@
         self._context.effects.append(
             ExtendLease(
                 lease=holder.lease,
-                remaining_s=holder.valid_until_s - now,
+                until_s=holder.valid_until_s,
                 decided_s=now,
             )
         )
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -472,13 +472,12 @@
 
     def _collect_grants(self, now: float) -> None:
         for lease, tokens in self.context.owned_shards.collect_grants(now).items():
-            remaining_s = self.context.holders[lease].valid_until_s - now
             owned_shards = self.context.owned_shards.owned
             self.context.effects.append(
                 GrantShards(
                     lease=lease,
                     tokens=tokens,
-                    remaining_s=remaining_s,
+                    until_s=self.context.holders[lease].valid_until_s,
                     decided_s=now,
                     handovers={
                         shard: owned_shards[shard].handover
--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -32,6 +32,7 @@
 MAX_REPORT_BYTES = 64 * 1024
 """Largest response body accepted."""
 STATUS_CONFLICT = 409
+MICROSECONDS = 1_000_000
 GRANTS_TARGET = b"/papayatack/grants"
 
 _Model = TypeVar("_Model", bound=pydantic.BaseModel)
@@ -73,20 +74,23 @@
         self,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
-        remaining_us: int,
+        until_s: float,
         handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before their first request."""
         document = {
             "lease": format_lease(lease),
             "tokens": dict(tokens),
-            "remaining_us": remaining_us,
+            "remaining_us": _compute_remaining_us(until_s),
         }
         return await self._send(b"PUT", GRANTS_TARGET, document)
 
-    async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
+    async def extend(self, lease: LeaseId, until_s: float) -> Result[None, Refusal]:
         """Extend all grants of a lease."""
-        document = {"lease": format_lease(lease), "remaining_us": remaining_us}
+        document = {
+            "lease": format_lease(lease),
+            "remaining_us": _compute_remaining_us(until_s),
+        }
         return await self._send(b"POST", GRANTS_TARGET + b"/extend", document)
 
     async def revoke(
@@ -141,6 +145,12 @@
         return await _read_response(result.unwrap())
 
 
+def _compute_remaining_us(until_s: float) -> int:
+    """Return the microseconds until an event loop time, at least 0."""
+    remaining_s = until_s - asyncio.get_running_loop().time()
+    return max(0, int(remaining_s * MICROSECONDS))
+
+
 def build_json_request(
     address: str, method: bytes, target: bytes, data: bytes
 ) -> Request:
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -40,7 +40,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-US_PER_S = 1_000_000
 MS_PER_S = 1000
 MAX_CLOCK_RATE_ERROR = 0.02
 MAX_DELIVERY_S = 0.3
@@ -154,7 +153,7 @@
         self,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
-        remaining_us: int,
+        until_s: float,
         handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before their first requests."""
@@ -168,9 +167,7 @@
             for shard, token in tokens.items()
             if not self._is_granted(lease, shard, token)
         }
-        return await self._send_grants(
-            lease, unconfirmed, remaining_us, handovers or {}
-        )
+        return await self._send_grants(lease, unconfirmed, until_s, handovers or {})
 
     def _is_granted(self, lease: LeaseId, shard: ShardId, token: int) -> bool:
         """Return whether a shard's grant is confirmed and not about to expire."""
@@ -179,7 +176,7 @@
             return False
         return granted.until_s > asyncio.get_running_loop().time() + RENEWAL_MARGIN_S
 
-    async def extend(self, lease: LeaseId, remaining_us: int) -> Result[None, Refusal]:
+    async def extend(self, lease: LeaseId, until_s: float) -> Result[None, Refusal]:
         """Extend all grants of a lease except those of hot slices that were merged."""
         hot = set(self._list_hot())
         tokens = {
@@ -189,7 +186,7 @@
         }
         if self.pool is None or not tokens:
             return Success(None)
-        return await self._send_grants(lease, tokens, remaining_us, {})
+        return await self._send_grants(lease, tokens, until_s, {})
 
     async def revoke(
         self, lease: LeaseId, shards: tuple[ShardId, ...]
@@ -251,11 +248,10 @@
         self,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
-        remaining_us: int,
+        end_s: float,
         handovers: Mapping[ShardId, str],
     ) -> Result[None, Refusal]:
         process = self._process
-        end_s = asyncio.get_running_loop().time() + remaining_us / US_PER_S
         call = asyncio.ensure_future(
             self._grant_ranges(process, lease, tokens, end_s, handovers)
         )
--- a/tests/control/test_grants.py
+++ b/tests/control/test_grants.py
@@ -21,12 +21,12 @@
     def __init__(self):
         self.done = []
 
-    async def grant(self, lease, tokens, remaining_us, handovers):
+    async def grant(self, lease, tokens, until_s, handovers):
         """Record the grant."""
         self.done.append(("grant", *tokens))
         return Success(None)
 
-    async def extend(self, lease, remaining_us):
+    async def extend(self, lease, until_s):
         """Record the extension."""
         self.done.append(("extend",))
         return Success(None)
@@ -65,10 +65,8 @@
         """Grants of other shards and extensions are sent while a revocation runs."""
         calls = self.run_effects(
             RevokeShards(revocation_id=1, lease=LEASE, shards=(FIRST,)),
-            GrantShards(
-                lease=LEASE, tokens={SECOND: 7}, remaining_s=1.0, decided_s=0.0
-            ),
-            ExtendLease(lease=LEASE, remaining_s=1.0, decided_s=0.0),
+            GrantShards(lease=LEASE, tokens={SECOND: 7}, until_s=1.0, decided_s=0.0),
+            ExtendLease(lease=LEASE, until_s=1.0, decided_s=0.0),
             wait_s=SLOW_S / 3,
         )
         self.assertCountEqual(calls, [("grant", SECOND), ("extend",)])
@@ -77,7 +75,7 @@
         """Also if it was not queued for long."""
         with self.assertLogs("papayatack.control.grants", "WARNING") as logs:
             self.run_effects(
-                ExtendLease(lease=LEASE, remaining_s=1.0, decided_s=-0.3), wait_s=0.1
+                ExtendLease(lease=LEASE, until_s=1.0, decided_s=-0.3), wait_s=0.1
             )
         (line,) = logs.records
         self.assertEqual((line.name_of_event, line.reason), ("GRANT_LATE", "decided"))
@@ -87,7 +85,7 @@
         """A revocation that overtakes a later grant would end it."""
         calls = self.run_effects(
             RevokeShards(revocation_id=1, lease=LEASE, shards=(FIRST,)),
-            GrantShards(lease=LEASE, tokens={FIRST: 8}, remaining_s=9.0, decided_s=0.0),
+            GrantShards(lease=LEASE, tokens={FIRST: 8}, until_s=9.0, decided_s=0.0),
             wait_s=2 * SLOW_S,
         )
         self.assertEqual(calls, [("revoke", FIRST), ("grant", FIRST)])
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -534,12 +534,12 @@
 
     @_perform.register
     def _(self, effect: GrantShards, slot, core):
-        expiry = self.now + effect.remaining_s / slot.rate
+        expiry = self.now + (effect.until_s - effect.decided_s) / slot.rate
         self._order(slot, effect.tokens, self._grant, core, effect, expiry)
 
     @_perform.register
     def _(self, effect: ExtendLease, slot, core):
-        expiry = self.now + effect.remaining_s / slot.rate
+        expiry = self.now + (effect.until_s - effect.decided_s) / slot.rate
         slot.upstream.extend(effect.lease, expiry, self.now, slot.revoking)
 
     @_perform.register
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -57,23 +57,22 @@
         self.tokens = {}
         self.expires_s = {}
 
-    async def grant(self, lease, tokens, remaining_us, handovers=None):
+    async def grant(self, lease, tokens, until_s, handovers=None):
         """Accept grants whose token is not lower than the last one of their shard."""
         if not self.accepting:
             return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED))
-        expiry_s = asyncio.get_running_loop().time() + remaining_us / 1e6
         for shard, token in tokens.items():
             if token >= self.tokens.get(shard, 0):
                 self.tokens[shard] = token
-                self.expires_s[shard] = (lease, expiry_s)
+                self.expires_s[shard] = (lease, until_s)
         return Success(None)
 
-    async def extend(self, lease, remaining_us):
+    async def extend(self, lease, until_s):
         """Extend the live grants of a lease."""
         now = asyncio.get_running_loop().time()
-        for shard, (held, until) in list(self.expires_s.items()):
-            if held == lease and until > now:
-                self.expires_s[shard] = (lease, now + remaining_us / 1e6)
+        for shard, (held, held_until_s) in list(self.expires_s.items()):
+            if held == lease and held_until_s > now:
+                self.expires_s[shard] = (lease, until_s)
         return Success(None)
 
     async def revoke(self, lease, shards):
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -28,6 +28,11 @@
     return ShardId(f"desk/keys/{'=' if hot else ''}{first}-{last}")
 
 
+def find_end(duration_us):
+    """Return the event loop time after a duration in microseconds."""
+    return asyncio.get_running_loop().time() + duration_us / 1e6
+
+
 class RangeGrantClientTests(unittest.IsolatedAsyncioTestCase):
     """Keys that the upstream holds after grants, renewals and releases."""
 
@@ -45,20 +50,20 @@
     async def test_adjacent_shards_with_one_token_share_a_grant(self):
         """Adjacent shards with different tokens get separate grants."""
         tokens = {name(0, 255): 7, name(256, 511): 7, name(512, 767): 9}
-        result = await self.grants.grant(LEASE, tokens, LONG_US)
+        result = await self.grants.grant(LEASE, tokens, find_end(LONG_US))
         self.assertEqual(result, Success(None))
         self.assertEqual(set(self.upstream.grants), {(0, 511), (512, 767)})
 
     async def test_grant_of_a_parent_excludes_its_hot_slices(self):
         """It covers the keys around them."""
         self.hot = [name(16, 23, hot=True), name(0, 7, hot=True)]
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.assertEqual(set(self.upstream.grants), {(8, 15), (24, 255)})
 
     async def test_release_returns_handovers_by_key_range(self):
         """Each is passed on only with a grant of exactly the same range."""
         self.hot = [name(16, 23, hot=True)]
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         result = await self.grants.revoke(LEASE, (name(0, 255),))
         handovers = result.unwrap()
         self.assertEqual(handovers[name(0, 255)], "0-15:0-15;24-255:24-255")
@@ -67,12 +72,12 @@
     async def test_released_keys_are_not_renewed(self):
         """Neither during the release nor after it."""
         shards = (name(0, 255), name(256, 511))
-        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), LONG_US)
+        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), find_end(LONG_US))
         releasing = asyncio.ensure_future(self.grants.revoke(LEASE, shards[:1]))
         await asyncio.sleep(0)
-        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
         await releasing
-        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
         self.assertFalse(self.upstream.holds(0))
         self.assertTrue(self.upstream.holds(256))
 
@@ -80,7 +85,7 @@
         """Another upstream may get the keys only after the grants have expired."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await self.grants.grant(LEASE, {name(0, 255): 7}, SHORT_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(SHORT_US))
         self.grants.pool = None
         result = await self.grants.revoke(LEASE, (name(0, 255),))
         self.assertIsInstance(result, Success)
@@ -102,7 +107,7 @@
 
         end_s = loop.time() + LONG_US / 1e6
         with mock.patch.object(grants, "build_range_document", record_end):
-            await self.grants.grant(LEASE, shards, LONG_US)
+            await self.grants.grant(LEASE, shards, find_end(LONG_US))
         self.assertEqual(len(ends_s), len(shards))
         self.assertLessEqual(max(ends_s), end_s)
 
@@ -110,7 +115,7 @@
         """The grant's time counts from an arrival that only the answer bounds."""
         self.upstream.grant_delay_s = 0.15
         with self.assertLogs("papayatack.platform.grants", "WARNING") as logs:
-            await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+            await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         (line,) = logs.records
         self.assertEqual((line.name_of_event, line.reason), ("GRANT_LATE", "answered"))
         self.assertGreaterEqual(line.over_ms, 149)
@@ -118,19 +123,19 @@
 
     async def test_too_short_grant_is_not_sent(self):
         """It would expire before its first request."""
-        result = await self.grants.grant(LEASE, {name(0, 255): 7}, 15_000)
+        result = await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(15_000))
         self.assertIsInstance(result, Failure)
         self.assertEqual(self.upstream.grants, {})
 
     async def test_renewals_do_not_wait_for_releases(self):
         """Releases last as long as requests; other grants must not expire meanwhile."""
         shards = [name(16 * n, 16 * n + 7) for n in range(3 * MAX_CONCURRENT_GRANTS)]
-        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), SHORT_US)
+        await self.grants.grant(LEASE, dict.fromkeys(shards, 7), find_end(SHORT_US))
         self.upstream.release_delay_s = 1.5
         revoked = tuple(shards[: 2 * MAX_CONCURRENT_GRANTS])
         releasing = asyncio.ensure_future(self.grants.revoke(LEASE, revoked))
         await asyncio.sleep(0.1)
-        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
         released = [
             document
             for target, document in self.upstream.calls
@@ -144,7 +149,7 @@
 
     async def test_hot_slice_without_a_grant_of_its_own_is_released(self):
         """The upstream still holds it under the parent's grant."""
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.hot = [name(16, 23, hot=True)]
         await self.grants.revoke(LEASE, (name(16, 23, hot=True),))
         self.assertFalse(self.upstream.holds(16))
@@ -156,9 +161,9 @@
             name(512 * n, 512 * n + 511): 7 + n
             for n in range(MAX_CONCURRENT_GRANTS + 1)
         }
-        await self.grants.grant(LEASE, shards, LONG_US)
+        await self.grants.grant(LEASE, shards, find_end(LONG_US))
         self.upstream.grant_delay_s = 0.2
-        extending = asyncio.ensure_future(self.grants.extend(LEASE, LONG_US))
+        extending = asyncio.ensure_future(self.grants.extend(LEASE, find_end(LONG_US)))
         await asyncio.sleep(0.05)
         first = 512 * MAX_CONCURRENT_GRANTS
         hot = name(first, first + 7, hot=True)
@@ -185,36 +190,38 @@
         """Neither confirmed nor waiting grants go to the next process."""
         self.upstream.grant_delay_s = 0.1
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(2 * MAX_CONCURRENT_GRANTS)}
-        granting = asyncio.ensure_future(self.grants.grant(LEASE, shards, LONG_US))
+        granting = asyncio.ensure_future(
+            self.grants.grant(LEASE, shards, find_end(LONG_US))
+        )
         await asyncio.sleep(0.05)
         upstream = await self.replace_upstream()
         await granting
-        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
         self.assertEqual(upstream.grants, {})
 
     async def test_token_of_a_previous_process_is_not_sent_again(self):
         """The next process gets a grant only with a higher token."""
         first = name(0, 255)
-        await self.grants.grant(LEASE, {first: 7}, LONG_US)
+        await self.grants.grant(LEASE, {first: 7}, find_end(LONG_US))
         upstream = await self.replace_upstream()
-        refused = await self.grants.grant(LEASE, {first: 7}, LONG_US)
+        refused = await self.grants.grant(LEASE, {first: 7}, find_end(LONG_US))
         self.assertIsInstance(refused, Failure)
         self.assertEqual(upstream.grants, {})
         self.assertEqual(
-            await self.grants.grant(LEASE, {first: 8}, LONG_US), Success(None)
+            await self.grants.grant(LEASE, {first: 8}, find_end(LONG_US)), Success(None)
         )
 
     async def test_token_is_not_sent_after_a_higher_one(self):
         """This holds even if only some of the keys had the higher token."""
         hot = name(16, 23, hot=True)
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.hot = [hot]
-        await self.grants.grant(LEASE, {hot: 9}, LONG_US)
+        await self.grants.grant(LEASE, {hot: 9}, find_end(LONG_US))
         await self.grants.revoke(LEASE, (hot,))
         self.hot = []
         sent = len(self.upstream.calls)
-        await self.grants.extend(LEASE, LONG_US)
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         tokens = {
             document["fence"]
             for target, document in self.upstream.calls[sent:]
@@ -227,7 +234,7 @@
     ):
         """The upstream still holds it under the parent's earlier grant."""
         hot = name(16, 23, hot=True)
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.hot = [hot]
         await self.grants.revoke(LEASE, (name(0, 255),))
         await self.grants.revoke(LEASE, (hot,))
@@ -238,13 +245,13 @@
         around = [name(8, 15, hot=True), name(24, 31, hot=True)]
         hot = name(16, 23, hot=True)
         self.hot = [*around, hot]
-        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, find_end(LONG_US))
         self.hot = around
         self.upstream.release_delay_s = 0.5
         releasing = asyncio.ensure_future(self.grants.revoke(LEASE, (hot,)))
         while not any(target == b"/release" for target, _ in self.upstream.calls):
             await asyncio.sleep(0.01)
-        await self.grants.grant(LEASE, {name(0, 255): 11}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 11}, find_end(LONG_US))
         await releasing
         self.assertTrue(self.upstream.holds(16))
         await self.grants.revoke(LEASE, (name(0, 255),))
@@ -254,9 +261,9 @@
         """The parent had no grant after the merge."""
         hot = name(16, 23, hot=True)
         self.hot = [hot]
-        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7, hot: 9}, find_end(LONG_US))
         self.hot = []
-        await self.grants.extend(LEASE, LONG_US)
+        await self.grants.extend(LEASE, find_end(LONG_US))
         await self.grants.revoke(LEASE, (name(0, 255),))
         self.assertFalse(self.upstream.holds(16))
         self.assertFalse(self.upstream.holds(0))
@@ -264,16 +271,16 @@
     async def test_refused_grant_is_a_failure(self):
         """The upstream refuses a grant after a higher token."""
         self.upstream.refuse_grants = True
-        result = await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        result = await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.assertIsInstance(result, Failure)
 
     async def test_release_waits_for_the_expiry_of_an_unacknowledged_grant(self):
         """The upstream may have accepted the grant and hold the keys until then."""
         loop = asyncio.get_running_loop()
-        await self.grants.grant(LEASE, {name(0, 255): 7}, LONG_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         self.upstream.grant_delay_s = 2.0
         started_s = loop.time()
-        result = await self.grants.grant(LEASE, {name(0, 255): 9}, SHORT_US)
+        result = await self.grants.grant(LEASE, {name(0, 255): 9}, find_end(SHORT_US))
         self.assertIsInstance(result, Failure)
         await self.grants.revoke(LEASE, (name(0, 255),))
         self.assertGreaterEqual(
@@ -286,7 +293,7 @@
         self.upstream.lost_grants = MAX_CONCURRENT_GRANTS
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(2 * MAX_CONCURRENT_GRANTS)}
         async with asyncio.timeout(LONG_US / 1e6 / 5):
-            result = await self.grants.grant(LEASE, shards, LONG_US)
+            result = await self.grants.grant(LEASE, shards, find_end(LONG_US))
         self.assertEqual(result, Success(None))
 
     async def test_release_waits_for_a_retried_grant(self):
@@ -294,25 +301,29 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + 2 * MIDDLE_US / 1e6
         self.upstream.lost_grants = 1
-        await self.grants.grant(LEASE, {name(0, 255): 7}, 2 * MIDDLE_US)
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(2 * MIDDLE_US))
         await self.grants.revoke(LEASE, (name(0, 255),))
         self.assertGreaterEqual(loop.time(), end_s)
 
     async def test_many_ranges_take_few_connections(self):
         """The upstream would reset excess connections, and grant nothing."""
         shards = {name(16 * n, 16 * n + 7): 7 for n in range(300)}
-        result = await self.grants.grant(LEASE, shards, LONG_US)
+        result = await self.grants.grant(LEASE, shards, find_end(LONG_US))
         self.assertEqual(result, Success(None))
         self.assertLessEqual(self.pool.open_connections, MAX_CONCURRENT_GRANTS)
 
     async def test_confirmed_grants_are_not_sent_again(self):
         """After a partial failure only the remaining shards are sent."""
         first = {name(0, 255): 7}
-        await self.grants.grant(LEASE, first, LONG_US)
+        await self.grants.grant(LEASE, first, find_end(LONG_US))
         self.upstream.refuse_grants = True
-        result = await self.grants.grant(LEASE, first, LONG_US)
+        result = await self.grants.grant(LEASE, first, find_end(LONG_US))
         self.assertEqual(result, Success(None))
         both = {**first, name(512, 767): 9}
-        self.assertIsInstance(await self.grants.grant(LEASE, both, LONG_US), Failure)
+        self.assertIsInstance(
+            await self.grants.grant(LEASE, both, find_end(LONG_US)), Failure
+        )
         self.upstream.refuse_grants = False
-        self.assertEqual(await self.grants.grant(LEASE, both, LONG_US), Success(None))
+        self.assertEqual(
+            await self.grants.grant(LEASE, both, find_end(LONG_US)), Success(None)
+        )
--- a/tests/proxy/fakes.py
+++ b/tests/proxy/fakes.py
@@ -50,6 +50,7 @@
 SHARD = ShardId("hiring/all/0")
 HOT_SHARD = ShardId("hiring/all/=k1")
 LEASE = LeaseId(IncarnationId("lease"), 1)
+GRANT_S = 60.0
 
 
 class FakeOwnership:
@@ -232,7 +233,8 @@
     async def grant_shard(self, shard, token=1):
         """Grant a shard to the upstream."""
         client = GrantClient(pool=self.engine.upstream)
-        return await client.grant(LEASE, {shard: token}, 60_000_000)
+        until_s = asyncio.get_running_loop().time() + GRANT_S
+        return await client.grant(LEASE, {shard: token}, until_s)
 
     async def stop(self):
         """Stop the servers and close the connections."""
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -20,6 +20,11 @@
 LONG_US = 60_000_000
 
 
+def find_end(duration_us):
+    """Return the event loop time after a duration in microseconds."""
+    return asyncio.get_running_loop().time() + duration_us / 1e6
+
+
 class UpstreamStandinTests(unittest.IsolatedAsyncioTestCase):
     """Grants, refusals and reports."""
 
@@ -47,25 +52,27 @@
 
     async def test_lower_tokens_are_refused_for_good(self):
         """A later grant ends the requests and the grants of earlier ones."""
-        await self.client.grant(LEASE, {SHARD: 1}, LONG_US)
+        await self.client.grant(LEASE, {SHARD: 1}, find_end(LONG_US))
         self.assertIn(b" 200 ", await self.request(1))
-        await self.client.grant(LATER, {SHARD: 2}, LONG_US)
+        await self.client.grant(LATER, {SHARD: 2}, find_end(LONG_US))
         self.assertIn(b"papayatack-refused: token", await self.request(1))
         await self.client.revoke(LATER, (SHARD,))
         self.assertIn(b"papayatack-refused: grant", await self.request(2))
-        stale = await self.client.grant(LEASE, {SHARD: 1}, LONG_US)
+        stale = await self.client.grant(LEASE, {SHARD: 1}, find_end(LONG_US))
         self.assertIs(stale.failure().kind, ErrorKind.GRANT_REFUSED)
 
     async def test_expired_grant_refuses_until_it_is_extended(self):
         """A grant lasts as long as it was given or extended."""
-        await self.client.grant(LEASE, {SHARD: 1}, 0)
+        await self.client.grant(LEASE, {SHARD: 1}, find_end(0))
         self.assertIn(b"papayatack-refused: grant", await self.request(1))
-        self.assertTrue(is_successful(await self.client.extend(LEASE, LONG_US)))
+        self.assertTrue(
+            is_successful(await self.client.extend(LEASE, find_end(LONG_US)))
+        )
         self.assertIn(b" 200 ", await self.request(1))
 
     async def test_refused_requests_are_not_run(self):
         """Draining and shedding run nothing."""
-        await self.client.grant(LEASE, {SHARD: 1}, LONG_US)
+        await self.client.grant(LEASE, {SHARD: 1}, find_end(LONG_US))
         for name in ("draining", "shed"):
             await self.control(**{name: True})
             answer = await self.request(1)
@@ -82,7 +89,7 @@
 
     async def test_frozen_upstream_answers_once_thawed(self):
         """A frozen upstream takes requests and does nothing."""
-        await self.client.grant(LEASE, {SHARD: 1}, LONG_US)
+        await self.client.grant(LEASE, {SHARD: 1}, find_end(LONG_US))
         await self.control(frozen=True)
         answer = asyncio.create_task(self.request(1))
         await asyncio.sleep(0.02)
