Notice within 3 s of its return that the log answers a node that starts

A node that started while the store gave no answers served nobody for up to 7.6 s after the store was back: it answered 503, as it knew no configuration and no owners. Its read waited for 8 s (READ_TIMEOUT_S), although it asked the store not to wait for records, and up to 2 s of back-off followed a failed one. So the node noticed the return at the end of whatever it had begun during the outage; an outage of 0.5 s was enough for 7.6 s.

A read now takes 2 s beyond the wait that it asks for, and the delay after a failed one 1 s at most, which together are the 3 s after which the store counts as well again. A running node allows its own reads and appends 1 s beyond the wait, so that the new limit shuts out no store with which nodes could run.

--- a/src/papayatack/logservice/bootstrap.py
+++ b/src/papayatack/logservice/bootstrap.py
@@ -32,9 +32,13 @@
 READ_WAIT_S = 2.0
 """Time that the service waits for new records before it responds to a read."""
 
-READ_TIMEOUT_S = 8.0
+ANSWER_TIMEOUT_S = 2.0
+"""Time that a read may take beyond the wait for new records."""
+
 INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_S = 1.0
+"""Longest delay after a failed read. With :data:`ANSWER_TIMEOUT_S`, a node that starts
+without the service reads at most 3 s after its return."""
 
 State = TypeVar("State")
 
@@ -187,7 +191,11 @@
     offset = progress.next_offset
     wait_s = READ_WAIT_S if progress.at_end else 0.0
     result = await log.read(
-        stream, offset, limit=PAGE_RECORDS, wait_s=wait_s, timeout_s=READ_TIMEOUT_S
+        stream,
+        offset,
+        limit=PAGE_RECORDS,
+        wait_s=wait_s,
+        timeout_s=wait_s + ANSWER_TIMEOUT_S,
     )
     match result:
         case Success(page):
--- a/tests/logservice/test_bootstrap.py
+++ b/tests/logservice/test_bootstrap.py
@@ -12,6 +12,9 @@
 from standins.logstore import InProcessLog, Outage
 from tests.logservice.helpers import LogFixture, VirtualTimeTestCase, make_payload
 
+AWAY_S = (0.5, 2.0, 3.0, 4.5, 6.0, 9.0, 13.0, 24.0, 29.0)
+NOTICED_S = 3.0
+
 
 class ExpiringLog(InProcessLog):
     """A log whose oldest records expire after each read."""
@@ -59,6 +62,19 @@
     )
 
 
+async def measure_load(outage, away_s):
+    """Return the seconds from the return of the log until the stream is loaded."""
+    fixture = LogFixture()
+    append_records(fixture, 5)
+    faults = fixture.store.faults
+    faults.outage = outage
+    loop = asyncio.get_running_loop()
+    back_s = loop.time() + away_s
+    loop.call_at(back_s, setattr, faults, "outage", Outage.NONE)
+    (await load(fixture)).unwrap()
+    return loop.time() - back_s
+
+
 def list_offsets(loaded):
     """Return the offsets of the records to apply to the loaded state."""
     return [logged.offset for logged in loaded.records]
@@ -167,6 +183,14 @@
 
         self.run_virtually(check())
 
+    def test_return_of_a_log_that_did_not_answer_is_noticed_seconds_later(self):
+        """A node that starts meanwhile has loaded the stream 3 s after the return."""
+        for outage in (Outage.HANG, Outage.REFUSE, Outage.CLOSE):
+            for away_s in AWAY_S:
+                with self.subTest(outage=outage, away_s=away_s):
+                    late_s = self.run_virtually(measure_load(outage, away_s))
+                    self.assertLessEqual(late_s, NOTICED_S)
+
     def test_waits_until_another_node_writes_a_checkpoint(self):
         """A checkpoint that is written while the new node waits is loaded."""
 
