Split the connection of a caller by job

Cause: caller_connection.py (540 lines) had three jobs: the connection itself, the order of its requests with what may run beside others, and the time until which the caller is waited for.

Change: network/exchange_queue.py keeps the requests of a connection in order, and network/caller_deadline.py the deadline. CallerConnection and its import path stay. Two tests read the held bytes through the queue now. No change of behaviour.

--- a/src/papayatack/network/caller_connection.py
+++ b/src/papayatack/network/caller_connection.py
@@ -2,23 +2,21 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import h11
 
-from papayatack.core.byte_budget import ByteBudget
 from papayatack.core.errors import ErrorKind, Refusal
-from papayatack.core.pipeline import Obstacle, Pipeline, PipelineLimits
 from papayatack.network.arrivals import ArrivalCheck
 from papayatack.network.bodies import ExpectContinueBody, IncompleteBodyError
+from papayatack.network.caller_deadline import CallerDeadline
 from papayatack.network.caller_exchange import CallerExchange
 from papayatack.network.connection_admission import Admission, Rest
 from papayatack.network.connection_ends import ConnectionEnd
 from papayatack.network.error_responses import build_error_response
-from papayatack.network.exchanges import Request, Response, find_header
+from papayatack.network.exchange_queue import ExchangeQueue, QueueOwner
+from papayatack.network.exchanges import Response, find_header
 from papayatack.network.hangups import HangupWatch
-from papayatack.network.held_bodies import HeldBody
 from papayatack.network.limits import CallerLimits
 from papayatack.network.read_pauses import ReadPause
 from papayatack.network.request_handling import Handler, call_handler
@@ -26,28 +24,18 @@
 from papayatack.network.response_writer import ResponseWriter
 from papayatack.network.start_limiter import StartLimiter
 from papayatack.observability.events import Event
-from papayatack.observability.metrics import Metrics
 
 __all__ = ["MAX_EVENTS_PER_TURN", "CallerConnection", "CallerOwner", "Handler"]
 
 
-class CallerOwner(Protocol):
+class CallerOwner(QueueOwner, Protocol):
     """Interface of the server that a connection uses."""
 
     limits: CallerLimits
-    metrics: Metrics
-    draining: bool
     handler: Handler
-    is_repeatable: Callable[[Request], bool]
     hangups: HangupWatch
     arrivals: ArrivalCheck
     starts: StartLimiter
-    budget: ByteBudget
-    ahead: int
-
-    @property
-    def has_room_ahead(self) -> bool:
-        """Whether one more request may be started ahead of its turn."""
 
     def add_connection(self, connection: "CallerConnection") -> Admission:
         """Register an open connection, and decide what becomes of it."""
@@ -60,17 +48,13 @@
     """Has requests handled, side by side if they allow it, and answers in order."""
 
     __slots__ = (
-        "_deadline_kind",
-        "_deadline_s",
+        "_deadline",
         "_end",
-        "_exchanges",
         "_has_served",
-        "_idle_since_s",
         "_loop",
-        "_obstacle",
         "_owner",
         "_pause",
-        "_pipeline",
+        "_queue",
         "_reader",
         "_transport",
         "_writer",
@@ -85,18 +69,14 @@
     def __init__(self, *, owner: CallerOwner) -> None:
         self._owner = owner
         self._loop = asyncio.get_running_loop()
-        self._exchanges: list[CallerExchange] = []
-        self._pipeline = Pipeline(budget=owner.budget)
-        self._obstacle: Obstacle | None = None
-        self._deadline_s: float | None = None
-        self._deadline_kind: ErrorKind | None = None
-        self._idle_since_s = 0.0
+        self._queue = ExchangeQueue(owner=owner)
+        self._deadline = CallerDeadline()
         self._has_served = False
 
     @property
     def busy(self) -> bool:
         """Whether a request is in flight."""
-        return bool(self._exchanges)
+        return bool(self._queue)
 
     @property
     def _read_paused(self) -> bool:
@@ -130,11 +110,11 @@
             return
         now = self._loop.time()
         has_rest = reader.has_rest
-        if not has_rest and not self._exchanges:
+        if not has_rest and not self._queue:
             if reader.limits is not self._owner.limits:
                 reader.adopt_limits(self._owner.limits)
-            self._deadline_s = now + reader.limits.header_timeout_s
-            self._deadline_kind = ErrorKind.SLOW_CALLER
+            due_s = now + reader.limits.header_timeout_s
+            self._deadline.start(due_s, ErrorKind.SLOW_CALLER)
         reader.receive(data, now, has_rest=has_rest)
 
     def eof_received(self) -> bool:
@@ -146,10 +126,10 @@
         self._pause.unwatch()
         self._owner.drop_connection(self)
         detail = str(exc) if exc else "the caller disconnected"
-        for exchange in self._exchanges:
+        for exchange in self._queue:
             if exchange.task is not None and not self._end.begun:
                 self._note_left(exchange, detail)
-            self._cancel(exchange)
+            self._queue.cancel(exchange)
 
     def _note_left(self, exchange: CallerExchange, detail: str) -> None:
         """Count a request whose caller has left, and log a response under way."""
@@ -176,12 +156,6 @@
         """Resume the response."""
         self._writer.resume()
 
-    @property
-    def _is_idle(self) -> bool:
-        """Whether the connection waits for the first byte of a request."""
-        has_deadline = self._deadline_s is not None
-        return has_deadline and self._deadline_kind is None and not self._exchanges
-
     def check_deadline(self, now: float) -> None:
         """Close the connection or fail the request if its deadline has passed.
 
@@ -190,16 +164,16 @@
         if self._writer.deadline_s is not None and now >= self._writer.deadline_s:
             self._cut_slow_reader()
             return
-        if self._is_idle:
-            self._deadline_s = self._idle_since_s + self._owner.limits.idle_timeout_s
-        if self._deadline_s is None or now < self._deadline_s:
+        if self._deadline.is_idle and not self._queue:
+            self._deadline.set_idle_timeout(self._owner.limits.idle_timeout_s)
+        if not self._deadline.has_passed(now):
             return
-        kind = self._deadline_kind
-        self._deadline_s = None
+        self._deadline.clear()
+        kind = self._deadline.kind
         if kind is None:
             self._end.close()
-        elif self._exchanges and self._exchanges[-1].body is not None:
-            self._exchanges[-1].body.fail(
+        elif self._queue and self._queue.last.body is not None:
+            self._queue.last.body.fail(
                 kind=kind, detail="timed out while reading the request body"
             )
         else:
@@ -209,9 +183,9 @@
     def _cut_slow_reader(self) -> None:
         self._writer.deadline_s = None
         self._owner.metrics.count("caller_connections_cut", "slow-reader")
-        for exchange in self._exchanges[:1]:
+        if self._queue:
             self._end.log_cut(
-                exchange,
+                self._queue.first,
                 event=Event.ANSWER_CUT,
                 reason="slow-reader",
                 detail="the caller reads too slowly",
@@ -222,9 +196,10 @@
     @property
     def rest(self) -> Rest | None:
         """How long it has waited for a request; ``None`` with one in flight."""
-        if self._exchanges or self._end.begun:
+        if self._queue or self._end.begun:
             return None
-        return Rest(has_served=self._has_served, since_s=self._idle_since_s)
+        since_s = self._deadline.idle_since_s
+        return Rest(has_served=self._has_served, since_s=since_s)
 
     def close_at_rest(self) -> None:
         """Close a connection without a request in flight, to make room for another."""
@@ -233,7 +208,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, for a graceful shutdown."""
-        if not self._exchanges:
+        if not self._queue:
             self._end.close()
 
     def close_now(self) -> None:
@@ -246,7 +221,7 @@
             self._end.close()
             return
         self._owner.metrics.count("caller_connections_cut", "stop")
-        for exchange in self._exchanges:
+        for exchange in self._queue:
             if exchange.task is not None:
                 self._end.log_cut(
                     exchange,
@@ -259,42 +234,17 @@
 
     def may_read_ahead(self) -> bool:
         """Return whether a request may be read while others are in flight."""
-        limits = self._reader.limits
-        obstacle = self._pipeline.find_obstacle(
-            PipelineLimits(
-                requests=limits.pipelined_requests, held_bytes=limits.pipelined_bytes
-            ),
-            last_runs_beside=self._runs_last_beside,
-            has_node_room=self._owner.has_room_ahead,
-            is_draining=self._owner.draining,
-        )
-        if obstacle is not None and self._obstacle is None:
-            self._owner.metrics.count("pipelined_requests", obstacle.value)
-        self._obstacle = obstacle
-        return obstacle is None
-
-    def _runs_last_beside(self) -> bool:
-        return self._exchanges[-1].runs_beside(self._owner.is_repeatable)
+        return self._queue.may_read_ahead(self._reader.limits)
 
     def take_request(self, exchange: CallerExchange) -> bool:
         """Take a request whose head was read; return whether it starts now."""
-        is_first = not self._exchanges
-        if not is_first and (self._owner.draining or self._pipeline.is_ended):
+        if self._queue.is_ended:
             self._reader.discarding = True  # it counts as not read
             return False
-        starts = self._pipeline.add(
-            runs_beside=is_first or exchange.runs_beside(self._owner.is_repeatable)
-        )
-        self._exchanges.append(exchange)
-        if not starts:
-            self._owner.metrics.count("pipelined_requests", Obstacle.ALONE.value)
-            return False
-        if not is_first:
-            exchange.is_ahead = True
-            self._owner.ahead += 1
-            self._owner.metrics.count("pipelined_requests", "ahead")
-        self._start(exchange)
-        return True
+        starts = self._queue.add(exchange)
+        if starts:
+            self._start(exchange)
+        return starts
 
     def _start(self, exchange: CallerExchange) -> None:
         """Have a request handled."""
@@ -314,11 +264,9 @@
     def expect_body(self, *, expected: bool) -> None:
         """Start or stop the timeout for the next bytes of a request body."""
         if expected:
-            self._set_deadline(
-                self._reader.limits.body_timeout_s, ErrorKind.SLOW_CALLER
-            )
+            self._expect_bytes(self._reader.limits.body_timeout_s)
         else:
-            self._deadline_s = None
+            self._deadline.clear()
 
     def _check_arrival(self) -> None:
         """Have it checked whether the caller has hung up behind its request."""
@@ -328,7 +276,7 @@
 
     def _leave_at_once(self) -> None:
         """End requests that no task has begun to serve, as the caller has hung up."""
-        for exchange in self._exchanges:
+        for exchange in self._queue:
             if exchange.task is not None:
                 exchange.task.cancel()
         self._transport.abort()
@@ -340,19 +288,18 @@
         """
         self._owner.metrics.count("requests_refused", kind.value)
         self._reader.discarding = True
-        self._deadline_s = None
-        self._pipeline.end_reading()
+        self._deadline.clear()
         exchange = CallerExchange(
             parser=parser,
             arrived_s=self._loop.time(),
             refusal=Refusal(kind=kind, detail=detail),
         )
-        self._exchanges.append(exchange)
+        self._queue.add_rejected(exchange)
         exchange.task = self._loop.create_task(self._send_rejection(exchange))
 
     async def _send_rejection(self, exchange: CallerExchange) -> None:
         assert exchange.refusal is not None
-        if self._exchanges[0] is not exchange:
+        if self._queue.first is not exchange:
             await exchange.turn
         try:
             response = build_error_response(exchange.refusal)
@@ -370,8 +317,8 @@
                 response = self._refuse(exchange.refusal)
             exchange.response = response
             try:
-                if self._exchanges[0] is not exchange:
-                    await self._wait_turn(exchange, response)
+                if self._queue.first is not exchange:
+                    await self._queue.wait_turn(exchange, response, self._reader.limits)
                 closes = self._must_close(exchange)
                 if self._reader.parser is not exchange.parser:
                     self._end_behind(exchange, response, closes=closes)
@@ -395,26 +342,12 @@
         self._owner.metrics.count("requests_refused", refusal.kind.value)
         return build_error_response(refusal)
 
-    async def _wait_turn(self, exchange: CallerExchange, response: Response) -> None:
-        """Wait until all earlier responses are written, and read ahead meanwhile."""
-        if exchange.head_only:
-            await exchange.turn
-            return
-        held = HeldBody(
-            body=response.body,
-            pipeline=self._pipeline,
-            max_bytes=self._reader.limits.pipelined_bytes,
-        )
-        response.body = held
-        await held.hold(exchange.turn)
-
     def _end_behind(
         self, exchange: CallerExchange, response: Response, *, closes: bool
     ) -> None:
         """End what was read behind a response that closes the connection."""
         if closes or _says_close(response):
-            self._pipeline.end_reading()
-            self._cancel_behind(exchange)
+            self._queue.end_behind(exchange)
 
     def _must_close(self, exchange: CallerExchange) -> bool:
         """Return whether the rest of a request won't be read, or nothing behind it."""
@@ -433,8 +366,7 @@
         """
         if not self._owner.draining and not self._reader.discarding:
             return False
-        behind = self._exchanges[1:2]
-        return not behind or behind[0].task is None
+        return not self._queue.is_behind_started
 
     def _cut_answer(self, exchange: CallerExchange, reason: str, detail: str) -> None:
         """Reset the connection, as the rest of the response is not available."""
@@ -446,69 +378,38 @@
             detail=detail,
             level=logging.WARNING,
         )
-        self._cancel_behind(exchange)
+        self._queue.cancel_behind(exchange)
         self._end.reset()
 
-    def _cancel_behind(self, exchange: CallerExchange) -> None:
-        """Cancel the requests behind one; they count as not read.
-
-        Those that have started may run twice, as the caller sends them again.
-        """
-        while self._exchanges[-1] is not exchange:
-            behind = self._exchanges.pop()
-            if behind.task is not None and behind.request is not None:
-                self._owner.metrics.count("pipelined_requests", "cancelled")
-            self._cancel(behind)
-
-    def _cancel(self, exchange: CallerExchange) -> None:
-        """Cancel a request, and have its body end with an error."""
-        self._end_ahead(exchange)
-        if exchange.body is not None:
-            exchange.body.fail(
-                kind=ErrorKind.CALLER_LEFT, detail="the caller disconnected"
-            )
-            exchange.body.close()
-        if exchange.task is not None:
-            exchange.task.cancel()
-
-    def _end_ahead(self, exchange: CallerExchange) -> None:
-        """Note that a request is no longer in flight ahead of its turn."""
-        if exchange.is_ahead:
-            exchange.is_ahead = False
-            self._owner.ahead -= 1
-
     async def _finish(self, exchange: CallerExchange) -> None:
         """Continue with the connection's next request, or close it."""
         state = exchange.parser
         is_whole = state.our_state is h11.DONE and state.their_state is h11.DONE
         if not is_whole or self._is_ending:
-            self._cancel_behind(exchange)
+            self._queue.cancel_behind(exchange)
             await self._close_lingering()
             return
-        self._exchanges.pop(0)
         self._has_served = True
-        starts_next = self._pipeline.end_first()
-        if self._exchanges:
-            self._begin_turn(self._exchanges[0], starts=starts_next)
+        starts_next = self._queue.end_first()
+        if self._queue:
+            self._begin_turn(self._queue.first, starts=starts_next)
             self._reader.go_on()
         else:
             self._begin_next(exchange)
 
     def _begin_next(self, last: CallerExchange) -> None:
         """Go on with what has been read of the next request, or wait for one."""
-        self._obstacle = None
         self._reader.begin_next(last, self._owner.limits)
         self._start_idle()
         if not self._reader.has_rest:
             if self._pause.active:
                 self._pause.end()
             return
-        self._set_deadline(self._reader.limits.header_timeout_s, ErrorKind.SLOW_CALLER)
+        self._expect_bytes(self._reader.limits.header_timeout_s)
         self._reader.go_on()
 
     def _begin_turn(self, exchange: CallerExchange, *, starts: bool) -> None:
         """Let the next response be written; start its request if it waited for that."""
-        self._end_ahead(exchange)
         if starts:
             self._reader.begin_held()
             self._start(exchange)
@@ -518,20 +419,18 @@
     def _start_idle(self) -> None:
         """Wait for the next request, at most for the idle timeout."""
         now = self._loop.time()
-        self._idle_since_s = now
-        self._deadline_s = now + self._reader.limits.idle_timeout_s
-        self._deadline_kind = None
+        self._deadline.start_idle(now, self._reader.limits.idle_timeout_s)
 
     async def _close_lingering(self) -> None:
         """Close once the caller has had time to read the response."""
         self._reader.discarding = True
-        self._deadline_s = None
+        self._deadline.clear()
         is_read_whole = self._reader.parser.their_state is h11.DONE
         await self._end.linger(is_read_whole=is_read_whole)
 
-    def _set_deadline(self, delay_s: float, kind: ErrorKind | None) -> None:
-        self._deadline_s = self._loop.time() + delay_s
-        self._deadline_kind = kind
+    def _expect_bytes(self, timeout_s: float) -> None:
+        """Wait for the rest of a request."""
+        self._deadline.start(self._loop.time() + timeout_s, ErrorKind.SLOW_CALLER)
 
 
 def _says_close(response: Response) -> bool:
--- a/tests/network/test_pipelining.py
+++ b/tests/network/test_pipelining.py
@@ -537,7 +537,7 @@
         data = await self.read_until(reader, names[-1])
         self.assertEqual(data.count(b"x" * size), 4)
         (connection,) = self.server._connections
-        self.assertEqual(connection._pipeline.held_bytes, 0)
+        self.assertEqual(connection._queue.pipeline.held_bytes, 0)
 
     async def test_body_that_comes_slowly_goes_on_in_its_turn(self):
         """What has come is written at once when the turn comes."""
--- a/tests/network/test_pipelining_schedules.py
+++ b/tests/network/test_pipelining_schedules.py
@@ -190,7 +190,7 @@
             await asyncio.sleep(exchange.work_s)
         finally:
             self._running.remove(number)
-            held_bytes = self.connection._pipeline.held_bytes
+            held_bytes = self.connection._queue.pipeline.held_bytes
             self.most_held_bytes = max(self.most_held_bytes, held_bytes)
         if exchange.end == "fault":
             raise ValueError(number)
@@ -298,6 +298,6 @@
         self.assertLess(served.most_held_bytes, HELD_BYTES + chunk_bytes)
         self.assertEqual(served.server.ahead, 0)
         if not served.transport.is_closing():
-            self.assertEqual(served.connection._pipeline.held_bytes, 0)
+            self.assertEqual(served.connection._queue.pipeline.held_bytes, 0)
             self.assertFalse(served.connection.busy)
             self.assertEqual(len(served.begun), len(schedule))
