Split the connections between nodes and their tests by job

Cause: peers.py (544 lines) opened, kept and closed links, sent requests, served those of peers and computed the wait before the next attempt to connect. test_peers.py (685 lines) tested all of it.

Change: link_table.py keeps the links, connect_backoff.py the waits, peer_requests.py sends and peer_serving.py serves. PeerNetwork and its import path stay. The 36 tests are in test_peers, test_link_table, test_peer_probe, test_peer_requests and test_peer_serving with their names and checks; two_networks.py has what they share. They read the links and the tasks through network.links and network.serving.tasks. REQUEST_FAILED of a peer's request has papayatack.network.peer_serving as the name of its logger (the module's, as before).

--- a/tests/proxy/test_cuts.py
+++ b/tests/proxy/test_cuts.py
@@ -145,7 +145,7 @@
     def _is_idle(self):
         return (
             not self.upstream._busy
-            and not self.owner.network._serving
+            and not self.owner.network.serving.tasks
             and not self.entry.callers._connections
         )
 
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -238,7 +238,7 @@
             self.request(self.entry, method, target, **kwargs)
         )
         await wait_until(lambda: self.upstream.runs)
-        for link in self.owner.network._all_links:
+        for link in self.owner.network.links:
             link._transport.pause_reading()
         return await request_task
 
@@ -274,7 +274,7 @@
         request_task = asyncio.ensure_future(self.request_until_unresponsive("GET"))
         await wait_until(lambda: list(self.upstream.runs.values()) == [2])
         request_task.cancel()
-        for link in self.owner.network._all_links:
+        for link in self.owner.network.links:
             link._transport.resume_reading()
         loop = asyncio.get_running_loop()
         disconnected_s = loop.time()
--- a/tests/proxy/test_left_while_waiting.py
+++ b/tests/proxy/test_left_while_waiting.py
@@ -70,7 +70,7 @@
 
     async def test_left_while_the_owner_stands_still(self):
         """The owner reads the request and its cancellation together."""
-        links = list(self.owner.network._all_links)
+        links = list(self.owner.network.links)
         for link in links:
             link._transport.pause_reading()
         writer = await self.send(build_request("GET", "/hiring/v/k1"))
--- a/tests/proxy/test_node_selector.py
+++ b/tests/proxy/test_node_selector.py
@@ -7,7 +7,7 @@
 from papayatack.core.node_load import NodeLoad
 from papayatack.proxy.interface import Route
 from papayatack.proxy.node_selector import NodeSelector
-from tests.network.test_peers import build_peer_request
+from tests.network.two_networks import build_peer_request
 
 NO_NODES = frozenset()
 IDLE = NodeLoad(wait_s=0.0, work_s=0.0, slots=4, service_s=0.1)
