Split the sharing of slots off the admission controller

Cause: core/admission/controller.py (540 lines) had two jobs: the queue, from the offer to the decision, and which class gets a slot and what each class can expect. One function of 55 lines decided whether a request may wait.

Change: core/admission/slot_shares.py chooses the class and estimates slots and waits; the long function is three. AdmissionController and its import path stay. The draws come from the same generator in the same order.

--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -17,16 +17,11 @@
     Refused,
 )
 from papayatack.core.admission.fair_queue import FairQueue
-from papayatack.core.admission.headroom import Headroom
 from papayatack.core.admission.latest_start import find_late_wait, find_latest_start
 from papayatack.core.admission.limits import AdmissionLimits
 from papayatack.core.admission.rank_lanes import RankLanes
-from papayatack.core.admission.rank_order import (
-    estimate_ranked_wait,
-    estimate_room,
-    select_first,
-)
 from papayatack.core.admission.rate_limit import RateLimit
+from papayatack.core.admission.slot_shares import SlotShares
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.heap import KeyedHeap
 from papayatack.core.inventory import Partner, RequestClass
@@ -75,18 +70,24 @@
         )
         self._rate_limit = RateLimit()
         self.cold_limit = ColdLimit(now=now)
-        self._headroom = Headroom(updated_s=now)
         self._queue_deadlines: KeyedHeap[QueueEntry] = KeyedHeap()
         self._outbox: list[AdmissionDecision] = []
-        self._in_use = 0
         self._last_number = 0
         self._weights = _list_weights(partners)
         self._lanes = RankLanes(build=self._build_state)
+        self._shares = SlotShares(
+            now=now,
+            limits=limits,
+            lanes=self._lanes,
+            concurrency_limit=self._concurrency_limit,
+            rate_limit=self._rate_limit,
+            rng=self._rng,
+        )
 
     @property
     def in_use(self) -> int:
         """Number of slots in use."""
-        return self._in_use
+        return self._shares.in_use
 
     @property
     def queued(self) -> int:
@@ -128,6 +129,7 @@
     ) -> None:
         """Apply new limits and partners; queued requests stay in their queues."""
         self.limits = limits
+        self._shares.limits = limits
         self._concurrency_limit.resize(limits.usable_slots)
         self._concurrency_limit.ramp_s = limits.ramp_s
         self._concurrency_limit.least_share = limits.least_share
@@ -159,7 +161,7 @@
         target: under overload, a slot that is spent on a late response makes the
         next response late as well.
         """
-        self._record_load(now)
+        self._shares.record_load(now)
         state = self._lanes.get_state(rank, request_class)
         cost = max(cost, MIN_COST)
         self._last_number += 1
@@ -185,7 +187,7 @@
         if entry.state is EntryState.RUNNING:
             self.release(now, entry, service_time_s=None)
         elif entry.state is EntryState.QUEUED:
-            self._record_load(now)
+            self._shares.record_load(now)
             self._remove_queued(entry)
             self._lanes.record_refusal(self._find_state(entry), entry.charge)
 
@@ -209,18 +211,18 @@
         """
         if entry.state is not EntryState.RUNNING:
             return
-        self._record_load(now)
+        self._shares.record_load(now)
         entry.state = EntryState.ENDED
         if not entry.is_sent:
             self.cold_limit.give_back()
         state = self._find_state(entry)
         state.in_use -= 1
         if error is ErrorKind.UPSTREAM_SHED:
-            self._concurrency_limit.record_shed(now, self._in_use)
+            self._concurrency_limit.record_shed(now, self._shares.in_use)
         elif error is None and service_time_s is not None:
             self._concurrency_limit.record_response()
             state.record_service(entry.cost, service_time_s)
-        self._in_use -= 1
+        self._shares.in_use -= 1
         state.queue.adjust(entry, (service_time_s or 0.0) - entry.charge)
 
     def record_sent(self, now: float, entry: QueueEntry) -> None:
@@ -248,11 +250,11 @@
 
     def poll(self, now: float) -> tuple[AdmissionDecision, ...]:
         """Refuse expired requests, fill the free slots, and return new decisions."""
-        self._record_load(now)
+        self._shares.record_load(now)
         self._refuse_expired(now)
         limit = self._concurrency_limit.current_limit(now)
-        while self._in_use < limit and self._may_send(now):
-            state = self._choose_state(limit)
+        while self._shares.in_use < limit and self._may_send(now):
+            state = self._shares.choose_state(limit)
             if state is None:
                 break
             self._start_next(now, state)
@@ -266,9 +268,9 @@
         if head is None:
             return None
         limit = self._concurrency_limit.current_limit(now)
-        if self._in_use < limit and not self._may_send(now):
+        if self._shares.in_use < limit and not self._may_send(now):
             return min(head[0], self._find_next_send(now))
-        if self._concurrency_limit.is_ramping(now) or self._in_use < limit:
+        if self._concurrency_limit.is_ramping(now) or self._shares.in_use < limit:
             return min(head[0], now + POLL_INTERVAL_S)
         return head[0]
 
@@ -285,43 +287,56 @@
             # A free slot is used even if the estimate is pessimistic: only a new
             # sample can correct the estimate.
             entry.queue_deadline_s = entry.deadline_s
-        else:
-            slots = self._count_usable_slots(now, state)
-            cold_wait_s = self.cold_limit.find_room(now, ahead=self.queued) - now
-            wait_s = max(
-                self._estimate_wait(now, state, entry.flow, slots),
-                self._rate_limit.find_next(now) - now,
-                cold_wait_s,
-            )
-            max_wait_s = entry.queue_deadline_s - now
-            wait_limit = state.get_wait_limit(entry.flow)
-            if not wait_limit.accept(
-                now,
-                wait_s=wait_s,
-                max_wait_s=max_wait_s,
-                min_limit_s=self._find_least_limit(state, entry, max_wait_s),
-            ):
-                if wait_s == cold_wait_s > 0:
-                    self._refuse_cold(entry, wait_s)
-                    return
-                self._refuse(
-                    entry,
-                    ErrorKind.DEADLINE_UNREACHABLE,
-                    f"expected wait of {wait_s:.3f} s, "
-                    f"limit {wait_limit.limit_s:.3f} s, permitted {max_wait_s:.3f} s",
-                    wait_s,
-                )
-                return
-            # The bound is proportional to the slots that the class can use, so that a
-            # full queue means the same wait whether or not the other classes are busy.
-            if len(state.queue) >= slots * self.limits.queue_per_slot:
-                self._drop_from_longest_queue(now, state, entry, slots)
-                if entry.state is EntryState.ENDED:
-                    return
-            self._make_way(now, state)
+        elif not self._may_wait(now, state, entry):
+            return
         state.queue.push(entry)
         self._queue_deadlines.put(entry, entry.queue_deadline_s)
 
+    def _may_wait(self, now: float, state: ClassState, entry: QueueEntry) -> bool:
+        """Return whether an entry may wait for a slot; refuse it if not."""
+        slots = self._shares.count_usable(now, state)
+        if not self._may_expect_slot(now, state, entry, slots):
+            return False
+        # The bound is proportional to the slots that the class can use, so that a
+        # full queue means the same wait whether or not the other classes are busy.
+        if len(state.queue) >= slots * self.limits.queue_per_slot:
+            self._drop_from_longest_queue(now, state, entry, slots)
+            if entry.state is EntryState.ENDED:
+                return False
+        self._make_way(now, state)
+        return True
+
+    def _may_expect_slot(
+        self, now: float, state: ClassState, entry: QueueEntry, slots: float
+    ) -> bool:
+        """Return whether an entry can start in time; refuse it if not."""
+        cold_wait_s = self.cold_limit.find_room(now, ahead=self.queued) - now
+        wait_s = max(
+            self._shares.estimate_wait(now, state, entry.flow, slots),
+            self._rate_limit.find_next(now) - now,
+            cold_wait_s,
+        )
+        max_wait_s = entry.queue_deadline_s - now
+        wait_limit = state.get_wait_limit(entry.flow)
+        if wait_limit.accept(
+            now,
+            wait_s=wait_s,
+            max_wait_s=max_wait_s,
+            min_limit_s=self._find_least_limit(state, entry, max_wait_s),
+        ):
+            return True
+        if wait_s == cold_wait_s > 0:
+            self._refuse_cold(entry, wait_s)
+            return False
+        self._refuse(
+            entry,
+            ErrorKind.DEADLINE_UNREACHABLE,
+            f"expected wait of {wait_s:.3f} s, "
+            f"limit {wait_limit.limit_s:.3f} s, permitted {max_wait_s:.3f} s",
+            wait_s,
+        )
+        return False
+
     def _find_least_limit(
         self, state: ClassState, entry: QueueEntry, max_wait_s: float
     ) -> float:
@@ -338,9 +353,9 @@
         limit = self._concurrency_limit.current_limit(now)
         return (
             not len(state.queue)
-            and self._in_use < limit
+            and self._shares.in_use < limit
             and self._may_send(now)
-            and self._may_use_slot(state, limit)
+            and self._shares.may_use_slot(state, limit)
         )
 
     def _may_send(self, now: float) -> bool:
@@ -359,8 +374,8 @@
             victim = other.queue.find_drop_candidate()
             if victim is None:
                 continue
-            slots = self._count_usable_slots(now, other)
-            wait_s = self._estimate_wait(now, other, victim.flow, slots)
+            slots = self._shares.count_usable(now, other)
+            wait_s = self._shares.estimate_wait(now, other, victim.flow, slots)
             if wait_s - victim.charge / slots > victim.queue_deadline_s - now:
                 self._remove_queued(victim)
                 detail = "requests of a better rank go first"
@@ -377,89 +392,9 @@
             victim = entry
         else:
             self._remove_queued(victim)
-        wait_s = self._estimate_wait(now, state, victim.flow, slots)
+        wait_s = self._shares.estimate_wait(now, state, victim.flow, slots)
         self._refuse(victim, ErrorKind.QUEUE_FULL, "the queue is full", wait_s)
 
-    def _count_usable_slots(self, now: float, state: ClassState) -> float:
-        """Return the number of slots that a class gets under the present demand."""
-        limit = self._concurrency_limit.current_limit(now)
-        service_s = state.seconds_per_cost or 0.0
-        if self._lanes.compete(state.rank):
-            room = estimate_room(
-                self._lanes, state, self._rate_limit.scale_slots(limit, service_s)
-            )
-            return min(room, self._count_shared_slots(now, state))
-        active = state.share
-        for other in self._lanes.list_rank(state.rank):
-            if other is not state and other.demand:
-                active += other.share
-        share = state.share / active
-        others = self._in_use - state.in_use
-        slots = max(limit * share, float(limit - others))
-        slots = max(1.0, min(slots, self._max_class_slots(state, limit)))
-        return self._rate_limit.scale_slots(slots, share * service_s)
-
-    def _estimate_wait(
-        self, now: float, state: ClassState, flow: str, slots: float
-    ) -> float:
-        """Return the expected wait of a new request in seconds, 0 if not known.
-
-        Args:
-            now: The current time.
-            state: Class of the request.
-            flow: Flow of the request.
-            slots: Slots that the class gets.
-        """
-        if state.seconds_per_cost is None:
-            return 0.0
-        if not self._lanes.compete(state.rank):
-            return state.queue.estimate_wait(flow, slots)
-        shared = self._count_shared_slots(now, state)
-        return estimate_ranked_wait(self._lanes, state, flow, room=slots, slots=shared)
-
-    def _count_shared_slots(self, now: float, state: ClassState) -> float:
-        """Return how many slots a class would get if no other class wanted any."""
-        limit = self._concurrency_limit.current_limit(now)
-        most = self._max_class_slots(state, limit)
-        return self._rate_limit.scale_slots(most, state.seconds_per_cost or 0.0)
-
-    def _max_class_slots(self, state: ClassState, limit: int) -> int:
-        """Return the maximum number of slots that a class may hold."""
-        if state.request_class is not RequestClass.DOWNLOAD:
-            return limit
-        guaranteed = self.limits.guarantee_slots(RequestClass.DOWNLOAD)
-        return max(min(guaranteed, limit), limit - self._headroom.required_slots())
-
-    def _may_use_slot(self, state: ClassState, limit: int) -> bool:
-        """Return whether a class may hold one more slot, if one is free."""
-        if state.request_class is not RequestClass.DOWNLOAD:
-            return True
-        in_use = self._lanes.count_downloads()
-        return in_use < self._max_class_slots(state, limit)
-
-    def _choose_state(self, limit: int) -> ClassState | None:
-        """Return the class whose request is served next, if any waits that may be.
-
-        It is the one that uses its share the least, of those that have precedence.
-        """
-        waiting = [
-            state
-            for state in self._lanes
-            if len(state.queue) and self._may_use_slot(state, limit)
-        ]
-        if waiting and self._lanes.compete(waiting[0].rank):
-            waiting = select_first(self._lanes, waiting)
-        return min(waiting, key=self._rank_class, default=None)
-
-    def _rank_class(self, state: ClassState) -> float:
-        """Return the use of a class's share; it is negative for a class that uses none.
-
-        Those are ranked by a draw in proportion to their shares.
-        """
-        if state.in_use:
-            return state.in_use / state.share
-        return -(self._rng.random() ** (1.0 / state.share))
-
     def _start_next(self, now: float, state: ClassState) -> None:
         entry = state.queue.pop()
         state.queue.record_wait(entry, now - entry.offered_s)
@@ -468,7 +403,7 @@
         entry.started_s = now
         self._lanes.record_start(state, entry.charge)
         state.in_use += 1
-        self._in_use += 1
+        self._shares.in_use += 1
         self._rate_limit.take(now)
         self.cold_limit.reserve()
         self._outbox.append(Admitted(entry=entry))
@@ -483,8 +418,8 @@
                 self._refuse_cold(entry, room_s - now)
                 continue
             state = self._find_state(entry)
-            slots = self._count_usable_slots(now, state)
-            wait_s = self._estimate_wait(now, state, entry.flow, slots)
+            slots = self._shares.count_usable(now, state)
+            wait_s = self._shares.estimate_wait(now, state, entry.flow, slots)
             self._refuse(
                 entry,
                 ErrorKind.DEADLINE_UNREACHABLE,
@@ -516,14 +451,6 @@
         refusal = Refusal(kind=kind, detail=detail, retry_after_s=retry_after_s)
         self._outbox.append(Refused(entry=entry, refusal=refusal))
 
-    def _record_load(self, now: float) -> None:
-        """Record the load of the classes of short requests up to now."""
-        if now <= self._headroom.updated_s:
-            return
-        self._lanes.fade(now)
-        load = self._lanes.count_short_demand()
-        self._headroom.record(now, min(load, self._concurrency_limit.slots))
-
     def _build_state(self, request_class: RequestClass, rank: int) -> ClassState:
         return ClassState(
             request_class=request_class,
