--- a/tests/running.py
+++ b/tests/running.py
@@ -18,6 +18,7 @@
     "tests.daemon",
     "tests.logservice",
     "tests.network",
+    "tests.platform.test_config_process",
     "tests.platform.test_crowds",
     "tests.platform.test_cold_process",
     "tests.platform.test_coldness",
