--- a/tests/fakes/config_plays.py
+++ b/tests/fakes/config_plays.py
@@ -44,6 +44,7 @@
 WATCHED_S = 3.0
 """Time for which a change is watched while nodes are disturbed."""
 
+MAX_STARTS = 3
 ASK_INTERVAL_S = 0.08
 ANSWER_LIMIT_S = 2.0
 DEADLINE_MS = 1500
@@ -322,9 +323,8 @@
 
 async def play_episodes(episodes, *, seed, folder, nodes=NODES, routes=0):
     """Return what happened in episodes one after the other, and the faults."""
-    play = ConfigPlay(folder=folder, random=random.Random(seed), routes=routes)
+    play = await _start(seed=seed, folder=folder, nodes=nodes, routes=routes)
     try:
-        await play.start(nodes)
         for episode in episodes:
             await play.play(episode)
     finally:
@@ -332,6 +332,19 @@
     return play, faults
 
 
+async def _start(*, seed, folder, nodes, routes):
+    """Return a play that has begun; other programs may take ports of a first one."""
+    for _ in range(MAX_STARTS):
+        play = ConfigPlay(folder=folder, random=random.Random(seed), routes=routes)
+        try:
+            await play.start(nodes)
+        except ChildProcessError:
+            await play.stop()
+        else:
+            return play
+    raise ChildProcessError("nodes end as they start")
+
+
 def describe_fault(play, fault):
     """Return a line on a fault."""
     answer = fault.answer
