--- a/src/papayatack/control/config_applying.py
+++ b/src/papayatack/control/config_applying.py
@@ -44,7 +44,7 @@
         decoder: Decodes the records.
         on_applied: Called with each record that was applied, and how it came.
         on_end: Called when all records that the stream had at a time are applied, with
-            that time on the event loop's clock.
+            the message that said so.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
         config: ConfigState,
         decoder: RecordDecoder,
         on_applied: Callable[[LoggedRecord, Provenance], None],
-        on_end: Callable[[float], None],
+        on_end: Callable[[EndReached], None],
     ) -> None:
         self._config = config
         self._decoder = decoder
@@ -62,7 +62,7 @@
         self._queue: asyncio.Queue[StoredConfig | EndReached] = asyncio.Queue()
         self._newest_offset = 0
         self._replaced: list[StoredConfig] = []
-        self._end_s: float | None = None
+        self._end: EndReached | None = None
 
     def put(self, item: StoredConfig | EndReached) -> None:
         """Queue a record, or the message that all records have been read."""
@@ -93,15 +93,15 @@
 
     @_handle.register
     async def _(self, item: EndReached) -> None:
-        self._end_s = item.time_s
+        self._end = item
         if not self._replaced:
             self._report_end()
 
     def _report_end(self) -> None:
         """Report the newest end that was reached, now that all records are applied."""
-        if self._end_s is not None:
-            self._on_end(self._end_s)
-            self._end_s = None
+        if self._end is not None:
+            self._on_end(self._end)
+            self._end = None
 
     async def _apply_replaced(self) -> None:
         """Apply the newest valid record of those that were skipped, if there is one."""
--- a/tests/control/test_config_applying.py
+++ b/tests/control/test_config_applying.py
@@ -34,8 +34,8 @@
             config=self.config,
             decoder=SlowDecoder(places=PLACES, metrics=Metrics()),
             on_applied=lambda logged, provenance: self.applied.append(logged.offset),
-            on_end=lambda time_s: self.confirmed.append(
-                (time_s, self.config.next_offset)
+            on_end=lambda end: self.confirmed.append(
+                (end.time_s, self.config.next_offset)
             ),
         )
         task = asyncio.create_task(self.applier.run())
@@ -55,7 +55,7 @@
 
     def put_end(self, time_s):
         """Queue the message that all records have been read."""
-        self.applier.put(EndReached(stream="config", time_s=time_s))
+        self.applier.put(EndReached(stream="config", time_s=time_s, response_s=None))
 
     async def test_replaced_record_is_not_decoded(self):
         """Only the newest of those that wait is in force later."""
