Count each read of the log once in the age of a configuration

Callers got 404 for routes that had been there for over 2 s, at most nodes at once, on machines where messages between nodes wait for processor time and the node that reads the log for all others was lost; the store was well. An age that was told lost the time that its message was on its way, at each further message: along the tree, with each renewal and its answer, and round in circles, so that a node got its own old knowledge back as younger. The age of the fleet grew more slowly than time, or not at all, and nobody looked for a newer configuration.

Class: a relative time that is told on without what it loses on the way; a rumour that renews itself.

Now a position, a renewal and its answer name the read of the log from which the age stems: the reader, and the time on its clock. Each node keeps for the newest read of each reader the earliest time that it knows for it; what is told of the same read later can only make it older. So the age loses the time of one way from the reader at most, and nothing by going round. Nodes of earlier versions name no read; theirs count as before.

The unit test passes the read with the position now, as nodes do; its bound is the same.

--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -3,9 +3,10 @@
 import math
 
 from papayatack.core.config_age import ConfigAge
+from papayatack.core.config_reads import ReadTimes
 from papayatack.core.identity import IncarnationId
 from papayatack.core.log_speed import LogSpeed
-from papayatack.core.messages import ConfigPosition
+from papayatack.core.messages import ConfigPosition, ConfigRead
 
 __all__ = ["ConfigWatch"]
 
@@ -46,18 +47,26 @@
     whose configuration is too old reads the log itself. Times are in seconds of the
     event loop's clock.
 
+    Args:
+        reader: This node, as others know it.
+
     Attributes:
         offset: Offset of the next config record to apply.
         current_s: Time at which the log had no record from ``offset`` on.
+        read: The read that showed this; ``None`` if it is unknown.
         speed: Whether the log answers slowly, from this node's reads and others'.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, reader: IncarnationId = IncarnationId("")) -> None:  # noqa: B008
         self.offset = 0
         self.current_s = float("-inf")
+        self.read: ConfigRead | None = None
+        self._reader = reader
+        self._read_times = ReadTimes()
         self.speed = LogSpeed()
         self._reported_offset = 0
         self._reported_s = float("-inf")
+        self._reported_read: ConfigRead | None = None
         self._newer_since_s = float("inf")
         self._informed: list[IncarnationId] = []
         self._queries = 0
@@ -81,7 +90,7 @@
             return
         self.offset = offset
         if self._reported_offset == offset:
-            self.current_s = max(self.current_s, self._reported_s)
+            self._note_current(self._reported_s, self._reported_read)
         if self._reported_offset <= offset:
             self._discard_reports()
 
@@ -90,13 +99,16 @@
 
         What other nodes reported of newer ones before was false then.
         """
-        self.current_s = max(self.current_s, time_s)
+        read = ConfigRead(reader=self._reader, read_us=int(time_s * US_PER_S))
+        self._note_current(self._read_times.find(read, time_s), read)
         if time_s >= self._newer_since_s:
             self._discard_reports()
 
     def forget(self) -> None:
         """Discard the time of the last confirmation, after a pause the clock missed."""
         self.current_s = float("-inf")
+        self.read = None
+        self._read_times.clear()
 
     def make_position(self, now: float) -> ConfigPosition:
         """Return what other nodes are told; the time of the newest must be known."""
@@ -106,10 +118,17 @@
             offset=self.offset,
             age_us=int(self.find_age_s(now) * US_PER_S),
             response_us=None if response_s is None else int(response_s * US_PER_S),
+            read=self.read,
         )
 
     def receive_position(
-        self, sender: IncarnationId, offset: int, time_s: float | None, now: float
+        self,
+        sender: IncarnationId,
+        offset: int,
+        time_s: float | None,
+        now: float,
+        *,
+        read: ConfigRead | None = None,
     ) -> None:
         """Process another node's offset, and when it was the newest for certain.
 
@@ -118,13 +137,22 @@
             offset: Its offset.
             time_s: When its offset was the newest; ``None`` if unknown.
             now: Current time.
+            read: The read that showed this, if the other node knows it.
         """
-        if time_s is None:
-            time_s = float("-inf")
+        time_s = float("-inf") if time_s is None else min(time_s, now)
+        if read is not None:
+            time_s = self._read_times.find(read, time_s)
         if offset == self.offset:
-            self.current_s = max(self.current_s, min(time_s, now))
+            self._note_current(time_s, read)
         elif offset > self.offset:
-            self._note_newer(sender, offset, time_s, now)
+            self._note_newer(sender, offset, now)
+            self._note_reported(offset, time_s, read)
+
+    def _note_current(self, time_s: float, read: ConfigRead | None) -> None:
+        """Note a time at which the configuration was the newest."""
+        if time_s > self.current_s:
+            self.current_s = time_s
+            self.read = read
 
     def receive_speed(self, position: ConfigPosition, now: float) -> None:
         """Process how long the log took for the answer that another node tells of."""
@@ -133,19 +161,24 @@
         read_s = now - max(position.age_us, 0) / US_PER_S
         self.speed.note_answer(read_s, position.response_us / US_PER_S, now)
 
-    def _note_newer(
-        self, sender: IncarnationId, offset: int, time_s: float, now: float
-    ) -> None:
+    def _note_newer(self, sender: IncarnationId, offset: int, now: float) -> None:
         if offset > self._reported_offset:
             self._reported_offset = offset
             self._reported_s = float("-inf")
             self._informed.clear()
         if offset == self._reported_offset:
-            self._reported_s = max(self._reported_s, min(time_s, now))
             self._newer_since_s = min(self._newer_since_s, now)
             if sender not in self._informed:
                 self._informed.append(sender)
 
+    def _note_reported(
+        self, offset: int, time_s: float, read: ConfigRead | None
+    ) -> None:
+        """Note a time at which a newer configuration was the newest."""
+        if offset == self._reported_offset and time_s > self._reported_s:
+            self._reported_s = time_s
+            self._reported_read = read
+
     def _discard_reports(self) -> None:
         self._reported_offset = 0
         self._reported_s = float("-inf")
--- a/src/papayatack/core/messages.py
+++ b/src/papayatack/core/messages.py
@@ -35,6 +35,19 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigRead:
+    """Identifies a read of the config stream, whoever tells of it.
+
+    Attributes:
+        reader: The node that read the log.
+        read_us: Time of the read on that node's clock, in microseconds.
+    """
+
+    reader: IncarnationId
+    read_us: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Renew:
     """Asks a witness to renew its promise of a lease.
@@ -50,6 +63,7 @@
         heard: Newest round for which the holder has received this witness's reply.
         config_age_us: Time since the holder's configuration was the newest for certain,
             in microseconds; ``None`` if unknown.
+        config_read: The read that showed this.
     """
 
     lease: LeaseId
@@ -59,6 +73,7 @@
     ownership_offset: int
     heard: int = 0
     config_age_us: int | None = None
+    config_read: ConfigRead | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +92,7 @@
         config_age_us: Time since the witness's configuration was the newest for
             certain, in microseconds; ``None`` if unknown.
         permanent: Whether the witness is shutting down and will never fence the lease.
+        config_read: The read that showed how recent the configuration is.
     """
 
     lease: LeaseId
@@ -87,6 +103,7 @@
     ownership_offset: int
     config_age_us: int | None = None
     permanent: bool = False
+    config_read: ConfigRead | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -160,11 +177,13 @@
         age_us: Time since this was the newest for certain, in microseconds.
         response_us: How long the log took for the answer that showed this, in
             microseconds; ``None`` if that is unknown.
+        read: The read that showed this.
     """
 
     offset: int
     age_us: int
     response_us: int | None = None
+    read: ConfigRead | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/core/ownership/exchange.py
+++ b/src/papayatack/core/ownership/exchange.py
@@ -5,7 +5,7 @@
 
 from papayatack.core.config_watch import ConfigWatch
 from papayatack.core.identity import IncarnationId
-from papayatack.core.messages import ControlMessage, LogQuery
+from papayatack.core.messages import ConfigRead, ControlMessage, LogQuery
 from papayatack.core.ownership.context import Context
 from papayatack.core.ownership.effects import SendRecords
 from papayatack.core.ownership.timing import QUERY_INTERVAL_S, RENEW_INTERVAL_S
@@ -39,7 +39,7 @@
     ) -> None:
         self._context = context
         self._deliver = deliver
-        self.config = ConfigWatch()
+        self.config = ConfigWatch(reader=context.incarnation)
         self.peer_offsets = {CONFIG_STREAM: 0, OWNERSHIP_STREAM: 0}
 
     def find_config_age_us(self, now: float) -> int | None:
@@ -48,16 +48,21 @@
         return int(age_s * US_PER_S) if math.isfinite(age_s) else None
 
     def receive_config_position(
-        self, peer: IncarnationId, offset: int, age_us: int | None, now: float
+        self,
+        peer: IncarnationId,
+        offset: int,
+        age_us: int | None,
+        read: ConfigRead | None,
+        now: float,
     ) -> None:
         """Process the offset of a peer's configuration and the age of that knowledge.
 
-        The time for which the message was on its way does not count.
+        The time for which the first message about a read was on its way does not count.
         """
         stream = CONFIG_STREAM
         self.peer_offsets[stream] = max(self.peer_offsets[stream], offset)
         time_s = None if age_us is None else now - max(age_us, 0) / US_PER_S
-        self.config.receive_position(peer, offset, time_s, now)
+        self.config.receive_position(peer, offset, time_s, now, read=read)
 
     def send_missing(self, peer: IncarnationId, peer_offset: int, now: float) -> None:
         """Send a peer the ownership records that it lacks and this node has."""
--- a/src/papayatack/core/ownership/lease_holder.py
+++ b/src/papayatack/core/ownership/lease_holder.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from papayatack.core.identity import IncarnationId, LeaseId
-from papayatack.core.messages import Renew, RenewReply
+from papayatack.core.messages import ConfigRead, Renew, RenewReply
 from papayatack.core.ownership.timing import (
     CLOCK_RATE_BOUND,
     CONFIG_GRACE_S,
@@ -123,6 +123,7 @@
         config_offset: int,
         ownership_offset: int,
         config_age_us: int | None = None,
+        config_read: ConfigRead | None = None,
     ) -> Renew:
         """Begin a renewal round; use :meth:`address` for each witness's message."""
         self._round += 1
@@ -140,6 +141,7 @@
             config_offset=config_offset,
             ownership_offset=ownership_offset,
             config_age_us=config_age_us,
+            config_read=config_read,
         )
 
     @property
--- a/src/papayatack/core/ownership/message_handler.py
+++ b/src/papayatack/core/ownership/message_handler.py
@@ -96,6 +96,7 @@
             config_offset=self.exchange.config.offset,
             ownership_offset=self._context.state.next_offset,
             config_age_us=self.exchange.find_config_age_us(now),
+            config_read=self.exchange.config.read,
             permanent=promised_us > 0 and self._context.witnessing.is_leaving,
         )
         self.deliver(sender, reply, now)
@@ -112,6 +113,7 @@
                 config_offset=self.exchange.config.offset,
                 ownership_offset=self._context.state.next_offset,
                 config_age_us=self.exchange.find_config_age_us(now),
+                config_read=self.exchange.config.read,
                 permanent=True,
             )
             self.deliver(lease.incarnation, reply, now)
@@ -157,7 +159,11 @@
     ) -> None:
         """Send the sender the records that it lacks, and note those that it has."""
         self.exchange.receive_config_position(
-            sender, message.config_offset, message.config_age_us, now
+            sender,
+            message.config_offset,
+            message.config_age_us,
+            message.config_read,
+            now,
         )
         self.exchange.send_missing(sender, message.ownership_offset, now)
 
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -133,7 +133,7 @@
     ) -> None:
         """Process how far another node's configuration reaches, and how old that is."""
         self._exchange.receive_config_position(
-            sender, position.offset, position.age_us, now
+            sender, position.offset, position.age_us, position.read, now
         )
         self.config_watch.receive_speed(position, now)
 
@@ -446,6 +446,7 @@
             config_offset=self.config_watch.offset,
             ownership_offset=self.context.state.next_offset,
             config_age_us=self._exchange.find_config_age_us(now),
+            config_read=self.config_watch.read,
         )
         for witness in holder.witnesses:
             if witness not in holder.departed:
--- a/src/papayatack/wire/peer.thrift
+++ b/src/papayatack/wire/peer.thrift
@@ -4,18 +4,19 @@
 struct LeaseId { 1: string incarnation, 2: i32 term }
 
 /* Control: see papayatack/core/messages.py. */
+struct ConfigRead { 1: string reader, 2: i64 read_us }
 struct Renew {
   1: LeaseId lease, 2: i64 round, 3: i64 floor,
   4: i64 config_offset, 5: i64 ownership_offset, 6: i64 heard,
-  7: optional i64 config_age_us
+  7: optional i64 config_age_us, 8: optional ConfigRead config_read
 }
 struct RenewReply {
   1: LeaseId lease, 2: i64 round, 3: i64 promised_us, 4: bool fenced,
   5: i64 config_offset, 6: i64 ownership_offset, 7: optional i64 config_age_us,
-  8: optional bool permanent
+  8: optional bool permanent, 9: optional ConfigRead config_read
 }
 struct ConfigPosition {
-  1: i64 offset, 2: i64 age_us, 3: optional i64 response_us
+  1: i64 offset, 2: i64 age_us, 3: optional i64 response_us, 4: optional ConfigRead read
 }
 struct Fence { 1: LeaseId lease, 2: bool resigned }
 struct FenceReply {
--- a/tests/control/test_config_delays.py
+++ b/tests/control/test_config_delays.py
@@ -9,6 +9,7 @@
 SEEDS = range(3)
 LAST_RANK = 9
 DELAY_S = 0.2
+US_PER_S = 1_000_000
 STORED_S = 100.0
 
 
@@ -42,16 +43,18 @@
 
     def test_age_grows_though_two_nodes_tell_each_other_late(self):
         """Nobody reads the log; each message takes a while."""
-        watches = [ConfigWatch(), ConfigWatch()]
+        watches = [ConfigWatch(reader=name) for name in "ab"]
         for watch in watches:
             watch.set_offset(5)
             watch.confirm(STORED_S)
         now = STORED_S
         for turn in range(20):
             sender, recipient = watches[turn % 2], watches[1 - turn % 2]
-            age_s = sender.find_age_s(now)
+            position = sender.make_position(now)
             now += DELAY_S
-            recipient.receive_position("peer", 5, now - age_s, now)
+            recipient.receive_position(
+                "peer", 5, now - position.age_us / US_PER_S, now, read=position.read
+            )
         self.assertTrue(
             all(
                 watch.must_read_log(now, rank=LAST_RANK, spread=1.0)
