Read the log again after a failure as soon as it is known to answer

After a failed read a node pauses for up to 2 s, also if another node tells it meanwhile that the log answers again: back-off that outlives the outage. A node that must read the log itself then, as the reader of all others was just lost, does so up to 2 s late.

News of an answer to a call that began after the failed one now ends the pause. It does not shorten the pauses that follow, so that a node that is cut off from the log by itself calls it no more often than it gets news.

--- a/src/papayatack/control/following.py
+++ b/src/papayatack/control/following.py
@@ -259,6 +259,8 @@
             now: Time of the event loop in seconds.
         """
         self._update_caught_up()
+        for tailer in self._tailers.values():
+            tailer.note_answer(self._core.config_watch.current_s)
         is_due = self._is_config_due(now)
         if is_due:
             self._config_due.set()
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -1,6 +1,7 @@
 """Tailing of one stream of the log."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
@@ -132,6 +133,8 @@
             initial_s=INITIAL_BACKOFF_S, max_s=MAX_BACKOFF_S, random=random
         )
         self._last_read_s = last_read_s
+        self._failed_s = float("inf")
+        self._answered = asyncio.Event()
         self.available = True
 
     @property
@@ -151,6 +154,15 @@
         """Skip the records before ``offset``, which came from another source."""
         self._offset = max(self._offset, offset)
 
+    def note_answer(self, time_s: float) -> None:
+        """End a pause after a failure: the service answered someone else's later call.
+
+        Args:
+            time_s: Event loop time at which that call cannot have been answered yet.
+        """
+        if time_s > self._failed_s:
+            self._answered.set()
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
@@ -188,7 +200,20 @@
                 await self._deliver_expiry(offset, failure)
             case Failure(failure):
                 self._set_unavailable(failure)
-                await asyncio.sleep(self._backoff.advance_delay_s())
+                await self._pause(started_s)
+
+    async def _pause(self, started_s: float) -> None:
+        """Wait before the next read, or until there is news that the service answers.
+
+        Args:
+            started_s: Time at which the read that failed began.
+        """
+        self._answered.clear()
+        self._failed_s = started_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._backoff.advance_delay_s()):
+                await self._answered.wait()
+        self._failed_s = float("inf")
 
     async def _deliver_page(self, page: LogPage) -> None:
         if page.end < page.first:
--- a/tests/logservice/test_tailer.py
+++ b/tests/logservice/test_tailer.py
@@ -17,6 +17,8 @@
 SLOW_S = 1.2
 WHILE_IT_WAITS_S = 2.0
 LONG_S = 20.0
+QUICK_S = 0.05
+NEWS = 10
 
 
 @contextlib.asynccontextmanager
@@ -109,6 +111,42 @@
 
         self.run_virtually(check())
 
+    def test_pause_after_a_failure_does_not_outlast_news_of_an_answer(self):
+        """Another node tells that the service answers again."""
+
+        async def check():
+            fixture = LogFixture()
+            loop = asyncio.get_running_loop()
+            async with follow(fixture) as (tailer, queue):
+                fixture.store.faults.outage = Outage.REFUSE
+                await asyncio.sleep(LONG_S)
+                fixture.store.faults.outage = Outage.NONE
+                fixture.store.append(OWNERSHIP_STREAM, b"a")
+                await asyncio.sleep(0.0)
+                tailer.note_answer(loop.time())
+                async with asyncio.timeout(QUICK_S):
+                    await queue.get()
+
+        self.run_virtually(check())
+
+    def test_news_from_before_a_failure_does_not_end_the_pause(self):
+        """The service may have been lost since."""
+
+        async def check():
+            fixture = LogFixture()
+            async with follow(fixture) as (tailer, _):
+                answered_s = asyncio.get_running_loop().time()
+                fixture.store.faults.outage = Outage.REFUSE
+                await asyncio.sleep(LONG_S)
+                calls = fixture.metrics.read_count("log_reads", "refused")
+                for _ in range(NEWS):
+                    tailer.note_answer(answered_s)
+                    await asyncio.sleep(0.01)
+                later = fixture.metrics.read_count("log_reads", "refused")
+                self.assertLessEqual(later - calls, 1)
+
+        self.run_virtually(check())
+
     def test_calls_back_off_during_an_outage(self):
         """The maximum backoff limits the rate of calls during an outage."""
 
