Give the restorable records a module of their own; count fast answers at all times

AppliedRecords stood in the module that decides when the log is read. A fast answer says that the log is fast also if the node stood still while it waited: only slow ones are no measurement then.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -33,10 +33,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from papayatack.control.applied_records import AppliedRecords
 from papayatack.control.directory import Directory
 from papayatack.control.effects import EffectExecutor
 from papayatack.control.evacuation import EvacuationControl
-from papayatack.control.following import STREAMS, AppliedRecords, LogFollower
+from papayatack.control.following import STREAMS, LogFollower
 from papayatack.control.interface import ConfigState, GrantSink, PeerSender
 from papayatack.control.loads import LoadMeter
 from papayatack.control.outcomes import OutcomeTransport
--- a/src/papayatack/control/replication.py
+++ b/src/papayatack/control/replication.py
@@ -16,6 +16,7 @@
 from papayatack.control.interface import ConfigState
 from papayatack.control.provenance import Provenance
 from papayatack.core.identity import IncarnationId
+from papayatack.core.log_speed import USUAL_RESPONSE_S
 from papayatack.core.messages import (
     ConfigPosition,
     ControlMessage,
@@ -148,11 +149,21 @@
         """Process that this node's read of the log found no newer configuration."""
         watch = self._core.config_watch
         watch.confirm(end.time_s)
-        if end.response_s is not None and not self._follower.has_stalled(end.time_s):
+        if self._is_measured(end):
             watch.speed.note_answer(end.time_s, end.response_s, self._read_clock())
         if self._forwards:
             self._forward_position(is_own=True)
 
+    def _is_measured(self, end: EndReached) -> bool:
+        """Return whether the time for an answer says something of the log.
+
+        If this node stood still meanwhile, a fast answer does, and a slow one does not.
+        """
+        if end.response_s is None:
+            return False
+        is_fast = end.response_s <= USUAL_RESPONSE_S
+        return is_fast or not self._follower.has_stalled(end.time_s)
+
     def receive_position(self, position: ConfigPosition, sender: IncarnationId) -> None:
         """Process and forward a message on how recent the configuration is."""
         self._core.receive_config_position(sender, position, self._read_clock())
--- a/src/papayatack/core/log_speed.py
+++ b/src/papayatack/core/log_speed.py
@@ -1,6 +1,6 @@
 """Whether the log answers slowly at present."""
 
-__all__ = ["LogSpeed"]
+__all__ = ["USUAL_RESPONSE_S", "LogSpeed"]
 
 USUAL_RESPONSE_S = 0.1
 """Time for an answer up to which the log counts as fast."""
