Confirm no configuration by a log that has lost records

A node that reads a stream which ends before its offset, as the store returned from an older copy, took the empty page for the end of the stream: it noted, and told others, that its configuration was the newest at that time, though the page says nothing of it.

--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -242,6 +242,7 @@
         """Deliver when the stream had no further record, if the read shows that.
 
         A read that returns nothing after ``wait_s`` shows that nothing came meanwhile.
+        A stream that ends before the offset has lost records, and shows nothing.
 
         Args:
             page: What the read returned.
@@ -249,7 +250,7 @@
             spent_s: How long it took.
             wait_s: Time for which it was to wait for records.
         """
-        if page.first + len(page.payloads) < page.end:
+        if page.first + len(page.payloads) != page.end:
             return
         has_waited = not page.payloads and spent_s >= wait_s
         message = EndReached(
--- a/tests/logservice/test_regressed_end.py
+++ b/tests/logservice/test_regressed_end.py
@@ -21,7 +21,7 @@
 class RegressedEndTests(VirtualTimeTestCase):
     """Tests of Tailer.read_once."""
 
-    def test_log_that_has_lost_records_confirms_a_configuration(self):
+    def test_log_that_has_lost_records_confirms_no_configuration(self):
         """It shows nothing about the records that it may have lost."""
 
         async def check():
