Let all nodes look for a configuration 1.5 s after the last answer of a slow log

The review's test of two nodes that tell each other passes the read that the age stems from, as nodes do since; bound and schedule are the same. Names say what must hold now.

--- a/src/papayatack/core/log_speed.py
+++ b/src/papayatack/core/log_speed.py
@@ -5,7 +5,7 @@
 USUAL_RESPONSE_S = 0.1
 """Time for an answer up to which the log counts as fast."""
 
-SLOW_TIME_S = 2.0
+SLOW_TIME_S = 1.5
 """Time for which the log counts as slow after a slow answer, unless there is news.
 
 Bounds hold again 3 s after a disturbance of the log; this time is over before."""
--- a/tests/control/test_config_age.py
+++ b/tests/control/test_config_age.py
@@ -79,16 +79,16 @@
 class ConfigAgeTests(unittest.TestCase):
     """The log is in no trouble."""
 
-    def test_configuration_is_old_where_messages_take_long(self):
+    def test_configuration_is_not_late_where_messages_take_long(self):
         """As on machines with more busy processes than cores."""
         with mock.patch("tests.fakes.nodes.LATENCY_S", BUSY_TRANSIT_S):
             self.assertEqual(_find_late(lost=1), {})
 
-    def test_configuration_is_old_where_the_first_ranks_are_lost(self):
+    def test_configuration_is_not_late_where_the_first_ranks_are_lost(self):
         """The log answers a little slower than usual all the time."""
         self.assertEqual(_find_late(lost=10, answer_s=BUSY_ANSWER_S), {})
 
-    def test_configuration_gets_younger_as_nodes_tell_each_other_of_its_age(self):
+    def test_configuration_gets_no_younger_as_nodes_tell_each_other_of_its_age(self):
         """Two nodes exchange it while nobody reads the log."""
         watches = ConfigWatch(), ConfigWatch()
         for watch in watches:
@@ -98,8 +98,8 @@
         while now < PROMISED_S:
             now += RENEWAL_S
             for sender, receiver in itertools.permutations(watches):
-                told_s = sender.find_age_s(now)
+                told_s, read = sender.find_age_s(now), sender.read
                 now += BUSY_TRANSIT_S
-                receiver.receive_position("peer", 5, now - told_s, now)
+                receiver.receive_position("peer", 5, now - told_s, now, read=read)
         for watch in watches:
             self.assertGreaterEqual(watch.find_age_s(now), now - BUSY_TRANSIT_S)
--- a/tests/core/test_config_watch.py
+++ b/tests/core/test_config_watch.py
@@ -94,12 +94,12 @@
         self.watch.speed.note_answer(99.0, 1.0, 100.0)
         self.assertFalse(self.must_read(100.8, rank=1))
         self.assertTrue(self.must_read(100.86, rank=1))
-        self.assertFalse(self.must_read(101.9))
+        self.assertFalse(self.must_read(101.4))
 
     def test_old_configuration_is_accepted_no_longer_once_nothing_is_heard(self):
         """However long an answer took, and however low the node's precedence is."""
         self.watch.speed.note_answer(99.0, 60.0, 100.0)
-        self.assertTrue(self.must_read(102.0 + READ_MARGIN_S, rank=1000))
+        self.assertTrue(self.must_read(101.5 + READ_MARGIN_S, rank=1000))
 
     def test_fast_answer_to_any_node_ends_the_wait(self):
         """A node need not have read the log itself to learn that it is fast."""
