Release keys only after a grant that arrived late has expired

A node told the next owner that it may have keys which its own upstream still held, by as long as a grant had been on its way to that upstream, if the upstream did not answer the release: the node reckoned with the end of the lease, but the grant's time counts from its arrival. Only calls without any answer were counted for longer, by 0.3 s; one that was answered after more, or at a further attempt, was not. The answer gives the bound, and is noted now: time of the answer and duration. Answers within 20 ms, which leases allow for, change nothing.

Test ...test_keys_are_released_only_after_a_grant_that_arrived_late_has_expired (real sockets, a relay that holds bytes back) failed before with 0.25 s and with 1 s.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -65,6 +65,9 @@
 LATE_ANSWER_S = 0.1
 """Time from sending a grant to its answer from which it is logged as late."""
 
+PROMPT_ANSWER_S = 0.02
+"""Time from sending a grant to its answer that leases allow for."""
+
 RENEWAL_MARGIN_S = 0.3
 OK = 200
 NOT_SENT = Response(status=0)
@@ -411,7 +414,7 @@
                     process, b"/grant", build_document, end_s, response_timeout_s
                 )
             if response is not None:
-                _log_late_answer(key_range, sent, end_s)
+                self._record_answered(process, key_range, sent, end_s)
                 return previous if response is NOT_SENT else response
             self._record_unanswered(process, key_range, end_s)
             response_timeout_s *= 2
@@ -424,6 +427,32 @@
             late_s = end_s + MAX_DELIVERY_S
             self._history.note_unanswered(key_range.first, key_range.last, late_s)
 
+    def _record_answered(
+        self,
+        process: _UpstreamProcess,
+        key_range: KeyRange,
+        sent: list[tuple[float, float]],
+        end_s: float,
+    ) -> None:
+        """Record until when the upstream may hold a grant that it answered late.
+
+        The grant's time counts from its arrival, of which only the answer gives a
+        bound. Earlier calls without an answer may arrive as late as the last one.
+        """
+        if not sent or process.ended.is_set():
+            return
+        now = asyncio.get_running_loop().time()
+        sent_s, hold_s = sent[-1]
+        if now - sent_s < PROMPT_ANSWER_S and len(sent) == 1:
+            return
+        until_s = now + hold_s / (1 - MAX_CLOCK_RATE_ERROR)
+        first, last, token = key_range.first, key_range.last, key_range.token
+        self._history.note_sent(first, last, token, until_s)
+        if len(sent) > 1:
+            self._history.note_unanswered(first, last, until_s)
+        if now - sent[0][0] >= LATE_ANSWER_S:
+            _log_late_answer(key_range, sent, end_s)
+
     async def _call_release(
         self, process: _UpstreamProcess, key_range: KeyRange
     ) -> Response | None:
@@ -500,8 +529,6 @@
         end_s: End that the node reckons with.
     """
     now = asyncio.get_running_loop().time()
-    if not sent or now - sent[0][0] < LATE_ANSWER_S:
-        return
     first_s, _ = sent[0]
     last_s, hold_s = sent[-1]
     log_event(
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -16,11 +16,13 @@
     RangeGrantClient,
 )
 from standins.platformupstream import PlatformUpstream
+from tests.network.slow_relay import SlowRelay
 
 LEASE = LeaseId(IncarnationId("127.0.0.1:1#a"), 1)
 LONG_US = 10_000_000
 MIDDLE_US = 600_000
 SHORT_US = 300_000
+LATE_US = 2_500_000
 
 
 def name(first, last, *, hot=False):
@@ -91,6 +93,32 @@
         self.assertIsInstance(result, Success)
         self.assertGreaterEqual(loop.time() - started_s, SHORT_US / 1e6)
 
+    async def test_keys_are_released_only_after_a_grant_that_arrived_late_has_expired(
+        self,
+    ):
+        """Its time counts from an arrival that was 0.25 or 1 s after it was sent."""
+        for delay_s in (0.25, 1.0):
+            with self.subTest(delay_s=delay_s):
+                await self.check_late_grant(delay_s)
+
+    async def check_late_grant(self, delay_s):
+        """Revoke a grant that took some time to arrive, without an answer."""
+        relay = SlowRelay()
+        await relay.start()
+        self.addCleanup(relay.stop)
+        relay.target_port = int(self.upstream.address.rpartition(":")[2])
+        relay.delay_s = delay_s
+        pool = UpstreamPool(host="127.0.0.1", port=relay.port, metrics=Metrics())
+        self.addCleanup(pool.close)
+        self.grants.pool = pool
+        end_s = find_end(LATE_US)
+        result = await self.grants.grant(LEASE, {name(0, 255): 7}, end_s)
+        self.assertEqual(result, Success(None))
+        self.grants.pool = None
+        await self.grants.revoke(LEASE, (name(0, 255),))
+        self.assertFalse(self.upstream.holds(0))
+        self.upstream.grants.clear()
+
     async def test_delayed_grant_ends_with_its_lease(self):
         """The time spent waiting for a connection is deducted from the duration."""
         loop = asyncio.get_running_loop()
