--- a/tests/fakes/grantrecords.py
+++ b/tests/fakes/grantrecords.py
@@ -19,6 +19,7 @@
 
 CLOCK_RATE = 1.02
 MAX_OVERLAP_S = 0.5
+JOIN_S = 0.001
 THAW_SLACK_S = 0.3
 
 
@@ -80,16 +81,51 @@
         for key, holds in sorted(by_key.items()):
             for (name, hold), (other, known) in itertools.combinations(holds, 2):
                 if name != other:
-                    found.extend(_check_pair(key, name, hold, other, known))
+                    found.extend(_check_begun(key, name, hold, other, known))
+        for (name, key), (other, other_key) in itertools.combinations(self.holds, 2):
+            if key == other_key:
+                pair = (self.holds[name, key], self.holds[other, key])
+                found.extend(_check_overlap(key, name, other, pair))
         return found
 
-
-def _check_pair(key, name, hold, other, known):
+    def count_moves(self):
+        """Return how often a key went from one upstream to another."""
+        by_key = {}
+        for (name, key), holds in self.holds.items():
+            by_key.setdefault(key, []).extend((hold.since_s, name) for hold in holds)
+        return sum(
+            before != after
+            for starts in by_key.values()
+            for (_, before), (_, after) in itertools.pairwise(sorted(starts))
+        )
+
+
+def _check_overlap(key, name, other, pair):
+    """Look for a time in which both hold a key, under whatever tokens."""
+    first, second = (_join(holds) for holds in pair)
+    for since_s, until_s in first:
+        for other_since_s, other_until_s in second:
+            start_s = max(since_s, other_since_s)
+            overlap_s = min(until_s, other_until_s) - start_s
+            if overlap_s > MAX_OVERLAP_S:
+                text = f"for {overlap_s:.3f} s from {start_s:.3f}: {name}, {other}"
+                yield ("held twice", key, f"{text}; {[*map(_describe, sum(pair, []))]}")
+
+
+def _join(holds):
+    """Return the intervals of consecutive holds of one upstream."""
+    joined = []
+    for hold in holds:
+        if joined and hold.since_s - joined[-1][1] < JOIN_S:
+            joined[-1][1] = max(joined[-1][1], hold.prompt_until_s)
+        else:
+            joined.append([hold.since_s, hold.prompt_until_s])
+    return joined
+
+
+def _check_begun(key, name, hold, other, known):
     since_s = max(hold.since_s, known.since_s)
-    until_s = min(hold.prompt_until_s, known.prompt_until_s)
     text = f"{name} {_describe(hold)}, {other} {_describe(known)}"
-    if until_s - since_s > MAX_OVERLAP_S:
-        yield ("held twice", key, f"for {until_s - since_s:.3f} s: {text}")
     until_s = min(hold.counted_until_s, known.counted_until_s)
     begun = [
         [time_s for time_s in one.begun_s if since_s <= time_s < until_s]
--- a/tests/platform/test_late_grants.py
+++ b/tests/platform/test_late_grants.py
@@ -35,6 +35,7 @@
         super().__init__(**fields)
         self.relay = SlowRelay()
         self.is_stopped = False
+        self._starting = asyncio.Lock()
         self.upstream = RecordingUpstream(
             relay=self.relay,
             records=records,
@@ -53,6 +54,12 @@
         await super().stop()
         self.relay.stop()
 
+    async def restart(self):
+        """Start the node unless it runs."""
+        async with self._starting:
+            if self.process.returncode is not None:
+                await self.start_node()
+
     @property
     def runs(self):
         """Whether the node's process runs and isn't stopped."""
@@ -177,9 +184,8 @@
         """Kill the node and start it again."""
         machine.process.kill()
         await machine.process.wait()
-        await asyncio.sleep(self._random.choice([0.0, 0.5, 2.0, 4.0]))
-        if machine.process.returncode is not None:
-            await machine.start_node()
+        await asyncio.sleep(self._random.choice([0.0, 0.5, 3.0, 4.0, 6.0]))
+        await machine.restart()
 
     async def delay_and_kill(self, machine):
         """Kill the node while its calls are on their way."""
@@ -214,7 +220,7 @@
         """Let the node end in order and start it again."""
         machine.process.send_signal(signal.SIGTERM)
         await machine.process.wait()
-        await machine.start_node()
+        await machine.restart()
 
     async def crash_upstream(self, machine):
         """End the upstream, which starts again."""
@@ -257,7 +263,8 @@
             rules[rule] = rules.get(rule, 0) + 1
         print(
             f"seed {seed}: {rules}; {records.grants} grants, {records.late} late,"
-            f" {records.begun} begun, {len(records.late_tokens)} late tokens,"
+            f" {records.begun} begun, {records.count_moves()} moves,"
+            f" {len(records.late_tokens)} late tokens,"
             f" {len(play.lines)} GRANT_LATE; {play.answers}",
             flush=True,
         )
