Count the wait for a connection in the duration of a grant of the other client

GrantClient computed a grant's duration before it waited for a connection to the upstream, so that the upstream held the shards for up to that wait (at most 1 s) beyond the lease. It is computed once the connection is there, as RangeGrantClient does. Test ...test_grant_that_waits_for_a_connection_ends_in_time failed before (200 after the end) and passes now.

--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import pydantic
@@ -78,20 +78,13 @@
         handovers: Mapping[ShardId, str] | None = None,
     ) -> Result[None, Refusal]:
         """Grant shards with their fencing tokens, before their first request."""
-        document = {
-            "lease": format_lease(lease),
-            "tokens": dict(tokens),
-            "remaining_us": _compute_remaining_us(until_s),
-        }
-        return await self._send(b"PUT", GRANTS_TARGET, document)
+        document = {"lease": format_lease(lease), "tokens": dict(tokens)}
+        return await self._send(b"PUT", GRANTS_TARGET, document, until_s)
 
     async def extend(self, lease: LeaseId, until_s: float) -> Result[None, Refusal]:
         """Extend all grants of a lease."""
-        document = {
-            "lease": format_lease(lease),
-            "remaining_us": _compute_remaining_us(until_s),
-        }
-        return await self._send(b"POST", GRANTS_TARGET + b"/extend", document)
+        document = {"lease": format_lease(lease)}
+        return await self._send(b"POST", GRANTS_TARGET + b"/extend", document, until_s)
 
     async def revoke(
         self, lease: LeaseId, shards: tuple[ShardId, ...]
@@ -113,15 +106,27 @@
         return await self._read(b"/papayatack/load", UpstreamLoad)
 
     async def _send(
-        self, method: bytes, target: bytes, document: Mapping[str, Any]
+        self,
+        method: bytes,
+        target: bytes,
+        document: Mapping[str, Any],
+        until_s: float | None = None,
     ) -> Result[None, Refusal]:
-        result = await self._call(method, target, json.dumps(document).encode())
+        """Send a document, with the time left until ``until_s`` if it is given."""
+
+        def build_data() -> bytes:
+            if until_s is None:
+                return json.dumps(document).encode()
+            remaining_us = _compute_remaining_us(until_s)
+            return json.dumps({**document, "remaining_us": remaining_us}).encode()
+
+        result = await self._call(method, target, build_data)
         return result.map(lambda _: None)
 
     async def _read(
         self, target: bytes, model: type[_Model]
     ) -> Result[_Model, Refusal]:
-        result = await self._call(b"GET", target, b"")
+        result = await self._call(b"GET", target, lambda: b"")
         if not is_successful(result):
             return Failure(result.failure())
         try:
@@ -131,15 +136,19 @@
             return Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
 
     async def _call(
-        self, method: bytes, target: bytes, data: bytes
+        self, method: bytes, target: bytes, build_data: Callable[[], bytes]
     ) -> Result[bytes, Refusal]:
+        """Call the upstream with what is returned once a connection is available."""
         pool = self.pool
         if pool is None:
             detail = "this node runs no upstream"
             return Failure(Refusal(kind=ErrorKind.UPSTREAM_UNREACHABLE, detail=detail))
-        request = build_json_request(pool.address, method, target, data)
         deadline_s = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-        result = await pool.exchange(request, deadline_s=deadline_s)
+        reserved = await pool.reserve(deadline_s=deadline_s)
+        if not is_successful(reserved):
+            return Failure(reserved.failure())
+        request = build_json_request(pool.address, method, target, build_data())
+        result = await reserved.unwrap().exchange(request, deadline_s=deadline_s)
         if not is_successful(result):
             return Failure(result.failure())
         return await _read_response(result.unwrap())
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -9,6 +9,7 @@
 from papayatack.core.errors import ErrorKind
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
 from papayatack.network.grants import GrantClient
+from papayatack.network.limits import UpstreamLimits
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from standins.upstream import UpstreamStandin
@@ -18,6 +19,7 @@
 LATER = LeaseId(IncarnationId("b"), 1)
 SHARD = ShardId("hiring/all/0")
 LONG_US = 60_000_000
+WAITED_US = 900_000
 
 
 def find_end(duration_us):
@@ -70,6 +72,18 @@
         )
         self.assertIn(b" 200 ", await self.request(1))
 
+    async def test_grant_that_waits_for_a_connection_ends_in_time(self):
+        """What it waits for is no part of its duration."""
+        self.pool.limits = UpstreamLimits(connections=1)
+        end_s = find_end(WAITED_US)
+        reserved = await self.pool.reserve(deadline_s=end_s)
+        granting = asyncio.ensure_future(self.client.grant(LEASE, {SHARD: 1}, end_s))
+        await asyncio.sleep(0.7 * WAITED_US / 1e6)
+        self.pool.return_connection(reserved.unwrap())
+        self.assertTrue(is_successful(await granting))
+        await asyncio.sleep(max(0.0, end_s - asyncio.get_running_loop().time()))
+        self.assertIn(b"papayatack-refused: grant", await self.request(1))
+
     async def test_refused_requests_are_not_run(self):
         """Draining and shedding run nothing."""
         await self.client.grant(LEASE, {SHARD: 1}, find_end(LONG_US))
