--- a/tests/fakes/grantrecords.py
+++ b/tests/fakes/grantrecords.py
@@ -12,7 +12,7 @@
 from papayatack.platform.grants import MAX_DELIVERY_S
 from standins.platformupstream import MS_PER_S, PlatformUpstream
 
-__all__ = ["KEYS", "GrantRecords", "RecordingUpstream"]
+__all__ = ["KEYS", "GrantRecords", "Hold", "RecordingUpstream"]
 
 KEYS = (*range(0, 65_536, 256), 30_000, 65_535)
 """Keys of which holds are recorded."""
--- a/tests/platform/test_late_grants.py
+++ b/tests/platform/test_late_grants.py
@@ -14,7 +14,7 @@
 import unittest
 
 from standins.platformstore import StoreServer
-from tests.fakes.grantrecords import KEYS, GrantRecords, RecordingUpstream
+from tests.fakes.grantrecords import KEYS, GrantRecords, Hold, RecordingUpstream
 from tests.network.slow_relay import SlowRelay
 from tests.platform.documents import build_manifest
 from tests.platform.test_process import LIMIT_S, POLL_S, Machine
@@ -241,6 +241,47 @@
 )
 
 
+class GrantRecordTests(unittest.TestCase):
+    """The checks of what upstreams hold can fail."""
+
+    def check(self, *others, token=9):
+        """Return the rules that holds of a second upstream break."""
+        records = GrantRecords()
+        first = Hold(
+            token=8, since_s=0.0, until_s=2.0, prompt_until_s=2.0, counted_until_s=2.0
+        )
+        first.begun_s = [1.7]
+        records.holds["i-0", 0] = [first]
+        records.check_token("i-1", 0, token, is_late=False)
+        records.holds["i-1", 0] = [
+            Hold(
+                token=token + number,
+                since_s=since_s,
+                until_s=until_s,
+                prompt_until_s=until_s,
+                counted_until_s=until_s,
+                begun_s=begun_s,
+            )
+            for number, (since_s, until_s, begun_s) in enumerate(others)
+        ]
+        return [rule for rule, _, _ in records.list_violations()]
+
+    def test_holds_that_overlap_for_long_are_found(self):
+        """Also if one consists of several with different tokens."""
+        self.assertEqual(self.check((1.6, 4.0, [])), [])
+        self.assertEqual(self.check((1.4, 4.0, [])), ["held twice"])
+        self.assertEqual(self.check((1.4, 1.7, []), (1.7, 4.0, [])), ["held twice"])
+
+    def test_requests_that_begin_at_both_are_found(self):
+        """However short the time is in which both hold the key."""
+        self.assertEqual(self.check((1.6, 4.0, [1.9])), ["begun twice"])
+        self.assertEqual(self.check((1.6, 4.0, [2.1])), [])
+
+    def test_token_that_is_not_above_all_others_is_found(self):
+        """Also if nobody holds the key any more."""
+        self.assertEqual(self.check((3.0, 4.0, []), token=8), ["token"])
+
+
 class LateGrantTests(unittest.IsolatedAsyncioTestCase):
     """Exclusive ownership although grants reach upstreams late."""
 
