Test that a grant that arrives late outlasts no lease

Fails: releases allow for 0.3 s on the way to an upstream, leases for 20 ms. A grant that is sent just before its node is killed and arrives 0.285 s later still holds when the next owner gets the keys; the upstream is at work on them.

--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -175,6 +175,7 @@
         self.lose = 0.0
         self.stall = 0.0
         self.slow_s = 0.0
+        self.late_s = 0.0
         self.hot_keys = (0,)
         self.long_share = 0.1
         self.served = 0
@@ -388,6 +389,7 @@
                 slot.life.lose = self.lose
                 slot.life.stall = self.stall
                 slot.life.slow_s = self.slow_s
+                slot.life.late_s = self.late_s
 
     def read_state(self):
         """Return the folded state of the whole log."""
--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -167,6 +167,7 @@
         sender: The node that calls it; grants sent while it is frozen are excused.
         lose: Fraction of responses that are lost.
         slow_s: Maximum delay of a call after its arrival, in seconds.
+        late_s: Maximum delay of a call or a request on its way, in seconds.
         stall: Fraction of grants that are accepted late and without a response.
         is_partitioned: Whether the link from the sender is cut.
     """
@@ -181,6 +182,7 @@
         self.lose = 0.0
         self.stall = 0.0
         self.slow_s = 0.0
+        self.late_s = 0.0
         self.is_partitioned = False
         self.cut_s = float("-inf")
         self.calls = set()
@@ -210,6 +212,11 @@
         """Return a random network latency of a call, in seconds."""
         return MEAN_LATENCY_S * (0.5 + self._random.random())
 
+    def draw_arrival_s(self):
+        """Return a random time that a call or a request takes to arrive, in seconds."""
+        late_s = self.late_s * self._random.random() if self.late_s else 0.0
+        return self.draw_latency_s() + late_s
+
     async def call(self, target, document, sent_s, latency_s):
         """Process a call; return the response, or ``None`` if it is lost.
 
@@ -319,7 +326,7 @@
         return await asyncio.shield(task)
 
     async def _run(self, key, duration_s):
-        await asyncio.sleep(self.draw_latency_s())
+        await asyncio.sleep(self.draw_arrival_s())
         loop = asyncio.get_running_loop()
         slice_index = key // SLICE_WIDTH
         hold = self.holds.get(slice_index)
@@ -375,7 +382,7 @@
         loop = asyncio.get_running_loop()
         document = json.loads(await request.body.read())
         answered = loop.create_future()
-        latency_s = self._process.draw_latency_s()
+        latency_s = self._process.draw_arrival_s()
         call = self._call(request.target, document, loop.time(), latency_s, answered)
         context = self._process.context
         task = context.run(loop.create_task, call, context=context)
--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -16,6 +16,7 @@
 from papayatack.core.ownership.effects import ExtendLease, GrantShards
 from papayatack.core.records import Admit, Assign, Assignment
 from papayatack.core.shards import format_hot_shard_id, is_hot_shard
+from papayatack.platform.grants import MAX_DELIVERY_S
 from standins.logstore import Outage
 from tests.fakes.clocks import FreezableLoop
 from tests.fakes.platformfleet import KEYS, LOG_DELAY_S, SERVICE, PlatformFleet
@@ -279,6 +280,11 @@
         self.fleet.slow_s = self.random.choice([0.0, 0.1, 0.3, 0.8])
         self.fleet.spread_faults()
 
+    def delay_grants(self):
+        """Let grants and requests take longer to reach the upstreams."""
+        self.fleet.late_s = self.random.choice([0.05, 0.1, 0.2, 0.28])
+        self.fleet.spread_faults()
+
     def stall_decisions(self):
         """Let some nodes lose the processor between a decision and its execution."""
         share = self.random.choice([0.02, 0.1, 0.5])
@@ -297,7 +303,7 @@
     def heal_grants(self):
         """Stop all faults of grant calls."""
         self.fleet.lose = self.fleet.stall = 0.0
-        self.fleet.slow_s = 0.0
+        self.fleet.slow_s = self.fleet.late_s = 0.0
         self.fleet.spread_faults()
 
 
@@ -317,6 +323,7 @@
     Schedule.disturb_log,
     Schedule.disturb_network,
     Schedule.disturb_grants,
+    Schedule.delay_grants,
     Schedule.stall_decisions,
     Schedule.heal_grants,
 ]
@@ -447,6 +454,56 @@
             runner.run(run())
         self.assertEqual(fleet.checker.violations, [])
 
+    def test_grant_that_arrives_as_late_as_allowed_outlasts_no_lease(self):
+        """Its node is killed; its upstream is at work when others take its keys."""
+        fleet, moved = None, False
+
+        async def run():
+            nonlocal fleet, moved
+            fleet = PlatformFleet(seed=1)
+            for name, place in PLACES.items():
+                fleet.add(name, place)
+            watching = asyncio.create_task(fleet.watch())
+            await asyncio.sleep(SETTLE_S)
+            fleet.plans = False
+            await asyncio.sleep(2.0)
+            life = fleet.slots["a"].life
+            life.draw_arrival_s = lambda: 0.95 * MAX_DELIVERY_S
+            await asyncio.sleep(2.0)
+            held = [index for index, hold in life.holds.items() if hold.until_s > 0]
+            work = [life.run(index * SLICE_WIDTH, 3.0) for index in held]
+            working = asyncio.gather(*work)
+            sent = asyncio.Event()
+
+            def find_stall_s(effects):
+                if any(isinstance(one, ExtendLease) for one in effects):
+                    sent.set()
+                return 0.0
+
+            await asyncio.sleep(0.5)
+            fleet.slots["a"].find_stall_s = find_stall_s
+            await sent.wait()
+            await asyncio.sleep(0.005)
+            fleet.kill("a")
+            await asyncio.sleep(3.0)
+            moved = any(
+                hold.since_s > 8.5
+                for other in fleet.checker.processes
+                if other is not life
+                for index, hold in other.holds.items()
+                if index in held
+            )
+            working.cancel()
+            watching.cancel()
+            await fleet.stop()
+
+        logging.disable()
+        self.addCleanup(logging.disable, logging.NOTSET)
+        with asyncio.Runner(loop_factory=FreezableLoop) as runner:
+            runner.run(run())
+        self.assertTrue(moved)
+        self.assertEqual(fleet.checker.violations, [])
+
     def test_readmitted_node_continues_to_serve(self):
         """Its keys change leases without a release, which would lose the warm state."""
         fleet, longest_s = None, 0.0
