Wait for grants on their way before a lost node's keys are taken over

An upstream held keys, and was at work on them, when the next owner's got them: its node had been lost just after sending a grant that took longer than 20 ms to arrive. Cause: two assumptions about the same way. Releases allow for 0.3 s between a node and its upstream (MAX_DELIVERY_S), leases took 20 ms off each grant, and the time of a grant counts from its arrival; on a machine with many processes on few cores calls take longer than that. Whoever takes over from a lease now waits for MAX_DELIVERY_S more after its proved end, and after the time of an unproved one, unless the holder had finished its requests before (planned stops and moves wait for nothing). Where upstreams count by leases of their own (the other deployment) nothing is added.

--- a/src/papayatack/control/node.py
+++ b/src/papayatack/control/node.py
@@ -118,6 +118,7 @@
         tailing: Chooses the nodes that read the log directly. New records are passed
             along the forwarding tree only if it is given.
         lease_s: Duration of a lease in seconds, the same on all nodes.
+        delivery_s: Longest time that a grant takes to reach an upstream.
         evacuation_s: Time after the acknowledgement of an order to evacuate a data
             centre from which no request may reach an upstream there, in seconds.
 
@@ -145,6 +146,7 @@
         planning_intervals: PlanningIntervals | None = None,
         tailing: TailPolicy | None = None,
         lease_s: float = LEASE_DURATION_S,
+        delivery_s: float = 0.0,
         evacuation_s: float = EVACUATION_S,
     ) -> None:
         now = asyncio.get_running_loop().time()
@@ -160,6 +162,7 @@
             now=now,
             find_service=self._find_service,
             lease_s=lease_s,
+            delivery_s=delivery_s,
         )
         self.core.config_watch.set_offset(self._config.next_offset)
         self._loads = LoadMeter(now=now)
--- a/src/papayatack/core/ownership/fencing.py
+++ b/src/papayatack/core/ownership/fencing.py
@@ -38,12 +38,19 @@
         state: State folded from the ownership stream.
         lease_s: Longest time in seconds for which the grants of a lease remain valid
             after the last renewal of its holder.
+        delivery_s: Longest time in seconds that a grant takes to reach an upstream,
+            which counts the grant's duration from its arrival.
     """
 
     def __init__(
-        self, *, state: OwnershipState, lease_s: float = LEASE_DURATION_S
+        self,
+        *,
+        state: OwnershipState,
+        lease_s: float = LEASE_DURATION_S,
+        delivery_s: float = 0.0,
     ) -> None:
         self._lease_s = lease_s
+        self._delivery_s = delivery_s
         self._state = state
         self._lapses: dict[LeaseId, dict[IncarnationId, float]] = {}
         self._rounds: dict[LeaseId, _FenceRound] = {}
@@ -90,8 +97,9 @@
         Other ends, such as a supersession, may come while grants to the upstream are
         still valid, so a full lease duration must pass before a successor serves.
         """
-        waits = end_record.kind in UNPROVEN_ENDS
-        wait_s = self._lease_s * (1 + CLOCK_RATE_BOUND) if waits else 0.0
+        wait_s = self._find_wait_s(drained=end_record.drained)
+        if end_record.kind in UNPROVEN_ENDS:
+            wait_s = self._lease_s * (1 + CLOCK_RATE_BOUND) + self._delivery_s
         end = LeaseEnd(
             floor=end_record.floor,
             confirmed_floor=0,
@@ -102,6 +110,13 @@
         self._rounds.pop(lease, None)
         self._lapses.pop(lease, None)
 
+    def _find_wait_s(self, *, drained: bool) -> float:
+        """Return how long after the end of a lease its grants may still be valid.
+
+        A holder that has finished its requests before the end sends no more grants.
+        """
+        return 0.0 if drained else self._delivery_s
+
     def accept(
         self, witness: IncarnationId, reply: FenceReply, now: float
     ) -> LeaseEnd | None:
@@ -129,11 +144,12 @@
         confirmed = find_kth_largest(
             list(floors), compute_promise_quorum(count), default=0
         )
+        drained = any(reply.drained for reply in replies)
         end = LeaseEnd(
             floor=max(floors),
             confirmed_floor=int(confirmed),
-            grants_expire_s=now,
-            drained=any(reply.drained for reply in replies),
+            grants_expire_s=now + self._find_wait_s(drained=drained),
+            drained=drained,
         )
         self._ends[reply.lease] = end
         del self._rounds[reply.lease]
@@ -149,7 +165,7 @@
         end = LeaseEnd(
             floor=reply.floor,
             confirmed_floor=0,
-            grants_expire_s=now,
+            grants_expire_s=now + self._find_wait_s(drained=reply.drained),
             drained=reply.drained,
         )
         self._ends[reply.lease] = end
--- a/src/papayatack/core/ownership/node.py
+++ b/src/papayatack/core/ownership/node.py
@@ -67,6 +67,8 @@
         now: Current time.
         find_service: Looks up a service by name; returns ``None`` if it is unknown.
         lease_s: Duration of a lease in seconds, which must be the same on all nodes.
+        delivery_s: Longest time that a grant takes to reach an upstream that counts
+            its duration from its arrival.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         now: float,
         find_service: Callable[[str], Service | None],
         lease_s: float = LEASE_DURATION_S,
+        delivery_s: float = 0.0,
     ) -> None:
         self._lease_s = lease_s
         self._renew_interval_s = compute_renew_interval_s(lease_s)
@@ -85,7 +88,7 @@
             incarnation=local_id,
             state=state,
             owned_shards=OwnedShards(state=state),
-            fencing=Fencing(state=state, lease_s=lease_s),
+            fencing=Fencing(state=state, lease_s=lease_s, delivery_s=delivery_s),
             witnessing=Witnessing(incarnation=local_id, state=state, lease_s=lease_s),
             quarantine=Quarantine(logged=state.suspicions),
             find_service=find_service,
--- a/src/papayatack/daemon/environment.py
+++ b/src/papayatack/daemon/environment.py
@@ -78,6 +78,8 @@
         tailing: Which nodes follow the log themselves; ``None`` for the usual ones.
         lease_s: Length of a node's lease. Where an upstream ends the work that
             outlasts the grant under which it began, a lease lasts as long as work.
+        delivery_s: Longest time that a grant takes to reach an upstream that counts
+            its duration from its arrival.
         evacuation_s: Seconds after an order to evacuate a data centre from which no
             request may reach an upstream there.
         ejects_upstream: Whether the gate takes an upstream that fails out of use.
@@ -95,6 +97,7 @@
     placement: PlacementLimits
     tailing: TailPolicy | None
     lease_s: float
+    delivery_s: float
     evacuation_s: float
     ejects_upstream: bool
     retry_share: float
@@ -149,6 +152,7 @@
         self.placement = PlacementLimits()
         self.tailing: TailPolicy | None = None
         self.lease_s = LEASE_DURATION_S
+        self.delivery_s = 0.0
         self.evacuation_s = EVACUATION_S
         self.ejects_upstream = True
         self.retry_share = RETRY_BUDGET_RATIO
--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -371,6 +371,7 @@
             planning_intervals=self._environment.pace,
             tailing=self._environment.tailing,
             lease_s=self._environment.lease_s,
+            delivery_s=self._environment.delivery_s,
             evacuation_s=self._environment.evacuation_s,
             metrics=self._metrics,
             random=self._random,
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -23,7 +23,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.coldness import ColdnessChecker
 from papayatack.platform.fields import REQUEST_FIELDS, PlatformDialect
-from papayatack.platform.grants import RangeGrantClient
+from papayatack.platform.grants import MAX_DELIVERY_S, RangeGrantClient
 from papayatack.platform.heartbeats import HeartbeatReceiver
 from papayatack.platform.manifest import ManifestDecoder, ManifestFold
 from papayatack.platform.settings import PlatformSettings
@@ -101,6 +101,7 @@
         self.lease_s = min(
             LEASE_DRAIN_RATIO * settings.bounds.drain, settings.bounds.longest_hold
         )
+        self.delivery_s = MAX_DELIVERY_S
         self.evacuation_s = settings.bounds.evacuation or EVACUATION_S
         self.ejects_upstream = False
         self.retry_share = settings.bounds.retry_share * LOCAL_RETRY_SHARE
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -36,7 +36,7 @@
 )
 from papayatack.proxy.buffering import buffer_response
 
-__all__ = ["RangeGrantClient", "build_response_matcher"]
+__all__ = ["MAX_DELIVERY_S", "RangeGrantClient", "build_response_matcher"]
 
 LOGGER = logging.getLogger(__name__)
 
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -28,7 +28,7 @@
 from papayatack.logservice.interface import LogFailure, LogFailureKind
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.environment import PLACEMENT_LIMITS, PLANNING_INTERVALS
-from papayatack.platform.grants import RangeGrantClient
+from papayatack.platform.grants import MAX_DELIVERY_S, RangeGrantClient
 from papayatack.wire.records import decode_record, encode_record
 from standins.logstore import InProcessLog, LogStore
 from tests.fakes.clocks import PROCESS
@@ -238,6 +238,7 @@
             planning_intervals=PLANNING_INTERVALS,
             tailing=TailPolicy(small_fleet_size=2, tailers_per_data_centre=1),
             lease_s=self.lease_s,
+            delivery_s=MAX_DELIVERY_S,
         )
         self._stall_decisions(slot, control._effects)
         slot.desk = asyncio.Queue()
