--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -28,7 +28,7 @@
 from papayatack.logservice.interface import LogFailure, LogFailureKind
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.environment import PLACEMENT_LIMITS, PLANNING_INTERVALS
-from papayatack.platform.grants import RangeGrantClient
+from papayatack.platform.grants import MAX_DELIVERY_S, RangeGrantClient
 from papayatack.wire.records import decode_record, encode_record
 from standins.logstore import InProcessLog, LogStore
 from tests.fakes.clocks import PROCESS
@@ -175,6 +175,7 @@
         self.lose = 0.0
         self.stall = 0.0
         self.slow_s = 0.0
+        self.late_s = 0.0
         self.hot_keys = (0,)
         self.long_share = 0.1
         self.served = 0
@@ -237,6 +238,7 @@
             planning_intervals=PLANNING_INTERVALS,
             tailing=TailPolicy(small_fleet_size=2, tailers_per_data_centre=1),
             lease_s=self.lease_s,
+            delivery_s=MAX_DELIVERY_S,
         )
         self._stall_decisions(slot, control._effects)
         slot.desk = asyncio.Queue()
@@ -388,6 +390,7 @@
                 slot.life.lose = self.lose
                 slot.life.stall = self.stall
                 slot.life.slow_s = self.slow_s
+                slot.life.late_s = self.late_s
 
     def read_state(self):
         """Return the folded state of the whole log."""
