--- a/src/papayatack/control/grants.py
+++ b/src/papayatack/control/grants.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import logging
 from collections.abc import Callable, Mapping
 
 from returns.pipeline import is_successful
@@ -10,10 +11,16 @@
 from papayatack.control.interface import GrantSink
 from papayatack.core.identity import ShardId
 from papayatack.core.ownership.effects import ExtendLease, GrantShards, RevokeShards
+from papayatack.observability.events import Event, log_event
 
 __all__ = ["GrantEffect", "GrantTask"]
 
-MICROSECONDS = 1_000_000
+LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+LATE_S = 0.1
+"""Time from the decision on a grant to its call from which it is logged as late."""
+
 CALL_TIMEOUT_S = 0.5
 """Timeout of a grant or an extension."""
 
@@ -24,7 +31,7 @@
 """Delay before a failure is reported, and so before the core tries again."""
 
 TRANSIT_MARGIN_S = 0.02
-"""Time allowed for a grant to reach the upstream, deducted from its duration."""
+"""Time allowed for a grant to reach the upstream, which counts from its arrival."""
 
 GrantEffect = GrantShards | ExtendLease | RevokeShards
 
@@ -39,8 +46,8 @@
     must not delay other calls. Of the queued extensions of a lease, only the newest is
     sent.
 
-    The upstream measures the duration of a grant from its arrival. The remaining time
-    is therefore reduced by the time in the queue and by ``TRANSIT_MARGIN_S``.
+    A grant ends at a point in time, which its lease has set. The sink turns it into a
+    duration when it sends the call, so that no wait before that prolongs the grant.
 
     Args:
         sink: Sends the calls to the local upstream.
@@ -134,11 +141,12 @@
     async def _(
         self, effect: GrantShards, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
-        remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
-        if remaining_us <= 0:
+        _log_lateness(effect, waited_s)
+        until_s = effect.until_s - TRANSIT_MARGIN_S
+        if until_s <= asyncio.get_running_loop().time():
             return False, {}
         result = await self._sink.grant(
-            effect.lease, effect.tokens, remaining_us, effect.handovers
+            effect.lease, effect.tokens, until_s, effect.handovers
         )
         return is_successful(result), {}
 
@@ -146,9 +154,10 @@
     async def _(
         self, effect: ExtendLease, waited_s: float
     ) -> tuple[bool, Mapping[ShardId, str]]:
-        remaining_us = _compute_remaining_us(effect.remaining_s, waited_s)
-        if remaining_us > 0:
-            await self._sink.extend(effect.lease, remaining_us)
+        _log_lateness(effect, waited_s)
+        until_s = effect.until_s - TRANSIT_MARGIN_S
+        if until_s > asyncio.get_running_loop().time():
+            await self._sink.extend(effect.lease, until_s)
         return True, {}
 
     @_call_upstream.register
@@ -176,6 +185,19 @@
     return frozenset(effect.shards)
 
 
-def _compute_remaining_us(remaining_s: float, waited_s: float) -> int:
-    """Return the microseconds that remain when the grant reaches the upstream."""
-    return int((remaining_s - waited_s - TRANSIT_MARGIN_S) * MICROSECONDS)
+def _log_lateness(effect: GrantShards | ExtendLease, waited_s: float) -> None:
+    """Log a grant or an extension that was decided long before its call."""
+    now = asyncio.get_running_loop().time()
+    decided_ago_s = now - effect.decided_s
+    if decided_ago_s < LATE_S:
+        return
+    log_event(
+        LOGGER,
+        Event.GRANT_LATE,
+        level=logging.WARNING,
+        reason="decided",
+        lease=str(effect.lease),
+        decided_ms=int(decided_ago_s * MS_PER_S),
+        queued_ms=int(waited_s * MS_PER_S),
+        left_ms=int((effect.until_s - now) * MS_PER_S),
+    )
