--- a/tests/fakes/config_plays.py
+++ b/tests/fakes/config_plays.py
@@ -9,6 +9,7 @@
 import dataclasses
 import itertools
 import json
+import os
 import pathlib
 import random
 import shutil
@@ -48,6 +49,7 @@
 ASK_INTERVAL_S = 0.08
 ANSWER_LIMIT_S = 2.0
 DEADLINE_MS = 1500
+MS_PER_S = 1000
 LARGE_ROUTES = 1_500
 FIRST_VERSION = 12
 VERSION_STEP = 16
@@ -60,7 +62,7 @@
 TRACED_EVENTS = (
     "CONFIGURATION_AGED",
     "CONFIGURATION_IN_FORCE",
-    "OLD_CONFIGURATION_ACCEPTED",
+    "LOG_SPEED_CHANGED",
     "LOG_RECORD_SKIPPED",
     "LOG_UNAVAILABLE",
     "LOG_AVAILABLE",
@@ -363,6 +365,23 @@
     )
 
 
+def find_standstill_s(play, fault):
+    """Return how long the fault's node stood still, by its lines, since the change."""
+    ended_s = fault.answer.sent_s + play.fleet.clock_offset_s
+    began_s = ended_s - fault.delay_s
+    lines = play.fleet.machines[fault.answer.node].read_lines()
+    return sum(
+        max(0.0, min(line["time"], ended_s) - max(_find_start_s(line), began_s))
+        for line in lines
+        if line.get("message") == "LOOP_STALLED"
+    )
+
+
+def _find_start_s(line):
+    """Return when the standstill that a line tells of began."""
+    return line["time"] - line["late_ms"] / MS_PER_S
+
+
 def list_traces(play, fault):
     """Return the log lines of a fault's node that may explain it."""
     lines = play.fleet.machines[fault.answer.node].read_lines()
@@ -407,8 +426,9 @@
     delays_s = list_delays(play.history)
     stalls_s = [span.end_s - span.start_s for span in play.history.stalls]
     counted = [fault for fault in faults if not fault.is_own]
+    load = os.getloadavg()[0]
     print(
-        f"seed {seed}: worst delay {max(delays_s.values()):.2f} s,"
+        f"seed {seed}: load {load:.0f}, worst delay {max(delays_s.values()):.2f} s,"
         f" {len(counted)} faults, {len(faults) - len(counted)} beside own stalls,"
         f" own stalls {len(stalls_s)} up to {max(stalls_s, default=0):.2f} s,"
         f" {len(play.history.answers)} answers",
@@ -423,7 +443,11 @@
     for episode in episodes:
         print(f"   {episode}")
     first = {(fault.kind, fault.answer.node): fault for fault in reversed(faults)}
-    found = [describe_fault(play, fault) for fault in first.values()]
+    found = [
+        f"{describe_fault(play, fault)}; the node stood still for"
+        f" {find_standstill_s(play, fault):.2f} s of it"
+        for fault in first.values()
+    ]
     lines = [describe_fault(play, fault) for fault in faults]
     for fault in first.values():
         lines += [describe_fault(play, fault), *list_traces(play, fault)]
