Do not renew a slow answer of the log by telling of it

News of a slow answer kept all nodes from reading the log for longer than the 2 s that it may: its time was taken from the message that told of it, so that a message that was long on its way, or came back from another node, counted as news of a newer answer.

The time of the read that a position names is used here too.

Evidence: test_log_counts_as_fast_again_though_two_nodes_tell_each_other_late (4 s after one slow answer) failed before. Renewals of leases do not tell of answers, so that two nodes tell each other only while both forward positions; not seen in a fleet.

--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -159,6 +159,8 @@
         if position.response_us is None:
             return
         read_s = now - max(position.age_us, 0) / US_PER_S
+        if position.read is not None:
+            read_s = self._read_times.find(position.read, read_s)
         self.speed.note_answer(read_s, position.response_us / US_PER_S, now)
 
     def _note_newer(self, sender: IncarnationId, offset: int, now: float) -> None:
--- a/tests/control/test_config_delays.py
+++ b/tests/control/test_config_delays.py
@@ -38,6 +38,20 @@
         self.assertEqual(self.list_late(measure_stalled_spread, 0.2, 0.1), {})
 
 
+def exchange_positions(watches):
+    """Have two nodes tell each other again and again; return the time at the end."""
+    now = STORED_S
+    for turn in range(20):
+        sender, recipient = watches[turn % 2], watches[1 - turn % 2]
+        position = sender.make_position(now)
+        now += DELAY_S
+        recipient.receive_position(
+            "peer", 5, now - position.age_us / US_PER_S, now, read=position.read
+        )
+        recipient.receive_speed(position, now)
+    return now
+
+
 class ExchangedAgeTests(unittest.TestCase):
     """Two nodes tell each other when their configuration was the newest for certain."""
 
@@ -47,17 +61,20 @@
         for watch in watches:
             watch.set_offset(5)
             watch.confirm(STORED_S)
-        now = STORED_S
-        for turn in range(20):
-            sender, recipient = watches[turn % 2], watches[1 - turn % 2]
-            position = sender.make_position(now)
-            now += DELAY_S
-            recipient.receive_position(
-                "peer", 5, now - position.age_us / US_PER_S, now, read=position.read
-            )
+        now = exchange_positions(watches)
         self.assertTrue(
             all(
                 watch.must_read_log(now, rank=LAST_RANK, spread=1.0)
                 for watch in watches
             )
         )
+
+    def test_log_counts_as_fast_again_though_two_nodes_tell_each_other_late(self):
+        """One answer was slow; nobody reads the log after it."""
+        watches = [ConfigWatch(reader=name) for name in "ab"]
+        for watch in watches:
+            watch.set_offset(5)
+        watches[0].confirm(STORED_S)
+        watches[0].speed.note_answer(STORED_S, 1.0, STORED_S)
+        now = exchange_positions(watches)
+        self.assertFalse(any(watch.speed.is_slow(now) for watch in watches))
