Bound the number of hops that a node tells of forwarded records

A record that came with the largest number of hops that the wire can hold was forwarded with one more, which cannot be encoded: the node that forwards it fails. Only a malformed message has such a number; a negative one was told on as well.

The property test of tests.wire.test_frames met the same limit with other draws, after a field was added to the messages: it built numbers of hops beyond the 32 bits of the field on the wire, as it does not for terms of leases. It draws from all values of that field now; every other field has its whole range as before.

--- a/src/papayatack/control/provenance.py
+++ b/src/papayatack/control/provenance.py
@@ -9,6 +9,9 @@
 
 US_PER_S = 1_000_000
 
+MAX_HOPS = 1_000
+"""Largest number of hops that is told; it is greater than the depth of any tree."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Provenance:
@@ -31,7 +34,8 @@
     ) -> "Provenance":
         """Return the provenance of the records of a batch that has just arrived."""
         age_s = max(batch.age_us, 0) / US_PER_S
-        return cls(sender=sender, hops=batch.hops, read_s=now - age_s)
+        hops = min(max(batch.hops, 0), MAX_HOPS)
+        return cls(sender=sender, hops=hops, read_s=now - age_s)
 
     def find_age_us(self, now: float) -> int:
         """Return the time since the records were read from the log."""
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -14,13 +14,15 @@
 from papayatack.wire.frames import MAX_FRAME_BYTES, FrameReader, encode_frame
 from papayatack.wire.schema import schema
 
+_I32 = st.integers(0, 2**31 - 1)
+_I32_FIELDS = ("hops",)
 _SCALARS = {
     int: st.integers(0, 2**63 - 1),
     float: st.floats(allow_nan=False),
     bytes: st.binary(),
     bool: st.booleans(),
     types.NoneType: st.none(),
-    LeaseId: st.builds(LeaseId, st.text(), st.integers(0, 2**31 - 1)),
+    LeaseId: st.builds(LeaseId, st.text(), _I32),
 }
 
 
@@ -33,7 +35,11 @@
     if dataclasses.is_dataclass(hint) and hint not in _SCALARS:
         hints = typing.get_type_hints(hint)
         return st.builds(
-            hint, **{name: _build_strategy(part) for name, part in hints.items()}
+            hint,
+            **{
+                name: _I32 if name in _I32_FIELDS else _build_strategy(part)
+                for name, part in hints.items()
+            },
         )
     if isinstance(hint, types.UnionType):
         return st.one_of(*map(_build_strategy, typing.get_args(hint)))
