--- a/tests/fakes/outages.py
+++ b/tests/fakes/outages.py
@@ -226,12 +226,12 @@
 class OutageFleet(PlatformFleet):
     """A fleet with one keyed load, in which nodes start only if they reach the log."""
 
-    def __init__(self, *, seed, nodes):
+    def __init__(self, *, seed, nodes, lease_s=LEASE_S):
         super().__init__(
             seed=seed,
             configuration=CONFIGURATION,
             placement=PLACEMENT_LIMITS,
-            lease_s=LEASE_S,
+            lease_s=lease_s,
         )
         self.busy = collections.Counter()
         self.leaving = set()
