--- a/src/papayatack/core/ownership/effects.py
+++ b/src/papayatack/core/ownership/effects.py
@@ -54,23 +54,32 @@
     Attributes:
         lease: Lease under which the shards are granted.
         tokens: Fencing token by shard.
-        remaining_s: Seconds until the grants expire.
+        until_s: Time of the node's clock at which the grants expire.
+        decided_s: Time of the same clock at which this was decided.
         handovers: By shard, the handover with which the upstream takes the shard over
             warm; shards without one are absent.
     """
 
     lease: LeaseId
     tokens: Mapping[ShardId, int]
-    remaining_s: float
+    until_s: float
+    decided_s: float
     handovers: Mapping[ShardId, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExtendLease:
-    """Extend the grants of a lease to end ``remaining_s`` seconds from now."""
+    """Extend the grants of a lease.
+
+    Attributes:
+        lease: The lease.
+        until_s: Time of the node's clock at which the grants are to expire.
+        decided_s: Time of the same clock at which this was decided.
+    """
 
     lease: LeaseId
-    remaining_s: float
+    until_s: float
+    decided_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/papayatack/logservice/tailer.py
+++ b/src/papayatack/logservice/tailer.py
@@ -1,6 +1,7 @@
 """Tailing of one stream of the log."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
@@ -76,10 +77,14 @@
     Attributes:
         stream: The stream's name.
         time_s: That time, on the event loop's clock.
+        response_s: How long the service took to answer, in seconds, without the time
+            for which it was to wait for records; ``None`` if that is unknown, as the
+            records came while it waited.
     """
 
     stream: str
     time_s: float
+    response_s: float | None
 
 
 TailMessage = RecordsRead | RecordsExpired | EndReached
@@ -128,6 +133,8 @@
             initial_s=INITIAL_BACKOFF_S, max_s=MAX_BACKOFF_S, random=random
         )
         self._last_read_s = last_read_s
+        self._failed_s = float("inf")
+        self._answered = asyncio.Event()
         self.available = True
 
     @property
@@ -147,6 +154,15 @@
         """Skip the records before ``offset``, which came from another source."""
         self._offset = max(self._offset, offset)
 
+    def note_answer(self, time_s: float) -> None:
+        """End a pause after a failure: the service answered someone else's later call.
+
+        Args:
+            time_s: Event loop time at which that call cannot have been answered yet.
+        """
+        if time_s > self._failed_s:
+            self._answered.set()
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
@@ -172,18 +188,32 @@
             wait_s=wait_s,
             timeout_s=READ_TIMEOUT_S,
         )
+        spent_s = asyncio.get_running_loop().time() - started_s
         match result:
             case Success(page):
                 self._set_available()
                 await self._deliver_page(page)
                 if self._reports_end:
-                    await self._deliver_end(page, started_s, wait_s)
+                    await self._deliver_end(page, started_s, spent_s, wait_s)
             case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
                 self._set_available()
                 await self._deliver_expiry(offset, failure)
             case Failure(failure):
                 self._set_unavailable(failure)
-                await asyncio.sleep(self._backoff.advance_delay_s())
+                await self._pause(started_s)
+
+    async def _pause(self, started_s: float) -> None:
+        """Wait before the next read, or until there is news that the service answers.
+
+        Args:
+            started_s: Time at which the read that failed began.
+        """
+        self._answered.clear()
+        self._failed_s = started_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._backoff.advance_delay_s()):
+                await self._answered.wait()
+        self._failed_s = float("inf")
 
     async def _deliver_page(self, page: LogPage) -> None:
         if page.end < page.first:
@@ -207,18 +237,27 @@
         await self._queue.put(message)
 
     async def _deliver_end(
-        self, page: LogPage, started_s: float, wait_s: float
+        self, page: LogPage, started_s: float, spent_s: float, wait_s: float
     ) -> None:
         """Deliver when the stream had no further record, if the read shows that.
 
         A read that returns nothing after ``wait_s`` shows that nothing came meanwhile.
+
+        Args:
+            page: What the read returned.
+            started_s: Time at which it began.
+            spent_s: How long it took.
+            wait_s: Time for which it was to wait for records.
         """
         if page.first + len(page.payloads) < page.end:
             return
-        now = asyncio.get_running_loop().time()
-        has_waited = not page.payloads and now - started_s >= wait_s
-        time_s = started_s + wait_s if has_waited else started_s
-        await self._queue.put(EndReached(stream=self._stream, time_s=time_s))
+        has_waited = not page.payloads and spent_s >= wait_s
+        message = EndReached(
+            stream=self._stream,
+            time_s=started_s + wait_s if has_waited else started_s,
+            response_s=spent_s - wait_s if has_waited or not wait_s else None,
+        )
+        await self._queue.put(message)
 
     async def _deliver_expiry(self, wanted: int, failure: LogFailure) -> None:
         self._metrics.count("log_reads", "expired")
