Use the connection that a peer opens while the own connect gets no answer

After a cut, requests to a node that could be reached again were refused as unreachable and messages to it dropped, for up to the connect time-out (0.5 s, 1 s by default) and the wait after it: a node whose SYN was lost in the cut did not take the peer's own connection, which came meanwhile, as news. Requests and control messages that waited for the connect went on waiting, then failed, and a wait for the address began although a connection to it was open, which counted once that closed.

Two new tests lose one node's connect on loopback while the other node connects. Both failed before: the request and the message were not through in half of the time-out, and a request after a loss of the connection was refused.

A connection that a peer opens now ends the wait, takes along what waited, and keeps a later failure of the own connect from starting a wait. The own connect goes on, since the peer may already prefer its connection.

--- a/src/papayatack/network/link_table.py
+++ b/src/papayatack/network/link_table.py
@@ -31,6 +31,7 @@
         self._connecting: dict[PeerAddress, asyncio.Task[Link | None]] = {}
         self._backoff = ConnectBackoff(rng=rng)
         self._pending_control: dict[PeerAddress, list[Any]] = {}
+        self._accepted: dict[PeerAddress, asyncio.Future[None]] = {}
 
     def __len__(self) -> int:
         return len(self._all_links)
@@ -77,10 +78,18 @@
         self._start_connecting(address)
 
     async def connect(self, address: PeerAddress) -> Link | None:
-        """Open a link; return ``None`` if it fails or the address is backing off."""
+        """Open a link, or use one that the peer opens meanwhile.
+
+        Returns:
+            ``None`` if it fails or the address is backing off.
+        """
         if self._is_backing_off(address):
             return None
-        return await asyncio.shield(self._start_connecting(address))
+        opening = self._start_connecting(address)
+        loop = asyncio.get_running_loop()
+        accepted = self._accepted.setdefault(address, loop.create_future())
+        await asyncio.wait({opening, accepted}, return_when=asyncio.FIRST_COMPLETED)
+        return self.find(address)
 
     def _is_backing_off(self, address: PeerAddress) -> bool:
         now = asyncio.get_running_loop().time()
@@ -109,11 +118,11 @@
             return None
         finally:
             del self._connecting[address]
+            self._accepted.pop(address, None)
         return self._register(address, link)
 
     def _register(self, address: PeerAddress, link: Link) -> Link:
         """Use a new link unless a link opened by the peer exists and is preferred."""
-        self._backoff.clear(address)
         other = self.find(address)
         if other is None or self._address < address:
             if other is not None:
@@ -121,9 +130,17 @@
             self._links[address] = link
         else:
             link.retired = True
+        self._note_reached(address)
+        return self._links[address]
+
+    def _note_reached(self, address: PeerAddress) -> None:
+        """Send by an address's link what waited for one, and end its backoff."""
+        self._backoff.clear(address)
         for frame in self._pending_control.pop(address, ()):
             self._links[address].send_control(frame)
-        return self._links[address]
+        accepted = self._accepted.pop(address, None)
+        if accepted is not None and not accepted.done():
+            accepted.set_result(None)
 
     def _record_connect_failure(self, address: PeerAddress, now: float) -> None:
         metrics = self._owner.metrics
@@ -131,7 +148,8 @@
         dropped = len(self._pending_control.pop(address, ()))
         if dropped:
             metrics.count("control_dropped", "peer-unreachable", dropped)
-        self._backoff.record_failure(address, now, self._owner.limits)
+        if self.find(address) is None:
+            self._backoff.record_failure(address, now, self._owner.limits)
 
     def register_accepted(self, link: Link, incarnation: IncarnationId) -> None:
         """Use a link that the peer opened for outgoing requests too.
@@ -150,6 +168,7 @@
             if current is not None:
                 current.retired = True
             self._links[link.address] = link
+            self._note_reached(link.address)
         else:
             link.retired = True
 
--- a/tests/network/test_link_table.py
+++ b/tests/network/test_link_table.py
@@ -1,6 +1,7 @@
 """Tests of papayatack.network.link_table on loopback."""
 
 import asyncio
+from unittest import mock
 
 from papayatack.core.errors import ErrorKind
 from papayatack.core.identity import PeerAddress
@@ -14,6 +15,7 @@
 )
 from tests.proxy.fakes import wait_until
 
+SHORT_S = 0.05
 RETIREMENT_S = 1.2
 """Time after which a replaced connection that is idle has been closed."""
 
@@ -97,6 +99,40 @@
                 )
                 self.assertIs(result.failure().kind, ErrorKind.PEER_UNREACHABLE)
 
+    async def connect_beside_lost_connect(self):
+        """Lose a connect of the first node, and let the second one connect to it."""
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def lose(factory, host, port):
+            if port == self.second.port:
+                await loop.create_future()
+            return await connect(factory, host, port)
+
+        with mock.patch.object(loop, "create_connection", new=lose):
+            self.send(self.first, self.second)
+            running = asyncio.ensure_future(self.exchange())
+            await asyncio.sleep(SHORT_S)
+            self.send(self.second, self.first)
+            await wait_until(lambda: "first" in {name for name, *_ in self.received})
+        return running
+
+    async def test_lost_connect_holds_up_what_an_accepted_connection_can_carry(self):
+        """A control message and a request need not wait until the connect fails."""
+        running = await self.connect_beside_lost_connect()
+        async with asyncio.timeout(self.first.limits.connect_timeout_s / 2):
+            self.assertEqual((await running).unwrap().status, 200)
+            await wait_until(lambda: len(self.received) == 2)
+
+    async def test_lost_connect_makes_a_peer_that_has_connected_unreachable(self):
+        """No wait begins for a peer whose own connection came meanwhile."""
+        running = await self.connect_beside_lost_connect()
+        await asyncio.gather(*self.first.links.list_connecting())
+        await running
+        for link in list(self.first.links):
+            link.abort("cut by the test")
+        self.assertEqual((await self.exchange()).unwrap().status, 200)
+
     async def test_failed_connects_back_off(self):
         """Requests to an unreachable node do not each attempt to connect."""
         await self.second.abort()
