Split the check of responses and the log lines off the local server

Cause: proxy/local.py (493 lines) admitted and sent requests, told responses of the upstream from refusals, applied what they say and wrote the log lines about runs, of which in_flight.py wrote one more.

Change: proxy/upstream_responses.py checks the responses, proxy/run_logs.py has the log lines, proxy/work_kinds.py the kind of a request; the checks directly before the send are a function of their own. LocalServer and IdempotentAttempt stay where they are. The lines RUN_CUT, UPSTREAM_REFUSED, UPSTREAM_ERRED and UPSTREAM_CRASHED have papayatack.proxy.run_logs as the name of their logger, UPSTREAM_LIMIT_MALFORMED papayatack.proxy.upstream_responses; two tests name the logger.

--- a/src/papayatack/proxy/attempts.py
+++ b/src/papayatack/proxy/attempts.py
@@ -29,10 +29,10 @@
 from papayatack.proxy.forwarding import Forwarder
 from papayatack.proxy.interface import Ownership, RetryPolicy, Route
 from papayatack.proxy.late_responses import LateResponses
-from papayatack.proxy.local import find_work_kind
 from papayatack.proxy.node_selector import NodeSelector
 from papayatack.proxy.screening import ScreenedRequest, Screening
 from papayatack.proxy.shutdown_guard import ShutdownGuard
+from papayatack.proxy.work_kinds import find_work_kind
 
 __all__ = ["AttemptRunner"]
 
--- a/src/papayatack/proxy/engine.py
+++ b/src/papayatack/proxy/engine.py
@@ -41,8 +41,9 @@
 from papayatack.proxy.forwarding import Forwarder, PeerClient
 from papayatack.proxy.idempotent import IdempotentServer
 from papayatack.proxy.interface import Gate, Ownership, Quarantine, RetryPolicy
-from papayatack.proxy.local import LocalServer, find_work_kind
+from papayatack.proxy.local import LocalServer
 from papayatack.proxy.shutdown_guard import LATE_REFUSAL, ShutdownGuard
+from papayatack.proxy.work_kinds import find_work_kind
 
 __all__ = ["RequestEngine"]
 
@@ -140,7 +141,7 @@
 
     def notify_leaving(self, callback: Callable[[], None]) -> None:
         """Have ``callback`` called for responses that say that the upstream leaves."""
-        self._local.on_upstream_leaving = callback
+        self._local.responses.on_upstream_leaving = callback
 
     def check_evacuation(self, find_evacuation: Callable[[], Refusal | None]) -> None:
         """Have each request checked directly before it is sent to the upstream."""
--- a/src/papayatack/proxy/in_flight.py
+++ b/src/papayatack/proxy/in_flight.py
@@ -2,22 +2,14 @@
 
 import asyncio
 import dataclasses
-import logging
 
 from papayatack.core.errors import ErrorKind
-from papayatack.network.exchanges import PeerRequest
-from papayatack.network.upstreams import UpstreamPool
-from papayatack.observability.events import Event, log_event
 from papayatack.proxy.crashes import CrashDetector, Run
 from papayatack.proxy.interface import Grant, Ownership, Permit
 from papayatack.proxy.screening import Screening
 
-__all__ = ["LOSS_KINDS", "InFlightUse", "log_crash"]
+__all__ = ["LOSS_KINDS", "InFlightUse"]
 
-LOGGER = logging.getLogger(__name__)
-
-MAX_SUSPECTS_LOGGED = 32
-MAX_TARGET_LOGGED = 120
 _REPRESENTATIVE_KINDS = frozenset({None, ErrorKind.UPSTREAM_TIMEOUT})
 """Results after which the service time measures the upstream's speed. A request that
 was refused or cancelled ended sooner for another reason."""
@@ -78,24 +70,3 @@
             self.crashes.end(self.run)
         if kind is None:
             self.screening.report_end(self.run)
-
-
-def log_crash(pool: UpstreamPool, runs: list[Run]) -> None:
-    """Log the requests that were in flight when the upstream's process ended."""
-    requests = [run.peer_request for run in runs[:MAX_SUSPECTS_LOGGED]]
-    log_event(
-        LOGGER,
-        Event.UPSTREAM_CRASHED,
-        level=logging.WARNING,
-        upstream=pool.name,
-        address=pool.address,
-        count=len(runs),
-        requests=[request.request_id for request in requests],
-        targets=[_format_target(request) for request in requests],
-    )
-
-
-def _format_target(peer_request: PeerRequest) -> str:
-    request = peer_request.request
-    text = b"%s %s" % (request.method, request.target)
-    return text[:MAX_TARGET_LOGGED].decode("latin-1")
--- a/tests/proxy/test_engine.py
+++ b/tests/proxy/test_engine.py
@@ -173,7 +173,7 @@
     async def test_failure_is_logged_with_the_grant_under_which_it_ran(self):
         """The log line has the grant also if the request is not retried."""
         self.set_first_statuses(500)
-        with self.assertLogs("papayatack.proxy.local", "WARNING") as logs:
+        with self.assertLogs("papayatack.proxy.run_logs", "WARNING") as logs:
             await self.request(self.entry, "POST", body=b"a")
         (record,) = logs.records
         self.assertEqual(record.getMessage(), "UPSTREAM_ERRED")
@@ -188,7 +188,7 @@
             self.request(self.owner, "POST", target, body=b"a")
         )
         await wait_until(lambda: self.upstream.runs)
-        with self.assertLogs("papayatack.proxy.local", "WARNING") as logs:
+        with self.assertLogs("papayatack.proxy.run_logs", "WARNING") as logs:
             request_task.cancel()
             await wait_until(lambda: logs.records)
         (record,) = logs.records
