Let one piece of code serve where logic stood several times

Cause (duplicates, and a look at what it names): four bodies passed "ready" and "close" on to the one they wrap; three places dropped hop-by-hop fields and two added the field of a chunked body; both streams were loaded with the same arguments; eight modules turned seconds into the milliseconds of a log line.

Change: network.bodies.BodyWrapper, proxy.headers.drop_hop_by_hop and list_chunked, one partial call in control/loading.py, observability.events.to_ms. HOP_BY_HOP_HEADERS and list_connection_options, which nobody else uses now, are private.

--- a/src/papayatack/control/evacuation.py
+++ b/src/papayatack/control/evacuation.py
@@ -11,7 +11,7 @@
 from papayatack.core.ownership.departure import DepartureStage
 from papayatack.core.ownership.effects import Effect
 from papayatack.core.ownership.node import NodeCore
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["EvacuationControl"]
@@ -104,7 +104,7 @@
                 name,
                 provenance,
                 now,
-                newest_before_ms=int(age_s * MS_PER_S) if age_s < math.inf else None,
+                newest_before_ms=to_ms(age_s) if age_s < math.inf else None,
             )
         for name in ended:
             _log_change(Event.DATA_CENTRE_RETURNED, name, provenance, now)
--- a/src/papayatack/control/loading.py
+++ b/src/papayatack/control/loading.py
@@ -1,5 +1,6 @@
 """Loads the initial state of a new node from the log alone."""
 
+import functools
 import random
 
 from returns.result import Failure, Result, Success
@@ -26,24 +27,13 @@
         random: Source of the jitter of retries.
         deadline_s: Event loop time, in seconds, after which loading fails.
     """
-    ownership = await load_stream(
-        log=log,
-        stream=OWNERSHIP_STREAM,
-        create=OwnershipState,
-        load=load_state,
-        metrics=metrics,
-        random=random,
-        deadline_s=deadline_s,
+    load_one = functools.partial(
+        load_stream, log=log, metrics=metrics, random=random, deadline_s=deadline_s
     )
-    config = await load_stream(
-        log=log,
-        stream=CONFIG_STREAM,
-        create=ConfigFold,
-        load=_load_config,
-        metrics=metrics,
-        random=random,
-        deadline_s=deadline_s,
+    ownership = await load_one(
+        stream=OWNERSHIP_STREAM, create=OwnershipState, load=load_state
     )
+    config = await load_one(stream=CONFIG_STREAM, create=ConfigFold, load=_load_config)
     match ownership, config:
         case Success(owned), Success(configured):
             for logged in owned.records:
--- a/src/papayatack/control/writing.py
+++ b/src/papayatack/control/writing.py
@@ -19,7 +19,7 @@
 from papayatack.core.records import OWNERSHIP_STREAM, OwnershipRecord, Retire
 from papayatack.logservice.appender import Appender
 from papayatack.logservice.decoding import RecordDecoder
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.records import encode_record
 
@@ -27,7 +27,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 PLAN_WAIT_S = 3.0
 """Longest time for which the planner waits for the records of its last plan."""
 
@@ -239,7 +238,7 @@
         log_event(
             LOGGER,
             Event.APPENDS_RESUMED,
-            away_ms=int((now - self._failing_since_s) * MS_PER_S),
+            away_ms=to_ms(now - self._failing_since_s),
             queued=len(self._pending),
             kept=len(self._retirements),
             dropped=self._dropped,
--- a/src/papayatack/network/bodies.py
+++ b/src/papayatack/network/bodies.py
@@ -12,6 +12,7 @@
     "Body",
     "IncompleteBodyError",
     "BodyQueue",
+    "BodyWrapper",
     "BytesBody",
     "ExpectContinueBody",
     "LengthCheckedBody",
@@ -214,7 +215,35 @@
         self._rest.close()
 
 
-class LengthCheckedBody:
+class BodyWrapper:
+    """A body that is read from another one; the base of those that watch it.
+
+    Args:
+        body: The wrapped body.
+    """
+
+    def __init__(self, *, body: Body) -> None:
+        self._body = body
+
+    @property
+    def ready(self) -> bool:
+        """Whether :meth:`read` would return without waiting."""
+        return self._body.ready
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of a complete body.
+
+        Raises:
+            IncompleteBodyError: If the body ends early.
+        """
+        return await self._body.read()
+
+    def close(self) -> None:
+        """Discard the rest."""
+        self._body.close()
+
+
+class LengthCheckedBody(BodyWrapper):
     """A body that must be as long as what was received of it when it ends.
 
     A body that is read in part and put back elsewhere would be passed on without that
@@ -226,15 +255,10 @@
     """
 
     def __init__(self, *, body: Body, received: BodyQueue) -> None:
-        self._body = body
+        super().__init__(body=body)
         self._received = received
         self._read_bytes = 0
 
-    @property
-    def ready(self) -> bool:
-        """Whether :meth:`read` would return without waiting."""
-        return self._body.ready
-
     async def read(self) -> bytes:
         """Return the next bytes, or ``b""`` at the end of a complete body.
 
@@ -256,28 +280,15 @@
             return self._read_bytes <= expected_bytes
         return self._received.finished and self._read_bytes == expected_bytes
 
-    def close(self) -> None:
-        """Discard the rest."""
-        self._body.close()
-
 
-class ExpectContinueBody:
+class ExpectContinueBody(BodyWrapper):
     """A body whose sender waits for ``100 Continue``, sent on the first read."""
 
     def __init__(self, *, body: Body, send: Callable[[], None]) -> None:
-        self._body = body
+        super().__init__(body=body)
         self._send = send
 
-    @property
-    def ready(self) -> bool:
-        """Whether :meth:`read` would return without waiting."""
-        return self._body.ready
-
     async def read(self) -> bytes:
         """Request the body if needed, then return its next bytes."""
         self._send()
         return await self._body.read()
-
-    def close(self) -> None:
-        """Discard the rest."""
-        self._body.close()
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -16,7 +16,7 @@
 from papayatack.network.peer_probe import PeerProbe
 from papayatack.network.request_hold import LATE_S, RequestHold
 from papayatack.network.streams import US_PER_S, PeerStream
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 from papayatack.wire.convert import decode_control
 from papayatack.wire.errors import WireError
@@ -27,7 +27,6 @@
 
 _logger = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 PROTOCOL_VERSION = 1
 FLUSH_BYTES = 64 * 1024
 """Bytes written per flush, and high-water mark of the write buffer."""
@@ -291,7 +290,7 @@
             peer=self.address or "",
             detail=detail,
             streams=stream_count,
-            silent_ms=int(silence_s * MS_PER_S),
+            silent_ms=to_ms(silence_s),
             retired=self.retired,
         )
 
@@ -406,7 +405,7 @@
             Event.REQUESTS_LATE,
             level=logging.WARNING,
             peer=self.address or "",
-            delay_ms=int(stream.delay_s * MS_PER_S),
+            delay_ms=to_ms(stream.delay_s),
             streams=len(self.streams),
         )
 
--- a/src/papayatack/observability/events.py
+++ b/src/papayatack/observability/events.py
@@ -8,7 +8,9 @@
 import enum
 import logging
 
-__all__ = ["Event", "log_event"]
+__all__ = ["Event", "log_event", "to_ms"]
+
+MS_PER_S = 1000
 
 
 class Event(enum.IntEnum):
@@ -85,6 +87,11 @@
     KEYS_CONCENTRATED = 601
 
 
+def to_ms(seconds: float) -> int:
+    """Return a duration in whole milliseconds, rounded towards zero, for a field."""
+    return int(seconds * MS_PER_S)
+
+
 def log_event(
     logger: logging.Logger, event: Event, *, level: int = logging.INFO, **fields: object
 ) -> None:
--- a/src/papayatack/observability/stalls.py
+++ b/src/papayatack/observability/stalls.py
@@ -4,14 +4,13 @@
 import logging
 import time
 
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["StallMonitor"]
 
 LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 CHECK_INTERVAL_S = 0.5
 """Default time in seconds between two checks."""
 
@@ -53,6 +52,6 @@
                 LOGGER,
                 Event.LOOP_STALLED,
                 level=logging.WARNING,
-                late_ms=int(late_s * MS_PER_S),
-                processor_ms=int((time.process_time() - cpu_start_s) * MS_PER_S),
+                late_ms=to_ms(late_s),
+                processor_ms=to_ms(time.process_time() - cpu_start_s),
             )
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -13,7 +13,7 @@
     find_header,
 )
 from papayatack.proxy.dialect import UpstreamSignals
-from papayatack.proxy.headers import HOP_BY_HOP_HEADERS, list_connection_options
+from papayatack.proxy.headers import drop_hop_by_hop
 from papayatack.proxy.interface import Grant
 from papayatack.proxy.route_classifier import HeaderNames
 
@@ -146,10 +146,7 @@
 
     def clean_response(self, headers: Headers) -> Headers:
         """Return the fields of an upstream's response that are forwarded to callers."""
-        dropped = (
-            HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS | list_connection_options(headers)
-        )
-        return tuple(field for field in headers if field[0] not in dropped)
+        return tuple(drop_hop_by_hop(headers, _INTERNAL_HEADERS))
 
     def add_response_headers(self, headers: Headers, request_id: str) -> Headers:
         """Return the fields unchanged, since the upstream echoes the request id."""
--- a/src/papayatack/proxy/body_wrappers.py
+++ b/src/papayatack/proxy/body_wrappers.py
@@ -4,7 +4,7 @@
 
 from papayatack.core.errors import ErrorKind
 from papayatack.core.quarantine import BODY_PREFIX_BYTES
-from papayatack.network.bodies import Body, IncompleteBodyError
+from papayatack.network.bodies import Body, BodyWrapper, IncompleteBodyError
 
 __all__ = ["MonitoredBody", "RecordedBody", "RewindableBody"]
 
@@ -71,7 +71,7 @@
         self._position += 1
 
 
-class RecordedBody:
+class RecordedBody(BodyWrapper):
     """Keeps the part of a request body by which requests are compared.
 
     Args:
@@ -79,16 +79,11 @@
     """
 
     def __init__(self, *, body: Body) -> None:
-        self._body = body
+        super().__init__(body=body)
         self._chunks: list[bytes] = []
         self._size = 0
         self._has_ended = False
 
-    @property
-    def ready(self) -> bool:
-        """Whether :meth:`read` would return without waiting."""
-        return self._body.ready
-
     @property
     def prefix(self) -> bytes:
         """The first ``BODY_PREFIX_BYTES`` that were read, or all of them."""
@@ -114,12 +109,8 @@
             self._size += len(data)
         return data
 
-    def close(self) -> None:
-        """Close the wrapped body."""
-        self._body.close()
-
 
-class MonitoredBody:
+class MonitoredBody(BodyWrapper):
     """Reports once how a response body ended.
 
     Args:
@@ -134,16 +125,11 @@
     def __init__(
         self, *, body: Body, on_end: Callable[[ErrorKind | None, str], None]
     ) -> None:
+        super().__init__(body=body)
         self.read_bytes = 0
-        self._body = body
         self._on_end = on_end
         self._ended = False
 
-    @property
-    def ready(self) -> bool:
-        """Whether :meth:`read` would return without waiting."""
-        return self._body.ready
-
     async def read(self) -> bytes:
         """Return the next bytes, or ``b""`` at the end of a complete body."""
         try:
@@ -159,7 +145,7 @@
     def close(self) -> None:
         """Close the body without reading the rest."""
         self._end(ErrorKind.CALLER_LEFT, "the response is not wanted")
-        self._body.close()
+        super().close()
 
     def _end(self, kind: ErrorKind | None, detail: str) -> None:
         if not self._ended:
--- a/src/papayatack/proxy/cold_watch.py
+++ b/src/papayatack/proxy/cold_watch.py
@@ -5,15 +5,13 @@
 from collections.abc import Callable
 
 from papayatack.core.admission.cold_limit import ColdLimit, ColdState
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["ColdWatch"]
 
 LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
-
 
 class ColdWatch:
     """Runs a :class:`ColdLimit` on the clock of the event loop.
@@ -58,7 +56,7 @@
                 LOGGER,
                 Event.UPSTREAM_WARM,
                 source=state.source.value,
-                cold_ms=int((now - self._cold_since_s) * MS_PER_S),
+                cold_ms=to_ms(now - self._cold_since_s),
             )
         return is_cold
 
@@ -121,7 +119,7 @@
             LOGGER,
             Event.UPSTREAM_COLD,
             source=state.source.value,
-            remaining_ms=int(state.remaining_s * MS_PER_S),
+            remaining_ms=to_ms(state.remaining_s),
             room=state.room,
         )
 
--- a/src/papayatack/proxy/decisions.py
+++ b/src/papayatack/proxy/decisions.py
@@ -10,7 +10,7 @@
 from papayatack.core.config_age import ConfigAge
 from papayatack.core.errors import Refusal, get_error_response
 from papayatack.network.exchanges import PeerRequest
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 
 __all__ = ["RequestLog"]
 
@@ -52,7 +52,7 @@
             service=request.service,
             key=request.key,
             status=status,
-            held_ms=_to_ms(elapsed_s),
+            held_ms=to_ms(elapsed_s),
             config=version,
         )
 
@@ -76,7 +76,7 @@
             service=request.service if request is not None else "",
             key=request.key if request is not None else "",
             route=request.route if request is not None else "",
-            remaining_ms=_to_ms(request.remaining_s) if request is not None else None,
+            remaining_ms=to_ms(request.remaining_s) if request is not None else None,
             target_ms=_read_target_ms(request),
             rank=request.rank if request is not None else None,
             reason=refusal.kind.value,
@@ -84,7 +84,7 @@
             outcome=error_response.outcome.value,
             status=error_response.status,
             retry_after_s=refusal.retry_after_s,
-            held_ms=_to_ms(elapsed_s),
+            held_ms=to_ms(elapsed_s),
             config=version,
             config_age_ms=_to_ms_if_known(config_age.age_s),
             config_superseded=config_age.is_superseded,
@@ -111,12 +111,8 @@
 def _read_target_ms(request: PeerRequest | None) -> int | None:
     if request is None or request.target_s is None:
         return None
-    return _to_ms(request.target_s)
+    return to_ms(request.target_s)
 
 
 def _to_ms_if_known(seconds: float | None) -> int | None:
-    return None if seconds is None else _to_ms(seconds)
-
-
-def _to_ms(seconds: float) -> int:
-    return int(seconds * 1000)
+    return None if seconds is None else to_ms(seconds)
--- a/src/papayatack/proxy/headers.py
+++ b/src/papayatack/proxy/headers.py
@@ -5,7 +5,6 @@
 
 __all__ = [
     "DEADLINE_HEADER",
-    "HOP_BY_HOP_HEADERS",
     "KEY_TOKEN_HEADER",
     "REFUSED_HEADER",
     "REPLAYED_HEADER",
@@ -14,7 +13,8 @@
     "TOKEN_HEADER",
     "clean_request_headers",
     "clean_response_headers",
-    "list_connection_options",
+    "drop_hop_by_hop",
+    "list_chunked",
 ]
 
 DEADLINE_HEADER = b"papayatack-deadline-ms"
@@ -25,7 +25,7 @@
 REPLAYED_HEADER = b"papayatack-replayed"
 _RESERVED_PREFIX = b"papayatack-"
 _CHUNKED = (b"transfer-encoding", b"chunked")
-HOP_BY_HOP_HEADERS = frozenset(
+_HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
         b"expect",
@@ -41,7 +41,7 @@
 )
 
 
-def list_connection_options(headers: Headers) -> frozenset[bytes]:
+def _list_connection_options(headers: Headers) -> frozenset[bytes]:
     """Return the field names that the message lists in its Connection header.
 
     Content-Length is left out, so that a message cannot have it removed.
@@ -53,13 +53,27 @@
     return frozenset(names - {b"content-length"})
 
 
+def drop_hop_by_hop(
+    headers: Headers, dropped: frozenset[bytes] = frozenset()
+) -> list[tuple[bytes, bytes]]:
+    """Return the fields that are not hop-by-hop, without those that are ``dropped``."""
+    names = _HOP_BY_HOP_HEADERS | dropped | _list_connection_options(headers)
+    return [field for field in headers if field[0] not in names]
+
+
+def list_chunked(headers: Headers) -> Headers:
+    """Return the field that says that a body is sent in chunks, if it was."""
+    if find_header(headers, b"transfer-encoding") is None:
+        return ()
+    return (_CHUNKED,)
+
+
 def _clean(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return the fields that are neither hop-by-hop nor reserved by Papayatack."""
-    dropped = HOP_BY_HOP_HEADERS | list_connection_options(headers)
     return [
         field
-        for field in headers
-        if field[0] not in dropped and not field[0].startswith(_RESERVED_PREFIX)
+        for field in drop_hop_by_hop(headers)
+        if not field[0].startswith(_RESERVED_PREFIX)
     ]
 
 
@@ -69,9 +83,7 @@
     key_token = find_header(headers, KEY_TOKEN_HEADER)
     if key_token is not None:
         kept.append((KEY_TOKEN_HEADER, key_token))
-    if find_header(headers, b"transfer-encoding") is not None:
-        kept.append(_CHUNKED)
-    return tuple(kept)
+    return (*kept, *list_chunked(headers))
 
 
 def clean_response_headers(headers: Headers) -> Headers:
--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -9,7 +9,7 @@
 from papayatack.core.inventory import Configuration, HostRoute, Service
 from papayatack.core.round_robin import WeightedRoundRobin
 from papayatack.network.exchanges import Headers, PeerRequest, Request, find_header
-from papayatack.proxy.headers import HOP_BY_HOP_HEADERS, list_connection_options
+from papayatack.proxy.headers import drop_hop_by_hop, list_chunked
 from papayatack.proxy.route_table import RouteTable
 
 __all__ = ["HeaderNames", "RouteClassifier"]
@@ -18,7 +18,6 @@
 STARTUP_RETRY_AFTER_S = 0.3
 """Retry delay sent to callers before the first configuration is received."""
 MAX_DEADLINE_DIGITS = 9
-_CHUNKED = (b"transfer-encoding", b"chunked")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,12 +129,8 @@
 
     def _clean(self, headers: Headers) -> Headers:
         """Drop hop-by-hop and reserved fields, and add the caller's service."""
-        dropped = HOP_BY_HOP_HEADERS | self._dropped | list_connection_options(headers)
-        kept = [field for field in headers if field[0] not in dropped]
-        if find_header(headers, b"transfer-encoding") is not None:
-            kept.append(_CHUNKED)
-        kept.append(self._caller_header)
-        return tuple(kept)
+        kept = drop_hop_by_hop(headers, self._dropped)
+        return (*kept, *list_chunked(headers), self._caller_header)
 
     def _find_route(self, request: Request) -> HostRoute | None:
         host = find_header(request.headers, b"host") or b""
--- a/src/papayatack/proxy/run_logs.py
+++ b/src/papayatack/proxy/run_logs.py
@@ -5,7 +5,7 @@
 from papayatack.core.errors import ErrorKind
 from papayatack.network.exchanges import PeerRequest
 from papayatack.network.upstreams import UpstreamPool
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.proxy.crashes import Run
 from papayatack.proxy.in_flight import InFlightUse
 
@@ -13,7 +13,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 MAX_SUSPECTS_LOGGED = 32
 MAX_TARGET_LOGGED = 120
 
@@ -34,9 +33,9 @@
         shard=peer_request.shard,
         reason=kind.value,
         detail=detail,
-        ran_ms=_to_ms(use.read_duration_s()),
-        delay_ms=_to_ms(peer_request.delay_s),
-        left_ms=_to_ms(use.left_s),
+        ran_ms=to_ms(use.read_duration_s()),
+        delay_ms=to_ms(peer_request.delay_s),
+        left_ms=to_ms(use.left_s),
         read_bytes=read_bytes,
     )
 
@@ -52,7 +51,7 @@
         request=peer_request.request_id,
         shard=peer_request.shard,
         token=use.grant.token,
-        lease_left_ms=_to_ms(use.grant.remaining_s),
+        lease_left_ms=to_ms(use.grant.remaining_s),
         status=status,
         reason=kind.value,
     )
@@ -76,8 +75,8 @@
         request=peer_request.request_id,
         shard=peer_request.shard,
         token=use.grant.token,
-        lease_left_ms=_to_ms(use.grant.remaining_s),
-        ran_ms=_to_ms(use.read_duration_s()),
+        lease_left_ms=to_ms(use.grant.remaining_s),
+        ran_ms=to_ms(use.read_duration_s()),
         status=status,
         obstacle=obstacle,
         failed_call=use.run.failed_call if use.run is not None else "",
@@ -103,7 +102,3 @@
     request = peer_request.request
     text = b"%s %s" % (request.method, request.target)
     return text[:MAX_TARGET_LOGGED].decode("latin-1")
-
-
-def _to_ms(seconds: float) -> int:
-    return int(seconds * MS_PER_S)
--- a/src/papayatack/proxy/upstream_responses.py
+++ b/src/papayatack/proxy/upstream_responses.py
@@ -12,7 +12,7 @@
 from papayatack.core.work_times import WorkTimes
 from papayatack.network.exchanges import PeerRequest, Response
 from papayatack.network.upstream_connection import UpstreamConnection
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 from papayatack.proxy.body_wrappers import MonitoredBody
 from papayatack.proxy.buffering import buffer_response, is_buffered
@@ -27,8 +27,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
-
 
 class UpstreamResponses:
     """Tells responses of the upstream from refusals, and records what they say.
@@ -165,7 +163,7 @@
             return
         self._record_server_error(peer_request, status, use)
         if use.run is not None and use.run.failed_call:
-            ran_ms = int(use.read_duration_s() * MS_PER_S)
+            ran_ms = to_ms(use.read_duration_s())
             self._metrics.count("runs_thrown_away", peer_request.service)
             self._metrics.count("run_ms_thrown_away", peer_request.service, ran_ms)
 
