Mend names and doc comments that stop a newcomer

Ran: tests.core.admission.test_cold_limit, test_controller, tests.core.test_shards, test_shutdown, test_load_balancer, test_idempotency, tests.core.placement, tests.proxy.test_gate, test_route_classifier, tests.control.test_shares, tests.platform.test_spread and tests.network.test_pipelining: all passed.

--- a/src/papayatack/control/shares.py
+++ b/src/papayatack/control/shares.py
@@ -136,10 +136,12 @@
         while True:
             shards = len(self._core.state.shards)
             await asyncio.sleep(max(MIN_INTERVAL_S, INTERVAL_PER_SHARD_S * shards))
-            self.measure(asyncio.get_running_loop().time(), is_planner=self._plans())
+            self.measure(
+                asyncio.get_running_loop().time(), is_planner=self._is_planner()
+            )
 
-    def _plans(self) -> bool:
-        """Tell whether this node is the planner according to its state."""
+    def _is_planner(self) -> bool:
+        """Return whether this node plans the owners of shards, as far as it knows."""
         return find_planner(self._core.state) == self._core.incarnation
 
     def measure(self, now: float, *, is_planner: bool) -> None:
--- a/src/papayatack/core/admission/cold_limit.py
+++ b/src/papayatack/core/admission/cold_limit.py
@@ -47,14 +47,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ColdBounds:
-    """What the cold upstreams of a service bear.
+    """How many requests the cold upstreams of a service may get.
 
     Attributes:
         requests_per_s: Requests per second.
         start_s: Seconds after its start in which an upstream is cold.
         overrun: Ratio of the requests in any second to ``requests_per_s`` up to which
-            they are borne.
-        slack: Requests in any second that are borne beyond that.
+            they are allowed.
+        slack: Requests in any second that are allowed beyond that.
     """
 
     requests_per_s: float
@@ -135,7 +135,7 @@
 
     @property
     def bounds(self) -> ColdBounds | None:
-        """What a cold upstream bears; ``None`` if there is no limit."""
+        """How many requests a cold upstream may get; ``None`` if there is no limit."""
         return self._bounds
 
     def configure(self, now: float, bounds: ColdBounds | None) -> None:
@@ -196,8 +196,8 @@
         """Count a request that was admitted and is to be sent."""
         self._reserved += 1
 
-    def give_back(self) -> None:
-        """Forget a reserved request that was not sent."""
+    def cancel_reservation(self) -> None:
+        """Make room for another request, as an admitted one was not sent."""
         self._reserved -= 1
 
     def record_sent(self, now: float) -> None:
--- a/src/papayatack/core/admission/controller.py
+++ b/src/papayatack/core/admission/controller.py
@@ -214,7 +214,7 @@
         self._shares.record_load(now)
         entry.state = EntryState.ENDED
         if not entry.is_sent:
-            self.cold_limit.give_back()
+            self.cold_limit.cancel_reservation()
         state = self._find_state(entry)
         state.in_use -= 1
         if error is ErrorKind.UPSTREAM_SHED:
--- a/src/papayatack/core/admission/limits.py
+++ b/src/papayatack/core/admission/limits.py
@@ -37,7 +37,7 @@
         ramp_s: Duration of the slow start after the upstream starts, in seconds.
         least_share: Minimum share of the slots that remain usable, however many
             requests the upstream sheds.
-        cold: What the upstream bears while it is cold; ``None`` if that is not limited.
+        cold: How much the upstream gets while it is cold; ``None`` if not limited.
     """
 
     slots: int = 14
--- a/src/papayatack/core/idempotency/store.py
+++ b/src/papayatack/core/idempotency/store.py
@@ -335,7 +335,7 @@
         )
 
     def import_part(self, now: float, part: ExportPart) -> bool:
-        """Import a part; return whether it was the expected one.
+        """Import outcomes of the previous owner; return if they were those expected.
 
         Duplicate and out-of-order parts are ignored: the expected part is requested
         again until it arrives.
--- a/src/papayatack/core/load_balancer.py
+++ b/src/papayatack/core/load_balancer.py
@@ -358,7 +358,7 @@
         )
 
     def _is_fresh(self, now: float, node: Node) -> bool:
-        """Return whether the news of the load of a node says where a slot is free."""
+        """Return whether a node told its load recently enough to show free slots."""
         stats = self._stats.get(node)
         return stats is not None and stats.told is not None and stats.told.is_fresh(now)
 
--- a/src/papayatack/core/placement/node_pool.py
+++ b/src/papayatack/core/placement/node_pool.py
@@ -251,7 +251,7 @@
     def find_adjacent_owner(
         self, preceding: Sequence[LeaseId], load: float
     ) -> PoolNode | None:
-        """Return the owner of the preceding slice, unless it has its fair share.
+        """Return the owner of the slice before, if its fair share allows the load too.
 
         Adjacent slices of one owner are granted together.
         """
--- a/src/papayatack/core/placement/planner.py
+++ b/src/papayatack/core/placement/planner.py
@@ -57,6 +57,10 @@
 
 
 def _rebalance(builder: PlanBuilder) -> None:
+    """Move shards to their data centres, then from busy nodes to others.
+
+    Both take from the same number of moves that are permitted now.
+    """
     budget = MoveBudget(remaining=_count_allowed_moves(builder))
     for pool in builder.pools.values():
         restore_locality(builder, pool, budget)
--- a/src/papayatack/core/shards.py
+++ b/src/papayatack/core/shards.py
@@ -2,8 +2,8 @@
 
 Text keys are hashed to shards. The hash function and its seed determine the owner of a
 key and must therefore never change. Numeric keys are not hashed: their shard is a slice
-of consecutive keys, ``<first>-<last>``, and a hot slice within it has the shard
-``=<first>-<last>``.
+of consecutive keys, ``<first>-<last>``. A few of them that get many requests, a hot
+slice, have a shard of their own, ``=<first>-<last>``.
 """
 
 import bisect
@@ -182,7 +182,7 @@
 
 
 def is_hot_shard(shard: ShardId) -> bool:
-    """Return whether a shard is that of a hot key or hot slice."""
+    """Return whether a shard has only a hot key, or the few keys of a hot slice."""
     return f"/{HOT_MARK}" in shard
 
 
--- a/src/papayatack/core/shutdown.py
+++ b/src/papayatack/core/shutdown.py
@@ -51,6 +51,8 @@
     def limit_dispatch(self, deadline_s: float, work_s: float | None = None) -> float:
         """Return the time until which a request may wait to be dispatched.
 
+        Unless its own deadline comes first, its work must end within the drain period.
+
         Args:
             deadline_s: Event loop time at which the request ends anyway.
             work_s: Expected duration of its work, in seconds; ``None`` if unknown.
--- a/src/papayatack/network/links.py
+++ b/src/papayatack/network/links.py
@@ -282,6 +282,7 @@
         self.hold.clear()
 
     def _log_link_event(self, event: Event, detail: str, stream_count: int) -> None:
+        """Log an event with the time since the peer's last bytes."""
         silence_s = self._loop.time() - self._probe.last_received_s
         log_event(
             _logger,
--- a/src/papayatack/network/peer_probe.py
+++ b/src/papayatack/network/peer_probe.py
@@ -88,7 +88,11 @@
             self._timer = self._loop.call_at(due_s, self._check_due, due_s)
 
     def _check_due(self, due_s: float) -> None:
-        """Check a peer that owes answers, and start the timer of the next check."""
+        """Check a peer that has requests to answer, and start the next check's timer.
+
+        If this node itself was stalled, bytes of the peer may wait to be read, so the
+        peer gets the time until a probe once more.
+        """
         self._timer = None
         if not self._link.owes_answers:
             return
--- a/src/papayatack/network/request_reader.py
+++ b/src/papayatack/network/request_reader.py
@@ -170,7 +170,7 @@
             self._pause.end()
 
     def begin_held(self) -> None:
-        """Note that the request that waited for its turn has started."""
+        """Allow parsing behind the request that waited for its turn, as it starts."""
         self._is_held = False
 
     def begin_next(self, last: CallerExchange, limits: CallerLimits) -> None:
--- a/src/papayatack/network/upstreams.py
+++ b/src/papayatack/network/upstreams.py
@@ -202,6 +202,7 @@
         return connection
 
     def _wake_waiter(self) -> None:
+        """Let the request that has waited longest try to get a connection."""
         while self._waiters:
             waiter = self._waiters.popleft()
             if not waiter.done():
--- a/src/papayatack/platform/coldness.py
+++ b/src/papayatack/platform/coldness.py
@@ -37,7 +37,10 @@
         self._client: HealthClient | None = None
 
     async def run(self) -> None:
-        """Answer the watch's questions until cancelled."""
+        """Ask the upstream if it is cold whenever the watch wants to know.
+
+        This goes on until the task is cancelled.
+        """
         self._watch.on_question = self._wanted.set
         self._desk.on_report = self._watch.record_report
         self._desk.on_suspicion = self._watch.suspect
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -189,7 +189,11 @@
         return dataclasses.replace(found, records=kept, end=end)
 
     async def read_keys(self, topic: str, *, after: str, timeout_s: float) -> TopicPage:
-        """Read the newest record of each key that follows ``after``."""
+        """Read the newest record of each key that follows ``after``.
+
+        The pages are no snapshot: a record that is appended meanwhile may be missing.
+        It has an offset from ``end_before`` on.
+        """
         records: list[StoreRecord] = []
         end_before: int | None = None
         while True:
--- a/src/papayatack/proxy/gate.py
+++ b/src/papayatack/proxy/gate.py
@@ -373,6 +373,7 @@
 def _build_result(
     decision: AdmissionDecision, gate: AdmissionGate
 ) -> Result[Permit, Refusal]:
+    """Return what a request that waited for a slot gets."""
     raise NotImplementedError(decision)
 
 
@@ -388,6 +389,7 @@
 
 @functools.singledispatch
 def _count_decision(decision: AdmissionDecision, metrics: Metrics) -> None:
+    """Count a decision, also by the rank of its request."""
     raise NotImplementedError(decision)
 
 
--- a/src/papayatack/proxy/idempotent.py
+++ b/src/papayatack/proxy/idempotent.py
@@ -324,6 +324,7 @@
 
 
 def _build_replay(stored_response: StoredResponse) -> Response:
+    """Return the response to a repeat of a request, marked as a stored one."""
     return Response(
         status=stored_response.status,
         headers=(*stored_response.headers, (REPLAYED_HEADER, b"true")),
--- a/src/papayatack/proxy/route_classifier.py
+++ b/src/papayatack/proxy/route_classifier.py
@@ -133,6 +133,7 @@
         return (*kept, *list_chunked(headers), self._caller_header)
 
     def _find_route(self, request: Request) -> HostRoute | None:
+        """Return the route of a request's host and path, if one matches."""
         host = find_header(request.headers, b"host") or b""
         return self._routes.find(*_split_target(request.target, host))
 
--- a/tests/core/admission/test_cold_limit.py
+++ b/tests/core/admission/test_cold_limit.py
@@ -112,7 +112,7 @@
         for _ in range(LIMIT):
             limit.reserve()
         self.assertFalse(limit.allows(now))
-        limit.give_back()
+        limit.cancel_reservation()
         self.assertEqual(limit.count_room(now), 1)
 
     def test_time_of_room_is_exact_for_a_queue(self):
@@ -335,7 +335,7 @@
         """Drop reserved requests."""
         for _ in range(min(count, self.reserved)):
             self.reserved -= 1
-            self.limit.give_back()
+            self.limit.cancel_reservation()
 
     def ask(self, _):
         """Ask the health check if that is wanted."""
