Test how old a configuration gets at nodes that get a third of a core

The lead is lost as a configuration is stored; the log is fast. Each node stands still for 0.2 s of each 0.3 s, as real processes do on machines with few cores.

--- a/tests/control/test_config_age.py
+++ b/tests/control/test_config_age.py
@@ -10,6 +10,7 @@
 from tests.fakes.clocks import FreezableLoop
 from tests.fakes.nodes import INVENTORY
 from tests.fakes.spread import POLICY, WATCHED_S, SpreadFixture
+from tests.fakes.stalls import measure_stalled_spread
 
 PROMISED_S = 2.0
 NODES = 40
@@ -23,6 +24,8 @@
 BUSY_ANSWER_S = 0.15
 BUSY_TRANSIT_S = 0.2
 RENEWAL_S = 0.4
+STALLED_S = 0.2
+RUNNING_S = 0.1
 
 
 class _Fixture(SpreadFixture):
@@ -84,6 +87,16 @@
         with mock.patch("tests.fakes.nodes.LATENCY_S", BUSY_TRANSIT_S):
             self.assertEqual(_find_late(lost=1), {})
 
+    def test_configuration_is_old_where_nodes_get_a_third_of_a_core(self):
+        """Each stands still for most of the time, and the lead is lost."""
+        late = {}
+        with mock.patch.object(SpreadFixture, "build_options", _Fixture.build_options):
+            for seed in SEEDS:
+                last_s = max(measure_stalled_spread(STALLED_S, RUNNING_S, seed))
+                if last_s > PROMISED_S:
+                    late[seed] = last_s
+        self.assertEqual(late, {})
+
     def test_configuration_is_old_where_the_first_ranks_are_lost(self):
         """The log answers a little slower than usual all the time."""
         self.assertEqual(_find_late(lost=10, answer_s=BUSY_ANSWER_S), {})
