--- a/src/papayatack/core/log_speed.py
+++ b/src/papayatack/core/log_speed.py
@@ -8,7 +8,8 @@
 SLOW_TIME_S = 1.5
 """Time for which the log counts as slow after a slow answer, unless there is news.
 
-Bounds hold again 3 s after a disturbance of the log; this time is over before."""
+A node that hears nothing looks for a configuration itself soon enough for it to be in
+force within 2 s, if the log answers within half a second."""
 
 
 class LogSpeed:
