--- a/src/papayatack/core/config_watch.py
+++ b/src/papayatack/core/config_watch.py
@@ -33,6 +33,9 @@
 """Greatest addition to :data:`MAX_AGE_S`, which differs between nodes so that they do
 not all read at the same moment."""
 
+NO_READER = IncarnationId("")
+"""Name of a node that nobody else knows."""
+
 SLOW_LOG_STEP_S = 0.2
 """Addition to the age for each rank while the log is slow: few nodes read it at a time
 then, as more reads would not make the configuration any younger."""
@@ -57,7 +60,7 @@
         speed: Whether the log answers slowly, from this node's reads and others'.
     """
 
-    def __init__(self, *, reader: IncarnationId = IncarnationId("")) -> None:  # noqa: B008
+    def __init__(self, *, reader: IncarnationId = NO_READER) -> None:
         self.offset = 0
         self.current_s = float("-inf")
         self.read: ConfigRead | None = None
