Let other nodes go on while one stands still in the ownership schedules

A stall between a decision and its execution let the time of all nodes pass. Now the node alone stands still, so that others take its keys meanwhile. With a stall of 2 s the code before gives a key back with an older token: rule "token", key 96, 11/0/1 after 11/1/1 (test ...test_extension_decided_before_a_long_stall_is_not_sent, new, and ...test_extension_decided_before_a_stall_outlasts_no_lease both fail there and pass here).

--- a/tests/fakes/clocks.py
+++ b/tests/fakes/clocks.py
@@ -38,10 +38,6 @@
         """Return the virtual time in seconds."""
         return self._clock.now
 
-    def pass_time(self, duration_s):
-        """Let time pass while a callback runs, as for one that gets no processor."""
-        self._clock.now += duration_s
-
     def freeze(self, process):
         """Hold back all callbacks of a process."""
         self._parked.setdefault(process, [])
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextvars
 import dataclasses
+import functools
 import random
 import types
 
@@ -276,13 +277,27 @@
 
         def execute_later(effects):
             stall_s = slot.find_stall_s(effects)
-            if stall_s:
-                self.checker.record_event(f"{slot.name} stalls for {stall_s:.3f} s")
-                asyncio.get_running_loop().pass_time(stall_s)
-            execute(effects)
+            if not stall_s or slot.is_frozen:
+                execute(effects)
+                return
+            self.checker.record_event(f"{slot.name} stalls for {stall_s:.3f} s")
+            loop = asyncio.get_running_loop()
+            loop.freeze(slot.name)
+            context = contextvars.copy_context()
+            node = (slot.tasks, context, functools.partial(execute, effects))
+            loop.call_later(
+                stall_s, self._go_on, slot, *node, context=contextvars.Context()
+            )
 
         executor.execute = execute_later
 
+    def _go_on(self, slot, tasks, context, execute):
+        """Let a node that stood still execute what it had decided, and go on."""
+        if slot.tasks is tasks:
+            context.run(execute)
+        if not slot.is_frozen:
+            asyncio.get_running_loop().thaw(slot.name)
+
     def build_config(self):
         """Return the config state of a node that starts."""
         return _Config(self.configuration)
--- a/tests/platform/test_ownership_schedules.py
+++ b/tests/platform/test_ownership_schedules.py
@@ -418,6 +418,14 @@
 
     def test_extension_decided_before_a_stall_outlasts_no_lease(self):
         """The node is cut off meanwhile, and killed once it has sent it."""
+        self.assertEqual(self.play_stall(0.7), [])
+
+    def test_extension_decided_before_a_long_stall_is_not_sent(self):
+        """The next owner has the keys with a higher token by then."""
+        self.assertEqual(self.play_stall(2.0), [])
+
+    def play_stall(self, duration_s):
+        """Let a node stand still before an extension; return the violations."""
         fleet = None
 
         async def run():
@@ -438,11 +446,11 @@
                 slot.find_stall_s = lambda effects: 0.0
                 fleet.cut |= {("a", other) for other in others}
                 stalled.set()
-                return 0.7
+                return duration_s
 
             slot.find_stall_s = find_stall_s
             await stalled.wait()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(duration_s + 0.02)
             fleet.kill("a")
             await asyncio.sleep(3.0)
             watching.cancel()
@@ -452,7 +460,7 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         with asyncio.Runner(loop_factory=FreezableLoop) as runner:
             runner.run(run())
-        self.assertEqual(fleet.checker.violations, [])
+        return fleet.checker.violations
 
     def test_grant_that_arrives_as_late_as_allowed_outlasts_no_lease(self):
         """Its node is killed; its upstream is at work when others take its keys."""
