Play restarts under the old id and a slow store beside late grants

Upstreams return under the same id with a newer born, late heartbeats of the life before follow, nodes and upstreams restart together and the store answers after 0.3 or 1.2 s.

--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -93,6 +93,7 @@
         refuse_with: Status with which every call is refused, ``None`` for none.
         lose_answers: Whether appends are done and not answered.
         garble: Whether reads are answered with other bytes.
+        delay_s: Time for which each call waits before it is done.
     """
 
     def __init__(self, *, store: KeyedStore | None = None, port: int = 0) -> None:
@@ -100,6 +101,7 @@
         self.refuse_with: int | None = None
         self.lose_answers = False
         self.garble = False
+        self.delay_s = 0.0
         self._server = CallerServer(
             host="127.0.0.1", port=port, handler=self._handle, metrics=Metrics()
         )
@@ -126,6 +128,7 @@
 
     async def answer(self, request: Request) -> Response:
         """Return the answer to a call, without the era."""
+        await asyncio.sleep(self.delay_s)
         if self.refuse_with is not None:
             return _reply(self.refuse_with, b"{}")
         parts = urlsplit(request.target.decode())
--- a/standins/platformupstream.py
+++ b/standins/platformupstream.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import math
+import time
 import urllib.parse
 
 from papayatack.network.bodies import BytesBody
@@ -59,6 +60,8 @@
         crashing_runs_s: Event loop times at which such requests began to run.
         cold_start_s: How long it is cold after a start.
         cold_until_s: Event loop time until which it says that it is cold.
+        keeps_id: Whether it has the same id after a crash.
+        born_ms: Start of this life in its heartbeats, 0 to leave it out.
         reports_coldness: Whether heartbeats say so; the health check always does.
         arrivals_s: Event loop times at which requests arrived and were not refused with
             421, those of the health check included.
@@ -89,6 +92,8 @@
         self.crashing_runs_s: list[float] = []
         self.cold_start_s = 0.0
         self.cold_until_s = -math.inf
+        self.keeps_id = False
+        self.born_ms = 0
         self.reports_coldness = True
         self.arrivals_s: list[float] = []
         self._restart: asyncio.Task[None] | None = None
@@ -139,7 +144,10 @@
         await self._server.stop(timeout_s=0.0)
         self.grants.clear()
         await asyncio.sleep(self.down_s)
-        self.instance = f"{self._first_instance}-{len(self.crashes_s)}"
+        if not self.keeps_id:
+            self.instance = f"{self._first_instance}-{len(self.crashes_s)}"
+        if self.born_ms:
+            self.born_ms = int(time.time() * MS_PER_S)
         self._server = self._build_server(port)
         self.become_cold(self.cold_start_s)
         await self._server.start()
@@ -169,6 +177,12 @@
                 "ColdRemaining": f"{cold_ms}ms",
             },
         }
+        if self.born_ms:
+            document["born"] = self.born_ms
+        return await self.post_heartbeat(control_port, document)
+
+    async def post_heartbeat(self, control_port: int, document: dict) -> int:
+        """Send the document of a heartbeat; return the status."""
         status, _ = await call(
             control_port,
             f"/instances/{self.instance}/heartbeat",
--- a/tests/fakes/grantrecords.py
+++ b/tests/fakes/grantrecords.py
@@ -148,6 +148,7 @@
     Attributes:
         relay: The relay between the node and it.
         records: Where its holds are recorded.
+        last_heartbeat: Document of the last heartbeat.
         stopped: Intervals in which its node was stopped; the last may be open.
     """
 
@@ -156,6 +157,7 @@
         self.relay = relay
         self.records = records
         self.stopped = []
+        self.last_heartbeat = None
 
     @property
     def address(self):
@@ -179,6 +181,11 @@
         self.end_holds()
         super().crash()
 
+    async def post_heartbeat(self, control_port, document):
+        """Send a heartbeat, and keep it to be sent late."""
+        self.last_heartbeat = document
+        return await super().post_heartbeat(control_port, document)
+
     def _is_excused(self, delay_s):
         now = asyncio.get_running_loop().time()
         since_s = now - max(delay_s, THAW_SLACK_S)
--- a/tests/platform/test_late_grants.py
+++ b/tests/platform/test_late_grants.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+import time
 import unittest
 
 from standins.platformstore import StoreServer
@@ -43,6 +44,8 @@
             service=self.upstream.service,
             place=fields["place"],
         )
+        self.upstream.keeps_id = True
+        self.upstream.born_ms = int(time.time() * 1000)
 
     async def start(self):
         """Start the relay, the upstream and the node."""
@@ -99,7 +102,7 @@
         """Run the play; return the violations."""
         async with contextlib.AsyncExitStack() as stack:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-            store = StoreServer()
+            self._store = store = StoreServer()
             await store.start()
             stack.push_async_callback(store.stop)
             store.store.append("keyed.op", b"config", build_manifest())
@@ -225,7 +228,26 @@
     async def crash_upstream(self, machine):
         """End the upstream, which starts again."""
         machine.upstream.down_s = self._random.choice([0.1, 0.5, 1.5])
+        late = machine.upstream.last_heartbeat
         machine.upstream.crash()
+        for _ in range(6):
+            await asyncio.sleep(0.5)
+            if late is not None and machine.runs:
+                late["Status"]["Seq"] += 1
+                await machine.upstream.post_heartbeat(machine.ports["desk"], late)
+
+    async def restart_both(self, machine):
+        """Kill the node, and crash the upstream while it starts again."""
+        machine.process.kill()
+        await machine.process.wait()
+        await machine.restart()
+        await self.crash_upstream(machine)
+
+    async def slow_store(self, machine):
+        """Let the store answer slowly."""
+        self._store.delay_s = self._random.choice([0.3, 1.2])
+        await asyncio.sleep(self._random.choice([1.0, 3.0]))
+        self._store.delay_s = 0.0
 
 
 FAULTS = (
@@ -238,6 +260,8 @@
     Play.throttle,
     Play.end,
     Play.crash_upstream,
+    Play.restart_both,
+    Play.slow_store,
 )
 
 
