Play random orders of config records, malformed ones and ends

100 seeds of 30 steps: valid and malformed records and ends of the stream come singly or at once while a record is decoded. The version never falls, the newest valid one is in force in the end, and an end is confirmed only at the version that the log had by then.

--- a/tests/control/test_config_applying.py
+++ b/tests/control/test_config_applying.py
@@ -1,6 +1,8 @@
 """Tests of papayatack.control.config_applying."""
 
 import asyncio
+import logging
+import random
 
 from papayatack.control.config_applying import ConfigApplier, StoredConfig
 from papayatack.control.provenance import Provenance
@@ -12,6 +14,8 @@
 
 MALFORMED = b"{}"
 DECODE_S = 0.2
+SEEDS = 100
+STEPS = 30
 
 
 class SlowDecoder(ManifestDecoder):
@@ -30,17 +34,21 @@
         self.config = ManifestFold(places=PLACES)
         self.applied = []
         self.confirmed = []
+        self.versions = []
         self.applier = ConfigApplier(
             config=self.config,
             decoder=SlowDecoder(places=PLACES, metrics=Metrics()),
             on_applied=lambda logged, provenance: self.applied.append(logged.offset),
-            on_end=lambda end: self.confirmed.append(
-                (end.time_s, self.config.next_offset)
-            ),
+            on_end=self.note_end,
         )
         task = asyncio.create_task(self.applier.run())
         self.addCleanup(task.cancel)
 
+    def note_end(self, end):
+        """Note an end that is confirmed, and by which state."""
+        self.confirmed.append((end.time_s, self.config.next_offset))
+        self.versions.append((end.time_s, self.config.version))
+
     def put(self, offset, payload):
         """Queue a record."""
         self.applier.put(
@@ -94,3 +102,42 @@
             await asyncio.sleep(3 * DECODE_S)
         self.assertEqual(self.config.version, 2)
         self.assertEqual(self.confirmed, [(10.0, 7)])
+
+    async def test_newest_valid_version_is_in_force_whatever_comes_when(self):
+        """An end is confirmed only at the version that the log had by then."""
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                await self.play(random.Random(seed))
+
+    async def play(self, rng):
+        """Queue records and ends at random moments, some of them at once."""
+        stored = {}
+        self.versions.clear()
+        self.applied.clear()
+        seen = [self.config.version]
+        offset, version = self.config.next_offset, self.config.version
+        for _ in range(STEPS):
+            if rng.random() < 0.5:
+                await asyncio.sleep(rng.random() * 2 * DECODE_S)
+            seen.append(self.config.version)
+            match rng.randrange(4):
+                case 0:
+                    self.put(offset, MALFORMED)
+                    offset += rng.randint(1, 3)
+                case 1 | 2:
+                    version += 1
+                    self.put_version(offset, version)
+                    offset += rng.randint(1, 3)
+                case 3:
+                    number = float(len(stored))
+                    stored[number] = version
+                    self.put_end(number)
+        await asyncio.sleep(STEPS * DECODE_S)
+        self.assertEqual(self.config.version, version)
+        self.assertEqual(seen, sorted(seen))
+        self.assertEqual(self.applied, sorted(self.applied))
+        for number, confirmed in self.versions:
+            self.assertGreaterEqual(confirmed, stored[number])
+        self.assertEqual([number for number, _ in self.versions[-1:]], [*stored][-1:])
