--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,6 +17,7 @@
 
 PORT_RANGE = (20_000, 32_000)
 _given_ports: set[int] = set()
+_share = {"part": 0, "parts": 1}
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 20.0
@@ -208,6 +209,16 @@
             )
 
 
+def share_ports(*, part: int, parts: int) -> None:
+    """Have :func:`pick_ports` leave the ports of other processes of the tests alone.
+
+    Args:
+        part: Number of this process, from 0.
+        parts: Number of processes that pick ports at the same time.
+    """
+    _share.update(part=part, parts=parts)
+
+
 def pick_ports(count: int) -> list[int]:
     """Return free ports on loopback, each given out once by this process.
 
@@ -217,7 +228,8 @@
     found: list[int] = []
     while len(found) < count:
         port = random.randrange(*PORT_RANGE)
-        if port in _given_ports or not _is_free(port):
+        is_other = port % _share["parts"] != _share["part"]
+        if is_other or port in _given_ports or not _is_free(port):
             continue
         _given_ports.add(port)
         found.append(port)
--- a/tests/running.py
+++ b/tests/running.py
@@ -10,6 +10,8 @@
 
 import hypothesis
 
+from standins.fleet import share_ports
+
 __all__ = ["ROOT", "Report", "run_all_tests", "run_tests"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -27,6 +29,7 @@
     "tests.platform.test_evacuation_records",
     "tests.platform.test_grants",
     "tests.platform.test_heartbeats",
+    "tests.platform.test_late_grants",
     "tests.platform.test_late_requests",
     "tests.platform.test_lone_node",
     "tests.platform.test_operations",
@@ -46,6 +49,19 @@
 """Tests with real sockets or processes. They run one after the other once the others,
 which run on virtual time, have ended: no other test takes the time that they need."""
 
+WAITING = (
+    "tests.platform.test_cold_process",
+    "tests.platform.test_config_process",
+    "tests.platform.test_evacuation_process",
+    "tests.platform.test_late_grants",
+    "tests.platform.test_late_requests",
+    "tests.platform.test_lone_node",
+    "tests.platform.test_starting_node",
+    "tests.platform.test_store_return",
+)
+"""Those of ``REAL_TIME`` that wait for most of their time. They run one after the other
+beside the rest, so that all tests end within ten minutes."""
+
 SLOWEST_FIRST = (
     "tests.platform.test_evacuation_moves",
     "tests.platform.test_evacuation",
@@ -163,11 +179,24 @@
     real = [module for module in modules if is_real_time(module)]
     virtual = [module for module in modules if not is_real_time(module)]
     virtual = sort_slowest_first(virtual)
+    waiting = [module for module in real if module in WAITING]
+    others = [module for module in real if module not in WAITING]
     total = Report()
-    with concurrent.futures.ProcessPoolExecutor(
-        os.cpu_count(), multiprocessing.get_context("spawn")
-    ) as pool:
+    with _start_processes(os.cpu_count()) as pool:
         for done in pool.map(run_tests, [[module] for module in virtual]):
             total.add(done)
-    total.add(run_tests(real))
+    with _start_processes(2) as pool:
+        for done in pool.map(_run_lane, (0, 1), (2, 2), (others, waiting)):
+            total.add(done)
     return total
+
+
+def _run_lane(part, parts, names):
+    """Run tests beside those of other processes."""
+    share_ports(part=part, parts=parts)
+    return run_tests(names)
+
+
+def _start_processes(count):
+    context = multiprocessing.get_context("spawn")
+    return concurrent.futures.ProcessPoolExecutor(count, context)
