Split the calls of upstreams and their log lines off the client of grants

The calls that were sent are typed in place of pairs. The two fakes that measure how a configuration spreads share how a fleet is started and watched.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -8,23 +8,17 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
-import logging
 from collections.abc import Callable, Collection, Iterable, Mapping
 
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.core.ownership.grant_history import GrantHistory
 from papayatack.core.shards import is_hot_shard, parse_slice
-from papayatack.network.exchanges import Response, find_header
-from papayatack.network.grants import build_json_request
-from papayatack.network.upstream_connection import ResponseMatcher
+from papayatack.network.exchanges import Response
 from papayatack.network.upstreams import UpstreamPool
-from papayatack.observability.events import Event, log_event
-from papayatack.platform.fields import REQUEST_ID, SIGNATURE
+from papayatack.platform.grant_lines import SentGrant, log_failures, log_late_answer
 from papayatack.platform.ranges import (
     KeyRange,
     build_range_document,
@@ -34,13 +28,10 @@
     merge_ranges,
     split_handovers,
 )
-from papayatack.proxy.buffering import buffer_response
+from papayatack.platform.upstream_calls import NOT_SENT, call_upstream
 
-__all__ = ["MAX_DELIVERY_S", "RangeGrantClient", "build_response_matcher"]
+__all__ = ["MAX_DELIVERY_S", "RangeGrantClient"]
 
-LOGGER = logging.getLogger(__name__)
-
-MS_PER_S = 1000
 MAX_CLOCK_RATE_ERROR = 0.02
 MAX_DELIVERY_S = 0.3
 """Maximum time that a grant takes to reach the upstream on the same machine."""
@@ -61,7 +52,6 @@
 """Maximum number of concurrent release calls. Each lasts as long as the requests that
 run under the released grant."""
 
-MAX_RANGES_LOGGED = 4
 LATE_ANSWER_S = 0.1
 """Time from sending a grant to its answer from which it is logged as late."""
 
@@ -70,8 +60,6 @@
 
 RENEWAL_MARGIN_S = 0.3
 OK = 200
-NOT_SENT = Response(status=0)
-"""Placeholder response of a call that was never sent to the upstream."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -285,7 +273,7 @@
         ]
         failed.extend((part, NOT_SENT) for part in withheld)
         if failed:
-            _log_failures(failed, remaining_s=end_s - asyncio.get_running_loop().time())
+            log_failures(failed, remaining_s=end_s - asyncio.get_running_loop().time())
         for shard, token in tokens.items():
             _, first, last = parse_slice(shard)
             missing = any(
@@ -390,8 +378,7 @@
         once a connection is available. The token is checked again at that time, as the
         keys may have got a higher one in the meantime.
         """
-
-        sent: list[tuple[float, float]] = []
+        sent: list[SentGrant] = []
 
         def build_document() -> Mapping[str, object] | None:
             now = asyncio.get_running_loop().time()
@@ -402,7 +389,7 @@
             if process.ended.is_set() or hold_s < MIN_HOLD_S or not is_accepted:
                 return None
             self._history.note_sent(first, last, token, end_s)
-            sent.append((now, hold_s))
+            sent.append(SentGrant(sent_s=now, hold_s=hold_s))
             return build_range_document(key_range, hold_s)
 
         response_timeout_s = FIRST_RESPONSE_TIMEOUT_S
@@ -410,8 +397,8 @@
         while True:
             async with self._grant_slots:
                 previous = response
-                response = await self._call(
-                    process, b"/grant", build_document, end_s, response_timeout_s
+                response = await call_upstream(
+                    process.pool, b"/grant", build_document, end_s, response_timeout_s
                 )
             if response is not None:
                 self._record_answered(process, key_range, sent, end_s)
@@ -431,7 +418,7 @@
         self,
         process: _UpstreamProcess,
         key_range: KeyRange,
-        sent: list[tuple[float, float]],
+        sent: list[SentGrant],
         end_s: float,
     ) -> None:
         """Record until when the upstream may hold a grant that it answered late.
@@ -442,131 +429,30 @@
         if not sent or process.ended.is_set():
             return
         now = asyncio.get_running_loop().time()
-        sent_s, hold_s = sent[-1]
-        if now - sent_s < PROMPT_ANSWER_S and len(sent) == 1:
+        last = sent[-1]
+        if now - last.sent_s < PROMPT_ANSWER_S and len(sent) == 1:
             return
-        until_s = now + hold_s / (1 - MAX_CLOCK_RATE_ERROR)
-        first, last, token = key_range.first, key_range.last, key_range.token
-        self._history.note_sent(first, last, token, until_s)
+        until_s = now + last.hold_s / (1 - MAX_CLOCK_RATE_ERROR)
+        keys = key_range.first, key_range.last
+        self._history.note_sent(*keys, key_range.token, until_s)
         if len(sent) > 1:
-            self._history.note_unanswered(first, last, until_s)
-        if now - sent[0][0] >= LATE_ANSWER_S:
-            _log_late_answer(key_range, sent, end_s)
+            self._history.note_unanswered(*keys, until_s)
+        if now - sent[0].sent_s >= LATE_ANSWER_S:
+            log_late_answer(key_range, sent, end_s=end_s, until_s=until_s)
 
     async def _call_release(
         self, process: _UpstreamProcess, key_range: KeyRange
     ) -> Response | None:
         end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         async with self._release_slots:
-            return await self._call(
-                process,
+            return await call_upstream(
+                process.pool,
                 b"/release",
                 lambda: build_range_document(key_range),
                 end_s,
                 RELEASE_TIMEOUT_S,
             )
 
-    async def _call(
-        self,
-        process: _UpstreamProcess,
-        target: bytes,
-        build_document: Callable[[], Mapping[str, object] | None],
-        deadline_s: float,
-        response_timeout_s: float,
-    ) -> Response | None:
-        """Return the upstream's response, ``None`` if the outcome is unknown.
-
-        Args:
-            process: The upstream process to call.
-            target: Path of the call.
-            build_document: Returns the request document once a connection is available,
-                ``None`` if the call must no longer be sent.
-            deadline_s: Event loop time by which the response must have arrived.
-            response_timeout_s: Maximum time to wait for the response after sending.
-        """
-        pool = process.pool
-        if pool is None:
-            return NOT_SENT
-        reserved = await pool.reserve(deadline_s=deadline_s)
-        if not is_successful(reserved):
-            return NOT_SENT
-        connection = reserved.unwrap()
-        document = build_document()
-        if document is None:
-            pool.return_connection(connection)
-            return NOT_SENT
-        data = json.dumps(document).encode()
-        request = build_json_request(pool.address, b"POST", target, data)
-        sent_s = asyncio.get_running_loop().time()
-        result = await connection.exchange(
-            request,
-            deadline_s=min(deadline_s, sent_s + response_timeout_s),
-            matches_request=build_response_matcher(),
-        )
-        if not is_successful(result):
-            return None
-        buffered = await buffer_response(result.unwrap())
-        return buffered.unwrap() if is_successful(buffered) else None
-
-
-def build_response_matcher() -> ResponseMatcher:
-    """Return a function that tells answers to grants from late ones to requests.
-
-    Both use the same connections; only requests have ids, and signed responses.
-    """
-    names = (REQUEST_ID, SIGNATURE)
-    return lambda headers: all(find_header(headers, name) is None for name in names)
-
-
-def _log_late_answer(
-    key_range: KeyRange, sent: list[tuple[float, float]], end_s: float
-) -> None:
-    """Log a grant that was answered late, and for how long it may outlast its lease.
-
-    Args:
-        key_range: The keys.
-        sent: Event loop time and duration of each call.
-        end_s: End that the node reckons with.
-    """
-    now = asyncio.get_running_loop().time()
-    first_s, _ = sent[0]
-    last_s, hold_s = sent[-1]
-    log_event(
-        LOGGER,
-        Event.GRANT_LATE,
-        level=logging.WARNING,
-        reason="answered",
-        keys=f"{key_range.first}-{key_range.last}",
-        token=key_range.token,
-        calls=len(sent),
-        first_ms=int((now - first_s) * MS_PER_S),
-        answer_ms=int((now - last_s) * MS_PER_S),
-        hold_ms=int(hold_s * MS_PER_S),
-        left_ms=int((end_s - now) * MS_PER_S),
-        over_ms=int((now + hold_s / (1 - MAX_CLOCK_RATE_ERROR) - end_s) * MS_PER_S),
-    )
-
-
-def _log_failures(
-    failed: list[tuple[KeyRange, Response | None]], remaining_s: float
-) -> None:
-    """Log the ranges that the upstream did not confirm, with its responses."""
-    log_event(
-        LOGGER,
-        Event.GRANT_FAILED,
-        level=logging.WARNING,
-        count=len(failed),
-        left_ms=int(remaining_s * MS_PER_S),
-        ranges=[
-            {
-                "keys": f"{part.first}-{part.last}",
-                "token": part.token,
-                "status": response.status if response is not None else None,
-            }
-            for part, response in failed[:MAX_RANGES_LOGGED]
-        ],
-    )
-
 
 def _refuse(detail: str) -> Failure[Refusal]:
     return Failure(Refusal(kind=ErrorKind.GRANT_REFUSED, detail=detail))
--- a/tests/fakes/spread.py
+++ b/tests/fakes/spread.py
@@ -30,6 +30,8 @@
     "measure_spread_after",
     "measure_thaw",
     "measure_two_changes",
+    "start_fleet",
+    "watch_version",
 ]
 
 NODES = 76
@@ -214,21 +216,21 @@
 """What befalls the log and is over before a fault strikes, by the trouble's name."""
 
 
-async def _watch(nodes, version):
+async def watch_version(nodes, version, *, watched_s=WATCHED_S):
     """Return the seconds from now until each node has a version."""
     loop = asyncio.get_running_loop()
     started_s = loop.time()
     left = dict(nodes)
     delays_s = []
-    while left and loop.time() < started_s + WATCHED_S:
+    while left and loop.time() < started_s + watched_s:
         await asyncio.sleep(LOOK_S)
         for address in [a for a, n in left.items() if n.config.version >= version]:
             del left[address]
             delays_s.append(loop.time() - started_s)
-    return delays_s + [WATCHED_S for _ in left]
+    return delays_s + [watched_s for _ in left]
 
 
-async def _start_fleet(seed, nodes):
+async def start_fleet(seed, nodes):
     """Return a fleet that has settled, at a random moment."""
     fixture = SpreadFixture(seed=seed, tailing=POLICY)
     fixture.publish()
@@ -239,7 +241,7 @@
 
 
 async def _measure_twice(seed, nodes):
-    fixture = await _start_fleet(seed, nodes)
+    fixture = await start_fleet(seed, nodes)
     for version in (2, 3):
         await fixture.kill(fixture.find_lead())
         fixture.publish(
@@ -250,13 +252,13 @@
         if version == 2:
             await asyncio.sleep(BETWEEN_S)
     fixture.start("late", "dc0")
-    delays_s = await _watch(fixture.network.nodes, 3)
+    delays_s = await watch_version(fixture.network.nodes, 3)
     await fixture.stop()
     return delays_s
 
 
 async def _measure_thaw(seed, nodes, loop):
-    fixture = await _start_fleet(seed, nodes)
+    fixture = await start_fleet(seed, nodes)
     frozen = fixture.choose_third()
     await _freeze(fixture, frozen)
     changed = INVENTORY.replace("slots = 4", "slots = 5")
@@ -265,7 +267,7 @@
     for address in frozen:
         loop.thaw(address)
     thawed = {address: fixture.network.nodes[address] for address in frozen}
-    delays_s = await _watch(thawed, 2)
+    delays_s = await watch_version(thawed, 2)
     await fixture.stop()
     return delays_s
 
@@ -294,7 +296,7 @@
 
 
 async def _measure(fault, seed, nodes, loop, trouble=None, pause_s=0.0):
-    fixture = await _start_fleet(seed, nodes)
+    fixture = await start_fleet(seed, nodes)
     if trouble is not None:
         await LOG_TROUBLES[trouble](fixture)
         await asyncio.sleep(pause_s)
@@ -305,7 +307,7 @@
     left = {a: n for a, n in fixture.network.nodes.items() if a not in out_of_touch}
     changed = INVENTORY.replace("slots = 4", "slots = 5")
     fixture.publish(changed, base_version=1, record_id="p2")
-    delays_s = await _watch(left, 2)
+    delays_s = await watch_version(left, 2)
     for address in struck:
         loop.thaw(address)
     await fixture.stop()
--- a/tests/fakes/stalls.py
+++ b/tests/fakes/stalls.py
@@ -10,16 +10,13 @@
 
 from tests.fakes.clocks import FreezableLoop
 from tests.fakes.nodes import INVENTORY, LATENCY_S
-from tests.fakes.spread import POLICY, SpreadFixture
+from tests.fakes.spread import start_fleet, watch_version
 
 __all__ = ["measure_delayed_spread", "measure_stalled_spread"]
 
 NODES = 40
-DATA_CENTRES = 5
-STARTUP_S = 12.0
 DISTURBED_S = 5.0
 WATCHED_S = 8.0
-LOOK_S = 0.01
 STALLS = ((0.2, 0.1), (0.2, 0.02), (0.3, 0.1), (0.5, 0.1), (0.16, 0.01))
 """Seconds for which each node stands still, and then runs."""
 
@@ -41,39 +38,16 @@
         loop.thaw(address)
 
 
-async def _watch(nodes, version):
-    """Return the seconds from now until each node has a version."""
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
-    left = dict(nodes)
-    delays_s = []
-    while left and loop.time() < started_s + WATCHED_S:
-        await asyncio.sleep(LOOK_S)
-        for address in [a for a, n in left.items() if n.config.version >= version]:
-            del left[address]
-            delays_s.append(loop.time() - started_s)
-    return delays_s + [WATCHED_S for _ in left]
-
-
-async def _start_fleet(seed, nodes):
-    """Return a fleet that has settled, at a random moment."""
-    fixture = SpreadFixture(seed=seed, tailing=POLICY)
-    fixture.publish()
-    for number in range(nodes):
-        fixture.start(f"s{seed}n{number}", f"dc{number % DATA_CENTRES}")
-    await asyncio.sleep(STARTUP_S + fixture.random.random())
-    return fixture
-
-
 async def _measure_change(fixture):
     """Store a configuration; return the seconds until each node has it."""
     changed = INVENTORY.replace("slots = 4", "slots = 5")
     fixture.publish(changed, base_version=1, record_id="p2")
-    return await _watch(fixture.network.nodes, 2)
+    nodes = fixture.network.nodes
+    return await watch_version(nodes, 2, watched_s=WATCHED_S)
 
 
 async def _measure_stalled(stalled_s, running_s, seed, nodes):
-    fixture = await _start_fleet(seed, nodes)
+    fixture = await start_fleet(seed, nodes)
     stalls = {
         address: asyncio.create_task(
             _stall(address, stalled_s, running_s, fixture.random)
@@ -110,7 +84,7 @@
 
 
 async def _measure_delayed(shortest_s, longest_s, seed, nodes):
-    fixture = await _start_fleet(seed, nodes)
+    fixture = await start_fleet(seed, nodes)
     _delay_messages(fixture, shortest_s, longest_s)
     await asyncio.sleep(DISTURBED_S)
     await fixture.kill(fixture.find_lead())
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -142,7 +142,7 @@
     async def test_late_answer_is_logged_with_what_may_outlast_the_lease(self):
         """The grant's time counts from an arrival that only the answer bounds."""
         self.upstream.grant_delay_s = 0.15
-        with self.assertLogs("papayatack.platform.grants", "WARNING") as logs:
+        with self.assertLogs("papayatack.platform.grant_lines", "WARNING") as logs:
             await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
         (line,) = logs.records
         self.assertEqual((line.name_of_event, line.reason), ("GRANT_LATE", "answered"))
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -12,7 +12,7 @@
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.fields import PlatformDialect
-from papayatack.platform.grants import build_response_matcher
+from papayatack.platform.upstream_calls import build_response_matcher
 from papayatack.proxy.local import LocalServer
 from tests.proxy.fakes import FakeGate, FakeOwnership, build_peer_request
 
