Say each second how far a node is that still loads the ownership stream

Cause: of 22 nodes that were watched for 19 s after the return none wrote a line, so that a read that fails, a wait and slow work could not be told apart.

--- a/src/papayatack/logservice/bootstrap.py
+++ b/src/papayatack/logservice/bootstrap.py
@@ -19,7 +19,7 @@
 from papayatack.logservice.backoff import Backoff
 from papayatack.logservice.decoding import LoggedRecord, RecordDecoder
 from papayatack.logservice.interface import LogFailureKind, LogService
-from papayatack.observability.events import Event, log_event
+from papayatack.observability.events import Event, log_event, to_ms
 from papayatack.observability.metrics import Metrics
 
 __all__ = ["BootstrapFailure", "BootstrapFailureKind", "LoadedStream", "load_stream"]
@@ -40,6 +40,9 @@
 """Longest delay after a failed read. With :data:`ANSWER_TIMEOUT_S`, a node that starts
 without the service reads at most 3 s after its return."""
 
+REPORT_INTERVAL_S = 1.0
+"""Interval at which a node that still loads a stream logs how far it is."""
+
 State = TypeVar("State")
 
 
@@ -100,6 +103,11 @@
         assembler: Holds the incomplete checkpoints.
         at_end: Whether the end of the stream was reached, so that the next read waits
             for new records.
+        end: End of the stream at the last read.
+        started_s: Event loop time at which loading began.
+        reads: Number of reads that were answered.
+        failed_reads: Number of reads that were not.
+        last_failure: Detail of the last of these.
     """
 
     first: int = 0
@@ -109,6 +117,11 @@
         default_factory=CheckpointAssembler
     )
     at_end: bool = False
+    end: int = 0
+    started_s: float = 0.0
+    reads: int = 0
+    failed_reads: int = 0
+    last_failure: str = ""
 
     @property
     def next_offset(self) -> int:
@@ -162,10 +175,11 @@
         random: Source of the backoff's jitter.
         deadline_s: Event loop time at which to give up.
     """
-    progress = _ReadProgress()
+    progress = _ReadProgress(started_s=asyncio.get_running_loop().time())
     decoder = RecordDecoder(metrics=metrics)
     backoff = Backoff(initial_s=INITIAL_BACKOFF_S, max_s=MAX_BACKOFF_S, random=random)
     failure = BootstrapFailureKind.LOG_UNAVAILABLE
+    reporting = asyncio.ensure_future(_report_progress(progress, stream))
     try:
         async with asyncio.timeout_at(deadline_s):
             while True:
@@ -178,10 +192,35 @@
                     progress, stream, create, load, metrics
                 )
                 if loaded is not None:
-                    return _report_loaded(loaded, stream, metrics)
+                    return _report_loaded(loaded, progress, stream, metrics)
                 failure = BootstrapFailureKind.NO_CHECKPOINT
     except TimeoutError:
         return _report_failure(failure, progress, stream, metrics)
+    finally:
+        reporting.cancel()
+
+
+async def _report_progress(progress: _ReadProgress, stream: str) -> None:
+    """Log at intervals how far loading has come, until cancelled."""
+    while True:
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        log_event(
+            LOGGER,
+            Event.BOOTSTRAP_WAITING,
+            level=logging.WARNING,
+            stream=stream,
+            first=progress.first,
+            records=len(progress.records),
+            end=progress.end,
+            reads=progress.reads,
+            failed=progress.failed_reads,
+            detail=progress.last_failure,
+            waited_ms=_measure_wait_ms(progress),
+        )
+
+
+def _measure_wait_ms(progress: _ReadProgress) -> int:
+    return to_ms(asyncio.get_running_loop().time() - progress.started_s)
 
 
 async def _read_page(
@@ -201,11 +240,17 @@
         case Success(page):
             for logged in decoder.decode_page(stream, page.first, page.payloads):
                 progress.add(logged)
+            progress.reads += 1
+            progress.end = page.end
             progress.at_end = progress.next_offset >= page.end
             return True
         case Failure(failure) if failure.kind is LogFailureKind.EXPIRED:
+            progress.reads += 1
             progress.restart(failure.first)
             return True
+        case Failure(failure):
+            progress.failed_reads += 1
+            progress.last_failure = failure.detail
     return False
 
 
@@ -261,7 +306,10 @@
 
 
 def _report_loaded(
-    loaded: LoadedStream[State], stream: str, metrics: Metrics
+    loaded: LoadedStream[State],
+    progress: _ReadProgress,
+    stream: str,
+    metrics: Metrics,
 ) -> Result[LoadedStream[State], BootstrapFailure]:
     checkpoint = loaded.checkpoint
     metrics.count("bootstrap", "from-checkpoint" if checkpoint else "from-start")
@@ -271,6 +319,9 @@
         stream=stream,
         covers=checkpoint.covers if checkpoint else 0,
         next_offset=loaded.next_offset,
+        reads=progress.reads,
+        failed=progress.failed_reads,
+        waited_ms=_measure_wait_ms(progress),
     )
     return Success(loaded)
 
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -13,7 +13,6 @@
 
 from papayatack.core.records import CONFIG_STREAM, OWNERSHIP_STREAM
 from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
-from papayatack.network.exchanges import Headers
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.eras import EraTracker
 
@@ -112,7 +111,8 @@
     Args:
         host: IP address of the store.
         port: TCP port of the store.
-        metrics: Counts ``store_calls`` by kind and stream.
+        metrics: Counts ``store_calls`` by kind and stream, and ``store_bytes`` of
+            the responses by the same.
 
     Attributes:
         eras: Follows the era that the store names.
@@ -152,8 +152,7 @@
             query["At"] = at
         call.target = f"/log-append?{urllib.parse.urlencode(query)}"
         call.body = b"".join(_encode_record(key, value) for key, value in records)
-        self._metrics.count("store_calls", f"append {_STREAMS[topic]}")
-        status, content, _ = await self._call(call, timeout_s)
+        status, content = await self._call(call, f"append {_STREAMS[topic]}", timeout_s)
         if status != http.HTTPStatus.OK:
             return AppendedRecords(status=status)
         response = _AppendResponse.model_validate_json(content)
@@ -187,9 +186,8 @@
             }
         )
         call = HttpCall(method="GET", target=f"/log-read?{query}")
-        self._metrics.count("store_calls", f"read {_STREAMS[topic]}")
         era = self.eras.era
-        status, content, _ = await self._call(call, timeout_s)
+        status, content = await self._call(call, f"read {_STREAMS[topic]}", timeout_s)
         if status == http.HTTPStatus.GONE and era in (None, self.eras.era):
             return await self.read_newest(topic, offset, timeout_s=timeout_s)
         if status != http.HTTPStatus.OK:
@@ -238,21 +236,23 @@
         call = HttpCall(
             method="GET", target=f"/log-newest?{urllib.parse.urlencode(query)}"
         )
-        self._metrics.count("store_calls", f"newest {_STREAMS[topic]}")
-        status, content, _ = await self._call(call, timeout_s)
+        status, content = await self._call(call, f"newest {_STREAMS[topic]}", timeout_s)
         if status != http.HTTPStatus.OK:
             raise ResponseError(f"status {status}")
         return _NewestResponse.model_validate_json(content)
 
     async def _call(
-        self, call: HttpCall, timeout_s: float
-    ) -> tuple[int, bytes, Headers]:
+        self, call: HttpCall, label: str, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Send a call that is counted under a label; return status and content."""
+        self._metrics.count("store_calls", label)
         status, content, headers = await self._caller.call_with_headers(
             call, timeout_s=timeout_s
         )
+        self._metrics.count("store_bytes", label, amount=len(content))
         if not self.eras.observe(headers):
             raise ResponseError("the response is of an earlier era of the store")
-        return status, content, headers
+        return status, content
 
 
 def _encode_record(key: bytes, value: bytes) -> bytes:
--- a/tests/logservice/test_bootstrap.py
+++ b/tests/logservice/test_bootstrap.py
@@ -8,6 +8,7 @@
 from papayatack.core.checkpoint import split_document
 from papayatack.core.records import OWNERSHIP_STREAM
 from papayatack.logservice.bootstrap import BootstrapFailureKind, load_stream
+from papayatack.observability.events import Event
 from papayatack.wire.records import encode_record
 from standins.logstore import InProcessLog, Outage
 from tests.logservice.helpers import LogFixture, VirtualTimeTestCase, make_payload
@@ -238,3 +239,23 @@
             self.assertEqual((await task).unwrap().state, [])
 
         self.run_virtually(check())
+
+    def test_node_that_still_loads_says_how_far_it_is(self):
+        """Each second a line has the records, the failed reads and their reason."""
+
+        async def check():
+            fixture = LogFixture()
+            append_records(fixture, 5)
+            fixture.store.faults.outage = Outage.REFUSE
+            logger = "papayatack.logservice.bootstrap"
+            with self.assertLogs(logger, level="WARNING") as logged:
+                (await load(fixture, deadline_s=2.5)).failure()
+            lines = [
+                line for line in logged.records if line.event == Event.BOOTSTRAP_WAITING
+            ]
+            self.assertEqual([line.waited_ms for line in lines], [1000, 2000])
+            self.assertEqual({(line.records, line.reads) for line in lines}, {(0, 0)})
+            self.assertGreater(lines[1].failed, lines[0].failed)
+            self.assertTrue(lines[0].detail)
+
+        self.run_virtually(check())
