Keep what a read of the history has brought, whatever comes after it

What callers saw: 503 for everything, for as long as it was watched, after all VMs of a large site had lost power. Cause: a node that starts reads all records of the ownership topic. Once the store has dropped its history these come as pages of the newest record of each key. All pages were read for each 500 records that the loader took, so that 2,153 records cost five times their bytes; one page that took over 2 s, or was refused, threw away all pages before it; and a response was given up after 2 s whatever had arrived of it. So the load on the store and on the links grew with each retry and kept the reads of all nodes from ending. Change: ReadAhead keeps the records that the loader did not take yet, goes on with the page that failed, and a response that keeps arriving is given up only when it stops for 2 s. A node that has loaded the stream reads as before.

--- a/src/papayatack/logservice/calls.py
+++ b/src/papayatack/logservice/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 import h11
 
@@ -101,28 +102,48 @@
         return status, content
 
     async def call_with_headers(
-        self, call: HttpCall, *, timeout_s: float
+        self,
+        call: HttpCall,
+        *,
+        timeout_s: float,
+        idle_timeout_s: float | None = None,
     ) -> tuple[int, bytes, Headers]:
         """Send a request and return the response's status, content and headers.
 
+        Args:
+            call: The request.
+            timeout_s: Seconds after which the call is given up.
+            idle_timeout_s: If given, a call whose response has begun to arrive is given
+                up only if nothing arrives for so many seconds.
+
         Raises:
-            OSError: No response arrived within ``timeout_s`` seconds, or at all.
+            OSError: No response arrived in time, or at all.
             h11.ProtocolError: The response is not valid HTTP.
             ResponseError: The response is too large, or the connection was closed.
         """
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._call(call)
+            async with asyncio.timeout(timeout_s) as limit:
+
+                def extend() -> None:
+                    if idle_timeout_s is not None:
+                        limit.reschedule(loop.time() + idle_timeout_s)
+
+                return await self._call(call, extend)
         except TimeoutError:
             # A network that lost one open connection may have lost all of them.
             self._retire_idle()
             raise
 
-    async def _call(self, call: HttpCall) -> tuple[int, bytes, Headers]:
+    async def _call(
+        self, call: HttpCall, on_data: Callable[[], None]
+    ) -> tuple[int, bytes, Headers]:
         connection = await self._acquire_connection()
         try:
             await self._send(connection, call)
-            response = await _receive_response(connection, self._max_response_bytes)
+            response = await _receive_response(
+                connection, self._max_response_bytes, on_data
+            )
         except BaseException:
             connection.writer.close()
             raise
@@ -173,8 +194,11 @@
 
 
 async def _receive_response(
-    connection: _Connection, max_content_bytes: int
+    connection: _Connection,
+    max_content_bytes: int,
+    on_data: Callable[[], None] = lambda: None,
 ) -> tuple[int, bytes, Headers]:
+    """Receive a response, and call ``on_data`` whenever a part of it arrives."""
     status = 0
     head_bytes = 0
     headers: Headers = ()
@@ -186,6 +210,7 @@
             await asyncio.sleep(0)
             data = await connection.reader.read(READ_BYTES)
             connection.protocol.receive_data(data)
+            on_data()
             head_bytes += 0 if status else len(data)
             if head_bytes > MAX_HEAD_BYTES:
                 raise ResponseError("no response within the size limit of its head")
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -22,6 +22,7 @@
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.evacuations import ConfigComposer
 from papayatack.platform.history import HistoryLostError, HistorySource, Restoration
+from papayatack.platform.read_ahead import ReadAhead
 from papayatack.platform.restoration import HistoryKeeper
 from papayatack.platform.store_calls import (
     CALL_ERRORS,
@@ -66,6 +67,7 @@
         self._keeper = HistoryKeeper(
             calls=self._calls, metrics=metrics, random=rng or random.Random()
         )
+        self._read_ahead = ReadAhead(calls=self._calls)
         self._scanned_offset = 0
         self._scanned_era = 0
         self._composer = ConfigComposer(metrics=metrics)
@@ -73,6 +75,7 @@
     def serve_history(self, source: HistorySource) -> None:
         """Restore lost records from those that the node has applied."""
         self._keeper.source = source
+        self._read_ahead.clear()
 
     async def append(
         self, stream: str, payload: bytes, *, timeout_s: float
@@ -194,9 +197,7 @@
         await self._keeper.load_restorations()
         era = self._calls.eras.era
         start = self._keeper.map.find_in_store(offset)
-        found = await self._calls.read(
-            TOPICS[OWNERSHIP_STREAM], start, wait_s=wait_s, timeout_s=timeout_s
-        )
+        found = await self._read_topic(start, limit, wait_s, timeout_s)
         is_first_era = era is None and self._keeper.source is None
         if self._calls.eras.era != era and not is_first_era:
             if self._keeper.source is None:
@@ -204,6 +205,17 @@
             raise ResponseError("the era of the store has changed")
         return self._build_page(found, offset, start, limit)
 
+    async def _read_topic(
+        self, start: int, limit: int, wait_s: float, timeout_s: float
+    ) -> TopicPage:
+        if self._keeper.source is None:
+            return await self._read_ahead.read(
+                start, limit=limit, wait_s=wait_s, timeout_s=timeout_s
+            )
+        return await self._calls.read(
+            TOPICS[OWNERSHIP_STREAM], start, wait_s=wait_s, timeout_s=timeout_s
+        )
+
     async def _knows_offsets(self) -> bool:
         """Return whether records can be read and appended in the store's present era.
 
@@ -269,6 +281,7 @@
         if self._keeper.source is not None:
             return LogFailure(kind=LogFailureKind.EXPIRED, first=offset + 1)
         self._keeper.restart()
+        self._read_ahead.clear()
         return LogFailure(kind=LogFailureKind.EXPIRED, first=0)
 
 
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -21,6 +21,7 @@
     "MAX_READ_KB",
     "TOPICS",
     "AppendedRecords",
+    "KeyScan",
     "StoreCalls",
     "StoreRecord",
     "TopicPage",
@@ -91,6 +92,43 @@
     newest: tuple[StoreRecord, ...] | None = None
     end_before: int = 0
 
+    def skip_to(self, offset: int) -> "TopicPage":
+        """Return the page without the records before an offset."""
+        kept = tuple(record for record in self.records if record.offset >= offset)
+        end = max([self.end, *(record.offset + 1 for record in kept)])
+        return dataclasses.replace(self, records=kept, end=end)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class KeyScan:
+    """Progress of reading the newest record of each key of a topic, page by page.
+
+    Attributes:
+        topic: The topic.
+        after: Key after which the next page begins.
+        records: The records of the pages read so far.
+        end_before: End offset of the topic at the first page.
+        end: End offset of the topic at the last page.
+        has_more: Whether there are more pages.
+    """
+
+    topic: str
+    after: str = ""
+    records: list[StoreRecord] = dataclasses.field(default_factory=list)
+    end_before: int = 0
+    end: int = 0
+    has_more: bool = True
+
+    def add(self, response: _NewestResponse) -> None:
+        """Add the next page."""
+        if not self.records:
+            self.end_before = response.end_offset
+        self.records.extend(map(_parse_item, response.items))
+        self.end = response.end_offset
+        self.has_more = response.has_more and bool(response.items)
+        if response.items:
+            self.after = response.items[-1].key
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AppendedRecords:
@@ -167,7 +205,7 @@
         timeout_s: float,
         max_kb: int = MAX_READ_KB,
     ) -> TopicPage:
-        """Read records from ``offset`` on.
+        """Read records from ``offset`` on; the newest of each key if they expired.
 
         Args:
             topic: The topic.
@@ -176,6 +214,33 @@
             timeout_s: Time limit in seconds.
             max_kb: Size up to which the store returns records.
         """
+        found = await self.read_retained(
+            topic, offset, wait_s=wait_s, timeout_s=timeout_s, max_kb=max_kb
+        )
+        if found is None:
+            return await self.read_newest(topic, offset, timeout_s=timeout_s)
+        return found
+
+    async def read_retained(
+        self,
+        topic: str,
+        offset: int,
+        *,
+        wait_s: float,
+        timeout_s: float,
+        max_kb: int = MAX_READ_KB,
+        idle_timeout_s: float | None = None,
+    ) -> TopicPage | None:
+        """Read records from ``offset`` on; ``None`` if the record there has expired.
+
+        Args:
+            topic: The topic.
+            offset: Offset of the first record.
+            wait_s: Longest time for which the store waits for the first record.
+            timeout_s: Time limit in seconds.
+            max_kb: Size up to which the store returns records.
+            idle_timeout_s: If given, applies instead once the response arrives.
+        """
         query = urllib.parse.urlencode(
             {
                 "Topic": topic,
@@ -187,9 +252,11 @@
         )
         call = HttpCall(method="GET", target=f"/log-read?{query}")
         era = self.eras.era
-        status, content = await self._call(call, f"read {_STREAMS[topic]}", timeout_s)
+        status, content = await self._call(
+            call, f"read {_STREAMS[topic]}", timeout_s, idle_timeout_s
+        )
         if status == http.HTTPStatus.GONE and era in (None, self.eras.era):
-            return await self.read_newest(topic, offset, timeout_s=timeout_s)
+            return None
         if status != http.HTTPStatus.OK:
             raise ResponseError(f"status {status}")
         return _parse_records(content, offset)
@@ -199,9 +266,7 @@
     ) -> TopicPage:
         """Return the newest record of each key, from ``offset`` on."""
         found = await self.read_keys(topic, after="", timeout_s=timeout_s)
-        kept = tuple(record for record in found.records if record.offset >= offset)
-        end = max([found.end, *(record.offset + 1 for record in kept)])
-        return dataclasses.replace(found, records=kept, end=end)
+        return found.skip_to(offset)
 
     async def read_keys(self, topic: str, *, after: str, timeout_s: float) -> TopicPage:
         """Read the newest record of each key that follows ``after``.
@@ -209,26 +274,35 @@
         The pages are no snapshot: a record that is appended meanwhile may be missing.
         It has an offset from ``end_before`` on.
         """
-        records: list[StoreRecord] = []
-        end_before: int | None = None
-        while True:
-            response = await self._read_newest_page(topic, after, timeout_s)
-            if end_before is None:
-                end_before = response.end_offset
-            records.extend(map(_parse_item, response.items))
-            if not response.has_more or not response.items:
-                break
-            after = response.items[-1].key
-        records.sort(key=lambda record: record.offset)
+        scan = KeyScan(topic=topic, after=after)
+        return await self.finish_scan(scan, timeout_s=timeout_s)
+
+    async def finish_scan(
+        self,
+        scan: KeyScan,
+        *,
+        timeout_s: float,
+        idle_timeout_s: float | None = None,
+    ) -> TopicPage:
+        """Read the remaining pages of a scan; one that failed can be finished later.
+
+        Args:
+            scan: Keeps the pages that have been read.
+            timeout_s: Time limit of each page in seconds.
+            idle_timeout_s: If given, applies instead once the page arrives.
+        """
+        while scan.has_more:
+            response = await self._read_newest_page(
+                scan.topic, scan.after, timeout_s, idle_timeout_s
+            )
+            scan.add(response)
+        records = tuple(sorted(scan.records, key=lambda record: record.offset))
         return TopicPage(
-            records=tuple(records),
-            end=response.end_offset,
-            newest=tuple(records),
-            end_before=end_before,
+            records=records, end=scan.end, newest=records, end_before=scan.end_before
         )
 
     async def _read_newest_page(
-        self, topic: str, after: str, timeout_s: float
+        self, topic: str, after: str, timeout_s: float, idle_timeout_s: float | None
     ) -> _NewestResponse:
         query = {"Topic": topic, "part": PARTITION}
         if after:
@@ -236,18 +310,24 @@
         call = HttpCall(
             method="GET", target=f"/log-newest?{urllib.parse.urlencode(query)}"
         )
-        status, content = await self._call(call, f"newest {_STREAMS[topic]}", timeout_s)
+        status, content = await self._call(
+            call, f"newest {_STREAMS[topic]}", timeout_s, idle_timeout_s
+        )
         if status != http.HTTPStatus.OK:
             raise ResponseError(f"status {status}")
         return _NewestResponse.model_validate_json(content)
 
     async def _call(
-        self, call: HttpCall, label: str, timeout_s: float
+        self,
+        call: HttpCall,
+        label: str,
+        timeout_s: float,
+        idle_timeout_s: float | None = None,
     ) -> tuple[int, bytes]:
         """Send a call that is counted under a label; return status and content."""
         self._metrics.count("store_calls", label)
         status, content, headers = await self._caller.call_with_headers(
-            call, timeout_s=timeout_s
+            call, timeout_s=timeout_s, idle_timeout_s=idle_timeout_s
         )
         self._metrics.count("store_bytes", label, amount=len(content))
         if not self.eras.observe(headers):
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -96,6 +96,8 @@
         lose_answers: Whether appends are done and not answered.
         garble: Whether reads are answered with other bytes.
         delay_s: Time for which each call waits before it is done.
+        refuse_after: Number of calls that are answered before all others are refused;
+            ``None`` for no limit.
     """
 
     def __init__(self, *, store: KeyedStore | None = None, port: int = 0) -> None:
@@ -104,6 +106,7 @@
         self.lose_answers = False
         self.garble = False
         self.delay_s = 0.0
+        self.refuse_after: int | None = None
         self._server = CallerServer(
             host="127.0.0.1", port=port, handler=self._handle, metrics=Metrics()
         )
@@ -133,6 +136,10 @@
         await asyncio.sleep(self.delay_s)
         if self.refuse_with is not None:
             return _reply(self.refuse_with, b"{}")
+        if self.refuse_after is not None:
+            if not self.refuse_after:
+                return _reply(503, b"{}")
+            self.refuse_after -= 1
         parts = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         body = b""
--- a/tests/logservice/test_calls.py
+++ b/tests/logservice/test_calls.py
@@ -165,3 +165,53 @@
         counting.cancel()
         self.assertEqual(len(content), WRITTEN_BYTES // 6)
         self.assertGreater(turns, MIN_TURNS)
+
+
+class SlowResponseTests(unittest.IsolatedAsyncioTestCase):
+    """Responses that arrive in parts, over longer than the time limit of a call."""
+
+    parts = 6
+
+    async def asyncSetUp(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.client = HttpClient(
+            host="127.0.0.1", port=server.sockets[0].getsockname()[1]
+        )
+        self.addAsyncCleanup(self.client.close)
+        self.stops_after = self.parts
+
+    async def _serve(self, reader, writer):
+        await reader.read(65_536)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.parts)
+        for _ in range(self.stops_after):
+            await asyncio.sleep(TIMEOUT_S / 2)
+            writer.write(b"x")
+        await reader.read()
+        writer.close()
+
+    async def test_response_that_keeps_arriving_is_not_given_up(self):
+        """The time between two parts counts, not that of the whole response."""
+        _, content, _ = await self.client.call_with_headers(
+            HttpCall(method="GET", target="/"),
+            timeout_s=TIMEOUT_S,
+            idle_timeout_s=TIMEOUT_S,
+        )
+        self.assertEqual(content, b"x" * self.parts)
+
+    async def test_response_that_stops_arriving_is_given_up(self):
+        """The call ends once nothing has arrived for the idle timeout."""
+        self.stops_after = 3
+        with self.assertRaises(TimeoutError):
+            await self.client.call_with_headers(
+                HttpCall(method="GET", target="/"),
+                timeout_s=TIMEOUT_S,
+                idle_timeout_s=TIMEOUT_S,
+            )
+
+    async def test_time_limit_of_other_calls_holds_for_the_whole_response(self):
+        """Without an idle timeout, a response in parts does not extend the call."""
+        with self.assertRaises(TimeoutError):
+            await self.client.call(
+                HttpCall(method="GET", target="/"), timeout_s=TIMEOUT_S
+            )
--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -41,7 +41,7 @@
     async def close(self):
         """Do nothing."""
 
-    async def call_with_headers(self, call, *, timeout_s):
+    async def call_with_headers(self, call, *, timeout_s, idle_timeout_s=None):
         """Return the status, content and headers of the answer."""
         if self.is_cut:
             await asyncio.sleep(timeout_s)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -73,6 +73,34 @@
         self.assertEqual(page.payloads[-1], b"1199")
         self.assertEqual(len(page.payloads), 1200)
 
+    def count_newest(self):
+        """Return the number of pages of newest records that were asked for."""
+        return self.metrics.read_count("store_calls", f"newest {OWNERSHIP_STREAM}")
+
+    async def test_expired_history_is_not_read_again_for_each_part_of_it(self):
+        """A caller that takes 500 records at a time costs three pages of 500."""
+        for number in range(1200):
+            self.server.store.append("keyed.ownership", b"k%d" % number, b"%d" % number)
+        self.server.store.drop_history()
+        read = []
+        while len(read) < 1200:
+            page = (await self.read(OWNERSHIP_STREAM, len(read))).unwrap()
+            read.extend(page.payloads)
+        self.assertEqual(read, [b"%d" % number for number in range(1200)])
+        self.assertEqual(self.count_newest(), 3)
+
+    async def test_history_of_several_pages_goes_on_with_the_page_that_failed(self):
+        """Pages that were read before a failure are not read again."""
+        for number in range(1200):
+            self.server.store.append("keyed.ownership", b"k%d" % number, b"%d" % number)
+        self.server.store.drop_history()
+        self.server.refuse_after = 2
+        self.assertIsInstance(await self.read(OWNERSHIP_STREAM, 0), Failure)
+        self.server.refuse_after = None
+        page = (await self.read(OWNERSHIP_STREAM, 0)).unwrap()
+        self.assertEqual(len(page.payloads), 500)
+        self.assertEqual(self.count_newest(), 4)
+
     async def test_only_the_newest_manifest_is_returned(self):
         """Older manifests and the operators' other records are skipped."""
         store = self.server.store
