Accept all connections that wait, not one in each turn of the event loop

Cause: the event loop accepts one connection of a listener in a turn, and both listeners left the kernel's queue at 100. Turns of a busy node are long, so that its connections wait the longer the busier it is; beside a full queue the first packet is dropped and sent again after 1, 2 and 4 s. Class: a loop that takes one thing a turn.

--- a/src/papayatack/network/callers.py
+++ b/src/papayatack/network/callers.py
@@ -18,6 +18,7 @@
 from papayatack.network.exchanges import Request
 from papayatack.network.hangups import HangupWatch
 from papayatack.network.limits import CallerLimits
+from papayatack.network.listener import Listener
 from papayatack.network.start_limiter import StartLimiter
 from papayatack.observability.metrics import Metrics
 
@@ -64,16 +65,24 @@
         self.starts = StartLimiter()
         self.is_repeatable: Callable[[Request], bool] = _is_repeatable
         self.ahead = 0
-        self._host = host
-        self._port = port
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(
+            host=host,
+            port=port,
+            build_protocol=lambda: CallerConnection(owner=self),
+            metrics=metrics,
+        )
         self._sweeper: asyncio.Task[None] | None = None
         self._connections = ConnectionTable()
 
     @property
     def port(self) -> int:
         """Port on which callers are accepted."""
-        return self._port
+        return self._listener.port
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._listener.is_accepting
 
     @property
     def has_room_ahead(self) -> bool:
@@ -83,12 +92,8 @@
 
     async def start(self) -> None:
         """Start listening for callers."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(owner=self), self._host, self._port
-        )
-        self._port = self._server.sockets[0].getsockname()[1]
-        self._sweeper = loop.create_task(self._sweep())
+        self._listener.start()
+        self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
 
     async def stop(self, *, timeout_s: float) -> None:
         """Shut down gracefully: finish requests in flight, then close.
@@ -103,8 +108,7 @@
         if timeout_s > 0:
             # Read what callers have sent so far: closing would reset those connections.
             await asyncio.sleep(min(STOP_POLL_INTERVAL_S, timeout_s))
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         while self._connections and loop.time() < deadline_s:
             for connection in self._connections:
                 connection.close_if_idle()
--- a/src/papayatack/network/peers.py
+++ b/src/papayatack/network/peers.py
@@ -28,6 +28,7 @@
 from papayatack.network.limits import PeerLimits
 from papayatack.network.link_table import LinkTable
 from papayatack.network.links import Link
+from papayatack.network.listener import Listener
 from papayatack.network.peer_requests import UnresponsiveHandler, exchange_on
 from papayatack.network.peer_serving import PeerServing, RequestHandler
 from papayatack.network.streams import PeerStream
@@ -86,15 +87,18 @@
         self.loads = LoadExchange(metrics=metrics)
         self.links = LinkTable(owner=self, rng=rng)
         self.serving = PeerServing(owner=self)
-        self._host = host
-        self._port = port
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(
+            host=host,
+            port=port,
+            build_protocol=self.links.accept,
+            metrics=metrics,
+        )
         self._sweeper: asyncio.Task[None] | None = None
 
     @property
     def port(self) -> int:
         """Port on which the node accepts peer connections."""
-        return self._port
+        return self._listener.port
 
     async def start(self) -> None:
         """Start listening for peers.
@@ -102,12 +106,8 @@
         Raises:
             OSError: If the address is already in use.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self.links.accept, self._host, self._port, reuse_port=False
-        )
-        self._port = self._server.sockets[0].getsockname()[1]
-        self._sweeper = loop.create_task(self.links.sweep())
+        self._listener.start()
+        self._sweeper = asyncio.get_running_loop().create_task(self.links.sweep())
 
     async def stop(self) -> None:
         """Finish requests of peers, refuse new ones, then close all links."""
@@ -122,8 +122,7 @@
             until_s: Event loop time at which to stop waiting.
         """
         self.on_request = _refuse_request
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for link in self.links:
             link.hold.stop()
         await self.serving.wait_done(until_s)
@@ -140,8 +139,7 @@
 
     async def abort(self) -> None:
         """Close all connections immediately."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         tasks = [*self.links.list_connecting(), *self.serving.tasks]
         if self._sweeper is not None:
             tasks.append(self._sweeper)
