Say ready only while callers are accepted

Cause: readiness looked at the drain and at the configuration. A node that ends for another reason (superseded, failed) closes its listener at once and waits for what is in flight for as long as a drain takes; it said ready all that time. So did a node without descriptors. Class: a state that is told from what leads to it, not from itself. Change: readiness also asks the server of callers whether it accepts. Measured: the new test failed before (200, 503 wanted) and passes now. The test of a drain while the log does not answer replaced the load of a node that was starting; with the new listener a start no longer pauses before it, so that the test starts the node after the replacement. It checks the same. tests.daemon.test_node: 11 passed.

--- a/src/papayatack/daemon/node.py
+++ b/src/papayatack/daemon/node.py
@@ -170,7 +170,7 @@
         """Whether callers should come here."""
         if self._control is None or self._drain_wanted.is_set():
             return False
-        return self._control.config.version > 0
+        return self._callers.is_accepting and self._control.config.version > 0
 
     async def _refuse_starting(self, request: Request) -> Response:
         """Answer a caller before this node knows any configuration."""
--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -23,6 +23,7 @@
 peers = 127.0.0.1:{peers}
 operators = 127.0.0.1:{operators}
 upstream = 127.0.0.1:{desk}
+readiness = 127.0.0.1:{readiness}
 [log]
 address = 127.0.0.1:{log}
 """
@@ -48,7 +49,7 @@
     limits = ""
 
     async def asyncSetUp(self):
-        names = ("callers", "peers", "operators", "desk")
+        names = ("callers", "peers", "operators", "desk", "readiness")
         self.ports = dict(zip(names, pick_ports(len(names)), strict=True))
         self.log = LogServer(store=LogStore(), port=0)
         await self.log.start()
@@ -56,10 +57,14 @@
         self.upstream = UpstreamStandin()
         await self.upstream.start()
         self.addAsyncCleanup(self.upstream.stop, timeout_s=0.0)
+        self.start_node()
+        self.addAsyncCleanup(self.end)
+
+    def start_node(self):
+        """Start the node."""
         text = SETTINGS.format(log=self.log.port, **self.ports) + self.limits
         self.node = Node(settings=parse_settings(text))
         self.running = asyncio.ensure_future(self.node.run())
-        self.addAsyncCleanup(self.end)
 
     async def end(self):
         """Drain the node; return how it ended."""
@@ -208,7 +213,9 @@
             await asyncio.get_running_loop().create_future()
 
         load = "papayatack.daemon.environment.StandaloneEnvironment.load"
+        await self.end()
         with unittest.mock.patch(load, side_effect=hang):
+            self.start_node()
             async with asyncio.timeout(LIMIT_S):
                 await started.wait()
             self.node.start_drain()
@@ -278,6 +285,30 @@
         self.assertIn(b"HTTP/1.1 504", answer)
         await ending
 
+    async def accepts_callers(self):
+        """Return whether a new connection is accepted."""
+        try:
+            _, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ports["callers"]
+            )
+        except ConnectionRefusedError:
+            return False
+        writer.close()
+        return True
+
+    async def test_node_that_fails_with_work_in_flight_is_not_ready(self):
+        """It takes no new connections while it waits for the work to end."""
+        asked = asyncio.ensure_future(self.send())
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.ask("readiness", "/readiness"))[0], 200)
+        control = "papayatack.core.ownership.node.NodeCore.advance"
+        with unittest.mock.patch(control, side_effect=ValueError("broken")):
+            while await self.accepts_callers():
+                await asyncio.sleep(POLL_S)
+        self.assertEqual((await self.ask("readiness", "/readiness"))[0], 503)
+        await asked
+        self.assertIs(await self.running, Ending.FAILED)
+
     async def test_caller_that_comes_after_the_notice_is_not_held(self):
         """It is refused as not run, or finds nobody listening."""
         loop = asyncio.get_running_loop()
