Take no response whose status is not final for an answer

Here 000, 099 and 1000 gave 502 already, but 600 to 999 reached the caller as they were. Cause: the parser lets 200 to 999 pass as final, and nothing behind it looked. Class: a value of another process that is passed on unchecked. Change: a final status is 200 to 599. Any other response of an upstream is lost (whether the request ran is unknown, so that one that must not repeat is not sent again), likewise one of another node, and a stored outcome that another node hands over is unknown. The store's answer to an append rules out an effect only with 4xx and 503; before, any below 500 did. Health checks and readings of the store take 200 only, as before; the command line prints whatever status it gets.

--- a/src/papayatack/core/idempotency/exchange.py
+++ b/src/papayatack/core/idempotency/exchange.py
@@ -16,6 +16,7 @@
     OutcomePart,
     OutcomeQuery,
 )
+from papayatack.core.statuses import is_final_status
 
 __all__ = ["OutcomeExchange"]
 
@@ -177,7 +178,7 @@
 
 def _decode_outcome(outcome: KeyOutcome) -> StoredOutcome:
     response = None
-    if outcome.status:
+    if is_final_status(outcome.status):
         headers = tuple((field.name, field.value) for field in outcome.headers)
         response = StoredResponse(
             status=outcome.status, headers=headers, body=outcome.body
--- a/src/papayatack/network/streams.py
+++ b/src/papayatack/network/streams.py
@@ -10,6 +10,7 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import PeerAddress
+from papayatack.core.statuses import is_final_status
 from papayatack.network.bodies import Body, BodyQueue, IncompleteBodyError
 from papayatack.network.exchanges import Response
 from papayatack.network.limits import PeerLimits
@@ -184,6 +185,9 @@
         """Handle the head of the response."""
         if self.on_load is not None:
             self.on_load(head.load)
+        if not is_final_status(head.status):
+            self.fail_lost(f"the peer answered with status {head.status}")
+            return
         if not self.response.done():
             response = Response(
                 status=head.status,
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.core.statuses import is_final_status
 from papayatack.network.bodies import Body, BodyQueue, IncompleteBodyError
 from papayatack.network.exchanges import Headers, Request, Response, find_header
 from papayatack.network.limits import UpstreamLimits
@@ -311,6 +312,10 @@
         if self._matches_request is not None and not self._matches_request(headers):
             self._skipping_response = True
             return
+        if not is_final_status(event.status_code):
+            detail = f"the upstream answered with status {event.status_code}"
+            self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
+            return
         if not self._owner.limits.accepts_unframed and not self._is_framed(
             event.status_code, headers
         ):
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -326,6 +326,7 @@
 
 
 def _fail_status(status: int) -> Failure[LogFailure]:
-    was_rejected = status < 500 or status == http.HTTPStatus.SERVICE_UNAVAILABLE
+    is_client_error = 400 <= status < 500
+    was_rejected = is_client_error or status == http.HTTPStatus.SERVICE_UNAVAILABLE
     kind = LogFailureKind.REFUSED if was_rejected else LogFailureKind.UNKNOWN
     return _fail(kind, f"status {status}")
--- a/tests/core/test_idempotency_registry.py
+++ b/tests/core/test_idempotency_registry.py
@@ -1,5 +1,6 @@
 """Tests of papayatack.core.idempotency.registry and exchange."""
 
+import dataclasses
 import types
 import unittest
 
@@ -91,6 +92,22 @@
         self.assertIsInstance(self.new.begin(10.2, HANDED, "new"), Run)
         self.assertFalse(self.old.exchange.has_pending_exports(10.2, [SHARD]))
 
+    def test_outcome_without_a_final_status_is_unknown(self):
+        """No caller gets a response with a status that is none."""
+        ((_, query),) = self.new.exchange.list_queries(10.0, [HANDED])
+        part = self.old.exchange.answer_query(10.0, FIRST, 1, query)
+        statuses = (99, 600, 700, -1)
+        outcomes = tuple(
+            dataclasses.replace(outcome, status=status)
+            for outcome, status in zip(part.outcomes, statuses, strict=False)
+        )
+        odd = dataclasses.replace(part, outcomes=outcomes, last=True)
+        self.new.exchange.receive_part(10.1, "a#1", HANDED, odd)
+        self.assertTrue(outcomes)
+        for outcome in outcomes:
+            decision = self.new.begin(10.2, HANDED, outcome.key)
+            self.assertIsInstance(decision, Refuse)
+
     def test_lost_query_is_repeated(self):
         """A query is sent again only after the query interval."""
         for now, count in ((10.0, 1), (10.1, 0), (10.3, 1)):
--- a/tests/network/test_peer_requests.py
+++ b/tests/network/test_peer_requests.py
@@ -53,6 +53,21 @@
         self.assertEqual(size, 1_000_000)
         body.close()
 
+    async def test_response_of_a_peer_without_a_final_status_is_none(self):
+        """It is lost; other requests to the peer are served."""
+        statuses = (0, -1, 99, 100, 199, 600, 700, 999, 2**31 - 1)
+        for status in statuses:
+            with self.subTest(status=status):
+
+                async def respond(peer_request, status=status):
+                    return Success(Response(status=status))
+
+                self.second.on_request = respond
+                result = await self.exchange()
+                self.assertIs(result.failure().kind, ErrorKind.PEER_LOST)
+                self.second.on_request = self.respond
+                self.assertEqual((await self.exchange()).unwrap().status, 200)
+
     async def test_large_unread_response_does_not_block_a_small_one(self):
         """Streams are flow-controlled independently."""
         self.body_size = 1_000_000
--- a/tests/network/test_upstreams.py
+++ b/tests/network/test_upstreams.py
@@ -77,6 +77,20 @@
         result = await self.exchange()
         self.assertIs(result.failure().kind, ErrorKind.RESPONSE_TRUNCATED)
 
+    async def test_response_without_a_final_status_is_none(self):
+        """It does not reach the caller, and its connection serves no other request."""
+        for status in (b"000", b"099", b"600", b"700", b"999", b"1000", b"-01", b""):
+            with self.subTest(status=status):
+                self.responses = [
+                    b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status,
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                ]
+                result = await self.exchange()
+                self.assertIs(result.failure().kind, ErrorKind.UPSTREAM_LOST)
+                self.assertEqual(await self.read(await self.exchange()), b"ok")
+        self.responses = [b"HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok"]
+        self.assertEqual((await self.exchange()).unwrap().status, 599)
+
     async def test_short_body_is_an_error(self):
         """A body shorter than its Content-Length raises an error."""
         self.responses = [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nokCLOSE"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -140,12 +140,16 @@
         self.assertEqual(page.payloads[0].strip(), b"11")
 
     async def test_refused_and_unknown_appends_are_distinguished(self):
-        """Status 429 or 503 means no effect; after a lost response it is unknown."""
+        """Status 429 or 503 means no effect; any other but 200 leaves it unknown."""
         for status in (429, 503):
             self.server.refuse_with = status
             result = await self.append(b"x")
             self.assertIs(result.failure().kind, LogFailureKind.REFUSED)
             self.assertIsInstance(await self.read(OWNERSHIP_STREAM, 0), Failure)
+        for status in (202, 304, 500, 600, 999):
+            self.server.refuse_with = status
+            result = await self.append(b"x")
+            self.assertIs(result.failure().kind, LogFailureKind.UNKNOWN, status)
         self.server.refuse_with = None
         self.server.lose_answers = True
         result = await self.append(b"y")
