--- a/src/papayatack/platform/evacuations.py
+++ b/src/papayatack/platform/evacuations.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from papayatack.observability.metrics import Metrics
-from papayatack.platform.store_calls import StoreRecord, TopicPage
+from papayatack.platform.topics import StoreRecord, TopicPage
 
 __all__ = ["EVACUATED_FIELD", "ConfigComposer"]
 
--- a/src/papayatack/platform/read_ahead.py
+++ b/src/papayatack/platform/read_ahead.py
@@ -4,12 +4,8 @@
 import dataclasses
 
 from papayatack.core.records import OWNERSHIP_STREAM
-from papayatack.platform.store_calls import (
-    TOPICS,
-    KeyScan,
-    StoreCalls,
-    TopicPage,
-)
+from papayatack.platform.store_calls import TOPICS, StoreCalls
+from papayatack.platform.topics import KeyScan, TopicPage
 
 __all__ = ["ReadAhead"]
 
--- a/src/papayatack/platform/restoration.py
+++ b/src/papayatack/platform/restoration.py
@@ -16,12 +16,8 @@
     HistorySource,
     Restoration,
 )
-from papayatack.platform.store_calls import (
-    TOPICS,
-    AppendedRecords,
-    StoreCalls,
-    StoreRecord,
-)
+from papayatack.platform.store_calls import TOPICS, StoreCalls
+from papayatack.platform.topics import AppendedRecords, StoreRecord
 
 __all__ = ["HistoryKeeper"]
 
--- a/src/papayatack/platform/snapshots.py
+++ b/src/papayatack/platform/snapshots.py
@@ -20,12 +20,8 @@
     StoredSnapshot,
 )
 from papayatack.observability.metrics import Metrics
-from papayatack.platform.store_calls import (
-    CALL_ERRORS,
-    SNAPSHOT_TOPIC,
-    StoreCalls,
-    StoreRecord,
-)
+from papayatack.platform.store_calls import CALL_ERRORS, SNAPSHOT_TOPIC, StoreCalls
+from papayatack.platform.topics import StoreRecord
 
 __all__ = ["PlatformSnapshots"]
 
--- a/src/papayatack/platform/store.py
+++ b/src/papayatack/platform/store.py
@@ -31,14 +31,8 @@
 from papayatack.platform.read_ahead import ReadAhead
 from papayatack.platform.restoration import HistoryKeeper
 from papayatack.platform.snapshots import PlatformSnapshots
-from papayatack.platform.store_calls import (
-    CALL_ERRORS,
-    MAX_READ_KB,
-    TOPICS,
-    AppendedRecords,
-    StoreCalls,
-    TopicPage,
-)
+from papayatack.platform.store_calls import CALL_ERRORS, MAX_READ_KB, TOPICS, StoreCalls
+from papayatack.platform.topics import AppendedRecords, TopicPage
 
 __all__ = ["PlatformStore"]
 
