--- a/src/papayatack/platform/snapshots.py
+++ b/src/papayatack/platform/snapshots.py
@@ -20,7 +20,12 @@
     StoredSnapshot,
 )
 from papayatack.observability.metrics import Metrics
-from papayatack.platform.store_calls import CALL_ERRORS, SNAPSHOT_TOPIC, StoreCalls
+from papayatack.platform.store_calls import (
+    CALL_ERRORS,
+    SNAPSHOT_TOPIC,
+    StatusError,
+    StoreCalls,
+)
 from papayatack.platform.topics import StoreRecord
 
 __all__ = ["PlatformSnapshots"]
@@ -80,9 +85,13 @@
                 timeout_s=timeout_s,
                 idle_timeout_s=timeout_s,
             )
+        except StatusError as error:
+            if not error.is_final:
+                return _refuse(str(error))
+            self._metrics.count("snapshots", "unreadable")
+            return Success(None)
         except CALL_ERRORS as error:
-            detail = str(error) or type(error).__name__
-            return Failure(LogFailure(kind=LogFailureKind.REFUSED, detail=detail))
+            return _refuse(str(error) or type(error).__name__)
         self._end = found.end
         if not found.records:
             return Success(None)
--- a/src/papayatack/platform/store_calls.py
+++ b/src/papayatack/platform/store_calls.py
@@ -26,6 +26,7 @@
     "MAX_READ_KB",
     "SNAPSHOT_TOPIC",
     "TOPICS",
+    "StatusError",
     "StoreCalls",
 ]
 
@@ -47,6 +48,24 @@
 """What calls are about by topic, for metrics."""
 
 
+class StatusError(ResponseError):
+    """The store answered with a status that is no success.
+
+    Attributes:
+        status: The status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the same call will be answered the same."""
+        is_client_error = 400 <= self.status < 500
+        return is_client_error and self.status != http.HTTPStatus.TOO_MANY_REQUESTS
+
+
 class StoreCalls:
     """Calls to the store; each raises one of :data:`CALL_ERRORS` if it fails.
 
@@ -164,7 +183,7 @@
         if status == http.HTTPStatus.GONE and era in (None, self.eras.era):
             return None
         if status != http.HTTPStatus.OK:
-            raise ResponseError(f"status {status}")
+            raise StatusError(status)
         return parse_records(content, offset)
 
     async def read_newest(
@@ -229,7 +248,7 @@
             call, f"newest {_LABELS[topic]}", timeout_s, idle_timeout_s
         )
         if status != http.HTTPStatus.OK:
-            raise ResponseError(f"status {status}")
+            raise StatusError(status)
         return NewestResponse.model_validate_json(content)
 
     async def _call(
--- a/tests/platform/test_snapshots.py
+++ b/tests/platform/test_snapshots.py
@@ -86,6 +86,21 @@
 
         self.run_store(scenario)
 
+    def test_store_that_knows_no_such_topic_has_no_snapshot(self):
+        """A node starts without it, but waits for a store that is away."""
+
+        async def scenario(create):
+            for status in (400, 403, 404):
+                self.server.refuse_with = status
+                found = await create().read_snapshot(timeout_s=TIMEOUT_S)
+                self.assertEqual(found, Success(None), status)
+            for status in (429, 500, 503):
+                self.server.refuse_with = status
+                found = await create().read_snapshot(timeout_s=TIMEOUT_S)
+                self.assertFalse(is_successful(found), status)
+
+        self.run_store(scenario)
+
     def test_snapshot_without_one_of_its_parts_is_none(self):
         """A part of another snapshot does not replace it."""
 
