--- a/src/papayatack/control/snapshots.py
+++ b/src/papayatack/control/snapshots.py
@@ -21,6 +21,9 @@
 LOGGER = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 1.0
+RETRY_DELAY_S = 2.0
+"""Further delay after a snapshot that was not stored, as serializing it takes time."""
+
 WRITE_TIMEOUT_S = 3.0
 
 
@@ -101,6 +104,7 @@
                 )
             case Failure(failure):
                 self._metrics.count("snapshots", failure.kind.value)
+                await asyncio.sleep(RETRY_DELAY_S)
 
     def _take_snapshot(self) -> StoredSnapshot | None:
         """Return the present state, ``None`` unless its last record is at hand."""
