Begin the tests of a start of all nodes before the others

Cause: the module takes 45 s alone, and others must not wait for it at the end. Change: it is among the modules that begin first.

--- a/tests/running.py
+++ b/tests/running.py
@@ -68,6 +68,7 @@
     "tests.platform.test_stops_while_log_away",
     "tests.control.test_config_spread_after_trouble",
     "tests.control.test_config_spread",
+    "tests.platform.test_fleet_start",
     "tests.platform.test_history",
     "tests.platform.test_ownership_schedules",
     "tests.control.test_node",
