--- a/src/papayatack/control/snapshots.py
+++ b/src/papayatack/control/snapshots.py
@@ -75,7 +75,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             if not self._follower.is_lead:
-                self._schedule.note_snapshot(0, now=loop.time())
+                self._schedule.reset(now=loop.time())
             elif self._is_due(loop.time()):
                 await self._write()
 
--- a/src/papayatack/core/snapshot_schedule.py
+++ b/src/papayatack/core/snapshot_schedule.py
@@ -24,7 +24,7 @@
         self._uncovered_since_s = now
 
     def note_snapshot(self, covers: int, *, now: float) -> None:
-        """Record that a snapshot is stored, or was begun by another node, at ``now``.
+        """Record that a snapshot is stored.
 
         Args:
             covers: Offset after the last record that it includes.
@@ -33,6 +33,11 @@
         self._covered = covers
         self._uncovered_since_s = now
 
+    def reset(self, *, now: float) -> None:
+        """Forget which records are covered, as another node stores the snapshots."""
+        self._covered = 0
+        self._uncovered_since_s = now
+
     def is_due(self, next_offset: int, *, now: float) -> bool:
         """Return whether to store a snapshot of the state before ``next_offset``."""
         uncovered = next_offset - self._covered
