--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import json
+import logging
 import os
 import pathlib
 import re
@@ -31,6 +32,7 @@
     "NOT_RUN",
     "Answer",
     "Deployment",
+    "HolderWatch",
     "Instance",
     "Machine",
     "Record",
@@ -44,6 +46,9 @@
 START_LIMIT_S = 40.0
 MS_PER_S = 1000
 SLICE_KEYS = 128
+HELD_TWICE_S = 0.5
+WATCH_S = 0.02
+STALL_S = 0.2
 KEYS = 65_536
 ZONES = {"bq-norte": "barranquilla", "bq-centro": "barranquilla"}
 BOUNDS = {
@@ -176,6 +181,11 @@
         )
         return response
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it has crashed and not started again."""
+        return self._restart is not None and not self._restart.done()
+
     @property
     def heartbeats_sent(self) -> int:
         """Number of the last heartbeat."""
@@ -284,7 +294,7 @@
 
     async def _report(self) -> None:
         while True:
-            if self.beats:
+            if self.beats and not self.instance.is_down:
                 with contextlib.suppress(OSError, TimeoutError):
                     await self.instance.send_heartbeat(self.ports["Control"], "ready")
             await asyncio.sleep(HEARTBEAT_S)
@@ -438,8 +448,51 @@
         return keyed.status == plain.status == 200
 
 
+class HolderWatch:
+    """Finds keys that two instances hold at the same time.
+
+    Attributes:
+        longest: Longest time, the instances and the first key.
+    """
+
+    def __init__(self, *, deployment: Deployment, record: Record) -> None:
+        self.longest: tuple[float, tuple[str, ...], int] = (0.0, (), 0)
+        self.keys: set[int] = set()
+        self._deployment = deployment
+        self._record = record
+        self._since_s: dict[int, float] = {}
+        self._last_s = read_clock()
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            self._look(read_clock())
+            await asyncio.sleep(WATCH_S)
+
+    def _look(self, now: float) -> None:
+        if now - self._last_s > STALL_S:
+            self._record.write("this process stood still; spans begin anew")
+            self._since_s.clear()
+        self._last_s = now
+        for key in range(0, KEYS, SLICE_KEYS):
+            held = tuple(
+                instance.instance
+                for instance in self._deployment.holders
+                if instance.holds(key)
+            )
+            if len(held) < 2:
+                self._since_s.pop(key, None)
+                continue
+            span_s = now - self._since_s.setdefault(key, now)
+            if span_s > HELD_TWICE_S and key not in self.keys:
+                self.keys.add(key)
+                self._record.write(f"key {key} is held by {held} for {span_s:.2f} s")
+            self.longest = max(self.longest, (span_s, held, key))
+
+
 def run_case(folder: str, play) -> None:
     """Play a case and exit with its result; ``play`` gets the record and the switch."""
+    logging.disable()
     path = pathlib.Path(folder).resolve().parent / "record.txt"
     record = Record(path=path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
