--- a/review/7/case.py
+++ b/review/7/case.py
@@ -36,6 +36,10 @@
 MIN_GAP_S, MAX_GAP_S = 0.1, 1.5
 PAUSE_S = 2.5
 ROUNDS = 17
+LAYOUT = (*(("bq-norte", "desk"), ("bq-centro", "desk")) * 3, ("bq-norte", "desk")) + (
+    ("bq-centro", "records"),
+)
+"""Seven instances divided by key, so that one is less than 0.15 of them."""
 
 
 def prepare(machine: Machine) -> None:
@@ -75,7 +79,7 @@
 async def play(record: Record, has_trouble: bool) -> int:
     """Play the case."""
     rng = random.Random(7)
-    async with Deployment(record=record, prepare=prepare) as deployment:
+    async with Deployment(record=record, layout=LAYOUT, prepare=prepare) as deployment:
         await asyncio.sleep(2 * HEARTBEAT_S)
         deployment.publish(build_manifest())
         await deployment.wait_served()
