Review: scripts that fail by an error of their own end with 2

Cause: an error of a script ended with 1, as a broken rule does, the time limit with 124; a script that was told to end left its nodes running; a watch that had ended by an error was not noticed, so that the rule would have counted as held.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,6 +23,7 @@
     Machine,
     Record,
     build_manifest,
+    check_tasks,
     run_case,
 )
 
@@ -101,6 +102,7 @@
             if has_trouble:
                 await restart(second, SHORT_DOWN_S, record)
             await asyncio.sleep(PAUSE_S)
+        check_tasks(tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -14,6 +14,7 @@
 import pathlib
 import re
 import shlex
+import signal
 import sys
 import tempfile
 import time
@@ -37,10 +38,14 @@
     "Machine",
     "Record",
     "build_manifest",
+    "check_tasks",
     "run_case",
 ]
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+BROKEN_STATUS = 10
+"""Exit status of this process for a broken rule; ``run.sh`` makes 1 of it."""
+
 HOST = "127.0.0.1"
 HEARTBEAT_S = 0.87
 START_LIMIT_S = 40.0
@@ -406,7 +411,11 @@
             )
             self._prepare(machine)
             self.machines.append(machine)
-        await asyncio.gather(*(machine.start() for machine in self.machines))
+        try:
+            await asyncio.gather(*(machine.start() for machine in self.machines))
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *exception: object) -> None:
@@ -490,16 +499,39 @@
             self.longest = max(self.longest, (span_s, held, key))
 
 
+def check_tasks(tasks: list[asyncio.Task]) -> None:
+    """Fail if a watch or a consumer has ended, as its check would be missing.
+
+    Raises:
+        RuntimeError: One has ended.
+    """
+    for task in tasks:
+        if task.done():
+            error = None if task.cancelled() else task.exception()
+            raise RuntimeError("a task of the script has ended") from error
+
+
 def run_case(folder: str, play) -> None:
-    """Play a case and exit with its result; ``play`` gets the record and the switch."""
+    """Play a case and exit with its result; ``play`` gets the record and the switch.
+
+    A broken rule has a status of its own, as Python ends with 1 after any error.
+    """
     logging.disable()
     path = pathlib.Path(folder).resolve().parent / "record.txt"
     record = Record(path=path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        result = asyncio.run(play(record, has_trouble))
-    except (OSError, TimeoutError) as error:
+        result = asyncio.run(_play_until_told(play(record, has_trouble)))
+    except (Exception, asyncio.CancelledError) as error:
         record.tell(f"the case could not run: {error!r}")
         result = NOT_RUN
     record.tell({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[result])
-    sys.exit(result)
+    sys.exit(BROKEN_STATUS if result == BROKEN else result)
+
+
+async def _play_until_told(playing) -> int:
+    """Play, and end all processes in order if this one is told to end."""
+    task = asyncio.ensure_future(playing)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
