--- a/review/scene-2/scene.py
+++ b/review/scene-2/scene.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import json
 import logging
 import os
@@ -19,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
@@ -47,6 +49,7 @@
 """Exit status of this process for a broken rule; ``run.sh`` makes 1 of it."""
 
 HOST = "127.0.0.1"
+OK = 200
 HEARTBEAT_S = 0.87
 START_LIMIT_S = 40.0
 MS_PER_S = 1000
@@ -140,16 +143,48 @@
 class Instance(PlatformUpstream):
     """An instance: its health check waits for a slot like any other request.
 
+    A crash ends all that it does at once. What was sent to the process that has ended
+    has no effect on the next one.
+
     Attributes:
         running: Number of requests that it works on.
+        on_grant: Called with each grant that it takes: its id, the first and the last
+            key, and the fence number.
     """
 
+    _life = 0
+
     def __init__(self, *, record: Record, **options: str) -> None:
+        self._at_work: set[asyncio.Future] = set()
+        self.on_grant: Callable[[str, int, int, int], None] | None = None
         super().__init__(**options)
         self.running = 0
         self._freed = asyncio.Event()
         self._record = record
 
+    def _build_server(self, port):
+        server = super()._build_server(port)
+        server.handler = functools.partial(self._handle_in_life, self._life)
+        return server
+
+    def crash(self) -> None:
+        """End at once, and start again as another process after ``down_s``."""
+        if self.is_down:
+            return
+        self._life += 1
+        for work in self._at_work:
+            work.cancel()
+        self.grants.clear()
+        super().crash()
+
+    async def _handle_in_life(self, life, request):
+        if life != self._life:
+            await asyncio.get_running_loop().create_future()
+        work = asyncio.ensure_future(self._handle(request))
+        self._at_work.add(work)
+        work.add_done_callback(self._at_work.discard)
+        return await work
+
     async def _handle(self, request):
         if request.target == b"/health":
             while self.running >= self.slots:
@@ -176,6 +211,9 @@
             f"{self.instance} grant {document['From']}-{document['To']}"
             f" fence {document['fence']} hold {document['Hold']}: {response.status}"
         )
+        if self.on_grant is not None and response.status == OK:
+            keys = document["From"], document["To"]
+            self.on_grant(self.instance, *keys, document["fence"])
         return response
 
     def _release(self, document):
@@ -487,7 +525,7 @@
             held = tuple(
                 instance.instance
                 for instance in self._deployment.holders
-                if instance.holds(key)
+                if not instance.is_down and instance.holds(key)
             )
             if len(held) < 2:
                 self._since_s.pop(key, None)
