Log what an upstream process may still hold when it is done with

The node's lines did not tell two explanations apart: grants that go to the next process at the address, and grants of the last one that are dropped as ended. The line has the time of the last grant and whether the end counts as certain; beside the time at which the next process starts it tells them apart.

--- a/src/papayatack/core/ownership/grant_history.py
+++ b/src/papayatack/core/ownership/grant_history.py
@@ -55,6 +55,12 @@
     def __init__(self) -> None:
         self._ranges: list[RangeHistory] = []
 
+    @property
+    def latest_expiry_s(self) -> float:
+        """Time until which any upstream process may hold any key."""
+        expiries_s = (entry.latest_expiry_s for entry in self._ranges)
+        return max(expiries_s, default=float("-inf"))
+
     def list_ranges(self, first: int, last: int) -> Iterator[RangeHistory]:
         """Yield the history of a range in key order, clipped to the range.
 
--- a/src/papayatack/platform/grant_lines.py
+++ b/src/papayatack/platform/grant_lines.py
@@ -8,7 +8,7 @@
 from papayatack.observability.events import Event, log_event
 from papayatack.platform.ranges import KeyRange
 
-__all__ = ["SentGrant", "log_failures", "log_late_answer"]
+__all__ = ["SentGrant", "log_failures", "log_forgotten", "log_late_answer"]
 
 LOGGER = logging.getLogger(__name__)
 
@@ -58,6 +58,28 @@
     )
 
 
+def log_forgotten(
+    upstream: str, *, is_certain: bool, sent_s: float, until_s: float
+) -> None:
+    """Log that an upstream process is done with, and what it may still hold.
+
+    Args:
+        upstream: Name of the process.
+        is_certain: Whether it is known to have ended.
+        sent_s: Event loop time at which the last grant was sent to it.
+        until_s: Event loop time until which it may hold its keys unless it has ended.
+    """
+    now = asyncio.get_running_loop().time()
+    log_event(
+        LOGGER,
+        Event.GRANTS_FORGOTTEN,
+        upstream=upstream,
+        certain=is_certain,
+        sent_ms=int((now - sent_s) * MS_PER_S),
+        left_ms=int((until_s - now) * MS_PER_S),
+    )
+
+
 def log_failures(
     failed: list[tuple[KeyRange, Response | None]], remaining_s: float
 ) -> None:
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -18,7 +18,12 @@
 from papayatack.core.shards import is_hot_shard, parse_slice
 from papayatack.network.exchanges import Response
 from papayatack.network.upstreams import UpstreamPool
-from papayatack.platform.grant_lines import SentGrant, log_failures, log_late_answer
+from papayatack.platform.grant_lines import (
+    SentGrant,
+    log_failures,
+    log_forgotten,
+    log_late_answer,
+)
 from papayatack.platform.ranges import (
     KeyRange,
     build_range_document,
@@ -81,7 +86,9 @@
     """State of one upstream process and of the calls to it in flight.
 
     Attributes:
+        name: Its name, for operators.
         pool: Connections to the process, ``None`` while there is none.
+        sent_s: Event loop time at which the last grant was sent, ``None`` before.
         granted: Confirmed grants that are renewed, by shard.
         requested_tokens: Token of the newest requested grant, by shard.
         releasing: Shards that are being released and must not be renewed.
@@ -90,7 +97,9 @@
     """
 
     def __init__(self) -> None:
+        self.name = ""
         self.pool: UpstreamPool | None = None
+        self.sent_s: float | None = None
         self.granted: dict[ShardId, _Granted] = {}
         self.requested_tokens: dict[ShardId, int] = {}
         self.releasing: set[ShardId] = set()
@@ -125,6 +134,8 @@
     @pool.setter
     def pool(self, pool: UpstreamPool | None) -> None:
         self._process.pool = pool
+        if pool is not None:
+            self._process.name = pool.name
 
     def forget(self, *, is_certain: bool = True) -> None:
         """Abandon the calls to the current upstream process; expect a new one.
@@ -136,8 +147,16 @@
                 its grants are held any longer. If not, they count as held until they
                 expire.
         """
+        process = self._process
+        if process.sent_s is not None:
+            log_forgotten(
+                process.name,
+                is_certain=is_certain,
+                sent_s=process.sent_s,
+                until_s=self._history.latest_expiry_s,
+            )
         self._history.record_restart(is_certain=is_certain, delivery_s=MAX_DELIVERY_S)
-        self._process.ended.set()
+        process.ended.set()
         self._process = _UpstreamProcess()
 
     async def grant(
@@ -389,6 +408,7 @@
             if process.ended.is_set() or hold_s < MIN_HOLD_S or not is_accepted:
                 return None
             self._history.note_sent(first, last, token, end_s)
+            process.sent_s = now
             sent.append(SentGrant(sent_s=now, hold_s=hold_s))
             return build_range_document(key_range, hold_s)
 
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -149,6 +149,18 @@
         self.assertGreaterEqual(line.over_ms, 149)
         self.assertLess(line.over_ms, line.answer_ms + 5)
 
+    async def test_end_of_a_process_is_logged_with_what_it_may_still_hold(self):
+        """The time of the last grant shows whether it was sent after the end."""
+        await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
+        await asyncio.sleep(0.1)
+        with self.assertLogs("papayatack.platform.grant_lines", "INFO") as logs:
+            self.grants.forget()
+        (line,) = logs.records
+        self.assertEqual((line.name_of_event, line.certain), ("GRANTS_FORGOTTEN", True))
+        self.assertGreaterEqual(line.sent_ms, 99)
+        self.assertGreater(line.left_ms, 9_000)
+        self.assertLessEqual(line.left_ms, 9_901)
+
     async def test_too_short_grant_is_not_sent(self):
         """It would expire before its first request."""
         result = await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(15_000))
