Grant keys only on connections whose process has named itself

What callers saw: an upstream that crashed and was back within 0.1 s took keys with the fence numbers of its last life, and another upstream held them as well for up to 2.8 s.

Cause: a grant was sent to an address. From the loss of the last life's connections until the next heartbeat or health check, renewals opened new connections, and the next life took them.

Change: an open connection belongs to one process, so grants are sent only on connections on which the health check has named the process that they are meant for; an answer of another one has the running process looked for at once. Grants and releases also name the process, as requests do.

--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -16,7 +16,7 @@
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.core.identity import LeaseId, ShardId
 from papayatack.network.bodies import BytesBody, IncompleteBodyError
-from papayatack.network.exchanges import Request, Response
+from papayatack.network.exchanges import Headers, Request, Response
 from papayatack.network.upstreams import UpstreamPool
 
 __all__ = [
@@ -161,9 +161,17 @@
 
 
 def build_json_request(
-    address: str, method: bytes, target: bytes, data: bytes
+    address: str, method: bytes, target: bytes, data: bytes, *, fields: Headers = ()
 ) -> Request:
-    """Build a JSON request from the node to the upstream at an address."""
+    """Build a JSON request from the node to the upstream at an address.
+
+    Args:
+        address: The upstream's ``host:port``.
+        method: Method.
+        target: Request target.
+        data: Encoded body.
+        fields: Further header fields.
+    """
     return Request(
         method=method,
         target=target,
@@ -171,6 +179,7 @@
             (b"host", address.encode()),
             (b"content-type", b"application/json"),
             (b"content-length", b"%d" % len(data)),
+            *fields,
         ),
         body=BytesBody(data=data),
     )
--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -45,6 +45,7 @@
     """Sends one request at a time.
 
     Attributes:
+        owner: Takes it back after each exchange.
         written: Whether any byte of the current request may have been sent.
         idle_since_s: Event loop time of the last return to the pool.
         closed: Whether the connection is closed or the upstream has sent EOF.
@@ -54,6 +55,7 @@
     """
 
     def __init__(self, *, owner: UpstreamOwner) -> None:
+        self.owner = owner
         self.written = False
         self.idle_since_s = 0.0
         self.closed = False
@@ -62,7 +64,6 @@
             maxlen=MAX_REFUSED_IDS
         )
         self._is_used = False
-        self._owner = owner
         self._h11 = self._build_parser()
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
@@ -85,7 +86,7 @@
 
     def _build_parser(self) -> h11.Connection:
         return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=self._owner.limits.header_bytes
+            h11.CLIENT, max_incomplete_event_size=self.owner.limits.header_bytes
         )
 
     async def exchange(
@@ -231,7 +232,7 @@
                     detail=str(exc) if exc else "the upstream closed the connection",
                 )
             )
-        self._owner.drop_connection(self)
+        self.owner.drop_connection(self)
 
     def abort(self) -> None:
         """Close immediately."""
@@ -257,7 +258,7 @@
         The parser limits each header, but not the number of interim responses nor the
         length of a response that is skipped.
         """
-        limits = self._owner.limits
+        limits = self.owner.limits
         if not self._busy or self._response_head is None or self._response_head.done():
             return
         if self._skipping_response:
@@ -316,7 +317,7 @@
             detail = f"the upstream answered with status {event.status_code}"
             self._fail(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
             return
-        if not self._owner.limits.accepts_unframed and not self._is_framed(
+        if not self.owner.limits.accepts_unframed and not self._is_framed(
             event.status_code, headers
         ):
             detail = (
@@ -373,19 +374,19 @@
         body = self._body
         assert body is not None
         self._body_bytes += len(event.data)
-        if self._body_bytes > self._owner.limits.body_bytes:
+        if self._body_bytes > self.owner.limits.body_bytes:
             detail = "the response exceeds the size limit"
             self._fail(Refusal(kind=ErrorKind.RESPONSE_TRUNCATED, detail=detail))
             return
         body.put(bytes(event.data))
-        limit = self._owner.limits.buffer_bytes
+        limit = self.owner.limits.buffer_bytes
         if body.buffered_bytes > limit:
             self._is_buffer_full = True
             self._update_reading()
 
     def _handle_body_read(self, size: int) -> None:
         body = self._body
-        limit = self._owner.limits.buffer_bytes
+        limit = self.owner.limits.buffer_bytes
         if self._is_buffer_full and body and body.buffered_bytes <= limit // 2:
             self._is_buffer_full = False
             self._update_reading()
@@ -454,7 +455,7 @@
         self._is_buffer_full = self._has_deferred_events = False
         self._update_reading()
         if not self.closed:
-            self._owner.return_connection(self)
+            self.owner.return_connection(self)
 
     def _stop_tasks(self) -> None:
         if self._timer is not None:
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -21,11 +21,15 @@
 from papayatack.daemon.announcement import AnnouncedUpstream
 from papayatack.daemon.environment import split_address
 from papayatack.logservice.bootstrap import BootstrapFailure, load_stream
+from papayatack.network.identified_connections import IdentifiedConnections
 from papayatack.network.limits import PeerLimits, UpstreamLimits
+from papayatack.network.upstream_connection import UpstreamConnection
+from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.platform.coldness import ColdnessChecker
 from papayatack.platform.fields import REQUEST_FIELDS, PlatformDialect
 from papayatack.platform.grants import MAX_DELIVERY_S, RangeGrantClient
+from papayatack.platform.health_check import read_instance
 from papayatack.platform.heartbeats import HeartbeatReceiver
 from papayatack.platform.manifest import ManifestDecoder, ManifestFold
 from papayatack.platform.settings import PlatformSettings
@@ -137,7 +141,23 @@
 
     def build_sink(self) -> GrantSink:
         """Return the client that sends grants to the upstream."""
-        return RangeGrantClient(list_hot=self._list_hot_shards)
+        return RangeGrantClient(
+            list_hot=self._list_hot_shards,
+            build_connections=self._build_grant_connections,
+        )
+
+    def _build_grant_connections(self, pool: UpstreamPool) -> IdentifiedConnections:
+        async def read_id(connection: UpstreamConnection, *, deadline_s: float) -> str:
+            path = self._find_health_path()
+            if not path:
+                return pool.name  # this service's upstreams can't be asked
+            return await read_instance(
+                connection, address=pool.address, path=path, deadline_s=deadline_s
+            )
+
+        return IdentifiedConnections(
+            pool=pool, read_id=read_id, on_replaced=self.desk.note_replaced
+        )
 
     def build_publisher(self, control: ControlNode, writer: IncarnationId) -> None:
         """Return ``None``: operators publish directly to the store."""
--- a/src/papayatack/platform/fields.py
+++ b/src/papayatack/platform/fields.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "COLD",
+    "EXPECTED_INSTANCE",
     "REQUEST_FIELDS",
     "HANDOVER",
     "INSTANCE",
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -33,9 +34,13 @@
     merge_ranges,
     split_handovers,
 )
-from papayatack.platform.upstream_calls import NOT_SENT, call_upstream
+from papayatack.platform.upstream_calls import (
+    NOT_SENT,
+    CallConnections,
+    call_upstream,
+)
 
-__all__ = ["MAX_DELIVERY_S", "RangeGrantClient"]
+__all__ = ["GrantConnections", "MAX_DELIVERY_S", "RangeGrantClient"]
 
 MAX_CLOCK_RATE_ERROR = 0.02
 MAX_DELIVERY_S = 0.3
@@ -82,12 +87,20 @@
     until_s: float
 
 
+class GrantConnections(CallConnections, Protocol):
+    """Connections to one upstream process on which grants are sent."""
+
+    def retire(self) -> None:
+        """Close idle connections now, and others when their exchange ends."""
+
+
 class _UpstreamProcess:
     """State of one upstream process and of the calls to it in flight.
 
     Attributes:
         name: Its name, for operators.
-        pool: Connections to the process, ``None`` while there is none.
+        pool: Connections to its address, ``None`` while there is none.
+        connections: Those of them on which grants are sent.
         sent_s: Event loop time at which the last grant was sent, ``None`` before.
         granted: Confirmed grants that are renewed, by shard.
         requested_tokens: Token of the newest requested grant, by shard.
@@ -99,6 +112,7 @@
     def __init__(self) -> None:
         self.name = ""
         self.pool: UpstreamPool | None = None
+        self.connections: GrantConnections | None = None
         self.sent_s: float | None = None
         self.granted: dict[ShardId, _Granted] = {}
         self.requested_tokens: dict[ShardId, int] = {}
@@ -117,10 +131,17 @@
     Args:
         list_hot: Returns the ids of the hot shards. A hot shard is a small range of
             consecutive keys, a hot slice, that was split from its parent shard.
+        build_connections: Returns the connections of a pool on which grants are sent.
     """
 
-    def __init__(self, *, list_hot: Callable[[], Collection[ShardId]]) -> None:
+    def __init__(
+        self,
+        *,
+        list_hot: Callable[[], Collection[ShardId]],
+        build_connections: Callable[[UpstreamPool], GrantConnections],
+    ) -> None:
         self._list_hot = list_hot
+        self._build_connections = build_connections
         self._history = GrantHistory()
         self._process = _UpstreamProcess()
         self._grant_slots = asyncio.Semaphore(MAX_CONCURRENT_GRANTS)
@@ -133,9 +154,14 @@
 
     @pool.setter
     def pool(self, pool: UpstreamPool | None) -> None:
-        self._process.pool = pool
+        process = self._process
+        if process.connections is not None:
+            process.connections.retire()
+        process.pool = pool
+        process.connections = None
         if pool is not None:
-            self._process.name = pool.name
+            process.name = pool.name
+            process.connections = self._build_connections(pool)
 
     def forget(self, *, is_certain: bool = True) -> None:
         """Abandon the calls to the current upstream process; expect a new one.
@@ -418,7 +444,11 @@
             async with self._grant_slots:
                 previous = response
                 response = await call_upstream(
-                    process.pool, b"/grant", build_document, end_s, response_timeout_s
+                    process.connections,
+                    b"/grant",
+                    build_document,
+                    end_s,
+                    response_timeout_s,
                 )
             if response is not None:
                 self._record_answered(process, key_range, sent, end_s)
--- a/src/papayatack/platform/health_check.py
+++ b/src/papayatack/platform/health_check.py
@@ -4,13 +4,17 @@
 import http
 
 import h11
+from returns.pipeline import is_successful
 
 from papayatack.logservice.calls import HttpCall, HttpClient, ResponseError
-from papayatack.network.exchanges import Headers, find_header
+from papayatack.network.exchanges import Headers, Request, find_header
+from papayatack.network.upstream_connection import UpstreamConnection
 from papayatack.platform.fields import COLD, INSTANCE, LOAD, NOT_EXECUTED, parse_ms
 from papayatack.platform.lifetimes import Identity
+from papayatack.platform.upstream_calls import build_response_matcher
+from papayatack.proxy.buffering import buffer_response
 
-__all__ = ["HealthClient", "check_health"]
+__all__ = ["HealthClient", "check_health", "read_instance"]
 
 TIMEOUT_S = 0.3
 MAX_RESPONSE_BYTES = 16 * 1024
@@ -36,6 +40,28 @@
         await client.close()
 
 
+async def read_instance(
+    connection: UpstreamConnection, *, address: str, path: str, deadline_s: float
+) -> str:
+    """Return the id of the lifetime that answers on a connection.
+
+    It is empty if there is no answer before an event loop time that names one. A
+    lifetime that is not ready, or has no free slot, names itself all the same.
+    """
+    request = Request(
+        method=b"GET", target=path.encode(), headers=((b"host", address.encode()),)
+    )
+    result = await connection.exchange(
+        request, deadline_s=deadline_s, matches_request=build_response_matcher()
+    )
+    if not is_successful(result):
+        return ""
+    buffered = await buffer_response(result.unwrap())
+    if not is_successful(buffered):
+        return ""
+    return _find_instance(buffered.unwrap().headers)
+
+
 class HealthClient:
     """Asks one upstream's health check repeatedly, on a connection that is kept.
 
@@ -72,7 +98,7 @@
 
 
 def _read_identity(status: int, headers: Headers) -> Identity | None:
-    instance = (find_header(headers, INSTANCE) or b"").decode("latin-1")
+    instance = _find_instance(headers)
     if not instance or find_header(headers, NOT_EXECUTED) is not None:
         return None
     return Identity(
@@ -83,6 +109,10 @@
     )
 
 
+def _find_instance(headers: Headers) -> str:
+    return (find_header(headers, INSTANCE) or b"").decode("latin-1")
+
+
 def _read_slots(load: bytes) -> int:
     """Return the number of slots in a reported load, 0 if it is malformed.
 
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -128,6 +128,11 @@
         if self.on_suspicion is not None:
             self.on_suspicion()
 
+    def note_replaced(self) -> None:
+        """Have the health check asked at once, since another upstream has answered."""
+        self._lifetimes.doubt_running()
+        self._wakeup.set()
+
     def note_leaving(self, instance: str) -> None:
         """Record that an upstream is leaving; it still serves for a while."""
         self._lifetimes.note_departure(instance, _read_clock())
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -205,6 +205,10 @@
         """Record that something listens at the address of the running lifetime."""
         self.heard_s = now
 
+    def doubt_running(self) -> None:
+        """Have the health check asked which lifetime runs."""
+        self._is_identity_wanted = True
+
     def note_end(self) -> None:
         """Record that the running lifetime can't be reached any more."""
         if self.running is not None:
--- a/src/papayatack/platform/upstream_calls.py
+++ b/src/papayatack/platform/upstream_calls.py
@@ -3,24 +3,49 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 from returns.pipeline import is_successful
+from returns.result import Result
 
+from papayatack.core.errors import Refusal
 from papayatack.network.exchanges import Response, find_header
 from papayatack.network.grants import build_json_request
-from papayatack.network.upstream_connection import ResponseMatcher
-from papayatack.network.upstreams import UpstreamPool
-from papayatack.platform.fields import REQUEST_ID, SIGNATURE
+from papayatack.network.upstream_connection import (
+    ResponseMatcher,
+    UpstreamConnection,
+)
+from papayatack.platform.fields import EXPECTED_INSTANCE, REQUEST_ID, SIGNATURE
 from papayatack.proxy.buffering import buffer_response
 
-__all__ = ["NOT_SENT", "build_response_matcher", "call_upstream"]
+__all__ = ["CallConnections", "NOT_SENT", "build_response_matcher", "call_upstream"]
 
 NOT_SENT = Response(status=0)
 """Placeholder response of a call that was never sent to the upstream."""
 
 
+class CallConnections(Protocol):
+    """Connections on which calls are sent.
+
+    Attributes:
+        name: Id of the upstream process that the calls are meant for.
+        address: The upstream's ``host:port``.
+    """
+
+    name: str
+    address: str
+
+    async def reserve(
+        self, *, deadline_s: float
+    ) -> Result[UpstreamConnection, Refusal]:
+        """Return a connection, to be used for one exchange or returned unused."""
+
+    def return_connection(self, connection: UpstreamConnection) -> None:
+        """Take back a connection that can be reused."""
+
+
 async def call_upstream(
-    pool: UpstreamPool | None,
+    connections: CallConnections | None,
     target: bytes,
     build_document: Callable[[], Mapping[str, object] | None],
     deadline_s: float,
@@ -28,26 +53,31 @@
 ) -> Response | None:
     """Return the upstream's response, ``None`` if the outcome is unknown.
 
+    The call names the process that it is meant for; any other may refuse it with 421.
+
     Args:
-        pool: Connections to the upstream process, ``None`` if there is none.
+        connections: Connections to the upstream process, ``None`` if there is none.
         target: Path of the call.
         build_document: Returns the request document once a connection is available,
             ``None`` if the call must no longer be sent.
         deadline_s: Event loop time by which the response must have arrived.
         response_timeout_s: Maximum time to wait for the response after sending.
     """
-    if pool is None:
+    if connections is None:
         return NOT_SENT
-    reserved = await pool.reserve(deadline_s=deadline_s)
+    reserved = await connections.reserve(deadline_s=deadline_s)
     if not is_successful(reserved):
         return NOT_SENT
     connection = reserved.unwrap()
     document = build_document()
     if document is None:
-        pool.return_connection(connection)
+        connections.return_connection(connection)
         return NOT_SENT
     data = json.dumps(document).encode()
-    request = build_json_request(pool.address, b"POST", target, data)
+    expected = (EXPECTED_INSTANCE, connections.name.encode())
+    request = build_json_request(
+        connections.address, b"POST", target, data, fields=(expected,)
+    )
     sent_s = asyncio.get_running_loop().time()
     result = await connection.exchange(
         request,
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -40,7 +40,7 @@
             control=mock.Mock(),
             engine=engine,
             gate=gate,
-            sink=RangeGrantClient(list_hot=list),
+            sink=RangeGrantClient(list_hot=list, build_connections=mock.Mock()),
             build_pool=lambda upstream: mock.Mock(),
             drain_s=1.0,
             limit=lambda upstream: calls.append((upstream, engine.upstream)),
@@ -58,7 +58,7 @@
         queue = asyncio.Queue()
         for item in news:
             queue.put_nowait(item)
-        sink = RangeGrantClient(list_hot=list)
+        sink = RangeGrantClient(list_hot=list, build_connections=mock.Mock())
         sink.forget = mock.Mock(wraps=sink.forget)
         self.pools = []
 
--- a/tests/fakes/platformfleet.py
+++ b/tests/fakes/platformfleet.py
@@ -223,7 +223,8 @@
             connections=100,
         )
         slot.sink = RangeGrantClient(
-            list_hot=lambda: [shard for shard in state.shards if is_hot_shard(shard)]
+            list_hot=lambda: [shard for shard in state.shards if is_hot_shard(shard)],
+            build_connections=lambda pool: pool,
         )
         slot.control = control = ControlNode(
             announcement=announcement,
--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -357,7 +357,7 @@
 
     def __init__(self, *, process):
         self.process = process
-        self.address = process.name
+        self.address = self.name = process.name
         self.on_unreachable = None
 
     async def reserve(self, *, deadline_s):
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -1,12 +1,14 @@
 """Tests of papayatack.platform.grants against a fake upstream that checks grants."""
 
 import asyncio
+import functools
 import unittest
 from unittest import mock
 
 from returns.result import Failure, Success
 
 from papayatack.core.identity import IncarnationId, LeaseId, ShardId
+from papayatack.network.identified_connections import IdentifiedConnections
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.metrics import Metrics
 from papayatack.platform import grants
@@ -15,6 +17,7 @@
     MAX_DELIVERY_S,
     RangeGrantClient,
 )
+from papayatack.platform.health_check import read_instance
 from standins.platformupstream import PlatformUpstream
 from tests.network.slow_relay import SlowRelay
 
@@ -35,6 +38,12 @@
     return asyncio.get_running_loop().time() + duration_us / 1e6
 
 
+def build_identified(pool, *, on_replaced):
+    """Return connections on which the process of a pool has named itself."""
+    read_id = functools.partial(read_instance, address=pool.address, path="/health")
+    return IdentifiedConnections(pool=pool, read_id=read_id, on_replaced=on_replaced)
+
+
 class RangeGrantClientTests(unittest.IsolatedAsyncioTestCase):
     """Keys that the upstream holds after grants, renewals and releases."""
 
@@ -43,7 +52,9 @@
         await self.upstream.start()
         self.addAsyncCleanup(self.upstream.stop)
         self.hot = []
-        self.grants = RangeGrantClient(list_hot=lambda: self.hot)
+        self.grants = RangeGrantClient(
+            list_hot=lambda: self.hot, build_connections=lambda pool: pool
+        )
         host, _, port = self.upstream.address.partition(":")
         self.pool = UpstreamPool(host=host, port=int(port), metrics=Metrics())
         self.addCleanup(self.pool.close)
@@ -239,6 +250,29 @@
         await self.grants.extend(LEASE, find_end(LONG_US))
         self.assertEqual(upstream.grants, {})
 
+    async def test_process_at_the_same_address_gets_no_renewal_of_the_last(self):
+        """The upstream has crashed and started again, which nobody has noticed yet."""
+        self.pool.name = "i-1"
+        replaced = []
+        self.grants = RangeGrantClient(
+            list_hot=list,
+            build_connections=lambda pool: build_identified(
+                pool, on_replaced=lambda: replaced.append(pool.name)
+            ),
+        )
+        self.grants.pool = self.pool
+        shards = {name(0, 255): 7}
+        granted = await self.grants.grant(LEASE, shards, find_end(LONG_US))
+        self.assertEqual(granted, Success(None))
+        self.upstream.down_s = 0.02
+        self.upstream.crash()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.upstream.instance, "i-1-1")
+        refused = await self.grants.extend(LEASE, find_end(LONG_US))
+        self.assertIsInstance(refused, Failure)
+        self.assertEqual(self.upstream.grants, {})
+        self.assertEqual(replaced, ["i-1"])
+
     async def test_token_of_a_previous_process_is_not_sent_again(self):
         """The next process gets a grant only with a higher token."""
         first = name(0, 255)
--- a/tests/running.py
+++ b/tests/running.py
@@ -34,6 +34,7 @@
     "tests.platform.test_lone_node",
     "tests.platform.test_operations",
     "tests.platform.test_process",
+    "tests.platform.test_restarted_upstream",
     "tests.platform.test_start",
     "tests.platform.test_starting_node",
     "tests.platform.test_stop_ends",
@@ -56,6 +57,7 @@
     "tests.platform.test_late_grants",
     "tests.platform.test_late_requests",
     "tests.platform.test_lone_node",
+    "tests.platform.test_restarted_upstream",
     "tests.platform.test_starting_node",
     "tests.platform.test_store_return",
 )
