Wait for the answer to a grant as long as its connection took

With the question for the id before it, a grant at an upstream that is reached after 1 s was cut by its first response timeout of 0.3 s, which closes a connection that took 1 s to be identified. The subtest delay_s=1.0 of ...grant_that_arrived_late_has_expired failed with identified connections for that; it passes now.

--- a/src/papayatack/network/identified_connections.py
+++ b/src/papayatack/network/identified_connections.py
@@ -25,7 +25,8 @@
 MAX_ATTEMPTS = 3
 """Maximum number of connections that are tried: a reused one may have been closed."""
 
-ID_TIMEOUT_S = 1.0
+ID_TIMEOUT_S = 1.5
+"""Time for an answer to the question, which may wait for a free slot."""
 
 
 class IdReader(Protocol):
--- a/src/papayatack/platform/upstream_calls.py
+++ b/src/papayatack/platform/upstream_calls.py
@@ -23,6 +23,10 @@
 NOT_SENT = Response(status=0)
 """Placeholder response of a call that was never sent to the upstream."""
 
+WAIT_RATIO = 2.0
+"""Minimum time to wait for a response, relative to the time for its connection, during
+which the upstream may have been asked for its id."""
+
 
 class CallConnections(Protocol):
     """Connections on which calls are sent.
@@ -61,10 +65,13 @@
         build_document: Returns the request document once a connection is available,
             ``None`` if the call must no longer be sent.
         deadline_s: Event loop time by which the response must have arrived.
-        response_timeout_s: Maximum time to wait for the response after sending.
+        response_timeout_s: Maximum time to wait for the response after sending, unless
+            the connection has been as slow to come.
     """
     if connections is None:
         return NOT_SENT
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
     reserved = await connections.reserve(deadline_s=deadline_s)
     if not is_successful(reserved):
         return NOT_SENT
@@ -78,10 +85,11 @@
     request = build_json_request(
         connections.address, b"POST", target, data, fields=(expected,)
     )
-    sent_s = asyncio.get_running_loop().time()
+    sent_s = loop.time()
+    slow_s = WAIT_RATIO * (sent_s - began_s)
     result = await connection.exchange(
         request,
-        deadline_s=min(deadline_s, sent_s + response_timeout_s),
+        deadline_s=min(deadline_s, sent_s + max(response_timeout_s, slow_s)),
         matches_request=build_response_matcher(),
     )
     if not is_successful(result):
