Wait out the grants of an upstream whose end its connections do not prove

What callers saw: a key was held by two upstreams for up to 2.8 s, as what the last life had been granted was dropped when a new one was seen, also the part that the new one had taken.

Cause: the end of a life counted as certain by what was said of it (a heartbeat, an answer of the health check), whichever process had taken its last grants.

Change: it is certain only if all grants were sent on connections that led to that process and none of them is open. Where upstreams have no health check, nothing tells who took a grant, and it is waited out.

Both tests fail without the change (revoke returns while the upstream holds the key): ...grant_that_the_next_process_may_have_taken_is_waited_out, ...process_whose_connection_is _open_has_not_ended. The tests of this class use identified connections now, as nodes do; the line on the end of a process is checked after it has ended.

--- a/src/papayatack/network/identified_connections.py
+++ b/src/papayatack/network/identified_connections.py
@@ -34,10 +34,11 @@
 
     async def __call__(
         self, connection: UpstreamConnection, *, deadline_s: float
-    ) -> str:
+    ) -> str | None:
         """Return the id of the process that a connection leads to.
 
-        It is empty if there is no answer until the event loop time ``deadline_s``.
+        It is empty if there is no answer until the event loop time ``deadline_s``, and
+        ``None`` if processes of this kind can't be asked.
         """
 
 
@@ -50,6 +51,10 @@
         pool: Connections to the address; its name is the id of the expected process.
         read_id: Asks which process a connection leads to.
         on_replaced: Called when another process has answered.
+
+    Attributes:
+        is_identified: Whether all connections so far led to the expected process; if
+            not, processes of this kind can't be asked.
     """
 
     def __init__(
@@ -62,6 +67,8 @@
         self._pool = pool
         self._read_id = read_id
         self._on_replaced = on_replaced
+        self.is_identified = True
+        self._identified: set[UpstreamConnection] = set()
         self._idle: list[UpstreamConnection] = []
         self._unidentified: set[UpstreamConnection] = set()
         self._is_retired = False
@@ -81,6 +88,11 @@
         """Limits of the pool."""
         return self._pool.limits
 
+    @property
+    def has_open(self) -> bool:
+        """Whether a connection to the expected process is open, so that it runs."""
+        return any(not connection.closed for connection in self._identified)
+
     async def reserve(
         self, *, deadline_s: float
     ) -> Result[UpstreamConnection, Refusal]:
@@ -98,7 +110,9 @@
                 return Failure(reserved.failure())
             connection = reserved.unwrap()
             found = await self._identify(connection, deadline_s)
-            if found == self.name and not connection.closed:
+            self.is_identified &= found is not None
+            if found in (self.name, None) and not connection.closed:
+                self._identified.add(connection)
                 return Success(connection)
             connection.abort()
             if found and found != self.name:
@@ -108,7 +122,9 @@
                 break
         return _refuse(f"{self.name} does not name itself")
 
-    async def _identify(self, connection: UpstreamConnection, deadline_s: float) -> str:
+    async def _identify(
+        self, connection: UpstreamConnection, deadline_s: float
+    ) -> str | None:
         connection.owner = self
         self._unidentified.add(connection)
         limit_s = asyncio.get_running_loop().time() + ID_TIMEOUT_S
@@ -128,11 +144,13 @@
         self._idle.append(connection)
         if len(self._idle) > MAX_IDLE:
             spare = self._idle.pop(0)
+            self._identified.discard(spare)
             spare.owner = self._pool
             self._pool.return_connection(spare)
 
     def drop_connection(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
+        self._identified.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         self._pool.drop_connection(connection)
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -147,10 +147,12 @@
         )
 
     def _build_grant_connections(self, pool: UpstreamPool) -> IdentifiedConnections:
-        async def read_id(connection: UpstreamConnection, *, deadline_s: float) -> str:
+        async def read_id(
+            connection: UpstreamConnection, *, deadline_s: float
+        ) -> str | None:
             path = self._find_health_path()
             if not path:
-                return pool.name  # this service's upstreams can't be asked
+                return None
             return await read_instance(
                 connection, address=pool.address, path=path, deadline_s=deadline_s
             )
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -88,7 +88,16 @@
 
 
 class GrantConnections(CallConnections, Protocol):
-    """Connections to one upstream process on which grants are sent."""
+    """Connections to one upstream process on which grants are sent.
+
+    Attributes:
+        is_identified: Whether they lead to this process only, and not to the next one
+            at its address.
+        has_open: Whether one of them is open, so that the process runs.
+    """
+
+    is_identified: bool
+    has_open: bool
 
     def retire(self) -> None:
         """Close idle connections now, and others when their exchange ends."""
@@ -101,6 +110,8 @@
         name: Its name, for operators.
         pool: Connections to its address, ``None`` while there is none.
         connections: Those of them on which grants are sent.
+        is_end_proved: Whether its last connections show that it has ended, and that no
+            other process has taken its grants.
         sent_s: Event loop time at which the last grant was sent, ``None`` before.
         granted: Confirmed grants that are renewed, by shard.
         requested_tokens: Token of the newest requested grant, by shard.
@@ -113,6 +124,7 @@
         self.name = ""
         self.pool: UpstreamPool | None = None
         self.connections: GrantConnections | None = None
+        self.is_end_proved = True
         self.sent_s: float | None = None
         self.granted: dict[ShardId, _Granted] = {}
         self.requested_tokens: dict[ShardId, int] = {}
@@ -120,6 +132,15 @@
         self.calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
         self.ended = asyncio.Event()
 
+    def disconnect(self) -> None:
+        """Retire the connections."""
+        connections, self.connections = self.connections, None
+        self.pool = None
+        if connections is not None:
+            is_open = connections.has_open
+            self.is_end_proved = connections.is_identified and not is_open
+            connections.retire()
+
 
 class RangeGrantClient:
     """Grants the local upstream the keys that it may serve.
@@ -155,10 +176,8 @@
     @pool.setter
     def pool(self, pool: UpstreamPool | None) -> None:
         process = self._process
-        if process.connections is not None:
-            process.connections.retire()
+        process.disconnect()
         process.pool = pool
-        process.connections = None
         if pool is not None:
             process.name = pool.name
             process.connections = self._build_connections(pool)
@@ -170,10 +189,12 @@
 
         Args:
             is_certain: Whether the old process is known to have ended, so that none of
-                its grants are held any longer. If not, they count as held until they
-                expire.
+                its grants are held any longer. If not, or if its connections do not
+                prove that, they count as held until they expire.
         """
         process = self._process
+        process.disconnect()
+        is_certain = is_certain and process.is_end_proved
         if process.sent_s is not None:
             log_forgotten(
                 process.name,
--- a/tests/fakes/ranges.py
+++ b/tests/fakes/ranges.py
@@ -353,13 +353,24 @@
 
 
 class RangePool:
-    """Fake connection pool of a node to a process of its upstream."""
+    """Fake connection pool of a node to a process of its upstream.
+
+    Attributes:
+        is_identified: Whether it leads to this process only.
+    """
+
+    is_identified = True
 
     def __init__(self, *, process):
         self.process = process
         self.address = self.name = process.name
         self.on_unreachable = None
 
+    @property
+    def has_open(self):
+        """Whether a connection is open."""
+        return self.process.is_up
+
     async def reserve(self, *, deadline_s):
         """Return a connection."""
         if self.process.is_up:
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -52,14 +52,23 @@
         await self.upstream.start()
         self.addAsyncCleanup(self.upstream.stop)
         self.hot = []
+        self.replaced = []
         self.grants = RangeGrantClient(
-            list_hot=lambda: self.hot, build_connections=lambda pool: pool
+            list_hot=lambda: self.hot,
+            build_connections=lambda pool: build_identified(
+                pool, on_replaced=lambda: self.replaced.append(pool.name)
+            ),
         )
-        host, _, port = self.upstream.address.partition(":")
-        self.pool = UpstreamPool(host=host, port=int(port), metrics=Metrics())
-        self.addCleanup(self.pool.close)
+        self.pool = self.build_pool(self.upstream.address, name="i-1")
         self.grants.pool = self.pool
 
+    def build_pool(self, address, *, name):
+        """Return connections to an address."""
+        host, _, port = address.partition(":")
+        pool = UpstreamPool(host=host, port=int(port), metrics=Metrics(), name=name)
+        self.addCleanup(pool.close)
+        return pool
+
     async def test_adjacent_shards_with_one_token_share_a_grant(self):
         """Adjacent shards with different tokens get separate grants."""
         tokens = {name(0, 255): 7, name(256, 511): 7, name(512, 767): 9}
@@ -119,9 +128,7 @@
         self.addCleanup(relay.stop)
         relay.target_port = int(self.upstream.address.rpartition(":")[2])
         relay.delay_s = delay_s
-        pool = UpstreamPool(host="127.0.0.1", port=relay.port, metrics=Metrics())
-        self.addCleanup(pool.close)
-        self.grants.pool = pool
+        self.grants.pool = self.build_pool(f"127.0.0.1:{relay.port}", name="i-1")
         end_s = find_end(LATE_US)
         result = await self.grants.grant(LEASE, {name(0, 255): 7}, end_s)
         self.assertEqual(result, Success(None))
@@ -163,6 +170,7 @@
     async def test_end_of_a_process_is_logged_with_what_it_may_still_hold(self):
         """The time of the last grant shows whether it was sent after the end."""
         await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(LONG_US))
+        await self.upstream.stop()
         await asyncio.sleep(0.1)
         with self.assertLogs("papayatack.platform.grant_lines", "INFO") as logs:
             self.grants.forget()
@@ -226,15 +234,14 @@
 
     async def replace_upstream(self):
         """Start a new upstream process, use it and return it."""
+        await self.upstream.stop()
+        await asyncio.sleep(0.02)
         self.grants.pool = None
         self.grants.forget()
         upstream = PlatformUpstream(instance="i-2", service="desk", place="east")
         await upstream.start()
         self.addAsyncCleanup(upstream.stop)
-        host, _, port = upstream.address.partition(":")
-        pool = UpstreamPool(host=host, port=int(port), metrics=Metrics())
-        self.addCleanup(pool.close)
-        self.grants.pool = pool
+        self.grants.pool = self.build_pool(upstream.address, name="i-2")
         return upstream
 
     async def test_grants_in_flight_to_a_previous_process_are_not_renewed(self):
@@ -252,15 +259,6 @@
 
     async def test_process_at_the_same_address_gets_no_renewal_of_the_last(self):
         """The upstream has crashed and started again, which nobody has noticed yet."""
-        self.pool.name = "i-1"
-        replaced = []
-        self.grants = RangeGrantClient(
-            list_hot=list,
-            build_connections=lambda pool: build_identified(
-                pool, on_replaced=lambda: replaced.append(pool.name)
-            ),
-        )
-        self.grants.pool = self.pool
         shards = {name(0, 255): 7}
         granted = await self.grants.grant(LEASE, shards, find_end(LONG_US))
         self.assertEqual(granted, Success(None))
@@ -271,7 +269,37 @@
         refused = await self.grants.extend(LEASE, find_end(LONG_US))
         self.assertIsInstance(refused, Failure)
         self.assertEqual(self.upstream.grants, {})
-        self.assertEqual(replaced, ["i-1"])
+        self.assertEqual(self.replaced, ["i-1"])
+
+    async def test_grant_that_the_next_process_may_have_taken_is_waited_out(self):
+        """Nothing tells which process took it if they can't be asked for their ids."""
+        self.grants = RangeGrantClient(
+            list_hot=list,
+            build_connections=lambda pool: IdentifiedConnections(
+                pool=pool,
+                read_id=mock.AsyncMock(return_value=None),
+                on_replaced=mock.Mock(),
+            ),
+        )
+        self.grants.pool = self.pool
+        shard = name(0, 255)
+        await self.grants.grant(LEASE, {shard: 7}, find_end(MIDDLE_US))
+        self.upstream.down_s = 0.02
+        self.upstream.crash()
+        await asyncio.sleep(0.1)
+        await self.grants.extend(LEASE, find_end(MIDDLE_US))
+        self.assertTrue(self.upstream.holds(0))
+        self.grants.forget(is_certain=True)
+        await self.grants.revoke(LEASE, (shard,))
+        self.assertFalse(self.upstream.holds(0))
+
+    async def test_process_whose_connection_is_open_has_not_ended(self):
+        """Its keys are waited out, whoever says that it has ended."""
+        shard = name(0, 255)
+        await self.grants.grant(LEASE, {shard: 7}, find_end(MIDDLE_US))
+        self.grants.forget(is_certain=True)
+        await self.grants.revoke(LEASE, (shard,))
+        self.assertFalse(self.upstream.holds(0))
 
     async def test_token_of_a_previous_process_is_not_sent_again(self):
         """The next process gets a grant only with a higher token."""
