Wait out the grants of an upstream that restarted under its id

What callers would have seen: keys held by two upstreams. A heartbeat with a later start ended the life before for certain, so that its keys were free at once; the later life has the same id, and may hold what was sent since its start as renewals.

The test ...restarts_with_its_id_unnoticed_is_announced_again asserted the certain end, which was wrong for that reason; it asserts the uncertain one now, and fails without the change.

--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -181,7 +181,8 @@
             self._wakeup.set()
         elif self.on_report is not None:
             self.on_report(heartbeat.status.cold_remaining)
-        self._publish()
+        # A later life with the same id may hold what was meant for the one before.
+        self._publish(is_end_certain=False)
 
     async def watch(self) -> None:
         """Identify the running upstream, and detect its end, until cancelled.
