Grant keys anew to an upstream that may have restarted under its id

What callers would have seen: an upstream that crashed and started again with the id that it had took its keys with the fence numbers of its last life, which knew nothing of them any more.

Cause: the health check names the id only, so that a new connection to the next life looked like one to the last.

Change: where reports say when a life began, ids are used again; there, a process is the same for certain only while an earlier connection to it is open. Once all are lost, the keys are granted again with higher numbers. Nobody else can hold them, so none is waited out and none moves. A heartbeat of the later start then ends nothing.

--- a/src/papayatack/control/interface.py
+++ b/src/papayatack/control/interface.py
@@ -66,6 +66,12 @@
                 its grants are taken to hold until they expire.
         """
 
+    def restart(self) -> None:
+        """Renew no grant sent so far: the upstream may have restarted in its place.
+
+        Nobody else can hold its keys meanwhile.
+        """
+
     async def grant(
         self,
         lease: LeaseId,
--- a/src/papayatack/core/ownership/grant_history.py
+++ b/src/papayatack/core/ownership/grant_history.py
@@ -138,6 +138,25 @@
             for entry in self._ranges
         ]
 
+    def record_interruption(self, *, delivery_s: float) -> None:
+        """Accept no token sent so far, as another process may have taken its place.
+
+        Either the process that has the grants still runs, or nobody has them.
+
+        Args:
+            delivery_s: Longest time in which an unanswered grant can reach the
+                upstream.
+        """
+        self._ranges = [
+            dataclasses.replace(
+                entry,
+                token=0,
+                expires_s=entry.expires_s + delivery_s,
+                previous_token=max(entry.previous_token, entry.token),
+            )
+            for entry in self._ranges
+        ]
+
     def _replace(self, entries: Iterable[RangeHistory]) -> None:
         """Replace the entries of a contiguous range; join adjacent equal ones."""
         new = list(entries)
--- a/src/papayatack/daemon/announcement.py
+++ b/src/papayatack/daemon/announcement.py
@@ -16,7 +16,13 @@
 from papayatack.network.exchanges import Request, Response
 from papayatack.observability.metrics import Metrics
 
-__all__ = ["AnnouncedUpstream", "AnnouncementDesk", "UpstreamGone"]
+__all__ = [
+    "AnnouncedUpstream",
+    "AnnouncementDesk",
+    "UpstreamGone",
+    "UpstreamInterrupted",
+    "UpstreamNews",
+]
 
 MAX_SLOTS = 100_000
 MAX_CONNECTIONS = 1_000_000
@@ -56,6 +62,18 @@
     is_certain: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamInterrupted:
+    """All connections to the upstream were lost, and it may have restarted since.
+
+    It has the same id and address, so that nobody else has its grants.
+    """
+
+
+UpstreamNews = AnnouncedUpstream | UpstreamGone | UpstreamInterrupted
+"""What becomes known of the upstream beside this node."""
+
+
 class _Announcement(pydantic.BaseModel):
     """The body of an announcement; unknown fields are ignored."""
 
--- a/src/papayatack/daemon/environment.py
+++ b/src/papayatack/daemon/environment.py
@@ -22,7 +22,7 @@
 from papayatack.daemon.announcement import (
     AnnouncedUpstream,
     AnnouncementDesk,
-    UpstreamGone,
+    UpstreamNews,
 )
 from papayatack.daemon.health import follow_health
 from papayatack.daemon.settings import Settings
@@ -50,7 +50,7 @@
     async def handle(self, request: Request) -> Response:
         """Answer one call of the upstream."""
 
-    async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
+    async def wait_changed(self) -> UpstreamNews:
         """Wait for news that differ from those before."""
 
     def suspect(self) -> None:
--- a/src/papayatack/daemon/upstreams.py
+++ b/src/papayatack/daemon/upstreams.py
@@ -8,7 +8,11 @@
 
 from papayatack.control.interface import GrantSink
 from papayatack.control.node import ControlNode
-from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
+from papayatack.daemon.announcement import (
+    AnnouncedUpstream,
+    UpstreamGone,
+    UpstreamInterrupted,
+)
 from papayatack.daemon.environment import Environment
 from papayatack.network.upstreams import UpstreamPool
 from papayatack.observability.events import Event, log_event
@@ -79,6 +83,8 @@
                 self._cut = None
             if isinstance(news, UpstreamGone):
                 self._take_out(news)
+            elif isinstance(news, UpstreamInterrupted):
+                self._grant_again()
             elif news.leaving:
                 self._start_leaving(news)
             else:
@@ -130,6 +136,14 @@
         )
         self._control.handle_upstream_restart()
 
+    def _grant_again(self) -> None:
+        """Grant all shards anew to an upstream that may have restarted in its place."""
+        if self.current is None:
+            return
+        self._sink.restart()
+        self._control.handle_upstream_restart()
+        log_event(LOGGER, Event.UPSTREAM_INTERRUPTED, upstream=self.current.instance)
+
     def _start_leaving(self, upstream: AnnouncedUpstream) -> None:
         if self._sink.pool is not None:
             self._sink.pool.is_leaving = True
--- a/src/papayatack/network/grants.py
+++ b/src/papayatack/network/grants.py
@@ -70,6 +70,9 @@
     def forget(self, *, is_certain: bool = True) -> None:
         """Do nothing when an upstream has ended: the upstream stores its grants."""
 
+    def restart(self) -> None:
+        """Do nothing when an upstream restarts: the upstream stores its grants."""
+
     async def grant(
         self,
         lease: LeaseId,
--- a/src/papayatack/network/identified_connections.py
+++ b/src/papayatack/network/identified_connections.py
@@ -25,6 +25,12 @@
 MAX_ATTEMPTS = 3
 """Maximum number of connections that are tried: a reused one may have been closed."""
 
+MAX_IDENTIFYING = 2
+"""Maximum number of connections on which the upstream is asked at the same time."""
+
+REPLACED_PAUSE_S = 0.5
+"""Time after the answer of another process for which the upstream is not asked."""
+
 ID_TIMEOUT_S = 1.5
 """Time for an answer to the question, which may wait for a free slot."""
 
@@ -51,6 +57,9 @@
         pool: Connections to the address; its name is the id of the expected process.
         read_id: Asks which process a connection leads to.
         on_replaced: Called when another process has answered.
+        may_have_restarted: Called when all connections were lost and a process with
+            the expected id has answered; returns whether it may be another one. If so,
+            these connections are of no use any more.
 
     Attributes:
         is_identified: Whether all connections so far led to the expected process; if
@@ -63,15 +72,22 @@
         pool: UpstreamPool,
         read_id: IdReader,
         on_replaced: Callable[[], None],
+        may_have_restarted: Callable[[], bool],
     ) -> None:
         self._pool = pool
         self._read_id = read_id
         self._on_replaced = on_replaced
+        self._may_have_restarted = may_have_restarted
+        self._has_identified = False
+        self._is_interrupted = False
         self.is_identified = True
         self._identified: set[UpstreamConnection] = set()
         self._idle: list[UpstreamConnection] = []
         self._unidentified: set[UpstreamConnection] = set()
         self._is_retired = False
+        self._identifying = 0
+        self._refused_until_s = float("-inf")
+        self._changed = asyncio.Event()
 
     @property
     def name(self) -> str:
@@ -101,27 +117,85 @@
         Args:
             deadline_s: Event loop time at which to stop waiting for a connection.
         """
-        connection = self._take_idle()
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                connection = await self._wait_for_turn()
+        except TimeoutError:
+            return Failure(
+                Refusal(
+                    kind=ErrorKind.DEADLINE_EXPIRED,
+                    detail="no connection was free before the deadline",
+                )
+            )
         if connection is not None:
             return Success(connection)
+        if self._is_refused():
+            return _refuse(f"another process answers in place of {self.name}")
+        self._identifying += 1
+        try:
+            return await self._connect(deadline_s)
+        finally:
+            self._identifying -= 1
+            self._wake_waiters()
+
+    async def _wait_for_turn(self) -> UpstreamConnection | None:
+        """Return an idle connection, or ``None`` once another one may be identified."""
+        while True:
+            connection = self._take_idle()
+            is_allowed = self._identifying < MAX_IDENTIFYING
+            if connection is not None or is_allowed or self._is_refused():
+                return connection
+            await self._changed.wait()
+
+    def _is_refused(self) -> bool:
+        """Return whether another process has answered a short time ago."""
+        return asyncio.get_running_loop().time() < self._refused_until_s
+
+    def _wake_waiters(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _connect(self, deadline_s: float) -> Result[UpstreamConnection, Refusal]:
+        """Return a connection of the pool once its process has been identified."""
         for _ in range(MAX_ATTEMPTS):
             reserved = await self._pool.reserve(deadline_s=deadline_s)
             if not is_successful(reserved):
                 return Failure(reserved.failure())
             connection = reserved.unwrap()
+            if connection in self._identified:
+                connection.owner = self
+                return Success(connection)
             found = await self._identify(connection, deadline_s)
             self.is_identified &= found is not None
             if found in (self.name, None) and not connection.closed:
-                self._identified.add(connection)
-                return Success(connection)
+                return self._accept(connection)
             connection.abort()
             if found and found != self.name:
+                now = asyncio.get_running_loop().time()
+                self._refused_until_s = now + REPLACED_PAUSE_S
                 self._on_replaced()
                 return _refuse(f"{found} answers in place of {self.name}")
             if not found and not connection.is_reused:
                 break
         return _refuse(f"{self.name} does not name itself")
 
+    def _accept(
+        self, connection: UpstreamConnection
+    ) -> Result[UpstreamConnection, Refusal]:
+        """Use a connection to a process with the expected id.
+
+        It is the same process for certain as long as an earlier connection is open.
+        """
+        is_lost = self._has_identified and not self.has_open
+        if self._is_interrupted or (is_lost and self._may_have_restarted()):
+            self._is_interrupted = True
+            connection.abort()
+            return _refuse(f"{self.name} may have restarted")
+        self._has_identified = True
+        self._identified = {each for each in self._identified if not each.closed}
+        self._identified.add(connection)
+        return Success(connection)
+
     async def _identify(
         self, connection: UpstreamConnection, deadline_s: float
     ) -> str | None:
@@ -142,9 +216,9 @@
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
         self._idle.append(connection)
+        self._wake_waiters()
         if len(self._idle) > MAX_IDLE:
             spare = self._idle.pop(0)
-            self._identified.discard(spare)
             spare.owner = self._pool
             self._pool.return_connection(spare)
 
--- a/src/papayatack/platform/environment.py
+++ b/src/papayatack/platform/environment.py
@@ -158,7 +158,10 @@
             )
 
         return IdentifiedConnections(
-            pool=pool, read_id=read_id, on_replaced=self.desk.note_replaced
+            pool=pool,
+            read_id=read_id,
+            on_replaced=self.desk.note_replaced,
+            may_have_restarted=self.desk.note_interruption,
         )
 
     def build_publisher(self, control: ControlNode, writer: IncarnationId) -> None:
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -206,6 +206,19 @@
         process.ended.set()
         self._process = _UpstreamProcess()
 
+    def restart(self) -> None:
+        """Renew no grant sent so far: the upstream may have restarted in its place.
+
+        Only the process at the address can hold its keys, so that grants with higher
+        tokens need not wait.
+        """
+        pool = self._process.pool
+        self._history.record_interruption(delivery_s=MAX_DELIVERY_S)
+        self._process.disconnect()
+        self._process.ended.set()
+        self._process = _UpstreamProcess()
+        self.pool = pool
+
     async def grant(
         self,
         lease: LeaseId,
--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -11,7 +11,12 @@
 import pydantic
 from pydantic.alias_generators import to_pascal
 
-from papayatack.daemon.announcement import AnnouncedUpstream, UpstreamGone
+from papayatack.daemon.announcement import (
+    AnnouncedUpstream,
+    UpstreamGone,
+    UpstreamInterrupted,
+    UpstreamNews,
+)
 from papayatack.daemon.replies import read_json, reply_json
 from papayatack.network.exchanges import Request, Response
 from papayatack.network.probes import ProbeResult, probe
@@ -98,7 +103,7 @@
         self._check = check
         self._metrics = metrics
         self._heartbeat_timeout_s = interval_s * HEARTBEAT_TIMEOUT_INTERVALS
-        self._updates: asyncio.Queue[AnnouncedUpstream | UpstreamGone] = asyncio.Queue()
+        self._updates: asyncio.Queue[UpstreamNews] = asyncio.Queue()
         self._wakeup = asyncio.Event()
         self._is_suspected = False
         self._lifetimes = Lifetimes(
@@ -117,7 +122,7 @@
         """Look for the path of the health check in a new manifest."""
         self._wakeup.set()
 
-    async def wait_changed(self) -> AnnouncedUpstream | UpstreamGone:
+    async def wait_changed(self) -> UpstreamNews:
         """Wait for the next change of the upstream's state."""
         return await self._updates.get()
 
@@ -133,6 +138,17 @@
         self._lifetimes.doubt_running()
         self._wakeup.set()
 
+    def note_interruption(self) -> bool:
+        """Record that all connections to the upstream were lost.
+
+        Returns:
+            Whether it may have restarted with its id, which is announced then.
+        """
+        may_have_restarted = self._lifetimes.note_interruption()
+        if may_have_restarted:
+            self._updates.put_nowait(UpstreamInterrupted())
+        return may_have_restarted
+
     def note_leaving(self, instance: str) -> None:
         """Record that an upstream is leaving; it still serves for a while."""
         self._lifetimes.note_departure(instance, _read_clock())
--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -158,13 +158,14 @@
     def _note_birth(self, instance: str, born_ms: int) -> bool:
         """Return whether a report is of the last known life with its id.
 
-        A report of a newer life ends the running one, unless the health check has shown
-        the restart before.
+        A report of a newer life ends the running one, unless the health check or the
+        loss of all connections has shown the restart before.
         """
         known_ms = self._births_ms.get(instance, born_ms)
         _remember(self._births_ms, instance, max(born_ms, known_ms))
-        if born_ms > known_ms and self._named_anew != instance:
+        if born_ms > known_ms:
             self._sequences.pop(instance, None)
+        if born_ms > known_ms and self._named_anew != instance:
             self._departed_s.pop(instance, None)
             if self.running is not None and self.running.instance == instance:
                 self.running = None
@@ -209,6 +210,19 @@
         """Have the health check asked which lifetime runs."""
         self._is_identity_wanted = True
 
+    def note_interruption(self) -> bool:
+        """Record that all connections to the running lifetime were lost.
+
+        Returns:
+            Whether a later lifetime may run with its id: ids are used again where
+            reports say when a lifetime began.
+        """
+        running = self.running
+        if running is None or running.leaving or not running.born_ms:
+            return False
+        self._named_anew = running.instance
+        return True
+
     def note_end(self) -> None:
         """Record that the running lifetime can't be reached any more."""
         if self.running is not None:
--- a/tests/core/ownership/test_grant_history.py
+++ b/tests/core/ownership/test_grant_history.py
@@ -118,6 +118,15 @@
         self.assertEqual([entry.accepts_token(6, now) for now in (1.4, 1.5)], [0, 1])
         self.assertEqual(entry.latest_expiry_s, 1.5)
 
+    def test_keys_of_an_interrupted_process_accept_a_higher_token_at_once(self):
+        """It may still hold them, and nobody else can."""
+        history = GrantHistory()
+        history.note_sent(0, 7, 5, 1.0)
+        history.record_interruption(delivery_s=0.5)
+        (entry,) = history.list_ranges(0, 7)
+        self.assertEqual([entry.accepts_token(token, 0.0) for token in (5, 6)], [0, 1])
+        self.assertEqual(entry.latest_expiry_s, 1.5)
+
     def test_grant_sent_after_the_release_stays_valid(self):
         """The answer to the release may arrive after that grant was sent."""
         history = GrantHistory()
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -6,7 +6,7 @@
 
 import looptime
 
-from papayatack.daemon.announcement import UpstreamGone
+from papayatack.daemon.announcement import UpstreamGone, UpstreamInterrupted
 from papayatack.network.bodies import BytesBody
 from papayatack.network.exchanges import Request
 from papayatack.observability.metrics import Metrics
@@ -238,6 +238,35 @@
 
         self.run_scenario(scenario)
 
+    def test_upstream_whose_connections_were_lost_may_have_restarted_with_its_id(self):
+        """Its report of a later start ends nothing then."""
+
+        async def scenario(receiver):
+            self.name("i-1")
+            await self.send(receiver, "i-1", build_heartbeat(seq=50, born=1_000))
+            await self.wait_update(receiver)
+            self.assertTrue(receiver.note_interruption())
+            self.assertEqual(await self.wait_update(receiver), UpstreamInterrupted())
+            await self.send(receiver, "i-1", build_heartbeat(seq=1, born=9_000))
+            while not receiver._updates.empty():
+                self.assertNotIsInstance(await self.wait_update(receiver), UpstreamGone)
+            await self.send(receiver, "i-1", build_heartbeat(seq=2, born=9_000))
+            self.assertEqual(receiver.running.born_ms, 9_000)
+
+        self.run_scenario(scenario)
+
+    def test_upstream_without_a_time_of_start_has_another_id_after_a_restart(self):
+        """The loss of its connections tells nothing."""
+
+        async def scenario(receiver):
+            self.name("i-1")
+            await self.send(receiver, "i-1", build_heartbeat(seq=50))
+            await self.wait_update(receiver)
+            self.assertFalse(receiver.note_interruption())
+            await self.check_no_update(receiver)
+
+        self.run_scenario(scenario)
+
     def test_leaving_of_an_upstream_that_restarted_with_its_id_is_not_late(self):
         """Its sequence numbers start anew."""
 
