Send no release for the last process to the next one

What callers would have seen: requests refused with 421 for keys that their server had just been granted. A release that waited for a connection was sent after its process had been replaced, on a new connection to the address, and ended the keys of the next process.

--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -527,12 +527,19 @@
     async def _call_release(
         self, process: _UpstreamProcess, key_range: KeyRange
     ) -> Response | None:
+        """Release a range, unless the process has ended before that is sent."""
+
+        def build_document() -> Mapping[str, object] | None:
+            if process.ended.is_set():
+                return None
+            return build_range_document(key_range)
+
         end_s = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         async with self._release_slots:
             return await call_upstream(
                 process.pool,
                 b"/release",
-                lambda: build_range_document(key_range),
+                build_document,
                 end_s,
                 RELEASE_TIMEOUT_S,
             )
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -327,6 +327,30 @@
         await self.grants.revoke(LEASE, (shard,))
         self.assertFalse(self.upstream.holds(0))
 
+    async def test_release_for_the_last_process_does_not_reach_the_next(self):
+        """It had waited for a connection, and would end the keys of the next one."""
+        shard = name(0, 255)
+        await self.grants.grant(LEASE, {shard: 7}, find_end(SHORT_US))
+        is_free = asyncio.Event()
+        reserve = self.pool.reserve
+
+        async def wait_and_reserve(*, deadline_s):
+            await is_free.wait()
+            return await reserve(deadline_s=deadline_s)
+
+        self.pool.reserve = wait_and_reserve
+        revoking = asyncio.ensure_future(self.grants.revoke(LEASE, (shard,)))
+        await asyncio.sleep(0.05)
+        self.grants.forget(is_certain=False)
+        await asyncio.sleep(SHORT_US / 1e6 + MAX_DELIVERY_S + 0.1)
+        self.grants.pool = self.build_pool(self.upstream.address, name="i-1")
+        granted = await self.grants.grant(LEASE, {shard: 8}, find_end(LONG_US))
+        self.assertEqual(granted, Success(None))
+        is_free.set()
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.upstream.holds(0))
+        self.assertTrue(revoking.done())
+
     async def test_token_of_a_previous_process_is_not_sent_again(self):
         """The next process gets a grant only with a higher token."""
         first = name(0, 255)
