--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -49,7 +49,9 @@
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(alias_generator=to_pascal, frozen=True)
+    model_config = pydantic.ConfigDict(
+        alias_generator=to_pascal, frozen=True, strict=True
+    )
 
 
 class _Info(_Model):
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -267,6 +267,35 @@
 
         self.run_scenario(scenario)
 
+    def test_report_with_fields_of_another_type_does_not_end_the_upstream(self):
+        """It comes from another writer, and names no upstream."""
+
+        async def scenario(receiver):
+            self.name("i-1")
+            document = build_heartbeat(seq=50, born=1_000)
+            await self.send(receiver, "i-1", document)
+            await self.wait_update(receiver)
+            odd = (
+                {"born": "9000"},
+                {"born": 9_000.0},
+                {"born": True},
+                {"born": None},
+                {"Status": {**document["Status"], "Seq": "1000000"}},
+                {"Status": {**document["Status"], "Seq": 1e6}},
+                {"Info": {**document["Info"], "CapacitySlots": "13"}},
+                {"Info": {**document["Info"], "Service": 7}},
+            )
+            for fields in odd:
+                with self.subTest(fields=fields):
+                    changed = {**document, **fields}
+                    self.assertEqual(await self.send(receiver, "i-1", changed), 400)
+            await self.check_no_update(receiver)
+            draining = build_heartbeat(state="draining", seq=51, born=1_000)
+            self.assertEqual(await self.send(receiver, "i-1", draining), 200)
+            self.assertTrue((await self.wait_update(receiver)).leaving)
+
+        self.run_scenario(scenario)
+
     def test_leaving_of_an_upstream_that_restarted_with_its_id_is_not_late(self):
         """Its sequence numbers start anew."""
 
