--- a/src/papayatack/platform/heartbeats.py
+++ b/src/papayatack/platform/heartbeats.py
@@ -157,7 +157,11 @@
         self._publish()
 
     async def handle(self, request: Request) -> Response:
-        """Handle one call of the upstream."""
+        """Handle one call of the upstream.
+
+        A report that it leaves is acknowledged only if that is in force: no request is
+        sent to it after the acknowledgement and the time for it to drain.
+        """
         found = _CALL_PATH.fullmatch(request.target.partition(b"?")[0])
         if request.method != b"POST" or found is None:
             return reply_json(http.HTTPStatus.NOT_FOUND, {"Error": "no such call"})
@@ -180,6 +184,10 @@
             )
             return reply_json(http.HTTPStatus.BAD_REQUEST, {"Error": str(error)[:300]})
         self._handle_heartbeat(instance, heartbeat)
+        running = self._lifetimes.running
+        is_running = running is not None and running.instance == instance
+        if heartbeat.status.state == "draining" and is_running and not running.leaving:
+            return reply_json(http.HTTPStatus.CONFLICT, {"Error": "an older report"})
         return reply_json(http.HTTPStatus.OK, {})
 
     def _handle_heartbeat(self, instance: str, heartbeat: _Heartbeat) -> None:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -296,6 +296,21 @@
 
         self.run_scenario(scenario)
 
+    def test_leaving_is_acknowledged_only_if_it_is_in_force(self):
+        """No request may reach the upstream any more once it has the answer."""
+
+        async def scenario(receiver):
+            await self.start(receiver, "i-1", seq=5)
+            draining = build_heartbeat(state="draining", seq=4)
+            self.assertEqual(await self.send(receiver, "i-1", draining), 409)
+            await self.check_no_update(receiver)
+            draining = build_heartbeat(state="draining", seq=6)
+            self.assertEqual(await self.send(receiver, "i-1", draining), 200)
+            self.assertTrue((await self.wait_update(receiver)).leaving)
+            self.assertEqual(await self.send(receiver, "i-1", draining), 200)
+
+        self.run_scenario(scenario)
+
     def test_leaving_of_an_upstream_that_restarted_with_its_id_is_not_late(self):
         """Its sequence numbers start anew."""
 
