Retry no request on a connection on which the upstream has failed it

A faulty upstream answers a request with its own 500 and writes another answer to it later, where the next one is due. The retry has the same id, went out on the same connection, and took that answer for its own.

Only refusals kept a retry off their connection; failures do now as well.

--- a/src/papayatack/network/upstream_connection.py
+++ b/src/papayatack/network/upstream_connection.py
@@ -23,7 +23,7 @@
 WRITE_HIGH_BYTES = 64 * 1024
 """High-water mark of the write buffer, and most body bytes sent with the head."""
 BODILESS_STATUSES = (204, 304)
-MAX_REFUSED_IDS = 64
+MAX_FAILED_IDS = 64
 MAX_EVENTS_PER_TURN = 256
 """Maximum number of parser events in a turn of the event loop. A response may be many
 small chunks, which must not keep other connections waiting."""
@@ -51,7 +51,7 @@
         closed: Whether the connection is closed or the upstream has sent EOF.
         is_reused: Whether the current request is not the first on the connection. Its
             response may then be a late one to an earlier request.
-        refused_ids: Ids of the last requests that the upstream refused here.
+        failed_ids: Ids of the last requests that the upstream refused or failed here.
     """
 
     def __init__(self, *, owner: UpstreamOwner) -> None:
@@ -60,8 +60,8 @@
         self.idle_since_s = 0.0
         self.closed = False
         self.is_reused = False
-        self.refused_ids: collections.deque[str] = collections.deque(
-            maxlen=MAX_REFUSED_IDS
+        self.failed_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_FAILED_IDS
         )
         self._is_used = False
         self._h11 = self._build_parser()
--- a/src/papayatack/proxy/local.py
+++ b/src/papayatack/proxy/local.py
@@ -272,17 +272,17 @@
     async def _reserve(
         self, upstream: UpstreamPool, peer_request: PeerRequest, deadline_s: float
     ) -> Result[UpstreamConnection, Refusal]:
-        """Return a connection on which the upstream has not refused this request.
+        """Return a connection on which the upstream has not failed this request.
 
-        On such a one, a refusal of an earlier attempt could come once more and be taken
-        for the response to this attempt.
+        On such a one, a refusal or another answer to an earlier attempt could come late
+        and be taken for the response to this attempt.
         """
         while True:
             reserved = await upstream.reserve(deadline_s=deadline_s)
             if not is_successful(reserved):
                 return reserved
             connection = reserved.unwrap()
-            if peer_request.request_id not in connection.refused_ids:
+            if peer_request.request_id not in connection.failed_ids:
                 return reserved
             connection.abort()
 
--- a/src/papayatack/proxy/upstream_responses.py
+++ b/src/papayatack/proxy/upstream_responses.py
@@ -99,6 +99,8 @@
         if kind is not None:
             response.body.close()
             return self._handle_refusal(peer_request, response, kind, use, connection)
+        if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            connection.failed_ids.append(peer_request.request_id)
         self._record_run(peer_request, response.status, use)
         response.headers = self._dialect.clean_response(response.headers)
         if is_buffered(response):
@@ -127,7 +129,7 @@
             connection.abort()
             detail = "a refusal may be that of an earlier request on the connection"
             return Failure(Refusal(kind=ErrorKind.UPSTREAM_LOST, detail=detail))
-        connection.refused_ids.append(peer_request.request_id)
+        connection.failed_ids.append(peer_request.request_id)
         if use.run is not None:
             self._crashes.end(use.run)
         self._metrics.count("upstream_refusals", kind.value)
--- a/tests/platform/test_cold_upstream.py
+++ b/tests/platform/test_cold_upstream.py
@@ -57,7 +57,7 @@
         self.arrivals_s = []
         self.ran = []
         self.answers = True
-        self.refused_ids = []
+        self.failed_ids = []
         self.is_reused = False
         self.is_leaving = False
         self.is_crashed = False
--- a/tests/platform/test_limited_upstream.py
+++ b/tests/platform/test_limited_upstream.py
@@ -38,7 +38,7 @@
     def __init__(self):
         self.fields = ()
         self.arrivals_s = []
-        self.refused_ids = []
+        self.failed_ids = []
         self.is_reused = False
 
     async def reserve(self, *, deadline_s):
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -1,4 +1,4 @@
-"""Tests with an upstream that writes an earlier refusal once more."""
+"""Tests with an upstream that writes an earlier refusal, or another answer, later."""
 
 import asyncio
 import dataclasses
@@ -24,21 +24,23 @@
     b"HTTP/1.1 200 OK\r\nPapayatack-Request-Id: %s\r\n"
     b"Papayatack-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok"
 )
+FAILURE = (
+    b"HTTP/1.1 500 Internal Server Error\r\nPapayatack-Request-Id: %s\r\n"
+    b"Papayatack-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
+)
+SECOND = (
+    b"HTTP/1.1 200 OK\r\nPapayatack-Request-Id: %s\r\n"
+    b"Papayatack-Response-Signature: s\r\nContent-Length: 5\r\n\r\nother"
+)
 DEADLINE_S = 2.0
 WORK_S = 0.05
 
 
-class RepeatedRefusalTests(unittest.IsolatedAsyncioTestCase):
-    """An upstream that refuses the first request, and then again as it runs the next.
-
-    The refusals are written as ``refusal``, with the id of the first request if
-    ``has_id``.
-    """
+class UpstreamTestCase(unittest.IsolatedAsyncioTestCase):
+    """A local server before an upstream that answers as ``serve`` says."""
 
     async def asyncSetUp(self):
         """Start the upstream and a local server before it."""
-        self.has_id = False
-        self.refusal = b""
         self.ran = []
         self.connections = 0
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -58,6 +60,36 @@
             dialect=PlatformDialect(),
         )
 
+    async def send(self, request_id):
+        """Send a request that may run once, and return its result."""
+        request = Request(
+            method=b"POST",
+            target=b"/x",
+            headers=(
+                (b"host", b"h"),
+                (b"papayatack-request-id", request_id.encode()),
+                (b"content-length", b"0"),
+            ),
+        )
+        peer_request = dataclasses.replace(
+            build_peer_request(request_id, repeatable=False), request=request
+        )
+        deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
+        return await self.local.serve(peer_request, deadline_s=deadline_s)
+
+
+class RepeatedRefusalTests(UpstreamTestCase):
+    """An upstream that refuses the first request, and then again as it runs the next.
+
+    The refusals are written as ``refusal``, with the id of the first request if
+    ``has_id``.
+    """
+
+    async def asyncSetUp(self):
+        self.has_id = False
+        self.refusal = b""
+        await super().asyncSetUp()
+
     async def serve(self, reader, writer):
         """Refuse the first request of all; run the others, after the refusal again."""
         self.connections += 1
@@ -81,23 +113,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
-    async def send(self, request_id):
-        """Send a request that may run once, and return its result."""
-        request = Request(
-            method=b"POST",
-            target=b"/x",
-            headers=(
-                (b"host", b"h"),
-                (b"papayatack-request-id", request_id.encode()),
-                (b"content-length", b"0"),
-            ),
-        )
-        peer_request = dataclasses.replace(
-            build_peer_request(request_id, repeatable=False), request=request
-        )
-        deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
-        return await self.local.serve(peer_request, deadline_s=deadline_s)
-
     def find_outcome(self, result):
         """Return what a caller is told of a request that got no response."""
         return get_error_response(result.failure().kind).outcome
@@ -137,3 +152,36 @@
         self.assertTrue(matches(((b"papayatack-handover", b"x"),)))
         self.assertFalse(matches(((b"papayatack-request-id", b"a"),)))
         self.assertFalse(matches(((b"papayatack-response-signature", b"s"),)))
+
+
+class SecondAnswerTests(UpstreamTestCase):
+    """An upstream that fails a request, and writes another answer to it afterwards."""
+
+    async def serve(self, reader, writer):
+        """Fail the first request of all; answer it again where the next one is read."""
+        self.connections += 1
+        has_failed_here = False
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = [line for line in head.split(b"\r\n") if b"-request-id" in line]
+                request_id = lines[0].partition(b": ")[2]
+                self.ran.append(request_id.decode())
+                if len(self.ran) == 1:
+                    has_failed_here = True
+                    writer.write(FAILURE % request_id)
+                    continue
+                if has_failed_here:
+                    writer.write(SECOND % self.ran[0].encode())
+                await asyncio.sleep(WORK_S)
+                writer.write(RESPONSE % request_id)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    async def test_request_that_is_sent_again_does_not_take_a_second_answer(self):
+        """Both attempts have the same id, which does not tell them apart."""
+        failed = (await self.send("a")).unwrap()
+        self.assertEqual(failed.status, 500)
+        response = (await self.send("a")).unwrap()
+        self.assertEqual(await response.body.read(), b"ok")
+        self.assertEqual(self.ran, ["a", "a"])
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -31,7 +31,7 @@
     def __init__(self):
         self.name = "u"
         self.is_leaving = False
-        self.refused_ids = ()
+        self.failed_ids = ()
         self.is_reused = False
         self.started_s = []
         self.returned = 0
--- a/tests/proxy/test_screening.py
+++ b/tests/proxy/test_screening.py
@@ -39,7 +39,7 @@
         self.is_leaving = False
         self.is_crashed = False
         self.received = []
-        self.refused_ids = []
+        self.failed_ids = []
         self.is_reused = False
         self.most_running = 0
         self._running = 0
