Give idle connections and the state of an upstream process modules of their own

No change of behaviour: tests.network, tests.platform.test_grants and ...test_restarted_upstream pass.

--- a/src/papayatack/network/identified_connections.py
+++ b/src/papayatack/network/identified_connections.py
@@ -13,9 +13,10 @@
 from returns.result import Failure, Result, Success
 
 from papayatack.core.errors import ErrorKind, Refusal
+from papayatack.network.idle_connections import IdleConnections
 from papayatack.network.limits import UpstreamLimits
 from papayatack.network.upstream_connection import UpstreamConnection
-from papayatack.network.upstreams import UpstreamPool
+from papayatack.network.upstreams import NO_FREE_CONNECTION, UpstreamPool
 
 __all__ = ["IdReader", "IdentifiedConnections"]
 
@@ -82,7 +83,7 @@
         self._is_interrupted = False
         self.is_identified = True
         self._identified: set[UpstreamConnection] = set()
-        self._idle: list[UpstreamConnection] = []
+        self._idle = IdleConnections()
         self._unidentified: set[UpstreamConnection] = set()
         self._is_retired = False
         self._identifying = 0
@@ -121,12 +122,7 @@
             async with asyncio.timeout_at(deadline_s):
                 connection = await self._wait_for_turn()
         except TimeoutError:
-            return Failure(
-                Refusal(
-                    kind=ErrorKind.DEADLINE_EXPIRED,
-                    detail="no connection was free before the deadline",
-                )
-            )
+            return Failure(NO_FREE_CONNECTION)
         if connection is not None:
             return Success(connection)
         if self._is_refused():
@@ -141,7 +137,7 @@
     async def _wait_for_turn(self) -> UpstreamConnection | None:
         """Return an idle connection, or ``None`` once another one may be identified."""
         while True:
-            connection = self._take_idle()
+            connection = self._idle.take_newest(max_idle_s=self.limits.idle_timeout_s)
             is_allowed = self._identifying < MAX_IDENTIFYING
             if connection is not None or is_allowed or self._is_refused():
                 return connection
@@ -214,36 +210,23 @@
         if self._is_retired:
             connection.abort()
             return
-        connection.idle_since_s = asyncio.get_running_loop().time()
-        self._idle.append(connection)
+        self._idle.add(connection)
         self._wake_waiters()
         if len(self._idle) > MAX_IDLE:
-            spare = self._idle.pop(0)
+            spare = self._idle.take_oldest()
             spare.owner = self._pool
             self._pool.return_connection(spare)
 
     def drop_connection(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
         self._identified.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self._idle.discard(connection)
         self._pool.drop_connection(connection)
 
     def retire(self) -> None:
         """Close idle connections now, and others when their exchange ends."""
         self._is_retired = True
-        for connection in list(self._idle):
-            connection.abort()
-
-    def _take_idle(self) -> UpstreamConnection | None:
-        """Return the most recently used idle connection; close expired ones."""
-        oldest_s = asyncio.get_running_loop().time() - self.limits.idle_timeout_s
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.closed and connection.idle_since_s >= oldest_s:
-                return connection
-            connection.abort()
-        return None
+        self._idle.close()
 
 
 def _refuse(detail: str) -> Failure[Refusal]:
--- a/src/papayatack/network/upstreams.py
+++ b/src/papayatack/network/upstreams.py
@@ -15,12 +15,18 @@
 
 from papayatack.core.errors import ErrorKind, Refusal
 from papayatack.network.exchanges import Request, Response
+from papayatack.network.idle_connections import IdleConnections
 from papayatack.network.limits import UpstreamLimits
 from papayatack.network.probes import ProbeResult, probe
 from papayatack.network.upstream_connection import UpstreamConnection
 from papayatack.observability.metrics import Metrics
 
-__all__ = ["UpstreamPool"]
+__all__ = ["NO_FREE_CONNECTION", "UpstreamPool"]
+
+NO_FREE_CONNECTION = Refusal(
+    kind=ErrorKind.DEADLINE_EXPIRED,
+    detail="no connection was free before the deadline",
+)
 
 
 class UpstreamPool:
@@ -53,7 +59,7 @@
         self._host = host
         self._port = port
         self._metrics = metrics
-        self._idle: list[UpstreamConnection] = []
+        self._idle = IdleConnections()
         self._open: set[UpstreamConnection] = set()
         self._opening = 0
         self._retired = False
@@ -98,12 +104,7 @@
             async with asyncio.timeout_at(deadline_s):
                 connection = await self._acquire()
         except TimeoutError:
-            return Failure(
-                Refusal(
-                    kind=ErrorKind.DEADLINE_EXPIRED,
-                    detail="no connection was free before the deadline",
-                )
-            )
+            return Failure(NO_FREE_CONNECTION)
         if connection is not None:
             return Success(connection)
         self._metrics.count("upstream_connects_failed")
@@ -131,23 +132,20 @@
     def retire(self) -> None:
         """Close idle connections now, and others when their exchange ends."""
         self._retired = True
-        for connection in list(self._idle):
-            connection.abort()
+        self._idle.close()
 
     def return_connection(self, connection: UpstreamConnection) -> None:
         """Take back a connection that can be reused."""
         if self._retired:
             connection.abort()
             return
-        connection.idle_since_s = asyncio.get_running_loop().time()
-        self._idle.append(connection)
+        self._idle.add(connection)
         self._wake_waiter()
 
     def drop_connection(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self._idle.discard(connection)
         self._wake_waiter()
 
     async def _acquire(self) -> UpstreamConnection | None:
@@ -173,16 +171,7 @@
                 raise
 
     def _take_idle(self) -> UpstreamConnection | None:
-        """Return the most recently used idle connection; close expired ones."""
-        oldest_s = asyncio.get_running_loop().time() - self.limits.idle_timeout_s
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.closed:
-                continue
-            if connection.idle_since_s >= oldest_s:
-                return connection
-            connection.abort()
-        return None
+        return self._idle.take_newest(max_idle_s=self.limits.idle_timeout_s)
 
     async def _connect(self) -> UpstreamConnection | None:
         self._opening += 1
--- a/src/papayatack/platform/grants.py
+++ b/src/papayatack/platform/grants.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable, Collection, Iterable, Mapping
-from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -34,13 +33,14 @@
     merge_ranges,
     split_handovers,
 )
-from papayatack.platform.upstream_calls import (
-    NOT_SENT,
-    CallConnections,
-    call_upstream,
+from papayatack.platform.upstream_calls import NOT_SENT, call_upstream
+from papayatack.platform.upstream_process import (
+    GrantConnections,
+    GrantedShard,
+    UpstreamProcess,
 )
 
-__all__ = ["GrantConnections", "MAX_DELIVERY_S", "RangeGrantClient"]
+__all__ = ["MAX_DELIVERY_S", "RangeGrantClient"]
 
 MAX_CLOCK_RATE_ERROR = 0.02
 MAX_DELIVERY_S = 0.3
@@ -72,76 +72,6 @@
 OK = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Granted:
-    """The newest grant of a shard that the upstream has confirmed.
-
-    Attributes:
-        lease: The lease under which the shard is granted.
-        token: Fencing token of the grant.
-        until_s: Event loop time at which the grant expires.
-    """
-
-    lease: LeaseId
-    token: int
-    until_s: float
-
-
-class GrantConnections(CallConnections, Protocol):
-    """Connections to one upstream process on which grants are sent.
-
-    Attributes:
-        is_identified: Whether they lead to this process only, and not to the next one
-            at its address.
-        has_open: Whether one of them is open, so that the process runs.
-    """
-
-    is_identified: bool
-    has_open: bool
-
-    def retire(self) -> None:
-        """Close idle connections now, and others when their exchange ends."""
-
-
-class _UpstreamProcess:
-    """State of one upstream process and of the calls to it in flight.
-
-    Attributes:
-        name: Its name, for operators.
-        pool: Connections to its address, ``None`` while there is none.
-        connections: Those of them on which grants are sent.
-        is_end_proved: Whether its last connections show that it has ended, and that no
-            other process has taken its grants.
-        sent_s: Event loop time at which the last grant was sent, ``None`` before.
-        granted: Confirmed grants that are renewed, by shard.
-        requested_tokens: Token of the newest requested grant, by shard.
-        releasing: Shards that are being released and must not be renewed.
-        calls: Grant calls in flight, with the shards of each.
-        ended: Set once another process has replaced this one.
-    """
-
-    def __init__(self) -> None:
-        self.name = ""
-        self.pool: UpstreamPool | None = None
-        self.connections: GrantConnections | None = None
-        self.is_end_proved = True
-        self.sent_s: float | None = None
-        self.granted: dict[ShardId, _Granted] = {}
-        self.requested_tokens: dict[ShardId, int] = {}
-        self.releasing: set[ShardId] = set()
-        self.calls: dict[asyncio.Future[bool], frozenset[ShardId]] = {}
-        self.ended = asyncio.Event()
-
-    def disconnect(self) -> None:
-        """Retire the connections."""
-        connections, self.connections = self.connections, None
-        self.pool = None
-        if connections is not None:
-            is_open = connections.has_open
-            self.is_end_proved = connections.is_identified and not is_open
-            connections.retire()
-
-
 class RangeGrantClient:
     """Grants the local upstream the keys that it may serve.
 
@@ -164,7 +94,7 @@
         self._list_hot = list_hot
         self._build_connections = build_connections
         self._history = GrantHistory()
-        self._process = _UpstreamProcess()
+        self._process = UpstreamProcess()
         self._grant_slots = asyncio.Semaphore(MAX_CONCURRENT_GRANTS)
         self._release_slots = asyncio.Semaphore(MAX_CONCURRENT_RELEASES)
 
@@ -204,7 +134,7 @@
             )
         self._history.record_restart(is_certain=is_certain, delivery_s=MAX_DELIVERY_S)
         process.ended.set()
-        self._process = _UpstreamProcess()
+        self._process = UpstreamProcess()
 
     def restart(self) -> None:
         """Renew no grant sent so far: the upstream may have restarted in its place.
@@ -216,7 +146,7 @@
         self._history.record_interruption(delivery_s=MAX_DELIVERY_S)
         self._process.disconnect()
         self._process.ended.set()
-        self._process = _UpstreamProcess()
+        self._process = UpstreamProcess()
         self.pool = pool
 
     async def grant(
@@ -295,7 +225,7 @@
         return Success({shard: text for shard, text in handovers.items() if text})
 
     def _list_possible_grants(
-        self, process: _UpstreamProcess, shard: ShardId
+        self, process: UpstreamProcess, shard: ShardId
     ) -> list[KeyRange]:
         """Return the ranges of a shard that the upstream may hold.
 
@@ -332,7 +262,7 @@
 
     async def _grant_ranges(
         self,
-        process: _UpstreamProcess,
+        process: UpstreamProcess,
         lease: LeaseId,
         tokens: Mapping[ShardId, int],
         end_s: float,
@@ -361,7 +291,7 @@
             known = process.granted.get(shard)
             newer = known is None or known.token <= token
             if not missing and newer and shard not in process.releasing:
-                process.granted[shard] = _Granted(
+                process.granted[shard] = GrantedShard(
                     lease=lease, token=token, until_s=end_s
                 )
         return not failed
@@ -409,7 +339,7 @@
         """Return the hot slices that are separate shards, sorted by key."""
         return sorted(map(parse_slice, self._list_hot()))
 
-    async def _release(self, process: _UpstreamProcess, parts: list[KeyRange]) -> str:
+    async def _release(self, process: UpstreamProcess, parts: list[KeyRange]) -> str:
         """Release ranges; return the upstream's handover, empty if there is none."""
         responses = await asyncio.gather(
             *(self._call_release(process, part) for part in parts)
@@ -449,7 +379,7 @@
                     await process.ended.wait()
 
     async def _call_grant(
-        self, process: _UpstreamProcess, key_range: KeyRange, end_s: float
+        self, process: UpstreamProcess, key_range: KeyRange, end_s: float
     ) -> Response | None:
         """Grant a range until ``end_s``, however long the call waits to be sent.
 
@@ -491,7 +421,7 @@
             response_timeout_s *= 2
 
     def _record_unanswered(
-        self, process: _UpstreamProcess, key_range: KeyRange, end_s: float
+        self, process: UpstreamProcess, key_range: KeyRange, end_s: float
     ) -> None:
         """Record that the upstream may process a grant as late as its expiry."""
         if not process.ended.is_set():
@@ -500,7 +430,7 @@
 
     def _record_answered(
         self,
-        process: _UpstreamProcess,
+        process: UpstreamProcess,
         key_range: KeyRange,
         sent: list[SentGrant],
         end_s: float,
@@ -525,7 +455,7 @@
             log_late_answer(key_range, sent, end_s=end_s, until_s=until_s)
 
     async def _call_release(
-        self, process: _UpstreamProcess, key_range: KeyRange
+        self, process: UpstreamProcess, key_range: KeyRange
     ) -> Response | None:
         """Release a range, unless the process has ended before that is sent."""
 
