Take a restart under the same id into account before its first report

After the health check had named the next life, its start was not known until its first report, and the loss of its connections counted for nothing. What is known of the id counts now, from reports of earlier lives; an id that has not reported yet may be used again. The test of restarts also checks that no node has ended.

--- a/src/papayatack/platform/lifetimes.py
+++ b/src/papayatack/platform/lifetimes.py
@@ -217,10 +217,12 @@
             Whether a later lifetime may run with its id: ids are used again where
             reports say when a lifetime began.
         """
-        running = self.running
-        if running is None or running.leaving or not running.born_ms:
+        if self.running is None:
+            return True
+        instance = self.running.instance
+        if self._births_ms.get(instance) == 0:
             return False
-        self._named_anew = running.instance
+        self._named_anew = instance
         return True
 
     def note_end(self) -> None:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -255,6 +255,25 @@
 
         self.run_scenario(scenario)
 
+    def test_upstream_that_only_its_health_check_has_named_may_have_restarted(self):
+        """Its time of start is known from reports of an earlier life, or not yet."""
+
+        async def scenario(receiver):
+            self.name("i-1", slots=13)
+            await self.wait_update(receiver)
+            self.assertTrue(receiver.note_interruption())
+            await self.wait_update(receiver)
+            await self.send(receiver, "i-1", build_heartbeat(seq=50, born=1_000))
+            await self.wait_update(receiver)
+            receiver._lifetimes.note_end()
+            receiver._lifetimes.note_identity(
+                self.identity, address="127.0.0.1:9", now=0.0
+            )
+            self.assertEqual(receiver.running.born_ms, 0)
+            self.assertTrue(receiver.note_interruption())
+
+        self.run_scenario(scenario)
+
     def test_upstream_without_a_time_of_start_has_another_id_after_a_restart(self):
         """The loss of its connections tells nothing."""
 
--- a/tests/platform/test_restarted_upstream.py
+++ b/tests/platform/test_restarted_upstream.py
@@ -201,6 +201,8 @@
         watch.cancel()
         self.assertGreater(len(self.fences.lives), len(self.machines))
         self.assertEqual(self.held_twice, {})
+        ended = [machine.process.returncode for machine in self.machines]
+        self.assertEqual(ended, [None] * len(self.machines))
 
     async def watch_holders(self):
         """Note for how long keys are held by two upstreams, if over half a second."""
