--- a/src/papayatack/platform/grant_lines.py
+++ b/src/papayatack/platform/grant_lines.py
@@ -67,7 +67,8 @@
         upstream: Name of the process.
         is_certain: Whether it is known to have ended.
         sent_s: Event loop time at which the last grant was sent to it.
-        until_s: Event loop time until which it may hold its keys unless it has ended.
+        until_s: Event loop time until which it may hold its keys unless it has ended;
+            negative infinity if it holds none.
     """
     now = asyncio.get_running_loop().time()
     log_event(
@@ -76,7 +77,7 @@
         upstream=upstream,
         certain=is_certain,
         sent_ms=int((now - sent_s) * MS_PER_S),
-        left_ms=int((until_s - now) * MS_PER_S),
+        left_ms=int(max(0.0, until_s - now) * MS_PER_S),
     )
 
 
--- a/tests/platform/test_grants.py
+++ b/tests/platform/test_grants.py
@@ -185,6 +185,15 @@
         self.assertGreater(line.left_ms, 9_000)
         self.assertLessEqual(line.left_ms, 9_901)
 
+    async def test_end_of_a_process_that_holds_nothing_is_logged(self):
+        """All its keys were released before."""
+        shard = name(0, 255)
+        await self.grants.grant(LEASE, {shard: 7}, find_end(LONG_US))
+        await self.grants.revoke(LEASE, (shard,))
+        with self.assertLogs("papayatack.platform.grant_lines", "INFO") as logs:
+            self.grants.forget()
+        self.assertEqual(logs.records[0].left_ms, 0)
+
     async def test_too_short_grant_is_not_sent(self):
         """It would expire before its first request."""
         result = await self.grants.grant(LEASE, {name(0, 255): 7}, find_end(15_000))
