--- a/tests/platform/test_restarted_upstream.py
+++ b/tests/platform/test_restarted_upstream.py
@@ -1,11 +1,19 @@
-"""Tests of upstreams that crash and start again at once at the same address."""
+"""Tests of upstreams that crash and start again at once at the same address.
+
+To run more seeds by hand, with more crashes, give the first one and their number::
+
+    python -m tests.platform.test_restarted_upstream 1 50
+"""
 
 import asyncio
 import collections
 import contextlib
 import functools
+import io
 import random
+import sys
 import time
+import unittest
 
 from standins.platformupstream import MS_PER_S, PlatformUpstream
 from tests.platform.documents import build_manifest
@@ -13,8 +21,11 @@
 
 SEED = 74
 RESTARTS = 8
-MIN_DOWN_S, MAX_DOWN_S = 0.02, 0.1
-MIN_GAP_S, MAX_GAP_S = 0.5, 1.5
+DOWN_S = (0.0, 0.1)
+GAP_S = (0.5, 1.5)
+HARD_RESTARTS = 25
+HARD_DOWN_S = (0.0, 0.05)
+HARD_GAP_S = (0.3, 0.9)
 HEARTBEAT_S = 0.9
 HELD_TWICE_S = 0.5
 WATCH_S = 0.02
@@ -145,8 +156,19 @@
 
 
 class RestartTests(ProcessTestCase):
-    """Real nodes beside upstreams that crash and are back within 0.1 s."""
+    """Real nodes beside upstreams that crash and are back within 0.1 s.
+
+    Attributes:
+        seed: Seed of the crashes.
+        restarts: Number of crashes.
+        down_s: Shortest and longest time for which an upstream is away.
+        gap_s: Shortest and longest time between crashes.
+    """
 
+    seed = SEED
+    restarts = RESTARTS
+    down_s = DOWN_S
+    gap_s = GAP_S
     layout = (("east", "desk"), ("west", "desk"), ("south", "desk"))
     machine_type = RestartingMachine
 
@@ -185,16 +207,16 @@
 
     async def restart_upstreams(self):
         """Have upstreams crash, and check that no key is held by two for long."""
-        rng = random.Random(SEED)
+        rng = random.Random(self.seed)
         watch = asyncio.ensure_future(self.watch_holders())
         callers = [
             asyncio.ensure_future(self.call(number)) for number in range(CALLERS)
         ]
-        for _ in range(RESTARTS):
+        for _ in range(self.restarts):
             upstream = rng.choice(self.machines).upstream
-            upstream.down_s = rng.uniform(MIN_DOWN_S, MAX_DOWN_S)
+            upstream.down_s = rng.uniform(*self.down_s)
             upstream.crash()
-            await asyncio.sleep(rng.uniform(MIN_GAP_S, MAX_GAP_S))
+            await asyncio.sleep(rng.uniform(*self.gap_s))
         await self.wait_for(self.is_served)
         for caller in callers:
             caller.cancel()
@@ -227,3 +249,22 @@
                 if now - began_s > HELD_TWICE_S:
                     self.held_twice[key] = (now - began_s, holders[key])
             await asyncio.sleep(WATCH_S)
+
+
+def run_seeds(first, count):
+    """Run the tests with each seed and more crashes; print which ones failed."""
+    names = unittest.TestLoader().getTestCaseNames(RestartTests)
+    RestartTests.restarts = HARD_RESTARTS
+    RestartTests.down_s = HARD_DOWN_S
+    RestartTests.gap_s = HARD_GAP_S
+    for seed in range(first, first + count):
+        RestartTests.seed = seed
+        suite = unittest.TestSuite(RestartTests(name) for name in names)
+        result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+        print(f"seed {seed}: {'ok' if result.wasSuccessful() else 'failed'}")
+        for test, text in result.failures + result.errors:
+            print(test.id(), text, sep="\n")
+
+
+if __name__ == "__main__":
+    run_seeds(*map(int, sys.argv[1:3]))
